--- /dev/null
+++ b/src/calls/mod.rs
@@ -0,0 +1,1 @@
+//! Permits, outcomes, routing, retry budgets and crash suspects.
--- /dev/null
+++ b/src/cli/errors.rs
@@ -0,0 +1,29 @@
+use std::fmt;
+use std::process::ExitCode;
+
+/// Why a subcommand ended without success.
+#[derive(Debug)]
+pub enum CliError {
+    /// The command ran and failed; exit code 1.
+    Failed(String),
+    /// The arguments or settings are invalid; exit code 2.
+    Invalid(String),
+}
+
+impl CliError {
+    /// Exit code of the process.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Failed(_) => ExitCode::from(1),
+            Self::Invalid(_) => ExitCode::from(2),
+        }
+    }
+}
+
+impl fmt::Display for CliError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(reason) | Self::Invalid(reason) => f.write_str(reason),
+        }
+    }
+}
--- /dev/null
+++ b/src/conf/mod.rs
@@ -0,0 +1,1 @@
+//! INI settings of each role, with documented defaults and full validation.
--- /dev/null
+++ b/src/contracts/mod.rs
@@ -0,0 +1,1 @@
+//! What each branch may use: shares, the fair queue and admission.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry role: addresses, permits, routing and the administration API.
--- /dev/null
+++ b/src/links/mod.rs
@@ -0,0 +1,1 @@
+//! Links between hosts: budgets, the HTTP client and silent-connection detection.
--- /dev/null
+++ b/src/observe/metrics.rs
@@ -0,0 +1,112 @@
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// What a process counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tally {
+    /// Requests refused, by `reason`.
+    Refusals,
+    /// Requests sent again, by `reason`.
+    Retries,
+    /// Requests finished, by `outcome`.
+    Requests,
+    /// Bytes of weights moved, by `direction` and peer kind.
+    WeightBytes,
+    /// Chunks dropped, by `reason`.
+    ChunksRejected,
+    /// Bytes of control traffic, by `direction`.
+    ControlBytes,
+    /// Calls to the platform, by `call`.
+    PlatformCalls,
+}
+
+impl Tally {
+    const ALL: [Self; 7] = [
+        Self::Refusals,
+        Self::Retries,
+        Self::Requests,
+        Self::WeightBytes,
+        Self::ChunksRejected,
+        Self::ControlBytes,
+        Self::PlatformCalls,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Refusals => "bergamotfork_refusals",
+            Self::Retries => "bergamotfork_retries",
+            Self::Requests => "bergamotfork_requests",
+            Self::WeightBytes => "bergamotfork_weight_bytes",
+            Self::ChunksRejected => "bergamotfork_chunks_rejected",
+            Self::ControlBytes => "bergamotfork_control_bytes",
+            Self::PlatformCalls => "bergamotfork_platform_calls",
+        }
+    }
+}
+
+/// Counters of one process, exported in the Prometheus text format.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    counters: Vec<Counter<u64>>,
+}
+
+impl Metrics {
+    /// Fresh counters.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry has no name clash");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bergamotfork");
+        let counters = Tally::ALL
+            .iter()
+            .map(|tally| meter.u64_counter(tally.name()).build())
+            .collect();
+        Self {
+            registry,
+            _provider: provider,
+            counters,
+        }
+    }
+
+    /// Adds `count` to `tally` under the label `key` = `value`.
+    pub fn add(&self, tally: Tally, count: u64, key: &'static str, value: &'static str) {
+        self.counters[tally as usize].add(count, &[KeyValue::new(key, value)]);
+    }
+
+    /// Counts one refusal.
+    pub fn refused(&self, reason: &'static str) {
+        self.add(Tally::Refusals, 1, "reason", reason);
+    }
+
+    /// Counts one retry.
+    pub fn retried(&self, reason: &'static str) {
+        self.add(Tally::Retries, 1, "reason", reason);
+    }
+
+    /// All counters in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut text).is_err() {
+            return String::new();
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/regions/mod.rs
@@ -0,0 +1,1 @@
+//! Regions and failure domains.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, with faults to order.
