--- a/src/hosts/host_record.rs
+++ b/src/hosts/host_record.rs
@@ -36,6 +36,9 @@
     pub region: String,
     /// Failure domain inside the region.
     pub domain: String,
+    /// Plain service beside an endpoint; `None` beside a model engine.
+    #[serde(default)]
+    pub service: Option<String>,
     /// Whether it is leaving.
     pub state: HostState,
 }
--- /dev/null
+++ b/src/links/http_client.rs
@@ -0,0 +1,184 @@
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use actix_web::http::Method;
+use actix_web::http::header::CONTENT_TYPE;
+use actix_web::http::header::RETRY_AFTER;
+use awc::Client;
+use awc::ClientRequest;
+use awc::Connector;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::links::LinkError;
+
+/// Header that carries the shared key between this system's processes.
+pub const SHARED_KEY_HEADER: &str = "x-bergamotfork-key";
+
+/// Longest body read from another process.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Connections one thread keeps to one address.
+const MAX_CONNECTIONS: usize = 1024;
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+thread_local! {
+    static POOL: Client = client(MAX_CONNECTIONS);
+}
+
+fn client(limit: usize) -> Client {
+    Client::builder()
+        .connector(Connector::new().limit(limit).timeout(CONNECT_TIMEOUT))
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends requests to other processes from the current thread.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    shared_key: Option<String>,
+}
+
+impl HttpClient {
+    /// Client towards the platform: no key is sent.
+    pub fn to_platform() -> Self {
+        Self { shared_key: None }
+    }
+
+    /// Client towards this system's processes.
+    pub fn to_processes(shared_key: impl Into<String>) -> Self {
+        Self {
+            shared_key: Some(shared_key.into()),
+        }
+    }
+
+    /// Request on a pooled connection.
+    pub fn request(&self, method: Method, url: &str) -> ClientRequest {
+        self.with_key(POOL.with(|pool| pool.request(method, url)))
+    }
+
+    /// Request on a connection of its own, never resent by the client.
+    pub fn fresh_request(&self, method: Method, url: &str) -> ClientRequest {
+        self.with_key(client(1).request(method, url)).force_close()
+    }
+
+    fn with_key(&self, request: ClientRequest) -> ClientRequest {
+        match &self.shared_key {
+            Some(key) => request.insert_header((SHARED_KEY_HEADER, key.as_str())),
+            None => request,
+        }
+    }
+
+    /// Sends `body` and reads the whole answer within `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no answer came or its status is not a success.
+    pub async fn exchange(
+        request: ClientRequest,
+        body: impl Into<Bytes>,
+        wait_ms: u64,
+    ) -> Result<Bytes, LinkError> {
+        let sending = async {
+            let mut response = request.send_body(body.into()).await.map_err(sort_error)?;
+            let status = response.status();
+            let retry_after_ms = response
+                .headers()
+                .get(RETRY_AFTER)
+                .and_then(|value| value.to_str().ok())
+                .and_then(|seconds| seconds.parse::<f64>().ok())
+                .map(|seconds| (seconds * 1000.0) as u64);
+            let bytes = response
+                .body()
+                .limit(MAX_BODY_BYTES)
+                .await
+                .map_err(|error| LinkError::Broken(error.to_string()))?;
+            if status.is_success() {
+                return Ok(bytes);
+            }
+            Err(LinkError::Status {
+                status: status.as_u16(),
+                retry_after_ms,
+                body: String::from_utf8_lossy(&bytes).into_owned(),
+            })
+        };
+        timeout(Duration::from_millis(wait_ms), sending)
+            .await
+            .unwrap_or(Err(LinkError::Timeout { wait_ms }))
+    }
+
+    /// Sends `question` as MessagePack and decodes the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] as for [`HttpClient::exchange`].
+    pub async fn ask<A: DeserializeOwned>(
+        &self,
+        url: &str,
+        question: &impl Serialize,
+        wait_ms: u64,
+    ) -> Result<A, LinkError> {
+        let body = rmp_serde::to_vec_named(question).map_err(malformed)?;
+        let request = self
+            .request(Method::POST, url)
+            .insert_header((CONTENT_TYPE, "application/msgpack"));
+        let answer = Self::exchange(request, body, wait_ms).await?;
+        rmp_serde::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] as for [`HttpClient::exchange`].
+    pub async fn get_json<A: DeserializeOwned>(
+        &self,
+        url: &str,
+        wait_ms: u64,
+    ) -> Result<A, LinkError> {
+        let answer = Self::exchange(self.request(Method::GET, url), Bytes::new(), wait_ms).await?;
+        serde_json::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Sends `question` as JSON and decodes the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] as for [`HttpClient::exchange`].
+    pub async fn send_json<A: DeserializeOwned>(
+        &self,
+        method: Method,
+        url: &str,
+        question: &impl Serialize,
+        wait_ms: u64,
+    ) -> Result<A, LinkError> {
+        let body = serde_json::to_vec(question).map_err(malformed)?;
+        let request = self
+            .request(method, url)
+            .insert_header((CONTENT_TYPE, "application/json"));
+        let answer = Self::exchange(request, body, wait_ms).await?;
+        serde_json::from_slice(&answer).map_err(malformed)
+    }
+}
+
+fn malformed(error: impl std::fmt::Display) -> LinkError {
+    LinkError::Malformed(error.to_string())
+}
+
+/// Tells requests that never left from those that may have.
+pub(super) fn sort_error(error: SendRequestError) -> LinkError {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            LinkError::Broken("disconnected".to_owned())
+        }
+        SendRequestError::Connect(cause) => LinkError::NotSent(cause.to_string()),
+        SendRequestError::Url(cause) => LinkError::NotSent(cause.to_string()),
+        other => LinkError::Broken(other.to_string()),
+    }
+}
--- /dev/null
+++ b/src/links/http_server.rs
@@ -0,0 +1,85 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web::ServiceConfig;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::links::LinkError;
+use crate::links::SHARED_KEY_HEADER;
+use crate::standin::Handle;
+
+/// How a process serves HTTP.
+#[derive(Debug, Clone)]
+pub struct ServeOptions {
+    /// Time a client has to send the head of a request.
+    pub client_timeout_ms: u64,
+    /// Time requests in progress have after a stop.
+    pub drain_ms: u64,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self {
+            client_timeout_ms: 5000,
+            drain_ms: 30_000,
+        }
+    }
+}
+
+/// Serves on `listen` with one worker thread.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub fn serve(
+    listen: SocketAddr,
+    options: &ServeOptions,
+    configure: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
+) -> io::Result<Handle> {
+    let server = HttpServer::new(move || App::new().configure(configure.clone()))
+        .workers(1)
+        .client_request_timeout(Duration::from_millis(options.client_timeout_ms))
+        .shutdown_timeout(options.drain_ms.div_ceil(1000))
+        .disable_signals()
+        .bind(listen)?;
+    let address = server.addrs().first().copied().unwrap_or(listen);
+    let running = server.run();
+    let handle = Handle::new(address, running.handle());
+    actix_rt::spawn(running);
+    Ok(handle)
+}
+
+/// Whether `request` carries the shared key.
+pub fn has_key(request: &HttpRequest, shared_key: &str) -> bool {
+    let given = request
+        .headers()
+        .get(SHARED_KEY_HEADER)
+        .map_or(&b""[..], |value| value.as_bytes());
+    // Comparing digests takes the same time whatever the given key is.
+    blake3::hash(given) == blake3::hash(shared_key.as_bytes())
+}
+
+/// Decodes a MessagePack body.
+///
+/// # Errors
+///
+/// [`LinkError::Malformed`] when the body does not decode.
+pub fn read_rmp<T: DeserializeOwned>(body: &[u8]) -> Result<T, LinkError> {
+    rmp_serde::from_slice(body).map_err(|error| LinkError::Malformed(error.to_string()))
+}
+
+/// A response with a MessagePack body.
+pub fn rmp_response(answer: &impl Serialize) -> HttpResponse {
+    match rmp_serde::to_vec_named(answer) {
+        Ok(body) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(body),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -1,1 +1,17 @@
-//! Links between hosts: budgets, the HTTP client and silent-connection detection.
+//! Links between hosts: the HTTP client and server set-up shared by all roles.
+//!
+//! Calls between this system's processes carry MessagePack bodies and the
+//! shared key; calls to the platform and to callers carry JSON.
+
+mod errors;
+mod http_client;
+mod http_server;
+
+pub use errors::LinkError;
+pub use http_client::HttpClient;
+pub use http_client::SHARED_KEY_HEADER;
+pub use http_server::ServeOptions;
+pub use http_server::has_key;
+pub use http_server::read_rmp;
+pub use http_server::rmp_response;
+pub use http_server::serve;
--- /dev/null
+++ b/src/platform/log_client.rs
@@ -0,0 +1,101 @@
+use actix_web::http::Method;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::links::HttpClient;
+use crate::links::LinkError;
+
+/// Longest time an append may take.
+const APPEND_WAIT_MS: u64 = 5000;
+
+/// Time a read may take beyond its own waiting time.
+const READ_SLACK_MS: u64 = 5000;
+
+/// One record of a stream of the platform's log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogEntry {
+    /// Position in the stream.
+    pub offset: u64,
+    /// Bytes of the record, in hexadecimal digits.
+    pub body_hex: String,
+}
+
+impl LogEntry {
+    /// Bytes of the record; empty when the digits are not hexadecimal.
+    pub fn body(&self) -> Vec<u8> {
+        let digits = self.body_hex.as_bytes();
+        digits
+            .chunks_exact(2)
+            .map(|pair| {
+                std::str::from_utf8(pair)
+                    .ok()
+                    .and_then(|pair| u8::from_str_radix(pair, 16).ok())
+            })
+            .collect::<Option<Vec<u8>>>()
+            .unwrap_or_default()
+    }
+
+    /// A record from its bytes.
+    pub fn new(offset: u64, body: &[u8]) -> Self {
+        let body_hex = body.iter().map(|byte| format!("{byte:02x}")).collect();
+        Self { offset, body_hex }
+    }
+}
+
+/// A run of records and the bounds of the stream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LogSlice {
+    /// Earliest offset still kept.
+    pub earliest: u64,
+    /// Offset the next append will get.
+    pub next: u64,
+    /// Records from the offset asked for, without gaps.
+    pub records: Vec<LogEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+/// Client of one stream of the platform's append-only log.
+#[derive(Debug, Clone)]
+pub struct LogClient {
+    url: String,
+    http: HttpClient,
+}
+
+impl LogClient {
+    /// Client of `stream` at the log's base URL.
+    pub fn new(base_url: &str, stream: &str) -> Self {
+        Self {
+            url: format!("{base_url}/v1/streams/{stream}/records"),
+            http: HttpClient::to_platform(),
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; the record may have been appended unless the error is
+    /// [`LinkError::NotSent`].
+    pub async fn append(&self, body: Vec<u8>) -> Result<u64, LinkError> {
+        let request = self.http.request(Method::POST, &self.url);
+        let answer = HttpClient::exchange(request, body, APPEND_WAIT_MS).await?;
+        serde_json::from_slice::<Appended>(&answer)
+            .map(|appended| appended.offset)
+            .map_err(|error| LinkError::Malformed(error.to_string()))
+    }
+
+    /// Reads up to `max` records from offset `from`, waiting up to `wait_ms`
+    /// for the first one.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when the log does not answer.
+    pub async fn read(&self, from: u64, max: usize, wait_ms: u64) -> Result<LogSlice, LinkError> {
+        let url = format!("{}?from={from}&max={max}&wait_ms={wait_ms}", self.url);
+        self.http.get_json(&url, wait_ms + READ_SLACK_MS).await
+    }
+}
--- /dev/null
+++ b/src/standin/hosts.rs
@@ -0,0 +1,152 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hosts::HostRecord;
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::platform::HostList;
+use crate::standin::Handle;
+
+/// How the stand-in for the platform's list of hosts starts.
+#[derive(Debug, Clone)]
+pub struct HostsOptions {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time until a change shows.
+    pub lag_ms: u64,
+}
+
+/// Faults to order from the list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HostsFaults {
+    /// Every read is answered 503.
+    pub down: bool,
+    /// Every read shows an empty list.
+    pub empty: bool,
+    /// Every read shows only the first half.
+    pub halved: bool,
+}
+
+#[derive(Debug, Default)]
+struct Register {
+    /// Lists in order of change, each with the time it was made.
+    changes: Vec<(Instant, HostList)>,
+    faults: HostsFaults,
+}
+
+impl Register {
+    fn change(&mut self, edit: impl FnOnce(&mut Vec<HostRecord>)) {
+        let mut list = self
+            .changes
+            .last()
+            .map_or_else(HostList::default, |(_, list)| list.clone());
+        edit(&mut list.hosts);
+        list.version += 1;
+        self.changes.push((Instant::now(), list));
+    }
+
+    fn shown(&mut self, lag: Duration) -> HostList {
+        let due = self
+            .changes
+            .partition_point(|(made, _)| made.elapsed() >= lag);
+        if due > 1 {
+            self.changes.drain(..due - 1);
+        }
+        let mut list = match self.changes.first() {
+            Some((made, list)) if made.elapsed() >= lag => list.clone(),
+            _ => HostList::default(),
+        };
+        if self.faults.empty {
+            list.hosts.clear();
+        }
+        if self.faults.halved {
+            list.hosts.truncate(list.hosts.len() / 2);
+        }
+        list
+    }
+}
+
+#[derive(Debug)]
+struct HostsState {
+    lag: Duration,
+    register: Mutex<Register>,
+}
+
+impl HostsState {
+    fn register(&self) -> MutexGuard<'_, Register> {
+        self.register
+            .lock()
+            .expect("no holder of the register panics")
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    since: u64,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(options: HostsOptions) -> io::Result<Handle> {
+    let state = web::Data::from(Arc::new(HostsState {
+        lag: Duration::from_millis(options.lag_ms),
+        register: Mutex::default(),
+    }));
+    serve(options.listen, &ServeOptions::default(), move |app| {
+        app.app_data(state.clone())
+            .route("/v1/hosts", web::get().to(read))
+            .route("/v1/hosts/{name}", web::put().to(put))
+            .route("/v1/hosts/{name}", web::delete().to(delete))
+            .route("/fault", web::post().to(set_faults));
+    })
+}
+
+async fn read(state: web::Data<HostsState>, query: web::Query<ReadQuery>) -> HttpResponse {
+    let mut register = state.register();
+    if register.faults.down {
+        return HttpResponse::ServiceUnavailable().body("the list of hosts is down");
+    }
+    let faulty = register.faults != HostsFaults::default();
+    let list = register.shown(state.lag);
+    if list.version == query.since && !faulty {
+        return HttpResponse::NotModified().finish();
+    }
+    HttpResponse::Ok().json(list)
+}
+
+async fn put(state: web::Data<HostsState>, record: web::Json<HostRecord>) -> HttpResponse {
+    let record = record.into_inner();
+    state.register().change(|hosts| {
+        match hosts.binary_search_by(|host| host.name.cmp(&record.name)) {
+            Ok(index) => hosts[index] = record,
+            Err(index) => hosts.insert(index, record),
+        }
+    });
+    HttpResponse::Ok().json("ok")
+}
+
+async fn delete(state: web::Data<HostsState>, name: web::Path<String>) -> HttpResponse {
+    state
+        .register()
+        .change(|hosts| hosts.retain(|host| host.name != *name));
+    HttpResponse::Ok().json("ok")
+}
+
+async fn set_faults(state: web::Data<HostsState>, faults: web::Json<HostsFaults>) -> HttpResponse {
+    state.register().faults = faults.into_inner();
+    HttpResponse::Ok().json("ok")
+}
--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,224 @@
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::platform::LogEntry;
+use crate::platform::LogSlice;
+use crate::standin::Handle;
+
+/// How often a waiting read looks for new records.
+const POLL_MS: u64 = 10;
+
+/// How the stand-in for the platform's log starts.
+#[derive(Debug, Clone)]
+pub struct LogOptions {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time a record is kept.
+    pub retention_ms: u64,
+}
+
+/// Faults to order from the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Every call is answered 503.
+    pub down: bool,
+    /// Delay of every call.
+    pub delay_ms: u64,
+    /// Appends that take effect and whose reply is lost.
+    pub lose_replies: u32,
+}
+
+/// What the log has served.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct LogStats {
+    /// Records appended.
+    pub appends: u64,
+    /// Reads answered.
+    pub reads: u64,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    name: String,
+    earliest: u64,
+    records: VecDeque<(Instant, Vec<u8>)>,
+}
+
+impl Stream {
+    fn next(&self) -> u64 {
+        self.earliest + self.records.len() as u64
+    }
+
+    fn trim(&mut self, retention: Duration) {
+        while let Some((written, _)) = self.records.front() {
+            if written.elapsed() < retention {
+                break;
+            }
+            self.records.pop_front();
+            self.earliest += 1;
+        }
+    }
+
+    fn slice(&self, from: u64, max: usize) -> LogSlice {
+        let first = from.max(self.earliest);
+        let skipped = usize::try_from(first - self.earliest).unwrap_or(usize::MAX);
+        let records = self
+            .records
+            .iter()
+            .skip(skipped)
+            .take(max)
+            .zip(first..)
+            .map(|((_, body), offset)| LogEntry::new(offset, body))
+            .collect();
+        LogSlice {
+            earliest: self.earliest,
+            next: self.next(),
+            records,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Book {
+    streams: Vec<Stream>,
+    faults: LogFaults,
+    stats: LogStats,
+}
+
+impl Book {
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        let found = self
+            .streams
+            .binary_search_by(|stream| stream.name.as_str().cmp(name));
+        let index = found.unwrap_or_else(|index| {
+            let stream = Stream {
+                name: name.to_owned(),
+                ..Stream::default()
+            };
+            self.streams.insert(index, stream);
+            index
+        });
+        &mut self.streams[index]
+    }
+}
+
+#[derive(Debug)]
+struct LogState {
+    retention: Duration,
+    book: Mutex<Book>,
+}
+
+impl LogState {
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().expect("no holder of the book panics")
+    }
+
+    /// Applies the delay, and returns whether the log is down.
+    async fn meet_faults(&self) -> bool {
+        let faults = self.book().faults.clone();
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        faults.down
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    from: u64,
+    max: usize,
+    wait_ms: u64,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(options: LogOptions) -> io::Result<Handle> {
+    let state = web::Data::from(Arc::new(LogState {
+        retention: Duration::from_millis(options.retention_ms),
+        book: Mutex::default(),
+    }));
+    serve(options.listen, &ServeOptions::default(), move |app| {
+        app.app_data(state.clone())
+            .app_data(web::PayloadConfig::new(8 << 20))
+            .route("/v1/streams/{stream}/records", web::post().to(append))
+            .route("/v1/streams/{stream}/records", web::get().to(read))
+            .route("/fault", web::post().to(set_faults))
+            .route("/stats", web::get().to(show_stats));
+    })
+}
+
+fn unavailable() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("the log is down")
+}
+
+async fn append(
+    state: web::Data<LogState>,
+    stream: web::Path<String>,
+    body: web::Bytes,
+) -> HttpResponse {
+    if state.meet_faults().await {
+        return unavailable();
+    }
+    let mut book = state.book();
+    let records = book.stream(&stream);
+    let offset = records.next();
+    records.records.push_back((Instant::now(), body.to_vec()));
+    book.stats.appends += 1;
+    if book.faults.lose_replies > 0 {
+        book.faults.lose_replies -= 1;
+        return HttpResponse::GatewayTimeout().body("the reply was lost");
+    }
+    HttpResponse::Ok().json(serde_json::json!({ "offset": offset }))
+}
+
+async fn read(
+    state: web::Data<LogState>,
+    stream: web::Path<String>,
+    query: web::Query<ReadQuery>,
+) -> HttpResponse {
+    if state.meet_faults().await {
+        return unavailable();
+    }
+    state.book().stats.reads += 1;
+    let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let mut book = state.book();
+            if book.faults.down {
+                return unavailable();
+            }
+            let records = book.stream(&stream);
+            records.trim(state.retention);
+            let late = Instant::now() >= deadline;
+            if records.next() > query.from || query.from < records.earliest || late {
+                return HttpResponse::Ok().json(records.slice(query.from, query.max));
+            }
+        }
+        sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
+
+async fn set_faults(state: web::Data<LogState>, faults: web::Json<LogFaults>) -> HttpResponse {
+    state.book().faults = faults.into_inner();
+    HttpResponse::Ok().json("ok")
+}
+
+async fn show_stats(state: web::Data<LogState>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.book().stats)
+}
