--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod http_client;
 mod http_server;
+mod token_bucket;
 
 pub use errors::LinkError;
 pub use http_client::HttpClient;
@@ -15,3 +16,4 @@
 pub use http_server::read_rmp;
 pub use http_server::rmp_response;
 pub use http_server::serve;
+pub use token_bucket::TokenBucket;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod hosts_client;
 mod log_client;
 mod order_no;
+mod origin_client;
 
 pub use hosts_client::HostList;
 pub use hosts_client::HostsClient;
@@ -10,3 +11,5 @@
 pub use log_client::LogEntry;
 pub use log_client::LogSlice;
 pub use order_no::OrderNo;
+pub use origin_client::OriginClient;
+pub use origin_client::OriginError;
--- /dev/null
+++ b/src/platform/origin_client.rs
@@ -0,0 +1,116 @@
+use std::fmt;
+
+use actix_web::http::Method;
+use bytes::Bytes;
+
+use crate::links::HttpClient;
+use crate::links::LinkError;
+use crate::weights::Digest;
+use crate::weights::Manifest;
+
+/// Longest time a read of a manifest may take.
+const MANIFEST_WAIT_MS: u64 = 10_000;
+
+/// Wait after a refusal that names none.
+const DEFAULT_RETRY_MS: u64 = 1000;
+
+/// Why the origin gave no weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OriginError {
+    /// The origin asks to come back later.
+    Limited {
+        /// Time to wait.
+        retry_after_ms: u64,
+    },
+    /// The origin has no such manifest or chunk.
+    Missing,
+    /// No usable answer.
+    Link(LinkError),
+}
+
+impl OriginError {
+    /// Label in counters.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Limited { .. } => "origin_limited",
+            Self::Missing => "origin_missing",
+            Self::Link(_) => "origin_unavailable",
+        }
+    }
+}
+
+impl fmt::Display for OriginError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Limited { retry_after_ms } => {
+                write!(f, "the origin asks to come back in {retry_after_ms} ms")
+            }
+            Self::Missing => f.write_str("the origin has no such manifest or chunk"),
+            Self::Link(error) => write!(f, "the origin gave no answer: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for OriginError {}
+
+impl From<LinkError> for OriginError {
+    fn from(error: LinkError) -> Self {
+        match error {
+            LinkError::Status {
+                status: 429 | 503,
+                retry_after_ms,
+                ..
+            } => Self::Limited {
+                retry_after_ms: retry_after_ms.unwrap_or(DEFAULT_RETRY_MS),
+            },
+            LinkError::Status { status: 404, .. } => Self::Missing,
+            other => Self::Link(other),
+        }
+    }
+}
+
+/// Client of the origin of weights.
+#[derive(Debug, Clone)]
+pub struct OriginClient {
+    base_url: String,
+    http: HttpClient,
+}
+
+impl OriginClient {
+    /// Client of the origin at `base_url`.
+    pub fn new(base_url: impl Into<String>) -> Self {
+        Self {
+            base_url: base_url.into(),
+            http: HttpClient::to_platform(),
+        }
+    }
+
+    /// Reads the manifest of a version; the caller checks its digest.
+    ///
+    /// # Errors
+    ///
+    /// [`OriginError`] when there is no manifest to be had now.
+    pub async fn manifest(&self, model: &str, version: &str) -> Result<Manifest, OriginError> {
+        let url = format!(
+            "{}/v1/models/{model}/versions/{version}/manifest",
+            self.base_url
+        );
+        Ok(self.http.get_json(&url, MANIFEST_WAIT_MS).await?)
+    }
+
+    /// Reads one chunk within `wait_ms`; the caller checks its digest.
+    ///
+    /// # Errors
+    ///
+    /// [`OriginError`] when the chunk is not to be had now.
+    pub async fn chunk(
+        &self,
+        manifest: Digest,
+        index: u32,
+        wait_ms: u64,
+    ) -> Result<Bytes, OriginError> {
+        let url = format!("{}/v1/chunks/{manifest}/{index}", self.base_url);
+        let request = self.http.request(Method::GET, &url);
+        Ok(HttpClient::exchange(request, Bytes::new(), wait_ms).await?)
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod hosts;
 pub mod log;
+pub mod origin;
 
 mod handle;
+mod origin_library;
 
 pub use handle::Handle;
--- /dev/null
+++ b/src/standin/origin.rs
@@ -0,0 +1,145 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::http::header::RETRY_AFTER;
+use actix_web::web;
+use serde_json::json;
+
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::standin::Handle;
+use crate::standin::origin_library::ChunkAnswer;
+use crate::standin::origin_library::Library;
+use crate::weights::Digest;
+
+pub use crate::standin::origin_library::OriginFaults;
+pub use crate::standin::origin_library::OriginStats;
+pub use crate::standin::origin_library::Publication;
+pub use crate::standin::origin_library::Refusals;
+
+/// How the origin starts.
+#[derive(Debug, Clone)]
+pub struct OriginOptions {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Rate of its link; 0 for no limit.
+    pub rate_bytes_per_s: u64,
+    /// Bytes its link lets pass at once after it was idle.
+    pub burst_bytes: u64,
+}
+
+#[derive(Debug)]
+struct OriginState {
+    started: Instant,
+    library: Mutex<Library>,
+}
+
+impl OriginState {
+    fn library(&self) -> MutexGuard<'_, Library> {
+        self.library
+            .lock()
+            .expect("no holder of the library panics")
+    }
+
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(options: OriginOptions) -> io::Result<Handle> {
+    let state = web::Data::from(Arc::new(OriginState {
+        started: Instant::now(),
+        library: Mutex::new(Library::new(options.rate_bytes_per_s, options.burst_bytes)),
+    }));
+    serve(options.listen, &ServeOptions::default(), move |app| {
+        app.app_data(state.clone())
+            .route(
+                "/v1/models/{model}/versions/{version}/manifest",
+                web::get().to(manifest),
+            )
+            .route("/v1/chunks/{manifest}/{index}", web::get().to(chunk))
+            .route("/v1/publish", web::post().to(publish))
+            .route("/stats", web::get().to(show_stats))
+            .route("/fault", web::post().to(set_faults));
+    })
+}
+
+fn down() -> HttpResponse {
+    HttpResponse::InternalServerError().body("the origin is down")
+}
+
+async fn manifest(
+    state: web::Data<OriginState>,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
+    let (model, version) = path.into_inner();
+    let mut library = state.library();
+    if library.is_down() {
+        return down();
+    }
+    match library.manifest(&model, &version) {
+        Some(manifest) => HttpResponse::Ok().json(manifest),
+        None => HttpResponse::NotFound().body("no such version"),
+    }
+}
+
+async fn chunk(state: web::Data<OriginState>, path: web::Path<(String, u32)>) -> HttpResponse {
+    let (manifest, index) = path.into_inner();
+    let Ok(manifest) = manifest.parse::<Digest>() else {
+        return HttpResponse::BadRequest().body("the manifest is no digest");
+    };
+    let answer = state.library().chunk(manifest, index, state.now_us());
+    match answer {
+        ChunkAnswer::Send { bytes, wait_us } => {
+            sleep(Duration::from_micros(wait_us)).await;
+            state.library().sent(bytes.len());
+            HttpResponse::Ok()
+                .content_type("application/octet-stream")
+                .body(bytes)
+        }
+        ChunkAnswer::Refuse(refusals) => {
+            let status =
+                StatusCode::from_u16(refusals.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+            HttpResponse::build(status)
+                .insert_header((RETRY_AFTER, refusals.retry_after_s.to_string()))
+                .body("the origin limits its rate")
+        }
+        ChunkAnswer::Missing => HttpResponse::NotFound().body("no such chunk"),
+        ChunkAnswer::Down => down(),
+    }
+}
+
+async fn publish(
+    state: web::Data<OriginState>,
+    publication: web::Json<Publication>,
+) -> HttpResponse {
+    match state.library().publish(&publication) {
+        Some(digest) => HttpResponse::Ok().json(json!({ "manifest": digest })),
+        None => HttpResponse::BadRequest().body("sizes must be above 0"),
+    }
+}
+
+async fn show_stats(state: web::Data<OriginState>) -> HttpResponse {
+    HttpResponse::Ok().json(state.library().stats())
+}
+
+async fn set_faults(
+    state: web::Data<OriginState>,
+    faults: web::Json<OriginFaults>,
+) -> HttpResponse {
+    state.library().set_faults(faults.into_inner());
+    HttpResponse::Ok().json("ok")
+}
--- /dev/null
+++ b/src/standin/origin_library.rs
@@ -0,0 +1,222 @@
+use bytes::Bytes;
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::links::TokenBucket;
+use crate::weights::Digest;
+use crate::weights::Manifest;
+
+/// A version to make up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Publication {
+    /// Name of the model.
+    pub model: String,
+    /// Name of the version.
+    pub version: String,
+    /// Length of the whole.
+    pub size_bytes: u64,
+    /// Length of each chunk but the last.
+    pub chunk_bytes: u32,
+    /// Seed of the bytes.
+    pub seed: u64,
+    /// Manifest of the base model; adapters only.
+    #[serde(default)]
+    pub base: Option<Digest>,
+}
+
+/// Refusals to order from the origin.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Refusals {
+    /// Status of the answers.
+    pub status: u16,
+    /// Value of `Retry-After`.
+    pub retry_after_s: u32,
+    /// How many requests are refused.
+    pub count: u32,
+}
+
+/// Faults to order from the origin.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OriginFaults {
+    /// Every request is answered 500.
+    pub down: bool,
+    /// Rate of the link instead of its own.
+    pub rate_bytes_per_s: Option<u64>,
+    /// This chunk is sent with a wrong byte, as often as `corrupt_times` says.
+    pub corrupt_chunk: Option<u32>,
+    /// How often the corrupted chunk is sent.
+    pub corrupt_times: u32,
+    /// This chunk is sent without its second half.
+    pub truncate_chunk: Option<u32>,
+    /// The next requests for chunks are refused.
+    pub refuse: Option<Refusals>,
+    /// Manifests are not found.
+    pub manifest_missing: bool,
+    /// Manifests name another whole digest.
+    pub manifest_wrong: bool,
+}
+
+/// What the origin has served.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginStats {
+    /// Requests for chunks, refused ones too.
+    pub chunk_requests: u64,
+    /// Chunks sent.
+    pub chunks_sent: u64,
+    /// Bytes of chunks sent.
+    pub chunk_bytes_sent: u64,
+    /// Manifests sent.
+    pub manifests_sent: u64,
+}
+
+#[derive(Debug)]
+struct Title {
+    manifest: Manifest,
+    digest: Digest,
+    bytes: Bytes,
+}
+
+/// All versions of the origin, its faults and its link.
+#[derive(Debug)]
+pub(super) struct Library {
+    titles: Vec<Title>,
+    link: TokenBucket,
+    own_rate_bytes_per_s: u64,
+    faults: OriginFaults,
+    stats: OriginStats,
+}
+
+/// Answer to a request for a chunk.
+#[derive(Debug)]
+pub(super) enum ChunkAnswer {
+    Send { bytes: Bytes, wait_us: u64 },
+    Refuse(Refusals),
+    Missing,
+    Down,
+}
+
+impl Library {
+    pub(super) fn new(rate_bytes_per_s: u64, burst_bytes: u64) -> Self {
+        Self {
+            titles: Vec::new(),
+            link: TokenBucket::new(rate_bytes_per_s, burst_bytes),
+            own_rate_bytes_per_s: rate_bytes_per_s,
+            faults: OriginFaults::default(),
+            stats: OriginStats::default(),
+        }
+    }
+
+    pub(super) fn publish(&mut self, publication: &Publication) -> Option<Digest> {
+        let len = usize::try_from(publication.size_bytes).ok()?;
+        if len == 0 || publication.chunk_bytes == 0 {
+            return None;
+        }
+        let mut bytes = vec![0; len];
+        Pcg64Mcg::seed_from_u64(publication.seed).fill_bytes(&mut bytes);
+        let manifest = Manifest::describe(
+            &publication.model,
+            &publication.version,
+            publication.base,
+            publication.chunk_bytes,
+            &bytes,
+        );
+        let digest = manifest.digest();
+        let title = Title {
+            manifest,
+            digest,
+            bytes: bytes.into(),
+        };
+        match self
+            .titles
+            .binary_search_by_key(&digest, |title| title.digest)
+        {
+            Ok(at) => self.titles[at] = title,
+            Err(at) => self.titles.insert(at, title),
+        }
+        Some(digest)
+    }
+
+    pub(super) fn manifest(&mut self, model: &str, version: &str) -> Option<Manifest> {
+        if self.faults.manifest_missing {
+            return None;
+        }
+        let found = self
+            .titles
+            .iter()
+            .find(|title| title.manifest.model == model && title.manifest.version == version)?;
+        let mut manifest = found.manifest.clone();
+        if self.faults.manifest_wrong {
+            manifest.whole = Digest::of(b"another whole");
+        }
+        self.stats.manifests_sent += 1;
+        Some(manifest)
+    }
+
+    pub(super) fn chunk(&mut self, manifest: Digest, index: u32, now_us: u64) -> ChunkAnswer {
+        self.stats.chunk_requests += 1;
+        if self.faults.down {
+            return ChunkAnswer::Down;
+        }
+        if let Some(refusals) = self.next_refusal() {
+            return ChunkAnswer::Refuse(refusals);
+        }
+        let Ok(at) = self
+            .titles
+            .binary_search_by_key(&manifest, |title| title.digest)
+        else {
+            return ChunkAnswer::Missing;
+        };
+        let title = &self.titles[at];
+        let Some(len) = title.manifest.chunk_len(index) else {
+            return ChunkAnswer::Missing;
+        };
+        let start = index as usize * title.manifest.chunk_bytes as usize;
+        let bytes = title.bytes.slice(start..start + len as usize);
+        let bytes = self.spoil(index, bytes);
+        let wait_us = self.link.reserve(now_us, bytes.len() as u64);
+        ChunkAnswer::Send { bytes, wait_us }
+    }
+
+    pub(super) fn sent(&mut self, bytes: usize) {
+        self.stats.chunks_sent += 1;
+        self.stats.chunk_bytes_sent += bytes as u64;
+    }
+
+    pub(super) fn is_down(&self) -> bool {
+        self.faults.down
+    }
+
+    pub(super) fn stats(&self) -> OriginStats {
+        self.stats.clone()
+    }
+
+    pub(super) fn set_faults(&mut self, faults: OriginFaults) {
+        let rate_bytes_per_s = faults.rate_bytes_per_s.unwrap_or(self.own_rate_bytes_per_s);
+        self.link.set_rate(rate_bytes_per_s);
+        self.faults = faults;
+    }
+
+    fn next_refusal(&mut self) -> Option<Refusals> {
+        let refusals = self.faults.refuse.as_mut()?;
+        refusals.count = refusals.count.checked_sub(1)?;
+        Some(refusals.clone())
+    }
+
+    fn spoil(&mut self, index: u32, bytes: Bytes) -> Bytes {
+        if self.faults.truncate_chunk == Some(index) {
+            return bytes.slice(..bytes.len() / 2);
+        }
+        if self.faults.corrupt_chunk == Some(index) && self.faults.corrupt_times > 0 {
+            self.faults.corrupt_times -= 1;
+            let mut spoiled = bytes.to_vec();
+            spoiled[0] ^= 1;
+            return spoiled.into();
+        }
+        bytes
+    }
+}
--- /dev/null
+++ b/src/weights/chunk_store.rs
@@ -0,0 +1,124 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::weights::Digest;
+use crate::weights::HaveMap;
+use crate::weights::Manifest;
+use crate::weights::MemoryBudget;
+use crate::weights::Reservation;
+use crate::weights::WeightsHeld;
+
+/// Why a chunk was not stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectReason {
+    /// The manifest has no such chunk.
+    UnknownIndex,
+    /// The bytes are fewer or more than the manifest says.
+    WrongLength,
+    /// The bytes are not those the manifest names.
+    WrongDigest,
+}
+
+impl RejectReason {
+    /// Label in counters.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::UnknownIndex => "unknown_index",
+            Self::WrongLength => "wrong_length",
+            Self::WrongDigest => "wrong_digest",
+        }
+    }
+}
+
+/// What became of a chunk given to a store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Inserted {
+    /// It is new and correct.
+    Stored,
+    /// It was there already.
+    Duplicate,
+    /// It was dropped.
+    Rejected(RejectReason),
+}
+
+/// The verified chunks of one manifest.
+#[derive(Debug)]
+pub struct ChunkStore {
+    manifest: Arc<Manifest>,
+    slots: Vec<Option<Bytes>>,
+    have: HaveMap,
+    _reservation: Reservation,
+}
+
+impl ChunkStore {
+    /// An empty store for `manifest`, with its memory reserved from `budget`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WeightsHeld::OverBudget`] when the version doesn't fit.
+    pub fn new(manifest: Arc<Manifest>, budget: &Arc<MemoryBudget>) -> Result<Self, WeightsHeld> {
+        let size_bytes = manifest.size_bytes;
+        let reservation = budget
+            .reserve(size_bytes)
+            .ok_or_else(|| WeightsHeld::OverBudget {
+                size_bytes,
+                used_bytes: budget.used_bytes(),
+                limit_bytes: budget.limit_bytes(),
+            })?;
+        let count = manifest.chunk_count();
+        Ok(Self {
+            slots: vec![None; count as usize],
+            have: HaveMap::empty(count),
+            manifest,
+            _reservation: reservation,
+        })
+    }
+
+    /// Stores `bytes` as chunk `index` if length and digest match.
+    pub fn insert(&mut self, index: u32, bytes: Bytes) -> Inserted {
+        let Some(len) = self.manifest.chunk_len(index) else {
+            return Inserted::Rejected(RejectReason::UnknownIndex);
+        };
+        if self.have.contains(index) {
+            return Inserted::Duplicate;
+        }
+        if bytes.len() != len as usize {
+            return Inserted::Rejected(RejectReason::WrongLength);
+        }
+        if Digest::of(&bytes) != self.manifest.chunks[index as usize] {
+            return Inserted::Rejected(RejectReason::WrongDigest);
+        }
+        self.slots[index as usize] = Some(bytes);
+        self.have.insert(index);
+        Inserted::Stored
+    }
+
+    /// Chunk `index`, if held.
+    pub fn chunk(&self, index: u32) -> Option<Bytes> {
+        self.slots.get(index as usize)?.clone()
+    }
+
+    /// What is held.
+    pub fn have(&self) -> &HaveMap {
+        &self.have
+    }
+
+    /// The manifest the chunks belong to.
+    pub fn manifest(&self) -> &Arc<Manifest> {
+        &self.manifest
+    }
+
+    /// Digest of all chunks in order; None while one is missing.
+    pub fn whole_digest(&self) -> Option<Digest> {
+        let mut hasher = blake3::Hasher::new();
+        for slot in &self.slots {
+            hasher.update(slot.as_ref()?);
+        }
+        Some(hasher.finalize().into())
+    }
+
+    pub(super) fn chunks(&self) -> impl Iterator<Item = Bytes> {
+        self.slots.iter().flatten().cloned()
+    }
+}
--- /dev/null
+++ b/src/weights/errors.rs
@@ -0,0 +1,78 @@
+use std::fmt;
+
+use crate::weights::Digest;
+use crate::weights::ManifestError;
+
+/// Why a version can't proceed on a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WeightsHeld {
+    /// The version doesn't fit into the memory set aside for weights.
+    OverBudget {
+        /// Size of the version.
+        size_bytes: u64,
+        /// What other versions hold.
+        used_bytes: u64,
+        /// The whole budget.
+        limit_bytes: u64,
+    },
+    /// The manifest is not usable.
+    Manifest(ManifestError),
+    /// The origin has no such manifest.
+    ManifestMissing,
+    /// The base model of an adapter is not loaded.
+    BaseNotLoaded { base: Digest },
+    /// The chunks are correct, but the whole is not what the manifest names.
+    WrongWhole { expected: Digest, found: Digest },
+    /// The engine reports other bytes than it was given.
+    EngineMismatch { expected: Digest, found: Digest },
+    /// The engine doesn't take the order.
+    EngineRefused { reason: String },
+}
+
+impl WeightsHeld {
+    /// Label in counters and reports.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::OverBudget { .. } => "over_budget",
+            Self::Manifest(_) => "manifest_invalid",
+            Self::ManifestMissing => "manifest_missing",
+            Self::BaseNotLoaded { .. } => "base_not_loaded",
+            Self::WrongWhole { .. } => "wrong_whole",
+            Self::EngineMismatch { .. } => "engine_mismatch",
+            Self::EngineRefused { .. } => "engine_refused",
+        }
+    }
+}
+
+impl fmt::Display for WeightsHeld {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OverBudget {
+                size_bytes,
+                used_bytes,
+                limit_bytes,
+            } => write!(
+                f,
+                "version of {size_bytes} bytes does not fit: {used_bytes} of {limit_bytes} bytes are in use"
+            ),
+            Self::Manifest(error) => error.fmt(f),
+            Self::ManifestMissing => f.write_str("the origin has no such manifest"),
+            Self::BaseNotLoaded { base } => write!(f, "base {} is not loaded", base.short()),
+            Self::WrongWhole { expected, found } => {
+                write!(f, "all chunks together have digest {found}, not {expected}")
+            }
+            Self::EngineMismatch { expected, found } => {
+                write!(f, "the engine reports digest {found}, not {expected}")
+            }
+            Self::EngineRefused { reason } => write!(f, "the engine refused the order: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for WeightsHeld {}
+
+impl From<ManifestError> for WeightsHeld {
+    fn from(error: ManifestError) -> Self {
+        Self::Manifest(error)
+    }
+}
--- /dev/null
+++ b/src/weights/have_map.rs
@@ -0,0 +1,157 @@
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de;
+
+/// Bits in one word of the map.
+const WORD_BITS: u32 = 64;
+
+/// Bytes that carry the number of chunks.
+const LEN_BYTES: usize = 4;
+
+/// Which chunks of a version a host holds.
+///
+/// Serialises as the number of chunks and one bit for each; a map that is empty
+/// or complete needs no bits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HaveMap {
+    len: u32,
+    count: u32,
+    words: Vec<u64>,
+}
+
+impl HaveMap {
+    /// A map of `len` chunks, none held.
+    pub fn empty(len: u32) -> Self {
+        Self {
+            len,
+            count: 0,
+            words: vec![0; len.div_ceil(WORD_BITS) as usize],
+        }
+    }
+
+    /// A map of `len` chunks, all held.
+    pub fn complete(len: u32) -> Self {
+        let mut map = Self::empty(len);
+        for index in 0..len {
+            map.insert(index);
+        }
+        map
+    }
+
+    /// Number of chunks in the version.
+    pub fn len(&self) -> u32 {
+        self.len
+    }
+
+    /// Whether no chunk is held.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Number of chunks held.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Whether every chunk is held.
+    pub fn is_complete(&self) -> bool {
+        self.count == self.len
+    }
+
+    /// Whether chunk `index` is held.
+    pub fn contains(&self, index: u32) -> bool {
+        index < self.len && self.words[(index / WORD_BITS) as usize] >> (index % WORD_BITS) & 1 == 1
+    }
+
+    /// Marks chunk `index` as held; false when it was, or is out of range.
+    pub fn insert(&mut self, index: u32) -> bool {
+        if index >= self.len || self.contains(index) {
+            return false;
+        }
+        self.words[(index / WORD_BITS) as usize] |= 1 << (index % WORD_BITS);
+        self.count += 1;
+        true
+    }
+
+    /// Adds all that `other` holds; maps of other lengths are ignored.
+    pub fn merge(&mut self, other: &Self) {
+        if other.len != self.len {
+            return;
+        }
+        for (word, more) in self.words.iter_mut().zip(&other.words) {
+            *word |= more;
+        }
+        self.count = self.words.iter().map(|word| word.count_ones()).sum();
+    }
+
+    /// Compact bytes of the map.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = self.len.to_le_bytes().to_vec();
+        if self.is_complete() {
+            bytes.push(1);
+        } else if !self.is_empty() {
+            bytes.push(0);
+            let bits = self.words.iter().flat_map(|word| word.to_le_bytes());
+            bytes.extend(bits.take(self.len.div_ceil(u8::BITS) as usize));
+        }
+        bytes
+    }
+
+    /// Reads the bytes written by [`HaveMap::encode`].
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (len, rest) = bytes.split_first_chunk::<LEN_BYTES>()?;
+        let len = u32::from_le_bytes(*len);
+        match rest.split_first() {
+            None => Some(Self::empty(len)),
+            Some((1, [])) => Some(Self::complete(len)),
+            Some((0, bits)) if bits.len() == len.div_ceil(u8::BITS) as usize => {
+                Some(Self::from_bits(len, bits))
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn from_bits(len: u32, bits: &[u8]) -> Self {
+        let mut map = Self::empty(len);
+        for (at, byte) in bits.iter().enumerate() {
+            map.words[at / 8] |= u64::from(*byte) << (8 * (at % 8));
+        }
+        if let Some(last) = map.words.last_mut()
+            && !len.is_multiple_of(WORD_BITS)
+        {
+            *last &= (1 << (len % WORD_BITS)) - 1;
+        }
+        map.count = map.words.iter().map(|word| word.count_ones()).sum();
+        map
+    }
+}
+
+impl Serialize for HaveMap {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.encode())
+    }
+}
+
+impl<'de> Deserialize<'de> for HaveMap {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_bytes(HaveMapVisitor)
+    }
+}
+
+struct HaveMapVisitor;
+
+impl de::Visitor<'_> for HaveMapVisitor {
+    type Value = HaveMap;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the bytes of a map of chunks")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<HaveMap, E> {
+        HaveMap::decode(bytes).ok_or_else(|| E::invalid_length(bytes.len(), &self))
+    }
+}
--- /dev/null
+++ b/src/weights/homes.rs
@@ -0,0 +1,153 @@
+use crate::weights::Digest;
+
+/// Ranks kept for each chunk and region.
+pub const KEPT_RANKS: usize = 3;
+
+/// Index of a host in the list the plan was made from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerKey(pub u32);
+
+/// A host that wants the version, as the plan sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SwarmHost {
+    /// Name; ranks depend on names alone, so that lists in any order agree.
+    pub name: String,
+    /// Region it stands in.
+    pub region: String,
+}
+
+/// Who reads each chunk first, in each region.
+///
+/// For each chunk the hosts of a region are ordered by rendezvous hashing. The
+/// first brings the chunk into the region: from the origin, or from the region
+/// before it on the chunk's route. Routes start in the origin's region and
+/// rotate over the others, so that every thin link carries an equal part.
+#[derive(Debug, Clone)]
+pub struct Homes {
+    regions: Vec<String>,
+    region_of: Vec<usize>,
+    /// Place of each region among those on a route; the first starts it.
+    ranks: Vec<PeerKey>,
+    chunks: u32,
+    manifest_seed: u64,
+}
+
+impl Homes {
+    /// Ranks `hosts` for `chunks` chunks of the version `manifest`.
+    pub fn new(manifest: Digest, chunks: u32, hosts: &[SwarmHost], origin_region: &str) -> Self {
+        let regions = route_regions(hosts, origin_region);
+        let region_of: Vec<usize> = hosts
+            .iter()
+            .map(|host| position(&regions, &host.region))
+            .collect();
+        let seeds: Vec<u64> = hosts
+            .iter()
+            .map(|host| seed_of(host.name.as_bytes()))
+            .collect();
+        let manifest_seed = seed_of(manifest.as_bytes());
+        let mut ranks = Vec::with_capacity(chunks as usize * regions.len() * KEPT_RANKS);
+        let mut best = Vec::new();
+        for chunk in 0..chunks {
+            let chunk_seed = mix(manifest_seed ^ u64::from(chunk));
+            for region in 0..regions.len() {
+                best.clear();
+                for (host, seed) in seeds.iter().enumerate() {
+                    if region_of[host] == region {
+                        keep_best(&mut best, (mix(chunk_seed ^ seed), host));
+                    }
+                }
+                let filler = best.last().map_or(0, |last| last.1);
+                ranks.extend(
+                    (0..KEPT_RANKS).map(|rank| key(best.get(rank).map_or(filler, |entry| entry.1))),
+                );
+            }
+        }
+        Self {
+            regions,
+            region_of,
+            ranks,
+            chunks,
+            manifest_seed,
+        }
+    }
+
+    /// Number of chunks ranked.
+    pub fn chunks(&self) -> u32 {
+        self.chunks
+    }
+
+    /// Number of regions that hold hosts.
+    pub fn region_count(&self) -> usize {
+        self.regions.len()
+    }
+
+    /// Number of the region of `host`.
+    pub fn region_of(&self, host: PeerKey) -> usize {
+        self.region_of[host.0 as usize]
+    }
+
+    /// The first hosts for `chunk` in `region`, best first; the last may repeat.
+    pub fn ranked(&self, chunk: u32, region: usize) -> &[PeerKey] {
+        let start = (chunk as usize * self.regions.len() + region) * KEPT_RANKS;
+        &self.ranks[start..start + KEPT_RANKS]
+    }
+
+    /// Region that hands `chunk` to `region`; None when it reads the origin.
+    pub fn feeder(&self, chunk: u32, region: usize) -> Option<usize> {
+        if region == 0 {
+            return None;
+        }
+        let others = self.regions.len() - 1;
+        let first =
+            (mix(self.manifest_seed.rotate_left(17) ^ u64::from(chunk)) % others as u64) as usize;
+        if region - 1 == first {
+            return Some(0);
+        }
+        Some((region + others - 2) % others + 1)
+    }
+}
+
+/// Regions with hosts: the origin's first, the others by name.
+fn route_regions(hosts: &[SwarmHost], origin_region: &str) -> Vec<String> {
+    let mut regions: Vec<String> = hosts.iter().map(|host| host.region.clone()).collect();
+    regions.sort_unstable_by(|a, b| (a != origin_region, a).cmp(&(b != origin_region, b)));
+    regions.dedup();
+    regions
+}
+
+fn position(regions: &[String], name: &str) -> usize {
+    regions
+        .iter()
+        .position(|region| region == name)
+        .expect("the regions are those of the hosts")
+}
+
+fn key(index: usize) -> PeerKey {
+    PeerKey(u32::try_from(index).unwrap_or(u32::MAX))
+}
+
+/// Inserts `entry` into the few best, highest first.
+fn keep_best(best: &mut Vec<(u64, usize)>, entry: (u64, usize)) {
+    let at = best.partition_point(|other| *other > entry);
+    if at < KEPT_RANKS {
+        best.insert(at, entry);
+        best.truncate(KEPT_RANKS);
+    }
+}
+
+fn seed_of(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
+    let (head, _) = hash
+        .as_bytes()
+        .split_first_chunk::<8>()
+        .expect("a digest is longer than 8 bytes");
+    u64::from_le_bytes(*head)
+}
+
+/// The finaliser of SplitMix64: spreads each input bit over the whole word.
+pub(crate) fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/src/weights/memory_budget.rs
@@ -0,0 +1,68 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+/// Bytes of memory that a host sets aside for weights.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    limit_bytes: u64,
+    used_bytes: Mutex<u64>,
+}
+
+impl MemoryBudget {
+    /// A budget of `limit_bytes`, all free.
+    pub fn new(limit_bytes: u64) -> Arc<Self> {
+        Arc::new(Self {
+            limit_bytes,
+            used_bytes: Mutex::new(0),
+        })
+    }
+
+    /// The whole budget.
+    pub fn limit_bytes(&self) -> u64 {
+        self.limit_bytes
+    }
+
+    /// What is reserved now.
+    pub fn used_bytes(&self) -> u64 {
+        *self
+            .used_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets `bytes` aside until the reservation is dropped; None when they don't fit.
+    pub fn reserve(self: &Arc<Self>, bytes: u64) -> Option<Reservation> {
+        let mut used_bytes = self
+            .used_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let after_bytes = used_bytes.checked_add(bytes)?;
+        if after_bytes > self.limit_bytes {
+            return None;
+        }
+        *used_bytes = after_bytes;
+        Some(Reservation {
+            budget: Arc::clone(self),
+            bytes,
+        })
+    }
+}
+
+/// Memory set aside; given back when dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    budget: Arc<MemoryBudget>,
+    bytes: u64,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut used_bytes = self
+            .budget
+            .used_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *used_bytes = used_bytes.saturating_sub(self.bytes);
+    }
+}
--- /dev/null
+++ b/src/weights/replica.rs
@@ -0,0 +1,186 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::weights::ChunkStore;
+use crate::weights::Digest;
+use crate::weights::HaveMap;
+use crate::weights::Inserted;
+use crate::weights::Manifest;
+use crate::weights::MemoryBudget;
+use crate::weights::WeightsHeld;
+
+/// The version is wanted; nothing is known but its manifest's digest.
+#[derive(Debug)]
+pub struct Announced {
+    digest: Digest,
+}
+
+/// Chunks are arriving.
+#[derive(Debug)]
+pub struct Fetching {
+    store: ChunkStore,
+}
+
+/// Every chunk and the whole are correct.
+#[derive(Debug)]
+pub struct Verified {
+    store: ChunkStore,
+}
+
+/// The engine holds the version and reported the right digest.
+#[derive(Debug)]
+pub struct Loaded {
+    store: ChunkStore,
+}
+
+/// The replica answers requests.
+#[derive(Debug)]
+pub struct Serving {
+    store: ChunkStore,
+}
+
+/// One version on one host, in the state `S` of its life cycle.
+#[derive(Debug)]
+pub struct Replica<S> {
+    state: S,
+}
+
+impl Replica<Announced> {
+    /// A version that is wanted here.
+    pub fn announced(digest: Digest) -> Self {
+        Self {
+            state: Announced { digest },
+        }
+    }
+
+    /// Digest of the manifest.
+    pub fn digest(&self) -> Digest {
+        self.state.digest
+    }
+
+    /// Starts the transfer, once the manifest is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WeightsHeld`] when the manifest is wrong or doesn't fit.
+    pub fn fetch(
+        &self,
+        manifest: Arc<Manifest>,
+        budget: &Arc<MemoryBudget>,
+    ) -> Result<Replica<Fetching>, WeightsHeld> {
+        manifest.validate_as(self.state.digest)?;
+        let store = ChunkStore::new(manifest, budget)?;
+        Ok(Replica {
+            state: Fetching { store },
+        })
+    }
+}
+
+impl Replica<Fetching> {
+    /// Stores one chunk if it is correct.
+    pub fn insert(&mut self, index: u32, bytes: Bytes) -> Inserted {
+        self.state.store.insert(index, bytes)
+    }
+
+    /// Checks the whole; the transfer goes on when chunks are missing.
+    pub fn verify(self) -> Verification {
+        let expected = self.state.store.manifest().whole;
+        match self.state.store.whole_digest() {
+            None => Verification::Incomplete(self),
+            Some(found) if found != expected => {
+                Verification::Held(WeightsHeld::WrongWhole { expected, found })
+            }
+            Some(_) => Verification::Verified(Replica {
+                state: Verified {
+                    store: self.state.store,
+                },
+            }),
+        }
+    }
+}
+
+/// Result of checking a transfer.
+#[derive(Debug)]
+pub enum Verification {
+    /// Chunks are missing.
+    Incomplete(Replica<Fetching>),
+    /// Everything matches.
+    Verified(Replica<Verified>),
+    /// The manifest contradicts itself; the chunks are given up.
+    Held(WeightsHeld),
+}
+
+impl Replica<Verified> {
+    /// All bytes in order, for the engine of this host.
+    pub fn whole(&self) -> impl Iterator<Item = Bytes> {
+        self.state.store.chunks()
+    }
+
+    /// Takes the engine's word for what it loaded.
+    pub fn loaded(self, found: Digest) -> LoadCheck {
+        let expected = self.state.store.manifest().whole;
+        if found != expected {
+            return LoadCheck::Held(self, WeightsHeld::EngineMismatch { expected, found });
+        }
+        LoadCheck::Loaded(Replica {
+            state: Loaded {
+                store: self.state.store,
+            },
+        })
+    }
+}
+
+/// Result of comparing what the engine loaded with the manifest.
+#[derive(Debug)]
+pub enum LoadCheck {
+    /// The engine holds the version.
+    Loaded(Replica<Loaded>),
+    /// The engine holds something else.
+    Held(Replica<Verified>, WeightsHeld),
+}
+
+impl Replica<Loaded> {
+    /// Opens the replica for requests.
+    pub fn serve(self) -> Replica<Serving> {
+        Replica {
+            state: Serving {
+                store: self.state.store,
+            },
+        }
+    }
+}
+
+impl Replica<Serving> {
+    /// Goes back to where the engine must load again, after it lost its state.
+    pub fn reload(self) -> Replica<Verified> {
+        Replica {
+            state: Verified {
+                store: self.state.store,
+            },
+        }
+    }
+}
+
+macro_rules! with_chunks {
+    ($($state:ident)*) => {
+        $(impl Replica<$state> {
+            /// One verified chunk, for a peer.
+            pub fn chunk(&self, index: u32) -> Option<Bytes> {
+                self.state.store.chunk(index)
+            }
+
+            /// Chunks held.
+            pub fn have(&self) -> &HaveMap {
+                self.state.store.have()
+            }
+
+            /// The manifest.
+            pub fn manifest(&self) -> &Arc<Manifest> {
+                self.state.store.manifest()
+            }
+        })*
+    };
+}
+
+with_chunks! { Fetching Verified Loaded Serving }
--- /dev/null
+++ b/tests/weights/chunks.rs
@@ -0,0 +1,146 @@
+use arbtest::arbtest;
+use bytes::Bytes;
+
+use crate::world::sample_manifest;
+use bergamotfork::weights::ChunkStore;
+use bergamotfork::weights::Digest;
+use bergamotfork::weights::HaveMap;
+use bergamotfork::weights::Inserted;
+use bergamotfork::weights::Manifest;
+use bergamotfork::weights::ManifestError;
+use bergamotfork::weights::MemoryBudget;
+use bergamotfork::weights::RejectReason;
+use bergamotfork::weights::WeightsHeld;
+
+#[test]
+fn manifest_digest_depends_on_every_field() {
+    let (manifest, _) = sample_manifest(1000, 100);
+    let mut others = vec![Manifest::clone(&manifest); 7];
+    others[0].model = "chat2".to_owned();
+    others[1].version = "v2".to_owned();
+    others[2].base = Some(Digest::of(b"base"));
+    others[3].size_bytes = 999;
+    others[4].chunk_bytes = 101;
+    others[5].chunks.swap(0, 1);
+    others[6].whole = Digest::of(b"whole");
+    for other in &others {
+        assert_ne!(other.digest(), manifest.digest(), "{other:?}");
+    }
+}
+
+#[test]
+fn validate_wrong_chunk_count() {
+    let (manifest, _) = sample_manifest(1000, 100);
+    let mut manifest = Manifest::clone(&manifest);
+    assert_eq!(manifest.validate(), Ok(()));
+    manifest.chunks.pop();
+    assert_eq!(
+        manifest.validate(),
+        Err(ManifestError::ChunkCount {
+            expected: 10,
+            found: 9
+        })
+    );
+}
+
+#[test]
+fn manifest_survives_both_codecs() {
+    let (manifest, _) = sample_manifest(1000, 100);
+    let json = serde_json::to_vec(&*manifest).expect("a manifest encodes");
+    let from_json: Manifest = serde_json::from_slice(&json).expect("JSON decodes");
+    let rmp = rmp_serde::to_vec_named(&*manifest).expect("a manifest encodes");
+    let from_rmp: Manifest = rmp_serde::from_slice(&rmp).expect("MessagePack decodes");
+    assert_eq!(from_json.digest(), manifest.digest());
+    assert_eq!(from_rmp.digest(), manifest.digest());
+}
+
+#[test]
+fn have_map_codec_any_map() {
+    arbtest(|u| {
+        let len: u32 = u.int_in_range(0..=300)?;
+        let mut map = HaveMap::empty(len);
+        for _ in 0..u.int_in_range(0..=len * 2)? {
+            map.insert(u.int_in_range(0..=len)?);
+        }
+        assert_eq!(HaveMap::decode(&map.encode()), Some(map.clone()));
+        let held = (0..len).filter(|index| map.contains(*index)).count();
+        assert_eq!(held, map.count() as usize);
+        Ok(())
+    });
+}
+
+#[test]
+fn have_map_decode_any_bytes() {
+    arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        if let Some(map) = HaveMap::decode(&bytes[..bytes.len().min(64)]) {
+            assert!(map.count() <= map.len());
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn insert_keeps_only_correct_chunks() {
+    let (manifest, bytes) = sample_manifest(1030, 100);
+    let budget = MemoryBudget::new(2000);
+    arbtest(|u| {
+        let mut store = ChunkStore::new(manifest.clone(), &budget).expect("it fits");
+        for _ in 0..u.int_in_range(0..=30)? {
+            let index: u32 = u.int_in_range(0..=11)?;
+            let start = (index as usize * 100).min(bytes.len());
+            let mut chunk = bytes[start..(start + 100).min(bytes.len())].to_vec();
+            let spoiled = u.arbitrary()? && !chunk.is_empty();
+            if spoiled {
+                let at = u.choose_index(chunk.len())?;
+                chunk[at] ^= 1;
+            }
+            let known = store.have().contains(index);
+            let expected = match (index, known, spoiled) {
+                (11, ..) => Inserted::Rejected(RejectReason::UnknownIndex),
+                (_, true, _) => Inserted::Duplicate,
+                (_, _, true) => Inserted::Rejected(RejectReason::WrongDigest),
+                _ => Inserted::Stored,
+            };
+            assert_eq!(store.insert(index, Bytes::from(chunk)), expected);
+        }
+        for index in 0..11 {
+            let held = store.chunk(index).map(|chunk| Digest::of(&chunk));
+            let correct = store
+                .have()
+                .contains(index)
+                .then(|| manifest.chunks[index as usize]);
+            assert_eq!(held, correct);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn insert_truncated_chunk() {
+    let (manifest, bytes) = sample_manifest(1000, 100);
+    let mut store = ChunkStore::new(manifest, &MemoryBudget::new(1000)).expect("it fits");
+    let half = Bytes::copy_from_slice(&bytes[..50]);
+    assert_eq!(
+        store.insert(0, half),
+        Inserted::Rejected(RejectReason::WrongLength)
+    );
+}
+
+#[test]
+fn store_over_budget_is_held() {
+    let (manifest, _) = sample_manifest(1000, 100);
+    let budget = MemoryBudget::new(1500);
+    let first = ChunkStore::new(manifest.clone(), &budget).expect("the first fits");
+    let held = ChunkStore::new(manifest.clone(), &budget).expect_err("the second does not fit");
+    assert_eq!(
+        held,
+        WeightsHeld::OverBudget {
+            size_bytes: 1000,
+            used_bytes: 1000,
+            limit_bytes: 1500
+        }
+    );
+    drop(first);
+    assert!(ChunkStore::new(manifest, &budget).is_ok());
+}
--- /dev/null
+++ b/tests/weights/homes.rs
@@ -0,0 +1,69 @@
+use arbtest::arbtest;
+
+use crate::world::homes;
+use crate::world::hosts;
+use bergamotfork::weights::PeerKey;
+
+#[test]
+fn ranked_same_for_any_order_of_hosts() {
+    arbtest(|u| {
+        let sorted = hosts(u.int_in_range(3..=30)?, 3);
+        let mut shuffled = sorted.clone();
+        for at in 0..shuffled.len() {
+            shuffled.swap(at, u.choose_index(sorted.len())?);
+        }
+        let one = homes(20, &sorted);
+        let other = homes(20, &shuffled);
+        for chunk in 0..20 {
+            for region in 0..one.region_count() {
+                let names = |keys: &[PeerKey], list: &[bergamotfork::weights::SwarmHost]| {
+                    keys.iter()
+                        .map(|key| list[key.0 as usize].name.clone())
+                        .collect::<Vec<_>>()
+                };
+                assert_eq!(
+                    names(one.ranked(chunk, region), &sorted),
+                    names(other.ranked(chunk, region), &shuffled)
+                );
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn feeder_forms_one_chain_from_the_origin() {
+    for regions in 1..6 {
+        let homes = homes(200, &hosts(12, regions));
+        for chunk in 0..200 {
+            for region in 0..regions {
+                let mut at = region;
+                let mut steps = 0;
+                while let Some(feeder) = homes.feeder(chunk, at) {
+                    at = feeder;
+                    steps += 1;
+                }
+                assert_eq!(at, 0);
+                assert!(steps < regions);
+            }
+        }
+    }
+}
+
+#[test]
+fn feeder_splits_three_regions_in_halves() {
+    let homes = homes(400, &hosts(12, 3));
+    let direct = (0..400)
+        .filter(|chunk| homes.feeder(*chunk, 1) == Some(0))
+        .count();
+    assert!(
+        (160..240).contains(&direct),
+        "{direct} of 400 chunks enter region 1 directly"
+    );
+    for chunk in 0..400 {
+        assert_ne!(
+            homes.feeder(chunk, 1) == Some(0),
+            homes.feeder(chunk, 2) == Some(0)
+        );
+    }
+}
--- /dev/null
+++ b/tests/weights/life.rs
@@ -0,0 +1,90 @@
+use bytes::Bytes;
+
+use crate::world::sample_manifest;
+use bergamotfork::weights::Digest;
+use bergamotfork::weights::Fetching;
+use bergamotfork::weights::Inserted;
+use bergamotfork::weights::LoadCheck;
+use bergamotfork::weights::ManifestError;
+use bergamotfork::weights::MemoryBudget;
+use bergamotfork::weights::Replica;
+use bergamotfork::weights::Verification;
+use bergamotfork::weights::WeightsHeld;
+
+fn fetched(except: Option<u32>) -> (Replica<Fetching>, Vec<u8>) {
+    let (manifest, bytes) = sample_manifest(1000, 100);
+    let announced = Replica::announced(manifest.digest());
+    let mut replica = announced
+        .fetch(manifest, &MemoryBudget::new(1000))
+        .expect("the manifest is right and fits");
+    for (index, chunk) in (0..).zip(bytes.chunks(100)) {
+        if Some(index) != except {
+            assert_eq!(
+                replica.insert(index, Bytes::copy_from_slice(chunk)),
+                Inserted::Stored
+            );
+        }
+    }
+    (replica, bytes)
+}
+
+#[test]
+fn verify_complete() {
+    let (replica, bytes) = fetched(None);
+    let Verification::Verified(verified) = replica.verify() else {
+        panic!("all chunks are correct");
+    };
+    assert_eq!(verified.whole().collect::<Vec<_>>().concat(), bytes);
+    let LoadCheck::Loaded(loaded) = verified.loaded(Digest::of(&bytes)) else {
+        panic!("the engine holds the whole");
+    };
+    let serving = loaded.serve();
+    assert!(serving.have().is_complete());
+}
+
+#[test]
+fn verify_missing_chunk() {
+    let (replica, _) = fetched(Some(3));
+    assert!(matches!(replica.verify(), Verification::Incomplete(_)));
+}
+
+#[test]
+fn verify_whole_contradicts_chunks() {
+    let (manifest, bytes) = sample_manifest(1000, 100);
+    let mut manifest = (*manifest).clone();
+    manifest.whole = Digest::of(b"another whole");
+    let announced = Replica::announced(manifest.digest());
+    let mut replica = announced
+        .fetch(manifest.into(), &MemoryBudget::new(1000))
+        .expect("the manifest is consistent");
+    for (index, chunk) in (0..).zip(bytes.chunks(100)) {
+        replica.insert(index, Bytes::copy_from_slice(chunk));
+    }
+    assert!(matches!(
+        replica.verify(),
+        Verification::Held(WeightsHeld::WrongWhole { .. })
+    ));
+}
+
+#[test]
+fn loaded_other_digest_is_held() {
+    let (replica, _) = fetched(None);
+    let Verification::Verified(verified) = replica.verify() else {
+        panic!("all chunks are correct");
+    };
+    assert!(matches!(
+        verified.loaded(Digest::of(b"partial")),
+        LoadCheck::Held(_, WeightsHeld::EngineMismatch { .. })
+    ));
+}
+
+#[test]
+fn fetch_other_manifest() {
+    let (manifest, _) = sample_manifest(1000, 100);
+    let announced = Replica::announced(Digest::of(b"another manifest"));
+    let held = announced.fetch(manifest, &MemoryBudget::new(1000));
+    assert!(matches!(
+        held,
+        Err(WeightsHeld::Manifest(ManifestError::WrongDigest { .. }))
+    ));
+}
--- /dev/null
+++ b/tests/weights/origin.rs
@@ -0,0 +1,109 @@
+use std::net::SocketAddr;
+
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use bergamotfork::links::HttpClient;
+use bergamotfork::platform::OriginClient;
+use bergamotfork::platform::OriginError;
+use bergamotfork::standin::Handle;
+use bergamotfork::standin::origin;
+use bergamotfork::standin::origin::OriginOptions;
+use bergamotfork::standin::origin::OriginStats;
+use bergamotfork::weights::Digest;
+
+const WAIT_MS: u64 = 5000;
+
+async fn started() -> (Handle, OriginClient, Digest) {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = origin::start(OriginOptions {
+        listen,
+        rate_bytes_per_s: 0,
+        burst_bytes: 0,
+    })
+    .await
+    .expect("the address is free");
+    let publication = json!({"model": "chat", "version": "v1", "size_bytes": 1000, "chunk_bytes": 300, "seed": 4});
+    let answer = send(&handle, "/v1/publish", publication).await;
+    let digest = answer["manifest"]
+        .as_str()
+        .and_then(|hex| hex.parse().ok())
+        .expect("a digest is answered");
+    (handle.clone(), OriginClient::new(handle.url()), digest)
+}
+
+async fn send(handle: &Handle, path: &str, body: Value) -> Value {
+    HttpClient::to_platform()
+        .send_json(
+            Method::POST,
+            &format!("{}{path}", handle.url()),
+            &body,
+            WAIT_MS,
+        )
+        .await
+        .expect("the origin answers")
+}
+
+#[actix_rt::test]
+async fn origin_gives_manifest_and_chunks() {
+    let (handle, client, digest) = started().await;
+    let manifest = client
+        .manifest("chat", "v1")
+        .await
+        .expect("it was published");
+    assert_eq!(manifest.validate_as(digest), Ok(()));
+    for index in 0..4 {
+        let chunk = client
+            .chunk(digest, index, WAIT_MS)
+            .await
+            .expect("it is there");
+        assert_eq!(Digest::of(&chunk), manifest.chunks[index as usize]);
+    }
+    let stats: OriginStats = HttpClient::to_platform()
+        .get_json(&format!("{}/stats", handle.url()), WAIT_MS)
+        .await
+        .expect("the origin answers");
+    assert_eq!(stats.chunk_bytes_sent, 1000);
+}
+
+#[actix_rt::test]
+async fn origin_corrupts_and_truncates_as_ordered() {
+    let (handle, client, digest) = started().await;
+    let faults = json!({"corrupt_chunk": 1, "corrupt_times": 1, "truncate_chunk": 2});
+    send(&handle, "/fault", faults).await;
+    let spoiled = client.chunk(digest, 1, WAIT_MS).await.expect("it is there");
+    let mended = client.chunk(digest, 1, WAIT_MS).await.expect("it is there");
+    assert_ne!(spoiled, mended);
+    let half = client.chunk(digest, 2, WAIT_MS).await.expect("it is there");
+    assert_eq!(half.len(), 150);
+}
+
+#[actix_rt::test]
+async fn origin_refusals_name_the_wait() {
+    let (handle, client, digest) = started().await;
+    let refuse = json!({"refuse": {"status": 429, "retry_after_s": 3, "count": 1}});
+    send(&handle, "/fault", refuse).await;
+    let refused = client.chunk(digest, 0, WAIT_MS).await;
+    assert_eq!(
+        refused,
+        Err(OriginError::Limited {
+            retry_after_ms: 3000
+        })
+    );
+    assert!(client.chunk(digest, 0, WAIT_MS).await.is_ok());
+}
+
+#[actix_rt::test]
+async fn origin_without_manifest() {
+    let (handle, client, _) = started().await;
+    assert_eq!(
+        client.manifest("chat", "v9").await,
+        Err(OriginError::Missing)
+    );
+    send(&handle, "/fault", json!({"manifest_missing": true})).await;
+    assert_eq!(
+        client.manifest("chat", "v1").await,
+        Err(OriginError::Missing)
+    );
+}
--- /dev/null
+++ b/tests/weights/plan.rs
@@ -0,0 +1,255 @@
+use arbtest::arbitrary::Result;
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+
+use crate::world::homes;
+use crate::world::hosts;
+use bergamotfork::weights::Fetch;
+use bergamotfork::weights::HaveMap;
+use bergamotfork::weights::Homes;
+use bergamotfork::weights::Neighbour;
+use bergamotfork::weights::PeerKey;
+use bergamotfork::weights::PlanInput;
+use bergamotfork::weights::PlanSettings;
+use bergamotfork::weights::Source;
+use bergamotfork::weights::next_fetches;
+
+const CHUNKS: u32 = 24;
+
+/// Everything a plan refers to.
+struct Case {
+    homes: Homes,
+    me: PeerKey,
+    have: HaveMap,
+    in_flight: Vec<Fetch>,
+    neighbours: Vec<Neighbour>,
+    settings: PlanSettings,
+    now_ms: u64,
+    origin_blocked_until_ms: u64,
+    seed: u64,
+}
+
+impl Case {
+    fn new(count: usize, regions: usize, me: u32) -> Self {
+        Self {
+            homes: homes(CHUNKS, &hosts(count, regions)),
+            me: PeerKey(me),
+            have: HaveMap::empty(CHUNKS),
+            in_flight: Vec::new(),
+            neighbours: Vec::new(),
+            settings: PlanSettings::default(),
+            now_ms: 0,
+            origin_blocked_until_ms: 0,
+            seed: 7,
+        }
+    }
+
+    fn arbitrary(u: &mut Unstructured<'_>) -> Result<Self> {
+        let count: u32 = u.int_in_range(1..=20)?;
+        let regions = u.int_in_range(1..=3)?;
+        let mut case = Self::new(count as usize, regions, u.int_in_range(0..=count - 1)?);
+        case.have = some_chunks(u)?;
+        case.now_ms = u.int_in_range(0..=100_000)?;
+        case.seed = u.arbitrary()?;
+        for key in 0..count {
+            if key != case.me.0 && u.arbitrary()? {
+                case.neighbours.push(Neighbour {
+                    key: PeerKey(key),
+                    have: some_chunks(u)?,
+                    queue: u.int_in_range(0..=5)?,
+                    blocked_until_ms: u.int_in_range(0..=200_000)?,
+                    lost: u.ratio(1, 5)?,
+                });
+            }
+        }
+        for chunk in 0..u.int_in_range(0..=3)? {
+            if !case.have.contains(chunk) {
+                case.in_flight.push(Fetch {
+                    chunk,
+                    source: Source::Origin,
+                });
+            }
+        }
+        Ok(case)
+    }
+
+    fn plan(&self) -> Vec<Fetch> {
+        next_fetches(&PlanInput {
+            now_ms: self.now_ms,
+            progress_ms: 0,
+            me: self.me,
+            homes: &self.homes,
+            have: &self.have,
+            in_flight: &self.in_flight,
+            neighbours: &self.neighbours,
+            origin_blocked_until_ms: self.origin_blocked_until_ms,
+            settings: &self.settings,
+            seed: self.seed,
+        })
+    }
+
+    fn neighbour(&self, key: PeerKey) -> Option<&Neighbour> {
+        self.neighbours
+            .iter()
+            .find(|neighbour| neighbour.key == key)
+    }
+}
+
+fn some_chunks(u: &mut Unstructured<'_>) -> Result<HaveMap> {
+    let mut map = HaveMap::empty(CHUNKS);
+    for index in 0..CHUNKS {
+        if u.arbitrary()? {
+            map.insert(index);
+        }
+    }
+    Ok(map)
+}
+
+#[test]
+fn next_fetches_never_reads_twice() {
+    arbtest(|u| {
+        let case = Case::arbitrary(u)?;
+        let mut all = case.in_flight.clone();
+        all.extend(case.plan());
+        let mut chunks: Vec<u32> = all.iter().map(|fetch| fetch.chunk).collect();
+        chunks.sort_unstable();
+        chunks.dedup();
+        assert_eq!(chunks.len(), all.len());
+        assert!(chunks.iter().all(|chunk| !case.have.contains(*chunk)));
+        Ok(())
+    });
+}
+
+#[test]
+fn next_fetches_asks_only_open_peers_within_limits() {
+    arbtest(|u| {
+        let case = Case::arbitrary(u)?;
+        let plan = case.plan();
+        let region = case.homes.region_of(case.me);
+        for fetch in &plan {
+            let Source::Peer(key) = fetch.source else {
+                continue;
+            };
+            assert_ne!(key, case.me);
+            let known = case.neighbour(key);
+            assert!(known.is_none_or(|peer| !peer.lost && peer.blocked_until_ms <= case.now_ms));
+            if case.homes.region_of(key) == region {
+                assert!(known.is_some_and(|peer| peer.have.contains(fetch.chunk)));
+            }
+            let same = plan
+                .iter()
+                .filter(|other| other.source == fetch.source)
+                .count();
+            assert!(same <= case.settings.max_per_peer);
+        }
+        assert!(plan.len() <= case.settings.max_fetches + case.settings.max_duties);
+        Ok(())
+    });
+}
+
+#[test]
+fn next_fetches_crosses_regions_only_along_the_route() {
+    arbtest(|u| {
+        let case = Case::arbitrary(u)?;
+        let region = case.homes.region_of(case.me);
+        for fetch in case.plan() {
+            match fetch.source {
+                Source::Origin => assert_eq!(case.homes.feeder(fetch.chunk, region), None),
+                Source::Peer(key) if case.homes.region_of(key) != region => {
+                    let feeder = case.homes.feeder(fetch.chunk, region);
+                    assert_eq!(feeder, Some(case.homes.region_of(key)));
+                }
+                Source::Peer(_) => {}
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn next_fetches_one_reader_per_chunk_and_region() {
+    for regions in 1..4 {
+        let mut readers = vec![0; CHUNKS as usize * regions];
+        for me in 0..12 {
+            let mut case = Case::new(12, regions, me);
+            case.settings.max_duties = CHUNKS as usize;
+            case.settings.max_per_peer = CHUNKS as usize;
+            let region = case.homes.region_of(case.me);
+            for fetch in case.plan() {
+                readers[region * CHUNKS as usize + fetch.chunk as usize] += 1;
+            }
+        }
+        assert!(
+            readers.iter().all(|count| *count == 1),
+            "{regions} regions: {readers:?}"
+        );
+    }
+}
+
+#[test]
+fn next_fetches_second_rank_takes_over_when_first_is_lost() {
+    let mut case = Case::new(12, 1, 0);
+    let ranked = case.homes.ranked(5, 0).to_vec();
+    case.me = ranked[1];
+    case.settings.max_duties = CHUNKS as usize;
+    let duty = Fetch {
+        chunk: 5,
+        source: Source::Origin,
+    };
+    assert!(!case.plan().contains(&duty));
+    case.neighbours.push(Neighbour {
+        key: ranked[0],
+        have: HaveMap::empty(CHUNKS),
+        queue: 0,
+        blocked_until_ms: 0,
+        lost: true,
+    });
+    assert!(case.plan().contains(&duty));
+}
+
+#[test]
+fn next_fetches_second_rank_takes_over_after_silence() {
+    let mut case = Case::new(12, 1, 0);
+    case.me = case.homes.ranked(5, 0)[1];
+    case.settings.max_duties = CHUNKS as usize;
+    let reads_origin = |case: &Case| case.plan().iter().any(|fetch| fetch.chunk == 5);
+    case.now_ms = case.settings.takeover_wait_ms - 1;
+    assert!(!reads_origin(&case));
+    case.now_ms = case.settings.takeover_wait_ms * 3;
+    assert!(reads_origin(&case));
+}
+
+#[test]
+fn next_fetches_rarest_first() {
+    let mut case = Case::new(12, 1, 0);
+    case.settings.max_duties = 0;
+    case.settings.max_fetches = 1;
+    for key in 1..4 {
+        let mut have = HaveMap::empty(CHUNKS);
+        have.insert(1);
+        if key == 2 {
+            have.insert(9);
+        }
+        case.neighbours.push(Neighbour {
+            key: PeerKey(key),
+            have,
+            queue: 0,
+            blocked_until_ms: 0,
+            lost: false,
+        });
+    }
+    let expected = Fetch {
+        chunk: 9,
+        source: Source::Peer(PeerKey(2)),
+    };
+    assert_eq!(case.plan(), vec![expected]);
+}
+
+#[test]
+fn next_fetches_waits_while_origin_limits() {
+    let mut case = Case::new(1, 1, 0);
+    case.origin_blocked_until_ms = 500;
+    assert!(case.plan().is_empty());
+    case.now_ms = 500;
+    assert_eq!(case.plan().len(), case.settings.max_duties);
+}
--- /dev/null
+++ b/tests/weights/world.rs
@@ -0,0 +1,30 @@
+use std::sync::Arc;
+
+use bergamotfork::weights::Digest;
+use bergamotfork::weights::Homes;
+use bergamotfork::weights::Manifest;
+use bergamotfork::weights::SwarmHost;
+
+/// Bytes that differ at every position of a small model.
+pub fn sample_bytes(len: usize) -> Vec<u8> {
+    (0..len).map(|at| (at * 7 + at / 251) as u8).collect()
+}
+
+pub fn sample_manifest(len: usize, chunk_bytes: u32) -> (Arc<Manifest>, Vec<u8>) {
+    let bytes = sample_bytes(len);
+    let manifest = Manifest::describe("chat", "v1", None, chunk_bytes, &bytes);
+    (Arc::new(manifest), bytes)
+}
+
+pub fn hosts(count: usize, regions: usize) -> Vec<SwarmHost> {
+    (0..count)
+        .map(|index| SwarmHost {
+            name: format!("host-{index}"),
+            region: format!("region-{}", index % regions),
+        })
+        .collect()
+}
+
+pub fn homes(chunks: u32, hosts: &[SwarmHost]) -> Homes {
+    Homes::new(Digest::of(b"a version"), chunks, hosts, "region-0")
+}
