Merge the platform's list with direct evidence in one pure rule

A host is usable from its last report on for 2.5 s, whatever the list shows; a list that loses half of its hosts waits 30 s, an empty one is never believed. Evidence of a replaced incarnation is dropped.

--- /dev/null
+++ b/src/hosts/host.rs
@@ -0,0 +1,131 @@
+use std::net::SocketAddr;
+
+use crate::hosts::ConfigMark;
+use crate::hosts::HostRecord;
+use crate::hosts::HostRole;
+use crate::hosts::HostState;
+use crate::hosts::Load;
+use crate::hosts::Report;
+use crate::hosts::Served;
+
+/// Silence after which a host gets no new work.
+pub const SILENCE_MS: u64 = 2500;
+
+/// Whether a host may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It was heard lately and takes work.
+    Usable,
+    /// The list shows it, and it has not been heard yet.
+    Unheard,
+    /// It has not been heard for [`SILENCE_MS`].
+    Silent,
+    /// A call to it failed after it was last heard.
+    Failed,
+    /// It finishes its work and goes.
+    Leaving,
+}
+
+/// What this process knows of one host.
+#[derive(Debug, Clone)]
+pub struct Host {
+    /// Name of the host.
+    pub name: String,
+    /// Address of its process.
+    pub address: SocketAddr,
+    /// What runs on it.
+    pub role: HostRole,
+    /// Region it stands in.
+    pub region: String,
+    /// Failure domain inside the region.
+    pub domain: String,
+    /// Plain service beside it.
+    pub service: Option<String>,
+    /// Incarnation last heard; 0 before the first report.
+    pub incarnation: u64,
+    /// How busy it was when last heard.
+    pub load: Load,
+    /// Versions on it when last heard.
+    pub served: Vec<Served>,
+    /// Configuration in force on it when last heard.
+    pub config: Option<ConfigMark>,
+    pub(super) listed: bool,
+    pub(super) listed_leaving: bool,
+    pub(super) said_leaving: bool,
+    pub(super) heard_ms: Option<u64>,
+    pub(super) failed_ms: Option<u64>,
+    pub(super) unlisted_ms: u64,
+}
+
+impl Host {
+    pub(super) fn from_record(record: &HostRecord) -> Self {
+        Self {
+            name: record.name.clone(),
+            address: record.address,
+            role: record.role,
+            region: record.region.clone(),
+            domain: record.domain.clone(),
+            service: record.service.clone(),
+            incarnation: 0,
+            load: Load::default(),
+            served: Vec::new(),
+            config: None,
+            listed: true,
+            listed_leaving: record.state == HostState::Leaving,
+            said_leaving: false,
+            heard_ms: None,
+            failed_ms: None,
+            unlisted_ms: 0,
+        }
+    }
+
+    pub(super) fn from_report(report: &Report, now_ms: u64) -> Self {
+        Self {
+            name: report.name.clone(),
+            address: report.address,
+            role: report.role,
+            region: report.region.clone(),
+            domain: report.domain.clone(),
+            service: report.service.clone(),
+            incarnation: report.incarnation,
+            load: report.load,
+            served: report.served.clone(),
+            config: Some(report.config),
+            listed: false,
+            listed_leaving: false,
+            said_leaving: report.leaving,
+            heard_ms: Some(now_ms),
+            failed_ms: None,
+            unlisted_ms: now_ms,
+        }
+    }
+
+    /// Whether the host may get new work at `now_ms`.
+    pub fn standing(&self, now_ms: u64) -> Standing {
+        if self.listed_leaving || self.said_leaving {
+            return Standing::Leaving;
+        }
+        let Some(heard_ms) = self.heard_ms else {
+            return match self.failed_ms {
+                Some(_) => Standing::Failed,
+                None => Standing::Unheard,
+            };
+        };
+        if self
+            .failed_ms
+            .is_some_and(|failed_ms| failed_ms >= heard_ms)
+        {
+            return Standing::Failed;
+        }
+        if now_ms.saturating_sub(heard_ms) > SILENCE_MS {
+            return Standing::Silent;
+        }
+        Standing::Usable
+    }
+
+    /// Time since the host was last heard.
+    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
+        self.heard_ms
+            .map(|heard_ms| now_ms.saturating_sub(heard_ms))
+    }
+}
--- /dev/null
+++ b/src/hosts/host_key.rs
@@ -0,0 +1,6 @@
+/// Key of a host in a [`Roster`](crate::hosts::Roster); stale once the host is forgotten.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostKey {
+    pub(super) index: u32,
+    pub(super) generation: u32,
+}
--- /dev/null
+++ b/src/hosts/report.rs
@@ -0,0 +1,94 @@
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hosts::HostRole;
+use crate::weights::Digest;
+
+/// How far a process has folded the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigMark {
+    /// Next offset of the log the process wants.
+    pub offset: u64,
+    /// Digest of the document there.
+    pub digest: Digest,
+}
+
+/// How far a version has come on a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// Chunks are on their way.
+    Fetching,
+    /// Every chunk is present and the whole digest matches.
+    Verified,
+    /// The engine answers with it.
+    Serving,
+    /// It cannot proceed; the cause is in the log and in `status`.
+    Held,
+}
+
+/// One version on a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Served {
+    /// Name of the model.
+    pub model: String,
+    /// Version of the model.
+    pub version: String,
+    /// Digest of the manifest.
+    pub manifest: Digest,
+    /// How far it has come.
+    pub progress: Progress,
+    /// Share of the chunks present.
+    pub present_percent: u8,
+    /// Why it is held.
+    pub held: Option<String>,
+}
+
+/// How busy an endpoint is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests running on the engine or service.
+    pub running: u32,
+    /// Requests waiting in the fair queue.
+    pub queued: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What a process says of itself, each second, to the entries it reports to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the host.
+    pub name: String,
+    /// Address of the process.
+    pub address: SocketAddr,
+    /// What runs on the host.
+    pub role: HostRole,
+    /// Region it stands in.
+    pub region: String,
+    /// Failure domain inside the region.
+    pub domain: String,
+    /// Plain service beside it.
+    pub service: Option<String>,
+    /// Grows with each start of the process on this host.
+    pub incarnation: u64,
+    /// Whether it finishes its work and goes.
+    pub leaving: bool,
+    /// Configuration in force on it.
+    pub config: ConfigMark,
+    /// How busy it is.
+    pub load: Load,
+    /// Versions on it.
+    pub served: Vec<Served>,
+}
+
+/// What an entry answers to a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// Incarnation of the entry.
+    pub incarnation: u64,
+    /// Configuration in force on the entry.
+    pub config: ConfigMark,
+}
--- /dev/null
+++ b/src/hosts/roster.rs
@@ -0,0 +1,248 @@
+use crate::hosts::Host;
+use crate::hosts::HostKey;
+use crate::hosts::HostRole;
+use crate::hosts::HostState;
+use crate::hosts::Report;
+use crate::hosts::Standing;
+use crate::platform::HostList;
+
+/// Time a list that lost more than half of its hosts must stand before it is believed.
+pub const DOUBT_MS: u64 = 30_000;
+
+/// Time after which a host neither listed nor heard is forgotten.
+pub const FORGET_MS: u64 = 30_000;
+
+/// What became of a list from the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListTaken {
+    /// The list was merged.
+    Applied,
+    /// Its additions were merged; its removals wait, because too many went at once.
+    Doubted,
+}
+
+/// What a report told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// A host that was not known or not heard before.
+    New,
+    /// A later incarnation at a known name.
+    Replaced,
+    /// The incarnation that was known.
+    Known,
+    /// An incarnation that has been replaced; the report was dropped.
+    Outdated,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    generation: u32,
+    host: Option<Host>,
+}
+
+/// The merged live list: the platform's lagging list and direct evidence.
+///
+/// Direct evidence goes before the list: a host that was heard is usable though
+/// the list lacks it, and a silent one is not though the list shows it.
+#[derive(Debug, Default)]
+pub struct Roster {
+    slots: Vec<Slot>,
+    by_name: Vec<HostKey>,
+    list_version: u64,
+    doubted_since_ms: Option<u64>,
+}
+
+impl Roster {
+    /// An empty roster.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Version of the list last merged.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    /// The host of `key`, unless it was forgotten.
+    pub fn host(&self, key: HostKey) -> Option<&Host> {
+        let slot = self.slots.get(key.index as usize)?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        slot.host.as_ref()
+    }
+
+    fn host_mut(&mut self, key: HostKey) -> Option<&mut Host> {
+        let slot = self.slots.get_mut(key.index as usize)?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        slot.host.as_mut()
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.by_name.binary_search_by(|key| {
+            let host = self.host(*key).expect("the index holds no stale key");
+            host.name.as_str().cmp(name)
+        })
+    }
+
+    /// Key of the host called `name`.
+    pub fn key(&self, name: &str) -> Option<HostKey> {
+        self.position(name).ok().map(|at| self.by_name[at])
+    }
+
+    /// Every host, by name.
+    pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.by_name
+            .iter()
+            .filter_map(|key| self.host(*key).map(|host| (*key, host)))
+    }
+
+    /// Hosts of `role` that may get new work.
+    pub fn usable(&self, role: HostRole, now_ms: u64) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.hosts()
+            .filter(move |(_, host)| host.role == role && host.standing(now_ms) == Standing::Usable)
+    }
+
+    /// Hosts of `role` worth asking: usable ones and those not heard yet.
+    pub fn askable(&self, role: HostRole, now_ms: u64) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.hosts().filter(move |(_, host)| {
+            let standing = host.standing(now_ms);
+            host.role == role && matches!(standing, Standing::Usable | Standing::Unheard)
+        })
+    }
+
+    /// Merges a list of the platform.
+    pub fn take_list(&mut self, list: &HostList, now_ms: u64) -> ListTaken {
+        let listed_before = self.hosts().filter(|(_, host)| host.listed).count();
+        let still_listed = self
+            .hosts()
+            .filter(|(_, host)| host.listed && contains(list, &host.name))
+            .count();
+        let doubted = self.doubts(listed_before, still_listed, now_ms);
+        for record in &list.hosts {
+            match self.key(&record.name).and_then(|key| self.host_mut(key)) {
+                Some(host) => {
+                    host.listed = true;
+                    host.listed_leaving = record.state == HostState::Leaving;
+                    if host.heard_ms.is_none() {
+                        host.address = record.address;
+                    }
+                }
+                None => self.insert(Host::from_record(record)),
+            }
+        }
+        if doubted {
+            return ListTaken::Doubted;
+        }
+        self.list_version = list.version;
+        for slot in &mut self.slots {
+            if let Some(host) = &mut slot.host
+                && host.listed
+                && !contains(list, &host.name)
+            {
+                host.listed = false;
+                host.unlisted_ms = now_ms;
+            }
+        }
+        self.forget(now_ms);
+        ListTaken::Applied
+    }
+
+    /// Whether removals of a list are held back.
+    fn doubts(&mut self, listed_before: usize, still_listed: usize, now_ms: u64) -> bool {
+        let halved = still_listed * 2 <= listed_before && listed_before > 1;
+        if !halved {
+            self.doubted_since_ms = None;
+            return false;
+        }
+        let since_ms = *self.doubted_since_ms.get_or_insert(now_ms);
+        // An empty list is an outage of the list: the last known hosts stay.
+        if still_listed > 0 && now_ms.saturating_sub(since_ms) >= DOUBT_MS {
+            self.doubted_since_ms = None;
+            return false;
+        }
+        true
+    }
+
+    /// Merges what a host says of itself.
+    pub fn heard(&mut self, report: &Report, now_ms: u64) -> Heard {
+        let Some(host) = self.key(&report.name).and_then(|key| self.host_mut(key)) else {
+            self.insert(Host::from_report(report, now_ms));
+            return Heard::New;
+        };
+        if report.incarnation < host.incarnation {
+            return Heard::Outdated;
+        }
+        let heard = match host.incarnation {
+            0 => Heard::New,
+            known if known < report.incarnation => Heard::Replaced,
+            _ => Heard::Known,
+        };
+        let mut told = Host::from_report(report, now_ms);
+        told.listed = host.listed;
+        told.unlisted_ms = host.unlisted_ms;
+        told.listed_leaving = host.listed_leaving && heard != Heard::Replaced;
+        if heard == Heard::Known {
+            told.said_leaving |= host.said_leaving;
+        }
+        *host = told;
+        heard
+    }
+
+    /// Notes that a call to `key` failed in a way that shows its process is gone.
+    pub fn failed(&mut self, key: HostKey, now_ms: u64) {
+        if let Some(host) = self.host_mut(key) {
+            host.failed_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes that the host of `key` refused work because it is leaving.
+    pub fn leaving(&mut self, key: HostKey) {
+        if let Some(host) = self.host_mut(key) {
+            host.said_leaving = true;
+        }
+    }
+
+    /// Drops hosts that are neither listed nor heard for long.
+    pub fn forget(&mut self, now_ms: u64) {
+        let gone: Vec<HostKey> = self
+            .hosts()
+            .filter(|(_, host)| {
+                let unheard_since_ms = host.heard_ms.unwrap_or(0).max(host.unlisted_ms);
+                !host.listed && now_ms.saturating_sub(unheard_since_ms) > FORGET_MS
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.by_name.retain(|kept| *kept != key);
+            let slot = &mut self.slots[key.index as usize];
+            slot.host = None;
+            slot.generation += 1;
+        }
+    }
+
+    fn insert(&mut self, host: Host) {
+        let at = match self.position(&host.name) {
+            Ok(_) => return,
+            Err(at) => at,
+        };
+        let free = self.slots.iter().position(|slot| slot.host.is_none());
+        let index = free.unwrap_or_else(|| {
+            self.slots.push(Slot::default());
+            self.slots.len() - 1
+        });
+        let slot = &mut self.slots[index];
+        slot.host = Some(host);
+        let key = HostKey {
+            index: u32::try_from(index).expect("fewer than 2^32 hosts"),
+            generation: slot.generation,
+        };
+        self.by_name.insert(at, key);
+    }
+}
+
+fn contains(list: &HostList, name: &str) -> bool {
+    list.hosts.iter().any(|host| host.name == name)
+}
--- /dev/null
+++ b/tests/hosts/main.rs
@@ -0,0 +1,198 @@
+//! The merged live list under a lagging, empty or halved list of the platform.
+
+use arbtest::arbtest;
+
+use bergamotfork::hosts::ConfigMark;
+use bergamotfork::hosts::DOUBT_MS;
+use bergamotfork::hosts::FORGET_MS;
+use bergamotfork::hosts::Heard;
+use bergamotfork::hosts::HostRecord;
+use bergamotfork::hosts::HostRole;
+use bergamotfork::hosts::HostState;
+use bergamotfork::hosts::ListTaken;
+use bergamotfork::hosts::Load;
+use bergamotfork::hosts::Report;
+use bergamotfork::hosts::Roster;
+use bergamotfork::hosts::SILENCE_MS;
+use bergamotfork::hosts::Standing;
+use bergamotfork::platform::HostList;
+use bergamotfork::weights::Digest;
+
+/// The brief allows a few seconds; the project promises this.
+const NO_NEW_WORK_MS: u64 = 3000;
+
+fn record(number: usize) -> HostRecord {
+    HostRecord {
+        name: format!("host-{number:03}"),
+        address: format!("127.0.0.1:{}", 7000 + number)
+            .parse()
+            .expect("an address"),
+        role: HostRole::Endpoint,
+        region: "or-north".to_owned(),
+        domain: "a".to_owned(),
+        service: None,
+        state: HostState::Live,
+    }
+}
+
+fn list(version: u64, count: usize) -> HostList {
+    HostList {
+        version,
+        hosts: (0..count).map(record).collect(),
+    }
+}
+
+fn report(number: usize, incarnation: u64) -> Report {
+    let host = record(number);
+    Report {
+        name: host.name,
+        address: host.address,
+        role: host.role,
+        region: host.region,
+        domain: host.domain,
+        service: None,
+        incarnation,
+        leaving: false,
+        config: ConfigMark {
+            offset: 0,
+            digest: Digest::of(b""),
+        },
+        load: Load::default(),
+        served: Vec::new(),
+    }
+}
+
+fn standing(roster: &Roster, number: usize, now_ms: u64) -> Option<Standing> {
+    let key = roster.key(&record(number).name)?;
+    roster.host(key).map(|host| host.standing(now_ms))
+}
+
+#[test]
+fn standing_dead_host_still_listed() {
+    let mut roster = Roster::new();
+    roster.take_list(&list(1, 3), 0);
+    roster.heard(&report(0, 1), 1000);
+    assert_eq!(standing(&roster, 0, 1000), Some(Standing::Usable));
+    roster.take_list(&list(1, 3), 1000 + NO_NEW_WORK_MS);
+    assert_eq!(
+        standing(&roster, 0, 1000 + NO_NEW_WORK_MS),
+        Some(Standing::Silent)
+    );
+    const { assert!(SILENCE_MS < NO_NEW_WORK_MS) };
+}
+
+#[test]
+fn standing_failed_until_heard_again() {
+    let mut roster = Roster::new();
+    roster.heard(&report(0, 1), 1000);
+    let key = roster.key("host-000").expect("the host was heard");
+    roster.failed(key, 1100);
+    assert_eq!(standing(&roster, 0, 1100), Some(Standing::Failed));
+    roster.heard(&report(0, 1), 1200);
+    assert_eq!(standing(&roster, 0, 1200), Some(Standing::Usable));
+}
+
+#[test]
+fn heard_replaced_at_same_address() {
+    let mut roster = Roster::new();
+    roster.heard(&report(0, 5), 1000);
+    let key = roster.key("host-000").expect("the host was heard");
+    roster.leaving(key);
+    assert_eq!(roster.heard(&report(0, 4), 1100), Heard::Outdated);
+    assert_eq!(standing(&roster, 0, 1100), Some(Standing::Leaving));
+    assert_eq!(roster.heard(&report(0, 6), 1200), Heard::Replaced);
+    assert_eq!(standing(&roster, 0, 1200), Some(Standing::Usable));
+}
+
+#[test]
+fn leaving_stays_for_the_incarnation() {
+    let mut roster = Roster::new();
+    let mut last_words = report(0, 5);
+    last_words.leaving = true;
+    roster.heard(&last_words, 1000);
+    // A report sent before the last one arrives after it.
+    roster.heard(&report(0, 5), 1100);
+    assert_eq!(standing(&roster, 0, 1100), Some(Standing::Leaving));
+}
+
+#[test]
+fn take_list_empty_keeps_hosts() {
+    let mut roster = Roster::new();
+    roster.take_list(&list(1, 4), 0);
+    assert_eq!(roster.take_list(&list(2, 0), 1000), ListTaken::Doubted);
+    let later_ms = 1000 + 10 * DOUBT_MS;
+    assert_eq!(roster.take_list(&list(2, 0), later_ms), ListTaken::Doubted);
+    assert_eq!(roster.hosts().count(), 4);
+}
+
+#[test]
+fn take_list_halved_waits() {
+    let mut roster = Roster::new();
+    roster.take_list(&list(1, 8), 0);
+    assert_eq!(roster.take_list(&list(2, 4), 1000), ListTaken::Doubted);
+    assert_eq!(roster.hosts().count(), 8);
+    let believed_ms = 1000 + DOUBT_MS;
+    assert_eq!(
+        roster.take_list(&list(2, 4), believed_ms),
+        ListTaken::Applied
+    );
+    roster.forget(believed_ms + FORGET_MS + 1);
+    assert_eq!(roster.hosts().count(), 4);
+}
+
+#[test]
+fn take_list_one_by_one() {
+    let mut roster = Roster::new();
+    roster.take_list(&list(1, 8), 0);
+    for left in (1..8).rev() {
+        let version = 9 - left as u64;
+        roster.take_list(&list(version, left), version * 1000);
+    }
+    // The last removal, of one host in two, is the only one in doubt.
+    assert_eq!(roster.list_version(), 7);
+}
+
+#[test]
+fn host_forgotten_key() {
+    let mut roster = Roster::new();
+    roster.heard(&report(0, 1), 0);
+    let key = roster.key("host-000").expect("the host was heard");
+    roster.forget(FORGET_MS + 1);
+    assert!(roster.host(key).is_none());
+    roster.heard(&report(1, 1), FORGET_MS + 2);
+    assert!(
+        roster.host(key).is_none(),
+        "a stale key names no other host"
+    );
+}
+
+#[test]
+fn roster_any_order_of_evidence() {
+    arbtest(|u| {
+        let mut roster = Roster::new();
+        let mut last_heard_ms = [None; 4];
+        let mut now_ms = 0;
+        for _ in 0..40 {
+            now_ms += u64::from(u.int_in_range(0..=4000u16)?);
+            if u.ratio(1, 3)? {
+                let count = u.int_in_range(0..=4)?;
+                roster.take_list(&list(now_ms, count), now_ms);
+            } else {
+                let number = u.choose_index(4)?;
+                let incarnation = u.int_in_range(1..=3)?;
+                if roster.heard(&report(number, incarnation), now_ms) != Heard::Outdated {
+                    last_heard_ms[number] = Some(now_ms);
+                }
+            }
+            for (number, heard_ms) in last_heard_ms.iter().enumerate() {
+                let Some(heard_ms) = heard_ms else { continue };
+                let usable = standing(&roster, number, now_ms) == Some(Standing::Usable);
+                let silent_ms = now_ms - heard_ms;
+                assert!(usable || silent_ms > SILENCE_MS, "heard and not usable");
+                assert!(!usable || silent_ms < NO_NEW_WORK_MS, "silent and usable");
+            }
+        }
+        Ok(())
+    })
+    .seed(0x0000_0001_0000_0400);
+}
