Fold the configuration document from the log

Every process folds the same records in offset order; an edit is accepted if its base revision is the revision of its section at its offset. A revision is the offset of the accepting record plus one: a counter per section would start again after a deletion, and a late edit could then be accepted against a newer section of the same number. Deleted sections keep a tombstone for the same reason. Conflict outcomes hold no body, since 4,096 remembered conflicts of 64 KiB each would not fit the memory of a host; the winner is read from the document. The digest covers head, document and remembered edits, so a process that adopted a checkpoint and one that folded from the start agree.

--- /dev/null
+++ b/src/document/branch_section.rs
@@ -0,0 +1,62 @@
+use crate::document::Section;
+use crate::document::SectionFault;
+use crate::document::section_reader::SectionReader;
+use crate::weights::Digest;
+
+/// Largest weight of a branch.
+const MAX_WEIGHT: u32 = 1_000_000;
+
+/// Weight of a branch that sets none.
+const DEFAULT_WEIGHT: u32 = 1;
+
+/// A branch: its token, its share of the fleet and what it may use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BranchSection {
+    /// Name of the branch.
+    pub name: String,
+    /// BLAKE3 digest of its bearer token.
+    pub token_digest: Digest,
+    /// Weight in the fair queues.
+    pub weight: u32,
+    /// Share of the fleet it may always claim.
+    pub share_percent: u32,
+    /// Share of the fleet it may claim in a burst.
+    pub burst_percent: u32,
+    /// Models it may use.
+    pub models: Vec<String>,
+    /// Services it may call.
+    pub services: Vec<String>,
+}
+
+impl BranchSection {
+    pub(super) const KIND: &'static str = "branch";
+
+    const KEYS: [&'static str; 6] = [
+        "token_digest",
+        "weight",
+        "share_percent",
+        "burst_percent",
+        "models",
+        "services",
+    ];
+
+    pub(super) fn parse(section: &Section) -> Result<Self, Vec<SectionFault>> {
+        let mut reader = SectionReader::new(section, &Self::KEYS)?;
+        let share_percent = reader.required_number("share_percent", 0..=100);
+        let burst_percent = reader.number("burst_percent", 0..=100, 100);
+        if burst_percent < share_percent {
+            let allowed = format!("at least share_percent ({share_percent})");
+            reader.invalid("burst_percent", burst_percent.to_string(), &allowed);
+        }
+        let branch = Self {
+            name: section.label().to_owned(),
+            token_digest: reader.digest("token_digest"),
+            weight: reader.number("weight", 1..=MAX_WEIGHT, DEFAULT_WEIGHT),
+            share_percent,
+            burst_percent,
+            models: reader.list("models"),
+            services: reader.list("services"),
+        };
+        reader.finish(branch)
+    }
+}
--- /dev/null
+++ b/src/document/document.rs
@@ -0,0 +1,162 @@
+use std::fmt;
+
+use crate::document::BranchSection;
+use crate::document::ModelSection;
+use crate::document::Section;
+use crate::document::ServiceSection;
+use crate::document::Tombstone;
+
+/// Deleted sections whose revision is remembered.
+const MAX_TOMBSTONES: usize = 1_000;
+
+/// The configuration at one offset of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Document {
+    sections: Vec<Section>,
+    tombstones: Vec<Tombstone>,
+}
+
+impl Document {
+    pub(super) fn from_parts(sections: Vec<Section>, tombstones: Vec<Tombstone>) -> Self {
+        Self {
+            sections,
+            tombstones,
+        }
+    }
+
+    /// All sections, ascending by name.
+    pub fn sections(&self) -> &[Section] {
+        &self.sections
+    }
+
+    /// Deleted sections, ascending by name.
+    pub fn tombstones(&self) -> &[Tombstone] {
+        &self.tombstones
+    }
+
+    /// The section called `name`, such as `model chat`.
+    pub fn section(&self, name: &str) -> Option<&Section> {
+        let index = self.section_index(name).ok()?;
+        Some(&self.sections[index])
+    }
+
+    /// Revision of a section, present or deleted; 0 if it is not known.
+    pub fn revision(&self, name: &str) -> u64 {
+        if let Some(section) = self.section(name) {
+            return section.revision;
+        }
+        self.tombstone_index(name)
+            .map_or(0, |index| self.tombstones[index].revision)
+    }
+
+    /// Models whose section is valid, ascending by name.
+    pub fn models(&self) -> Vec<ModelSection> {
+        self.of_kind(ModelSection::KIND)
+            .filter_map(|section| ModelSection::parse(section).ok())
+            .collect()
+    }
+
+    /// The model called `label`, if its section is valid.
+    pub fn model(&self, label: &str) -> Option<ModelSection> {
+        let section = self.labelled(ModelSection::KIND, label)?;
+        ModelSection::parse(section).ok()
+    }
+
+    /// Branches whose section is valid, ascending by name.
+    pub fn branches(&self) -> Vec<BranchSection> {
+        self.of_kind(BranchSection::KIND)
+            .filter_map(|section| BranchSection::parse(section).ok())
+            .collect()
+    }
+
+    /// The branch called `label`, if its section is valid.
+    pub fn branch(&self, label: &str) -> Option<BranchSection> {
+        let section = self.labelled(BranchSection::KIND, label)?;
+        BranchSection::parse(section).ok()
+    }
+
+    /// Services whose section is valid, ascending by name.
+    pub fn services(&self) -> Vec<ServiceSection> {
+        self.of_kind(ServiceSection::KIND)
+            .filter_map(|section| ServiceSection::parse(section).ok())
+            .collect()
+    }
+
+    /// The service called `label`, if its section is valid.
+    pub fn service(&self, label: &str) -> Option<ServiceSection> {
+        let section = self.labelled(ServiceSection::KIND, label)?;
+        ServiceSection::parse(section).ok()
+    }
+
+    /// Bytes of all names and bodies.
+    pub fn size_bytes(&self) -> usize {
+        self.sections
+            .iter()
+            .map(|section| section.name.len() + section.body.len())
+            .sum()
+    }
+
+    pub(super) fn put(&mut self, section: Section) {
+        if let Ok(index) = self.tombstone_index(&section.name) {
+            self.tombstones.remove(index);
+        }
+        match self.section_index(&section.name) {
+            Ok(index) => self.sections[index] = section,
+            Err(index) => self.sections.insert(index, section),
+        }
+    }
+
+    pub(super) fn delete(&mut self, name: &str, revision: u64) {
+        if let Ok(index) = self.section_index(name) {
+            self.sections.remove(index);
+        }
+        let tombstone = Tombstone {
+            name: name.to_owned(),
+            revision,
+        };
+        match self.tombstone_index(name) {
+            Ok(index) => self.tombstones[index] = tombstone,
+            Err(index) => self.tombstones.insert(index, tombstone),
+        }
+        self.forget_oldest_tombstone();
+    }
+
+    fn forget_oldest_tombstone(&mut self) {
+        if self.tombstones.len() <= MAX_TOMBSTONES {
+            return;
+        }
+        let oldest = self.tombstones.iter().map(|t| t.revision).min();
+        self.tombstones.retain(|t| Some(t.revision) != oldest);
+    }
+
+    fn of_kind(&self, kind: &'static str) -> impl Iterator<Item = &Section> {
+        self.sections
+            .iter()
+            .filter(move |section| section.kind() == kind)
+    }
+
+    fn labelled(&self, kind: &str, label: &str) -> Option<&Section> {
+        self.section(&format!("{kind} {label}"))
+    }
+
+    fn section_index(&self, name: &str) -> Result<usize, usize> {
+        self.sections
+            .binary_search_by(|section| section.name.as_str().cmp(name))
+    }
+
+    fn tombstone_index(&self, name: &str) -> Result<usize, usize> {
+        self.tombstones
+            .binary_search_by(|tombstone| tombstone.name.as_str().cmp(name))
+    }
+}
+
+/// The whole document as INI.
+impl fmt::Display for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for section in &self.sections {
+            writeln!(f, "[{}]", section.name)?;
+            writeln!(f, "{}\n", section.body.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/document/fold.rs
@@ -0,0 +1,230 @@
+use std::collections::VecDeque;
+
+use crate::document::Adopted;
+use crate::document::Applied;
+use crate::document::Checkpoint;
+use crate::document::Document;
+use crate::document::Edit;
+use crate::document::EditEntry;
+use crate::document::EditOutcome;
+use crate::document::LogRecord;
+use crate::document::Section;
+use crate::document::checkpoint::state_digest;
+use crate::document::past_digests::PastDigests;
+use crate::weights::Digest;
+
+/// Edits remembered for retries.
+pub const MAX_EDIT_ENTRIES: usize = 4_096;
+
+/// The state reached by applying every record before an offset.
+#[derive(Debug, Clone)]
+pub struct Fold {
+    head: u64,
+    document: Document,
+    // Ascending by offset.
+    edits: VecDeque<EditEntry>,
+    // Offsets of the entries, ascending by edit id.
+    offset_by_id: Vec<(String, u64)>,
+    digest: Digest,
+    past: PastDigests,
+}
+
+impl Fold {
+    /// The state before the first record.
+    pub fn new() -> Self {
+        let document = Document::default();
+        let digest = state_digest(0, &document, &[]);
+        let mut past = PastDigests::default();
+        past.push(0, digest);
+        Self {
+            head: 0,
+            document,
+            edits: VecDeque::new(),
+            offset_by_id: Vec::new(),
+            digest,
+            past,
+        }
+    }
+
+    /// Applies the record at `offset`; anything but the next offset changes nothing.
+    pub fn apply(&mut self, offset: u64, bytes: &[u8]) -> Applied {
+        if offset < self.head {
+            return Applied::Past;
+        }
+        if offset > self.head {
+            return Applied::Gap { wanted: self.head };
+        }
+        let applied = match LogRecord::decode(bytes) {
+            Ok(LogRecord::Edit(edit)) => self.apply_edit(offset, edit),
+            Ok(LogRecord::Checkpoint(checkpoint)) => self.compare(&checkpoint),
+            Err(error) => Applied::Skipped(error),
+        };
+        self.advance_to(offset + 1);
+        applied
+    }
+
+    /// Offset of the record wanted next.
+    pub fn head(&self) -> u64 {
+        self.head
+    }
+
+    /// Digest of the state at the head.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// The document at the head.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// How the edit called `edit_id` was decided, if it is remembered.
+    pub fn outcome(&self, edit_id: &str) -> Option<&EditOutcome> {
+        self.entry(edit_id).map(|entry| &entry.outcome)
+    }
+
+    /// The remembered edit called `edit_id`.
+    pub fn entry(&self, edit_id: &str) -> Option<&EditEntry> {
+        let index = self.id_index(edit_id).ok()?;
+        let offset = self.offset_by_id[index].1;
+        let index = self
+            .edits
+            .binary_search_by_key(&offset, |entry| entry.outcome.offset());
+        index.ok().map(|index| &self.edits[index])
+    }
+
+    /// Remembered edits, oldest first.
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &EditEntry> {
+        self.edits.iter()
+    }
+
+    /// The digest this fold had at `offset`, if it is remembered.
+    pub fn digest_at(&self, offset: u64) -> Option<Digest> {
+        self.past.at(offset)
+    }
+
+    /// The state at the head.
+    pub fn checkpoint(&self) -> Checkpoint {
+        let edits: Vec<EditEntry> = self.edits.iter().cloned().collect();
+        Checkpoint::seal(self.head, &self.document, &edits)
+    }
+
+    /// Moves forward to a checkpoint; never moves back.
+    pub fn adopt(&mut self, checkpoint: &Checkpoint) -> Adopted {
+        if checkpoint.check_digest().is_err() {
+            return Adopted::Corrupt;
+        }
+        if checkpoint.as_of <= self.head {
+            let known = self.past.at(checkpoint.as_of);
+            let differs = known.is_some_and(|digest| digest != checkpoint.digest);
+            return if differs {
+                Adopted::Differs
+            } else {
+                Adopted::NotNewer
+            };
+        }
+        self.document = checkpoint.document();
+        self.edits = checkpoint.edits.iter().cloned().collect();
+        self.offset_by_id = offsets_by_id(&checkpoint.edits);
+        self.head = checkpoint.as_of;
+        self.digest = checkpoint.digest;
+        self.past.push(self.head, self.digest);
+        Adopted::Advanced
+    }
+
+    fn apply_edit(&mut self, offset: u64, edit: Edit) -> Applied {
+        if let Some(outcome) = self.outcome(&edit.edit_id) {
+            return Applied::Repeated(*outcome);
+        }
+        let current = self.document.revision(&edit.section);
+        let accepted = edit.base_revision == current;
+        let outcome = if accepted {
+            let revision = offset + 1;
+            EditOutcome::Accepted { offset, revision }
+        } else {
+            EditOutcome::Conflict {
+                offset,
+                revision: current,
+            }
+        };
+        self.remember(&edit, outcome);
+        if accepted {
+            self.change(offset + 1, edit);
+        }
+        Applied::Decided(outcome)
+    }
+
+    fn change(&mut self, revision: u64, edit: Edit) {
+        match edit.body {
+            Some(body) => self.document.put(Section {
+                name: edit.section,
+                team: edit.team,
+                revision,
+                body,
+            }),
+            None => self.document.delete(&edit.section, revision),
+        }
+    }
+
+    fn remember(&mut self, edit: &Edit, outcome: EditOutcome) {
+        if self.edits.len() == MAX_EDIT_ENTRIES {
+            self.forget_oldest();
+        }
+        if let Err(index) = self.id_index(&edit.edit_id) {
+            let id = (edit.edit_id.clone(), outcome.offset());
+            self.offset_by_id.insert(index, id);
+        }
+        self.edits.push_back(EditEntry {
+            edit_id: edit.edit_id.clone(),
+            team: edit.team.clone(),
+            section: edit.section.clone(),
+            base_revision: edit.base_revision,
+            fingerprint: edit.fingerprint(),
+            outcome,
+        });
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(oldest) = self.edits.pop_front() else {
+            return;
+        };
+        if let Ok(index) = self.id_index(&oldest.edit_id) {
+            self.offset_by_id.remove(index);
+        }
+    }
+
+    fn compare(&self, checkpoint: &Checkpoint) -> Applied {
+        let as_of = checkpoint.as_of;
+        match self.past.at(as_of) {
+            Some(digest) if digest == checkpoint.digest => Applied::CheckpointAgreed { as_of },
+            Some(_) => Applied::CheckpointDiffers { as_of },
+            None => Applied::CheckpointUnchecked { as_of },
+        }
+    }
+
+    fn advance_to(&mut self, head: u64) {
+        self.head = head;
+        self.digest = state_digest(head, &self.document, self.edits.make_contiguous());
+        self.past.push(head, self.digest);
+    }
+
+    fn id_index(&self, edit_id: &str) -> Result<usize, usize> {
+        self.offset_by_id
+            .binary_search_by(|(id, _)| id.as_str().cmp(edit_id))
+    }
+}
+
+impl Default for Fold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn offsets_by_id(edits: &[EditEntry]) -> Vec<(String, u64)> {
+    let mut offsets: Vec<(String, u64)> = edits
+        .iter()
+        .map(|entry| (entry.edit_id.clone(), entry.outcome.offset()))
+        .collect();
+    offsets.sort();
+    offsets
+}
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,1 +1,55 @@
-//! The configuration document: sections, edits, the fold of the log and checkpoints.
+//! The configuration document and its fold.
+//!
+//! The document is a set of INI sections, each owned by a team. It is never
+//! stored as a whole by one writer: every process folds the same records of
+//! the platform's log, in offset order, and so arrives at the same document.
+//! An edit is accepted if its base revision is the section's revision at its
+//! offset. A revision is the offset of the accepting record plus one, so no
+//! revision is ever used twice, also not after a section was deleted.
+//!
+//! The fold checks structure only. Meaning is checked by [`check_edit`] before
+//! the append, so that two versions of the program never disagree on which
+//! edits were accepted.
+
+mod adopted;
+mod applied;
+mod branch_section;
+mod check;
+mod checkpoint;
+#[allow(clippy::module_inception)]
+mod document;
+mod edit;
+mod edit_entry;
+mod edit_outcome;
+mod errors;
+mod fold;
+mod log_record;
+mod model_section;
+mod past_digests;
+mod section;
+mod section_fault;
+mod section_reader;
+mod service_section;
+
+pub use adopted::Adopted;
+pub use applied::Applied;
+pub use branch_section::BranchSection;
+pub use check::MAX_DOCUMENT_BYTES;
+pub use check::MAX_SECTION_BYTES;
+pub use check::MAX_SECTIONS;
+pub use check::check_edit;
+pub use checkpoint::Checkpoint;
+pub use document::Document;
+pub use edit::Edit;
+pub use edit_entry::EditEntry;
+pub use edit_outcome::EditOutcome;
+pub use errors::DocumentError;
+pub use fold::Fold;
+pub use fold::MAX_EDIT_ENTRIES;
+pub use log_record::LogRecord;
+pub use model_section::ModelSection;
+pub use section::Section;
+pub use section::Tombstone;
+pub use section_fault::FaultReason;
+pub use section_fault::SectionFault;
+pub use service_section::ServiceSection;
--- /dev/null
+++ b/src/document/section_reader.rs
@@ -0,0 +1,153 @@
+use std::ops::RangeInclusive;
+
+use ini::Ini;
+use ini::ParseOption;
+use ini::Properties;
+
+use crate::document::FaultReason;
+use crate::document::Section;
+use crate::document::SectionFault;
+use crate::weights::Digest;
+
+/// Reads the values of one section and collects what is wrong with them.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    section: &'a Section,
+    properties: Properties,
+    faults: Vec<SectionFault>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Reads the body of `section`, whose keys must be among `known`.
+    pub fn new(section: &'a Section, known: &[&str]) -> Result<Self, Vec<SectionFault>> {
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(&section.body, options).map_err(|error| {
+            vec![SectionFault {
+                section: section.name.clone(),
+                key: None,
+                reason: FaultReason::NotIni(error.to_string()),
+            }]
+        })?;
+        let mut reader = Self {
+            section,
+            properties: ini.general_section().clone(),
+            faults: Vec::new(),
+        };
+        reader.check_keys(known);
+        Ok(reader)
+    }
+
+    /// A required text.
+    pub fn text(&mut self, key: &str) -> String {
+        match self.properties.get(key) {
+            Some(value) if !value.is_empty() => value.to_owned(),
+            Some(value) => {
+                let value = value.to_owned();
+                self.invalid(key, value, "a text");
+                String::new()
+            }
+            None => {
+                self.fault(key, FaultReason::MissingKey);
+                String::new()
+            }
+        }
+    }
+
+    /// An optional text; an empty value is the same as none.
+    pub fn optional_text(&self, key: &str) -> Option<String> {
+        let value = self.properties.get(key)?;
+        (!value.is_empty()).then(|| value.to_owned())
+    }
+
+    /// A required digest.
+    pub fn digest(&mut self, key: &str) -> Digest {
+        let missing = Digest::of(&[]);
+        let Some(value) = self.properties.get(key).map(str::to_owned) else {
+            self.fault(key, FaultReason::MissingKey);
+            return missing;
+        };
+        value.parse().unwrap_or_else(|_| {
+            self.invalid(key, value, "a digest of 64 hexadecimal digits");
+            missing
+        })
+    }
+
+    /// A number in `range`, or `default` when the key is absent.
+    pub fn number(&mut self, key: &str, range: RangeInclusive<u32>, default: u32) -> u32 {
+        let Some(value) = self.properties.get(key).map(str::to_owned) else {
+            return default;
+        };
+        match value.parse() {
+            Ok(number) if range.contains(&number) => number,
+            _ => {
+                let allowed = format!("a number from {} to {}", range.start(), range.end());
+                self.invalid(key, value, &allowed);
+                default
+            }
+        }
+    }
+
+    /// A number in `range` that must be given.
+    pub fn required_number(&mut self, key: &str, range: RangeInclusive<u32>) -> u32 {
+        if self.properties.get(key).is_none() {
+            self.fault(key, FaultReason::MissingKey);
+        }
+        let default = *range.start();
+        self.number(key, range, default)
+    }
+
+    /// A list separated by commas; empty when the key is absent.
+    pub fn list(&self, key: &str) -> Vec<String> {
+        let value = self.properties.get(key).unwrap_or_default();
+        value
+            .split(',')
+            .map(str::trim)
+            .filter(|item| !item.is_empty())
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Adds a fault of a value.
+    pub fn invalid(&mut self, key: &str, value: String, allowed: &str) {
+        let allowed = allowed.to_owned();
+        self.fault(key, FaultReason::InvalidValue { value, allowed });
+    }
+
+    /// `value`, unless a fault was found.
+    pub fn finish<T>(self, value: T) -> Result<T, Vec<SectionFault>> {
+        if self.faults.is_empty() {
+            return Ok(value);
+        }
+        Err(self.faults)
+    }
+
+    fn check_keys(&mut self, known: &[&str]) {
+        let mut seen: Vec<String> = Vec::new();
+        let keys: Vec<String> = self
+            .properties
+            .iter()
+            .map(|(key, _)| key.to_owned())
+            .collect();
+        for key in keys {
+            if seen.contains(&key) {
+                self.fault(&key, FaultReason::RepeatedKey);
+            } else if !known.contains(&key.as_str()) {
+                let known = known.iter().map(|key| (*key).to_owned()).collect();
+                self.fault(&key, FaultReason::UnknownKey { known });
+            }
+            seen.push(key);
+        }
+    }
+
+    fn fault(&mut self, key: &str, reason: FaultReason) {
+        self.faults.push(SectionFault {
+            section: self.section.name.clone(),
+            key: Some(key.to_owned()),
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/tests/document/fold.rs
@@ -0,0 +1,157 @@
+use crate::support::apply;
+use crate::support::delete;
+use crate::support::edit;
+use bergamotfork::document::Adopted;
+use bergamotfork::document::Applied;
+use bergamotfork::document::Checkpoint;
+use bergamotfork::document::EditOutcome;
+use bergamotfork::document::Fold;
+use bergamotfork::document::LogRecord;
+use bergamotfork::document::MAX_EDIT_ENTRIES;
+
+fn accepted(offset: u64) -> Applied {
+    Applied::Decided(EditOutcome::Accepted {
+        offset,
+        revision: offset + 1,
+    })
+}
+
+fn conflict(offset: u64, revision: u64) -> Applied {
+    Applied::Decided(EditOutcome::Conflict { offset, revision })
+}
+
+#[test]
+fn apply_racing_editors() {
+    let mut fold = Fold::new();
+    assert_eq!(apply(&mut fold, edit("a", "s x", 0, "k = 1")), accepted(0));
+    assert_eq!(
+        apply(&mut fold, edit("b", "s x", 0, "k = 2")),
+        conflict(1, 1)
+    );
+    assert_eq!(apply(&mut fold, edit("c", "s y", 0, "k = 3")), accepted(2));
+    assert_eq!(apply(&mut fold, edit("b2", "s x", 1, "k = 2")), accepted(3));
+    let section = fold.document().section("s x").expect("it was accepted");
+    assert_eq!((section.revision, section.body.as_str()), (4, "k = 2"));
+}
+
+#[test]
+fn apply_repeated_edit() {
+    let mut fold = Fold::new();
+    apply(&mut fold, edit("a", "s x", 0, "k = 1"));
+    apply(&mut fold, edit("b", "s x", 0, "k = 2"));
+    let first = *fold.outcome("a").expect("remembered");
+    let again = apply(&mut fold, edit("a", "s x", 0, "k = 1"));
+    assert_eq!(again, Applied::Repeated(first));
+    let again = apply(&mut fold, edit("b", "s x", 0, "k = 2"));
+    let outcome = EditOutcome::Conflict {
+        offset: 1,
+        revision: 1,
+    };
+    assert_eq!(again, Applied::Repeated(outcome));
+    assert_eq!(fold.history().count(), 2);
+}
+
+#[test]
+fn apply_late_edit_of_deleted_section() {
+    let mut fold = Fold::new();
+    apply(&mut fold, edit("a", "s x", 0, "k = 1"));
+    assert_eq!(apply(&mut fold, delete("b", "s x", 1)), accepted(1));
+    assert!(fold.document().section("s x").is_none());
+    assert_eq!(
+        apply(&mut fold, edit("c", "s x", 0, "k = 1")),
+        conflict(2, 2)
+    );
+    assert_eq!(apply(&mut fold, edit("d", "s x", 2, "k = 1")), accepted(3));
+    assert_eq!(
+        apply(&mut fold, edit("e", "s x", 1, "k = 1")),
+        conflict(4, 4)
+    );
+}
+
+#[test]
+fn apply_out_of_order() {
+    let mut fold = Fold::new();
+    let record = LogRecord::Edit(edit("a", "s x", 0, "k = 1")).encode();
+    assert_eq!(fold.apply(1, &record), Applied::Gap { wanted: 0 });
+    fold.apply(0, &record);
+    assert_eq!(fold.apply(0, &record), Applied::Past);
+    assert_eq!(fold.head(), 1);
+}
+
+#[test]
+fn apply_undecodable() {
+    let mut fold = Fold::new();
+    assert!(matches!(fold.apply(0, b"\xffnoise"), Applied::Skipped(_)));
+    assert_eq!(fold.head(), 1);
+    assert_eq!(apply(&mut fold, edit("a", "s x", 0, "k = 1")), accepted(1));
+}
+
+#[test]
+fn apply_checkpoint_of_own_state() {
+    let mut fold = Fold::new();
+    apply(&mut fold, edit("a", "s x", 0, "k = 1"));
+    let checkpoint = LogRecord::Checkpoint(fold.checkpoint()).encode();
+    apply(&mut fold, edit("b", "s y", 0, "k = 1"));
+    let applied = fold.apply(2, &checkpoint);
+    assert_eq!(applied, Applied::CheckpointAgreed { as_of: 1 });
+}
+
+#[test]
+fn apply_contradicting_checkpoint() {
+    let mut other = Fold::new();
+    apply(&mut other, edit("z", "s z", 0, "k = 9"));
+    let mut fold = Fold::new();
+    apply(&mut fold, edit("a", "s x", 0, "k = 1"));
+    let applied = fold.apply(1, &LogRecord::Checkpoint(other.checkpoint()).encode());
+    assert_eq!(applied, Applied::CheckpointDiffers { as_of: 1 });
+    assert!(fold.document().section("s z").is_none());
+    assert_eq!(fold.adopt(&other.checkpoint()), Adopted::Differs);
+}
+
+#[test]
+fn adopt_only_forward() {
+    let mut ahead = Fold::new();
+    apply(&mut ahead, edit("a", "s x", 0, "k = 1"));
+    let early = ahead.checkpoint();
+    apply(&mut ahead, edit("b", "s x", 1, "k = 2"));
+    let mut fresh = Fold::new();
+    assert_eq!(fresh.adopt(&ahead.checkpoint()), Adopted::Advanced);
+    assert_eq!(fresh.digest(), ahead.digest());
+    assert_eq!(fresh.outcome("a"), ahead.outcome("a"));
+    assert_eq!(fresh.adopt(&early), Adopted::NotNewer);
+    assert_eq!(fresh.head(), 2);
+    let mut altered = early;
+    altered.as_of = 9;
+    assert_eq!(fresh.adopt(&altered), Adopted::Corrupt);
+}
+
+#[test]
+fn apply_forgets_oldest_edit() {
+    let mut fold = Fold::new();
+    let mut checkpoint = fold.checkpoint();
+    apply(&mut fold, edit("id-0", "s x", 0, "k = 1"));
+    let template = fold.checkpoint().edits[0].clone();
+    checkpoint.edits = (0..MAX_EDIT_ENTRIES)
+        .map(|index| {
+            let mut entry = template.clone();
+            entry.edit_id = format!("id-{index}");
+            entry.outcome = EditOutcome::Conflict {
+                offset: index as u64,
+                revision: 1,
+            };
+            entry
+        })
+        .collect();
+    let as_of = MAX_EDIT_ENTRIES as u64;
+    let full = Checkpoint::seal(as_of, fold.document(), &checkpoint.edits);
+    assert_eq!(fold.adopt(&full), Adopted::Advanced);
+    apply(&mut fold, edit("last", "s x", 1, "k = 2"));
+    assert!(fold.outcome("id-0").is_none());
+    assert!(fold.outcome("id-1").is_some());
+    // The base revision refuses a record whose id is forgotten.
+    let late = apply(&mut fold, edit("id-0", "s x", 0, "k = 1"));
+    assert!(matches!(
+        late,
+        Applied::Decided(EditOutcome::Conflict { .. })
+    ));
+}
