Read and validate the settings of each role

One reader collects every fault of an INI file before it fails: unknown, missing and repeated keys and sections, bad numbers and units, values out of range, and combinations that cannot work (a drain shorter than the lifetime of addresses, a queue shorter than the slots, weights beside a plain service, a retention shorter than four rounds of gossip, an endpoint that is its own back end, two teams with one token).

The keys are declared where they are read, so the list of keys and the known keys of a section cannot differ from what is parsed. A table of keys beside the code was tried on paper and dropped: it would stand twice.

--- /dev/null
+++ b/src/conf/check.rs
@@ -0,0 +1,41 @@
+use std::path::Path;
+
+use super::DeclaredKey;
+use super::EndpointSettings;
+use super::EntrySettings;
+use super::Reader;
+use super::SettingsFaults;
+use super::TeamSettings;
+use super::process_settings::read_role;
+use crate::hosts::HostRole;
+
+/// Validates the settings file of either role and says which role it is for.
+///
+/// # Errors
+///
+/// Returns every fault of the file.
+pub fn check(path: impl AsRef<Path>) -> Result<HostRole, SettingsFaults> {
+    let mut reader = Reader::open(&path)?;
+    let Some(role) = read_role(&mut reader) else {
+        return Err(reader.into_faults());
+    };
+    match role {
+        HostRole::Entry => EntrySettings::load(path).map(|_| role),
+        HostRole::Endpoint => EndpointSettings::load(path).map(|_| role),
+    }
+}
+
+/// Every key that settings of `role` may hold.
+pub fn declared_keys(role: HostRole) -> Vec<DeclaredKey> {
+    let mut reader = Reader::empty();
+    match role {
+        HostRole::Entry => {
+            EntrySettings::read(&mut reader);
+            TeamSettings::declare(&mut reader);
+        }
+        HostRole::Endpoint => {
+            EndpointSettings::read(&mut reader);
+        }
+    }
+    reader.into_declared()
+}
--- /dev/null
+++ b/src/conf/endpoint_settings.rs
@@ -0,0 +1,130 @@
+use std::path::Path;
+
+use super::BackendSettings;
+use super::ClusterSettings;
+use super::Number;
+use super::PlatformSettings;
+use super::ProcessSettings;
+use super::Reader;
+use super::SettingsFaults;
+use super::Unit;
+use super::WeightsSettings;
+use super::weights_settings;
+use crate::hosts::HostRole;
+
+const SECTION: &str = "endpoint";
+
+const SLOTS: Number = Number {
+    key: "slots",
+    unit: Unit::Count,
+    range: 1..=4096,
+    default: 8,
+};
+
+const QUEUE_LIMIT: Number = Number {
+    key: "queue_limit",
+    unit: Unit::Count,
+    range: 1..=65_536,
+    default: 64,
+};
+
+const DRAIN_MS: Number = Number {
+    key: "drain_ms",
+    unit: Unit::Milliseconds,
+    range: 100..=3_600_000,
+    default: 30_000,
+};
+
+/// Settings of an endpoint process.
+#[derive(Debug, Clone)]
+pub struct EndpointSettings {
+    /// Who the process is.
+    pub process: ProcessSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// What all processes share.
+    pub cluster: ClusterSettings,
+    /// The engine or service beside it.
+    pub backend: BackendSettings,
+    /// Requests that run at once; default 8.
+    pub slots: u64,
+    /// Requests that wait for a slot; default 64.
+    pub queue_limit: u64,
+    /// Longest graceful stop; default 30000.
+    pub drain_ms: u64,
+    /// How it holds and moves weights.
+    pub weights: WeightsSettings,
+}
+
+impl EndpointSettings {
+    /// Settings with the defaults.
+    pub fn new(
+        process: ProcessSettings,
+        platform: PlatformSettings,
+        cluster: ClusterSettings,
+        backend: BackendSettings,
+    ) -> Self {
+        Self {
+            process,
+            platform,
+            cluster,
+            backend,
+            slots: SLOTS.default,
+            queue_limit: QUEUE_LIMIT.default,
+            drain_ms: DRAIN_MS.default,
+            weights: WeightsSettings::default(),
+        }
+    }
+
+    /// Reads and validates `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsFaults> {
+        let mut reader = Reader::open(path)?;
+        let settings = Self::read(&mut reader);
+        reader.finish()?;
+        Ok(settings)
+    }
+
+    pub(super) fn read(reader: &mut Reader) -> Self {
+        let process = ProcessSettings::read(reader, HostRole::Endpoint);
+        let backend = BackendSettings::read(reader, process.listen);
+        let settings = Self {
+            process,
+            platform: PlatformSettings::read(reader),
+            cluster: ClusterSettings::read(reader),
+            backend,
+            slots: reader.number(SECTION, &SLOTS),
+            queue_limit: reader.number(SECTION, &QUEUE_LIMIT),
+            drain_ms: reader.number(SECTION, &DRAIN_MS),
+            weights: WeightsSettings::read(reader),
+        };
+        settings.check_weights(reader);
+        settings.check_queue(reader);
+        settings
+    }
+
+    /// A plain service holds no weights.
+    fn check_weights(&self, reader: &mut Reader) {
+        let service = matches!(self.backend, BackendSettings::Service { .. });
+        if !service || !reader.has_section(weights_settings::SECTION) {
+            return;
+        }
+        let problem = "a plain service holds no weights";
+        let allowed = "no such section beside [backend] kind = service";
+        reader.fault(weights_settings::SECTION, "", None, problem, allowed);
+    }
+
+    /// A queue shorter than the slots would refuse work that has room.
+    fn check_queue(&self, reader: &mut Reader) {
+        if self.queue_limit >= self.slots {
+            return;
+        }
+        let value = self.queue_limit.to_string();
+        let problem = "the queue is shorter than the slots";
+        let allowed = format!("at least slots = {}", self.slots);
+        reader.fault(SECTION, QUEUE_LIMIT.key, Some(&value), problem, &allowed);
+    }
+}
--- /dev/null
+++ b/src/conf/entry_settings.rs
@@ -0,0 +1,189 @@
+use std::path::Path;
+
+use super::ClusterSettings;
+use super::Number;
+use super::PlatformSettings;
+use super::ProcessSettings;
+use super::Reader;
+use super::SettingsFaults;
+use super::TeamSettings;
+use super::Unit;
+use crate::hosts::HostRole;
+
+const SECTION: &str = "entry";
+
+const ADDRESS_LIFETIME_MS: Number = Number {
+    key: "address_lifetime_ms",
+    unit: Unit::Milliseconds,
+    range: 100..=600_000,
+    default: 10_000,
+};
+
+const MAX_BODY_BYTES: Number = Number {
+    key: "max_body_bytes",
+    unit: Unit::Bytes,
+    range: 1024..=64 * 1024 * 1024,
+    default: 1024 * 1024,
+};
+
+const SLOW_CLIENT_TIMEOUT_MS: Number = Number {
+    key: "slow_client_timeout_ms",
+    unit: Unit::Milliseconds,
+    range: 100..=60_000,
+    default: 5000,
+};
+
+const SILENCE_MS: Number = Number {
+    key: "silence_ms",
+    unit: Unit::Milliseconds,
+    range: 100..=60_000,
+    default: 3000,
+};
+
+const DRAIN_MS: Number = Number {
+    key: "drain_ms",
+    unit: Unit::Milliseconds,
+    range: 100..=3_600_000,
+    default: 30_000,
+};
+
+const RETRY_BUDGET_PERCENT: Number = Number {
+    key: "retry_budget_percent",
+    unit: Unit::Percent,
+    range: 0..=100,
+    default: 10,
+};
+
+const PERMITS_PER_ANSWER: Number = Number {
+    key: "permits_per_answer",
+    unit: Unit::Count,
+    range: 1..=64,
+    default: 4,
+};
+
+const LOG_RETENTION_MS: Number = Number {
+    key: "log_retention_ms",
+    unit: Unit::Milliseconds,
+    range: 1000..=31_536_000_000,
+    default: 86_400_000,
+};
+
+/// A checkpoint is due within a quarter of the retention.
+const CHECKPOINTS_PER_RETENTION: u64 = 4;
+
+/// Settings of an entry process.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Who the process is.
+    pub process: ProcessSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// What all processes share.
+    pub cluster: ClusterSettings,
+    /// How long a caller may keep an answer with addresses; default 10000.
+    pub address_lifetime_ms: u64,
+    /// Largest request body; default 1 MiB.
+    pub max_body_bytes: u64,
+    /// How long a client may take to send its request head; default 5000.
+    pub slow_client_timeout_ms: u64,
+    /// Silence after which a connection is abandoned; default 3000.
+    pub silence_ms: u64,
+    /// Longest graceful stop; default 30000.
+    pub drain_ms: u64,
+    /// Retries allowed in a hundred requests; default 10.
+    pub retry_budget_percent: u64,
+    /// Permits given with one answer; default 4.
+    pub permits_per_answer: u64,
+    /// How long the platform's log keeps a record; default one day.
+    pub log_retention_ms: u64,
+    /// Teams that may write the configuration.
+    pub teams: Vec<TeamSettings>,
+}
+
+impl EntrySettings {
+    /// Settings with the defaults and no team.
+    pub fn new(
+        process: ProcessSettings,
+        platform: PlatformSettings,
+        cluster: ClusterSettings,
+    ) -> Self {
+        Self {
+            process,
+            platform,
+            cluster,
+            address_lifetime_ms: ADDRESS_LIFETIME_MS.default,
+            max_body_bytes: MAX_BODY_BYTES.default,
+            slow_client_timeout_ms: SLOW_CLIENT_TIMEOUT_MS.default,
+            silence_ms: SILENCE_MS.default,
+            drain_ms: DRAIN_MS.default,
+            retry_budget_percent: RETRY_BUDGET_PERCENT.default,
+            permits_per_answer: PERMITS_PER_ANSWER.default,
+            log_retention_ms: LOG_RETENTION_MS.default,
+            teams: Vec::new(),
+        }
+    }
+
+    /// Reads and validates `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsFaults> {
+        let mut reader = Reader::open(path)?;
+        let settings = Self::read(&mut reader);
+        reader.finish()?;
+        Ok(settings)
+    }
+
+    pub(super) fn read(reader: &mut Reader) -> Self {
+        let settings = Self {
+            process: ProcessSettings::read(reader, HostRole::Entry),
+            platform: PlatformSettings::read(reader),
+            cluster: ClusterSettings::read(reader),
+            address_lifetime_ms: reader.number(SECTION, &ADDRESS_LIFETIME_MS),
+            max_body_bytes: reader.number(SECTION, &MAX_BODY_BYTES),
+            slow_client_timeout_ms: reader.number(SECTION, &SLOW_CLIENT_TIMEOUT_MS),
+            silence_ms: reader.number(SECTION, &SILENCE_MS),
+            drain_ms: reader.number(SECTION, &DRAIN_MS),
+            retry_budget_percent: reader.number(SECTION, &RETRY_BUDGET_PERCENT),
+            permits_per_answer: reader.number(SECTION, &PERMITS_PER_ANSWER),
+            log_retention_ms: reader.number(SECTION, &LOG_RETENTION_MS),
+            teams: TeamSettings::read_all(reader),
+        };
+        settings.check_drain(reader);
+        settings.check_retention(reader);
+        settings
+    }
+
+    /// A stopping entry serves until the addresses it gave have lapsed.
+    fn check_drain(&self, reader: &mut Reader) {
+        if self.drain_ms > self.address_lifetime_ms {
+            return;
+        }
+        let value = self.drain_ms.to_string();
+        let problem = "the drain ends before callers stop using the address";
+        let allowed = format!(
+            "more than address_lifetime_ms = {}",
+            self.address_lifetime_ms
+        );
+        reader.fault(SECTION, DRAIN_MS.key, Some(&value), problem, &allowed);
+    }
+
+    /// Checkpoints must be spread before the records they cover are trimmed.
+    fn check_retention(&self, reader: &mut Reader) {
+        let least_ms = self.cluster.gossip_ms * CHECKPOINTS_PER_RETENTION;
+        if self.log_retention_ms >= least_ms {
+            return;
+        }
+        let value = self.log_retention_ms.to_string();
+        let problem = "records are trimmed before a checkpoint can spread";
+        let allowed = format!("at least {CHECKPOINTS_PER_RETENTION} x gossip_ms = {least_ms}");
+        reader.fault(
+            SECTION,
+            LOG_RETENTION_MS.key,
+            Some(&value),
+            problem,
+            &allowed,
+        );
+    }
+}
--- /dev/null
+++ b/src/conf/number.rs
@@ -0,0 +1,50 @@
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// Unit that a numeric key counts in; the key's name ends with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// Things, such as slots.
+    Count,
+    /// Milliseconds.
+    Milliseconds,
+    /// Bytes.
+    Bytes,
+    /// Bytes a second.
+    BytesPerSecond,
+    /// Hundredths.
+    Percent,
+}
+
+impl fmt::Display for Unit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Count => "a whole number",
+            Self::Milliseconds => "a whole number of milliseconds",
+            Self::Bytes => "a whole number of bytes",
+            Self::BytesPerSecond => "a whole number of bytes a second",
+            Self::Percent => "a whole number of percent",
+        })
+    }
+}
+
+/// A numeric key: its unit, range and default.
+#[derive(Debug, Clone)]
+pub struct Number {
+    /// Name of the key.
+    pub key: &'static str,
+    /// Unit it counts in.
+    pub unit: Unit,
+    /// Values it accepts.
+    pub range: RangeInclusive<u64>,
+    /// Value used when the key is absent.
+    pub default: u64,
+}
+
+impl Number {
+    /// What the key accepts, for messages.
+    pub fn allowed(&self) -> String {
+        let (low, high) = (self.range.start(), self.range.end());
+        format!("{} from {low} to {high}, digits only", self.unit)
+    }
+}
--- /dev/null
+++ b/src/conf/platform_settings.rs
@@ -0,0 +1,42 @@
+use super::Reader;
+
+const SECTION: &str = "platform";
+const STREAM: &str = "config";
+
+/// Where the platform's services are.
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// The log service.
+    pub log_url: String,
+    /// The list of live and leaving hosts.
+    pub hosts_url: String,
+    /// The origin of weights.
+    pub origin_url: String,
+    /// Stream of the log that carries the configuration; default `config`.
+    pub config_stream: String,
+}
+
+impl PlatformSettings {
+    /// Settings with the default stream.
+    pub fn new(
+        log_url: impl Into<String>,
+        hosts_url: impl Into<String>,
+        origin_url: impl Into<String>,
+    ) -> Self {
+        Self {
+            log_url: log_url.into(),
+            hosts_url: hosts_url.into(),
+            origin_url: origin_url.into(),
+            config_stream: STREAM.to_owned(),
+        }
+    }
+
+    pub(super) fn read(reader: &mut Reader) -> Self {
+        Self {
+            log_url: reader.url(SECTION, "log_url"),
+            hosts_url: reader.url(SECTION, "hosts_url"),
+            origin_url: reader.url(SECTION, "origin_url"),
+            config_stream: reader.name_or(SECTION, "config_stream", STREAM),
+        }
+    }
+}
--- /dev/null
+++ b/src/conf/process_settings.rs
@@ -0,0 +1,112 @@
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+
+use super::LogFormat;
+use super::Reader;
+use crate::hosts::HostRole;
+
+const SECTION: &str = "process";
+const LISTEN_ALLOWED: &str = "IP:port by number, neither 0.0.0.0 nor port 0";
+
+const ROLES: [(&str, HostRole); 2] = [("entry", HostRole::Entry), ("endpoint", HostRole::Endpoint)];
+
+const FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+
+const LEVELS: [(&str, LevelFilter); 5] = [
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+
+/// Who a process is, where it stands and how it logs.
+#[derive(Debug, Clone)]
+pub struct ProcessSettings {
+    /// Role of the process.
+    pub role: HostRole,
+    /// Name, unique among the hosts.
+    pub name: String,
+    /// Region it stands in.
+    pub region: String,
+    /// Failure domain inside the region.
+    pub domain: String,
+    /// Address it listens on and is reached at.
+    pub listen: SocketAddr,
+    /// Shape of the log lines; default `text`.
+    pub log_format: LogFormat,
+    /// Least severe level that is logged; default `info`.
+    pub log_level: LevelFilter,
+}
+
+impl ProcessSettings {
+    /// Settings of a process of `role`, with the defaults for logs.
+    pub fn new(
+        role: HostRole,
+        name: impl Into<String>,
+        region: impl Into<String>,
+        domain: impl Into<String>,
+        listen: SocketAddr,
+    ) -> Self {
+        Self {
+            role,
+            name: name.into(),
+            region: region.into(),
+            domain: domain.into(),
+            listen,
+            log_format: LogFormat::default(),
+            log_level: LevelFilter::Info,
+        }
+    }
+
+    pub(super) fn read(reader: &mut Reader, role: HostRole) -> Self {
+        let found = read_role(reader);
+        if found.is_some_and(|found| found != role) {
+            let value = role_name(found.unwrap_or(role));
+            let problem = "the file belongs to another role";
+            reader.fault(SECTION, "role", Some(value), problem, role_name(role));
+        }
+        let listen = reader.value(SECTION, "listen", LISTEN_ALLOWED);
+        Self {
+            role,
+            name: reader.name(SECTION, "name"),
+            region: reader.name(SECTION, "region"),
+            domain: reader.name(SECTION, "domain"),
+            listen: check_listen(reader, listen),
+            log_format: reader
+                .choice(SECTION, "log_format", &FORMATS, Some("text"))
+                .unwrap_or_default(),
+            log_level: reader
+                .choice(SECTION, "log_level", &LEVELS, Some("info"))
+                .unwrap_or(LevelFilter::Info),
+        }
+    }
+}
+
+/// Role that a file names.
+pub(super) fn read_role(reader: &mut Reader) -> Option<HostRole> {
+    reader.choice(SECTION, "role", &ROLES, None)
+}
+
+/// Name of `role` in settings.
+pub fn role_name(role: HostRole) -> &'static str {
+    match role {
+        HostRole::Entry => "entry",
+        HostRole::Endpoint => "endpoint",
+    }
+}
+
+/// Peers are told the address, so it must name one host and one port.
+fn check_listen(reader: &mut Reader, listen: Option<SocketAddr>) -> SocketAddr {
+    let Some(address) = listen else {
+        return SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    };
+    if address.ip().is_unspecified() || address.port() == 0 {
+        let value = address.to_string();
+        let problem = "other hosts cannot reach the address";
+        reader.fault(SECTION, "listen", Some(&value), problem, LISTEN_ALLOWED);
+    }
+    address
+}
--- /dev/null
+++ b/src/conf/reader.rs
@@ -0,0 +1,355 @@
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use ini::Ini;
+use ini::Properties;
+
+use super::DeclaredKey;
+use super::Number;
+use super::SettingsFault;
+use super::SettingsFaults;
+
+/// Shown in place of a secret value.
+const HIDDEN: &str = "(hidden)";
+
+/// What a name may hold: it becomes part of paths and of section headers.
+pub(super) const NAME_ALLOWED: &str = "a name of ASCII letters, digits, '-', '_' and '.'";
+
+/// Reads typed values from one settings file and collects every fault.
+///
+/// A faulty or missing value reads as a placeholder; [`Reader::finish`] then
+/// fails, so that no placeholder is ever used.
+#[derive(Debug)]
+pub struct Reader {
+    file: PathBuf,
+    ini: Ini,
+    declared: Vec<DeclaredKey>,
+    sections: BTreeSet<String>,
+    faults: Vec<SettingsFault>,
+}
+
+impl Reader {
+    /// Reads and parses `path`.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self, SettingsFaults> {
+        let file = path.as_ref().to_path_buf();
+        let text = match fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(error) => return Err(unreadable(file, error.to_string())),
+        };
+        match Ini::load_from_str_noescape(&text) {
+            Ok(ini) => Ok(Self::over(file, ini)),
+            Err(error) => Err(unreadable(file, error.to_string())),
+        }
+    }
+
+    /// A reader of an empty file, to learn the declared keys.
+    pub fn empty() -> Self {
+        Self::over(PathBuf::new(), Ini::new())
+    }
+
+    fn over(file: PathBuf, ini: Ini) -> Self {
+        Self {
+            file,
+            ini,
+            declared: Vec::new(),
+            sections: BTreeSet::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Names of the sections that start with `prefix` and a space.
+    pub fn sections_of(&self, prefix: &str) -> Vec<String> {
+        let mut names: Vec<String> = self
+            .ini
+            .sections()
+            .flatten()
+            .filter_map(|section| section.strip_prefix(prefix)?.strip_prefix(' '))
+            .map(|name| name.trim().to_owned())
+            .collect();
+        names.dedup();
+        names
+    }
+
+    /// Whether the file has `section`.
+    pub fn has_section(&self, section: &str) -> bool {
+        self.ini.section(Some(section)).is_some()
+    }
+
+    /// Whether the file sets `key` in `section`.
+    pub fn has(&self, section: &str, key: &str) -> bool {
+        self.raw(section, key).is_some()
+    }
+
+    /// A required name.
+    pub fn name(&mut self, section: &str, key: &'static str) -> String {
+        self.parse(section, key, NAME_ALLOWED, None, parse_name)
+            .unwrap_or_default()
+    }
+
+    /// A name with a default.
+    pub fn name_or(&mut self, section: &str, key: &'static str, default: &str) -> String {
+        self.parse(section, key, NAME_ALLOWED, Some(default), parse_name)
+            .unwrap_or_default()
+    }
+
+    /// A required secret of at least `least_chars` characters, never shown.
+    pub fn secret(&mut self, section: &str, key: &'static str, least_chars: usize) -> String {
+        let allowed = format!("at least {least_chars} characters");
+        let secret = self.parse(section, key, &allowed, None, |text| {
+            (text.chars().count() >= least_chars).then(|| text.to_owned())
+        });
+        for fault in &mut self.faults {
+            if fault.section == section && fault.key == key && fault.value.is_some() {
+                fault.value = Some(HIDDEN.to_owned());
+            }
+        }
+        secret.unwrap_or_default()
+    }
+
+    /// A number with a default.
+    pub fn number(&mut self, section: &str, number: &Number) -> u64 {
+        let default = number.default.to_string();
+        let allowed = number.allowed();
+        self.parse(section, number.key, &allowed, Some(&default), |text| {
+            let digits = text.bytes().all(|byte| byte.is_ascii_digit());
+            let value: u64 = text.parse().ok().filter(|_| digits)?;
+            number.range.contains(&value).then_some(value)
+        })
+        .unwrap_or(number.default)
+    }
+
+    /// One of a few named choices; required when `default` is none.
+    pub fn choice<T: Copy>(
+        &mut self,
+        section: &str,
+        key: &'static str,
+        choices: &[(&str, T)],
+        default: Option<&str>,
+    ) -> Option<T> {
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        let allowed = names.join(", ");
+        self.parse(section, key, &allowed, default, |text| {
+            let found = choices.iter().find(|(name, _)| *name == text);
+            found.map(|(_, choice)| *choice)
+        })
+    }
+
+    /// A required value parsed by its own `FromStr`.
+    pub fn value<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &'static str,
+        allowed: &str,
+    ) -> Option<T> {
+        self.parse(section, key, allowed, None, |text| text.parse().ok())
+    }
+
+    /// A required list separated by commas, with no empty item.
+    pub fn list(&mut self, section: &str, key: &'static str, allowed: &str) -> Vec<String> {
+        self.parse(section, key, allowed, None, |text| {
+            let items: Vec<String> = text.split(',').map(|item| item.trim().to_owned()).collect();
+            items.iter().all(|item| !item.is_empty()).then_some(items)
+        })
+        .unwrap_or_default()
+    }
+
+    /// A required `http://IP:port` without a path.
+    pub fn url(&mut self, section: &str, key: &'static str) -> String {
+        let allowed = "http://IP:port, such as http://127.0.0.1:7001";
+        self.parse(section, key, allowed, None, |text| {
+            let address = url_address(text)?;
+            (address.port() != 0).then(|| text.to_owned())
+        })
+        .unwrap_or_default()
+    }
+
+    /// Parses one key and notes it as declared; a fault reads as none.
+    fn parse<T>(
+        &mut self,
+        section: &str,
+        key: &'static str,
+        allowed: &str,
+        default: Option<&str>,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.declare(section, key, allowed, default);
+        let found = self.raw(section, key).map(str::to_owned);
+        let Some(text) = found.as_deref().or(default) else {
+            self.fault(section, key, None, "the key is missing", allowed);
+            return None;
+        };
+        let value = parse(text);
+        if value.is_none() {
+            self.fault(section, key, Some(text), "the value is invalid", allowed);
+        }
+        value
+    }
+
+    /// Notes a key as known without reading it.
+    pub(super) fn declare(
+        &mut self,
+        section: &str,
+        key: &'static str,
+        allowed: &str,
+        default: Option<&str>,
+    ) {
+        self.sections.insert(section.to_owned());
+        self.declared.push(DeclaredKey {
+            section: section.to_owned(),
+            key,
+            allowed: allowed.to_owned(),
+            default: default.map(str::to_owned),
+        });
+    }
+
+    fn raw(&self, section: &str, key: &str) -> Option<&str> {
+        let properties = self.ini.section(Some(section))?;
+        properties.get(key).map(str::trim)
+    }
+
+    /// Notes a fault of one key, section or combination.
+    pub fn fault(
+        &mut self,
+        section: &str,
+        key: &str,
+        value: Option<&str>,
+        problem: &str,
+        allowed: &str,
+    ) {
+        self.faults.push(SettingsFault {
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.map(str::to_owned),
+            problem: problem.to_owned(),
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// The keys read so far.
+    pub fn into_declared(self) -> Vec<DeclaredKey> {
+        self.declared
+    }
+
+    /// The faults noted so far.
+    pub fn into_faults(self) -> SettingsFaults {
+        SettingsFaults(self.faults)
+    }
+
+    /// Reports everything wrong, including what nobody asked for.
+    pub fn finish(mut self) -> Result<(), SettingsFaults> {
+        self.check_general();
+        self.check_sections();
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        Err(self.into_faults())
+    }
+
+    /// Keys before the first section belong to nothing.
+    fn check_general(&mut self) {
+        let strays: Vec<(String, String)> = pairs(self.ini.general_section());
+        let known = self.known_sections();
+        for (key, value) in strays {
+            let allowed = format!("keys inside the sections {known}");
+            self.fault(
+                "",
+                &key,
+                Some(&value),
+                "the key is outside any section",
+                &allowed,
+            );
+        }
+    }
+
+    fn check_sections(&mut self) {
+        let mut names: Vec<String> = self.ini.sections().flatten().map(str::to_owned).collect();
+        names.sort_unstable();
+        names.dedup();
+        for name in names {
+            if self.sections.contains(&name) {
+                self.check_keys(&name);
+            } else {
+                let allowed = format!("the sections {}", self.known_sections());
+                self.fault(&name, "", None, "the section is unknown", &allowed);
+            }
+        }
+    }
+
+    /// Checks one section for repetition and for unknown and repeated keys.
+    fn check_keys(&mut self, section: &str) {
+        let all: Vec<Vec<(String, String)>> =
+            self.ini.section_all(Some(section)).map(pairs).collect();
+        if all.len() > 1 {
+            self.fault(
+                section,
+                "",
+                None,
+                "the section is repeated",
+                "one of each section",
+            );
+        }
+        let known = self.known_keys(section);
+        let mut seen = BTreeSet::new();
+        for (key, value) in all.into_iter().flatten() {
+            if !known.contains(&key.as_str()) {
+                let allowed = format!("the keys {}", known.join(", "));
+                self.fault(section, &key, Some(&value), "the key is unknown", &allowed);
+            } else if !seen.insert(key.clone()) {
+                self.fault(section, &key, None, "the key is repeated", "each key once");
+            }
+        }
+    }
+
+    fn known_keys(&self, section: &str) -> Vec<&'static str> {
+        let mut keys: Vec<&'static str> = self
+            .declared
+            .iter()
+            .filter(|declared| declared.section == section)
+            .map(|declared| declared.key)
+            .collect();
+        keys.dedup();
+        keys
+    }
+
+    fn known_sections(&self) -> String {
+        let names: Vec<String> = self
+            .sections
+            .iter()
+            .map(|name| format!("[{name}]"))
+            .collect();
+        names.join(", ")
+    }
+}
+
+fn parse_name(text: &str) -> Option<String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (!text.is_empty() && text.chars().all(plain)).then(|| text.to_owned())
+}
+
+/// Address in a text such as `http://127.0.0.1:7001`.
+pub fn url_address(url: &str) -> Option<SocketAddr> {
+    url.strip_prefix("http://")?.parse().ok()
+}
+
+fn pairs(properties: &Properties) -> Vec<(String, String)> {
+    properties
+        .iter()
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn unreadable(file: PathBuf, problem: String) -> SettingsFaults {
+    SettingsFaults(vec![SettingsFault {
+        file,
+        section: String::new(),
+        key: String::new(),
+        value: None,
+        problem: format!("the file cannot be read: {problem}"),
+        allowed: "a readable INI file of sections and key = value lines".to_owned(),
+    }])
+}
--- /dev/null
+++ b/src/conf/team_settings.rs
@@ -0,0 +1,53 @@
+use super::Reader;
+use crate::weights::Digest;
+
+/// Prefix of a team's section.
+const PREFIX: &str = "team";
+const DIGEST_ALLOWED: &str = "64 hexadecimal digits, as `bergamotfork token digest` prints them";
+const SECTIONS_ALLOWED: &str = "section patterns separated by commas, such as `model *`";
+
+/// What one team of operators may write.
+#[derive(Debug, Clone)]
+pub struct TeamSettings {
+    /// Name of the team.
+    pub name: String,
+    /// Digest of its bearer token.
+    pub token_digest: Digest,
+    /// Patterns of the sections that it may write.
+    pub sections: Vec<String>,
+}
+
+impl TeamSettings {
+    pub(super) fn read_all(reader: &mut Reader) -> Vec<Self> {
+        let mut teams: Vec<Self> = Vec::new();
+        for name in reader.sections_of(PREFIX) {
+            let Some(team) = Self::read(reader, name) else {
+                continue;
+            };
+            let other = teams.iter().find(|t| t.token_digest == team.token_digest);
+            if let Some(other) = other {
+                let problem = format!("team {} has the same token", other.name);
+                let section = format!("{PREFIX} {}", team.name);
+                reader.fault(&section, "token_digest", None, &problem, "one token a team");
+            }
+            teams.push(team);
+        }
+        teams
+    }
+
+    fn read(reader: &mut Reader, name: String) -> Option<Self> {
+        let section = format!("{PREFIX} {name}");
+        let token_digest = reader.value(&section, "token_digest", DIGEST_ALLOWED);
+        let sections = reader.list(&section, "sections", SECTIONS_ALLOWED);
+        Some(Self {
+            name,
+            token_digest: token_digest?,
+            sections,
+        })
+    }
+
+    /// Declares the keys of a team for the list of keys.
+    pub(super) fn declare(reader: &mut Reader) {
+        let _ = Self::read(reader, "NAME".to_owned());
+    }
+}
