--- /dev/null
+++ b/src/observe/logging.rs
@@ -0,0 +1,21 @@
+use log::LevelFilter;
+use logforth::append::Stderr;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+
+use crate::conf::LogFormat;
+
+/// Starts the process's log on standard error.
+///
+/// A second call has no effect on the log's shape, so that several roles may
+/// run in one process.
+pub fn init_logging(format: LogFormat, level: LevelFilter) {
+    let appender = match format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    let builder = logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(appender));
+    if builder.try_apply().is_ok() {
+        log::set_max_level(level);
+    }
+}
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -26,7 +26,8 @@
 }
 
 impl Tally {
-    const ALL: [Self; 7] = [
+    /// Every counter.
+    pub const ALL: [Self; 7] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -36,7 +37,8 @@
         Self::PlatformCalls,
     ];
 
-    fn name(self) -> &'static str {
+    /// Name of the counter in the exported text, which appends `_total`.
+    pub fn name(self) -> &'static str {
         match self {
             Self::Refusals => "bergamotfork_refusals",
             Self::Retries => "bergamotfork_retries",
--- /dev/null
+++ b/tests/docs/main.rs
@@ -0,0 +1,3 @@
+//! The pages agree with the program.
+
+mod catalogue;
