--- /dev/null
+++ b/src/cli/endpoint.rs
@@ -0,0 +1,28 @@
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::CliError;
+use crate::conf::EndpointSettings;
+use crate::observe::init_logging;
+
+/// Arguments of `endpoint`.
+#[derive(Debug, Args)]
+pub struct EndpointArgs {
+    /// Settings file of the process (INI).
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+}
+
+impl EndpointArgs {
+    /// Loads the settings and starts the log that they ask for.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Invalid`] with every fault of the file.
+    pub fn load(&self) -> Result<EndpointSettings, CliError> {
+        let settings = EndpointSettings::load(&self.settings)?;
+        init_logging(settings.process.log_format, settings.process.log_level);
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/src/cli/entry.rs
@@ -0,0 +1,28 @@
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::CliError;
+use crate::conf::EntrySettings;
+use crate::observe::init_logging;
+
+/// Arguments of `entry`.
+#[derive(Debug, Args)]
+pub struct EntryArgs {
+    /// Settings file of the process (INI).
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+}
+
+impl EntryArgs {
+    /// Loads the settings and starts the log that they ask for.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Invalid`] with every fault of the file.
+    pub fn load(&self) -> Result<EntrySettings, CliError> {
+        let settings = EntrySettings::load(&self.settings)?;
+        init_logging(settings.process.log_format, settings.process.log_level);
+        Ok(settings)
+    }
+}
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -1,6 +1,8 @@
 use std::fmt;
 use std::process::ExitCode;
 
+use crate::conf::SettingsFaults;
+
 /// Why a subcommand ended without success.
 #[derive(Debug)]
 pub enum CliError {
@@ -27,3 +29,9 @@
         }
     }
 }
+
+impl From<SettingsFaults> for CliError {
+    fn from(faults: SettingsFaults) -> Self {
+        Self::Invalid(format!("invalid settings\n{faults}"))
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,12 +1,26 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod endpoint;
+mod entry;
 mod errors;
+mod settings;
+mod standin;
+mod stop_signal;
+mod token;
 
 use clap::Parser;
 
 pub use args::Args;
+pub use args::Command;
+pub use endpoint::EndpointArgs;
+pub use entry::EntryArgs;
 pub use errors::CliError;
+pub use settings::SettingsArgs;
+pub use standin::StandinArgs;
+pub use standin::StandinKind;
+pub use stop_signal::stop_signal;
+pub use token::TokenArgs;
 
 /// Parses the arguments and runs the chosen subcommand.
 ///
@@ -14,6 +28,8 @@
 ///
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
-    let _args = Args::parse();
-    Ok(())
+    match Args::parse().command {
+        Command::Settings(args) => settings::run(args),
+        Command::Token(args) => token::run(args),
+    }
 }
--- /dev/null
+++ b/src/cli/stop_signal.rs
@@ -0,0 +1,21 @@
+use std::io;
+
+use actix_rt::signal::unix::SignalKind;
+use actix_rt::signal::unix::signal;
+use futures_util::future::select;
+use futures_util::pin_mut;
+
+/// Waits until the process is asked to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an error when the signals cannot be listened for.
+pub async fn stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let terminated = terminate.recv();
+    let interrupted = interrupt.recv();
+    pin_mut!(terminated, interrupted);
+    select(terminated, interrupted).await;
+    Ok(())
+}
