Add permits, the permit table, the dispatch ledger and crash suspects

A full epoch stays closed, which stands for a tombstone on every nonce it has not seen. The ledger vouches only for permits this entry process issued: a restarted entry cannot know what its predecessor sent.

--- /dev/null
+++ b/src/calls/dispatch_ledger.rs
@@ -0,0 +1,140 @@
+use std::collections::VecDeque;
+
+use super::CallOutcome;
+use super::Nonce;
+use super::RefusalReason;
+use super::Reply;
+use super::SendFacts;
+use super::verdict;
+
+/// Whether an entry may send a call on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dispatch {
+    /// Send it; the dispatch is counted.
+    Go,
+    /// This entry has told "not run" for the permit.
+    Closed(RefusalReason),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Record {
+    nonce: Nonce,
+    dispatches: u32,
+    latest_send: u32,
+    closed: Option<RefusalReason>,
+}
+
+/// What this entry did with the permits it issued.
+///
+/// A permit of another entry, of an earlier process at this address, or one
+/// that has been forgotten has no record and never gets one: its count cannot
+/// be vouched for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct DispatchLedger {
+    // Ascending by nonce.
+    records: Vec<Record>,
+    // Nonces in the order they were issued; the front is forgotten first.
+    issued: VecDeque<Nonce>,
+    max_records: usize,
+}
+
+impl DispatchLedger {
+    /// Empty ledger that remembers `max_records` permits.
+    pub fn new(max_records: usize) -> Self {
+        Self {
+            records: Vec::new(),
+            issued: VecDeque::new(),
+            max_records: max_records.max(1),
+        }
+    }
+
+    /// Records a permit this entry issues.
+    pub fn issue(&mut self, nonce: Nonce) {
+        let Err(at) = self.position(nonce) else {
+            return;
+        };
+        let record = Record {
+            nonce,
+            dispatches: 0,
+            latest_send: 0,
+            closed: None,
+        };
+        self.records.insert(at, record);
+        self.issued.push_back(nonce);
+        if self.issued.len() > self.max_records {
+            self.forget_oldest();
+        }
+    }
+
+    /// Counts a dispatch; to be called before the first byte leaves.
+    pub fn dispatch(&mut self, nonce: Nonce, send_no: u32) -> Dispatch {
+        let Some(record) = self.record(nonce) else {
+            return Dispatch::Go;
+        };
+        record.latest_send = record.latest_send.max(send_no);
+        if let Some(reason) = record.closed {
+            return Dispatch::Closed(reason);
+        }
+        record.dispatches += 1;
+        Dispatch::Go
+    }
+
+    /// Takes back a dispatch of which no byte left.
+    pub fn never_left(&mut self, nonce: Nonce) {
+        if let Some(record) = self.record(nonce) {
+            record.dispatches = record.dispatches.saturating_sub(1);
+        }
+    }
+
+    /// What is known of a send, now.
+    pub fn facts(&self, nonce: Nonce, send_no: u32) -> SendFacts {
+        let record = self.position(nonce).ok().map(|at| &self.records[at]);
+        SendFacts {
+            send_no,
+            latest_send: record.map_or(send_no, |record| record.latest_send.max(send_no)),
+            dispatches: record.map(|record| record.dispatches),
+        }
+    }
+
+    /// The outcome to tell now; after "not run" the permit is closed at this entry.
+    pub fn conclude(&mut self, nonce: Nonce, send_no: u32, reply: Reply) -> CallOutcome {
+        let outcome = verdict(reply, self.facts(nonce, send_no));
+        if let CallOutcome::NotRun { reason, .. } = &outcome {
+            self.close(nonce, *reason);
+        }
+        outcome
+    }
+
+    /// Permits remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no permit is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn close(&mut self, nonce: Nonce, reason: RefusalReason) {
+        if let Some(record) = self.record(nonce) {
+            record.closed.get_or_insert(reason);
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.issued.pop_front();
+        if let Some(Ok(at)) = oldest.map(|nonce| self.position(nonce)) {
+            self.records.remove(at);
+        }
+    }
+
+    fn record(&mut self, nonce: Nonce) -> Option<&mut Record> {
+        let at = self.position(nonce).ok()?;
+        self.records.get_mut(at)
+    }
+
+    fn position(&self, nonce: Nonce) -> Result<usize, usize> {
+        self.records
+            .binary_search_by_key(&nonce, |record| record.nonce)
+    }
+}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -1,1 +1,46 @@
 //! Permits, outcomes, routing, retry budgets and crash suspects.
+//!
+//! A call that may not be repeated needs a permit, which names one incarnation
+//! of one endpoint. That endpoint's permit table runs each nonce once, replays
+//! its outcome to further sends, and records every refusal before it is told.
+//! An entry says "not run" only by the rule in `verdict`.
+
+mod dispatch_ledger;
+mod nonce;
+mod outcome;
+mod permit;
+mod permit_epochs;
+mod permit_table;
+mod refusal_reason;
+mod stored_answer;
+mod suspect_slot;
+mod suspect_table;
+mod unknown_reason;
+mod verdict;
+
+pub use dispatch_ledger::Dispatch;
+pub use dispatch_ledger::DispatchLedger;
+pub use nonce::Nonce;
+pub use nonce::NonceError;
+pub use outcome::CallOutcome;
+pub use permit::Permit;
+pub use permit::PermitKey;
+pub use permit::PermitPlace;
+pub use permit_epochs::EpochCounter;
+pub use permit_table::Asked;
+pub use permit_table::Begin;
+pub use permit_table::PermitLimits;
+pub use permit_table::PermitTable;
+pub use refusal_reason::RefusalReason;
+pub use stored_answer::StoredAnswer;
+pub use suspect_slot::SuspectSlot;
+pub use suspect_table::DeathId;
+pub use suspect_table::REFUSED_AT_DEATHS;
+pub use suspect_table::Standing;
+pub use suspect_table::SuspectRecord;
+pub use suspect_table::SuspectTable;
+pub use suspect_table::fingerprint;
+pub use unknown_reason::UnknownReason;
+pub use verdict::Reply;
+pub use verdict::SendFacts;
+pub use verdict::verdict;
--- /dev/null
+++ b/src/calls/permit_table.rs
@@ -0,0 +1,309 @@
+use super::CallOutcome;
+use super::EpochCounter;
+use super::Nonce;
+use super::Permit;
+use super::RefusalReason;
+use super::UnknownReason;
+use crate::weights::Digest;
+
+/// Bounds of a permit table.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PermitLimits {
+    /// Length of an epoch.
+    pub epoch_ms: u64,
+    /// Epochs remembered, the current one included.
+    pub kept_epochs: u64,
+    /// Permits remembered in one epoch.
+    pub epoch_permits: usize,
+    /// Bytes of answers kept in one epoch before it takes no further permits.
+    pub epoch_bytes: usize,
+    /// Largest answer kept.
+    pub answer_bytes: usize,
+}
+
+impl Default for PermitLimits {
+    fn default() -> Self {
+        Self {
+            epoch_ms: 60_000,
+            kept_epochs: 4,
+            epoch_permits: 16_384,
+            epoch_bytes: 4 << 20,
+            answer_bytes: 256 << 10,
+        }
+    }
+}
+
+/// What the table says to a call that arrives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin {
+    /// Nothing is known of the permit; the call is now recorded as running and must be run.
+    Run,
+    /// The call is running; wait for its outcome.
+    Join,
+    /// The call has ended.
+    Done(CallOutcome),
+    /// The call is not run and never will be.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back with a fresh permit.
+        retry_after_ms: Option<u64>,
+    },
+    /// This process cannot know what became of the permit.
+    Unknown(UnknownReason),
+}
+
+/// What the table says to a question about a permit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Asked {
+    /// The call has not run and never will.
+    NotRun(RefusalReason),
+    /// The call is running.
+    Running,
+    /// The call has ended.
+    Done(CallOutcome),
+    /// This process cannot know what became of the permit.
+    Unknown(UnknownReason),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum State {
+    Running(Digest),
+    Ended(Digest, CallOutcome),
+    Tombstone(RefusalReason),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Entry {
+    nonce: Nonce,
+    state: State,
+}
+
+/// Permits of one epoch, ascending by nonce.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Epoch {
+    number: u64,
+    entries: Vec<Entry>,
+    kept_bytes: usize,
+    // A full epoch stays closed: every nonce it has not seen counts as refused,
+    // which records those refusals without memory.
+    closed: bool,
+}
+
+/// Remembers, per epoch, which permits ran, run or were refused on this endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PermitTable {
+    incarnation: u64,
+    limits: PermitLimits,
+    counter: EpochCounter,
+    epochs: Vec<Epoch>,
+}
+
+impl PermitTable {
+    /// Empty table of the process `incarnation`.
+    pub fn new(incarnation: u64, limits: PermitLimits, now_ms: u64) -> Self {
+        Self {
+            incarnation,
+            counter: EpochCounter::new(limits.epoch_ms, limits.kept_epochs, now_ms),
+            limits,
+            epochs: Vec::new(),
+        }
+    }
+
+    /// Epoch that new permits should name.
+    pub fn epoch(&self) -> u64 {
+        self.counter.current()
+    }
+
+    /// Permits remembered.
+    pub fn len(&self) -> usize {
+        self.epochs.iter().map(|epoch| epoch.entries.len()).sum()
+    }
+
+    /// Whether no permit is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Moves on to the epoch of `now_ms` and drops the epochs past remembering.
+    pub fn turn(&mut self, now_ms: u64) {
+        if self.counter.turn(now_ms) {
+            let oldest = self.counter.oldest();
+            self.epochs.retain(|epoch| epoch.number >= oldest);
+        }
+    }
+
+    /// Takes in a call whose request digests to `request`.
+    pub fn begin(&mut self, permit: &Permit, request: Digest, now_ms: u64) -> Begin {
+        self.take_in(permit, request, None, now_ms)
+    }
+
+    /// Refuses a call before it is passed on, unless it is known already.
+    pub fn refuse(
+        &mut self,
+        permit: &Permit,
+        request: Digest,
+        reason: RefusalReason,
+        now_ms: u64,
+    ) -> Begin {
+        self.take_in(permit, request, Some(reason), now_ms)
+    }
+
+    /// Records the outcome of a running call; later outcomes of the same call are ignored.
+    pub fn finish(&mut self, permit: &Permit, outcome: CallOutcome) {
+        let answer_bytes = self.limits.answer_bytes;
+        let Some(epoch) = self.find_epoch(permit) else {
+            return;
+        };
+        let Ok(at) = epoch.position(permit.nonce) else {
+            return;
+        };
+        let State::Running(request) = epoch.entries[at].state else {
+            return;
+        };
+        let kept = if outcome.kept_bytes() > answer_bytes {
+            CallOutcome::unknown(UnknownReason::AnswerDropped)
+        } else {
+            outcome
+        };
+        epoch.kept_bytes += kept.kept_bytes();
+        epoch.entries[at].state = State::Ended(request, kept);
+    }
+
+    /// What became of a permit; one that was not seen is refused from now on.
+    pub fn ask(&mut self, permit: &Permit, now_ms: u64) -> Asked {
+        let limits = self.limits.clone();
+        let epoch = match self.open_epoch(permit, now_ms) {
+            Ok(epoch) => epoch,
+            Err(reason) => return Asked::Unknown(reason),
+        };
+        match epoch.position(permit.nonce) {
+            Ok(at) => epoch.entries[at].asked(),
+            Err(_) if epoch.is_full(&limits) => Asked::NotRun(RefusalReason::PermitsFull),
+            Err(at) => {
+                let reason = RefusalReason::Withdrawn;
+                epoch.insert(at, permit.nonce, State::Tombstone(reason));
+                Asked::NotRun(reason)
+            }
+        }
+    }
+
+    fn take_in(
+        &mut self,
+        permit: &Permit,
+        request: Digest,
+        refusal: Option<RefusalReason>,
+        now_ms: u64,
+    ) -> Begin {
+        let limits = self.limits.clone();
+        let next_epoch_ms = self.counter.next_in_ms(now_ms);
+        let epoch = match self.open_epoch(permit, now_ms) {
+            Ok(epoch) => epoch,
+            Err(reason) => return Begin::Unknown(reason),
+        };
+        match epoch.position(permit.nonce) {
+            Ok(at) => epoch.entries[at].begun(request),
+            Err(_) if epoch.is_full(&limits) => Begin::Refused {
+                reason: RefusalReason::PermitsFull,
+                retry_after_ms: Some(next_epoch_ms),
+            },
+            Err(at) => match refusal {
+                None => {
+                    epoch.insert(at, permit.nonce, State::Running(request));
+                    Begin::Run
+                }
+                Some(reason) => {
+                    epoch.insert(at, permit.nonce, State::Tombstone(reason));
+                    Begin::refused(reason)
+                }
+            },
+        }
+    }
+
+    fn find_epoch(&mut self, permit: &Permit) -> Option<&mut Epoch> {
+        if permit.incarnation != self.incarnation {
+            return None;
+        }
+        let at = self.epoch_position(permit.epoch).ok()?;
+        self.epochs.get_mut(at)
+    }
+
+    /// The epoch a permit names, if this process can vouch for it.
+    fn open_epoch(&mut self, permit: &Permit, now_ms: u64) -> Result<&mut Epoch, UnknownReason> {
+        self.turn(now_ms);
+        if permit.incarnation != self.incarnation {
+            return Err(UnknownReason::PastIncarnation);
+        }
+        if !self.counter.holds(permit.epoch) {
+            return Err(UnknownReason::EpochDropped);
+        }
+        let at = match self.epoch_position(permit.epoch) {
+            Ok(at) => at,
+            Err(at) => {
+                self.epochs.insert(at, Epoch::new(permit.epoch));
+                at
+            }
+        };
+        Ok(&mut self.epochs[at])
+    }
+
+    fn epoch_position(&self, number: u64) -> Result<usize, usize> {
+        self.epochs
+            .binary_search_by_key(&number, |epoch| epoch.number)
+    }
+}
+
+impl Begin {
+    fn refused(reason: RefusalReason) -> Self {
+        Self::Refused {
+            reason,
+            retry_after_ms: reason.retry_after_ms(),
+        }
+    }
+}
+
+impl Epoch {
+    fn new(number: u64) -> Self {
+        Self {
+            number,
+            entries: Vec::new(),
+            kept_bytes: 0,
+            closed: false,
+        }
+    }
+
+    fn position(&self, nonce: Nonce) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&nonce, |entry| entry.nonce)
+    }
+
+    /// Whether no unseen nonce may be recorded any more.
+    fn is_full(&mut self, limits: &PermitLimits) -> bool {
+        self.closed |= self.entries.len() >= limits.epoch_permits;
+        self.closed |= self.kept_bytes >= limits.epoch_bytes;
+        self.closed
+    }
+
+    fn insert(&mut self, at: usize, nonce: Nonce, state: State) {
+        self.entries.insert(at, Entry { nonce, state });
+    }
+}
+
+impl Entry {
+    fn begun(&self, request: Digest) -> Begin {
+        match &self.state {
+            State::Running(first) if *first == request => Begin::Join,
+            State::Ended(first, outcome) if *first == request => Begin::Done(outcome.clone()),
+            State::Running(_) | State::Ended(..) => Begin::refused(RefusalReason::PermitReused),
+            State::Tombstone(reason) => Begin::refused(*reason),
+        }
+    }
+
+    fn asked(&self) -> Asked {
+        match &self.state {
+            State::Running(_) => Asked::Running,
+            State::Ended(_, outcome) => Asked::Done(outcome.clone()),
+            State::Tombstone(reason) => Asked::NotRun(*reason),
+        }
+    }
+}
