Add the engine stand-in and its client

The stand-in batches continuously, caches prompt prefixes by LRU blocks, honours priorities, resumes, cancels and refuses old orders when told to check them. Every answer carries the digest of the bytes it really loaded, so a mix of weights shows.

--- /dev/null
+++ b/src/platform/engine.rs
@@ -0,0 +1,232 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use awc::Client;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::LocalBoxStream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::platform::CancelOrder;
+use crate::platform::EngineFault;
+use crate::platform::EngineRefusal;
+use crate::platform::EngineState;
+use crate::platform::GenerateOrder;
+use crate::platform::LineBuffer;
+use crate::platform::LoadAnswer;
+use crate::platform::LoadOrder;
+use crate::platform::RoleOrder;
+use crate::platform::StreamEvent;
+use crate::platform::UnloadOrder;
+
+/// Time an engine may take to load weights.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Time an engine may take for any other order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a call to an engine failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineError {
+    /// No answer came.
+    Unreachable(String),
+    /// The engine refused the order.
+    Refused(EngineFault),
+    /// The engine answered with this status.
+    Status(u16),
+    /// The answer could not be read.
+    Malformed(String),
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(reason) => write!(f, "the engine did not answer: {reason}"),
+            Self::Refused(fault) => write!(f, "the engine refused the order: {}", fault.name()),
+            Self::Status(status) => write!(f, "the engine answered with status {status}"),
+            Self::Malformed(reason) => write!(f, "the engine's answer is malformed: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for EngineError {}
+
+/// Client of one engine; only its endpoint process holds one.
+#[derive(Clone)]
+pub struct EngineClient {
+    client: Client,
+    base_url: String,
+}
+
+impl EngineClient {
+    /// Client of the engine at `address`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self {
+            client,
+            base_url: format!("http://{address}"),
+        }
+    }
+
+    /// Orders the engine to load weights.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine refuses or does not answer.
+    pub async fn load(&self, order: &LoadOrder) -> Result<LoadAnswer, EngineError> {
+        self.post("/v1/load", order, LOAD_TIMEOUT).await
+    }
+
+    /// Orders the engine to drop weights.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine refuses or does not answer.
+    pub async fn unload(&self, order: &UnloadOrder) -> Result<(), EngineError> {
+        self.post("/v1/unload", order, ORDER_TIMEOUT).await
+    }
+
+    /// Orders the engine to change role.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine refuses or does not answer.
+    pub async fn role(&self, order: &RoleOrder) -> Result<(), EngineError> {
+        self.post("/v1/role", order, ORDER_TIMEOUT).await
+    }
+
+    /// Cancels the stream of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine does not answer.
+    pub async fn cancel(&self, request_id: impl Into<String>) -> Result<(), EngineError> {
+        let order = CancelOrder {
+            request_id: request_id.into(),
+        };
+        self.post("/v1/cancel", &order, ORDER_TIMEOUT).await
+    }
+
+    /// State of the engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine does not answer.
+    pub async fn state(&self) -> Result<EngineState, EngineError> {
+        let url = format!("{}/v1/state", self.base_url);
+        let mut response = self
+            .client
+            .get(url)
+            .timeout(ORDER_TIMEOUT)
+            .send()
+            .await
+            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+        let body = response
+            .body()
+            .await
+            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+        decode(response.status(), &body)
+    }
+
+    /// Starts a token stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EngineError`] when the engine refuses or does not answer.
+    pub async fn generate(&self, order: &GenerateOrder) -> Result<EngineStream, EngineError> {
+        let url = format!("{}/v1/generate", self.base_url);
+        let mut response = self
+            .client
+            .post(url)
+            .timeout(ORDER_TIMEOUT)
+            .send_json(order)
+            .await
+            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+        if response.status() != StatusCode::OK {
+            let body = response
+                .body()
+                .await
+                .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+            return Err(refusal(response.status(), &body));
+        }
+        let chunks = response.map(|chunk| chunk.map_err(|e| e.to_string()));
+        Ok(EngineStream {
+            chunks: chunks.boxed_local(),
+            lines: LineBuffer::default(),
+        })
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        order: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, EngineError> {
+        let url = format!("{}{path}", self.base_url);
+        let mut response = self
+            .client
+            .post(url)
+            .timeout(timeout)
+            .send_json(order)
+            .await
+            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+        let body = response
+            .body()
+            .await
+            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+        decode(response.status(), &body)
+    }
+}
+
+impl fmt::Debug for EngineClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EngineClient")
+            .field("base_url", &self.base_url)
+            .finish_non_exhaustive()
+    }
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
+    match serde_json::from_slice::<EngineRefusal>(body) {
+        Ok(refusal) => EngineError::Refused(refusal.code),
+        Err(_) => EngineError::Status(status.as_u16()),
+    }
+}
+
+fn decode<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, EngineError> {
+    if status != StatusCode::OK {
+        return Err(refusal(status, body));
+    }
+    serde_json::from_slice(body).map_err(|e| EngineError::Malformed(e.to_string()))
+}
+
+/// Events of one token stream; dropping it closes the connection.
+pub struct EngineStream {
+    chunks: LocalBoxStream<'static, Result<Bytes, String>>,
+    lines: LineBuffer,
+}
+
+impl EngineStream {
+    /// The next event; `None` when the connection ended.
+    pub async fn next(&mut self) -> Option<Result<StreamEvent, EngineError>> {
+        loop {
+            if let Some(line) = self.lines.next_line() {
+                let event = serde_json::from_slice(line);
+                return Some(event.map_err(|e| EngineError::Malformed(e.to_string())));
+            }
+            match self.chunks.next().await? {
+                Ok(chunk) if self.lines.push(&chunk) => {}
+                Ok(_) => return Some(Err(EngineError::Malformed("line too long".to_owned()))),
+                Err(reason) => return Some(Err(EngineError::Unreachable(reason))),
+            }
+        }
+    }
+}
+
+impl fmt::Debug for EngineStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EngineStream").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/standin/engine/generation.rs
@@ -0,0 +1,163 @@
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use actix_rt::time::sleep_until;
+use actix_rt::time::timeout;
+use tokio::sync::oneshot;
+
+use super::batch::Slot;
+use super::state::Engine;
+use crate::platform::EngineFault;
+use crate::platform::GenerateOrder;
+use crate::platform::LoadedWeights;
+use crate::platform::StreamEvent;
+use crate::weights::Digest;
+
+/// Interval of heartbeats while no token is due.
+const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Part of the first token time that caching cannot save, in percent.
+const UNCACHED_PERCENT: u64 = 10;
+
+/// Prompt that makes an engine crash when that is allowed.
+const CRASH_MARK: &str = "[[crash]]";
+
+/// Text of a token, which a checker can recompute.
+pub fn token_text(whole: &Digest, prompt: &str, seed: u64, index: u32) -> String {
+    let text = format!("{whole}{prompt}{seed}{index}");
+    Digest::of(text.as_bytes()).to_string()[..8].to_owned()
+}
+
+/// One token stream; dropping it frees its slot.
+#[derive(Debug)]
+pub(super) struct Generation {
+    engine: Arc<Engine>,
+    order: GenerateOrder,
+    weights: LoadedWeights,
+    granted: oneshot::Receiver<Slot>,
+    slot: Option<Slot>,
+    cancelled: Arc<AtomicBool>,
+    deadline: Instant,
+    next_token_at: Instant,
+    next_index: u32,
+    ended: bool,
+}
+
+impl Generation {
+    pub(super) fn new(engine: Arc<Engine>, order: GenerateOrder, weights: LoadedWeights) -> Self {
+        let now = Instant::now();
+        Self {
+            granted: engine.batch.ask(order.priority),
+            slot: None,
+            cancelled: engine.open_stream(&order.request_id),
+            deadline: now + Duration::from_millis(order.deadline_ms),
+            next_token_at: now,
+            next_index: order.resume_from,
+            ended: false,
+            engine,
+            order,
+            weights,
+        }
+    }
+
+    /// The next event; `None` after the last.
+    pub(super) async fn next(&mut self) -> Option<StreamEvent> {
+        if self.ended {
+            return None;
+        }
+        if self.cancelled.load(Ordering::Relaxed) {
+            return Some(self.fail(EngineFault::Cancelled));
+        }
+        if Instant::now() >= self.deadline {
+            return Some(self.fail(EngineFault::DeadlinePassed));
+        }
+        if self.slot.is_none() && !self.wait_for_slot().await {
+            return Some(StreamEvent::Beat);
+        }
+        if self.next_index >= self.order.max_tokens {
+            return Some(self.end());
+        }
+        let beat_at = Instant::now() + BEAT_INTERVAL;
+        sleep_until(self.next_token_at.min(beat_at)).await;
+        if self.next_token_at > beat_at {
+            return Some(StreamEvent::Beat);
+        }
+        Some(self.emit())
+    }
+
+    async fn wait_for_slot(&mut self) -> bool {
+        let Ok(Ok(slot)) = timeout(BEAT_INTERVAL, &mut self.granted).await else {
+            return false;
+        };
+        if self.engine.options.may_crash && self.order.prompt.contains(CRASH_MARK) {
+            process::abort();
+        }
+        self.slot = Some(slot);
+        let hit_percent = self
+            .engine
+            .admit_prompt(self.weights.manifest, &self.order.prompt);
+        let miss_percent = (100 - hit_percent).max(UNCACHED_PERCENT);
+        let first_token_us = self.engine.options.first_token_ms * 10 * miss_percent;
+        self.next_token_at = Instant::now() + self.paced(first_token_us);
+        true
+    }
+
+    fn emit(&mut self) -> StreamEvent {
+        let index = self.next_index;
+        self.next_index += 1;
+        self.next_token_at += self.token_interval();
+        StreamEvent::Token {
+            index,
+            text: token_text(
+                &self.weights.whole,
+                &self.order.prompt,
+                self.order.seed,
+                index,
+            ),
+        }
+    }
+
+    /// Time of a decode step; it grows with the streams in the batch.
+    fn token_interval(&self) -> Duration {
+        let options = &self.engine.options;
+        let others = u64::from(self.engine.batch.running().saturating_sub(1));
+        let slots = u64::from(self.engine.batch.slots());
+        let slowdown_us = options.token_ms * 10 * options.batch_slowdown_percent * others / slots;
+        self.paced(options.token_ms * 1000 + slowdown_us)
+    }
+
+    fn paced(&self, step_us: u64) -> Duration {
+        let pace_percent = self.engine.pace_percent.load(Ordering::Relaxed);
+        Duration::from_micros(step_us * pace_percent / 100)
+    }
+
+    fn end(&mut self) -> StreamEvent {
+        self.ended = true;
+        self.slot = None;
+        StreamEvent::End {
+            request_id: self.order.request_id.clone(),
+            tokens: self.next_index,
+            manifest: self.weights.manifest,
+            whole: self.weights.whole,
+        }
+    }
+
+    fn fail(&mut self, code: EngineFault) -> StreamEvent {
+        self.ended = true;
+        self.slot = None;
+        StreamEvent::Error {
+            code,
+            message: format!("the stream stopped at token {}", self.next_index),
+        }
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        self.engine.close_stream(&self.cancelled);
+    }
+}
--- /dev/null
+++ b/src/standin/engine/handlers.rs
@@ -0,0 +1,139 @@
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::get;
+use actix_web::http::StatusCode;
+use actix_web::post;
+use actix_web::web::Bytes;
+use actix_web::web::Data;
+use actix_web::web::Json;
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::generation::Generation;
+use super::state::Engine;
+use crate::platform::CancelOrder;
+use crate::platform::EngineFault;
+use crate::platform::EngineRefusal;
+use crate::platform::GenerateOrder;
+use crate::platform::LoadAnswer;
+use crate::platform::LoadOrder;
+use crate::platform::LoadedWeights;
+use crate::platform::RoleOrder;
+use crate::platform::UnloadOrder;
+use crate::weights::Digest;
+
+/// Time to read weights from their source.
+const SOURCE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Faults that can be switched on.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct FaultOrder {
+    /// Time of every step in percent of the normal time.
+    pace_percent: u64,
+}
+
+#[post("/v1/load")]
+pub(super) async fn load(engine: Data<Engine>, order: Json<LoadOrder>) -> HttpResponse {
+    if let Err(refusal) = engine.accept(order.order) {
+        return conflict(refusal);
+    }
+    if order.base.is_some_and(|base| engine.find(base).is_none()) {
+        return conflict(fault(EngineFault::BaseNotLoaded));
+    }
+    let Some(whole) = read_source(&order.source_url).await else {
+        return HttpResponse::build(StatusCode::BAD_GATEWAY).json(fault(EngineFault::SourceFailed));
+    };
+    // A later order may have arrived while the bytes were read.
+    if let Err(refusal) = engine.accept(order.order) {
+        return conflict(refusal);
+    }
+    engine.insert(LoadedWeights {
+        model: order.model.clone(),
+        version: order.version.clone(),
+        manifest: order.manifest,
+        whole,
+    });
+    HttpResponse::Ok().json(LoadAnswer { whole })
+}
+
+#[post("/v1/unload")]
+pub(super) async fn unload(engine: Data<Engine>, order: Json<UnloadOrder>) -> HttpResponse {
+    match engine.accept(order.order) {
+        Ok(()) => engine.remove(order.manifest),
+        Err(refusal) => return conflict(refusal),
+    }
+    HttpResponse::Ok().json(())
+}
+
+#[post("/v1/role")]
+pub(super) async fn role(engine: Data<Engine>, order: Json<RoleOrder>) -> HttpResponse {
+    match engine.accept(order.order) {
+        Ok(()) => engine.set_role(order.role),
+        Err(refusal) => return conflict(refusal),
+    }
+    HttpResponse::Ok().json(())
+}
+
+#[get("/v1/state")]
+pub(super) async fn state(engine: Data<Engine>) -> HttpResponse {
+    HttpResponse::Ok().json(engine.report())
+}
+
+#[post("/v1/generate")]
+pub(super) async fn generate(engine: Data<Engine>, order: Json<GenerateOrder>) -> HttpResponse {
+    let Some(weights) = engine.find(order.manifest) else {
+        return conflict(fault(EngineFault::NotLoaded));
+    };
+    let generation = Generation::new(engine.into_inner(), order.into_inner(), weights);
+    let events = stream::unfold(generation, |mut generation| async move {
+        let event = generation.next().await?;
+        Some((event, generation))
+    });
+    let lines = events.map(|event| Ok::<_, actix_web::Error>(Bytes::from(event.to_line())));
+    HttpResponse::Ok()
+        .content_type("application/x-ndjson")
+        .streaming(lines)
+}
+
+#[post("/v1/cancel")]
+pub(super) async fn cancel(engine: Data<Engine>, order: Json<CancelOrder>) -> HttpResponse {
+    engine.cancel(&order.request_id);
+    HttpResponse::Ok().json(())
+}
+
+#[post("/fault")]
+pub(super) async fn fault_order(engine: Data<Engine>, order: Json<FaultOrder>) -> HttpResponse {
+    engine
+        .pace_percent
+        .store(order.pace_percent, Ordering::Relaxed);
+    HttpResponse::Ok().json(())
+}
+
+fn fault(code: EngineFault) -> EngineRefusal {
+    EngineRefusal {
+        code,
+        highest: None,
+    }
+}
+
+fn conflict(refusal: EngineRefusal) -> HttpResponse {
+    HttpResponse::Conflict().json(refusal)
+}
+
+/// Reads all bytes of `url` and returns their digest.
+async fn read_source(url: &str) -> Option<Digest> {
+    let client = awc::Client::builder().timeout(SOURCE_TIMEOUT).finish();
+    let mut response = client.get(url).send().await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let mut hasher = blake3::Hasher::new();
+    while let Some(chunk) = response.next().await {
+        hasher.update(&chunk.ok()?);
+    }
+    Some(Digest::from(hasher.finalize()))
+}
--- /dev/null
+++ b/src/standin/engine/mod.rs
@@ -0,0 +1,60 @@
+//! Stand-in of a model engine: continuous batching, a prompt prefix cache of
+//! limited memory, priorities, cancel, resume and fenced orders.
+
+mod batch;
+mod generation;
+mod handlers;
+mod options;
+mod prefix_cache;
+mod state;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use actix_web::App;
+use actix_web::HttpServer;
+use actix_web::web;
+
+use crate::standin::Handle;
+
+pub use generation::token_text;
+pub use options::EngineOptions;
+pub use prefix_cache::PrefixCache;
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Time a stopping engine gives to running streams, in seconds.
+const STOP_TIMEOUT_S: u64 = 10;
+
+/// Starts an engine stand-in.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn start(options: EngineOptions) -> io::Result<Handle> {
+    let listen = options.listen;
+    let state = web::Data::from(Arc::new(state::Engine::new(options)));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+            .service(handlers::load)
+            .service(handlers::unload)
+            .service(handlers::role)
+            .service(handlers::state)
+            .service(handlers::generate)
+            .service(handlers::cancel)
+            .service(handlers::fault_order)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(STOP_TIMEOUT_S)
+    .bind(listen)?;
+    let address: SocketAddr = server.addrs()[0];
+    let server = server.run();
+    let handle = Handle::new(address, server.handle());
+    actix_rt::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/src/standin/engine/state.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use super::EngineOptions;
+use super::PrefixCache;
+use super::batch::Batch;
+use crate::platform::EngineFault;
+use crate::platform::EngineRefusal;
+use crate::platform::EngineRole;
+use crate::platform::EngineState;
+use crate::platform::LoadedWeights;
+use crate::platform::OrderNo;
+use crate::weights::Digest;
+
+/// State of one engine stand-in.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) options: EngineOptions,
+    pub(super) batch: Arc<Batch>,
+    /// Time of every step in percent of the normal time.
+    pub(super) pace_percent: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    loaded: Vec<LoadedWeights>,
+    highest_order: Option<OrderNo>,
+    role: EngineRole,
+    cache: PrefixCache,
+    streams: Vec<RunningStream>,
+}
+
+#[derive(Debug)]
+struct RunningStream {
+    request_id: String,
+    cancelled: Arc<AtomicBool>,
+}
+
+impl Engine {
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let inner = Inner {
+            loaded: Vec::new(),
+            highest_order: None,
+            role: EngineRole::Both,
+            cache: PrefixCache::new(options.cache_blocks),
+            streams: Vec::new(),
+        };
+        Self {
+            batch: Batch::new(options.slots),
+            pace_percent: AtomicU64::new(100),
+            inner: Mutex::new(inner),
+            options,
+        }
+    }
+
+    /// Accepts an order number, or refuses it when orders are checked.
+    pub(super) fn accept(&self, order: OrderNo) -> Result<(), EngineRefusal> {
+        let mut inner = self.lock();
+        let stale = inner.highest_order > Some(order);
+        if stale && self.options.checks_orders {
+            return Err(EngineRefusal {
+                code: EngineFault::StaleOrder,
+                highest: inner.highest_order,
+            });
+        }
+        inner.highest_order = inner.highest_order.max(Some(order));
+        Ok(())
+    }
+
+    pub(super) fn insert(&self, weights: LoadedWeights) {
+        let mut inner = self.lock();
+        inner
+            .loaded
+            .retain(|other| other.manifest != weights.manifest);
+        inner.loaded.push(weights);
+    }
+
+    pub(super) fn remove(&self, manifest: Digest) {
+        self.lock()
+            .loaded
+            .retain(|other| other.manifest != manifest);
+    }
+
+    pub(super) fn find(&self, manifest: Digest) -> Option<LoadedWeights> {
+        let inner = self.lock();
+        let found = inner.loaded.iter().find(|it| it.manifest == manifest);
+        found.cloned()
+    }
+
+    pub(super) fn set_role(&self, role: EngineRole) {
+        self.lock().role = role;
+    }
+
+    /// Caches a prompt and returns its hit share in percent.
+    pub(super) fn admit_prompt(&self, weights: Digest, prompt: &str) -> u64 {
+        let mut inner = self.lock();
+        inner.cache.admit(weights.as_bytes(), prompt.as_bytes())
+    }
+
+    /// Registers a stream and returns its mark of being cancelled.
+    pub(super) fn open_stream(&self, request_id: &str) -> Arc<AtomicBool> {
+        let cancelled = Arc::new(AtomicBool::new(false));
+        self.lock().streams.push(RunningStream {
+            request_id: request_id.to_owned(),
+            cancelled: cancelled.clone(),
+        });
+        cancelled
+    }
+
+    pub(super) fn close_stream(&self, cancelled: &Arc<AtomicBool>) {
+        let mut inner = self.lock();
+        inner
+            .streams
+            .retain(|stream| !Arc::ptr_eq(&stream.cancelled, cancelled));
+    }
+
+    pub(super) fn cancel(&self, request_id: &str) {
+        for stream in &self.lock().streams {
+            if stream.request_id == request_id {
+                stream.cancelled.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
+    pub(super) fn report(&self) -> EngineState {
+        let inner = self.lock();
+        EngineState {
+            loaded: inner.loaded.clone(),
+            highest_order: inner.highest_order,
+            running: self.batch.running(),
+            queued: self.batch.queued(),
+            cached_blocks: inner.cache.len() as u32,
+            role: inner.role,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, with faults to order.
 
+pub mod engine;
 mod handle;
 
 pub use handle::Handle;
