--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,7 +2,9 @@
 
 mod engine;
 mod engine_api;
+mod hosts_client;
 mod line_buffer;
+mod log_client;
 mod order_no;
 
 pub use engine::EngineClient;
@@ -20,5 +22,10 @@
 pub use engine_api::RoleOrder;
 pub use engine_api::StreamEvent;
 pub use engine_api::UnloadOrder;
+pub use hosts_client::HostList;
+pub use hosts_client::HostsClient;
 pub use line_buffer::LineBuffer;
+pub use log_client::LogClient;
+pub use log_client::LogEntry;
+pub use log_client::LogSlice;
 pub use order_no::OrderNo;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,5 +2,7 @@
 
 pub mod engine;
 mod handle;
+pub mod hosts;
+pub mod log;
 
 pub use handle::Handle;
