--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, with faults to order.
 
+pub mod engine;
 pub mod hosts;
 pub mod log;
 pub mod origin;
