Serve a request from end to end as separate processes

One entry, two endpoints beside engine stand-ins and one beside a service stand-in learn a document from the log, fetch chunks from the origin and from each other, verify, load and answer. The fetcher is naive on purpose: every chunk comes from the peer that ranks first for it, or from the origin after one second; it is the baseline for the swarm.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -6,12 +6,14 @@
 //! An entry says "not run" only by the rule in `verdict`.
 
 mod dispatch_ledger;
+mod generate_call;
 mod nonce;
 mod outcome;
 mod permit;
 mod permit_epochs;
 mod permit_table;
 mod refusal_reason;
+mod service_call;
 mod stored_answer;
 mod suspect_slot;
 mod suspect_table;
@@ -20,6 +22,7 @@
 
 pub use dispatch_ledger::Dispatch;
 pub use dispatch_ledger::DispatchLedger;
+pub use generate_call::GenerateCall;
 pub use nonce::Nonce;
 pub use nonce::NonceError;
 pub use outcome::CallOutcome;
@@ -32,6 +35,8 @@
 pub use permit_table::PermitLimits;
 pub use permit_table::PermitTable;
 pub use refusal_reason::RefusalReason;
+pub use service_call::ServiceCall;
+pub use service_call::ServiceReply;
 pub use stored_answer::StoredAnswer;
 pub use suspect_slot::SuspectSlot;
 pub use suspect_table::DeathId;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,7 +1,10 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::EndpointArgs;
+use super::EntryArgs;
 use super::SettingsArgs;
+use super::StandinArgs;
 use super::TokenArgs;
 
 /// Distributes model weights in bursts and routes live requests.
@@ -17,6 +20,12 @@
 /// The subcommands.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Run an entry: addresses, permits, routing, administration.
+    Entry(EntryArgs),
+    /// Run an endpoint beside an engine or a plain service.
+    Endpoint(EndpointArgs),
+    /// Run a stand-in for a service of the platform.
+    Standin(StandinArgs),
     /// Check settings files, or list the keys they may hold.
     Settings(SettingsArgs),
     /// Work with bearer tokens.
--- a/src/cli/endpoint.rs
+++ b/src/cli/endpoint.rs
@@ -3,7 +3,9 @@
 use clap::Args;
 
 use super::CliError;
+use super::run_process;
 use crate::conf::EndpointSettings;
+use crate::endpoint;
 use crate::observe::init_logging;
 
 /// Arguments of `endpoint`.
@@ -26,3 +28,16 @@
         Ok(settings)
     }
 }
+
+/// Runs an endpoint until it is asked to stop.
+///
+/// # Errors
+///
+/// [`CliError`] when the settings are invalid or the address cannot be bound.
+pub fn run(args: EndpointArgs) -> Result<(), CliError> {
+    let settings = args.load()?;
+    run_process(async move {
+        let handle = endpoint::start(settings).await?;
+        Ok(move || async move { handle.stop().await })
+    })
+}
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -3,7 +3,9 @@
 use clap::Args;
 
 use super::CliError;
+use super::run_process;
 use crate::conf::EntrySettings;
+use crate::entry;
 use crate::observe::init_logging;
 
 /// Arguments of `entry`.
@@ -26,3 +28,16 @@
         Ok(settings)
     }
 }
+
+/// Runs an entry until it is asked to stop.
+///
+/// # Errors
+///
+/// [`CliError`] when the settings are invalid or the address cannot be bound.
+pub fn run(args: EntryArgs) -> Result<(), CliError> {
+    let settings = args.load()?;
+    run_process(async move {
+        let handle = entry::start(settings).await?;
+        Ok(move || async move { handle.stop().await })
+    })
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod entry;
 mod errors;
+mod process;
 mod settings;
 mod standin;
 mod stop_signal;
@@ -16,6 +17,7 @@
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
+pub use process::run_process;
 pub use settings::SettingsArgs;
 pub use standin::StandinArgs;
 pub use standin::StandinKind;
@@ -29,6 +31,9 @@
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
+        Command::Entry(args) => entry::run(args),
+        Command::Endpoint(args) => endpoint::run(args),
+        Command::Standin(args) => standin::run(args),
         Command::Settings(args) => settings::run(args),
         Command::Token(args) => token::run(args),
     }
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -1,8 +1,21 @@
-use std::net::SocketAddr;
-
 use clap::Args;
 use clap::Subcommand;
 
+use super::CliError;
+use super::run_process;
+use crate::conf::LogFormat;
+use crate::observe::init_logging;
+use crate::standin::engine;
+use crate::standin::engine::EngineOptions;
+use crate::standin::hosts;
+use crate::standin::hosts::HostsOptions;
+use crate::standin::log;
+use crate::standin::log::LogOptions;
+use crate::standin::origin;
+use crate::standin::origin::OriginOptions;
+use crate::standin::service;
+use crate::standin::service::ServiceOptions;
+
 /// Arguments of `standin`.
 #[derive(Debug, Args)]
 pub struct StandinArgs {
@@ -15,60 +28,32 @@
 #[derive(Debug, Subcommand)]
 pub enum StandinKind {
     /// The append-only log service.
-    Log {
-        /// Address to listen on.
-        #[arg(long, value_name = "IP:PORT")]
-        listen: SocketAddr,
-        /// How long a record is kept.
-        #[arg(long, value_name = "MS", default_value_t = 86_400_000)]
-        retention_ms: u64,
-        /// Delay before each answer.
-        #[arg(long, value_name = "MS", default_value_t = 0)]
-        delay_ms: u64,
-    },
+    Log(LogOptions),
     /// The list of live and leaving hosts.
-    Hosts {
-        /// Address to listen on.
-        #[arg(long, value_name = "IP:PORT")]
-        listen: SocketAddr,
-        /// How far the list lags behind its changes.
-        #[arg(long, value_name = "MS", default_value_t = 0)]
-        lag_ms: u64,
-    },
+    Hosts(HostsOptions),
     /// The rate-limited origin of weights.
-    Origin {
-        /// Address to listen on.
-        #[arg(long, value_name = "IP:PORT")]
-        listen: SocketAddr,
-        /// Rate of the origin's link; 0 means no limit.
-        #[arg(long, value_name = "BYTES", default_value_t = 0)]
-        rate_bytes_per_s: u64,
-    },
+    Origin(OriginOptions),
     /// A model engine.
-    Engine {
-        /// Address to listen on.
-        #[arg(long, value_name = "IP:PORT")]
-        listen: SocketAddr,
-        /// Time between two tokens.
-        #[arg(long, value_name = "MS", default_value_t = 5)]
-        token_ms: u64,
-        /// Take orders with an old number too.
-        #[arg(long)]
-        ignores_orders: bool,
-        /// Let a prompt that holds "[[crash]]" end the process.
-        #[arg(long)]
-        may_crash: bool,
-    },
+    Engine(EngineOptions),
     /// A plain service beside the engines.
-    Service {
-        /// Address to listen on.
-        #[arg(long, value_name = "IP:PORT")]
-        listen: SocketAddr,
-        /// Remember idempotency keys and answer a repetition from memory.
-        #[arg(long)]
-        keeps_keys: bool,
-        /// Delay before each answer.
-        #[arg(long, value_name = "MS", default_value_t = 0)]
-        delay_ms: u64,
-    },
+    Service(ServiceOptions),
+}
+
+/// Runs a stand-in until it is asked to stop.
+///
+/// # Errors
+///
+/// [`CliError::Failed`] when its address cannot be bound.
+pub fn run(args: StandinArgs) -> Result<(), CliError> {
+    init_logging(LogFormat::Text, ::log::LevelFilter::Warn);
+    run_process(async move {
+        let handle = match args.kind {
+            StandinKind::Log(options) => log::start(options).await,
+            StandinKind::Hosts(options) => hosts::start(options).await,
+            StandinKind::Origin(options) => origin::start(options).await,
+            StandinKind::Engine(options) => engine::start(options).await,
+            StandinKind::Service(options) => service::start(options).await,
+        };
+        handle.map(|handle| move || async move { handle.kill().await })
+    })
 }
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,1 +1,12 @@
 //! The endpoint role: the only process that gives its engine or service orders or calls.
+
+mod call;
+mod generate;
+mod peer_routes;
+mod server;
+mod state;
+mod weights_naive;
+
+pub use server::EndpointHandle;
+pub use server::start;
+pub use state::EndpointState;
--- /dev/null
+++ b/src/endpoint/server.rs
@@ -0,0 +1,90 @@
+use std::io;
+use std::sync::Arc;
+
+use actix::Actor;
+use actix_web::web;
+
+use crate::conf::EndpointSettings;
+use crate::endpoint::EndpointState;
+use crate::endpoint::call;
+use crate::endpoint::generate;
+use crate::endpoint::peer_routes;
+use crate::endpoint::weights_naive::Fetcher;
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::node;
+use crate::node::Node;
+use crate::node::Reporter;
+use crate::node::Watcher;
+use crate::observe::Event;
+use crate::observe::emit;
+use crate::standin::Handle;
+
+/// Largest body of a call from an entry.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// A running endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointHandle {
+    server: Handle,
+    state: Arc<EndpointState>,
+}
+
+/// Starts an endpoint.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(settings: EndpointSettings) -> io::Result<EndpointHandle> {
+    let options = ServeOptions {
+        drain_ms: settings.drain_ms,
+        ..ServeOptions::default()
+    };
+    let listen = settings.process.listen;
+    let state = Arc::new(EndpointState::new(settings));
+    let shared = Arc::clone(&state);
+    let server = serve(listen, &options, move |app| {
+        app.app_data(web::Data::from(Arc::clone(&shared)))
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .route("/x/generate", web::post().to(generate::generate))
+            .route("/x/call", web::post().to(call::call))
+            .route(
+                "/x/weights/{manifest}/{index}",
+                web::get().to(peer_routes::chunk),
+            )
+            .route("/x/local/{manifest}", web::get().to(peer_routes::whole));
+        node::routes(app, &shared.node);
+    })?;
+    Watcher::new(Arc::clone(&state.node)).start();
+    Reporter::new(Arc::clone(&state.node)).start();
+    if state.engine_address().is_some() {
+        Fetcher::new(Arc::clone(&state)).start();
+    }
+    emit(
+        Event::ProcessStarted,
+        &[("host", &state.node.name()), ("address", &server.address())],
+    );
+    Ok(EndpointHandle { server, state })
+}
+
+impl EndpointHandle {
+    /// Identity, hosts and configuration of the endpoint.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.state.node
+    }
+
+    /// Stops at once; requests in progress are cut.
+    pub async fn kill(&self) {
+        self.server.kill().await;
+    }
+
+    /// Leaves: tells the entries, then finishes the requests in progress.
+    pub async fn stop(&self) {
+        let node = &self.state.node;
+        emit(Event::ProcessStopping, &[("host", &node.name())]);
+        node.leave();
+        Reporter::report_now(node).await;
+        self.server.stop().await;
+        emit(Event::ProcessStopped, &[("host", &node.name())]);
+    }
+}
--- /dev/null
+++ b/src/endpoint/state.rs
@@ -0,0 +1,67 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use crate::calls::PermitLimits;
+use crate::calls::PermitTable;
+use crate::conf::BackendSettings;
+use crate::conf::EndpointSettings;
+use crate::endpoint::weights_naive::HeldWeights;
+use crate::node::Node;
+
+/// State shared by the handlers of an endpoint.
+#[derive(Debug)]
+pub struct EndpointState {
+    /// Settings of the process.
+    pub settings: EndpointSettings,
+    /// Identity, hosts and configuration.
+    pub node: Arc<Node>,
+    permits: Mutex<PermitTable>,
+    weights: Mutex<HeldWeights>,
+}
+
+impl EndpointState {
+    /// State of a fresh process.
+    pub fn new(settings: EndpointSettings) -> Self {
+        let service = match &settings.backend {
+            BackendSettings::Engine { .. } => None,
+            BackendSettings::Service { name, .. } => Some(name.clone()),
+        };
+        let node = Arc::new(Node::new(
+            settings.process.clone(),
+            settings.platform.clone(),
+            settings.cluster.clone(),
+            service,
+        ));
+        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), node.now_ms());
+        Self {
+            settings,
+            node,
+            permits: Mutex::new(permits),
+            weights: Mutex::default(),
+        }
+    }
+
+    /// Permits that ran, run or were refused here.
+    pub fn permits(&self) -> MutexGuard<'_, PermitTable> {
+        self.permits
+            .lock()
+            .expect("no holder of the permit table panics")
+    }
+
+    /// Weights on this host.
+    pub fn weights(&self) -> MutexGuard<'_, HeldWeights> {
+        self.weights
+            .lock()
+            .expect("no holder of the weights panics")
+    }
+
+    /// Address of the engine, unless a plain service is beside this process.
+    pub fn engine_address(&self) -> Option<SocketAddr> {
+        match &self.settings.backend {
+            BackendSettings::Engine { url, .. } => url.strip_prefix("http://")?.parse().ok(),
+            BackendSettings::Service { .. } => None,
+        }
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,17 @@
 //! The entry role: addresses, permits, routing and the administration API.
 
+mod addresses;
 pub mod api_error;
+mod auth;
+mod call;
 mod error_code;
+mod generate;
+mod server;
+mod state;
+mod tailer;
 
 pub use api_error::ApiError;
 pub use error_code::ErrorCode;
+pub use server::EntryHandle;
+pub use server::start;
+pub use state::EntryState;
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,95 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix_web::web;
+
+use crate::conf::EntrySettings;
+use crate::entry::EntryState;
+use crate::entry::addresses;
+use crate::entry::api_error;
+use crate::entry::call;
+use crate::entry::generate;
+use crate::entry::tailer::Tailer;
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::node;
+use crate::node::Node;
+use crate::node::Reporter;
+use crate::node::Watcher;
+use crate::observe::Event;
+use crate::observe::emit;
+use crate::standin::Handle;
+
+/// A running entry.
+#[derive(Debug, Clone)]
+pub struct EntryHandle {
+    server: Handle,
+    state: Arc<EntryState>,
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(settings: EntrySettings) -> io::Result<EntryHandle> {
+    let options = ServeOptions {
+        client_timeout_ms: settings.slow_client_timeout_ms,
+        drain_ms: settings.drain_ms,
+    };
+    let listen = settings.process.listen;
+    let state = Arc::new(EntryState::new(settings));
+    let shared = Arc::clone(&state);
+    let server = serve(listen, &options, move |app| {
+        let max_body_bytes = shared.settings.max_body_bytes;
+        app.app_data(web::Data::from(Arc::clone(&shared)))
+            .app_data(api_error::json_config(max_body_bytes))
+            .app_data(api_error::payload_config(max_body_bytes))
+            .app_data(api_error::query_config())
+            .route("/v1/addresses", web::get().to(addresses::addresses))
+            .route("/v1/generate", web::post().to(generate::generate))
+            .route("/v1/call", web::post().to(call::call))
+            .default_service(web::to(api_error::unknown_path));
+        node::routes(app, &shared.node);
+    })?;
+    Watcher::new(Arc::clone(&state.node)).start();
+    Reporter::new(Arc::clone(&state.node)).start();
+    Tailer::new(Arc::clone(&state)).start();
+    emit(
+        Event::ProcessStarted,
+        &[("host", &state.node.name()), ("address", &server.address())],
+    );
+    Ok(EntryHandle { server, state })
+}
+
+impl EntryHandle {
+    /// Identity, hosts and configuration of the entry.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.state.node
+    }
+
+    /// Base URL of the entry.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Stops at once; requests in progress are cut.
+    pub async fn kill(&self) {
+        self.server.kill().await;
+    }
+
+    /// Leaves: drops out of the addresses, serves until the addresses given
+    /// have lapsed, then finishes the requests in progress.
+    pub async fn stop(&self) {
+        let node = &self.state.node;
+        emit(Event::ProcessStopping, &[("host", &node.name())]);
+        node.leave();
+        Reporter::report_now(node).await;
+        let lifetime = Duration::from_millis(self.state.settings.address_lifetime_ms);
+        actix_rt::time::sleep(lifetime).await;
+        self.server.stop().await;
+        emit(Event::ProcessStopped, &[("host", &node.name())]);
+    }
+}
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,39 @@
+use std::sync::Arc;
+
+use crate::calls::PermitKey;
+use crate::conf::EntrySettings;
+use crate::node::Node;
+use crate::platform::LogClient;
+
+/// State shared by the handlers of an entry.
+#[derive(Debug)]
+pub struct EntryState {
+    /// Settings of the process.
+    pub settings: EntrySettings,
+    /// Identity, hosts and configuration.
+    pub node: Arc<Node>,
+    /// The stream of the log that carries the configuration.
+    pub log: LogClient,
+    /// Seals permits.
+    pub permit_key: PermitKey,
+}
+
+impl EntryState {
+    /// State of a fresh process.
+    pub fn new(settings: EntrySettings) -> Self {
+        let node = Arc::new(Node::new(
+            settings.process.clone(),
+            settings.platform.clone(),
+            settings.cluster.clone(),
+            None,
+        ));
+        let log = LogClient::new(&settings.platform.log_url, &settings.platform.config_stream);
+        let permit_key = PermitKey::derive(&settings.cluster.shared_key);
+        Self {
+            settings,
+            node,
+            log,
+            permit_key,
+        }
+    }
+}
--- a/src/hosts/host.rs
+++ b/src/hosts/host.rs
@@ -47,6 +47,8 @@
     pub load: Load,
     /// Versions on it when last heard.
     pub served: Vec<Served>,
+    /// Epoch that new permits for it should name.
+    pub permit_epoch: u64,
     /// Configuration in force on it when last heard.
     pub config: Option<ConfigMark>,
     pub(super) listed: bool,
@@ -69,6 +71,7 @@
             incarnation: 0,
             load: Load::default(),
             served: Vec::new(),
+            permit_epoch: 0,
             config: None,
             listed: true,
             listed_leaving: record.state == HostState::Leaving,
@@ -90,6 +93,7 @@
             incarnation: report.incarnation,
             load: report.load,
             served: report.served.clone(),
+            permit_epoch: report.permit_epoch,
             config: Some(report.config),
             listed: false,
             listed_leaving: false,
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -82,6 +82,8 @@
     pub load: Load,
     /// Versions on it.
     pub served: Vec<Served>,
+    /// Epoch that new permits for it should name.
+    pub permit_epoch: u64,
 }
 
 /// What an entry answers to a report.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entry;
 pub mod hosts;
 pub mod links;
+pub mod node;
 pub mod observe;
 pub mod platform;
 pub mod regions;
--- /dev/null
+++ b/src/node/routes.rs
@@ -0,0 +1,76 @@
+use std::sync::Arc;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::Bytes;
+use actix_web::web::ServiceConfig;
+
+use crate::hosts::Heard;
+use crate::hosts::Report;
+use crate::hosts::ReportAnswer;
+use crate::links::has_key;
+use crate::links::read_rmp;
+use crate::links::rmp_response;
+use crate::node::ConfigPage;
+use crate::node::Node;
+use crate::observe::Event;
+use crate::observe::emit;
+
+/// Routes that every process serves.
+pub fn routes(app: &mut ServiceConfig, node: &Arc<Node>) {
+    app.app_data(web::Data::from(Arc::clone(node)))
+        .route("/x/report", web::post().to(report))
+        .route("/x/config", web::post().to(config))
+        .route("/metrics", web::get().to(metrics))
+        .route("/health/live", web::get().to(live))
+        .route("/health/ready", web::get().to(ready));
+}
+
+async fn report(node: web::Data<Node>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    if !has_key(&request, &node.cluster().shared_key) {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let report: Report = match read_rmp(&body) {
+        Ok(report) => report,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
+    let now_ms = node.now_ms();
+    let heard = node.roster().heard(&report, now_ms);
+    if matches!(heard, Heard::New | Heard::Replaced) {
+        emit(
+            Event::HostJoined,
+            &[("host", &report.name), ("incarnation", &report.incarnation)],
+        );
+    }
+    rmp_response(&ReportAnswer {
+        incarnation: node.incarnation(),
+        config: node.config_mark(),
+    })
+}
+
+async fn config(node: web::Data<Node>, request: HttpRequest) -> HttpResponse {
+    if !has_key(&request, &node.cluster().shared_key) {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let checkpoint = node.fold().checkpoint();
+    rmp_response(&ConfigPage { checkpoint })
+}
+
+async fn metrics(node: web::Data<Node>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(node.metrics().render())
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().json("live")
+}
+
+async fn ready(node: web::Data<Node>) -> HttpResponse {
+    if node.is_ready() && !node.is_leaving() {
+        HttpResponse::Ok().json("ready")
+    } else {
+        HttpResponse::ServiceUnavailable().json("not ready")
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod log_client;
 mod order_no;
 mod origin_client;
+mod service_client;
 
 pub use engine::EngineClient;
 pub use engine::EngineError;
@@ -32,3 +33,8 @@
 pub use order_no::OrderNo;
 pub use origin_client::OriginClient;
 pub use origin_client::OriginError;
+pub use service_client::IDEMPOTENCY_KEY_HEADER;
+pub use service_client::REQUEST_ID_HEADER;
+pub use service_client::ServiceAnswer;
+pub use service_client::ServiceCall;
+pub use service_client::ServiceClient;
--- a/src/standin/hosts.rs
+++ b/src/standin/hosts.rs
@@ -8,6 +8,7 @@
 
 use actix_web::HttpResponse;
 use actix_web::web;
+use clap::Args;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,11 +19,13 @@
 use crate::standin::Handle;
 
 /// How the stand-in for the platform's list of hosts starts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Args)]
 pub struct HostsOptions {
     /// Address to listen on.
+    #[arg(long, value_name = "IP:PORT")]
     pub listen: SocketAddr,
     /// Time until a change shows.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
     pub lag_ms: u64,
 }
 
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -10,6 +10,7 @@
 use actix_rt::time::sleep;
 use actix_web::HttpResponse;
 use actix_web::web;
+use clap::Args;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,11 +24,13 @@
 const POLL_MS: u64 = 10;
 
 /// How the stand-in for the platform's log starts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Args)]
 pub struct LogOptions {
     /// Address to listen on.
+    #[arg(long, value_name = "IP:PORT")]
     pub listen: SocketAddr,
     /// Time a record is kept.
+    #[arg(long, value_name = "MS", default_value_t = 86_400_000)]
     pub retention_ms: u64,
 }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 pub mod hosts;
 pub mod log;
 pub mod origin;
+pub mod service;
 
 mod handle;
 mod origin_library;
--- a/src/standin/origin.rs
+++ b/src/standin/origin.rs
@@ -11,6 +11,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::RETRY_AFTER;
 use actix_web::web;
+use clap::Args;
 use serde_json::json;
 
 use crate::links::ServeOptions;
@@ -26,13 +27,16 @@
 pub use crate::standin::origin_library::Refusals;
 
 /// How the origin starts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Args)]
 pub struct OriginOptions {
     /// Address to listen on.
+    #[arg(long, value_name = "IP:PORT")]
     pub listen: SocketAddr,
     /// Rate of its link; 0 for no limit.
+    #[arg(long, value_name = "BYTES", default_value_t = 0)]
     pub rate_bytes_per_s: u64,
     /// Bytes its link lets pass at once after it was idle.
+    #[arg(long, value_name = "BYTES", default_value_t = 65_536)]
     pub burst_bytes: u64,
 }
 
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,11 @@
+//! Starts the system as separate processes on loopback and ends them by id.
+#![allow(dead_code)]
+
+mod cluster;
+mod process;
+mod wait;
+
+pub use cluster::Cluster;
+pub use cluster::TOKEN;
+pub use process::Process;
+pub use wait::until;
