--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -156,8 +156,7 @@
         args.extend(service_args);
         self.run(&format!("{name}-service"), &args);
         self.listening(&backend).await;
-        let body =
-            format!("[backend]\nkind = service\nurl = http://{backend}\nname = {service}\n");
+        let body = format!("[backend]\nkind = service\nurl = http://{backend}\nname = {service}\n");
         self.role("endpoint", name, region, &address, &body, Some(service))
             .await;
         address
