--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -9,7 +9,6 @@
 
 use bergamotfork::platform::StreamEvent;
 use bergamotfork::weights::Digest;
-
 use support::Cluster;
 use support::TOKEN;
 use support::until;
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::Process;
+use super::until;
 use bergamotfork::document::Edit;
 use bergamotfork::document::LogRecord;
 use bergamotfork::links::HttpClient;
@@ -15,9 +17,6 @@
 use bergamotfork::platform::LogClient;
 use bergamotfork::weights::Digest;
 
-use super::Process;
-use super::until;
-
 /// Bearer token of the branch and team of every test.
 pub const TOKEN: &str = "token of the tests";
 
