Spread addresses over failure domains and count control bytes

Addresses came in the order of names, so every caller would have used the same entry. Reports and pulls count their bytes, heads included.

--- a/src/entry/addresses.rs
+++ b/src/entry/addresses.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
@@ -10,11 +12,17 @@
 use crate::entry::EntryState;
 use crate::entry::auth;
 use crate::hosts::HostRole;
+use crate::regions::Place;
+use crate::regions::spread;
+
+/// Entries named in one answer.
+const MAX_ENTRIES: usize = 8;
 
 #[derive(Debug, Deserialize)]
 pub struct AddressesQuery {
     branch: String,
     service: Option<String>,
+    region: Option<String>,
 }
 
 /// One entry a caller may use.
@@ -25,6 +33,23 @@
     domain: String,
 }
 
+impl EntryAddress {
+    fn new(address: SocketAddr, region: &str, domain: &str) -> Self {
+        Self {
+            url: format!("http://{address}"),
+            region: region.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+
+    fn place(&self) -> Place {
+        Place {
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct AddressesAnswer {
     entries: Vec<EntryAddress>,
@@ -45,33 +70,29 @@
         None => Vec::new(),
     };
     Ok(HttpResponse::Ok().json(AddressesAnswer {
-        entries: entries(&state),
+        entries: entries(&state, query.region.as_deref()),
         lifetime_ms: state.settings.address_lifetime_ms,
         permits,
     }))
 }
 
-fn entries(state: &EntryState) -> Vec<EntryAddress> {
+/// Live entries, spread over the failure domains, those of region `near` first.
+fn entries(state: &EntryState, near: Option<&str>) -> Vec<EntryAddress> {
     let node = &state.node;
     let now_ms = node.now_ms();
     let mut entries: Vec<EntryAddress> = node
         .roster()
         .usable(HostRole::Entry, now_ms)
         .filter(|(_, host)| host.name != node.name())
-        .map(|(_, host)| EntryAddress {
-            url: format!("http://{}", host.address),
-            region: host.region.clone(),
-            domain: host.domain.clone(),
-        })
+        .map(|(_, host)| EntryAddress::new(host.address, &host.region, &host.domain))
         .collect();
     if !node.is_leaving() {
-        entries.push(EntryAddress {
-            url: format!("http://{}", node.process().listen),
-            region: node.process().region.clone(),
-            domain: node.process().domain.clone(),
-        });
+        let own = node.process();
+        entries.push(EntryAddress::new(own.listen, &own.region, &own.domain));
     }
-    entries
+    let mut spread = spread(entries, EntryAddress::place, near, &mut rand::rng());
+    spread.truncate(MAX_ENTRIES);
+    spread
 }
 
 /// Permits for calls of `service`, spread over its usable endpoints.
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -125,11 +125,25 @@
         wait_ms: u64,
     ) -> Result<A, LinkError> {
         let body = rmp_serde::to_vec_named(question).map_err(malformed)?;
+        let answer = self.post_rmp(url, body, wait_ms).await?;
+        rmp_serde::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Sends an encoded MessagePack body and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] as for [`HttpClient::exchange`].
+    pub async fn post_rmp(
+        &self,
+        url: &str,
+        body: impl Into<Bytes>,
+        wait_ms: u64,
+    ) -> Result<Bytes, LinkError> {
         let request = self
             .request(Method::POST, url)
             .insert_header((CONTENT_TYPE, "application/msgpack"));
-        let answer = Self::exchange(request, body, wait_ms).await?;
-        rmp_serde::from_slice(&answer).map_err(malformed)
+        Self::exchange(request, body, wait_ms).await
     }
 
     /// Reads a JSON document.
--- a/src/node/config_pull.rs
+++ b/src/node/config_pull.rs
@@ -21,7 +21,7 @@
 /// Takes over the configuration of the peer at `address` if it is further on.
 pub async fn pull_config(node: &Node, address: SocketAddr) {
     let url = format!("http://{address}/x/config");
-    let page: Result<ConfigPage, _> = node.http().ask(&url, &(), PULL_WAIT_MS).await;
+    let page: Result<ConfigPage, _> = node.ask(&url, &(), PULL_WAIT_MS).await;
     let Ok(page) = page else { return };
     let before = node.fold().head();
     node.fold().adopt(&page.checkpoint);
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,11 +1,15 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
 use crate::conf::ClusterSettings;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
@@ -17,7 +21,12 @@
 use crate::hosts::Roster;
 use crate::hosts::Served;
 use crate::links::HttpClient;
+use crate::links::LinkError;
 use crate::observe::Metrics;
+use crate::observe::Tally;
+
+/// Bytes of the head of a request or answer between two processes, about.
+const HEADER_BYTES: usize = 200;
 
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
@@ -46,6 +55,7 @@
     own: Mutex<OwnState>,
     leaving: AtomicBool,
     ready: AtomicBool,
+    control_bytes: AtomicU64,
 }
 
 impl Node {
@@ -71,6 +81,7 @@
             own: Mutex::default(),
             leaving: AtomicBool::new(false),
             ready: AtomicBool::new(false),
+            control_bytes: AtomicU64::new(0),
         }
     }
 
@@ -119,6 +130,39 @@
         &self.http
     }
 
+    /// Asks another process and counts the bytes of control traffic.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no usable answer came within `wait_ms`.
+    pub async fn ask<A: DeserializeOwned>(
+        &self,
+        url: &str,
+        question: &impl Serialize,
+        wait_ms: u64,
+    ) -> Result<A, LinkError> {
+        let malformed = |error: String| LinkError::Malformed(error);
+        let body =
+            rmp_serde::to_vec_named(question).map_err(|error| malformed(error.to_string()))?;
+        self.count_control("sent", body.len());
+        let answer = self.http.post_rmp(url, body, wait_ms).await?;
+        self.count_control("received", answer.len());
+        rmp_serde::from_slice(&answer).map_err(|error| malformed(error.to_string()))
+    }
+
+    /// Counts a message of control traffic with `body_bytes` of body.
+    pub fn count_control(&self, direction: &'static str, body_bytes: usize) {
+        let bytes = (body_bytes + HEADER_BYTES) as u64;
+        self.metrics
+            .add(Tally::ControlBytes, bytes, "direction", direction);
+        self.control_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Bytes of control traffic so far, both ways, headers included.
+    pub fn control_bytes(&self) -> u64 {
+        self.control_bytes.load(Ordering::Relaxed)
+    }
+
     /// The hosts it knows.
     pub fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().expect("no holder of the roster panics")
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -77,7 +77,7 @@
 async fn report_to(node: &Arc<Node>, key: HostKey, address: SocketAddr) {
     let url = format!("http://{address}/x/report");
     let report = node.report();
-    let answer: Result<ReportAnswer, _> = node.http().ask(&url, &report, ANSWER_WAIT_MS).await;
+    let answer: Result<ReportAnswer, _> = node.ask(&url, &report, ANSWER_WAIT_MS).await;
     match answer {
         Ok(answer) if answer.config.offset > node.fold().head() => {
             pull_config(node, address).await;
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -17,6 +17,9 @@
 use crate::observe::Event;
 use crate::observe::emit;
 
+/// Bytes of an encoded [`ReportAnswer`], about.
+const ANSWER_BYTES: usize = 80;
+
 /// Routes that every process serves.
 pub fn routes(app: &mut ServiceConfig, node: &Arc<Node>) {
     app.app_data(web::Data::from(Arc::clone(node)))
@@ -43,10 +46,13 @@
             &[("host", &report.name), ("incarnation", &report.incarnation)],
         );
     }
-    rmp_response(&ReportAnswer {
+    let answer = ReportAnswer {
         incarnation: node.incarnation(),
         config: node.config_mark(),
-    })
+    };
+    node.count_control("received", body.len());
+    node.count_control("sent", ANSWER_BYTES);
+    rmp_response(&answer)
 }
 
 async fn config(node: web::Data<Node>, request: HttpRequest) -> HttpResponse {
--- /dev/null
+++ b/src/regions/place.rs
@@ -0,0 +1,8 @@
+/// Where a host stands.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Region.
+    pub region: String,
+    /// Failure domain inside the region.
+    pub domain: String,
+}
