--- a/src/calls/dispatch_ledger.rs
+++ b/src/calls/dispatch_ledger.rs
@@ -12,7 +12,7 @@
 pub enum Dispatch {
     /// Send it; the dispatch is counted.
     Go,
-    /// This entry has told "not run" for the permit.
+    /// This entry has told "not run" for the permit; nothing may leave for it any more.
     Closed(RefusalReason),
 }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod hosts;
 pub mod log;
+pub mod service;
 
 mod handle;
 
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,208 @@
+use std::io;
+use std::net::SocketAddr;
+use std::process;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::body::SizedStream;
+use actix_web::web;
+use bytes::Bytes;
+use futures_util::stream;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::links::ServeOptions;
+use crate::links::serve;
+use crate::platform::IDEMPOTENCY_KEY_HEADER;
+use crate::platform::REQUEST_ID_HEADER;
+use crate::platform::ServiceAnswer;
+use crate::standin::Handle;
+
+/// Text in a body that makes the stand-in crash, if it may.
+pub const CRASH_MARK: &str = "[[crash]]";
+
+/// How the stand-in for a plain service starts.
+#[derive(Debug, Clone)]
+pub struct ServiceOptions {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Whether a key seen before replays its answer.
+    pub keeps_keys: bool,
+    /// Time a call takes.
+    pub delay_ms: u64,
+    /// Whether a body that holds the crash mark ends the process.
+    pub may_crash: bool,
+}
+
+/// Faults to order from the service; each number counts the calls left.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// Calls that run and whose reply is cut off half way.
+    pub lose_reply: u32,
+    /// Calls that run and are never answered.
+    pub silent_reply: u32,
+    /// Calls answered with the answer of another request.
+    pub crossed_reply: u32,
+}
+
+/// One execution, as kept in the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Idempotency key of the call; empty without one.
+    pub key: String,
+    /// Path called.
+    pub path: String,
+    /// Running number.
+    pub execution: u64,
+}
+
+#[derive(Debug, Default)]
+struct Ledger {
+    executions: Vec<Execution>,
+    faults: ServiceFaults,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum ReplyFault {
+    Lost,
+    Silent,
+    Crossed,
+}
+
+impl Ledger {
+    fn execute(&mut self, key: &str, path: &str, keeps_keys: bool) -> u64 {
+        if keeps_keys && !key.is_empty() {
+            let known = self.executions.iter().find(|done| done.key == key);
+            if let Some(done) = known {
+                return done.execution;
+            }
+        }
+        let execution = self.executions.len() as u64 + 1;
+        self.executions.push(Execution {
+            key: key.to_owned(),
+            path: path.to_owned(),
+            execution,
+        });
+        execution
+    }
+
+    fn next_fault(&mut self) -> Option<ReplyFault> {
+        let faults = [
+            (&mut self.faults.lose_reply, ReplyFault::Lost),
+            (&mut self.faults.silent_reply, ReplyFault::Silent),
+            (&mut self.faults.crossed_reply, ReplyFault::Crossed),
+        ];
+        let (left, fault) = faults.into_iter().find(|(left, _)| **left > 0)?;
+        *left -= 1;
+        Some(fault)
+    }
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    options: ServiceOptions,
+    ledger: Mutex<Ledger>,
+}
+
+impl ServiceState {
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().expect("no holder of the ledger panics")
+    }
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// The I/O error when the address cannot be bound.
+pub async fn start(options: ServiceOptions) -> io::Result<Handle> {
+    let listen = options.listen;
+    let state = web::Data::from(Arc::new(ServiceState {
+        options,
+        ledger: Mutex::default(),
+    }));
+    serve(listen, &ServeOptions::default(), move |app| {
+        app.app_data(state.clone())
+            .route("/v1/call/{path:.*}", web::post().to(call))
+            .route("/ledger", web::get().to(show_ledger))
+            .route("/fault", web::post().to(set_faults));
+    })
+}
+
+async fn call(
+    state: web::Data<ServiceState>,
+    path: web::Path<String>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let Ok(echo) = serde_json::from_slice::<Value>(&body) else {
+        return HttpResponse::BadRequest().body("the body is not JSON");
+    };
+    if state.options.may_crash && String::from_utf8_lossy(&body).contains(CRASH_MARK) {
+        process::abort();
+    }
+    let key = header(&request, IDEMPOTENCY_KEY_HEADER);
+    let (execution, fault) = {
+        let mut ledger = state.ledger();
+        let execution = ledger.execute(&key, &path, state.options.keeps_keys);
+        (execution, ledger.next_fault())
+    };
+    sleep(Duration::from_millis(state.options.delay_ms)).await;
+    let answer = ServiceAnswer {
+        request_id: header(&request, REQUEST_ID_HEADER),
+        execution,
+        echo,
+    };
+    reply(answer, fault).await
+}
+
+async fn reply(mut answer: ServiceAnswer, fault: Option<ReplyFault>) -> HttpResponse {
+    match fault {
+        None => HttpResponse::Ok().json(answer),
+        Some(ReplyFault::Lost) => cut_reply(&answer),
+        Some(ReplyFault::Silent) => std::future::pending().await,
+        Some(ReplyFault::Crossed) => {
+            answer.request_id.push_str("-other");
+            HttpResponse::Ok().json(answer)
+        }
+    }
+}
+
+/// An answer whose connection breaks half way through the body.
+fn cut_reply(answer: &ServiceAnswer) -> HttpResponse {
+    let whole = serde_json::to_vec(answer).unwrap_or_default();
+    let half = Bytes::copy_from_slice(&whole[..whole.len() / 2]);
+    let cut = io::Error::new(io::ErrorKind::ConnectionReset, "reply lost");
+    let chunks = stream::iter([Ok(half), Err(cut)]);
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .body(SizedStream::new(whole.len() as u64, chunks))
+}
+
+fn header(request: &HttpRequest, name: &str) -> String {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+async fn show_ledger(state: web::Data<ServiceState>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.ledger().executions)
+}
+
+async fn set_faults(
+    state: web::Data<ServiceState>,
+    faults: web::Json<ServiceFaults>,
+) -> HttpResponse {
+    state.ledger().faults = faults.into_inner();
+    HttpResponse::Ok().json("ok")
+}
