--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,8 +1,11 @@
 //! Small stand-ins for the platform, with faults to order.
 
+pub mod engine;
 pub mod hosts;
 pub mod log;
+pub mod origin;
 
 mod handle;
+mod origin_library;
 
 pub use handle::Handle;
