--- a/tests/docs/catalogue.rs
+++ b/tests/docs/catalogue.rs
@@ -1,38 +1,37 @@
-use std::fs;
-use std::path::Path;
-
+use crate::pages::page;
+use bergamotfork::conf;
+use bergamotfork::entry::ErrorCode;
+use bergamotfork::hosts::HostRole;
 use bergamotfork::observe::Event;
+use bergamotfork::observe::Tally;
 
-fn page(name: &str) -> String {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("docs")
-        .join(name);
-    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
-}
-
-/// Table rows of a page whose first cell is a number.
-fn numbered_rows(page: &str) -> Vec<&str> {
-    page.lines()
-        .filter(|line| {
-            line.starts_with("| ") && line[2..].starts_with(|c: char| c.is_ascii_digit())
-        })
+/// Rows of the table under `heading`, without its head.
+fn table_under<'a>(text: &'a str, heading: &str) -> Vec<&'a str> {
+    let (_, after) = text
+        .split_once(&format!("{heading}\n"))
+        .unwrap_or_else(|| panic!("no heading {heading:?}"));
+    after
+        .lines()
+        .take_while(|line| !line.starts_with('#'))
+        .filter(|line| line.starts_with('|'))
+        .skip(2)
         .collect()
 }
 
-fn assert_rows(page: &str, expected: &[String], found: &[&str]) {
+fn assert_rows(place: &str, expected: &[String], found: &[&str]) {
     for row in expected {
         assert!(
             found.contains(&row.as_str()),
-            "docs/{page} lacks the row {row}"
+            "{place} lacks the row\n{row}"
         );
     }
     for row in found {
         assert!(
             expected.iter().any(|e| e == row),
-            "docs/{page} has a stale row {row}"
+            "{place} has a stale row\n{row}"
         );
     }
-    assert_eq!(expected.len(), found.len(), "docs/{page} repeats a row");
+    assert_eq!(expected.len(), found.len(), "{place} repeats a row");
 }
 
 #[test]
@@ -49,8 +48,12 @@
             )
         })
         .collect();
-    let text = page("EVENTS.md");
-    assert_rows("EVENTS.md", &expected, &numbered_rows(&text));
+    let text = page("docs/EVENTS.md");
+    assert_rows(
+        "docs/EVENTS.md",
+        &expected,
+        &table_under(&text, "## Catalogue"),
+    );
 }
 
 #[test]
@@ -58,3 +61,67 @@
     let numbers: Vec<u16> = Event::ALL.iter().map(|event| event.number()).collect();
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
 }
+
+#[test]
+fn error_codes_page_agrees() {
+    let expected: Vec<String> = ErrorCode::ALL
+        .iter()
+        .map(|c| {
+            format!(
+                "| `{}` | {} | {} |",
+                c.name(),
+                c.status().as_u16(),
+                c.meaning()
+            )
+        })
+        .collect();
+    let text = page("docs/API.md");
+    assert_rows(
+        "docs/API.md",
+        &expected,
+        &table_under(&text, "## Error codes"),
+    );
+}
+
+#[test]
+fn error_codes_distinct() {
+    let mut names: Vec<&str> = ErrorCode::ALL.iter().map(|code| code.name()).collect();
+    names.sort_unstable();
+    assert!(names.is_sorted_by(|a, b| a < b), "{names:?}");
+}
+
+#[test]
+fn settings_page_agrees() {
+    let text = page("docs/OPERATORS.md");
+    let cases = [
+        (HostRole::Entry, "### Keys of an entry process"),
+        (HostRole::Endpoint, "### Keys of an endpoint process"),
+    ];
+    for (role, heading) in cases {
+        let expected: Vec<String> = conf::declared_keys(role)
+            .into_iter()
+            .map(|key| {
+                let default = key.default.unwrap_or("required".to_owned());
+                format!(
+                    "| [{}] | `{}` | {default} | {} |",
+                    key.section, key.key, key.allowed
+                )
+            })
+            .collect();
+        assert_rows(heading, &expected, &table_under(&text, heading));
+    }
+}
+
+#[test]
+fn metrics_page_agrees() {
+    let text = page("docs/OPERATORS.md");
+    let rows = table_under(&text, "## Metrics");
+    for tally in Tally::ALL {
+        let start = format!("| `{}_total` |", tally.name());
+        assert!(
+            rows.iter().any(|row| row.starts_with(&start)),
+            "no row for {start}"
+        );
+    }
+    assert_eq!(rows.len(), Tally::ALL.len(), "stale rows: {rows:?}");
+}
--- /dev/null
+++ b/tests/docs/commands.rs
@@ -0,0 +1,108 @@
+use std::process::Command;
+use std::process::Output;
+
+use crate::pages::page;
+use crate::pages::pages;
+use crate::pages::root;
+
+const BY_CARGO: &str = "cargo run --release -- ";
+const BY_NAME: &str = "bergamotfork ";
+
+/// Lines of the shell blocks of a page.
+fn shell_lines(text: &str) -> Vec<&str> {
+    let mut lines = Vec::new();
+    let mut inside = false;
+    for line in text.lines() {
+        if line.starts_with("```") {
+            inside = line == "```sh";
+        } else if inside {
+            lines.push(line.trim());
+        }
+    }
+    lines
+}
+
+/// Arguments of a line that runs the program, perhaps at the end of a pipe.
+fn program_args(line: &str) -> Option<Vec<&str>> {
+    let command = line.rsplit(" | ").next()?;
+    let args = command
+        .strip_prefix(BY_CARGO)
+        .or_else(|| command.strip_prefix(BY_NAME))?;
+    Some(args.split_whitespace().collect())
+}
+
+fn run(args: impl IntoIterator<Item = impl AsRef<std::ffi::OsStr>>) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bergamotfork"))
+        .args(args)
+        .output()
+        .expect("the program starts")
+}
+
+/// Checks subcommands and flags of a line against the program's own help.
+fn assert_accepted(place: &str, line: &str, args: &[&str]) {
+    let mut path: Vec<&str> = Vec::new();
+    let mut help = help_of(&path);
+    for arg in args {
+        let row = format!("  {arg} ");
+        let listed = help
+            .split("Commands:")
+            .nth(1)
+            .is_some_and(|list| list.lines().any(|l| format!("{l} ").starts_with(&row)));
+        if listed {
+            path.push(arg);
+            help = help_of(&path);
+        } else if arg.starts_with("--") {
+            assert!(help.contains(arg), "{place}: {line}: unknown flag {arg}");
+        } else {
+            let takes_more = !help.contains("<COMMAND>");
+            assert!(takes_more, "{place}: {line}: unknown subcommand {arg}");
+        }
+    }
+}
+
+fn help_of(path: &[&str]) -> String {
+    let output = run(path.iter().copied().chain(["--help"]));
+    assert!(output.status.success(), "no help of {path:?}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn program_commands_exist() {
+    for (path, text) in pages() {
+        for line in shell_lines(&text) {
+            if let Some(args) = program_args(line) {
+                assert_accepted(&path.display().to_string(), line, &args);
+            }
+        }
+    }
+}
+
+#[test]
+fn scripts_exist() {
+    for (path, text) in pages() {
+        for line in shell_lines(&text) {
+            let Some(first) = line.split_whitespace().next() else {
+                continue;
+            };
+            if first.starts_with("scripts/") || first.starts_with(".ci/") {
+                let script = root().join(first);
+                assert!(script.exists(), "{}: {line}", path.display());
+            }
+        }
+    }
+}
+
+#[test]
+fn readme_test_command_is_ci() {
+    let command = "cargo test --locked";
+    let readme = page("README.md");
+    assert!(
+        shell_lines(&readme).contains(&command),
+        "README.md lacks {command}"
+    );
+    let ci = page(".ci/run");
+    assert!(
+        ci.lines().any(|line| line.starts_with(command)),
+        ".ci/run lacks {command}"
+    );
+}
--- a/tests/docs/main.rs
+++ b/tests/docs/main.rs
@@ -1,3 +1,6 @@
-//! The pages agree with the program.
+//! The pages agree with the program: catalogues, links and commands.
 
 mod catalogue;
+mod commands;
+mod links;
+mod pages;
