--- /dev/null
+++ b/src/contracts/branch_share.rs
@@ -0,0 +1,21 @@
+/// What a branch may use of the slots of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BranchShare {
+    /// Name of the branch.
+    pub branch: String,
+    /// Weight of the branch among those that want a slot.
+    pub weight: u32,
+    /// Most of the slots it may hold while another branch waits.
+    pub burst_percent: u32,
+}
+
+impl BranchShare {
+    /// Share of a branch that no contract names.
+    pub fn unnamed(branch: impl Into<String>) -> Self {
+        Self {
+            branch: branch.into(),
+            weight: 1,
+            burst_percent: 100,
+        }
+    }
+}
--- /dev/null
+++ b/src/contracts/queue_refusal.rs
@@ -0,0 +1,36 @@
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why the fair queue does not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QueueRefusal {
+    /// The branch has too many requests waiting.
+    BranchQueueFull,
+    /// The endpoint has too many requests waiting.
+    QueueFull,
+    /// The request would wait for longer than its deadline.
+    DeadlineTooNear,
+    /// The deadline passed while the request waited.
+    DeadlinePassed,
+}
+
+impl QueueRefusal {
+    /// Name in metrics and answers.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BranchQueueFull => "branch_queue_full",
+            Self::QueueFull => "queue_full",
+            Self::DeadlineTooNear => "deadline_too_near",
+            Self::DeadlinePassed => "deadline_passed",
+        }
+    }
+}
+
+impl fmt::Display for QueueRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/tests/contracts/fair_queue.rs
@@ -0,0 +1,244 @@
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+
+use bergamotfork::contracts::BranchKey;
+use bergamotfork::contracts::BranchShare;
+use bergamotfork::contracts::FairQueue;
+use bergamotfork::contracts::Finished;
+use bergamotfork::contracts::Popped;
+use bergamotfork::contracts::Pushed;
+use bergamotfork::contracts::QueueLimits;
+use bergamotfork::contracts::QueueRefusal;
+use bergamotfork::contracts::Waiting;
+
+const FAR_MS: u64 = 1_000_000;
+const MAX_COST: u64 = 100;
+
+fn queue(slots: u32) -> FairQueue<u32> {
+    FairQueue::new(QueueLimits {
+        slots,
+        branch_waiting: 1000,
+        waiting: 2000,
+    })
+}
+
+fn share(branch: &str, weight: u32, burst_percent: u32) -> BranchShare {
+    BranchShare {
+        branch: branch.to_owned(),
+        weight,
+        burst_percent,
+    }
+}
+
+fn request(branch: BranchKey, cost_tokens: u64) -> Waiting<u32> {
+    Waiting {
+        branch,
+        cost_tokens,
+        deadline_ms: FAR_MS,
+        item: 0,
+    }
+}
+
+fn run(queue: &mut FairQueue<u32>) -> Option<Waiting<u32>> {
+    match queue.pop(0) {
+        Popped::Run(request) => Some(request),
+        Popped::Nothing => None,
+        Popped::Expired { request, .. } => panic!("{request:?} has not expired"),
+    }
+}
+
+fn finish(queue: &mut FairQueue<u32>, done: &Waiting<u32>, held_ms: Option<u64>) {
+    queue.finish(Finished {
+        branch: done.branch,
+        cost_tokens: done.cost_tokens,
+        used_tokens: done.cost_tokens,
+        held_ms,
+    });
+}
+
+/// While two branches are backlogged, their service over weight differs by no
+/// more than one request of each (start-time fair queueing, Goyal et al. 1996).
+#[test]
+fn pop_backlogged_branches_get_their_shares() {
+    arbtest(|u: &mut Unstructured<'_>| {
+        let mut queue = queue(1);
+        let weights = [u.int_in_range(1..=10)?, u.int_in_range(1..=10)?];
+        let keys = [
+            queue.set_share(share("a", weights[0], 100)),
+            queue.set_share(share("b", weights[1], 100)),
+        ];
+        let mut served = [0; 2];
+        for _ in 0..200 {
+            for key in keys {
+                let cost = u.int_in_range(1..=MAX_COST)?;
+                assert_eq!(queue.push(request(key, cost), 0), Pushed::Queued);
+            }
+            let next = run(&mut queue).expect("both branches wait");
+            let branch = usize::from(next.branch == keys[1]);
+            served[branch] += next.cost_tokens * 1000 / u64::from(weights[branch]);
+            finish(&mut queue, &next, None);
+            let bound = MAX_COST * 1000 / u64::from(weights[0].min(weights[1])) * 2;
+            assert!(served[0].abs_diff(served[1]) <= bound, "{served:?}");
+        }
+        Ok(())
+    });
+}
+
+/// No slot stays free while a request waits.
+#[test]
+fn pop_is_work_conserving() {
+    arbtest(|u: &mut Unstructured<'_>| {
+        let mut queue = queue(4);
+        let names = ["a", "b", "c"];
+        let bursts = [10, 50, 100];
+        let keys: Vec<BranchKey> = (0..3)
+            .map(|i| queue.set_share(share(names[i], 1, bursts[i])))
+            .collect();
+        let mut running = Vec::new();
+        for _ in 0..100 {
+            if u.arbitrary()? {
+                let key = *u.choose(&keys)?;
+                queue.push(request(key, u.int_in_range(1..=MAX_COST)?), 0);
+            } else if let Some(done) = running.pop() {
+                finish(&mut queue, &done, None);
+            }
+            while let Some(next) = run(&mut queue) {
+                running.push(next);
+            }
+            assert_eq!(queue.running() as usize, running.len());
+            assert!(queue.running() == 4 || queue.waiting() == 0);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn pop_idle_branch_gets_no_credit() {
+    let mut queue = queue(1);
+    let busy = queue.set_share(share("busy", 1, 100));
+    let idle = queue.set_share(share("idle", 1, 100));
+    for _ in 0..50 {
+        queue.push(request(busy, 10), 0);
+        let next = run(&mut queue).expect("a request waits");
+        finish(&mut queue, &next, None);
+    }
+    for _ in 0..10 {
+        queue.push(request(busy, 10), 0);
+        queue.push(request(idle, 10), 0);
+    }
+    let mut of_idle = 0;
+    for _ in 0..10 {
+        let next = run(&mut queue).expect("a request waits");
+        of_idle += u32::from(next.branch == idle);
+        finish(&mut queue, &next, None);
+    }
+    assert!((4..=6).contains(&of_idle), "{of_idle}");
+}
+
+#[test]
+fn pop_burst_cap_holds_while_others_wait() {
+    let mut queue = queue(4);
+    let capped = queue.set_share(share("capped", 100, 50));
+    let other = queue.set_share(share("other", 1, 100));
+    for _ in 0..4 {
+        queue.push(request(capped, 10), 0);
+        queue.push(request(other, 10), 0);
+    }
+    let running: Vec<_> = std::iter::from_fn(|| run(&mut queue)).collect();
+    let of_capped = running.iter().filter(|it| it.branch == capped).count();
+    assert_eq!((running.len(), of_capped), (4, 2));
+}
+
+#[test]
+fn push_full_branch_leaves_room_for_others() {
+    let mut queue = FairQueue::new(QueueLimits {
+        slots: 1,
+        branch_waiting: 2,
+        waiting: 3,
+    });
+    let a = queue.set_share(share("a", 1, 100));
+    let b = queue.set_share(share("b", 1, 100));
+    let c = queue.set_share(share("c", 1, 100));
+    queue.push(request(a, 1), 0);
+    queue.push(request(a, 1), 0);
+    assert_eq!(
+        refusal(queue.push(request(a, 1), 0)),
+        QueueRefusal::BranchQueueFull
+    );
+    assert_eq!(queue.push(request(b, 1), 0), Pushed::Queued);
+    assert_eq!(
+        refusal(queue.push(request(c, 1), 0)),
+        QueueRefusal::QueueFull
+    );
+}
+
+fn refusal(pushed: Pushed<u32>) -> QueueRefusal {
+    match pushed {
+        Pushed::Refused { reason, .. } => reason,
+        Pushed::Queued => panic!("the request was queued"),
+    }
+}
+
+/// With one slot and 10 ms a token, three requests of 100 tokens take 3 s.
+#[test]
+fn push_deadline_out_of_reach_is_refused_at_once() {
+    let mut queue = queue(1);
+    let a = queue.set_share(share("a", 1, 100));
+    queue.push(request(a, 100), 0);
+    let learned = run(&mut queue).expect("a request waits");
+    finish(&mut queue, &learned, Some(1000));
+    queue.push(request(a, 100), 0);
+    run(&mut queue).expect("a request waits");
+    queue.push(request(a, 100), 0);
+    queue.push(request(a, 100), 0);
+    let mut near = request(a, 100);
+    near.deadline_ms = 2500;
+    let Pushed::Refused {
+        reason,
+        retry_after_ms,
+        ..
+    } = queue.push(near, 0)
+    else {
+        panic!("the deadline cannot be met");
+    };
+    assert_eq!(reason, QueueRefusal::DeadlineTooNear);
+    assert_eq!(retry_after_ms, 2000);
+}
+
+#[test]
+fn pop_gives_up_once_the_answer_cannot_be_whole() {
+    let mut queue = queue(1);
+    let a = queue.set_share(share("a", 1, 100));
+    queue.push(request(a, 100), 0);
+    let learned = run(&mut queue).expect("a request waits");
+    finish(&mut queue, &learned, Some(1000));
+    queue.push(request(a, 100), 0);
+    run(&mut queue).expect("a request waits");
+    let mut near = request(a, 100);
+    near.deadline_ms = 1500;
+    assert_eq!(queue.push(near, 0), Pushed::Queued);
+    assert_eq!(queue.next_expiry_ms(), Some(500));
+    assert_eq!(queue.pop(500), Popped::Nothing);
+    let Popped::Expired { reason, .. } = queue.pop(501) else {
+        panic!("the request cannot be whole by its deadline");
+    };
+    assert_eq!(reason, QueueRefusal::DeadlineTooNear);
+}
+
+#[test]
+fn withdraw_takes_gone_callers() {
+    let mut queue = queue(1);
+    let a = queue.set_share(share("a", 1, 100));
+    for item in 0..4 {
+        queue.push(
+            Waiting {
+                item,
+                ..request(a, 5)
+            },
+            0,
+        );
+    }
+    let gone = queue.withdraw(|&item| item % 2 == 0);
+    assert_eq!(gone.len(), 2);
+    assert_eq!(queue.waiting(), 2);
+}
--- /dev/null
+++ b/tests/contracts/main.rs
@@ -0,0 +1,3 @@
+//! Shares of branches: the fair queue and its admission.
+
+mod fair_queue;
