--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod line_buffer;
 mod log_client;
 mod order_no;
+mod origin_client;
 
 pub use engine::EngineClient;
 pub use engine::EngineError;
@@ -29,3 +30,5 @@
 pub use log_client::LogEntry;
 pub use log_client::LogSlice;
 pub use order_no::OrderNo;
+pub use origin_client::OriginClient;
+pub use origin_client::OriginError;
--- a/tests/routing/router.rs
+++ b/tests/routing/router.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 
 use arbtest::arbtest;
+
 use bergamotfork::calls::Ask;
 use bergamotfork::calls::Candidate;
 use bergamotfork::calls::Ending;
