--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -5,7 +5,9 @@
 //! its outcome to further sends, and records every refusal before it is told.
 //! An entry says "not run" only by the rule in `verdict`.
 
+mod candidate;
 mod dispatch_ledger;
+mod endpoint_track;
 mod generate_call;
 mod nonce;
 mod outcome;
@@ -13,6 +15,8 @@
 mod permit_epochs;
 mod permit_table;
 mod refusal_reason;
+mod retry_budget;
+mod router;
 mod service_call;
 mod stored_answer;
 mod suspect_slot;
@@ -20,6 +24,8 @@
 mod unknown_reason;
 mod verdict;
 
+pub use candidate::Candidate;
+pub use candidate::stable_hash;
 pub use dispatch_ledger::Dispatch;
 pub use dispatch_ledger::DispatchLedger;
 pub use generate_call::GenerateCall;
@@ -35,6 +41,10 @@
 pub use permit_table::PermitLimits;
 pub use permit_table::PermitTable;
 pub use refusal_reason::RefusalReason;
+pub use retry_budget::RetryBudget;
+pub use router::Ask;
+pub use router::Ending;
+pub use router::Router;
 pub use service_call::ServiceCall;
 pub use service_call::ServiceReply;
 pub use stored_answer::StoredAnswer;
