--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -115,10 +115,13 @@
 
     /// Merges a list of the platform.
     pub fn take_list(&mut self, list: &HostList, now_ms: u64) -> ListTaken {
+        let mut names: Vec<&str> = list.hosts.iter().map(|host| host.name.as_str()).collect();
+        names.sort_unstable();
+        let is_named = |host: &Host| names.binary_search(&host.name.as_str()).is_ok();
         let listed_before = self.hosts().filter(|(_, host)| host.listed).count();
         let still_listed = self
             .hosts()
-            .filter(|(_, host)| host.listed && contains(list, &host.name))
+            .filter(|(_, host)| host.listed && is_named(host))
             .count();
         let doubted = self.doubts(listed_before, still_listed, now_ms);
         for record in &list.hosts {
@@ -140,7 +143,7 @@
         for slot in &mut self.slots {
             if let Some(host) = &mut slot.host
                 && host.listed
-                && !contains(list, &host.name)
+                && !is_named(host)
             {
                 host.listed = false;
                 host.unlisted_ms = now_ms;
@@ -242,7 +245,3 @@
         self.by_name.insert(at, key);
     }
 }
-
-fn contains(list: &HostList, name: &str) -> bool {
-    list.hosts.iter().any(|host| host.name == name)
-}
