Measure how fast changes are in force and what control costs

Every role runs on threads of its own in one process of the bench, so that processor time is read per role from its threads; memory is the process's divided by its roles. Six faults; pause-third stops the threads that follow and report, region-cut uses a drill in the links.

--- /dev/null
+++ b/src/bench/control.rs
@@ -0,0 +1,187 @@
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use actix_web::http::Method;
+use clap::Args;
+use clap::ValueEnum;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::bench::ControlResult;
+use crate::bench::control_fleet::ControlFleet;
+use crate::bench::control_watch::ControlWatch;
+use crate::document::Edit;
+use crate::document::LogRecord;
+use crate::links::HttpClient;
+use crate::links::LinkError;
+use crate::platform::LogClient;
+
+/// Time all processes have to find each other before the first change.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Time the last change has to come into force; twice the target.
+const GIVE_UP: Duration = Duration::from_secs(40);
+
+/// Delay of every call of a slow log.
+const LOG_SLOW_MS: u64 = 2000;
+
+/// Length of an outage, a pause or a cut.
+const FAULT_TIME: Duration = Duration::from_secs(6);
+
+/// Pause before an append is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause between looks at the processes at the end.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Time a fault order has.
+const FAULT_WAIT_MS: u64 = 5000;
+
+/// What goes wrong during the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum ControlFault {
+    /// Nothing.
+    None,
+    /// Every call of the log takes 2 s.
+    LogSlow,
+    /// The log is down for 6 s.
+    LogDown,
+    /// The reply of every second append is lost.
+    LostReply,
+    /// A third of the processes stops following for 6 s.
+    PauseThird,
+    /// Two regions cannot reach each other, nor the second the platform, for 6 s.
+    RegionCut,
+}
+
+impl ControlFault {
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::LogSlow => "log-slow",
+            Self::LogDown => "log-down",
+            Self::LostReply => "lost-reply",
+            Self::PauseThird => "pause-third",
+            Self::RegionCut => "region-cut",
+        }
+    }
+}
+
+/// One measurement of the configuration's way to every process.
+#[derive(Debug, Clone, Args)]
+pub struct ControlBench {
+    /// Entry processes.
+    #[arg(long, default_value_t = 9)]
+    pub entries: usize,
+    /// Endpoint processes.
+    #[arg(long, default_value_t = 60)]
+    pub endpoints: usize,
+    /// What goes wrong.
+    #[arg(long, value_enum, default_value = "none")]
+    pub fault: ControlFault,
+    /// Changes of the configuration.
+    #[arg(long, default_value_t = 20)]
+    pub changes: u64,
+    /// Time between two changes.
+    #[arg(long, value_name = "MS", default_value_t = 500)]
+    pub interval_ms: u64,
+    /// Print one JSON object.
+    #[arg(long)]
+    pub json: bool,
+}
+
+impl ControlBench {
+    /// Runs the measurement.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error when the processes do not start.
+    pub async fn run(&self) -> io::Result<ControlResult> {
+        let fleet = ControlFleet::start(self.entries, self.endpoints).await?;
+        sleep(SETTLE).await;
+        let mut watch = ControlWatch::start(&fleet);
+        let before = fleet.log_stats().await?;
+        let started = Instant::now();
+        let offsets = self.change_all(&fleet, &watch).await;
+        let missing = self.wait_in_force(&fleet, offsets.last().copied()).await;
+        let elapsed = started.elapsed();
+        let after = fleet.log_stats().await?;
+        let result = watch.finish(self, &offsets, missing, elapsed, &before, &after);
+        fleet.stop().await;
+        Ok(result)
+    }
+
+    /// Makes every change; the fault sets in after a third of them.
+    async fn change_all(&self, fleet: &ControlFleet, watch: &ControlWatch) -> Vec<u64> {
+        let mut offsets = Vec::new();
+        for number in 0..self.changes {
+            if number == self.changes / 3 {
+                self.start_fault(fleet).await;
+            }
+            if self.fault == ControlFault::LostReply && number % 2 == 0 {
+                set_log_faults(fleet, &json!({"lose_replies": 1})).await;
+            }
+            let offset = append(fleet, number).await;
+            watch.note_change(offset);
+            offsets.push(offset);
+            sleep(Duration::from_millis(self.interval_ms)).await;
+        }
+        offsets
+    }
+
+    async fn start_fault(&self, fleet: &ControlFleet) {
+        match self.fault {
+            ControlFault::None | ControlFault::LostReply => {}
+            ControlFault::LogSlow => set_log_faults(fleet, &json!({"delay_ms": LOG_SLOW_MS})).await,
+            ControlFault::LogDown => {
+                set_log_faults(fleet, &json!({"down": true})).await;
+                sleep(FAULT_TIME).await;
+                set_log_faults(fleet, &json!({"down": false})).await;
+            }
+            ControlFault::PauseThird => fleet.pause_third(FAULT_TIME),
+            ControlFault::RegionCut => fleet.cut_regions(FAULT_TIME),
+        }
+    }
+
+    /// Waits until the last change is in force; returns how many processes lack it.
+    async fn wait_in_force(&self, fleet: &ControlFleet, last: Option<u64>) -> usize {
+        let deadline = Instant::now() + GIVE_UP;
+        loop {
+            let missing = last.map_or(0, |offset| fleet.lacking(offset));
+            if missing == 0 || Instant::now() >= deadline {
+                return missing;
+            }
+            sleep(POLL).await;
+        }
+    }
+}
+
+/// Appends one edit, again with the same id until a reply comes.
+async fn append(fleet: &ControlFleet, number: u64) -> u64 {
+    let edit = Edit {
+        edit_id: format!("bench {number}"),
+        team: "bench".to_owned(),
+        section: format!("service s{number}"),
+        base_revision: 0,
+        body: Some("idempotent = lookup\ntimeout_ms = 1000\n".to_owned()),
+    };
+    let record = LogRecord::Edit(edit).encode();
+    let log = LogClient::new(&fleet.log_url(), "config");
+    loop {
+        match log.append(record.clone()).await {
+            Ok(offset) => return offset,
+            Err(_) => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn set_log_faults(fleet: &ControlFleet, faults: &Value) {
+    let url = format!("{}/fault", fleet.log_url());
+    let set: Result<Value, LinkError> = HttpClient::to_platform()
+        .send_json(Method::POST, &url, faults, FAULT_WAIT_MS)
+        .await;
+    set.expect("the log stand-in of this process takes faults");
+}
--- /dev/null
+++ b/src/bench/control_watch.rs
@@ -0,0 +1,207 @@
+use std::fs;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+
+use crate::bench::ControlBench;
+use crate::bench::ControlResult;
+use crate::bench::control_fleet::ControlFleet;
+use crate::node::Node;
+use crate::standin::log::LogStats;
+
+/// How often the processes are looked at.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Longest time that is told apart.
+const LONGEST_MS: u64 = 600_000;
+
+/// Length of a tick of the processor time that the kernel counts.
+const TICK_MS: f64 = 10.0;
+
+/// Bytes of a MiB.
+const MIB: f64 = 1024.0 * 1024.0;
+
+/// Changes made and when.
+type Changes = Arc<Mutex<Vec<(u64, Instant)>>>;
+
+/// Looks at every process until the run ends.
+#[derive(Debug)]
+pub(super) struct ControlWatch {
+    changes: Changes,
+    ended: Arc<AtomicBool>,
+    looking: Option<JoinHandle<Seen>>,
+    hosts: Vec<HostStart>,
+    rss_before_bytes: u64,
+}
+
+/// What a process had used when the run began.
+#[derive(Debug)]
+struct HostStart {
+    node: Arc<Node>,
+    threads: Vec<u32>,
+    control_bytes: u64,
+    cpu_ticks: u64,
+}
+
+/// What the looks found.
+#[derive(Debug)]
+struct Seen {
+    in_force_ms: Histogram<u64>,
+    reverts: u64,
+}
+
+impl ControlWatch {
+    /// Starts to look at the processes of `fleet`.
+    pub(super) fn start(fleet: &ControlFleet) -> Self {
+        let hosts: Vec<HostStart> = fleet
+            .hosts
+            .iter()
+            .map(|host| HostStart {
+                node: Arc::clone(&host.node),
+                threads: host.threads.clone(),
+                control_bytes: host.node.control_bytes(),
+                cpu_ticks: cpu_ticks(&host.threads),
+            })
+            .collect();
+        let nodes: Vec<Arc<Node>> = hosts.iter().map(|host| Arc::clone(&host.node)).collect();
+        let changes = Changes::default();
+        let ended = Arc::new(AtomicBool::new(false));
+        let looking = {
+            let changes = Arc::clone(&changes);
+            let ended = Arc::clone(&ended);
+            thread::spawn(move || look(&nodes, &changes, &ended))
+        };
+        Self {
+            changes,
+            ended,
+            looking: Some(looking),
+            hosts,
+            rss_before_bytes: rss_bytes(),
+        }
+    }
+
+    /// Notes that the log took a change at `offset` just now.
+    pub(super) fn note_change(&self, offset: u64) {
+        let mut changes = self
+            .changes
+            .lock()
+            .expect("no holder of the changes panics");
+        changes.push((offset, Instant::now()));
+    }
+
+    /// Ends the looks and sums up.
+    pub(super) fn finish(
+        &mut self,
+        bench: &ControlBench,
+        offsets: &[u64],
+        lacking: usize,
+        elapsed: Duration,
+        before: &LogStats,
+        after: &LogStats,
+    ) -> ControlResult {
+        self.ended.store(true, Ordering::Release);
+        let looking = self.looking.take().expect("a watch is finished once");
+        let seen = looking.join().expect("the looking thread does not panic");
+        let elapsed_s = elapsed.as_secs_f64();
+        let per_second = |bytes: u64| bytes as f64 / elapsed_s;
+        let control = |host: &HostStart| host.node.control_bytes() - host.control_bytes;
+        let cpu = |host: &HostStart| cpu_ticks(&host.threads) - host.cpu_ticks;
+        let max_of =
+            |measure: &dyn Fn(&HostStart) -> u64| self.hosts.iter().map(measure).max().unwrap_or(0);
+        let (entries, endpoints) = self.hosts.split_at(bench.entries.min(self.hosts.len()));
+        let mean_of = |hosts: &[HostStart], measure: &dyn Fn(&HostStart) -> u64| {
+            hosts.iter().map(measure).sum::<u64>() as f64 / hosts.len().max(1) as f64
+        };
+        let percent = |ticks: f64| ticks * TICK_MS / elapsed.as_millis() as f64 * 100.0;
+        ControlResult {
+            processes: self.hosts.len(),
+            entries: bench.entries,
+            endpoints: bench.endpoints,
+            fault: bench.fault.name(),
+            changes: offsets.len(),
+            lacking_last_change: lacking,
+            in_force_p50_ms: seen.in_force_ms.value_at_quantile(0.50),
+            in_force_p99_ms: seen.in_force_ms.value_at_quantile(0.99),
+            in_force_max_ms: seen.in_force_ms.max(),
+            in_force_samples: seen.in_force_ms.len(),
+            reverts: seen.reverts,
+            appends_per_s: per_second(after.appends - before.appends),
+            log_reads_per_s: per_second(after.reads - before.reads),
+            control_bytes_per_s_max: per_second(max_of(&control)),
+            entry_control_bytes_per_s: mean_of(entries, &control) / elapsed_s,
+            endpoint_control_bytes_per_s: mean_of(endpoints, &control) / elapsed_s,
+            cpu_percent_max: percent(max_of(&cpu) as f64),
+            entry_cpu_percent: percent(mean_of(entries, &cpu)),
+            endpoint_cpu_percent: percent(mean_of(endpoints, &cpu)),
+            rss_mib_max: rss_bytes().max(self.rss_before_bytes) as f64
+                / MIB
+                / self.hosts.len().max(1) as f64,
+            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// Looks at the heads of all processes until `ended`.
+fn look(nodes: &[Arc<Node>], changes: &Changes, ended: &AtomicBool) -> Seen {
+    let mut seen = Seen {
+        in_force_ms: Histogram::new_with_bounds(1, LONGEST_MS, 3)
+            .expect("the bounds and three digits are valid"),
+        reverts: 0,
+    };
+    let mut heads = vec![0; nodes.len()];
+    let mut found = vec![0; nodes.len()];
+    while !ended.load(Ordering::Acquire) {
+        let changes = changes
+            .lock()
+            .expect("no holder of the changes panics")
+            .clone();
+        for (index, node) in nodes.iter().enumerate() {
+            let head = node.fold().head();
+            seen.reverts += u64::from(head < heads[index]);
+            heads[index] = head;
+            // Changes come in the order of their offsets.
+            while let Some((offset, made)) = changes.get(found[index])
+                && head > *offset
+            {
+                let took_ms = u64::try_from(made.elapsed().as_millis()).unwrap_or(u64::MAX);
+                seen.in_force_ms.saturating_record(took_ms);
+                found[index] += 1;
+            }
+        }
+        thread::sleep(LOOK);
+    }
+    seen
+}
+
+/// Ticks of processor time that `threads` of this process have used.
+fn cpu_ticks(threads: &[u32]) -> u64 {
+    threads
+        .iter()
+        .filter_map(|thread| thread_ticks(*thread))
+        .sum()
+}
+
+fn thread_ticks(thread: u32) -> Option<u64> {
+    let stat = fs::read_to_string(format!("/proc/self/task/{thread}/stat")).ok()?;
+    // The name of the thread is in brackets and may hold blanks.
+    let fields = stat.rsplit_once(')')?.1;
+    let mut fields = fields.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(user + system)
+}
+
+/// Resident memory of this process.
+fn rss_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kib.unwrap_or(0) * 1024
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::BenchArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
@@ -26,6 +27,8 @@
     Endpoint(EndpointArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
+    /// Measure the system on this machine.
+    Bench(BenchArgs),
     /// Check settings files, or list the keys they may hold.
     Settings(SettingsArgs),
     /// Work with bearer tokens.
--- /dev/null
+++ b/src/cli/bench.rs
@@ -0,0 +1,47 @@
+use clap::Args;
+use clap::Subcommand;
+
+use super::CliError;
+use crate::bench::ControlBench;
+
+/// Arguments of `bench`.
+#[derive(Debug, Args)]
+pub struct BenchArgs {
+    /// What to measure.
+    #[command(subcommand)]
+    pub kind: BenchKind,
+}
+
+/// The measurements.
+#[derive(Debug, Subcommand)]
+pub enum BenchKind {
+    /// How fast changes of the configuration are in force, and what control costs.
+    Control(ControlBench),
+}
+
+/// Runs a measurement; all its roles share this process.
+///
+/// # Errors
+///
+/// [`CliError::Failed`] when it cannot run or its result is not good.
+pub fn run(args: BenchArgs) -> Result<(), CliError> {
+    match args.kind {
+        BenchKind::Control(bench) => control(&bench),
+    }
+}
+
+fn control(bench: &ControlBench) -> Result<(), CliError> {
+    let result = actix_rt::System::new()
+        .block_on(bench.run())
+        .map_err(|error| CliError::Failed(error.to_string()))?;
+    if bench.json {
+        println!("{}", serde_json::json!(result));
+    } else {
+        println!("{result}");
+    }
+    if result.is_good() {
+        return Ok(());
+    }
+    let reason = "a process lacks the last change, or an offset went back";
+    Err(CliError::Failed(reason.to_owned()))
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod bench;
 mod endpoint;
 mod entry;
 mod errors;
@@ -14,6 +15,7 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use bench::BenchArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
@@ -34,6 +36,7 @@
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Settings(args) => settings::run(args),
         Command::Token(args) => token::run(args),
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -27,7 +27,8 @@
             settings.cluster.clone(),
             None,
         ));
-        let log = LogClient::new(&settings.platform.log_url, &settings.platform.config_stream);
+        let log = LogClient::new(&settings.platform.log_url, &settings.platform.config_stream)
+            .with_cuts(Arc::clone(node.cuts()));
         let permit_key = PermitKey::derive(&settings.cluster.shared_key);
         Self {
             settings,
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -1,5 +1,7 @@
+use std::sync::Arc;
 use std::time::Duration;
 
+use actix_rt::time::sleep;
 use actix_rt::time::timeout;
 use actix_web::http::Method;
 use actix_web::http::header::CONTENT_TYPE;
@@ -13,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::links::Cuts;
 use crate::links::LinkError;
 
 /// Header that carries the shared key between this system's processes.
@@ -43,21 +46,41 @@
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     shared_key: Option<String>,
+    cuts: Option<Arc<Cuts>>,
 }
 
 impl HttpClient {
     /// Client towards the platform: no key is sent.
     pub fn to_platform() -> Self {
-        Self { shared_key: None }
+        Self {
+            shared_key: None,
+            cuts: None,
+        }
     }
 
     /// Client towards this system's processes.
     pub fn to_processes(shared_key: impl Into<String>) -> Self {
         Self {
             shared_key: Some(shared_key.into()),
+            cuts: None,
         }
     }
 
+    /// The same client, which does not reach the addresses in `cuts`.
+    pub fn with_cuts(mut self, cuts: Arc<Cuts>) -> Self {
+        self.cuts = Some(cuts);
+        self
+    }
+
+    /// Waits in vain for `wait_ms` when `url` is cut off.
+    async fn meet_cut(&self, url: &str, wait_ms: u64) -> Result<(), LinkError> {
+        if !self.cuts.as_ref().is_some_and(|cuts| cuts.covers(url)) {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+        Err(LinkError::Timeout { wait_ms })
+    }
+
     /// Request on a pooled connection.
     pub fn request(&self, method: Method, url: &str) -> ClientRequest {
         self.with_key(POOL.with(|pool| pool.request(method, url)))
@@ -129,6 +152,21 @@
         rmp_serde::from_slice(&answer).map_err(malformed)
     }
 
+    /// Sends raw bytes and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] as for [`HttpClient::exchange`].
+    pub async fn post_bytes(
+        &self,
+        url: &str,
+        body: impl Into<Bytes>,
+        wait_ms: u64,
+    ) -> Result<Bytes, LinkError> {
+        self.meet_cut(url, wait_ms).await?;
+        Self::exchange(self.request(Method::POST, url), body, wait_ms).await
+    }
+
     /// Sends an encoded MessagePack body and reads the whole answer.
     ///
     /// # Errors
@@ -140,6 +178,7 @@
         body: impl Into<Bytes>,
         wait_ms: u64,
     ) -> Result<Bytes, LinkError> {
+        self.meet_cut(url, wait_ms).await?;
         let request = self
             .request(Method::POST, url)
             .insert_header((CONTENT_TYPE, "application/msgpack"));
@@ -156,6 +195,7 @@
         url: &str,
         wait_ms: u64,
     ) -> Result<A, LinkError> {
+        self.meet_cut(url, wait_ms).await?;
         let answer = Self::exchange(self.request(Method::GET, url), Bytes::new(), wait_ms).await?;
         serde_json::from_slice(&answer).map_err(malformed)
     }
@@ -172,6 +212,7 @@
         question: &impl Serialize,
         wait_ms: u64,
     ) -> Result<A, LinkError> {
+        self.meet_cut(url, wait_ms).await?;
         let body = serde_json::to_vec(question).map_err(malformed)?;
         let request = self
             .request(method, url)
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -3,11 +3,13 @@
 //! Calls between this system's processes carry MessagePack bodies and the
 //! shared key; calls to the platform and to callers carry JSON.
 
+mod cuts;
 mod errors;
 mod http_client;
 mod http_server;
 mod token_bucket;
 
+pub use cuts::Cuts;
 pub use errors::LinkError;
 pub use http_client::HttpClient;
 pub use http_client::SHARED_KEY_HEADER;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
@@ -20,6 +21,7 @@
 use crate::hosts::Report;
 use crate::hosts::Roster;
 use crate::hosts::Served;
+use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::observe::Metrics;
@@ -50,6 +52,7 @@
     started: Instant,
     metrics: Metrics,
     http: HttpClient,
+    cuts: Arc<Cuts>,
     roster: Mutex<Roster>,
     fold: Mutex<Fold>,
     own: Mutex<OwnState>,
@@ -66,7 +69,9 @@
         cluster: ClusterSettings,
         service: Option<String>,
     ) -> Self {
-        let http = HttpClient::to_processes(cluster.shared_key.clone());
+        let cuts = Arc::new(Cuts::default());
+        let http =
+            HttpClient::to_processes(cluster.shared_key.clone()).with_cuts(Arc::clone(&cuts));
         Self {
             process,
             platform,
@@ -76,6 +81,7 @@
             started: Instant::now(),
             metrics: Metrics::new(),
             http,
+            cuts,
             roster: Mutex::new(Roster::new()),
             fold: Mutex::new(Fold::new()),
             own: Mutex::default(),
@@ -130,6 +136,11 @@
         &self.http
     }
 
+    /// Addresses that it does not reach during a drill.
+    pub fn cuts(&self) -> &Arc<Cuts> {
+        &self.cuts
+    }
+
     /// Asks another process and counts the bytes of control traffic.
     ///
     /// # Errors
--- a/src/platform/hosts_client.rs
+++ b/src/platform/hosts_client.rs
@@ -1,7 +1,10 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::hosts::HostRecord;
+use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 
@@ -33,6 +36,12 @@
         }
     }
 
+    /// The same client, which does not reach the addresses in `cuts`.
+    pub fn with_cuts(mut self, cuts: Arc<Cuts>) -> Self {
+        self.http = self.http.with_cuts(cuts);
+        self
+    }
+
     /// Reads the list, or `None` when it still is at version `since`.
     ///
     /// # Errors
--- a/src/platform/log_client.rs
+++ b/src/platform/log_client.rs
@@ -1,7 +1,9 @@
-use actix_web::http::Method;
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 
@@ -74,6 +76,12 @@
         }
     }
 
+    /// The same client, which does not reach the addresses in `cuts`.
+    pub fn with_cuts(mut self, cuts: Arc<Cuts>) -> Self {
+        self.http = self.http.with_cuts(cuts);
+        self
+    }
+
     /// Appends a record and returns its offset.
     ///
     /// # Errors
@@ -81,8 +89,10 @@
     /// [`LinkError`]; the record may have been appended unless the error is
     /// [`LinkError::NotSent`].
     pub async fn append(&self, body: Vec<u8>) -> Result<u64, LinkError> {
-        let request = self.http.request(Method::POST, &self.url);
-        let answer = HttpClient::exchange(request, body, APPEND_WAIT_MS).await?;
+        let answer = self
+            .http
+            .post_bytes(&self.url, body, APPEND_WAIT_MS)
+            .await?;
         serde_json::from_slice::<Appended>(&answer)
             .map(|appended| appended.offset)
             .map_err(|error| LinkError::Malformed(error.to_string()))
