Follow the log: bootstrap, pauses, trimmed logs and duties by rank

Pure logic of one process that follows the log: the fold, the records it can pass on, the search of a trimmed log for a checkpoint, and how far it may rely on what it holds. An answer to a question from before a pause confirms nothing.

--- /dev/null
+++ b/src/document/follow/follower.rs
@@ -0,0 +1,242 @@
+use crate::document::Adopted;
+use crate::document::Applied;
+use crate::document::Checkpoint;
+use crate::document::DocumentError;
+use crate::document::Fold;
+use crate::document::follow::LogPage;
+use crate::document::follow::LoggedRecord;
+use crate::document::follow::Notice;
+use crate::document::follow::PeerAnswer;
+use crate::document::follow::Standing;
+use crate::document::follow::Update;
+use crate::document::follow::recent_records::RecentRecords;
+use crate::document::follow::scan::Scan;
+
+/// Time between two ticks that only a pause explains.
+const PAUSE_MS: u64 = 5_000;
+
+/// The configuration of one process and how it stays up to date.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    fold: Fold,
+    recent: RecentRecords,
+    standing: Standing,
+    scan: Option<Scan>,
+    last_tick_ms: u64,
+    // Answers to what was asked before this say nothing about the present.
+    awake_since_ms: u64,
+    confirmed_ms: Option<u64>,
+    checkpoint_seen_ms: u64,
+}
+
+impl Follower {
+    /// A process that just started.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            fold: Fold::new(),
+            recent: RecentRecords::default(),
+            standing: Standing::fresh(),
+            scan: None,
+            last_tick_ms: now_ms,
+            awake_since_ms: now_ms,
+            confirmed_ms: None,
+            checkpoint_seen_ms: now_ms,
+        }
+    }
+
+    /// The folded configuration.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Whether the process may rely on it to admit new work.
+    pub fn admits(&self, now_ms: u64) -> bool {
+        self.standing.admits() && !self.paused_since_tick(now_ms)
+    }
+
+    /// Whether the process is past its bootstrap.
+    pub fn is_voter(&self) -> bool {
+        self.standing.is_voter()
+    }
+
+    /// Offset to read the log from.
+    pub fn read_from(&self) -> u64 {
+        self.scan.as_ref().map_or(self.fold.head(), Scan::position)
+    }
+
+    /// Time since the head was known to be the end of the log.
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.confirmed_ms?))
+    }
+
+    /// Time since a checkpoint was seen in the log, or since the start.
+    pub fn checkpoint_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.checkpoint_seen_ms)
+    }
+
+    /// Notes that the process runs; true if it was paused before.
+    pub fn tick(&mut self, now_ms: u64) -> bool {
+        let paused = self.paused_since_tick(now_ms);
+        self.last_tick_ms = now_ms;
+        if paused {
+            self.awake_since_ms = now_ms;
+            self.standing.wake();
+        }
+        paused
+    }
+
+    /// Takes in a page of the log that was asked for at `asked_ms`.
+    pub fn log_page(&mut self, now_ms: u64, asked_ms: u64, page: &LogPage) -> Vec<Notice> {
+        self.tick(now_ms);
+        if page.next < self.fold.head() {
+            return vec![Notice::LogWentBack {
+                next: page.next,
+                head: self.fold.head(),
+            }];
+        }
+        if page.earliest > self.fold.head() {
+            return self.scan_page(page);
+        }
+        self.scan = None;
+        let notices = self.apply(asked_ms, &page.records);
+        if self.fold.head() == page.next {
+            self.confirm(asked_ms);
+            if asked_ms >= self.awake_since_ms {
+                self.standing.log_confirmed();
+            }
+        }
+        notices
+    }
+
+    /// What to answer a process whose head is `from`.
+    pub fn answer(&self, now_ms: u64, from: u64) -> PeerAnswer {
+        let update = if from >= self.fold.head() {
+            Update::None
+        } else if let Some(records) = self.recent.since(from) {
+            Update::Records(records)
+        } else {
+            Update::Checkpoint(Box::new(self.fold.checkpoint()))
+        };
+        PeerAnswer {
+            head: self.fold.head(),
+            digest: self.fold.digest(),
+            is_voter: self.standing.is_voter(),
+            confirmed_age_ms: self.confirmed_age_ms(now_ms),
+            update,
+        }
+    }
+
+    /// Takes in the answer of `peer`, asked at `asked_ms`, one of `listed` entries.
+    pub fn peer_answer(
+        &mut self,
+        now_ms: u64,
+        asked_ms: u64,
+        peer: &str,
+        listed: usize,
+        answer: &PeerAnswer,
+    ) -> Vec<Notice> {
+        self.tick(now_ms);
+        let mut notices = match &answer.update {
+            Update::None => Vec::new(),
+            Update::Records(records) => self.apply(asked_ms, records),
+            Update::Checkpoint(checkpoint) => self.adopt(checkpoint),
+        };
+        if self
+            .fold
+            .digest_at(answer.head)
+            .is_some_and(|d| d != answer.digest)
+        {
+            notices.push(Notice::Diverged { head: answer.head });
+            return notices;
+        }
+        if self.fold.head() < answer.head {
+            return notices;
+        }
+        if let Some(age_ms) = answer.confirmed_age_ms {
+            self.confirm(asked_ms.saturating_sub(age_ms));
+        }
+        if answer.is_voter && asked_ms >= self.awake_since_ms {
+            self.standing.voter_answered(peer, listed);
+        }
+        notices
+    }
+
+    fn paused_since_tick(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.last_tick_ms) >= PAUSE_MS
+    }
+
+    fn apply(&mut self, now_ms: u64, records: &[LoggedRecord]) -> Vec<Notice> {
+        let before = self.fold.head();
+        let mut notices = Vec::new();
+        for record in records {
+            let applied = self.fold.apply(record.offset, &record.bytes);
+            if matches!(applied, Applied::Past | Applied::Gap { .. }) {
+                continue;
+            }
+            self.recent.push(record.offset, &record.bytes);
+            if matches!(applied, Applied::CheckpointAgreed { .. }) {
+                self.checkpoint_seen_ms = now_ms;
+            }
+            notices.extend(notice_of(record.offset, applied));
+        }
+        self.note_advance(before, &mut notices);
+        notices
+    }
+
+    fn adopt(&mut self, checkpoint: &Checkpoint) -> Vec<Notice> {
+        let before = self.fold.head();
+        let mut notices = Vec::new();
+        match self.fold.adopt(checkpoint) {
+            Adopted::Advanced => self.recent.clear(),
+            Adopted::NotNewer => {}
+            Adopted::Differs | Adopted::Corrupt => notices.push(Notice::CheckpointDiffers {
+                as_of: checkpoint.as_of,
+            }),
+        }
+        self.note_advance(before, &mut notices);
+        notices
+    }
+
+    fn scan_page(&mut self, page: &LogPage) -> Vec<Notice> {
+        let mut scan = self.scan.take().unwrap_or_else(|| Scan::new(page.earliest));
+        scan.look(&page.records);
+        if scan.position() < page.next && !page.records.is_empty() {
+            self.scan = Some(scan);
+            return Vec::new();
+        }
+        let mut notices: Vec<Notice> = scan
+            .contested()
+            .iter()
+            .map(|as_of| Notice::CheckpointsContested { as_of: *as_of })
+            .collect();
+        match scan.best(page.earliest) {
+            Some(checkpoint) => notices.extend(self.adopt(checkpoint)),
+            None => notices.push(Notice::Trimmed {
+                wanted: self.fold.head(),
+                earliest: page.earliest,
+            }),
+        }
+        notices
+    }
+
+    fn confirm(&mut self, at_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(at_ms));
+    }
+
+    fn note_advance(&self, before: u64, notices: &mut Vec<Notice>) {
+        let head = self.fold.head();
+        if head > before {
+            notices.push(Notice::Advanced { head });
+        }
+    }
+}
+
+fn notice_of(offset: u64, applied: Applied) -> Option<Notice> {
+    match applied {
+        // A peer passes a checkpoint on as an empty record.
+        Applied::Skipped(DocumentError::Empty) => None,
+        Applied::Skipped(error) => Some(Notice::Skipped { offset, error }),
+        Applied::CheckpointDiffers { as_of } => Some(Notice::CheckpointDiffers { as_of }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/document/follow/log_duty.rs
@@ -0,0 +1,69 @@
+use crate::hosts::HostRecord;
+
+/// Entries that always read the log.
+pub const TAILERS: usize = 3;
+
+/// Time without confirmation after which the next entry reads the log too.
+const PATIENCE_MS: u64 = 3_000;
+
+/// Further time for each later rank.
+const RANK_STEP_MS: u64 = 1_000;
+
+/// A checkpoint is due after this fraction of the retention.
+const CHECKPOINT_FRACTION: u64 = 8;
+
+/// Further fraction of the retention for each later rank.
+const CHECKPOINT_STEP_FRACTION: u64 = 64;
+
+/// Ranks that may publish a checkpoint; the last is due at a quarter of the retention.
+const CHECKPOINT_RANKS: usize = 8;
+
+/// Rank of the entry `name` among `entries`, taking failure domains in turn.
+pub fn log_rank(name: &str, entries: &[HostRecord]) -> usize {
+    let Some(own) = entries.iter().find(|entry| entry.name == name) else {
+        return entries.len();
+    };
+    let own = turn(own, entries);
+    entries
+        .iter()
+        .filter(|entry| turn(entry, entries) < own)
+        .count()
+}
+
+/// Position inside the failure domain, then name.
+fn turn<'a>(entry: &'a HostRecord, entries: &[HostRecord]) -> (usize, &'a str) {
+    let before = entries
+        .iter()
+        .filter(|other| (&other.region, &other.domain) == (&entry.region, &entry.domain))
+        .filter(|other| other.name < entry.name)
+        .count();
+    (before, &entry.name)
+}
+
+/// What an entry of some rank does at the log.
+#[derive(Debug, Clone, Copy)]
+pub struct LogDuty {
+    /// Rank of the entry.
+    pub rank: usize,
+    /// How long the log keeps a record.
+    pub retention_ms: u64,
+}
+
+impl LogDuty {
+    /// Whether to read the log, `unconfirmed_ms` after the head was last confirmed.
+    pub fn reads(&self, unconfirmed_ms: u64) -> bool {
+        let Some(later) = self.rank.checked_sub(TAILERS) else {
+            return true;
+        };
+        unconfirmed_ms >= PATIENCE_MS + later as u64 * RANK_STEP_MS
+    }
+
+    /// Whether to publish a checkpoint, `unseen_ms` after the last one was seen.
+    pub fn publishes_checkpoint(&self, unseen_ms: u64) -> bool {
+        if self.rank >= CHECKPOINT_RANKS {
+            return false;
+        }
+        let step_ms = self.retention_ms / CHECKPOINT_STEP_FRACTION;
+        unseen_ms >= self.retention_ms / CHECKPOINT_FRACTION + self.rank as u64 * step_ms
+    }
+}
--- /dev/null
+++ b/src/document/follow/peer_answer.rs
@@ -0,0 +1,32 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::document::Checkpoint;
+use crate::document::follow::LoggedRecord;
+use crate::weights::Digest;
+
+/// What one process tells another about its configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAnswer {
+    /// Head of the peer.
+    pub head: u64,
+    /// Digest of its state.
+    pub digest: Digest,
+    /// Whether the peer is an entry past its own bootstrap.
+    pub is_voter: bool,
+    /// Time since its head was known to be the end of the log.
+    pub confirmed_age_ms: Option<u64>,
+    /// What the asking process lacks.
+    pub update: Update,
+}
+
+/// What a process lacks, as records or as the whole state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// Nothing.
+    None,
+    /// Records from the head of the asking process.
+    Records(Vec<LoggedRecord>),
+    /// The state at the head of the peer.
+    Checkpoint(Box<Checkpoint>),
+}
--- /dev/null
+++ b/src/document/follow/scan.rs
@@ -0,0 +1,60 @@
+use crate::document::Checkpoint;
+use crate::document::LogRecord;
+use crate::document::follow::LoggedRecord;
+
+/// Search of a trimmed log for a checkpoint to go on from.
+#[derive(Debug, Clone)]
+pub struct Scan {
+    position: u64,
+    found: Vec<Checkpoint>,
+    contested: Vec<u64>,
+}
+
+impl Scan {
+    /// Starts at the lowest offset still kept.
+    pub fn new(earliest: u64) -> Self {
+        Self {
+            position: earliest,
+            found: Vec::new(),
+            contested: Vec::new(),
+        }
+    }
+
+    /// Offset to read next.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Looks at the records read.
+    pub fn look(&mut self, records: &[LoggedRecord]) {
+        for record in records {
+            self.position = self.position.max(record.offset + 1);
+            if let Ok(LogRecord::Checkpoint(checkpoint)) = LogRecord::decode(&record.bytes) {
+                self.add(checkpoint);
+            }
+        }
+    }
+
+    /// Offsets with two checkpoints that differ.
+    pub fn contested(&self) -> &[u64] {
+        &self.contested
+    }
+
+    /// The latest uncontested checkpoint that no record is missing after.
+    pub fn best(&self, earliest: u64) -> Option<&Checkpoint> {
+        self.found
+            .iter()
+            .filter(|checkpoint| checkpoint.as_of >= earliest)
+            .filter(|checkpoint| !self.contested.contains(&checkpoint.as_of))
+            .max_by_key(|checkpoint| checkpoint.as_of)
+    }
+
+    fn add(&mut self, checkpoint: Checkpoint) {
+        let as_of = checkpoint.as_of;
+        match self.found.iter().find(|other| other.as_of == as_of) {
+            Some(other) if other.digest != checkpoint.digest => self.contested.push(as_of),
+            Some(_) => {}
+            None => self.found.push(checkpoint),
+        }
+    }
+}
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -11,6 +11,8 @@
 //! the append, so that two versions of the program never disagree on which
 //! edits were accepted.
 
+pub mod follow;
+
 mod adopted;
 mod applied;
 mod branch_section;
