Follow the log with few readers and explore the protocol in all states

A fresh or woken process admits work only after the log was read to its end or a majority of the listed entries answered. Only entries past their own bootstrap count: the exploration found that otherwise two entries replaced together confirm one another and come up behind what was in force. A peer passes a checkpoint on as an empty record, since it changes nothing but the head; a checkpoint per change would cost more than the bytes a node may spend.

Each of six rules removed (base revision, edit memory, adopting forward only, gap check, majority, voters only) is found.

--- a/src/document/follow/follower.rs
+++ b/src/document/follow/follower.rs
@@ -7,7 +7,7 @@
 use crate::document::follow::LoggedRecord;
 use crate::document::follow::Notice;
 use crate::document::follow::PeerAnswer;
-use crate::document::follow::Standing;
+use crate::document::follow::Readiness;
 use crate::document::follow::Update;
 use crate::document::follow::recent_records::RecentRecords;
 use crate::document::follow::scan::Scan;
@@ -20,7 +20,7 @@
 pub struct Follower {
     fold: Fold,
     recent: RecentRecords,
-    standing: Standing,
+    readiness: Readiness,
     scan: Option<Scan>,
     last_tick_ms: u64,
     // Answers to what was asked before this say nothing about the present.
@@ -35,7 +35,7 @@
         Self {
             fold: Fold::new(),
             recent: RecentRecords::default(),
-            standing: Standing::fresh(),
+            readiness: Readiness::fresh(),
             scan: None,
             last_tick_ms: now_ms,
             awake_since_ms: now_ms,
@@ -51,12 +51,12 @@
 
     /// Whether the process may rely on it to admit new work.
     pub fn admits(&self, now_ms: u64) -> bool {
-        self.standing.admits() && !self.paused_since_tick(now_ms)
+        self.readiness.admits() && !self.paused_since_tick(now_ms)
     }
 
     /// Whether the process is past its bootstrap.
     pub fn is_voter(&self) -> bool {
-        self.standing.is_voter()
+        self.readiness.is_voter()
     }
 
     /// Offset to read the log from.
@@ -80,7 +80,7 @@
         self.last_tick_ms = now_ms;
         if paused {
             self.awake_since_ms = now_ms;
-            self.standing.wake();
+            self.readiness.wake();
         }
         paused
     }
@@ -102,7 +102,7 @@
         if self.fold.head() == page.next {
             self.confirm(asked_ms);
             if asked_ms >= self.awake_since_ms {
-                self.standing.log_confirmed();
+                self.readiness.log_confirmed();
             }
         }
         notices
@@ -120,7 +120,7 @@
         PeerAnswer {
             head: self.fold.head(),
             digest: self.fold.digest(),
-            is_voter: self.standing.is_voter(),
+            is_voter: self.readiness.is_voter(),
             confirmed_age_ms: self.confirmed_age_ms(now_ms),
             update,
         }
@@ -156,7 +156,7 @@
             self.confirm(asked_ms.saturating_sub(age_ms));
         }
         if answer.is_voter && asked_ms >= self.awake_since_ms {
-            self.standing.voter_answered(peer, listed);
+            self.readiness.voter_answered(peer, listed);
         }
         notices
     }
--- a/src/document/follow/log_duty.rs
+++ b/src/document/follow/log_duty.rs
@@ -1,5 +1,3 @@
-use crate::hosts::HostRecord;
-
 /// Entries that always read the log.
 pub const TAILERS: usize = 3;
 
@@ -18,8 +16,19 @@
 /// Ranks that may publish a checkpoint; the last is due at a quarter of the retention.
 const CHECKPOINT_RANKS: usize = 8;
 
+/// An entry that may read the log, and where it stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogReader<'a> {
+    /// Name of the entry.
+    pub name: &'a str,
+    /// Region it stands in.
+    pub region: &'a str,
+    /// Failure domain inside the region.
+    pub domain: &'a str,
+}
+
 /// Rank of the entry `name` among `entries`, taking failure domains in turn.
-pub fn log_rank(name: &str, entries: &[HostRecord]) -> usize {
+pub fn log_rank(name: &str, entries: &[LogReader<'_>]) -> usize {
     let Some(own) = entries.iter().find(|entry| entry.name == name) else {
         return entries.len();
     };
@@ -31,13 +40,13 @@
 }
 
 /// Position inside the failure domain, then name.
-fn turn<'a>(entry: &'a HostRecord, entries: &[HostRecord]) -> (usize, &'a str) {
+fn turn<'a>(entry: &LogReader<'a>, entries: &[LogReader<'_>]) -> (usize, &'a str) {
     let before = entries
         .iter()
-        .filter(|other| (&other.region, &other.domain) == (&entry.region, &entry.domain))
+        .filter(|other| (other.region, other.domain) == (entry.region, entry.domain))
         .filter(|other| other.name < entry.name)
         .count();
-    (before, &entry.name)
+    (before, entry.name)
 }
 
 /// What an entry of some rank does at the log.
--- a/src/document/follow/standing.rs
+++ b/src/document/follow/readiness.rs
@@ -1,6 +1,6 @@
 /// How far a process may rely on the configuration it holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Standing {
+pub enum Readiness {
     /// Just started; it may lack what was in force before.
     Fresh(Answers),
     /// Paused for a while; it may be out of date.
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Answers(Vec<String>);
 
-impl Standing {
+impl Readiness {
     /// A process that just started.
     pub fn fresh() -> Self {
         Self::Fresh(Answers::default())
--- /dev/null
+++ b/tests/document/follow.rs
@@ -0,0 +1,204 @@
+use bergamotfork::document::LogRecord;
+use bergamotfork::document::follow::Follower;
+use bergamotfork::document::follow::LogDuty;
+use bergamotfork::document::follow::LogPage;
+use bergamotfork::document::follow::LogReader;
+use bergamotfork::document::follow::LoggedRecord;
+use bergamotfork::document::follow::Notice;
+use bergamotfork::document::follow::Update;
+use bergamotfork::document::follow::log_rank;
+use crate::support::edit;
+
+const RETENTION_MS: u64 = 64_000;
+
+fn record(offset: u64) -> LoggedRecord {
+    let id = format!("id-{offset}");
+    let name = format!("service s{offset}");
+    LoggedRecord {
+        offset,
+        bytes: LogRecord::Edit(edit(&id, &name, 0, "timeout_ms = 5")).encode(),
+    }
+}
+
+fn page(earliest: u64, records: Vec<LoggedRecord>) -> LogPage {
+    let next = records.last().map_or(earliest, |last| last.offset + 1);
+    LogPage {
+        earliest,
+        next,
+        records,
+    }
+}
+
+fn read(now_ms: u64, count: u64) -> Follower {
+    let mut follower = Follower::new(now_ms);
+    follower.log_page(now_ms, now_ms, &page(0, (0..count).map(record).collect()));
+    follower
+}
+
+fn checkpoint_of(follower: &Follower, offset: u64) -> LoggedRecord {
+    LoggedRecord {
+        offset,
+        bytes: LogRecord::Checkpoint(follower.fold().checkpoint()).encode(),
+    }
+}
+
+#[test]
+fn follower_admits_after_end_of_log() {
+    let mut follower = Follower::new(0);
+    assert!(!follower.admits(0));
+    let mut partial = page(0, vec![record(0)]);
+    partial.next = 2;
+    follower.log_page(0, 0, &partial);
+    assert!(!follower.admits(0));
+    follower.log_page(0, 0, &page(0, vec![record(0), record(1)]));
+    assert!(follower.admits(0));
+}
+
+#[test]
+fn follower_admits_after_majority() {
+    let entry = read(0, 3);
+    let mut fresh = Follower::new(0);
+    let unready = Follower::new(0);
+    fresh.peer_answer(0, 0, "e1", 3, &entry.answer(0, 0));
+    assert_eq!(fresh.fold().digest(), entry.fold().digest());
+    fresh.peer_answer(0, 0, "e1", 3, &entry.answer(0, 3));
+    fresh.peer_answer(0, 0, "e2", 3, &unready.answer(0, 3));
+    assert!(!fresh.admits(0), "one voter of three answered");
+    fresh.peer_answer(0, 0, "e3", 3, &entry.answer(0, 3));
+    assert!(fresh.admits(0));
+}
+
+#[test]
+fn follower_pause_needs_new_confirmation() {
+    let mut follower = read(0, 1);
+    assert!(follower.admits(4_000));
+    assert!(!follower.admits(60_000), "paused and not ticked yet");
+    assert!(follower.tick(60_000));
+    assert!(!follower.admits(60_000));
+    assert!(follower.is_voter());
+    // An answer to a question from before the pause is no confirmation.
+    follower.log_page(60_001, 100, &page(0, vec![record(0)]));
+    assert!(!follower.admits(60_001));
+    follower.log_page(60_002, 60_001, &page(0, vec![record(0), record(1)]));
+    assert!(follower.admits(60_002));
+}
+
+#[test]
+fn follower_passes_records_on() {
+    let mut entry = read(0, 2);
+    let checkpoint = checkpoint_of(&entry, 2);
+    entry.log_page(0, 0, &page(0, vec![checkpoint, record(3)]));
+    let answer = entry.answer(0, 1);
+    let Update::Records(records) = &answer.update else {
+        panic!("the records are recent");
+    };
+    assert_eq!(records.len(), 3);
+    assert!(records[1].bytes.is_empty(), "a checkpoint travels empty");
+    let mut other = read(0, 1);
+    let notices = other.peer_answer(0, 0, "e1", 1, &answer);
+    assert_eq!(notices, [Notice::Advanced { head: 4 }]);
+    assert_eq!(other.fold().digest(), entry.fold().digest());
+}
+
+#[test]
+fn follower_reports_divergence() {
+    let mut follower = read(0, 1);
+    let mut other = Follower::new(0);
+    other.log_page(
+        0,
+        0,
+        &page(
+            0,
+            vec![LoggedRecord {
+                offset: 0,
+                bytes: vec![9],
+            }],
+        ),
+    );
+    let notices = follower.peer_answer(0, 0, "e1", 1, &other.answer(0, 1));
+    assert_eq!(notices, [Notice::Diverged { head: 1 }]);
+}
+
+#[test]
+fn follower_trimmed_log() {
+    let entry = read(0, 5);
+    let mut fresh = Follower::new(0);
+    let notices = fresh.log_page(0, 0, &page(4, vec![record(4)]));
+    let trimmed = Notice::Trimmed {
+        wanted: 0,
+        earliest: 4,
+    };
+    assert_eq!(notices, [trimmed]);
+    let kept = page(4, vec![record(4), checkpoint_of(&entry, 5), record(6)]);
+    let notices = fresh.log_page(0, 0, &kept);
+    assert_eq!(notices, [Notice::Advanced { head: 5 }]);
+    assert!(!fresh.admits(0));
+    fresh.log_page(0, 0, &kept);
+    assert_eq!(fresh.fold().head(), 7);
+    assert!(fresh.admits(0));
+}
+
+#[test]
+fn follower_contested_checkpoints() {
+    let entry = read(0, 5);
+    let mut other = Follower::new(0);
+    let foreign = (0..5).map(|offset| LoggedRecord {
+        offset,
+        bytes: vec![9],
+    });
+    other.log_page(0, 0, &page(0, foreign.collect()));
+    let mut fresh = Follower::new(0);
+    let earlier = read(0, 4);
+    let kept = vec![
+        record(4),
+        checkpoint_of(&entry, 5),
+        checkpoint_of(&other, 6),
+        checkpoint_of(&earlier, 7),
+    ];
+    let notices = fresh.log_page(0, 0, &page(4, kept));
+    let contested = Notice::CheckpointsContested { as_of: 5 };
+    assert_eq!(notices, [contested, Notice::Advanced { head: 4 }]);
+}
+
+#[test]
+fn follower_log_went_back() {
+    let mut follower = read(0, 3);
+    let notices = follower.log_page(0, 0, &page(0, vec![record(0)]));
+    assert_eq!(notices, [Notice::LogWentBack { next: 1, head: 3 }]);
+    assert_eq!(follower.fold().head(), 3);
+}
+
+#[test]
+fn log_rank_alternates_failure_domains() {
+    let entry = |name, domain| LogReader {
+        name,
+        region: "north",
+        domain,
+    };
+    let entries = [
+        entry("a1", "a"),
+        entry("a2", "a"),
+        entry("a3", "a"),
+        entry("b1", "b"),
+        entry("c1", "c"),
+    ];
+    let mut ranked = ["a1", "a2", "a3", "b1", "c1"];
+    ranked.sort_by_key(|name| log_rank(name, &entries));
+    assert_eq!(ranked, ["a1", "b1", "c1", "a2", "a3"]);
+    assert_eq!(log_rank("unlisted", &entries), 5);
+}
+
+#[test]
+fn log_duty_takes_over_by_rank() {
+    let duty = |rank| LogDuty {
+        rank,
+        retention_ms: RETENTION_MS,
+    };
+    assert!(duty(2).reads(0));
+    assert!(!duty(3).reads(2_000));
+    assert!(duty(3).reads(3_000) && !duty(5).reads(3_000));
+    assert!(!duty(0).publishes_checkpoint(7_999));
+    assert!(duty(0).publishes_checkpoint(8_000) && !duty(1).publishes_checkpoint(8_000));
+    assert!(duty(7).publishes_checkpoint(RETENTION_MS / 4));
+    assert!(!duty(8).publishes_checkpoint(RETENTION_MS));
+}
--- a/tests/document/main.rs
+++ b/tests/document/main.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod fold;
+mod follow;
 mod properties;
 mod records;
 mod support;
--- /dev/null
+++ b/tests/spec_config/invariants.rs
@@ -0,0 +1,89 @@
+use crate::model::Log;
+use crate::model::State;
+use bergamotfork::document::EditEntry;
+use bergamotfork::document::EditOutcome;
+use bergamotfork::document::LogRecord;
+
+/// What the step from `before` to `after` breaks.
+pub fn violation(before: &State, after: &State) -> Option<String> {
+    went_back(before, after)
+        .or_else(|| two_from_one_base(after))
+        .or_else(|| two_outcomes(after))
+        .or_else(|| differs_from_log(after))
+        .or_else(|| forgot_what_was_in_force(before, after))
+}
+
+fn went_back(before: &State, after: &State) -> Option<String> {
+    for (index, node) in after.nodes.iter().enumerate() {
+        let (old, new) = (before.nodes[index].fold().head(), node.fold().head());
+        if new < old && after.replaced != Some(index) {
+            return Some(format!("entry {index} went back from {old} to {new}"));
+        }
+    }
+    None
+}
+
+/// No edit overwrites a revision its editor has not seen.
+fn two_from_one_base(state: &State) -> Option<String> {
+    for node in &state.nodes {
+        let accepted: Vec<(&EditEntry, u64)> = node
+            .fold()
+            .history()
+            .filter(|entry| entry.outcome.is_accepted())
+            .map(|entry| (entry, written_base(&state.log, entry)))
+            .collect();
+        for (index, (entry, base)) in accepted.iter().enumerate() {
+            if accepted[..index].iter().any(|(_, other)| other == base) {
+                return Some(format!("two edits accepted from one base: {entry:?}"));
+            }
+        }
+    }
+    None
+}
+
+/// The base revision as the editor wrote it.
+fn written_base(log: &Log, entry: &EditEntry) -> u64 {
+    let offset = usize::try_from(entry.outcome.offset()).expect("a short log");
+    match log.records[offset].as_ref() {
+        LogRecord::Edit(edit) => edit.base_revision,
+        LogRecord::Checkpoint(_) => unreachable!("only edits have an outcome"),
+    }
+}
+
+/// Whatever entry is asked, and whenever, an edit has one outcome.
+fn two_outcomes(state: &State) -> Option<String> {
+    let mut seen: Vec<(&str, EditOutcome)> = Vec::new();
+    for entry in state.nodes.iter().flat_map(|node| node.fold().history()) {
+        let id = entry.edit_id.split('#').next().unwrap_or_default();
+        let known = seen.iter().find(|(other, _)| *other == id);
+        if known.is_some_and(|(_, outcome)| *outcome != entry.outcome) {
+            return Some(format!("two outcomes of {id}: {known:?}, {entry:?}"));
+        }
+        seen.push((id, entry.outcome));
+    }
+    None
+}
+
+/// Every entry holds what the whole log gives at its head.
+fn differs_from_log(state: &State) -> Option<String> {
+    for (index, node) in state.nodes.iter().enumerate() {
+        let head = node.fold().head();
+        let reference = &state.reference[usize::try_from(head).expect("a short log")];
+        if reference.digest() != node.fold().digest() {
+            return Some(format!("entry {index} differs from the log at {head}"));
+        }
+    }
+    None
+}
+
+/// An entry that starts to admit work holds all that was in force on a majority.
+fn forgot_what_was_in_force(before: &State, after: &State) -> Option<String> {
+    let in_force = before.in_force;
+    for (old, new) in before.nodes.iter().zip(&after.nodes) {
+        let head = new.fold().head();
+        if !old.admits() && new.admits() && head < in_force {
+            return Some(format!("admits work at {head}, {in_force} was in force"));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/tests/spec_config/node.rs
@@ -0,0 +1,157 @@
+use std::rc::Rc;
+
+use crate::model::ENTRIES;
+use crate::model::Log;
+use crate::model::SECTION;
+use crate::rules::Rules;
+use bergamotfork::document::Checkpoint;
+use bergamotfork::document::Edit;
+use bergamotfork::document::Fold;
+use bergamotfork::document::LogRecord;
+use bergamotfork::document::follow::Follower;
+use bergamotfork::document::follow::LogPage;
+use bergamotfork::document::follow::LoggedRecord;
+use bergamotfork::document::follow::Update;
+
+/// Sort key of a node that does not depend on the names of the others.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeRank {
+    head: u64,
+    digest: [u8; 32],
+    admits: bool,
+    answered: u32,
+}
+
+/// One entry process, built on the product's follower.
+#[derive(Debug, Clone)]
+pub struct Node {
+    follower: Rc<Follower>,
+    // Entries that answered since the start, as bits; part of the state's identity.
+    answered: u8,
+}
+
+impl Node {
+    pub fn fresh() -> Self {
+        Self {
+            follower: Rc::new(Follower::new(0)),
+            answered: 0,
+        }
+    }
+
+    /// A node of the running cluster: it has read the empty log.
+    pub fn confirmed() -> Self {
+        let mut node = Self::fresh();
+        node.read(&Log::default(), Rules::ALL);
+        node
+    }
+
+    pub fn fold(&self) -> &Fold {
+        self.follower.fold()
+    }
+
+    pub fn admits(&self) -> bool {
+        self.follower.admits(0)
+    }
+
+    /// Reads the next record, or searches a trimmed log for a checkpoint.
+    pub fn read(&mut self, log: &Log, rules: Rules) {
+        let from = self.fold().head().max(log.earliest);
+        let trimmed = log.earliest > self.fold().head();
+        let follower = Rc::make_mut(&mut self.follower);
+        if trimmed && !rules.gap_check {
+            *follower = adopt_anyway(follower, &moved(follower.fold(), from));
+        }
+        let count = if trimmed { usize::MAX } else { 1 };
+        let records = log
+            .records
+            .iter()
+            .enumerate()
+            .map(|(offset, record)| (offset as u64, record))
+            .skip_while(|(offset, _)| *offset < from)
+            .take(count)
+            .map(|(offset, record)| LoggedRecord {
+                offset,
+                bytes: weakened(record, offset, follower.fold(), rules),
+            })
+            .collect();
+        let page = LogPage {
+            earliest: log.earliest,
+            next: log.next(),
+            records,
+        };
+        follower.log_page(0, 0, &page);
+    }
+
+    /// Asks `peer`, entry number `index`.
+    pub fn ask(&mut self, index: usize, peer: &Self, rules: Rules) {
+        let mut answer = peer.follower.answer(0, self.fold().head());
+        let checkpoint = peer.fold().checkpoint();
+        let follower = Rc::make_mut(&mut self.follower);
+        if !rules.adopt_forward_only && checkpoint.as_of < follower.fold().head() {
+            *follower = adopt_anyway(follower, &checkpoint);
+            return;
+        }
+        // A checkpoint, so that adopting is explored; its effect equals the records'.
+        if answer.update != Update::None {
+            answer.update = Update::Checkpoint(Box::new(checkpoint));
+        }
+        answer.is_voter |= !rules.voters_only;
+        let listed = if rules.majority { ENTRIES } else { 1 };
+        follower.peer_answer(0, 0, &index.to_string(), listed, &answer);
+        if answer.is_voter && !self.admits() {
+            self.answered |= 1 << index;
+        }
+        if self.admits() {
+            self.answered = 0;
+        }
+    }
+
+    /// What tells this node from another, leaving names aside.
+    pub fn rank(&self) -> NodeRank {
+        let fold = self.fold();
+        NodeRank {
+            head: fold.head(),
+            digest: *fold.digest().as_bytes(),
+            admits: self.admits(),
+            answered: self.answered.count_ones(),
+        }
+    }
+
+    /// Entries that answered, as bits.
+    pub fn answered(&self) -> u8 {
+        self.answered
+    }
+}
+
+/// The record as a fold without the removed rules would see it.
+pub fn weakened(record: &LogRecord, offset: u64, fold: &Fold, rules: Rules) -> Vec<u8> {
+    let LogRecord::Edit(edit) = record else {
+        return record.encode();
+    };
+    let mut edit: Edit = edit.clone();
+    if !rules.base_revision {
+        edit.base_revision = fold.document().revision(SECTION);
+    }
+    if !rules.edit_memory {
+        edit.edit_id = format!("{}#{offset}", edit.edit_id);
+    }
+    LogRecord::Edit(edit).encode()
+}
+
+/// The state of `fold` under the name of another offset.
+fn moved(fold: &Fold, as_of: u64) -> Checkpoint {
+    let edits: Vec<_> = fold.history().cloned().collect();
+    Checkpoint::seal(as_of, fold.document(), &edits)
+}
+
+/// A follower that stands at `checkpoint` whatever it held before.
+fn adopt_anyway(follower: &Follower, checkpoint: &Checkpoint) -> Follower {
+    let mut moved = Follower::new(0);
+    let mut answer = follower.answer(0, u64::MAX);
+    answer.head = checkpoint.as_of;
+    answer.digest = checkpoint.digest;
+    answer.is_voter = follower.is_voter();
+    answer.update = Update::Checkpoint(Box::new(checkpoint.clone()));
+    moved.peer_answer(0, 0, "self", 1, &answer);
+    moved
+}
