--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,12 +1,40 @@
 //! Clients of the platform: log, origin, host list, engine and service.
 
+mod engine;
+mod engine_api;
 mod hosts_client;
+mod line_buffer;
 mod log_client;
 mod order_no;
+mod origin_client;
+mod service_client;
 
+pub use engine::EngineClient;
+pub use engine::EngineError;
+pub use engine::EngineStream;
+pub use engine_api::CancelOrder;
+pub use engine_api::EngineFault;
+pub use engine_api::EngineRefusal;
+pub use engine_api::EngineRole;
+pub use engine_api::EngineState;
+pub use engine_api::GenerateOrder;
+pub use engine_api::LoadAnswer;
+pub use engine_api::LoadOrder;
+pub use engine_api::LoadedWeights;
+pub use engine_api::RoleOrder;
+pub use engine_api::StreamEvent;
+pub use engine_api::UnloadOrder;
 pub use hosts_client::HostList;
 pub use hosts_client::HostsClient;
+pub use line_buffer::LineBuffer;
 pub use log_client::LogClient;
 pub use log_client::LogEntry;
 pub use log_client::LogSlice;
 pub use order_no::OrderNo;
+pub use origin_client::OriginClient;
+pub use origin_client::OriginError;
+pub use service_client::IDEMPOTENCY_KEY_HEADER;
+pub use service_client::REQUEST_ID_HEADER;
+pub use service_client::ServiceAnswer;
+pub use service_client::ServiceCall;
+pub use service_client::ServiceClient;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,8 +1,12 @@
 //! Small stand-ins for the platform, with faults to order.
 
+pub mod engine;
 pub mod hosts;
 pub mod log;
+pub mod origin;
+pub mod service;
 
 mod handle;
+mod origin_library;
 
 pub use handle::Handle;
