Follow the log by rank and confirm the configuration before work is admitted

Three entries, taken from different failure domains, read the log; a further one joins when the head has not been confirmed for its patience. The others compare marks with the entries they report to and pull records, or a checkpoint when the records are no longer at hand. A mark carries the age of its confirmation, so a fresh endpoint is ready once any entry has read to the end of the log after the endpoint started, and otherwise needs a majority of the listed entries. Before, the first page from any one peer made a process ready.

The document is shared instead of copied for each request.

--- a/src/document/fold.rs
+++ b/src/document/fold.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::document::Adopted;
 use crate::document::Applied;
@@ -20,7 +21,7 @@
 #[derive(Debug, Clone)]
 pub struct Fold {
     head: u64,
-    document: Document,
+    document: Arc<Document>,
     // Ascending by offset.
     edits: VecDeque<EditEntry>,
     // Offsets of the entries, ascending by edit id.
@@ -38,7 +39,7 @@
         past.push(0, digest);
         Self {
             head: 0,
-            document,
+            document: Arc::new(document),
             edits: VecDeque::new(),
             offset_by_id: Vec::new(),
             digest,
@@ -78,6 +79,11 @@
         &self.document
     }
 
+    /// The document at the head, for a reader that keeps it.
+    pub fn shared_document(&self) -> Arc<Document> {
+        Arc::clone(&self.document)
+    }
+
     /// How the edit called `edit_id` was decided, if it is remembered.
     pub fn outcome(&self, edit_id: &str) -> Option<&EditOutcome> {
         self.entry(edit_id).map(|entry| &entry.outcome)
@@ -123,7 +129,7 @@
                 Adopted::NotNewer
             };
         }
-        self.document = checkpoint.document();
+        self.document = Arc::new(checkpoint.document());
         self.edits = checkpoint.edits.iter().cloned().collect();
         self.offset_by_id = offsets_by_id(&checkpoint.edits);
         self.head = checkpoint.as_of;
@@ -155,14 +161,15 @@
     }
 
     fn change(&mut self, revision: u64, edit: Edit) {
+        let document = Arc::make_mut(&mut self.document);
         match edit.body {
-            Some(body) => self.document.put(Section {
+            Some(body) => document.put(Section {
                 name: edit.section,
                 team: edit.team,
                 revision,
                 body,
             }),
-            None => self.document.delete(&edit.section, revision),
+            None => document.delete(&edit.section, revision),
         }
     }
 
--- a/src/document/follow/follower.rs
+++ b/src/document/follow/follower.rs
@@ -7,6 +7,7 @@
 use crate::document::follow::LoggedRecord;
 use crate::document::follow::Notice;
 use crate::document::follow::PeerAnswer;
+use crate::document::follow::PeerMark;
 use crate::document::follow::Readiness;
 use crate::document::follow::Update;
 use crate::document::follow::recent_records::RecentRecords;
@@ -108,6 +109,16 @@
         notices
     }
 
+    /// How far this process is.
+    pub fn mark(&self, now_ms: u64) -> PeerMark {
+        PeerMark {
+            head: self.fold.head(),
+            digest: self.fold.digest(),
+            is_voter: self.readiness.is_voter(),
+            confirmed_age_ms: self.confirmed_age_ms(now_ms),
+        }
+    }
+
     /// What to answer a process whose head is `from`.
     pub fn answer(&self, now_ms: u64, from: u64) -> PeerAnswer {
         let update = if from >= self.fold.head() {
@@ -118,10 +129,7 @@
             Update::Checkpoint(Box::new(self.fold.checkpoint()))
         };
         PeerAnswer {
-            head: self.fold.head(),
-            digest: self.fold.digest(),
-            is_voter: self.readiness.is_voter(),
-            confirmed_age_ms: self.confirmed_age_ms(now_ms),
+            mark: self.mark(now_ms),
             update,
         }
     }
@@ -141,24 +149,36 @@
             Update::Records(records) => self.apply(asked_ms, records),
             Update::Checkpoint(checkpoint) => self.adopt(checkpoint),
         };
-        if self
-            .fold
-            .digest_at(answer.head)
-            .is_some_and(|d| d != answer.digest)
-        {
-            notices.push(Notice::Diverged { head: answer.head });
+        if self.diverges_from(&answer.mark) {
+            notices.push(Notice::Diverged {
+                head: answer.mark.head,
+            });
             return notices;
         }
-        if self.fold.head() < answer.head {
-            return notices;
+        if self.fold.head() >= answer.mark.head {
+            self.trust(asked_ms, peer, listed, &answer.mark);
         }
-        if let Some(age_ms) = answer.confirmed_age_ms {
-            self.confirm(asked_ms.saturating_sub(age_ms));
+        notices
+    }
+
+    fn diverges_from(&self, mark: &PeerMark) -> bool {
+        let own = self.fold.digest_at(mark.head);
+        own.is_some_and(|digest| digest != mark.digest)
+    }
+
+    /// Draws on what a peer knows, once this process holds all that the peer holds.
+    fn trust(&mut self, asked_ms: u64, peer: &str, listed: usize, mark: &PeerMark) {
+        if let Some(age_ms) = mark.confirmed_age_ms {
+            let at_ms = asked_ms.saturating_sub(age_ms);
+            self.confirm(at_ms);
+            // The peer knows the end of the log as it was after this process woke.
+            if at_ms > self.awake_since_ms {
+                self.readiness.log_confirmed();
+            }
         }
-        if answer.is_voter && asked_ms >= self.awake_since_ms {
+        if mark.is_voter && asked_ms >= self.awake_since_ms {
             self.readiness.voter_answered(peer, listed);
         }
-        notices
     }
 
     fn paused_since_tick(&self, now_ms: u64) -> bool {
--- a/src/document/follow/mod.rs
+++ b/src/document/follow/mod.rs
@@ -30,5 +30,6 @@
 pub use log_page::LoggedRecord;
 pub use notice::Notice;
 pub use peer_answer::PeerAnswer;
+pub use peer_answer::PeerMark;
 pub use peer_answer::Update;
 pub use readiness::Readiness;
--- a/src/document/follow/peer_answer.rs
+++ b/src/document/follow/peer_answer.rs
@@ -5,9 +5,9 @@
 use crate::document::follow::LoggedRecord;
 use crate::weights::Digest;
 
-/// What one process tells another about its configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerAnswer {
+/// How far a peer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerMark {
     /// Head of the peer.
     pub head: u64,
     /// Digest of its state.
@@ -16,6 +16,13 @@
     pub is_voter: bool,
     /// Time since its head was known to be the end of the log.
     pub confirmed_age_ms: Option<u64>,
+}
+
+/// What one process tells another about its configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAnswer {
+    /// How far the peer is.
+    pub mark: PeerMark,
     /// What the asking process lacks.
     pub update: Update,
 }
--- a/src/document/follow/readiness.rs
+++ b/src/document/follow/readiness.rs
@@ -50,7 +50,7 @@
         if let Err(index) = answers.0.binary_search_by(|other| other.as_str().cmp(name)) {
             answers.0.insert(index, name.to_owned());
         }
-        if answers.0.len() > listed / 2 {
+        if listed > 0 && answers.0.len() > listed / 2 {
             *self = Self::Confirmed;
         }
     }
--- a/src/endpoint/weights_naive.rs
+++ b/src/endpoint/weights_naive.rs
@@ -194,7 +194,7 @@
     let engine = EngineClient::new(awc::Client::default(), address);
     let order = LoadOrder {
         order: OrderNo {
-            offset: state.node.fold().head(),
+            offset: state.node.config_mark().offset,
             incarnation: state.node.incarnation(),
             sequence: 0,
         },
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod error_code;
 mod generate;
+mod log_reader;
 mod server;
 mod state;
 mod tailer;
--- a/src/entry/tailer.rs
+++ b/src/entry/tailer.rs
@@ -5,22 +5,27 @@
 use actix::AsyncContext;
 use actix::Context;
 use actix::WrapFuture;
+use actix_rt::time::sleep;
+use rand::Rng;
 
 use crate::entry::EntryState;
-use crate::observe::Event;
-use crate::observe::Tally;
-use crate::observe::emit;
-
-/// Records asked for in one read.
-const READ_MAX: usize = 256;
+use crate::entry::log_reader::log_duty;
+use crate::entry::log_reader::publish_checkpoint;
+use crate::entry::log_reader::read_log;
 
 /// Time a read waits at the log for a new record.
 const READ_WAIT_MS: u64 = 2000;
 
-/// Pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two looks at whether this entry should read.
+const IDLE_MS: u64 = 500;
+
+/// Pause after the first failed read; it doubles with each further one.
+const RETRY_PAUSE_MS: u64 = 250;
+
+/// Longest pause between failed reads.
+const MAX_RETRY_PAUSE_MS: u64 = 4_000;
 
-/// Follows the log and folds the configuration.
+/// Follows the log when it is this entry's turn, and folds the configuration.
 #[derive(Debug)]
 pub struct Tailer {
     state: Arc<EntryState>,
@@ -39,43 +44,55 @@
     fn started(&mut self, context: &mut Self::Context) {
         let state = Arc::clone(&self.state);
         let tailing = async move {
+            let mut pause_ms = RETRY_PAUSE_MS;
             loop {
-                if !read_once(&state).await {
-                    actix_rt::time::sleep(RETRY_PAUSE).await;
-                }
+                pause_ms = match step(&state).await {
+                    Step::Read => RETRY_PAUSE_MS,
+                    Step::Idle => {
+                        sleep(Duration::from_millis(IDLE_MS)).await;
+                        RETRY_PAUSE_MS
+                    }
+                    Step::Failed => {
+                        let jitter_ms = rand::rng().random_range(0..=pause_ms);
+                        sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+                        (pause_ms * 2).min(MAX_RETRY_PAUSE_MS)
+                    }
+                };
             }
         };
         context.spawn(tailing.into_actor(self));
     }
 }
 
-/// Reads and folds one run of records; returns whether the log answered.
-async fn read_once(state: &EntryState) -> bool {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Read,
+    Idle,
+    Failed,
+}
+
+async fn step(state: &EntryState) -> Step {
+    let duty = log_duty(state);
     let node = &state.node;
-    node.metrics()
-        .add(Tally::PlatformCalls, 1, "call", "log_read");
-    let from = node.fold().head();
-    let slice = match state.log.read(from, READ_MAX, READ_WAIT_MS).await {
-        Ok(slice) => slice,
-        Err(error) => {
-            emit(Event::LogUnavailable, &[("error", &error)]);
-            return false;
-        }
+    let now_ms = node.now_ms();
+    let (admits, unconfirmed_ms) = {
+        let follower = node.follower();
+        let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
+        (follower.admits(now_ms), age_ms)
     };
-    let mut fold = node.fold();
-    for record in &slice.records {
-        fold.apply(record.offset, &record.body());
+    if admits && !duty.reads(unconfirmed_ms) {
+        return Step::Idle;
     }
-    let head = fold.head();
-    drop(fold);
-    if head >= slice.next {
-        node.set_ready(true);
+    let before = node.follower().read_from();
+    let wait_ms = if admits { READ_WAIT_MS } else { 0 };
+    if !read_log(state, wait_ms).await {
+        return Step::Failed;
     }
-    if head > from {
-        emit(
-            Event::ConfigAdvanced,
-            &[("host", &node.name()), ("offset", &head)],
-        );
+    publish_checkpoint(state, duty).await;
+    // A read that brought nothing without a wait must not be repeated at once.
+    let at_once = node.now_ms() - now_ms < IDLE_MS;
+    if at_once && node.follower().read_from() == before {
+        return Step::Idle;
     }
-    true
+    Step::Read
 }
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -93,4 +93,8 @@
     pub incarnation: u64,
     /// Configuration in force on the entry.
     pub config: ConfigMark,
+    /// Whether the entry is past its own bootstrap.
+    pub is_voter: bool,
+    /// Time since its configuration was known to be the end of the log.
+    pub confirmed_age_ms: Option<u64>,
 }
--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -99,6 +99,13 @@
             .filter_map(|key| self.host(*key).map(|host| (*key, host)))
     }
 
+    /// Number of hosts of `role` that the platform lists.
+    pub fn listed_count(&self, role: HostRole) -> usize {
+        self.hosts()
+            .filter(|(_, host)| host.role == role && host.listed)
+            .count()
+    }
+
     /// Hosts of `role` that may get new work.
     pub fn usable(&self, role: HostRole, now_ms: u64) -> impl Iterator<Item = (HostKey, &Host)> {
         self.hosts()
--- a/src/node/config_pull.rs
+++ b/src/node/config_pull.rs
@@ -3,7 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::document::Checkpoint;
+use crate::document::follow::Notice;
+use crate::document::follow::PeerAnswer;
+use crate::document::follow::PeerMark;
+use crate::document::follow::Update;
+use crate::hosts::HostRole;
+use crate::hosts::ReportAnswer;
 use crate::node::Node;
 use crate::observe::Event;
 use crate::observe::emit;
@@ -11,26 +16,76 @@
 /// Time a peer has to answer a pull.
 const PULL_WAIT_MS: u64 = 3000;
 
-/// The configuration of a peer.
+/// Asks a peer for what this process lacks.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct ConfigPage {
-    /// Its state at its head.
-    pub checkpoint: Checkpoint,
+pub struct ConfigPull {
+    /// Head of the asking process.
+    pub from: u64,
 }
 
-/// Takes over the configuration of the peer at `address` if it is further on.
-pub async fn pull_config(node: &Node, address: SocketAddr) {
+/// Takes over what the peer `name` at `address` holds beyond this process.
+pub async fn pull_config(node: &Node, name: &str, address: SocketAddr) {
     let url = format!("http://{address}/x/config");
-    let page: Result<ConfigPage, _> = node.ask(&url, &(), PULL_WAIT_MS).await;
-    let Ok(page) = page else { return };
-    let before = node.fold().head();
-    node.fold().adopt(&page.checkpoint);
-    let head = node.fold().head();
-    if head > before {
-        node.set_ready(true);
-        emit(
-            Event::ConfigAdvanced,
-            &[("host", &node.name()), ("offset", &head)],
-        );
+    let asked_ms = node.now_ms();
+    let from = node.follower().fold().head();
+    let pull = ConfigPull { from };
+    let answer: Result<PeerAnswer, _> = node.ask(&url, &pull, PULL_WAIT_MS).await;
+    if let Ok(answer) = answer {
+        take_answer(node, asked_ms, name, &answer);
+    }
+}
+
+/// Draws on what the answer to a report says of the configuration.
+pub(super) fn take_report_answer(node: &Node, asked_ms: u64, name: &str, answer: &ReportAnswer) {
+    let mark = PeerMark {
+        head: answer.config.offset,
+        digest: answer.config.digest,
+        is_voter: answer.is_voter,
+        confirmed_age_ms: answer.confirmed_age_ms,
+    };
+    let answer = PeerAnswer {
+        mark,
+        update: Update::None,
+    };
+    take_answer(node, asked_ms, name, &answer);
+}
+
+fn take_answer(node: &Node, asked_ms: u64, name: &str, answer: &PeerAnswer) {
+    let listed = node.roster().listed_count(HostRole::Entry);
+    let now_ms = node.now_ms();
+    let notices = node
+        .follower()
+        .peer_answer(now_ms, asked_ms, name, listed, answer);
+    emit_notices(node, &notices);
+}
+
+/// Logs what an operator should hear of.
+pub fn emit_notices(node: &Node, notices: &[Notice]) {
+    let name = node.name();
+    for notice in notices {
+        match notice {
+            Notice::Advanced { head } => {
+                emit(Event::ConfigAdvanced, &[("host", &name), ("offset", head)])
+            }
+            Notice::Skipped { offset, error } => emit(
+                Event::RecordSkipped,
+                &[("host", &name), ("offset", offset), ("error", error)],
+            ),
+            Notice::CheckpointDiffers { as_of } | Notice::CheckpointsContested { as_of } => emit(
+                Event::CheckpointDiffers,
+                &[("host", &name), ("as_of", as_of)],
+            ),
+            Notice::Trimmed { wanted, earliest } => emit(
+                Event::RecordsTrimmed,
+                &[("host", &name), ("wanted", wanted), ("earliest", earliest)],
+            ),
+            Notice::LogWentBack { next, head } => emit(
+                Event::LogWentBack,
+                &[("host", &name), ("next", next), ("head", head)],
+            ),
+            Notice::Diverged { head } => {
+                emit(Event::ConfigDiverged, &[("host", &name), ("offset", head)]);
+            }
+        }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What every process of the system has: an identity, the hosts it knows, the
 //! configuration it has folded, and the reports it exchanges with entries.
 
+mod admission;
 mod config_pull;
 #[allow(clippy::module_inception)]
 mod node;
@@ -8,7 +9,9 @@
 mod routes;
 mod watcher;
 
-pub use config_pull::ConfigPage;
+pub use admission::Admission;
+pub use config_pull::ConfigPull;
+pub use config_pull::emit_notices;
 pub use config_pull::pull_config;
 pub use node::Node;
 pub use reporter::Reporter;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
@@ -11,23 +12,31 @@
 use serde::de::DeserializeOwned;
 
 use crate::conf::ClusterSettings;
+use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
 use crate::document::Document;
-use crate::document::Fold;
+use crate::document::follow::Follower;
+use crate::document::follow::PeerAnswer;
 use crate::hosts::ConfigMark;
+use crate::hosts::HostRole;
 use crate::hosts::Load;
 use crate::hosts::Report;
+use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
 use crate::hosts::Served;
 use crate::links::HttpClient;
 use crate::links::LinkError;
+use crate::node::Admission;
 use crate::observe::Metrics;
 use crate::observe::Tally;
 
 /// Bytes of the head of a request or answer between two processes, about.
 const HEADER_BYTES: usize = 200;
 
+/// Time without confirmation after which a process counts as cut off.
+const CUT_OFF_MS: u64 = 30_000;
+
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
 pub struct OwnState {
@@ -51,10 +60,9 @@
     metrics: Metrics,
     http: HttpClient,
     roster: Mutex<Roster>,
-    fold: Mutex<Fold>,
+    follower: Mutex<Follower>,
     own: Mutex<OwnState>,
     leaving: AtomicBool,
-    ready: AtomicBool,
     control_bytes: AtomicU64,
 }
 
@@ -77,10 +85,9 @@
             metrics: Metrics::new(),
             http,
             roster: Mutex::new(Roster::new()),
-            fold: Mutex::new(Fold::new()),
+            follower: Mutex::new(Follower::new(0)),
             own: Mutex::default(),
             leaving: AtomicBool::new(false),
-            ready: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
         }
     }
@@ -168,9 +175,11 @@
         self.roster.lock().expect("no holder of the roster panics")
     }
 
-    /// The configuration it has folded.
-    pub fn fold(&self) -> MutexGuard<'_, Fold> {
-        self.fold.lock().expect("no holder of the fold panics")
+    /// The configuration it has folded and how it follows the log.
+    pub fn follower(&self) -> MutexGuard<'_, Follower> {
+        self.follower
+            .lock()
+            .expect("no holder of the follower panics")
     }
 
     /// What it says of itself.
@@ -178,14 +187,15 @@
         self.own.lock().expect("no holder of the own state panics")
     }
 
-    /// A copy of the document in force.
-    pub fn document(&self) -> Document {
-        self.fold().document().clone()
+    /// The document in force.
+    pub fn document(&self) -> Arc<Document> {
+        self.follower().fold().shared_document()
     }
 
     /// How far the configuration has been folded.
     pub fn config_mark(&self) -> ConfigMark {
-        let fold = self.fold();
+        let follower = self.follower();
+        let fold = follower.fold();
         ConfigMark {
             offset: fold.head(),
             digest: fold.digest(),
@@ -202,14 +212,45 @@
         self.leaving.store(true, Ordering::Release);
     }
 
-    /// Whether the configuration has been confirmed.
+    /// Whether the process may admit new work, going by its configuration.
+    pub fn admission(&self) -> Admission {
+        let now_ms = self.now_ms();
+        let follower = self.follower();
+        if !follower.admits(now_ms) {
+            return Admission::Unconfirmed;
+        }
+        let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
+        match (age_ms >= CUT_OFF_MS, self.cluster.partition_policy) {
+            (false, _) => Admission::Confirmed,
+            (true, PartitionPolicy::Serve) => Admission::CutOffServing,
+            (true, PartitionPolicy::Refuse) => Admission::CutOffRefusing,
+        }
+    }
+
+    /// Whether the process admits new work.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
+        self.admission().admits()
+    }
+
+    /// What the process answers a peer that reported.
+    pub fn report_answer(&self) -> ReportAnswer {
+        let mark = self.follower().mark(self.now_ms());
+        ReportAnswer {
+            incarnation: self.incarnation,
+            config: ConfigMark {
+                offset: mark.head,
+                digest: mark.digest,
+            },
+            is_voter: self.process.role == HostRole::Entry && mark.is_voter,
+            confirmed_age_ms: mark.confirmed_age_ms,
+        }
     }
 
-    /// Notes whether the configuration is confirmed.
-    pub fn set_ready(&self, ready: bool) {
-        self.ready.store(ready, Ordering::Release);
+    /// What the process answers a peer whose head is `from`.
+    pub fn config_answer(&self, from: u64) -> PeerAnswer {
+        let mut answer = self.follower().answer(self.now_ms(), from);
+        answer.mark.is_voter &= self.process.role == HostRole::Entry;
+        answer
     }
 
     /// What the process says of itself now.
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -11,11 +11,17 @@
 use crate::hosts::HostRole;
 use crate::hosts::ReportAnswer;
 use crate::node::Node;
+use crate::node::config_pull::take_report_answer;
 use crate::node::pull_config;
+use crate::observe::Event;
+use crate::observe::emit;
 
 /// Entries one process reports to.
 const FANOUT: usize = 12;
 
+/// Time between two checks that the process was not paused.
+const TICK: Duration = Duration::from_millis(500);
+
 /// Time an entry has to answer a report.
 const ANSWER_WAIT_MS: u64 = 1000;
 
@@ -33,10 +39,9 @@
 
     /// Reports once to every entry of the fan-out, all at a time.
     pub async fn report_now(node: &Arc<Node>) {
-        let targets = targets(node);
-        let reports = targets
+        let reports = targets(node)
             .into_iter()
-            .map(|(key, address)| report_to(node, key, address));
+            .map(|target| report_to(node, target));
         futures_util::future::join_all(reports).await;
     }
 }
@@ -46,6 +51,7 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         let pause = Duration::from_millis(self.node.cluster().gossip_ms);
+        context.run_interval(TICK, |this, _| tick(&this.node));
         context.run_interval(pause, |this, context| {
             let node = Arc::clone(&this.node);
             let round = async move { Self::report_now(&node).await };
@@ -54,19 +60,40 @@
     }
 }
 
-/// Entries this process reports to: the first by rendezvous rank of the names.
-fn targets(node: &Node) -> Vec<(HostKey, SocketAddr)> {
+/// An entry to report to.
+#[derive(Debug)]
+struct Target {
+    key: HostKey,
+    name: String,
+    address: SocketAddr,
+}
+
+fn tick(node: &Node) {
+    let now_ms = node.now_ms();
+    if node.follower().tick(now_ms) {
+        emit(Event::ProcessWoken, &[("host", &node.name())]);
+    }
+}
+
+/// Entries this process reports to: the first by rendezvous rank of the names,
+/// and all of them while it needs the answers of a majority.
+fn targets(node: &Node) -> Vec<Target> {
+    let fanout = if node.is_ready() { FANOUT } else { usize::MAX };
     let roster = node.roster();
     let mut ranked: Vec<_> = roster
         .hosts()
         .filter(|(_, host)| host.role == HostRole::Entry && host.name != node.name())
-        .map(|(key, host)| (rank(node.name(), &host.name), key, host.address))
+        .map(|(key, host)| (rank(node.name(), &host.name), key, host))
         .collect();
-    ranked.sort_unstable();
+    ranked.sort_unstable_by_key(|(rank, key, _)| (*rank, *key));
     ranked
         .into_iter()
-        .take(FANOUT)
-        .map(|(_, key, address)| (key, address))
+        .take(fanout)
+        .map(|(_, key, host)| Target {
+            key,
+            name: host.name.clone(),
+            address: host.address,
+        })
         .collect()
 }
 
@@ -74,18 +101,19 @@
     *blake3::hash(format!("{from}\n{to}").as_bytes()).as_bytes()
 }
 
-async fn report_to(node: &Arc<Node>, key: HostKey, address: SocketAddr) {
-    let url = format!("http://{address}/x/report");
+async fn report_to(node: &Arc<Node>, target: Target) {
+    let url = format!("http://{}/x/report", target.address);
+    let asked_ms = node.now_ms();
     let report = node.report();
     let answer: Result<ReportAnswer, _> = node.ask(&url, &report, ANSWER_WAIT_MS).await;
     match answer {
-        Ok(answer) if answer.config.offset > node.fold().head() => {
-            pull_config(node, address).await;
+        Ok(answer) if answer.config.offset > node.follower().fold().head() => {
+            pull_config(node, &target.name, target.address).await;
         }
-        Ok(_) => {}
+        Ok(answer) => take_report_answer(node, asked_ms, &target.name, &answer),
         Err(error) if error.is_not_sent() => {
             let now_ms = node.now_ms();
-            node.roster().failed(key, now_ms);
+            node.roster().failed(target.key, now_ms);
         }
         Err(_) => {}
     }
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -8,11 +8,10 @@
 
 use crate::hosts::Heard;
 use crate::hosts::Report;
-use crate::hosts::ReportAnswer;
 use crate::links::has_key;
 use crate::links::read_rmp;
 use crate::links::rmp_response;
-use crate::node::ConfigPage;
+use crate::node::ConfigPull;
 use crate::node::Node;
 use crate::observe::Event;
 use crate::observe::emit;
@@ -46,21 +45,21 @@
             &[("host", &report.name), ("incarnation", &report.incarnation)],
         );
     }
-    let answer = ReportAnswer {
-        incarnation: node.incarnation(),
-        config: node.config_mark(),
-    };
+    let answer = node.report_answer();
     node.count_control("received", body.len());
     node.count_control("sent", ANSWER_BYTES);
     rmp_response(&answer)
 }
 
-async fn config(node: web::Data<Node>, request: HttpRequest) -> HttpResponse {
+async fn config(node: web::Data<Node>, request: HttpRequest, body: Bytes) -> HttpResponse {
     if !has_key(&request, &node.cluster().shared_key) {
         return HttpResponse::Unauthorized().finish();
     }
-    let checkpoint = node.fold().checkpoint();
-    rmp_response(&ConfigPage { checkpoint })
+    let pull: ConfigPull = match read_rmp(&body) {
+        Ok(pull) => pull,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
+    rmp_response(&node.config_answer(pull.from))
 }
 
 async fn metrics(node: web::Data<Node>) -> HttpResponse {
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -46,6 +46,14 @@
     103 ProcessStopped Info "A process has drained and exits.";
     201 ConfigAdvanced Info "A later configuration offset is in force on this process.";
     202 LogUnavailable Warn "The platform's log did not answer.";
+    203 RecordSkipped Warn "A record of the log is not one of ours and is skipped by every process.";
+    204 CheckpointDiffers Error "A checkpoint contradicts the records or another checkpoint; it is not adopted.";
+    205 RecordsTrimmed Warn "Records this process lacks are trimmed and no checkpoint in the log covers them.";
+    206 LogWentBack Error "The log ends before records that were read from it.";
+    207 ConfigDiverged Error "A peer holds another configuration at the same offset.";
+    208 ProcessWoken Warn "A process was paused and confirms its configuration before it admits work.";
+    209 CheckpointPublished Info "A checkpoint of the configuration was appended to the log.";
+    210 EditDecided Info "An edit of the configuration was accepted or lost to another.";
     301 WeightsVerified Info "Every chunk of a version is present and the whole digest matches.";
     302 ChunkRejected Warn "A chunk had the wrong digest or length and was dropped.";
     303 WeightsServing Info "The engine serves a version.";
--- a/tests/document/follow.rs
+++ b/tests/document/follow.rs
@@ -1,3 +1,4 @@
+use crate::support::edit;
 use bergamotfork::document::LogRecord;
 use bergamotfork::document::follow::Follower;
 use bergamotfork::document::follow::LogDuty;
@@ -7,7 +8,6 @@
 use bergamotfork::document::follow::Notice;
 use bergamotfork::document::follow::Update;
 use bergamotfork::document::follow::log_rank;
-use crate::support::edit;
 
 const RETENTION_MS: u64 = 64_000;
 
--- a/tests/spec_config/node.rs
+++ b/tests/spec_config/node.rs
@@ -95,10 +95,10 @@
         if answer.update != Update::None {
             answer.update = Update::Checkpoint(Box::new(checkpoint));
         }
-        answer.is_voter |= !rules.voters_only;
+        answer.mark.is_voter |= !rules.voters_only;
         let listed = if rules.majority { ENTRIES } else { 1 };
         follower.peer_answer(0, 0, &index.to_string(), listed, &answer);
-        if answer.is_voter && !self.admits() {
+        if answer.mark.is_voter && !self.admits() {
             self.answered |= 1 << index;
         }
         if self.admits() {
@@ -148,9 +148,9 @@
 fn adopt_anyway(follower: &Follower, checkpoint: &Checkpoint) -> Follower {
     let mut moved = Follower::new(0);
     let mut answer = follower.answer(0, u64::MAX);
-    answer.head = checkpoint.as_of;
-    answer.digest = checkpoint.digest;
-    answer.is_voter = follower.is_voter();
+    answer.mark.head = checkpoint.as_of;
+    answer.mark.digest = checkpoint.digest;
+    answer.mark.is_voter = follower.is_voter();
     answer.update = Update::Checkpoint(Box::new(checkpoint.clone()));
     moved.peer_answer(0, 0, "self", 1, &answer);
     moved
