Show the whole system in one status, and in a demonstration

An entry answers a team at /v1/status with its configuration offset, the hosts behind it, the progress and holds of each model, and every host's standing. `status` prints it; `demo` starts all roles on loopback, brings a model to 12 hosts, sends calls of both kinds, stops the busiest host without notice, and compares what callers were told with what the service executed.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,10 +1,12 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
 use super::StandinArgs;
+use super::StatusArgs;
 use super::TokenArgs;
 
 /// Distributes model weights in bursts and routes live requests.
@@ -24,6 +26,10 @@
     Entry(EntryArgs),
     /// Run an endpoint beside an engine or a plain service.
     Endpoint(EndpointArgs),
+    /// Show the hosts, models and configuration as an entry sees them.
+    Status(StatusArgs),
+    /// Show the whole system at work, in this one process on loopback.
+    Demo(DemoArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
     /// Check settings files, or list the keys they may hold.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,12 +1,15 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod demo;
 mod endpoint;
 mod entry;
 mod errors;
+mod operator_args;
 mod process;
 mod settings;
 mod standin;
+mod status;
 mod stop_signal;
 mod token;
 
@@ -14,13 +17,16 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use demo::DemoArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
+pub use operator_args::OperatorArgs;
 pub use process::run_process;
 pub use settings::SettingsArgs;
 pub use standin::StandinArgs;
 pub use standin::StandinKind;
+pub use status::StatusArgs;
 pub use stop_signal::stop_signal;
 pub use token::TokenArgs;
 
@@ -34,6 +40,8 @@
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
+        Command::Status(args) => status::run(args),
+        Command::Demo(args) => demo::run(args),
         Command::Settings(args) => settings::run(args),
         Command::Token(args) => token::run(args),
     }
--- /dev/null
+++ b/src/cli/operator_args.rs
@@ -0,0 +1,49 @@
+use std::env;
+use std::fs;
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::CliError;
+
+/// Variable that holds the token when no file is given.
+const TOKEN_VARIABLE: &str = "BERGAMOTFORK_TOKEN";
+
+/// Where an operator's command is sent, and as whom.
+#[derive(Debug, Args)]
+pub struct OperatorArgs {
+    /// Base URL of any entry, such as http://127.0.0.1:7101.
+    #[arg(long, value_name = "URL")]
+    pub entry: String,
+    /// File that holds the team's bearer token; without it, the variable
+    /// BERGAMOTFORK_TOKEN is used.
+    #[arg(long, value_name = "FILE")]
+    pub token_file: Option<PathBuf>,
+}
+
+impl OperatorArgs {
+    /// URL of `path` at the entry.
+    pub fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.entry.trim_end_matches('/'))
+    }
+
+    /// The team's bearer token.
+    ///
+    /// # Errors
+    ///
+    /// [`CliError::Invalid`] when there is none or the file cannot be read.
+    pub fn token(&self) -> Result<String, CliError> {
+        let token = match &self.token_file {
+            Some(file) => fs::read_to_string(file).map_err(|error| {
+                CliError::Invalid(format!("{}: cannot be read: {error}", file.display()))
+            })?,
+            None => env::var(TOKEN_VARIABLE).unwrap_or_default(),
+        };
+        let token = token.trim();
+        if token.is_empty() {
+            let reason = format!("no token: give --token-file or set {TOKEN_VARIABLE}");
+            return Err(CliError::Invalid(reason));
+        }
+        Ok(token.to_owned())
+    }
+}
--- a/src/entry/api_error.rs
+++ b/src/entry/api_error.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::io::ErrorKind;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
@@ -141,10 +142,17 @@
     ApiError::new(ErrorCode::UnknownPath, message).error_response()
 }
 
+/// Answer to a method that a path does not take.
+pub async fn wrong_method(request: HttpRequest) -> HttpResponse {
+    let message = format!("{} does not take {}", request.path(), request.method());
+    ApiError::new(ErrorCode::WrongMethod, message).error_response()
+}
+
 /// Typed form of a raw body's error.
 pub fn payload_error(error: &PayloadError) -> ApiError {
     let code = match error {
         PayloadError::Overflow => ErrorCode::BodyTooLarge,
+        PayloadError::Io(cause) if cause.kind() == ErrorKind::TimedOut => ErrorCode::RequestTimeout,
         _ => ErrorCode::BadRequest,
     };
     ApiError::new(code, error.to_string())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,8 @@
 mod generate;
 mod server;
 mod state;
+mod status;
+mod status_view;
 mod tailer;
 
 pub use api_error::ApiError;
@@ -15,3 +17,7 @@
 pub use server::EntryHandle;
 pub use server::start;
 pub use state::EntryState;
+pub use status_view::HoldView;
+pub use status_view::HostView;
+pub use status_view::ModelView;
+pub use status_view::StatusView;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use actix::Actor;
+use actix_web::Resource;
+use actix_web::Route;
 use actix_web::web;
 
 use crate::conf::EntrySettings;
@@ -11,6 +13,7 @@
 use crate::entry::api_error;
 use crate::entry::call;
 use crate::entry::generate;
+use crate::entry::status;
 use crate::entry::tailer::Tailer;
 use crate::links::ServeOptions;
 use crate::links::serve;
@@ -48,9 +51,10 @@
             .app_data(api_error::json_config(max_body_bytes))
             .app_data(api_error::payload_config(max_body_bytes))
             .app_data(api_error::query_config())
-            .route("/v1/addresses", web::get().to(addresses::addresses))
-            .route("/v1/generate", web::post().to(generate::generate))
-            .route("/v1/call", web::post().to(call::call))
+            .service(at("/v1/addresses", web::get().to(addresses::addresses)))
+            .service(at("/v1/generate", web::post().to(generate::generate)))
+            .service(at("/v1/call", web::post().to(call::call)))
+            .service(at("/v1/status", web::get().to(status::status)))
             .default_service(web::to(api_error::unknown_path));
         node::routes(app, &shared.node);
     })?;
@@ -64,6 +68,13 @@
     Ok(EntryHandle { server, state })
 }
 
+/// A path that takes one method; the others get a typed error.
+fn at(path: &str, route: Route) -> Resource {
+    web::resource(path)
+        .route(route)
+        .default_service(web::to(api_error::wrong_method))
+}
+
 impl EntryHandle {
     /// Identity, hosts and configuration of the entry.
     pub fn node(&self) -> &Arc<Node> {
