Type the errors of bad input at a running entry

A body sent byte by byte kept its handler waiting for ever: the client timeout of the HTTP server ends with the head. Bodies now have the same time, and a late one is answered with request_timeout. A timeout of 400 ms cut off requests that were sent at once, because the HTTP server's clock moves in steps of 500 ms, so slow_client_timeout_ms now starts at 1000.

A head that never completes or cannot be parsed is answered by the HTTP library with 408 or 400 and no body: there is no path whose error could be typed.

--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -26,10 +26,12 @@
     default: 1024 * 1024,
 };
 
+// The HTTP server's clock moves in steps of 500 ms; a shorter timeout would
+// cut off requests that were sent at once.
 const SLOW_CLIENT_TIMEOUT_MS: Number = Number {
     key: "slow_client_timeout_ms",
     unit: Unit::Milliseconds,
-    range: 100..=60_000,
+    range: 1000..=60_000,
     default: 5000,
 };
 
@@ -84,7 +86,7 @@
     pub address_lifetime_ms: u64,
     /// Largest request body; default 1 MiB.
     pub max_body_bytes: u64,
-    /// How long a client may take to send its request head; default 5000.
+    /// How long a client may take for the head, and again for the body; default 5000.
     pub slow_client_timeout_ms: u64,
     /// Silence after which a connection is abandoned; default 3000.
     pub silence_ms: u64,
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -6,18 +6,20 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
+use actix_web::middleware::from_fn;
 use actix_web::web::ServiceConfig;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::links::LinkError;
 use crate::links::SHARED_KEY_HEADER;
+use crate::links::body_timeout::limit_body_time;
 use crate::standin::Handle;
 
 /// How a process serves HTTP.
 #[derive(Debug, Clone)]
 pub struct ServeOptions {
-    /// Time a client has to send the head of a request.
+    /// Time a client has to send the head of a request, and again for its body.
     pub client_timeout_ms: u64,
     /// Time requests in progress have after a stop.
     pub drain_ms: u64,
@@ -42,9 +44,17 @@
     options: &ServeOptions,
     configure: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
 ) -> io::Result<Handle> {
-    let server = HttpServer::new(move || App::new().configure(configure.clone()))
+    let wait = Duration::from_millis(options.client_timeout_ms);
+    let app = move || {
+        App::new()
+            .wrap(from_fn(move |request, next| {
+                limit_body_time(wait, request, next)
+            }))
+            .configure(configure.clone())
+    };
+    let server = HttpServer::new(app)
         .workers(1)
-        .client_request_timeout(Duration::from_millis(options.client_timeout_ms))
+        .client_request_timeout(wait)
         .shutdown_timeout(options.drain_ms.div_ceil(1000))
         .disable_signals()
         .bind(listen)?;
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -3,6 +3,7 @@
 //! Calls between this system's processes carry MessagePack bodies and the
 //! shared key; calls to the platform and to callers carry JSON.
 
+mod body_timeout;
 mod errors;
 mod http_client;
 mod http_server;
--- /dev/null
+++ b/tests/api_input/main.rs
@@ -0,0 +1,295 @@
+//! Bad input at a running entry: each case gets its typed error, and the
+//! process answers the next caller.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod raw;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use self::raw::Answer;
+use self::raw::exchange;
+use self::raw::send_slowly;
+use bergamotfork::weights::Digest;
+use support::Cluster;
+use support::TOKEN;
+use support::until;
+
+const MAX_BODY_BYTES: usize = 2048;
+const SLOW_CLIENT_TIMEOUT_MS: u64 = 1000;
+
+/// An entry that knows one branch, a model it may use and one it may not.
+async fn entry() -> (Cluster, SocketAddr) {
+    let mut cluster = Cluster::new().await;
+    let settings = format!(
+        "max_body_bytes = {MAX_BODY_BYTES}\nslow_client_timeout_ms = {SLOW_CLIENT_TIMEOUT_MS}\n"
+    );
+    let url = cluster.entry("entry-1", "or-north", &settings).await;
+    let model = format!(
+        "version = v1\nmanifest = {}\nreplicas = 1\n",
+        Digest::of(b"no weights")
+    );
+    cluster.edit("model chat", 0, &model).await;
+    cluster.edit("model secret", 0, &model).await;
+    let service = "idempotent = lookup\ntimeout_ms = 1000\n";
+    cluster.edit("service bookdesk", 0, service).await;
+    let branch = format!(
+        "token_digest = {}\nweight = 1\nshare_percent = 50\nburst_percent = 100\n\
+         models = chat\nservices = bookdesk\n",
+        Digest::of(TOKEN.as_bytes())
+    );
+    cluster.edit("branch seaside", 0, &branch).await;
+    let address = url.strip_prefix("http://").expect("a URL of an entry");
+    let address: SocketAddr = address.parse().expect("an entry has an address");
+    until("the entry knows the branch", 20, async || {
+        let path = "/v1/addresses?branch=seaside";
+        (get(address, path, TOKEN).status == 200).then_some(())
+    })
+    .await;
+    (cluster, address)
+}
+
+fn get(address: SocketAddr, path: &str, token: &str) -> Answer {
+    let head = format!("GET {path} HTTP/1.1\r\nauthorization: Bearer {token}\r\n");
+    exchange(address, &head, "")
+}
+
+fn post(address: SocketAddr, path: &str, token: &str, body: &str) -> Answer {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nauthorization: Bearer {token}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    exchange(address, &head, body)
+}
+
+fn generate_body(branch: &str, model: &str) -> String {
+    format!(r#"{{"branch":"{branch}","model":"{model}","prompt":"hut?","max_tokens":2}}"#)
+}
+
+fn call_body(branch: &str, service: &str) -> String {
+    format!(r#"{{"branch":"{branch}","service":"{service}","path":"lookup","body":{{}}}}"#)
+}
+
+fn assert_healthy(address: SocketAddr, after: &str) {
+    let answer = exchange(address, "GET /health/live HTTP/1.1\r\n", "");
+    assert_eq!(answer.status, 200, "not healthy after {after}");
+}
+
+#[actix_rt::test]
+async fn input_rejected() {
+    let (_cluster, address) = entry().await;
+    let good = generate_body("seaside", "chat");
+    let large = format!("\"{}\"", "x".repeat(MAX_BODY_BYTES));
+    let many = format!(r#"{{"branch":"{}"}}"#, "x".repeat(MAX_BODY_BYTES - 20));
+    let cases = [
+        ("GET", "/v1/nothing", TOKEN, "", 404, "unknown_path"),
+        ("GET", "/", TOKEN, "", 404, "unknown_path"),
+        ("GET", "/v1/generate", TOKEN, "", 405, "wrong_method"),
+        ("GET", "/v1/call", TOKEN, "", 405, "wrong_method"),
+        ("POST", "/v1/addresses", TOKEN, "{}", 405, "wrong_method"),
+        ("GET", "/v1/addresses", TOKEN, "", 400, "bad_request"),
+        (
+            "GET",
+            "/v1/addresses?branch=x",
+            TOKEN,
+            "",
+            404,
+            "unknown_branch",
+        ),
+        (
+            "GET",
+            "/v1/addresses?branch=seaside",
+            "",
+            "",
+            401,
+            "missing_token",
+        ),
+        (
+            "GET",
+            "/v1/addresses?branch=seaside",
+            "no",
+            "",
+            401,
+            "wrong_token",
+        ),
+        ("GET", "/v1/status", "", "", 401, "missing_token"),
+        ("GET", "/v1/status", "no", "", 401, "wrong_token"),
+        ("POST", "/v1/generate", "", &good, 401, "missing_token"),
+        ("POST", "/v1/generate", "no", &good, 401, "wrong_token"),
+        ("POST", "/v1/generate", TOKEN, "", 400, "bad_json"),
+        ("POST", "/v1/generate", TOKEN, "{", 400, "bad_json"),
+        ("POST", "/v1/generate", TOKEN, "[1]", 400, "bad_json"),
+        (
+            "POST",
+            "/v1/generate",
+            TOKEN,
+            "{\"branch\":7}",
+            400,
+            "bad_json",
+        ),
+        ("POST", "/v1/generate", TOKEN, "\u{1}", 400, "bad_json"),
+        ("POST", "/v1/generate", TOKEN, &large, 413, "body_too_large"),
+        ("POST", "/v1/generate", TOKEN, &many, 400, "bad_json"),
+        (
+            "POST",
+            "/v1/generate",
+            TOKEN,
+            &generate_body("x", "chat"),
+            404,
+            "unknown_branch",
+        ),
+        (
+            "POST",
+            "/v1/generate",
+            TOKEN,
+            &generate_body("seaside", "x"),
+            404,
+            "unknown_model",
+        ),
+        (
+            "POST",
+            "/v1/generate",
+            TOKEN,
+            &generate_body("seaside", "secret"),
+            403,
+            "forbidden",
+        ),
+        ("POST", "/v1/generate", TOKEN, &good, 503, "no_replica"),
+        (
+            "POST",
+            "/v1/call",
+            "",
+            &call_body("seaside", "bookdesk"),
+            401,
+            "missing_token",
+        ),
+        (
+            "POST",
+            "/v1/call",
+            TOKEN,
+            &call_body("seaside", "x"),
+            404,
+            "unknown_service",
+        ),
+        (
+            "POST",
+            "/v1/call",
+            TOKEN,
+            &call_body("x", "bookdesk"),
+            404,
+            "unknown_branch",
+        ),
+        (
+            "POST",
+            "/v1/call",
+            TOKEN,
+            &call_body("seaside", "bookdesk"),
+            503,
+            "no_replica",
+        ),
+        ("POST", "/v1/call", TOKEN, "null", 400, "bad_json"),
+        ("POST", "/v1/call", TOKEN, &large, 413, "body_too_large"),
+    ];
+    for (method, path, token, body, status, code) in cases {
+        let authorization = match token {
+            "" => String::new(),
+            token => format!("authorization: Bearer {token}\r\n"),
+        };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\n{authorization}\
+             content-type: application/json\r\ncontent-length: {}\r\n",
+            body.len()
+        );
+        let answer = exchange(address, &head, body);
+        let case = format!("{method} {path} {body:.80}: {answer:?}");
+        assert_eq!(answer.status, status, "{case}");
+        assert_eq!(answer.json()["code"], code, "{case}");
+        assert!(answer.json()["message"].is_string(), "{case}");
+        let later = answer.json()["retry_after_ms"].is_u64();
+        assert_eq!(later, answer.header("retry-after").is_some(), "{case}");
+        assert_eq!(later, code == "no_replica", "{case}");
+        assert_healthy(address, &case);
+    }
+}
+
+#[actix_rt::test]
+async fn input_malformed_http() {
+    let (_cluster, address) = entry().await;
+    let long = "x".repeat(256 * 1024);
+    let cases = [
+        "\0\0\0\r\n".to_owned(),
+        "POST /v1/generate HTTP/1.1\r\ncontent-length: -1\r\n".to_owned(),
+        "POST /v1/generate HTTP/1.1\r\ncontent-length: 5\r\ncontent-length: 6\r\n".to_owned(),
+        format!("GET /{long} HTTP/1.1\r\n"),
+        format!("GET / HTTP/1.1\r\nx: {long}\r\n"),
+    ];
+    for head in cases {
+        let answer = exchange(address, &head, "");
+        // A head that cannot be parsed has no path whose error could be typed.
+        let refused = (400..500).contains(&answer.status) || answer.status == 0;
+        assert!(refused, "{head:.60}: {answer:?}");
+        assert_healthy(address, &head[..head.len().min(60)]);
+    }
+}
+
+#[actix_rt::test]
+async fn input_oversized_chunked() {
+    let (_cluster, address) = entry().await;
+    let head = format!(
+        "POST /v1/generate HTTP/1.1\r\nauthorization: Bearer {TOKEN}\r\n\
+         content-type: application/json\r\ntransfer-encoding: chunked\r\n"
+    );
+    let chunk = "x".repeat(MAX_BODY_BYTES + 1);
+    let body = format!("{:x}\r\n{chunk}\r\n0\r\n\r\n", chunk.len());
+    let answer = exchange(address, &head, &body);
+    assert_eq!(
+        (answer.status, answer.json()["code"].as_str()),
+        (413, Some("body_too_large"))
+    );
+    assert_healthy(address, "an oversized chunked body");
+}
+
+#[actix_rt::test]
+async fn input_slow_body() {
+    let (_cluster, address) = entry().await;
+    let body = generate_body("seaside", "chat");
+    let head = format!(
+        "POST /v1/generate HTTP/1.1\r\nauthorization: Bearer {TOKEN}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    let pause = Duration::from_millis(SLOW_CLIENT_TIMEOUT_MS / 8);
+    let answer = send_slowly(
+        address,
+        &format!("{head}host: entry\r\nconnection: close\r\n\r\n"),
+        &body,
+        pause,
+    );
+    assert_eq!(answer.status, 408, "{answer:?}");
+    assert_eq!(answer.json()["code"], "request_timeout");
+    assert_healthy(address, "a slow body");
+}
+
+#[actix_rt::test]
+async fn input_slow_head() {
+    let (_cluster, address) = entry().await;
+    let head = "GET /health/live HTTP/1.1\r\nx-slow: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+    let pause = Duration::from_millis(SLOW_CLIENT_TIMEOUT_MS / 8);
+    let answer = send_slowly(address, "", head, pause);
+    // The head is incomplete, so there is no path whose error could be typed.
+    assert_eq!(answer.status, 408, "{answer:?}");
+    assert_healthy(address, "a slow head");
+}
+
+#[actix_rt::test]
+async fn input_without_shared_key() {
+    let (_cluster, address) = entry().await;
+    for path in ["/x/report", "/x/config"] {
+        let answer = post(address, path, TOKEN, "{}");
+        assert_eq!(answer.status, 401, "{path}: {answer:?}");
+        assert_healthy(address, path);
+    }
+}
--- /dev/null
+++ b/tests/api_input/raw.rs
@@ -0,0 +1,91 @@
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Longest wait for an answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(20);
+
+/// What came back on a connection; status 0 when it was closed without a word.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    head: String,
+    body: String,
+}
+
+impl Answer {
+    fn parse(bytes: &[u8]) -> Self {
+        let text = String::from_utf8_lossy(bytes);
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        Self {
+            status: status.unwrap_or(0),
+            head: head.to_lowercase(),
+            body: body.to_owned(),
+        }
+    }
+
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let start = format!("{name}: ");
+        self.head.lines().find_map(|line| line.strip_prefix(&start))
+    }
+
+    /// The body, or null when it is not JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the entry takes connections");
+    stream
+        .set_read_timeout(Some(ANSWER_WAIT))
+        .expect("a timeout can be set");
+    stream
+}
+
+fn read_to_close(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    match stream.read_to_end(&mut bytes) {
+        Ok(_) => {}
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {}
+        Err(error) => panic!("no answer: {error}"),
+    }
+    Answer::parse(&bytes)
+}
+
+/// Sends a request on a connection of its own and reads the answer.
+pub fn exchange(address: SocketAddr, head: &str, body: &str) -> Answer {
+    let mut stream = connect(address);
+    let request = format!("{head}host: entry\r\nconnection: close\r\n\r\n{body}");
+    // The entry may answer and close before it has read everything.
+    let _ = stream.write_all(request.as_bytes());
+    read_to_close(stream)
+}
+
+/// Sends `at_once` and then `bytes` one by one, until the entry closes.
+pub fn send_slowly(address: SocketAddr, at_once: &str, bytes: &str, pause: Duration) -> Answer {
+    let mut stream = connect(address);
+    stream
+        .write_all(at_once.as_bytes())
+        .expect("the entry reads");
+    let reader = stream.try_clone().expect("a connection can be cloned");
+    let reading = std::thread::spawn(move || read_to_close(reader));
+    for byte in bytes.as_bytes() {
+        if reading.is_finished() || stream.write_all(&[*byte]).is_err() {
+            break;
+        }
+        sleep(pause);
+    }
+    reading.join().expect("the reader ends")
+}
