--- /dev/null
+++ b/tests/api_stop/main.rs
@@ -0,0 +1,195 @@
+//! A planned stop of each role, by SIGTERM and SIGINT: requests in progress are
+//! finished, and the process ends with 0.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::fmt::Debug;
+
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use bergamotfork::links::HttpClient;
+use bergamotfork::platform::StreamEvent;
+use bergamotfork::weights::Digest;
+use support::Cluster;
+use support::TOKEN;
+use support::until;
+
+const TOKENS: u32 = 40;
+
+/// One entry, one slow engine and one slow service, with a branch that may use both.
+struct Stage {
+    cluster: Cluster,
+    entry: String,
+    engine: String,
+    desk: String,
+}
+
+async fn stage() -> Stage {
+    let mut cluster = Cluster::new().await;
+    let entry = cluster.entry("entry-1", "or-north", "").await;
+    let engine = cluster
+        .engine("engine-1", "or-north", &["--token-ms", "50"])
+        .await;
+    let engine = cluster.backend_of(&engine);
+    let delay = ["--delay-ms", "1500"];
+    let desk = cluster
+        .service("desk-1", "or-north", "bookdesk", &delay)
+        .await;
+    let desk = cluster.backend_of(&desk);
+    let manifest = cluster.publish("chat", "v1", 1 << 17).await;
+    let model = format!("version = v1\nmanifest = {manifest}\nreplicas = 1\n");
+    cluster.edit("model chat", 0, &model).await;
+    let service = "idempotent = lookup\ntimeout_ms = 5000\n";
+    cluster.edit("service bookdesk", 0, service).await;
+    let branch = format!(
+        "token_digest = {}\nweight = 1\nshare_percent = 50\nburst_percent = 100\n\
+         models = chat\nservices = bookdesk\n",
+        Digest::of(TOKEN.as_bytes())
+    );
+    cluster.edit("branch seaside", 0, &branch).await;
+    let stage = Stage {
+        cluster,
+        entry,
+        engine,
+        desk,
+    };
+    until("both kinds of calls are answered", 30, async || {
+        let whole = stage.generate(1).await.is_some();
+        (whole && stage.look_up().await.is_some()).then_some(())
+    })
+    .await;
+    stage
+}
+
+impl Stage {
+    /// Asks for tokens; the number in a whole answer.
+    async fn generate(&self, max_tokens: u32) -> Option<u32> {
+        let url = format!("{}/v1/generate", self.entry);
+        let body = json!({
+            "branch": "seaside", "model": "chat", "prompt": "tide?", "max_tokens": max_tokens,
+        });
+        let answer = self
+            .cluster
+            .call(Method::POST, &url, Some(&body))
+            .await
+            .ok()?;
+        let last = answer
+            .split(|byte| *byte == b'\n')
+            .rfind(|line| !line.is_empty())?;
+        match serde_json::from_slice(last).ok()? {
+            StreamEvent::End { tokens, .. } => Some(tokens),
+            _ => None,
+        }
+    }
+
+    async fn look_up(&self) -> Option<Value> {
+        let url = format!("{}/v1/call", self.entry);
+        let body = json!({
+            "branch": "seaside", "service": "bookdesk", "path": "lookup", "body": {"hut": 1},
+        });
+        let answer = self
+            .cluster
+            .call(Method::POST, &url, Some(&body))
+            .await
+            .ok()?;
+        serde_json::from_slice(&answer).ok()
+    }
+
+    /// Waits until the engine runs a stream.
+    async fn stream_runs(&self) {
+        let url = format!("http://{}/v1/state", self.engine);
+        until("a stream runs", 20, async || {
+            let state: Value = HttpClient::to_platform().get_json(&url, 5000).await.ok()?;
+            (state["running"].as_u64()? > 0).then_some(())
+        })
+        .await;
+    }
+
+    async fn exit_code(&mut self, name: &str) -> i32 {
+        let process = self.cluster.process(name);
+        until(&format!("{name} ends"), 30, async || process.exit_code()).await
+    }
+}
+
+/// Signals `name` while a stream runs: the stream ends whole, the process with 0.
+async fn assert_stream_outlives(name: &str, signal: &str) {
+    let mut stage = stage().await;
+    let (tokens, ()) = futures_util::join!(stage.generate(TOKENS), async {
+        stage.stream_runs().await;
+        signal_to(&stage, name, signal);
+    });
+    assert_eq!(tokens, Some(TOKENS), "the stream was cut off");
+    assert_eq!(stage.exit_code(name).await, 0);
+}
+
+fn signal_to(stage: &Stage, name: &str, signal: &str) {
+    let found = stage
+        .cluster
+        .processes
+        .iter()
+        .find(|(known, _)| known == name);
+    found.expect("the process was started").1.signal(signal);
+}
+
+fn assert_answered(answer: &Option<impl Debug>) {
+    assert!(answer.is_some(), "the call was cut off");
+}
+
+#[actix_rt::test]
+async fn stop_entry_term() {
+    assert_stream_outlives("entry-1", "TERM").await;
+}
+
+#[actix_rt::test]
+async fn stop_entry_int() {
+    assert_stream_outlives("entry-1", "INT").await;
+}
+
+#[actix_rt::test]
+async fn stop_engine_endpoint_term() {
+    assert_stream_outlives("engine-1", "TERM").await;
+}
+
+#[actix_rt::test]
+async fn stop_engine_endpoint_int() {
+    assert_stream_outlives("engine-1", "INT").await;
+}
+
+#[actix_rt::test]
+async fn stop_service_endpoint_term() {
+    let mut stage = stage().await;
+    let ledger = format!("http://{}/ledger", stage.desk);
+    let before = executions(&ledger).await;
+    let (answer, ()) = futures_util::join!(stage.look_up(), async {
+        until("the call runs", 20, async || {
+            (executions(&ledger).await > before).then_some(())
+        })
+        .await;
+        signal_to(&stage, "desk-1", "TERM");
+    });
+    assert_answered(&answer);
+    assert_eq!(stage.exit_code("desk-1").await, 0);
+}
+
+#[actix_rt::test]
+async fn stop_standins() {
+    let mut stage = stage().await;
+    for name in [
+        "log",
+        "hosts",
+        "origin",
+        "engine-1-engine",
+        "desk-1-service",
+    ] {
+        signal_to(&stage, name, "TERM");
+        assert_eq!(stage.exit_code(name).await, 0, "{name}");
+    }
+}
+
+async fn executions(ledger: &str) -> usize {
+    let ledger: Result<Vec<Value>, _> = HttpClient::to_platform().get_json(ledger, 5000).await;
+    ledger.map_or(0, |executions| executions.len())
+}
