--- a/src/bench/control_fleet.rs
+++ b/src/bench/control_fleet.rs
@@ -132,7 +132,7 @@
 
     /// Processes where the record at `offset` is not in force.
     pub(super) fn lacking(&self, offset: u64) -> usize {
-        let lacks = |host: &&ControlHost| host.node.fold().head() <= offset;
+        let lacks = |host: &&ControlHost| host.node.follower().fold().head() <= offset;
         self.hosts.iter().filter(lacks).count()
     }
 
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -2,10 +2,12 @@
 use clap::Subcommand;
 
 use super::BenchArgs;
+use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
 use super::StandinArgs;
+use super::StatusArgs;
 use super::TokenArgs;
 
 /// Distributes model weights in bursts and routes live requests.
@@ -25,6 +27,10 @@
     Entry(EntryArgs),
     /// Run an endpoint beside an engine or a plain service.
     Endpoint(EndpointArgs),
+    /// Show the hosts, models and configuration as an entry sees them.
+    Status(StatusArgs),
+    /// Show the whole system at work, in this one process on loopback.
+    Demo(DemoArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
     /// Measure the system on this machine.
