Send beats as datagrams, and full reports only when something changed

Cause: an entry with 8 other entries and 60 endpoints took 53,893 B/s of control traffic against a limit of 11 KB/s; two thirds of it were HTTP heads of reports that said nothing new. Ruled out: smaller bodies (heads stay), fewer reports (a dead host must be noticed within 3 s), fewer entries to report to (a service with one replica must be known to all). A beat is a sealed datagram of under 100 bytes; a full report follows when its state tag is unknown.

--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -56,7 +56,7 @@
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     if state.engine_address().is_some() {
         Fetcher::new(Arc::clone(&state)).start();
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -59,7 +59,7 @@
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     Tailer::new(Arc::clone(&state)).start();
     emit(
         Event::ProcessStarted,
--- a/src/entry/status_view.rs
+++ b/src/entry/status_view.rs
@@ -175,7 +175,7 @@
             service: host.service.clone(),
             standing: standing_name(host.standing(now_ms)).to_owned(),
             silent_ms: host.silent_ms(now_ms),
-            config_offset: host.config.map(|mark| mark.offset),
+            config_offset: host.config_offset,
             load: host.load,
             versions: host.served.clone(),
         }
@@ -187,7 +187,10 @@
     roster
         .hosts()
         .filter(|(_, host)| matches!(host.standing(now_ms), Standing::Usable | Standing::Leaving))
-        .filter(|(_, host)| host.config.is_some_and(|mark| mark.offset < config.offset))
+        .filter(|(_, host)| {
+            host.config_offset
+                .is_some_and(|offset| offset < config.offset)
+        })
         .map(|(_, host)| host.name.clone())
         .collect()
 }
--- a/src/hosts/host.rs
+++ b/src/hosts/host.rs
@@ -1,12 +1,12 @@
 use std::net::SocketAddr;
 
-use crate::hosts::ConfigMark;
 use crate::hosts::HostRecord;
 use crate::hosts::HostRole;
 use crate::hosts::HostState;
 use crate::hosts::Load;
 use crate::hosts::Report;
 use crate::hosts::Served;
+use crate::hosts::StateTag;
 
 /// Silence after which a host gets no new work.
 pub const SILENCE_MS: u64 = 2500;
@@ -50,7 +50,9 @@
     /// Epoch that new permits for it should name.
     pub permit_epoch: u64,
     /// Configuration in force on it when last heard.
-    pub config: Option<ConfigMark>,
+    pub config_offset: Option<u64>,
+    pub(super) state: Option<StateTag>,
+    pub(super) beat_sent_ms: u64,
     pub(super) listed: bool,
     pub(super) listed_leaving: bool,
     pub(super) said_leaving: bool,
@@ -72,7 +74,9 @@
             load: Load::default(),
             served: Vec::new(),
             permit_epoch: 0,
-            config: None,
+            config_offset: None,
+            state: None,
+            beat_sent_ms: 0,
             listed: true,
             listed_leaving: record.state == HostState::Leaving,
             said_leaving: false,
@@ -94,7 +98,9 @@
             load: report.load,
             served: report.served.clone(),
             permit_epoch: report.permit_epoch,
-            config: Some(report.config),
+            config_offset: Some(report.config.offset),
+            state: Some(report.state_tag()),
+            beat_sent_ms: 0,
             listed: false,
             listed_leaving: false,
             said_leaving: report.leaving,
@@ -127,6 +133,11 @@
         Standing::Usable
     }
 
+    /// The host's own clock when it sent its last beat.
+    pub fn beat_sent_ms(&self) -> u64 {
+        self.beat_sent_ms
+    }
+
     /// Time since the host was last heard.
     pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
         self.heard_ms
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -1,14 +1,22 @@
 //! Hosts, their incarnations, and the merged live list.
 //!
-//! Each process reports to a few entries every second. The platform's list lags
-//! and may be empty or halved, so what a process hears itself goes before it.
+//! Each process sends a beat to a few entries every second, and a full report
+//! when something seldom changed. The platform's list lags and may be empty or
+//! halved, so what a process hears itself goes before it.
 
+mod beat;
 mod host;
 mod host_key;
 mod host_record;
 mod report;
 mod roster;
 
+pub use beat::Beat;
+pub use beat::BeatAnswer;
+pub use beat::BeatKey;
+pub use beat::Datagram;
+pub use beat::NameTag;
+pub use beat::StateTag;
 pub use host::Host;
 pub use host::SILENCE_MS;
 pub use host::Standing;
@@ -22,6 +30,7 @@
 pub use report::Report;
 pub use report::ReportAnswer;
 pub use report::Served;
+pub use roster::BeatHeard;
 pub use roster::DOUBT_MS;
 pub use roster::FORGET_MS;
 pub use roster::Heard;
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -3,7 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::document::follow::PeerMark;
 use crate::hosts::HostRole;
+use crate::hosts::StateTag;
 use crate::weights::Digest;
 
 /// How far a process has folded the configuration.
@@ -57,7 +59,7 @@
     pub slots: u32,
 }
 
-/// What a process says of itself, each second, to the entries it reports to.
+/// All that a process says of itself to the entries it reports to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Name of the host.
@@ -86,11 +88,26 @@
     pub permit_epoch: u64,
 }
 
+impl Report {
+    /// Tag of all that changes seldom: everything but load, offset and epoch.
+    pub fn state_tag(&self) -> StateTag {
+        let served: Vec<_> = self
+            .served
+            .iter()
+            .map(|served| {
+                let tenths = served.present_percent / 10;
+                (served.manifest, served.progress, tenths, &served.held)
+            })
+            .collect();
+        let state = (&self.name, self.address, self.incarnation, served);
+        let encoded = rmp_serde::to_vec(&state).expect("texts and numbers always encode");
+        StateTag::of(&encoded)
+    }
+}
+
 /// What an entry answers to a report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportAnswer {
-    /// Incarnation of the entry.
-    pub incarnation: u64,
     /// Configuration in force on the entry.
     pub config: ConfigMark,
     /// Whether the entry is past its own bootstrap.
@@ -98,3 +115,15 @@
     /// Time since its configuration was known to be the end of the log.
     pub confirmed_age_ms: Option<u64>,
 }
+
+impl ReportAnswer {
+    /// How far the entry has followed the log.
+    pub fn mark(&self) -> PeerMark {
+        PeerMark {
+            head: self.config.offset,
+            digest: self.config.digest,
+            is_voter: self.is_voter,
+            confirmed_age_ms: self.confirmed_age_ms,
+        }
+    }
+}
--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -1,7 +1,9 @@
+use crate::hosts::Beat;
 use crate::hosts::Host;
 use crate::hosts::HostKey;
 use crate::hosts::HostRole;
 use crate::hosts::HostState;
+use crate::hosts::NameTag;
 use crate::hosts::Report;
 use crate::hosts::Standing;
 use crate::platform::HostList;
@@ -34,6 +36,17 @@
     Outdated,
 }
 
+/// What a beat told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatHeard {
+    /// The sender is as its last full report said.
+    Known,
+    /// The sender is not known as it is now; a full report is needed.
+    NeedsReport,
+    /// An incarnation that has been replaced; the beat was dropped.
+    Outdated,
+}
+
 #[derive(Debug, Default)]
 struct Slot {
     generation: u32,
@@ -48,6 +61,7 @@
 pub struct Roster {
     slots: Vec<Slot>,
     by_name: Vec<HostKey>,
+    by_tag: Vec<(NameTag, HostKey)>,
     list_version: u64,
     doubted_since_ms: Option<u64>,
 }
@@ -92,6 +106,12 @@
         self.position(name).ok().map(|at| self.by_name[at])
     }
 
+    /// Key of the host whose name has the given tag.
+    pub fn tagged(&self, tag: NameTag) -> Option<HostKey> {
+        let at = self.by_tag.binary_search_by_key(&tag, |(tag, _)| *tag);
+        at.ok().map(|at| self.by_tag[at].1)
+    }
+
     /// Every host, by name.
     pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
         self.by_name
@@ -191,6 +211,7 @@
             _ => Heard::Known,
         };
         let mut told = Host::from_report(report, now_ms);
+        told.beat_sent_ms = host.beat_sent_ms;
         told.listed = host.listed;
         told.unlisted_ms = host.unlisted_ms;
         told.listed_leaving = host.listed_leaving && heard != Heard::Replaced;
@@ -201,6 +222,30 @@
         heard
     }
 
+    /// Merges a sign of life.
+    pub fn beat(&mut self, beat: &Beat, now_ms: u64) -> BeatHeard {
+        let Some(host) = self.tagged(beat.name).and_then(|key| self.host_mut(key)) else {
+            return BeatHeard::NeedsReport;
+        };
+        if beat.incarnation < host.incarnation {
+            return BeatHeard::Outdated;
+        }
+        if beat.incarnation > host.incarnation {
+            return BeatHeard::NeedsReport;
+        }
+        host.heard_ms = Some(now_ms);
+        host.beat_sent_ms = beat.sent_ms;
+        host.said_leaving |= beat.leaving;
+        host.config_offset = Some(beat.config_offset);
+        host.load = beat.load;
+        host.permit_epoch = beat.permit_epoch;
+        if host.state == Some(beat.state) {
+            BeatHeard::Known
+        } else {
+            BeatHeard::NeedsReport
+        }
+    }
+
     /// Notes that a call to `key` failed in a way that shows its process is gone.
     pub fn failed(&mut self, key: HostKey, now_ms: u64) {
         if let Some(host) = self.host_mut(key) {
@@ -227,6 +272,7 @@
             .collect();
         for key in gone {
             self.by_name.retain(|kept| *kept != key);
+            self.by_tag.retain(|(_, kept)| *kept != key);
             let slot = &mut self.slots[key.index as usize];
             slot.host = None;
             slot.generation += 1;
@@ -243,6 +289,7 @@
             self.slots.push(Slot::default());
             self.slots.len() - 1
         });
+        let tag = NameTag::of(&host.name);
         let slot = &mut self.slots[index];
         slot.host = Some(host);
         let key = HostKey {
@@ -250,5 +297,7 @@
             generation: slot.generation,
         };
         self.by_name.insert(at, key);
+        let at = self.by_tag.partition_point(|(known, _)| *known < tag);
+        self.by_tag.insert(at, (tag, key));
     }
 }
--- a/src/links/cuts.rs
+++ b/src/links/cuts.rs
@@ -27,15 +27,18 @@
 
     /// Whether the address in `url` is cut off now.
     pub fn covers(&self, url: &str) -> bool {
-        let state = self.state();
-        let Some(cut) = state.as_ref().filter(|cut| Instant::now() < cut.until) else {
-            return false;
-        };
         let address = url
             .strip_prefix("http://")
             .and_then(|rest| rest.split('/').next())
             .and_then(|address| address.parse().ok());
-        address.is_some_and(|address| cut.addresses.binary_search(&address).is_ok())
+        address.is_some_and(|address| self.covers_address(address))
+    }
+
+    /// Whether `address` is cut off now.
+    pub fn covers_address(&self, address: SocketAddr) -> bool {
+        let state = self.state();
+        let cut = state.as_ref().filter(|cut| Instant::now() < cut.until);
+        cut.is_some_and(|cut| cut.addresses.binary_search(&address).is_ok())
     }
 
     fn state(&self) -> MutexGuard<'_, Option<Cut>> {
--- a/src/node/config_pull.rs
+++ b/src/node/config_pull.rs
@@ -8,7 +8,6 @@
 use crate::document::follow::PeerMark;
 use crate::document::follow::Update;
 use crate::hosts::HostRole;
-use crate::hosts::ReportAnswer;
 use crate::node::Node;
 use crate::observe::Event;
 use crate::observe::emit;
@@ -35,14 +34,8 @@
     }
 }
 
-/// Draws on what the answer to a report says of the configuration.
-pub(super) fn take_report_answer(node: &Node, asked_ms: u64, name: &str, answer: &ReportAnswer) {
-    let mark = PeerMark {
-        head: answer.config.offset,
-        digest: answer.config.digest,
-        is_voter: answer.is_voter,
-        confirmed_age_ms: answer.confirmed_age_ms,
-    };
+/// Draws on what the peer `name` says of its configuration.
+pub(super) fn take_mark(node: &Node, asked_ms: u64, name: &str, mark: PeerMark) {
     let answer = PeerAnswer {
         mark,
         update: Update::None,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,11 +2,13 @@
 //! configuration it has folded, and the reports it exchanges with entries.
 
 mod admission;
+mod beat_receiver;
 mod config_pull;
 #[allow(clippy::module_inception)]
 mod node;
 mod reporter;
 mod routes;
+mod targets;
 mod watcher;
 
 pub use admission::Admission;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -18,9 +18,12 @@
 use crate::document::Document;
 use crate::document::follow::Follower;
 use crate::document::follow::PeerAnswer;
+use crate::hosts::Beat;
+use crate::hosts::BeatAnswer;
 use crate::hosts::ConfigMark;
 use crate::hosts::HostRole;
 use crate::hosts::Load;
+use crate::hosts::NameTag;
 use crate::hosts::Report;
 use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
@@ -35,6 +38,9 @@
 /// Bytes of the head of a request or answer between two processes, about.
 const HEADER_BYTES: usize = 200;
 
+/// Bytes of the IP and UDP headers of a datagram.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
 /// Time without confirmation after which a process counts as cut off.
 const CUT_OFF_MS: u64 = 30_000;
 
@@ -167,9 +173,18 @@
         rmp_serde::from_slice(&answer).map_err(|error| malformed(error.to_string()))
     }
 
-    /// Counts a message of control traffic with `body_bytes` of body.
+    /// Counts a request or answer of control traffic with `body_bytes` of body.
     pub fn count_control(&self, direction: &'static str, body_bytes: usize) {
-        let bytes = (body_bytes + HEADER_BYTES) as u64;
+        self.count_control_bytes(direction, body_bytes + HEADER_BYTES);
+    }
+
+    /// Counts a datagram of control traffic with `body_bytes` of body.
+    pub fn count_datagram(&self, direction: &'static str, body_bytes: usize) {
+        self.count_control_bytes(direction, body_bytes + DATAGRAM_HEADER_BYTES);
+    }
+
+    fn count_control_bytes(&self, direction: &'static str, bytes: usize) {
+        let bytes = bytes as u64;
         self.metrics
             .add(Tally::ControlBytes, bytes, "direction", direction);
         self.control_bytes.fetch_add(bytes, Ordering::Relaxed);
@@ -246,7 +261,6 @@
     pub fn report_answer(&self) -> ReportAnswer {
         let mark = self.follower().mark(self.now_ms());
         ReportAnswer {
-            incarnation: self.incarnation,
             config: ConfigMark {
                 offset: mark.head,
                 digest: mark.digest,
@@ -263,6 +277,35 @@
         answer
     }
 
+    /// The process's sign of life.
+    pub fn beat(&self, wants_answer: bool) -> Beat {
+        let report = self.report();
+        Beat {
+            name: NameTag::of(&self.process.name),
+            incarnation: self.incarnation,
+            sent_ms: self.now_ms(),
+            state: report.state_tag(),
+            leaving: report.leaving,
+            wants_answer,
+            config_offset: report.config.offset,
+            load: report.load,
+            permit_epoch: report.permit_epoch,
+        }
+    }
+
+    /// What the process answers to a beat sent at `asked_ms` of the sender's clock.
+    pub fn beat_answer(&self, asked_ms: u64, wants_report: bool) -> BeatAnswer {
+        let answer = self.report_answer();
+        BeatAnswer {
+            name: NameTag::of(&self.process.name),
+            asked_ms,
+            wants_report,
+            config: answer.config,
+            is_voter: answer.is_voter,
+            confirmed_age_ms: answer.confirmed_age_ms,
+        }
+    }
+
     /// What the process says of itself now.
     pub fn report(&self) -> Report {
         let own = self.own();
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -1,4 +1,5 @@
-use std::net::SocketAddr;
+use std::io;
+use std::net::UdpSocket as StdUdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -6,44 +7,122 @@
 use actix::AsyncContext;
 use actix::Context;
 use actix::WrapFuture;
+use actix_rt::net::UdpSocket;
 
-use crate::hosts::HostKey;
+use crate::hosts::BeatKey;
+use crate::hosts::Datagram;
 use crate::hosts::HostRole;
 use crate::hosts::ReportAnswer;
 use crate::node::Node;
-use crate::node::config_pull::take_report_answer;
+use crate::node::beat_receiver::receive;
+use crate::node::config_pull::take_mark;
 use crate::node::pull_config;
+use crate::node::targets::Target;
+use crate::node::targets::targets;
 use crate::observe::Event;
 use crate::observe::emit;
 
-/// Entries one process reports to.
-const FANOUT: usize = 12;
-
 /// Time between two checks that the process was not paused.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Time between two looks at whether those behind should be told of a new offset.
+const NUDGE: Duration = Duration::from_millis(50);
+
+/// Beats between two that want an answer though nothing is new.
+const ANSWERED_EVERY: u64 = 5;
+
 /// Time an entry has to answer a report.
 const ANSWER_WAIT_MS: u64 = 1000;
 
-/// Reports to the entries and learns from their answers who is ahead.
+/// Sends beats and reports to the entries and learns who is ahead.
 #[derive(Debug)]
 pub struct Reporter {
     node: Arc<Node>,
+    wire: Arc<Wire>,
+    round: u64,
+    nudged_offset: u64,
+}
+
+/// The socket that datagrams go through, and their key.
+#[derive(Debug)]
+pub(super) struct Wire {
+    pub(super) socket: UdpSocket,
+    pub(super) key: BeatKey,
 }
 
 impl Reporter {
-    /// Reporter of `node`.
-    pub fn new(node: Arc<Node>) -> Self {
-        Self { node }
+    /// Reporter of `node`, on the UDP port of the number that `node` listens on.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error when the port cannot be bound.
+    pub fn bind(node: Arc<Node>) -> io::Result<Self> {
+        let socket = StdUdpSocket::bind(node.process().listen)?;
+        socket.set_nonblocking(true)?;
+        let wire = Wire {
+            socket: UdpSocket::from_std(socket)?,
+            key: BeatKey::derive(&node.cluster().shared_key),
+        };
+        Ok(Self {
+            node,
+            wire: Arc::new(wire),
+            round: 0,
+            nudged_offset: 0,
+        })
     }
 
-    /// Reports once to every entry of the fan-out, all at a time.
+    /// Sends a full report to every entry of the fan-out, all at a time.
     pub async fn report_now(node: &Arc<Node>) {
         let reports = targets(node)
             .into_iter()
             .map(|target| report_to(node, target));
         futures_util::future::join_all(reports).await;
     }
+
+    /// Sends one round of beats.
+    fn beat_all(&mut self) {
+        let wants_answer = self.round.is_multiple_of(ANSWERED_EVERY) || !self.node.is_ready();
+        self.round += 1;
+        let datagram = Datagram::Beat(self.node.beat(wants_answer)).seal(&self.wire.key);
+        for target in targets(&self.node) {
+            self.wire.send(&self.node, &datagram, target.address);
+        }
+    }
+
+    /// Tells those who are behind that there is a new offset.
+    fn nudge(&mut self) {
+        let head = self.node.config_mark().offset;
+        if self.node.process().role != HostRole::Entry || head <= self.nudged_offset {
+            return;
+        }
+        self.nudged_offset = head;
+        let now_ms = self.node.now_ms();
+        let behind: Vec<_> = self
+            .node
+            .roster()
+            .hosts()
+            .filter(|(_, host)| host.config_offset.is_some_and(|offset| offset < head))
+            .filter(|(_, host)| host.silent_ms(now_ms).is_some())
+            .map(|(_, host)| (host.address, host.beat_sent_ms()))
+            .collect();
+        for (address, asked_ms) in behind {
+            let answer = self.node.beat_answer(asked_ms, false);
+            let datagram = Datagram::Answer(answer).seal(&self.wire.key);
+            self.wire.send(&self.node, &datagram, address);
+        }
+    }
+}
+
+impl Wire {
+    /// Sends a sealed datagram; one that cannot go out now is lost, as on the way.
+    pub(super) fn send(&self, node: &Node, datagram: &[u8], to: std::net::SocketAddr) {
+        if node.cuts().covers_address(to) {
+            return;
+        }
+        if self.socket.try_send_to(datagram, to).is_ok() {
+            node.count_datagram("sent", datagram.len());
+        }
+    }
 }
 
 impl Actor for Reporter {
@@ -52,22 +131,13 @@
     fn started(&mut self, context: &mut Self::Context) {
         let pause = Duration::from_millis(self.node.cluster().gossip_ms);
         context.run_interval(TICK, |this, _| tick(&this.node));
-        context.run_interval(pause, |this, context| {
-            let node = Arc::clone(&this.node);
-            let round = async move { Self::report_now(&node).await };
-            context.spawn(round.into_actor(this));
-        });
+        context.run_interval(pause, |this, _| this.beat_all());
+        context.run_interval(NUDGE, |this, _| this.nudge());
+        let receiving = receive(Arc::clone(&self.node), Arc::clone(&self.wire));
+        context.spawn(receiving.into_actor(self));
     }
 }
 
-/// An entry to report to.
-#[derive(Debug)]
-struct Target {
-    key: HostKey,
-    name: String,
-    address: SocketAddr,
-}
-
 fn tick(node: &Node) {
     let now_ms = node.now_ms();
     if node.follower().tick(now_ms) {
@@ -75,33 +145,8 @@
     }
 }
 
-/// Entries this process reports to: the first by rendezvous rank of the names,
-/// and all of them while it needs the answers of a majority.
-fn targets(node: &Node) -> Vec<Target> {
-    let fanout = if node.is_ready() { FANOUT } else { usize::MAX };
-    let roster = node.roster();
-    let mut ranked: Vec<_> = roster
-        .hosts()
-        .filter(|(_, host)| host.role == HostRole::Entry && host.name != node.name())
-        .map(|(key, host)| (rank(node.name(), &host.name), key, host))
-        .collect();
-    ranked.sort_unstable_by_key(|(rank, key, _)| (*rank, *key));
-    ranked
-        .into_iter()
-        .take(fanout)
-        .map(|(_, key, host)| Target {
-            key,
-            name: host.name.clone(),
-            address: host.address,
-        })
-        .collect()
-}
-
-fn rank(from: &str, to: &str) -> [u8; 32] {
-    *blake3::hash(format!("{from}\n{to}").as_bytes()).as_bytes()
-}
-
-async fn report_to(node: &Arc<Node>, target: Target) {
+/// Sends a full report to one entry and draws on its answer.
+pub(super) async fn report_to(node: &Arc<Node>, target: Target) {
     let url = format!("http://{}/x/report", target.address);
     let asked_ms = node.now_ms();
     let report = node.report();
@@ -110,7 +155,7 @@
         Ok(answer) if answer.config.offset > node.follower().fold().head() => {
             pull_config(node, &target.name, target.address).await;
         }
-        Ok(answer) => take_report_answer(node, asked_ms, &target.name, &answer),
+        Ok(answer) => take_mark(node, asked_ms, &target.name, answer.mark()),
         Err(error) if error.is_not_sent() => {
             let now_ms = node.now_ms();
             node.roster().failed(target.key, now_ms);
--- /dev/null
+++ b/tests/hosts/beat.rs
@@ -0,0 +1,115 @@
+use bergamotfork::hosts::Beat;
+use bergamotfork::hosts::BeatHeard;
+use bergamotfork::hosts::BeatKey;
+use bergamotfork::hosts::Datagram;
+use bergamotfork::hosts::NameTag;
+use bergamotfork::hosts::Progress;
+use bergamotfork::hosts::Report;
+use bergamotfork::hosts::Roster;
+use bergamotfork::hosts::Served;
+use bergamotfork::hosts::Standing;
+use bergamotfork::weights::Digest;
+
+use super::report;
+use super::standing;
+
+/// Bytes a second that control may cost a node.
+const CONTROL_BYTES_PER_S: usize = 11 * 1024;
+
+/// Bytes of the IP and UDP headers.
+const HEADER_BYTES: usize = 28;
+
+fn beat(report: &Report) -> Beat {
+    Beat {
+        name: NameTag::of(&report.name),
+        incarnation: report.incarnation,
+        sent_ms: 86_400_000,
+        state: report.state_tag(),
+        leaving: report.leaving,
+        wants_answer: true,
+        config_offset: 1 << 30,
+        load: report.load,
+        permit_epoch: 1 << 20,
+    }
+}
+
+#[test]
+fn open_sealed() {
+    let key = BeatKey::derive("a shared key of the hosts");
+    let datagram = Datagram::Beat(beat(&report(0, 1 << 50)));
+    let bytes = datagram.seal(&key);
+    assert_eq!(Datagram::open(&bytes, &key), Some(datagram));
+    let other = BeatKey::derive("another key");
+    assert_eq!(Datagram::open(&bytes, &other), None);
+    for index in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[index] ^= 1;
+        assert_eq!(Datagram::open(&changed, &key), None, "byte {index}");
+        assert_eq!(Datagram::open(&bytes[..index], &key), None, "{index} bytes");
+    }
+}
+
+#[test]
+fn seal_size() {
+    let key = BeatKey::derive("a shared key of the hosts");
+    let bytes = Datagram::Beat(beat(&report(0, 1 << 50))).seal(&key);
+    // Sixty endpoints and eight entries beat every second.
+    assert!(
+        68 * (bytes.len() + HEADER_BYTES) < CONTROL_BYTES_PER_S,
+        "{}",
+        bytes.len()
+    );
+}
+
+#[test]
+fn beat_unknown_then_reported() {
+    let mut roster = Roster::new();
+    let told = report(0, 5);
+    assert_eq!(roster.beat(&beat(&told), 1000), BeatHeard::NeedsReport);
+    roster.heard(&told, 1100);
+    assert_eq!(roster.beat(&beat(&told), 3000), BeatHeard::Known);
+    assert_eq!(standing(&roster, 0, 5000), Some(Standing::Usable));
+    assert_eq!(standing(&roster, 0, 6000), Some(Standing::Silent));
+}
+
+#[test]
+fn beat_changed_state() {
+    let mut roster = Roster::new();
+    let mut told = report(0, 5);
+    roster.heard(&told, 1000);
+    told.served.push(Served {
+        model: "chat".to_owned(),
+        version: "v1".to_owned(),
+        manifest: Digest::of(b"v1"),
+        progress: Progress::Serving,
+        present_percent: 100,
+        held: None,
+    });
+    assert_eq!(roster.beat(&beat(&told), 1100), BeatHeard::NeedsReport);
+    roster.heard(&told, 1200);
+    assert_eq!(roster.beat(&beat(&told), 1300), BeatHeard::Known);
+}
+
+#[test]
+fn beat_other_incarnation() {
+    let mut roster = Roster::new();
+    roster.heard(&report(0, 5), 1000);
+    let old = beat(&report(0, 4));
+    assert_eq!(roster.beat(&old, 9000), BeatHeard::Outdated);
+    assert_eq!(standing(&roster, 0, 9000), Some(Standing::Silent));
+    let new = beat(&report(0, 6));
+    assert_eq!(roster.beat(&new, 9000), BeatHeard::NeedsReport);
+    assert_eq!(standing(&roster, 0, 9000), Some(Standing::Silent));
+}
+
+#[test]
+fn beat_leaving_stays() {
+    let mut roster = Roster::new();
+    let mut told = report(0, 5);
+    roster.heard(&told, 1000);
+    told.leaving = true;
+    roster.beat(&beat(&told), 1100);
+    told.leaving = false;
+    roster.beat(&beat(&told), 1200);
+    assert_eq!(standing(&roster, 0, 1200), Some(Standing::Leaving));
+}
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -1,5 +1,7 @@
 //! The merged live list under a lagging, empty or halved list of the platform.
 
+mod beat;
+
 use arbtest::arbtest;
 
 use bergamotfork::hosts::ConfigMark;
