--- a/tests/hosts/beat.rs
+++ b/tests/hosts/beat.rs
@@ -1,3 +1,5 @@
+use super::report;
+use super::standing;
 use bergamotfork::hosts::Beat;
 use bergamotfork::hosts::BeatHeard;
 use bergamotfork::hosts::BeatKey;
@@ -10,9 +12,6 @@
 use bergamotfork::hosts::Standing;
 use bergamotfork::weights::Digest;
 
-use super::report;
-use super::standing;
-
 /// Bytes a second that control may cost a node.
 const CONTROL_BYTES_PER_S: usize = 11 * 1024;
 
