--- /dev/null
+++ b/tests/calls/suspects.rs
@@ -0,0 +1,85 @@
+use arbtest::arbtest;
+
+use bergamotfork::calls::DeathId;
+use bergamotfork::calls::Standing;
+use bergamotfork::calls::SuspectSlot;
+use bergamotfork::calls::SuspectTable;
+use bergamotfork::calls::fingerprint;
+use bergamotfork::weights::Digest;
+
+const WINDOW_MS: u64 = 1000;
+
+fn death(number: u32) -> DeathId {
+    DeathId {
+        endpoint: format!("desk-{number}"),
+        incarnation: 1,
+        crash_no: 0,
+    }
+}
+
+fn request(number: u64) -> Digest {
+    fingerprint("chat", &number.to_be_bytes())
+}
+
+#[test]
+fn standing_third_death_is_refused() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    let poison = request(0);
+    assert_eq!(table.standing(poison, 0), Standing::Clear);
+    for number in 0..2 {
+        table.add_death(poison, death(number), 0);
+        table.add_death(poison, death(number), 1);
+        assert_eq!(table.standing(poison, 1), Standing::Suspect);
+    }
+    table.add_death(poison, death(2), 2);
+    assert_eq!(table.standing(poison, 2), Standing::Refused);
+    assert_eq!(table.standing(request(1), 2), Standing::Clear);
+    assert_eq!(table.standing(poison, WINDOW_MS + 2), Standing::Clear);
+}
+
+#[test]
+fn standing_bystander_is_cleared() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    table.add_death(request(1), death(0), 0);
+    table.clear(request(1));
+    assert_eq!(table.standing(request(1), 0), Standing::Clear);
+}
+
+#[test]
+fn merge_any_order_agrees() {
+    arbtest(|u| {
+        let mut tables = vec![SuspectTable::new(WINDOW_MS, 64); 3];
+        for _ in 0..u.int_in_range(1..=30)? {
+            let at = u.int_in_range(0..=2)?;
+            let poison = request(u.int_in_range(0..=2)?);
+            if u.ratio(1, 4)? {
+                tables[at].clear(poison);
+            } else {
+                tables[at].add_death(poison, death(u.int_in_range(0..=3)?), 0);
+            }
+        }
+        let exports: Vec<_> = tables.iter().map(|table| table.export(0)).collect();
+        for (at, table) in tables.iter_mut().enumerate() {
+            for step in 0..exports.len() {
+                table.merge(exports[(at + step) % exports.len()].clone(), 0);
+            }
+        }
+        assert_eq!(tables[0], tables[1]);
+        assert_eq!(tables[1], tables[2]);
+        Ok(())
+    })
+    .seed(0x5eed_0002_0000_1000)
+    .budget_ms(1000);
+}
+
+#[test]
+fn slot_one_suspect_at_a_time() {
+    let mut slot = SuspectSlot::default();
+    assert!(slot.enter(request(0)));
+    assert!(slot.enter(request(0)));
+    assert!(!slot.enter(request(1)));
+    slot.leave(request(0));
+    assert!(!slot.enter(request(1)));
+    slot.leave(request(0));
+    assert!(slot.enter(request(1)));
+}
