--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -5,21 +5,30 @@
 //! its outcome to further sends, and records every refusal before it is told.
 //! An entry says "not run" only by the rule in `verdict`.
 
+mod candidate;
 mod dispatch_ledger;
+mod endpoint_track;
+mod generate_call;
 mod nonce;
 mod outcome;
 mod permit;
 mod permit_epochs;
 mod permit_table;
 mod refusal_reason;
+mod retry_budget;
+mod router;
+mod service_call;
 mod stored_answer;
 mod suspect_slot;
 mod suspect_table;
 mod unknown_reason;
 mod verdict;
 
+pub use candidate::Candidate;
+pub use candidate::stable_hash;
 pub use dispatch_ledger::Dispatch;
 pub use dispatch_ledger::DispatchLedger;
+pub use generate_call::GenerateCall;
 pub use nonce::Nonce;
 pub use nonce::NonceError;
 pub use outcome::CallOutcome;
@@ -32,6 +41,12 @@
 pub use permit_table::PermitLimits;
 pub use permit_table::PermitTable;
 pub use refusal_reason::RefusalReason;
+pub use retry_budget::RetryBudget;
+pub use router::Ask;
+pub use router::Ending;
+pub use router::Router;
+pub use service_call::ServiceCall;
+pub use service_call::ServiceReply;
 pub use stored_answer::StoredAnswer;
 pub use suspect_slot::SuspectSlot;
 pub use suspect_table::DeathId;
--- /dev/null
+++ b/src/cli/entry.rs
@@ -0,0 +1,43 @@
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::CliError;
+use super::run_process;
+use crate::conf::EntrySettings;
+use crate::entry;
+use crate::observe::init_logging;
+
+/// Arguments of `entry`.
+#[derive(Debug, Args)]
+pub struct EntryArgs {
+    /// Settings file of the process (INI).
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+}
+
+impl EntryArgs {
+    /// Loads the settings and starts the log that they ask for.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Invalid`] with every fault of the file.
+    pub fn load(&self) -> Result<EntrySettings, CliError> {
+        let settings = EntrySettings::load(&self.settings)?;
+        init_logging(settings.process.log_format, settings.process.log_level);
+        Ok(settings)
+    }
+}
+
+/// Runs an entry until it is asked to stop.
+///
+/// # Errors
+///
+/// [`CliError`] when the settings are invalid or the address cannot be bound.
+pub fn run(args: EntryArgs) -> Result<(), CliError> {
+    let settings = args.load()?;
+    run_process(async move {
+        let handle = entry::start(settings).await?;
+        Ok(move || async move { handle.stop().await })
+    })
+}
--- /dev/null
+++ b/src/cli/standin.rs
@@ -0,0 +1,59 @@
+use clap::Args;
+use clap::Subcommand;
+
+use super::CliError;
+use super::run_process;
+use crate::conf::LogFormat;
+use crate::observe::init_logging;
+use crate::standin::engine;
+use crate::standin::engine::EngineOptions;
+use crate::standin::hosts;
+use crate::standin::hosts::HostsOptions;
+use crate::standin::log;
+use crate::standin::log::LogOptions;
+use crate::standin::origin;
+use crate::standin::origin::OriginOptions;
+use crate::standin::service;
+use crate::standin::service::ServiceOptions;
+
+/// Arguments of `standin`.
+#[derive(Debug, Args)]
+pub struct StandinArgs {
+    /// Which service of the platform to stand in for.
+    #[command(subcommand)]
+    pub kind: StandinKind,
+}
+
+/// A service of the platform, and its options.
+#[derive(Debug, Subcommand)]
+pub enum StandinKind {
+    /// The append-only log service.
+    Log(LogOptions),
+    /// The list of live and leaving hosts.
+    Hosts(HostsOptions),
+    /// The rate-limited origin of weights.
+    Origin(OriginOptions),
+    /// A model engine.
+    Engine(EngineOptions),
+    /// A plain service beside the engines.
+    Service(ServiceOptions),
+}
+
+/// Runs a stand-in until it is asked to stop.
+///
+/// # Errors
+///
+/// [`CliError::Failed`] when its address cannot be bound.
+pub fn run(args: StandinArgs) -> Result<(), CliError> {
+    init_logging(LogFormat::Text, ::log::LevelFilter::Warn);
+    run_process(async move {
+        let handle = match args.kind {
+            StandinKind::Log(options) => log::start(options).await,
+            StandinKind::Hosts(options) => hosts::start(options).await,
+            StandinKind::Origin(options) => origin::start(options).await,
+            StandinKind::Engine(options) => engine::start(options).await,
+            StandinKind::Service(options) => service::start(options).await,
+        };
+        handle.map(|handle| move || async move { handle.kill().await })
+    })
+}
--- /dev/null
+++ b/src/entry/addresses.rs
@@ -0,0 +1,119 @@
+use std::net::SocketAddr;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::calls::Permit;
+use crate::calls::PermitPlace;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+use crate::entry::auth;
+use crate::hosts::HostRole;
+use crate::regions::Place;
+use crate::regions::spread;
+
+/// Entries named in one answer.
+const MAX_ENTRIES: usize = 8;
+
+#[derive(Debug, Deserialize)]
+pub struct AddressesQuery {
+    branch: String,
+    service: Option<String>,
+    region: Option<String>,
+}
+
+/// One entry a caller may use.
+#[derive(Debug, Serialize)]
+struct EntryAddress {
+    url: String,
+    region: String,
+    domain: String,
+}
+
+impl EntryAddress {
+    fn new(address: SocketAddr, region: &str, domain: &str) -> Self {
+        Self {
+            url: format!("http://{address}"),
+            region: region.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+
+    fn place(&self) -> Place {
+        Place {
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct AddressesAnswer {
+    entries: Vec<EntryAddress>,
+    lifetime_ms: u64,
+    permits: Vec<Permit>,
+}
+
+/// Answers which entries to use, for how long, and permits for a service.
+pub async fn addresses(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    query: web::Query<AddressesQuery>,
+) -> Result<HttpResponse, ApiError> {
+    let document = state.node.document();
+    let branch = auth::branch(&document, &query.branch, &request)?;
+    let permits = match &query.service {
+        Some(service) => permits(&state, &branch.name, service),
+        None => Vec::new(),
+    };
+    Ok(HttpResponse::Ok().json(AddressesAnswer {
+        entries: entries(&state, query.region.as_deref()),
+        lifetime_ms: state.settings.address_lifetime_ms,
+        permits,
+    }))
+}
+
+/// Live entries, spread over the failure domains, those of region `near` first.
+fn entries(state: &EntryState, near: Option<&str>) -> Vec<EntryAddress> {
+    let node = &state.node;
+    let now_ms = node.now_ms();
+    let mut entries: Vec<EntryAddress> = node
+        .roster()
+        .usable(HostRole::Entry, now_ms)
+        .filter(|(_, host)| host.name != node.name())
+        .map(|(_, host)| EntryAddress::new(host.address, &host.region, &host.domain))
+        .collect();
+    if !node.is_leaving() {
+        let own = node.process();
+        entries.push(EntryAddress::new(own.listen, &own.region, &own.domain));
+    }
+    let mut spread = spread(entries, EntryAddress::place, near, &mut rand::rng());
+    spread.truncate(MAX_ENTRIES);
+    spread
+}
+
+/// Permits for calls of `service`, spread over its usable endpoints.
+fn permits(state: &EntryState, branch: &str, service: &str) -> Vec<Permit> {
+    let now_ms = state.node.now_ms();
+    let roster = state.node.roster();
+    let places: Vec<PermitPlace> = roster
+        .usable(HostRole::Endpoint, now_ms)
+        .filter(|(_, host)| host.service.as_deref() == Some(service))
+        .map(|(_, host)| PermitPlace {
+            endpoint: host.name.clone(),
+            address: host.address,
+            incarnation: host.incarnation,
+            epoch: host.permit_epoch,
+        })
+        .collect();
+    let wanted = usize::try_from(state.settings.permits_per_answer).unwrap_or(1);
+    places
+        .into_iter()
+        .cycle()
+        .take(wanted)
+        .map(|place| Permit::issue(&state.permit_key, place, branch, service))
+        .collect()
+}
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -12,6 +12,7 @@
 use actix_web::body::SizedStream;
 use actix_web::web;
 use bytes::Bytes;
+use clap::Args;
 use futures_util::stream;
 use serde::Deserialize;
 use serde::Serialize;
@@ -28,15 +29,19 @@
 pub const CRASH_MARK: &str = "[[crash]]";
 
 /// How the stand-in for a plain service starts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Args)]
 pub struct ServiceOptions {
     /// Address to listen on.
+    #[arg(long, value_name = "IP:PORT")]
     pub listen: SocketAddr,
     /// Whether a key seen before replays its answer.
+    #[arg(long)]
     pub keeps_keys: bool,
     /// Time a call takes.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
     pub delay_ms: u64,
     /// Whether a body that holds the crash mark ends the process.
+    #[arg(long)]
     pub may_crash: bool,
 }
 
