Run calls that may not be repeated under permits, end to end

The endpoint runs each nonce in a task of its own, so the call outlives the connection and later sends join it. Idempotent calls go to another endpoint within the branch's retry budget. Crash suspects travel in reports: all to a host that is new, else what changed in the last 10 s, which keeps control traffic flat. A wait on the service ends at its own timeout, not at the caller's deadline, so that the next send finds the answer.

--- a/src/calls/service_call.rs
+++ b/src/calls/service_call.rs
@@ -1,7 +1,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::calls::Permit;
+use super::CallOutcome;
+use super::Permit;
+use super::UnknownReason;
+
+/// Byte of a heartbeat before an answer; no answer starts with it.
+pub const BEAT: u8 = 0xc0;
 
 /// A call of a plain service, from an entry to an endpoint.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -22,11 +27,37 @@
     pub deadline_ms: u64,
 }
 
-/// The service's whole answer, from an endpoint to an entry.
+impl ServiceCall {
+    /// What the call is for, as part of its fingerprint.
+    pub fn target(&self) -> String {
+        format!("{}/{}", self.service, self.path)
+    }
+}
+
+/// Asks an endpoint what became of a permit.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NonceQuestion {
+    /// Name of the question, echoed in its answer.
+    pub request_id: String,
+    /// The permit.
+    pub permit: Permit,
+}
+
+/// What an endpoint says of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Told {
+    /// The call has this outcome.
+    Ended(CallOutcome),
+    /// The call or question met a process that cannot know the permit, and did not run there.
+    NotHere(UnknownReason),
+}
+
+/// Answer of an endpoint to a call or a question.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ServiceReply {
     /// Name of the request it answers.
     pub request_id: String,
-    /// JSON body of the answer.
-    pub body: String,
+    /// What it says.
+    pub told: Told,
 }
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -61,6 +61,8 @@
     death: DeathId,
     seen_ms: u64,
     cleared: bool,
+    // When this process last learned something of it.
+    changed_ms: u64,
 }
 
 impl Trace {
@@ -98,11 +100,12 @@
             death,
             seen_ms: now_ms,
             cleared: false,
+            changed_ms: now_ms,
         });
     }
 
     /// Clears a request that ran alone among suspects and crashed nothing.
-    pub fn clear(&mut self, fingerprint: Digest) {
+    pub fn clear(&mut self, fingerprint: Digest, now_ms: u64) {
         let first = self
             .traces
             .partition_point(|trace| trace.fingerprint < fingerprint);
@@ -110,7 +113,10 @@
             if trace.fingerprint != fingerprint {
                 break;
             }
-            trace.cleared = true;
+            if !trace.cleared {
+                trace.cleared = true;
+                trace.changed_ms = now_ms;
+            }
         }
     }
 
@@ -142,10 +148,20 @@
             .retain(|trace| now_ms.saturating_sub(trace.seen_ms) < window_ms);
     }
 
-    /// Everything known, to spread.
+    /// Everything known, for a process that starts.
     pub fn export(&self, now_ms: u64) -> Vec<SuspectRecord> {
+        self.export_since(now_ms, 0)
+    }
+
+    /// What this process learned in the last `recent_ms`, to spread.
+    pub fn export_recent(&self, now_ms: u64, recent_ms: u64) -> Vec<SuspectRecord> {
+        self.export_since(now_ms, now_ms.saturating_sub(recent_ms))
+    }
+
+    fn export_since(&self, now_ms: u64, since_ms: u64) -> Vec<SuspectRecord> {
         self.traces
             .iter()
+            .filter(|trace| trace.changed_ms >= since_ms)
             .map(|trace| SuspectRecord {
                 fingerprint: trace.fingerprint,
                 death: trace.death.clone(),
@@ -167,6 +183,7 @@
                 death: record.death,
                 seen_ms: now_ms.saturating_sub(record.age_ms),
                 cleared: record.cleared,
+                changed_ms: now_ms,
             });
         }
     }
@@ -192,7 +209,10 @@
         match found {
             Ok(at) => {
                 let known = &mut self.traces[at];
-                known.cleared |= trace.cleared;
+                if trace.cleared && !known.cleared {
+                    known.cleared = true;
+                    known.changed_ms = trace.changed_ms;
+                }
                 known.seen_ms = known.seen_ms.min(trace.seen_ms);
             }
             Err(at) => {
--- a/src/calls/unknown_reason.rs
+++ b/src/calls/unknown_reason.rs
@@ -9,8 +9,10 @@
     PastIncarnation,
     /// The endpoint no longer remembers the permit's epoch.
     EpochDropped,
-    /// The endpoint did not answer and could not be asked.
+    /// The endpoint did not answer, and not to questions either.
     EndpointLost,
+    /// The connection broke and the endpoint accepts none any more.
+    EndpointGone,
     /// The service's answer was lost after the call was passed on.
     ServiceLost,
     /// The call ran and its answer was too large to be kept.
@@ -28,6 +30,7 @@
             Self::PastIncarnation => "past_incarnation",
             Self::EpochDropped => "epoch_dropped",
             Self::EndpointLost => "endpoint_lost",
+            Self::EndpointGone => "endpoint_gone",
             Self::ServiceLost => "service_lost",
             Self::AnswerDropped => "answer_dropped",
             Self::StillRunning => "still_running",
@@ -38,7 +41,9 @@
     /// When a further send of the same permit may tell more.
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::EndpointLost | Self::StillRunning | Self::OtherSend => Some(1_000),
+            Self::EndpointLost | Self::EndpointGone | Self::StillRunning | Self::OtherSend => {
+                Some(1_000)
+            }
             Self::PastIncarnation
             | Self::EpochDropped
             | Self::ServiceLost
--- a/src/endpoint/call.rs
+++ b/src/endpoint/call.rs
@@ -1,18 +1,32 @@
+use std::time::Duration;
+use std::time::Instant;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::http::Method;
 use actix_web::web;
 use actix_web::web::Bytes;
+use futures_util::FutureExt;
 
+use crate::calls::Asked;
+use crate::calls::Begin;
+use crate::calls::CallOutcome;
+use crate::calls::NonceQuestion;
+use crate::calls::Permit;
+use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
 use crate::calls::ServiceReply;
+use crate::calls::Standing;
+use crate::calls::Told;
+use crate::calls::UnknownReason;
+use crate::calls::fingerprint;
 use crate::endpoint::EndpointState;
-use crate::links::HttpClient;
+use crate::endpoint::call_beats::beating_response;
+use crate::endpoint::call_run::CallRun;
 use crate::links::has_key;
 use crate::links::read_rmp;
-use crate::links::rmp_response;
+use crate::weights::Digest;
 
-/// Passes a call to the service and answers with its whole answer.
+/// Takes in a call of the service beside this process.
 pub async fn call(
     state: web::Data<EndpointState>,
     request: HttpRequest,
@@ -25,17 +39,176 @@
         Ok(call) => call,
         Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
     };
-    let url = format!("{}/v1/call/{}", state.settings.backend.url(), call.path);
-    let sending = HttpClient::to_platform()
-        .fresh_request(Method::POST, &url)
-        .insert_header(("content-type", "application/json"))
-        .insert_header(("x-request-id", call.request_id.as_str()));
-    let answer = HttpClient::exchange(sending, call.body, call.deadline_ms).await;
-    match answer {
-        Ok(body) => rmp_response(&ServiceReply {
-            request_id: call.request_id,
-            body: String::from_utf8_lossy(&body).into_owned(),
-        }),
-        Err(error) => HttpResponse::BadGateway().body(error.to_string()),
+    let now_ms = state.node.now_ms();
+    let left_ms = call
+        .deadline_ms
+        .saturating_sub(state.calls.pauses().pause_ms(now_ms));
+    let deadline = Instant::now() + Duration::from_millis(left_ms);
+    beating_response(async move {
+        let request_id = call.request_id.clone();
+        let told = match call.permit.clone() {
+            Some(permit) => call_once(&state, call, permit, deadline).await,
+            None => call_repeatable(&state, call, deadline).await,
+        };
+        ServiceReply { request_id, told }
+    })
+}
+
+/// Answers what became of a permit, and waits for a call that runs.
+pub async fn nonce(
+    state: web::Data<EndpointState>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    if !has_key(&request, &state.node.cluster().shared_key) {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let question: NonceQuestion = match read_rmp(&body) {
+        Ok(question) => question,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
+    beating_response(async move {
+        let asked = ask(&state, &question.permit);
+        let told = match asked {
+            Asked::NotRun(reason) => Told::Ended(CallOutcome::not_run(reason)),
+            Asked::Done(outcome) => Told::Ended(outcome),
+            Asked::Unknown(reason) => Told::NotHere(reason),
+            Asked::Running => Told::Ended(end_of(&state, &question.permit).await),
+        };
+        ServiceReply {
+            request_id: question.request_id,
+            told,
+        }
+    })
+}
+
+/// Runs a call that may not be repeated, once, whoever sends it how often.
+async fn call_once(
+    state: &web::Data<EndpointState>,
+    call: ServiceCall,
+    permit: Permit,
+    deadline: Instant,
+) -> Told {
+    let request = fingerprint(&call.target(), call.body.as_bytes());
+    let admitted = admit(state, request, deadline);
+    let now_ms = state.node.now_ms();
+    let begun = match &admitted {
+        Ok(_) => state.permits().begin(&permit, request, now_ms),
+        Err(reason) => state.permits().refuse(&permit, request, *reason, now_ms),
+    };
+    if let (Begin::Run, Ok(admitted)) = (&begun, admitted) {
+        start(admitted, call, permit.clone(), deadline);
+        return Told::Ended(end_of(state, &permit).await);
     }
+    match begun {
+        Begin::Run | Begin::Join => Told::Ended(end_of(state, &permit).await),
+        Begin::Done(outcome) => Told::Ended(outcome),
+        Begin::Refused {
+            reason,
+            retry_after_ms,
+        } => {
+            state.node.metrics().refused(reason.code());
+            Told::Ended(CallOutcome::NotRun {
+                reason,
+                retry_after_ms,
+            })
+        }
+        Begin::Unknown(reason) => Told::NotHere(reason),
+    }
+}
+
+/// Runs a call that may be repeated; it ends with the connection it came on.
+async fn call_repeatable(
+    state: &web::Data<EndpointState>,
+    call: ServiceCall,
+    deadline: Instant,
+) -> Told {
+    let request = fingerprint(&call.target(), call.body.as_bytes());
+    let admitted = match admit(state, request, deadline) {
+        Ok(admitted) => admitted,
+        Err(reason) => {
+            state.node.metrics().refused(reason.code());
+            return Told::Ended(CallOutcome::not_run(reason));
+        }
+    };
+    let _running = state.calls.repeatable();
+    let run = CallRun::new(&admitted.state, request, deadline);
+    Told::Ended(run.execute(call, None).await)
+}
+
+/// A call that may start; holds the slot for suspects where it needs it.
+struct Admitted {
+    state: web::Data<EndpointState>,
+    request: Digest,
+    has_slot: bool,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if self.has_slot {
+            self.state.calls.with_slot(|slot| slot.leave(self.request));
+        }
+    }
+}
+
+/// Whether a new call may start here, or why not.
+fn admit(
+    state: &web::Data<EndpointState>,
+    request: Digest,
+    deadline: Instant,
+) -> Result<Admitted, RefusalReason> {
+    if state.node.is_leaving() {
+        return Err(RefusalReason::Leaving);
+    }
+    if Instant::now() >= deadline {
+        return Err(RefusalReason::DeadlinePassed);
+    }
+    let limit = state.settings.slots + state.settings.queue_limit;
+    if state.calls.running() as u64 >= limit {
+        return Err(RefusalReason::Overloaded);
+    }
+    let now_ms = state.node.now_ms();
+    let standing = state.node.suspects().standing(request, now_ms);
+    let has_slot = match standing {
+        Standing::Clear => false,
+        Standing::Refused => return Err(RefusalReason::CrashSuspect),
+        Standing::Suspect if state.calls.with_slot(|slot| slot.enter(request)) => true,
+        Standing::Suspect => return Err(RefusalReason::SuspectBusy),
+    };
+    Ok(Admitted {
+        state: state.clone(),
+        request,
+        has_slot,
+    })
+}
+
+/// Runs a call in a task of its own, so that it outlives the connection.
+fn start(admitted: Admitted, call: ServiceCall, permit: Permit, deadline: Instant) {
+    let nonce = permit.nonce;
+    let state = admitted.state.clone();
+    let task = actix_rt::spawn(async move {
+        let run = CallRun::new(&admitted.state, admitted.request, deadline);
+        let outcome = run.execute(call, Some(nonce)).await;
+        admitted.state.permits().finish(&permit, outcome);
+        admitted.state.calls.ended(nonce);
+    });
+    state.calls.started(nonce, task.map(|_| ()).boxed());
+}
+
+/// Outcome of a call that was running; it is never "not here".
+async fn end_of(state: &EndpointState, permit: &Permit) -> CallOutcome {
+    if let Some(end) = state.calls.end_of(permit.nonce) {
+        end.await;
+    }
+    match ask(state, permit) {
+        Asked::Done(outcome) => outcome,
+        Asked::NotRun(reason) => CallOutcome::not_run(reason),
+        Asked::Unknown(reason) => CallOutcome::unknown(reason),
+        Asked::Running => CallOutcome::unknown(UnknownReason::ServiceLost),
+    }
+}
+
+fn ask(state: &EndpointState, permit: &Permit) -> Asked {
+    let now_ms = state.node.now_ms();
+    state.permits().ask(permit, now_ms)
 }
--- /dev/null
+++ b/src/endpoint/call_beats.rs
@@ -0,0 +1,41 @@
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use actix_web::Error;
+use actix_web::HttpResponse;
+use bytes::Bytes;
+use futures_util::stream;
+
+use crate::calls::BEAT;
+use crate::calls::ServiceReply;
+
+/// Time between two heartbeats of an answer that is not ready.
+const BEAT_PAUSE: Duration = Duration::from_millis(500);
+
+type Answering = Pin<Box<dyn Future<Output = ServiceReply>>>;
+
+/// Answers with heartbeats until `answering` is done, then with its reply.
+pub(super) fn beating_response(
+    answering: impl Future<Output = ServiceReply> + 'static,
+) -> HttpResponse {
+    let start: Option<Answering> = Some(Box::pin(answering));
+    let chunks = stream::unfold(start, next_chunk);
+    HttpResponse::Ok()
+        .content_type("application/msgpack")
+        .streaming(chunks)
+}
+
+async fn next_chunk(state: Option<Answering>) -> Option<(Result<Bytes, Error>, Option<Answering>)> {
+    let mut answering = state?;
+    match timeout(BEAT_PAUSE, &mut answering).await {
+        Err(_) => Some((Ok(Bytes::from_static(&[BEAT])), Some(answering))),
+        Ok(reply) => {
+            let body = rmp_serde::to_vec_named(&reply)
+                .map(Bytes::from)
+                .map_err(actix_web::error::ErrorInternalServerError);
+            Some((body, None))
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/call_run.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::net::TcpStream;
+use actix_rt::time::timeout;
+use actix_web::web;
+
+use crate::calls::CallOutcome;
+use crate::calls::DeathId;
+use crate::calls::Nonce;
+use crate::calls::RefusalReason;
+use crate::calls::ServiceCall;
+use crate::calls::UnknownReason;
+use crate::endpoint::EndpointState;
+use crate::links::LinkError;
+use crate::node::Reporter;
+use crate::platform;
+use crate::platform::ServiceClient;
+use crate::weights::Digest;
+
+/// Time a service has to accept a connection that only tests whether it lives.
+const PROBE_WAIT: Duration = Duration::from_millis(500);
+
+/// One call on its way to the service.
+pub(super) struct CallRun<'a> {
+    state: &'a web::Data<EndpointState>,
+    request: Digest,
+    deadline: Instant,
+}
+
+impl<'a> CallRun<'a> {
+    pub(super) fn new(
+        state: &'a web::Data<EndpointState>,
+        request: Digest,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            state,
+            request,
+            deadline,
+        }
+    }
+
+    /// Passes the call on and sorts its end.
+    pub(super) async fn execute(&self, call: ServiceCall, nonce: Option<Nonce>) -> CallOutcome {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        // The process may have been paused since it took the call in.
+        if left.is_zero() {
+            return CallOutcome::not_run(RefusalReason::DeadlinePassed);
+        }
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+        let service = self.state.node.document().service(&call.service);
+        let timeout_ms = service.map_or(left_ms, |service| service.timeout_ms);
+        let passed_on = platform::ServiceCall {
+            path: call.path,
+            request_id: call.request_id,
+            key: nonce.map(|nonce| nonce.to_string()),
+            body: call.body.into(),
+            // A call that may not be repeated goes on past its caller's deadline,
+            // so that the next send of its permit finds the answer.
+            wait_ms: nonce.map_or(left_ms.min(timeout_ms), |_| timeout_ms),
+        };
+        let client = ServiceClient::new(self.state.settings.backend.url());
+        match client.call(passed_on).await {
+            Ok(answer) => {
+                self.survived();
+                CallOutcome::Answer(answer)
+            }
+            Err(LinkError::NotSent(_)) => CallOutcome::not_run(RefusalReason::Unreachable),
+            Err(error) => {
+                if matches!(error, LinkError::Broken(_)) {
+                    self.look_for_crash().await;
+                }
+                CallOutcome::unknown(UnknownReason::ServiceLost)
+            }
+        }
+    }
+
+    /// Clears a suspect whose run ended well.
+    fn survived(&self) {
+        self.state.calls.service_is_up();
+        let now_ms = self.state.node.now_ms();
+        self.state.node.suspects().clear(self.request, now_ms);
+    }
+
+    /// Tells the entries at once if the service died while this call ran on it.
+    async fn look_for_crash(&self) {
+        let url = self.state.settings.backend.url();
+        let address = url.strip_prefix("http://").unwrap_or(url);
+        let probe = timeout(PROBE_WAIT, TcpStream::connect(address)).await;
+        if matches!(probe, Ok(Ok(_))) {
+            return;
+        }
+        let node = &self.state.node;
+        let death = DeathId {
+            endpoint: node.name().to_owned(),
+            incarnation: node.incarnation(),
+            crash_no: self.state.calls.service_crashed(),
+        };
+        let now_ms = node.now_ms();
+        node.suspects().add_death(self.request, death, now_ms);
+        Reporter::report_now(node).await;
+    }
+}
--- /dev/null
+++ b/src/endpoint/call_ticker.rs
@@ -0,0 +1,46 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+
+use crate::endpoint::EndpointState;
+use crate::endpoint::call_desk::TICK_MS;
+
+/// Turns the epochs of the permit table and notices pauses.
+#[derive(Debug)]
+pub(super) struct CallTicker {
+    state: Arc<EndpointState>,
+}
+
+impl CallTicker {
+    pub(super) fn new(state: Arc<EndpointState>) -> Self {
+        Self { state }
+    }
+}
+
+impl Actor for CallTicker {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.state.turn_calls();
+        let pause = Duration::from_millis(TICK_MS);
+        context.run_interval(pause, |this, _| this.state.turn_calls());
+    }
+}
+
+impl EndpointState {
+    /// Brings epochs, pauses and suspects up to now.
+    pub(super) fn turn_calls(&self) {
+        let now_ms = self.node.now_ms();
+        self.calls.pauses().tick(now_ms);
+        self.node.suspects().expire(now_ms);
+        let epoch = {
+            let mut permits = self.permits();
+            permits.turn(now_ms);
+            permits.epoch()
+        };
+        self.node.own().permit_epoch = epoch;
+    }
+}
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,6 +1,10 @@
 //! The endpoint role: the only process that gives its engine or service orders or calls.
 
 mod call;
+mod call_beats;
+mod call_desk;
+mod call_run;
+mod call_ticker;
 mod generate;
 mod peer_routes;
 mod server;
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -1,12 +1,15 @@
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Actor;
+use actix_rt::time::timeout;
 use actix_web::web;
 
 use crate::conf::EndpointSettings;
 use crate::endpoint::EndpointState;
 use crate::endpoint::call;
+use crate::endpoint::call_ticker::CallTicker;
 use crate::endpoint::generate;
 use crate::endpoint::peer_routes;
 use crate::endpoint::weights_naive::Fetcher;
@@ -48,6 +51,7 @@
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/x/generate", web::post().to(generate::generate))
             .route("/x/call", web::post().to(call::call))
+            .route("/x/nonce", web::post().to(call::nonce))
             .route(
                 "/x/weights/{manifest}/{index}",
                 web::get().to(peer_routes::chunk),
@@ -55,6 +59,7 @@
             .route("/x/local/{manifest}", web::get().to(peer_routes::whole));
         node::routes(app, &shared.node);
     })?;
+    CallTicker::new(Arc::clone(&state)).start();
     Watcher::new(Arc::clone(&state.node)).start();
     Reporter::new(Arc::clone(&state.node)).start();
     if state.engine_address().is_some() {
@@ -84,6 +89,9 @@
         emit(Event::ProcessStopping, &[("host", &node.name())]);
         node.leave();
         Reporter::report_now(node).await;
+        let drain = Duration::from_millis(self.state.settings.drain_ms);
+        // Calls outlive their connections, which the server alone waits for.
+        let _ = timeout(drain, self.state.calls.drained()).await;
         self.server.stop().await;
         emit(Event::ProcessStopped, &[("host", &node.name())]);
     }
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -7,6 +7,7 @@
 use crate::calls::PermitTable;
 use crate::conf::BackendSettings;
 use crate::conf::EndpointSettings;
+use crate::endpoint::call_desk::CallDesk;
 use crate::endpoint::weights_naive::HeldWeights;
 use crate::node::Node;
 
@@ -17,6 +18,8 @@
     pub settings: EndpointSettings,
     /// Identity, hosts and configuration.
     pub node: Arc<Node>,
+    /// Calls of the plain service that run here.
+    pub calls: CallDesk,
     permits: Mutex<PermitTable>,
     weights: Mutex<HeldWeights>,
 }
@@ -34,10 +37,12 @@
             settings.cluster.clone(),
             service,
         ));
-        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), node.now_ms());
+        let now_ms = node.now_ms();
+        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
         Self {
             settings,
             node,
+            calls: CallDesk::new(now_ms),
             permits: Mutex::new(permits),
             weights: Mutex::default(),
         }
--- a/src/entry/addresses.rs
+++ b/src/entry/addresses.rs
@@ -7,10 +7,10 @@
 use serde::Serialize;
 
 use crate::calls::Permit;
-use crate::calls::PermitPlace;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::auth;
+use crate::entry::call_permits;
 use crate::hosts::HostRole;
 use crate::regions::Place;
 use crate::regions::spread;
@@ -65,8 +65,9 @@
 ) -> Result<HttpResponse, ApiError> {
     let document = state.node.document();
     let branch = auth::branch(&document, &query.branch, &request)?;
+    let wanted = usize::try_from(state.settings.permits_per_answer).unwrap_or(1);
     let permits = match &query.service {
-        Some(service) => permits(&state, &branch.name, service),
+        Some(service) => call_permits::issue(&state, &branch.name, service, wanted),
         None => Vec::new(),
     };
     Ok(HttpResponse::Ok().json(AddressesAnswer {
@@ -94,26 +95,3 @@
     spread.truncate(MAX_ENTRIES);
     spread
 }
-
-/// Permits for calls of `service`, spread over its usable endpoints.
-fn permits(state: &EntryState, branch: &str, service: &str) -> Vec<Permit> {
-    let now_ms = state.node.now_ms();
-    let roster = state.node.roster();
-    let places: Vec<PermitPlace> = roster
-        .usable(HostRole::Endpoint, now_ms)
-        .filter(|(_, host)| host.service.as_deref() == Some(service))
-        .map(|(_, host)| PermitPlace {
-            endpoint: host.name.clone(),
-            address: host.address,
-            incarnation: host.incarnation,
-            epoch: host.permit_epoch,
-        })
-        .collect();
-    let wanted = usize::try_from(state.settings.permits_per_answer).unwrap_or(1);
-    places
-        .into_iter()
-        .cycle()
-        .take(wanted)
-        .map(|place| Permit::issue(&state.permit_key, place, branch, service))
-        .collect()
-}
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -1,22 +1,44 @@
+use std::time::Duration;
+use std::time::Instant;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::calls::CallOutcome;
 use crate::calls::Nonce;
 use crate::calls::Permit;
+use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
-use crate::calls::ServiceReply;
+use crate::document::BranchSection;
+use crate::document::Document;
+use crate::document::ServiceSection;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::ErrorCode;
 use crate::entry::auth;
-use crate::hosts::HostRole;
+use crate::entry::call_answer::respond;
+use crate::entry::call_once::CallOnce;
+use crate::entry::call_permits;
+use crate::entry::call_repeatable::call_repeatable;
+use crate::platform::REQUEST_ID_HEADER;
 
 /// Time allowed when the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
+/// Longest deadline a caller may name.
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// Longest request id of a caller that is echoed.
+const MAX_REQUEST_ID_CHARS: usize = 128;
+
+/// Number taken for a send that the caller did not number.
+///
+/// Only send 1 can be vouched for, so an unnumbered one never counts as that.
+const UNNUMBERED_SEND: u32 = u32::MAX;
+
 /// A caller's call of a plain service.
 #[derive(Debug, Deserialize)]
 pub struct CallBody {
@@ -25,6 +47,7 @@
     path: String,
     body: Value,
     permit: Option<Permit>,
+    send: Option<u32>,
     deadline_ms: Option<u64>,
 }
 
@@ -37,53 +60,106 @@
     let document = state.node.document();
     let body = body.into_inner();
     let branch = auth::branch(&document, &body.branch, &request)?;
-    let service = document.service(&body.service).ok_or_else(|| {
-        let message = format!("service {:?} does not exist", body.service);
-        ApiError::new(ErrorCode::UnknownService, message)
-    })?;
-    if !branch.services.contains(&service.name) {
-        let message = format!(
-            "branch {:?} may not use service {:?}",
-            branch.name, service.name
-        );
-        return Err(ApiError::new(ErrorCode::Forbidden, message));
-    }
-    let wait_ms = body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let service = usable_service(&document, &branch, &body.service)?;
+    check_path(&body.path)?;
+    let deadline_ms = body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let deadline_ms = deadline_ms.min(MAX_DEADLINE_MS);
+    let request_id = request_id(&request);
     let call = ServiceCall {
         request_id: Nonce::random().to_string(),
-        branch: branch.name,
-        service: service.name,
+        branch: branch.name.clone(),
+        service: service.name.clone(),
         path: body.path,
         body: body.body.to_string(),
-        permit: body.permit,
-        deadline_ms: wait_ms,
+        permit: None,
+        deadline_ms,
     };
-    let now_ms = state.node.now_ms();
-    let address = match &call.permit {
-        Some(permit) => Some(permit.address),
-        None => state
-            .node
-            .roster()
-            .usable(HostRole::Endpoint, now_ms)
-            .find(|(_, host)| host.service.as_deref() == Some(&call.service))
-            .map(|(_, host)| host.address),
+    let deadline = Instant::now() + Duration::from_millis(deadline_ms);
+    let outcome = if service.idempotent.contains(&call.path) {
+        call_repeatable(&state, call, deadline).await
+    } else {
+        let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
+        call_with(&state, call, body.permit, send_no, deadline).await
     };
-    let Some(address) = address else {
-        let message = format!("no live endpoint of service {:?}", call.service);
-        return Err(ApiError::later(ErrorCode::NoReplica, message, 1000));
+    if let CallOutcome::NotRun { reason, .. } = &outcome {
+        state.node.metrics().refused(reason.code());
+    }
+    let fresh = || call_permits::issue(&state, &branch.name, &service.name, 1).pop();
+    Ok(respond(outcome, &request_id, fresh))
+}
+
+/// Sends a call under its permit, if that is good for it.
+async fn call_with(
+    state: &EntryState,
+    call: ServiceCall,
+    permit: Option<Permit>,
+    send_no: u32,
+    deadline: Instant,
+) -> CallOutcome {
+    let Some(permit) = permit else {
+        return CallOutcome::not_run(RefusalReason::PermitRequired);
     };
-    let url = format!("http://{address}/x/call");
-    let answer: ServiceReply = state
-        .node
-        .http()
-        .ask(&url, &call, wait_ms)
-        .await
-        .map_err(|error| ApiError::new(ErrorCode::OutcomeUnknown, error.to_string()))?;
-    if answer.request_id != call.request_id {
-        let message = "the answer belongs to another request";
-        return Err(ApiError::new(ErrorCode::Internal, message));
+    let good = permit.is_genuine(&state.permit_key)
+        && permit.branch == call.branch
+        && permit.service == call.service;
+    if !good {
+        return CallOutcome::not_run(RefusalReason::PermitInvalid);
     }
-    Ok(HttpResponse::Ok()
-        .content_type("application/json")
-        .body(answer.body))
+    let call = ServiceCall {
+        permit: Some(permit.clone()),
+        ..call
+    };
+    let once = CallOnce {
+        state,
+        call,
+        permit,
+        send_no,
+        deadline,
+    };
+    once.outcome().await
+}
+
+/// The service called `name`, if `branch` may use it.
+pub(super) fn usable_service(
+    document: &Document,
+    branch: &BranchSection,
+    name: &str,
+) -> Result<ServiceSection, ApiError> {
+    let service = document.service(name).ok_or_else(|| {
+        let message = format!("service {name:?} does not exist");
+        ApiError::new(ErrorCode::UnknownService, message)
+    })?;
+    if branch.services.contains(&service.name) {
+        return Ok(service);
+    }
+    let message = format!(
+        "branch {:?} may not use service {:?}",
+        branch.name, service.name
+    );
+    Err(ApiError::new(ErrorCode::Forbidden, message))
+}
+
+/// A path is made of plain segments, so that it cannot leave the service's call root.
+fn check_path(path: &str) -> Result<(), ApiError> {
+    let is_plain = |segment: &str| {
+        !segment.is_empty()
+            && segment
+                .bytes()
+                .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_')
+    };
+    if path.split('/').all(is_plain) {
+        return Ok(());
+    }
+    let message = format!("path {path:?} is not made of letters, digits, '-', '_' and '/'");
+    Err(ApiError::new(ErrorCode::BadRequest, message))
+}
+
+/// The caller's own id of the request, or a fresh one.
+fn request_id(request: &HttpRequest) -> String {
+    request
+        .headers()
+        .get(REQUEST_ID_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .filter(|id| id.len() <= MAX_REQUEST_ID_CHARS)
+        .map_or_else(|| Nonce::random().to_string(), str::to_owned)
 }
--- /dev/null
+++ b/src/entry/call_answer.rs
@@ -0,0 +1,92 @@
+use actix_web::HttpResponse;
+use actix_web::HttpResponseBuilder;
+use actix_web::http::StatusCode;
+use actix_web::http::header::RETRY_AFTER;
+use serde::Serialize;
+
+use crate::calls::CallOutcome;
+use crate::calls::Permit;
+use crate::calls::RefusalReason;
+use crate::entry::ErrorCode;
+use crate::platform::REQUEST_ID_HEADER;
+
+/// Milliseconds in a second, the unit of `Retry-After`.
+const MS_PER_S: u64 = 1000;
+
+/// What a caller is told of a call without an answer of its service.
+#[derive(Debug, Serialize)]
+struct Ending<'a> {
+    code: &'static str,
+    reason: &'static str,
+    message: &'static str,
+    request_id: &'a str,
+    retry_after_ms: Option<u64>,
+    /// Permit for the next try, after "not run".
+    permit: Option<Permit>,
+}
+
+/// Tells the caller the outcome of its request, with a fresh permit where it helps.
+pub(super) fn respond(
+    outcome: CallOutcome,
+    request_id: &str,
+    permit: impl FnOnce() -> Option<Permit>,
+) -> HttpResponse {
+    let retry_after_ms = outcome.retry_after_ms();
+    let reason = outcome.code();
+    match outcome {
+        CallOutcome::Answer(answer) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            HttpResponse::build(status)
+                .insert_header((REQUEST_ID_HEADER, request_id))
+                .content_type("application/json")
+                .body(answer.body)
+        }
+        CallOutcome::NotRun { reason: why, .. } => builder(status_of(why), retry_after_ms)
+            .insert_header((REQUEST_ID_HEADER, request_id))
+            .json(Ending {
+                code: ErrorCode::NotRun.name(),
+                reason,
+                message: why.meaning(),
+                request_id,
+                retry_after_ms,
+                permit: retry_after_ms.and_then(|_| permit()),
+            }),
+        CallOutcome::Unknown { .. } => builder(ErrorCode::OutcomeUnknown.status(), retry_after_ms)
+            .insert_header((REQUEST_ID_HEADER, request_id))
+            .json(Ending {
+                code: ErrorCode::OutcomeUnknown.name(),
+                reason,
+                message: ErrorCode::OutcomeUnknown.meaning(),
+                request_id,
+                retry_after_ms,
+                permit: None,
+            }),
+    }
+}
+
+fn builder(status: StatusCode, retry_after_ms: Option<u64>) -> HttpResponseBuilder {
+    let mut builder = HttpResponse::build(status);
+    if let Some(wait_ms) = retry_after_ms {
+        let seconds = wait_ms.div_ceil(MS_PER_S);
+        builder.insert_header((RETRY_AFTER, seconds.to_string()));
+    }
+    builder
+}
+
+fn status_of(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::Unauthorized => StatusCode::UNAUTHORIZED,
+        RefusalReason::NotAllowed => StatusCode::FORBIDDEN,
+        RefusalReason::Malformed => StatusCode::BAD_REQUEST,
+        RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::PermitRequired | RefusalReason::PermitInvalid => StatusCode::BAD_REQUEST,
+        RefusalReason::PermitReused => StatusCode::CONFLICT,
+        RefusalReason::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalReason::Overloaded
+        | RefusalReason::OverShare
+        | RefusalReason::RetryBudgetSpent
+        | RefusalReason::SuspectBusy => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/src/entry/call_book.rs
@@ -0,0 +1,49 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use crate::calls::DispatchLedger;
+use crate::calls::RetryBudget;
+
+/// Permits this entry remembers having issued.
+const MAX_PERMITS: usize = 131_072;
+
+/// Retries of idempotent calls for every thousand calls of a branch.
+const RETRY_PERMILLE: u32 = 100;
+
+/// Retries of a branch that may come at once.
+const RETRY_BURST: u32 = 10;
+
+/// What an entry remembers of the calls of plain services.
+#[derive(Debug)]
+pub struct CallBook {
+    ledger: Mutex<DispatchLedger>,
+    retries: Mutex<RetryBudget>,
+}
+
+impl CallBook {
+    /// Nothing remembered yet.
+    pub fn new() -> Self {
+        Self {
+            ledger: Mutex::new(DispatchLedger::new(MAX_PERMITS)),
+            retries: Mutex::new(RetryBudget::new(RETRY_PERMILLE, RETRY_BURST)),
+        }
+    }
+
+    /// Dispatches of the permits issued here.
+    pub(super) fn ledger(&self) -> MutexGuard<'_, DispatchLedger> {
+        self.ledger.lock().expect("no holder of the ledger panics")
+    }
+
+    /// Retries left to the branches.
+    pub(super) fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries
+            .lock()
+            .expect("no holder of the retry budget panics")
+    }
+}
+
+impl Default for CallBook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/entry/call_permits.rs
@@ -0,0 +1,67 @@
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::calls::Permit;
+use crate::calls::PermitPlace;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+use crate::entry::auth;
+use crate::entry::call::usable_service;
+use crate::hosts::HostRole;
+
+#[derive(Debug, Deserialize)]
+pub struct PermitsQuery {
+    branch: String,
+    service: String,
+}
+
+/// Answers with fresh permits for a service.
+pub async fn permits(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    query: web::Query<PermitsQuery>,
+) -> Result<HttpResponse, ApiError> {
+    let document = state.node.document();
+    let branch = auth::branch(&document, &query.branch, &request)?;
+    usable_service(&document, &branch, &query.service)?;
+    let wanted = usize::try_from(state.settings.permits_per_answer).unwrap_or(1);
+    let permits = issue(&state, &branch.name, &query.service, wanted);
+    Ok(HttpResponse::Ok().json(json!({ "permits": permits })))
+}
+
+/// Issues up to `wanted` permits, spread over the usable endpoints of a service.
+pub(super) fn issue(state: &EntryState, branch: &str, service: &str, wanted: usize) -> Vec<Permit> {
+    let mut places = places(state, service);
+    places.shuffle(&mut rand::rng());
+    let permits: Vec<Permit> = places
+        .into_iter()
+        .cycle()
+        .take(wanted)
+        .map(|place| Permit::issue(&state.permit_key, place, branch, service))
+        .collect();
+    let mut ledger = state.calls.ledger();
+    for permit in &permits {
+        ledger.issue(permit.nonce);
+    }
+    permits
+}
+
+fn places(state: &EntryState, service: &str) -> Vec<PermitPlace> {
+    let now_ms = state.node.now_ms();
+    state
+        .node
+        .roster()
+        .usable(HostRole::Endpoint, now_ms)
+        .filter(|(_, host)| host.service.as_deref() == Some(service))
+        .map(|(_, host)| PermitPlace {
+            endpoint: host.name.clone(),
+            address: host.address,
+            incarnation: host.incarnation,
+            epoch: host.permit_epoch,
+        })
+        .collect()
+}
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -10,6 +10,7 @@
 use crate::entry::addresses;
 use crate::entry::api_error;
 use crate::entry::call;
+use crate::entry::call_permits;
 use crate::entry::generate;
 use crate::entry::tailer::Tailer;
 use crate::links::ServeOptions;
@@ -51,6 +52,7 @@
             .route("/v1/addresses", web::get().to(addresses::addresses))
             .route("/v1/generate", web::post().to(generate::generate))
             .route("/v1/call", web::post().to(call::call))
+            .route("/v1/permits", web::get().to(call_permits::permits))
             .default_service(web::to(api_error::unknown_path));
         node::routes(app, &shared.node);
     })?;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::PermitKey;
 use crate::conf::EntrySettings;
+use crate::entry::call_book::CallBook;
 use crate::node::Node;
 use crate::platform::LogClient;
 
@@ -14,6 +15,8 @@
     pub node: Arc<Node>,
     /// The stream of the log that carries the configuration.
     pub log: LogClient,
+    /// What it remembers of the calls of plain services.
+    pub calls: CallBook,
     /// Seals permits.
     pub permit_key: PermitKey,
 }
@@ -33,6 +36,7 @@
             settings,
             node,
             log,
+            calls: CallBook::new(),
             permit_key,
         }
     }
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::SuspectRecord;
 use crate::hosts::HostRole;
 use crate::weights::Digest;
 
@@ -84,6 +85,8 @@
     pub served: Vec<Served>,
     /// Epoch that new permits for it should name.
     pub permit_epoch: u64,
+    /// Requests that ran when endpoints crashed.
+    pub suspects: Vec<SuspectRecord>,
 }
 
 /// What an entry answers to a report.
@@ -93,4 +96,6 @@
     pub incarnation: u64,
     /// Configuration in force on the entry.
     pub config: ConfigMark,
+    /// Requests that ran when endpoints crashed.
+    pub suspects: Vec<SuspectRecord>,
 }
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -6,6 +6,7 @@
 use actix_web::http::header::RETRY_AFTER;
 use awc::Client;
 use awc::ClientRequest;
+use awc::ClientResponse;
 use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
@@ -75,6 +76,23 @@
         }
     }
 
+    /// Sends `body` and waits up to `wait_ms` for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no answer came; its status is not looked at.
+    pub async fn open(
+        request: ClientRequest,
+        body: impl Into<Bytes>,
+        wait_ms: u64,
+    ) -> Result<ClientResponse, LinkError> {
+        let sending = request.send_body(body.into());
+        match timeout(Duration::from_millis(wait_ms), sending).await {
+            Ok(answer) => answer.map_err(sort_error),
+            Err(_) => Err(LinkError::Timeout { wait_ms }),
+        }
+    }
+
     /// Sends `body` and reads the whole answer within `wait_ms`.
     ///
     /// # Errors
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::calls::SuspectRecord;
+use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
@@ -28,6 +30,15 @@
 /// Bytes of the head of a request or answer between two processes, about.
 const HEADER_BYTES: usize = 200;
 
+/// Time a request stays suspect after a crash it was near.
+const SUSPECT_WINDOW_MS: u64 = 600_000;
+
+/// Time a change of the suspects is repeated in reports.
+const SUSPECT_SPREAD_MS: u64 = 10_000;
+
+/// Crashes remembered, counted once per request that ran.
+const MAX_SUSPECTS: usize = 1024;
+
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
 pub struct OwnState {
@@ -53,6 +64,7 @@
     roster: Mutex<Roster>,
     fold: Mutex<Fold>,
     own: Mutex<OwnState>,
+    suspects: Mutex<SuspectTable>,
     leaving: AtomicBool,
     ready: AtomicBool,
     control_bytes: AtomicU64,
@@ -79,6 +91,7 @@
             roster: Mutex::new(Roster::new()),
             fold: Mutex::new(Fold::new()),
             own: Mutex::default(),
+            suspects: Mutex::new(SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS)),
             leaving: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
@@ -178,6 +191,19 @@
         self.own.lock().expect("no holder of the own state panics")
     }
 
+    /// Requests that ran when endpoints crashed.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects
+            .lock()
+            .expect("no holder of the suspects panics")
+    }
+
+    /// What was learned of suspects lately.
+    pub fn recent_suspects(&self) -> Vec<SuspectRecord> {
+        let now_ms = self.now_ms();
+        self.suspects().export_recent(now_ms, SUSPECT_SPREAD_MS)
+    }
+
     /// A copy of the document in force.
     pub fn document(&self) -> Document {
         self.fold().document().clone()
@@ -214,6 +240,7 @@
 
     /// What the process says of itself now.
     pub fn report(&self) -> Report {
+        let suspects = self.recent_suspects();
         let own = self.own();
         Report {
             name: self.process.name.clone(),
@@ -228,6 +255,7 @@
             load: own.load,
             served: own.served.clone(),
             permit_epoch: own.permit_epoch,
+            suspects,
         }
     }
 }
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -78,6 +78,10 @@
     let url = format!("http://{address}/x/report");
     let report = node.report();
     let answer: Result<ReportAnswer, _> = node.ask(&url, &report, ANSWER_WAIT_MS).await;
+    if let Ok(answer) = &answer {
+        let now_ms = node.now_ms();
+        node.suspects().merge(answer.suspects.clone(), now_ms);
+    }
     match answer {
         Ok(answer) if answer.config.offset > node.fold().head() => {
             pull_config(node, address).await;
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -46,9 +46,15 @@
             &[("host", &report.name), ("incarnation", &report.incarnation)],
         );
     }
+    node.suspects().merge(report.suspects, now_ms);
+    let suspects = match heard {
+        Heard::New | Heard::Replaced => node.suspects().export(now_ms),
+        Heard::Known | Heard::Outdated => node.recent_suspects(),
+    };
     let answer = ReportAnswer {
         incarnation: node.incarnation(),
         config: node.config_mark(),
+        suspects,
     };
     node.count_control("received", body.len());
     node.count_control("sent", ANSWER_BYTES);
--- a/tests/calls/suspects.rs
+++ b/tests/calls/suspects.rs
@@ -41,7 +41,7 @@
 fn standing_bystander_is_cleared() {
     let mut table = SuspectTable::new(WINDOW_MS, 64);
     table.add_death(request(1), death(0), 0);
-    table.clear(request(1));
+    table.clear(request(1), 0);
     assert_eq!(table.standing(request(1), 0), Standing::Clear);
 }
 
@@ -53,7 +53,7 @@
             let at = u.int_in_range(0..=2)?;
             let poison = request(u.int_in_range(0..=2)?);
             if u.ratio(1, 4)? {
-                tables[at].clear(poison);
+                tables[at].clear(poison, 0);
             } else {
                 tables[at].add_death(poison, death(u.int_in_range(0..=3)?), 0);
             }
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -60,6 +60,7 @@
         load: Load::default(),
         served: Vec::new(),
         permit_epoch: 0,
+        suspects: Vec::new(),
     }
 }
 
