--- a/src/calls/service_call.rs
+++ b/src/calls/service_call.rs
@@ -3,6 +3,7 @@
 
 use super::CallOutcome;
 use super::Permit;
+use super::RefusalReason;
 use super::UnknownReason;
 
 /// Byte of a heartbeat before an answer; no answer starts with it.
@@ -41,6 +42,8 @@
     pub request_id: String,
     /// The permit.
     pub permit: Permit,
+    /// Why it is refused if the call has not arrived.
+    pub reason: RefusalReason,
 }
 
 /// What an endpoint says of a call.
--- a/src/endpoint/call.rs
+++ b/src/endpoint/call.rs
@@ -39,11 +39,7 @@
         Ok(call) => call,
         Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
     };
-    let now_ms = state.node.now_ms();
-    let left_ms = call
-        .deadline_ms
-        .saturating_sub(state.calls.pauses().pause_ms(now_ms));
-    let deadline = Instant::now() + Duration::from_millis(left_ms);
+    let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
     beating_response(async move {
         let request_id = call.request_id.clone();
         let told = match call.permit.clone() {
@@ -68,7 +64,7 @@
         Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
     };
     beating_response(async move {
-        let asked = ask(&state, &question.permit);
+        let asked = ask(&state, &question.permit, question.reason);
         let told = match asked {
             Asked::NotRun(reason) => Told::Ended(CallOutcome::not_run(reason)),
             Asked::Done(outcome) => Told::Ended(outcome),
@@ -90,7 +86,7 @@
     deadline: Instant,
 ) -> Told {
     let request = fingerprint(&call.target(), call.body.as_bytes());
-    let admitted = admit(state, request, deadline);
+    let admitted = admit(state, &call, request);
     let now_ms = state.node.now_ms();
     let begun = match &admitted {
         Ok(_) => state.permits().begin(&permit, request, now_ms),
@@ -124,7 +120,7 @@
     deadline: Instant,
 ) -> Told {
     let request = fingerprint(&call.target(), call.body.as_bytes());
-    let admitted = match admit(state, request, deadline) {
+    let admitted = match admit(state, &call, request) {
         Ok(admitted) => admitted,
         Err(reason) => {
             state.node.metrics().refused(reason.code());
@@ -154,20 +150,24 @@
 /// Whether a new call may start here, or why not.
 fn admit(
     state: &web::Data<EndpointState>,
+    call: &ServiceCall,
     request: Digest,
-    deadline: Instant,
 ) -> Result<Admitted, RefusalReason> {
     if state.node.is_leaving() {
         return Err(RefusalReason::Leaving);
     }
-    if Instant::now() >= deadline {
+    if call.deadline_ms == 0 {
         return Err(RefusalReason::DeadlinePassed);
     }
+    let now_ms = state.node.now_ms();
+    // The call may have waited unread while the process was paused.
+    if state.calls.pauses().pause_ms(now_ms) >= call.deadline_ms {
+        return Err(RefusalReason::Paused);
+    }
     let limit = state.settings.slots + state.settings.queue_limit;
     if state.calls.running() as u64 >= limit {
         return Err(RefusalReason::Overloaded);
     }
-    let now_ms = state.node.now_ms();
     let standing = state.node.suspects().standing(request, now_ms);
     let has_slot = match standing {
         Standing::Clear => false,
@@ -200,7 +200,7 @@
     if let Some(end) = state.calls.end_of(permit.nonce) {
         end.await;
     }
-    match ask(state, permit) {
+    match ask(state, permit, RefusalReason::Withdrawn) {
         Asked::Done(outcome) => outcome,
         Asked::NotRun(reason) => CallOutcome::not_run(reason),
         Asked::Unknown(reason) => CallOutcome::unknown(reason),
@@ -208,7 +208,7 @@
     }
 }
 
-fn ask(state: &EndpointState, permit: &Permit) -> Asked {
+fn ask(state: &EndpointState, permit: &Permit, reason: RefusalReason) -> Asked {
     let now_ms = state.node.now_ms();
-    state.permits().ask(permit, now_ms)
+    state.permits().ask(permit, reason, now_ms)
 }
--- a/src/endpoint/call_run.rs
+++ b/src/endpoint/call_run.rs
@@ -21,6 +21,9 @@
 /// Time a service has to accept a connection that only tests whether it lives.
 const PROBE_WAIT: Duration = Duration::from_millis(500);
 
+/// Time such a connection must stay open.
+const PROBE_OPEN: Duration = Duration::from_millis(200);
+
 /// One call on its way to the service.
 pub(super) struct CallRun<'a> {
     state: &'a web::Data<EndpointState>,
@@ -86,9 +89,7 @@
     /// Tells the entries at once if the service died while this call ran on it.
     async fn look_for_crash(&self) {
         let url = self.state.settings.backend.url();
-        let address = url.strip_prefix("http://").unwrap_or(url);
-        let probe = timeout(PROBE_WAIT, TcpStream::connect(address)).await;
-        if matches!(probe, Ok(Ok(_))) {
+        if is_alive(url.strip_prefix("http://").unwrap_or(url)).await {
             return;
         }
         let node = &self.state.node;
@@ -102,3 +103,14 @@
         Reporter::report_now(node).await;
     }
 }
+
+/// Whether the process at `address` accepts a connection and keeps it open.
+///
+/// A process that dies closes its sockets one by one, so its listener may
+/// still accept after its other connections have broken.
+async fn is_alive(address: &str) -> bool {
+    let Ok(Ok(probe)) = timeout(PROBE_WAIT, TcpStream::connect(address)).await else {
+        return false;
+    };
+    timeout(PROBE_OPEN, probe.readable()).await.is_err()
+}
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -23,6 +23,8 @@
 use crate::entry::call_once::CallOnce;
 use crate::entry::call_permits;
 use crate::entry::call_repeatable::call_repeatable;
+use crate::observe::Event;
+use crate::observe::emit;
 use crate::platform::REQUEST_ID_HEADER;
 
 /// Time allowed when the caller names none.
@@ -83,6 +85,10 @@
     };
     if let CallOutcome::NotRun { reason, .. } = &outcome {
         state.node.metrics().refused(reason.code());
+        emit(
+            Event::CallRefused,
+            &[("request_id", &request_id), ("reason", &reason.code())],
+        );
     }
     let fresh = || call_permits::issue(&state, &branch.name, &service.name, 1).pop();
     Ok(respond(outcome, &request_id, fresh))
--- a/src/entry/call_link.rs
+++ b/src/entry/call_link.rs
@@ -14,7 +14,7 @@
 use crate::links::LinkError;
 
 /// Silence after which a connection is left; an endpoint beats twice a second.
-const SILENCE_MS: u64 = 1_500;
+const SILENCE_MS: u64 = 1_250;
 
 /// Longest answer read from an endpoint.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
--- a/src/entry/call_once.rs
+++ b/src/entry/call_once.rs
@@ -19,9 +19,6 @@
 use crate::entry::call_link::exchange;
 use crate::node::Reporter;
 
-/// Questions for a nonce before the endpoint is given up.
-const QUESTIONS: u32 = 2;
-
 /// One send of a call that may not be repeated.
 pub(super) struct CallOnce<'a> {
     pub(super) state: &'a EntryState,
@@ -57,7 +54,7 @@
             }
             Heard::Lost(cause) => {
                 self.state.node.metrics().retried(cause);
-                let reply = self.ask().await;
+                let reply = self.ask(RefusalReason::Withdrawn).await;
                 if reply == Reply::Lost(UnknownReason::EndpointGone) {
                     self.endpoint_died().await;
                 }
@@ -87,29 +84,27 @@
         if !matches!(outcome, CallOutcome::Unknown { .. }) {
             return outcome;
         }
-        match self.ask().await {
+        match self.ask(reason).await {
             Reply::Lost(_) => outcome,
             reply => self.conclude(reply),
         }
     }
 
-    /// Asks for the nonce over new connections.
-    async fn ask(&self) -> Reply {
-        for _ in 0..QUESTIONS {
-            let question = NonceQuestion {
-                request_id: Nonce::random().to_string(),
-                permit: self.permit.clone(),
-            };
-            let heard = self.send("nonce", &question.request_id, &question).await;
-            match heard {
-                Heard::Told(Told::Ended(outcome)) => return Reply::Ended(outcome),
-                Heard::Told(Told::NotHere(reason)) => return Reply::AskedUnknown(reason),
-                Heard::StillRunning => return Reply::Lost(UnknownReason::StillRunning),
-                Heard::NotSent => return Reply::Lost(UnknownReason::EndpointGone),
-                Heard::Lost(_) => {}
-            }
+    /// Asks for the nonce over a new connection, and has it refused if the call has not arrived.
+    async fn ask(&self, reason: RefusalReason) -> Reply {
+        let question = NonceQuestion {
+            request_id: Nonce::random().to_string(),
+            permit: self.permit.clone(),
+            reason,
+        };
+        let heard = self.send("nonce", &question.request_id, &question).await;
+        match heard {
+            Heard::Told(Told::Ended(outcome)) => Reply::Ended(outcome),
+            Heard::Told(Told::NotHere(reason)) => Reply::AskedUnknown(reason),
+            Heard::StillRunning => Reply::Lost(UnknownReason::StillRunning),
+            Heard::NotSent => Reply::Lost(UnknownReason::EndpointGone),
+            Heard::Lost(_) => Reply::Lost(UnknownReason::EndpointLost),
         }
-        Reply::Lost(UnknownReason::EndpointLost)
     }
 
     async fn send(&self, route: &str, request_id: &str, question: &impl serde::Serialize) -> Heard {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod call_repeatable;
 mod error_code;
 mod generate;
+mod log_reader;
 mod server;
 mod state;
 mod tailer;
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -98,4 +98,8 @@
     pub config: ConfigMark,
     /// Requests that ran when endpoints crashed.
     pub suspects: Vec<SuspectRecord>,
+    /// Whether the entry is past its own bootstrap.
+    pub is_voter: bool,
+    /// Time since its configuration was known to be the end of the log.
+    pub confirmed_age_ms: Option<u64>,
 }
--- a/tests/calls/permits.rs
+++ b/tests/calls/permits.rs
@@ -87,7 +87,10 @@
     assert_eq!(table.begin(&permit, request(), 0), Begin::Join);
     table.finish(&permit, answer(2));
     assert_eq!(table.begin(&permit, request(), 1), Begin::Done(answer(2)));
-    assert_eq!(table.ask(&permit, 1), Asked::Done(answer(2)));
+    assert_eq!(
+        table.ask(&permit, RefusalReason::Withdrawn, 1),
+        Asked::Done(answer(2))
+    );
 }
 
 #[test]
@@ -128,7 +131,7 @@
     };
     assert_eq!(table.begin(&permit(2, 1), request(), 0), refused);
     let asked = Asked::NotRun(RefusalReason::PermitsFull);
-    assert_eq!(table.ask(&permit(3, 1), 0), asked);
+    assert_eq!(table.ask(&permit(3, 1), RefusalReason::Withdrawn, 0), asked);
     assert_eq!(table.len(), 2);
     assert_eq!(table.begin(&permit(2, 2), request(), EPOCH_MS), Begin::Run);
     assert!(matches!(
@@ -154,7 +157,7 @@
                 0 => now_ms += u.int_in_range(0..=EPOCH_MS)?,
                 1 => table.finish(&permit, answer(u.int_in_range(0..=40)?)),
                 2 => {
-                    let asked = table.ask(&permit, now_ms);
+                    let asked = table.ask(&permit, RefusalReason::Withdrawn, now_ms);
                     not_run[nonce] |= matches!(asked, Asked::NotRun(_));
                 }
                 kind => {
--- a/tests/spec_permits/world.rs
+++ b/tests/spec_permits/world.rs
@@ -345,7 +345,10 @@
 
     fn ask_arrives(&mut self, handler: usize) {
         let before = self.table.clone();
-        let told = match self.table.ask(&permit(), self.now_ms) {
+        let told = match self
+            .table
+            .ask(&permit(), RefusalReason::Withdrawn, self.now_ms)
+        {
             Asked::NotRun(reason) => Told::NotRun(reason),
             Asked::Done(_) => Told::Answer,
             Asked::Unknown(reason) if self.lacks(Rule::AskedApart) => Told::ArrivedUnknown(reason),
