--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,6 +11,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::calls::SuspectRecord;
+use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
 use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
@@ -28,6 +30,7 @@
 use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
 use crate::hosts::Served;
+use crate::hosts::StateTag;
 use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
@@ -40,6 +43,11 @@
 
 /// Bytes of the IP and UDP headers of a datagram.
 const DATAGRAM_HEADER_BYTES: usize = 28;
+/// Time a request stays suspect after a crash it was near.
+const SUSPECT_WINDOW_MS: u64 = 600_000;
+
+/// Crashes remembered, counted once per request that ran.
+const MAX_SUSPECTS: usize = 1024;
 
 /// Time without confirmation after which a process counts as cut off.
 const CUT_OFF_MS: u64 = 30_000;
@@ -70,6 +78,7 @@
     roster: Mutex<Roster>,
     follower: Mutex<Follower>,
     own: Mutex<OwnState>,
+    suspects: Mutex<SuspectTable>,
     leaving: AtomicBool,
     control_bytes: AtomicU64,
 }
@@ -98,6 +107,7 @@
             roster: Mutex::new(Roster::new()),
             follower: Mutex::new(Follower::new(0)),
             own: Mutex::default(),
+            suspects: Mutex::new(SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS)),
             leaving: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
         }
@@ -212,6 +222,25 @@
         self.own.lock().expect("no holder of the own state panics")
     }
 
+    /// Requests that ran when endpoints crashed.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects
+            .lock()
+            .expect("no holder of the suspects panics")
+    }
+
+    /// Everything known of suspects, to spread.
+    pub fn known_suspects(&self) -> Vec<SuspectRecord> {
+        let now_ms = self.now_ms();
+        self.suspects().export(now_ms)
+    }
+
+    /// Tag of everything known of suspects.
+    pub fn suspects_tag(&self) -> StateTag {
+        let now_ms = self.now_ms();
+        StateTag::of(self.suspects().digest(now_ms).as_bytes())
+    }
+
     /// The document in force.
     pub fn document(&self) -> Arc<Document> {
         self.follower().fold().shared_document()
@@ -267,6 +296,7 @@
             },
             is_voter: self.process.role == HostRole::Entry && mark.is_voter,
             confirmed_age_ms: mark.confirmed_age_ms,
+            suspects: self.known_suspects(),
         }
     }
 
@@ -285,6 +315,7 @@
             incarnation: self.incarnation,
             sent_ms: self.now_ms(),
             state: report.state_tag(),
+            suspects: self.suspects_tag(),
             leaving: report.leaving,
             wants_answer,
             config_offset: report.config.offset,
@@ -308,6 +339,7 @@
 
     /// What the process says of itself now.
     pub fn report(&self) -> Report {
+        let suspects = self.known_suspects();
         let own = self.own();
         Report {
             name: self.process.name.clone(),
@@ -322,6 +354,7 @@
             load: own.load,
             served: own.served.clone(),
             permit_epoch: own.permit_epoch,
+            suspects,
         }
     }
 }
