Edit the configuration through any entry

The administration API shows, compares, edits and follows the document section by section, with a token per team and the sections it may write. An edit that is sure to lose, or that has no valid meaning, is refused without an append; the rest is appended and answered only once the fold of the entry shows the decision. An append whose reply was lost is repeated with the same edit id until the fold shows it. The command `config` does the same from a terminal.

A read at the log waits at most a sixteenth of the retention: with a short retention a checkpoint came due during a read of two seconds.

--- /dev/null
+++ b/src/cli/admin_client.rs
@@ -0,0 +1,130 @@
+use std::env;
+use std::fs;
+use std::path::Path;
+
+use actix_web::http::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::CliError;
+use crate::links::HttpClient;
+use crate::links::LinkError;
+
+/// Variable that holds the team's token.
+const TOKEN_VARIABLE: &str = "BERGAMOTFORK_TOKEN";
+
+/// Variable that holds the base URL of an entry.
+const ENTRY_VARIABLE: &str = "BERGAMOTFORK_ENTRY";
+
+/// Time an entry has to answer, beyond the waiting it was asked for.
+const ANSWER_WAIT_MS: u64 = 20_000;
+
+/// A team's client of the administration API.
+#[derive(Debug)]
+pub struct AdminClient {
+    base_url: String,
+    token: String,
+}
+
+impl AdminClient {
+    /// Client of the entry at `url` with the token in `token_file`, or of what
+    /// the environment names.
+    ///
+    /// # Errors
+    ///
+    /// [`CliError::Invalid`] when either is missing.
+    pub fn new(url: Option<String>, token_file: Option<&Path>) -> Result<Self, CliError> {
+        let missing = |what: &str, variable: &str| {
+            CliError::Invalid(format!(
+                "{what} is missing; give the flag or set {variable}"
+            ))
+        };
+        let base_url = url
+            .or_else(|| env::var(ENTRY_VARIABLE).ok())
+            .ok_or_else(|| missing("--entry URL", ENTRY_VARIABLE))?;
+        let token = match token_file {
+            Some(path) => fs::read_to_string(path)
+                .map_err(|error| CliError::Invalid(format!("{}: {error}", path.display())))?,
+            None => env::var(TOKEN_VARIABLE)
+                .map_err(|_| missing("--token-file FILE", TOKEN_VARIABLE))?,
+        };
+        Ok(Self {
+            base_url: base_url.trim_end_matches('/').to_owned(),
+            token: token.trim().to_owned(),
+        })
+    }
+
+    /// Sends a request and decodes the answer; `wait_ms` is what the entry was asked to wait.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no usable answer came.
+    pub async fn send<A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&impl Serialize>,
+        wait_ms: u64,
+    ) -> Result<A, LinkError> {
+        let malformed = |error: serde_json::Error| LinkError::Malformed(error.to_string());
+        let url = format!("{}{path}", self.base_url);
+        let request = HttpClient::to_platform()
+            .request(method, &url)
+            .insert_header(("authorization", format!("Bearer {}", self.token)))
+            .insert_header(("content-type", "application/json"));
+        let bytes = match body {
+            Some(body) => serde_json::to_vec(body).map_err(malformed)?,
+            None => Vec::new(),
+        };
+        let answer = HttpClient::exchange(request, bytes, wait_ms + ANSWER_WAIT_MS).await?;
+        serde_json::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Reads what is at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when no usable answer came.
+    pub async fn get<A: DeserializeOwned>(&self, path: &str, wait_ms: u64) -> Result<A, LinkError> {
+        self.send(Method::GET, path, None::<&Value>, wait_ms).await
+    }
+}
+
+/// Path of a section, with what a URL does not take escaped.
+pub fn section_path(name: &str) -> String {
+    format!("/v1/config/sections/{}", escaped(name))
+}
+
+/// `text` with every byte but letters, digits, `.`, `_` and `-` escaped.
+pub fn escaped(text: &str) -> String {
+    let mut path = String::new();
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"._-".contains(&byte) {
+            path.push(char::from(byte));
+        } else {
+            path.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    path
+}
+
+/// The command's error for an answer that was no success.
+pub fn failed(error: LinkError) -> CliError {
+    let LinkError::Status { status, body, .. } = &error else {
+        return CliError::Failed(error.to_string());
+    };
+    let answer: Value = serde_json::from_str(body).unwrap_or_default();
+    let text = match (answer["code"].as_str(), answer["message"].as_str()) {
+        (Some(code), Some(message)) => format!("{code}: {message}"),
+        _ => format!("status {status}: {body}"),
+    };
+    let winner = answer["details"]["winner"]["body"].as_str();
+    CliError::Failed(match winner {
+        Some(body) => {
+            let revision = &answer["details"]["revision"];
+            format!("{text}\nthe section is now, at revision {revision}:\n{body}")
+        }
+        None => text,
+    })
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::ConfigArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
@@ -24,6 +25,8 @@
     Entry(EntryArgs),
     /// Run an endpoint beside an engine or a plain service.
     Endpoint(EndpointArgs),
+    /// Show, edit and follow the configuration through an entry.
+    Config(ConfigArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
     /// Check settings files, or list the keys they may hold.
--- /dev/null
+++ b/src/cli/config.rs
@@ -0,0 +1,301 @@
+use std::fs;
+use std::future::Future;
+use std::path::PathBuf;
+
+use actix_web::http::Method;
+use clap::Args;
+use clap::Subcommand;
+use serde_json::json;
+
+use super::CliError;
+use super::admin_client::AdminClient;
+use super::admin_client::escaped;
+use super::admin_client::failed;
+use super::admin_client::section_path;
+use crate::calls::Nonce;
+use crate::document::EditOutcome;
+use crate::entry::admin::AcceptedAnswer;
+use crate::entry::admin::DeleteBody;
+use crate::entry::admin::DiffAnswer;
+use crate::entry::admin::DocumentAnswer;
+use crate::entry::admin::HistoryAnswer;
+use crate::entry::admin::InForceAnswer;
+use crate::entry::admin::PutBody;
+use crate::entry::admin::SectionAnswer;
+use crate::links::LinkError;
+
+/// Sends of one edit whose outcome stays unknown.
+const MAX_SENDS: usize = 3;
+
+/// HTTP status of an edit whose outcome is unknown.
+const OUTCOME_UNKNOWN: u16 = 504;
+
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1000;
+
+/// Arguments of `config`.
+#[derive(Debug, Args)]
+pub struct ConfigArgs {
+    /// Base URL of any entry [default: $BERGAMOTFORK_ENTRY].
+    #[arg(long, global = true, value_name = "URL")]
+    entry: Option<String>,
+    /// File with the team's bearer token [default: the token in $BERGAMOTFORK_TOKEN].
+    #[arg(long, global = true, value_name = "FILE")]
+    token_file: Option<PathBuf>,
+    /// What to do with the configuration.
+    #[command(subcommand)]
+    command: ConfigCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum ConfigCommand {
+    /// Print the whole document, or its sections with their revisions.
+    Show {
+        /// Print names, revisions and teams only.
+        #[arg(long)]
+        sections: bool,
+    },
+    /// Print one section; its revision goes to standard error.
+    Get {
+        /// Full name, such as "model chat".
+        section: String,
+    },
+    /// Replace, create or delete one section.
+    Edit(EditArgs),
+    /// Compare a file with the section in force, and check it.
+    Diff {
+        /// Full name, such as "model chat".
+        section: String,
+        /// File with lines `key = value`.
+        #[arg(long, value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Print decided edits, the latest first.
+    History {
+        /// Only edits of this section.
+        #[arg(long, value_name = "NAME")]
+        section: Option<String>,
+        /// Most edits to print.
+        #[arg(long, default_value_t = 50)]
+        limit: usize,
+    },
+    /// Wait until a revision is in force on every process.
+    Wait {
+        /// Revision, as `edit` printed it.
+        revision: u64,
+        /// Longest wait in seconds.
+        #[arg(long, default_value_t = 20)]
+        timeout_s: u64,
+    },
+}
+
+#[derive(Debug, Args)]
+struct EditArgs {
+    /// Full name, such as "model chat".
+    section: String,
+    /// File with lines `key = value`.
+    #[arg(long, value_name = "FILE", required_unless_present = "delete")]
+    file: Option<PathBuf>,
+    /// Delete the section.
+    #[arg(long, conflicts_with = "file")]
+    delete: bool,
+    /// Revision the edit was made from [default: the section's revision now].
+    #[arg(long, value_name = "REVISION")]
+    base: Option<u64>,
+    /// Id of an edit to send again.
+    #[arg(long, value_name = "ID", requires = "base")]
+    edit_id: Option<String>,
+}
+
+/// Runs `config`.
+///
+/// # Errors
+///
+/// [`CliError`] when an argument is missing or the entry refuses.
+pub fn run(args: ConfigArgs) -> Result<(), CliError> {
+    let client = AdminClient::new(args.entry, args.token_file.as_deref())?;
+    match args.command {
+        ConfigCommand::Show { sections } => block_on(show(&client, sections)),
+        ConfigCommand::Get { section } => block_on(get(&client, &section)),
+        ConfigCommand::Edit(edit_args) => block_on(edit(&client, edit_args)),
+        ConfigCommand::Diff { section, file } => block_on(diff(&client, &section, file)),
+        ConfigCommand::History { section, limit } => {
+            block_on(history(&client, section.as_deref(), limit))
+        }
+        ConfigCommand::Wait {
+            revision,
+            timeout_s,
+        } => block_on(wait(&client, revision, timeout_s)),
+    }
+}
+
+fn block_on(work: impl Future<Output = Result<(), CliError>>) -> Result<(), CliError> {
+    actix_rt::System::new().block_on(work)
+}
+
+async fn show(client: &AdminClient, only_sections: bool) -> Result<(), CliError> {
+    let answer: DocumentAnswer = client.get("/v1/config", 0).await.map_err(failed)?;
+    if only_sections {
+        for section in &answer.sections {
+            println!("{}\t{}\t{}", section.revision, section.team, section.name);
+        }
+    } else {
+        print!("{}", answer.document);
+    }
+    eprintln!("offset {}, {}", answer.offset, answer.admission);
+    for part in &answer.inert {
+        eprintln!("no effect: {part}");
+    }
+    Ok(())
+}
+
+async fn read_section(client: &AdminClient, name: &str) -> Result<SectionAnswer, CliError> {
+    let path = section_path(name);
+    client.get(&path, 0).await.map_err(failed)
+}
+
+async fn get(client: &AdminClient, name: &str) -> Result<(), CliError> {
+    let answer = read_section(client, name).await?;
+    let Some(section) = answer.section else {
+        let revision = answer.revision;
+        let reason = format!("section [{name}] does not exist; it would be made from {revision}");
+        return Err(CliError::Failed(reason));
+    };
+    println!("{}", section.body.trim_end());
+    eprintln!("revision {} by team {}", section.revision, section.team);
+    Ok(())
+}
+
+async fn edit(client: &AdminClient, args: EditArgs) -> Result<(), CliError> {
+    let body = args.file.map(read_body).transpose()?;
+    let base_revision = match args.base {
+        Some(base) => base,
+        None => read_section(client, &args.section).await?.revision,
+    };
+    let edit_id = args.edit_id.unwrap_or_else(|| Nonce::random().to_string());
+    eprintln!("edit id {edit_id}, base {base_revision}");
+    let mut sends = 1;
+    let accepted = loop {
+        let sent = send_edit(
+            client,
+            &args.section,
+            &edit_id,
+            base_revision,
+            body.as_deref(),
+        );
+        match sent.await {
+            Err(error) if sends < MAX_SENDS && is_outcome_unknown(&error) => sends += 1,
+            result => break result.map_err(failed)?,
+        }
+    };
+    println!("accepted, revision {}", accepted.revision);
+    Ok(())
+}
+
+async fn send_edit(
+    client: &AdminClient,
+    section: &str,
+    edit_id: &str,
+    base_revision: u64,
+    body: Option<&str>,
+) -> Result<AcceptedAnswer, LinkError> {
+    let path = section_path(section);
+    let edit_id = edit_id.to_owned();
+    match body {
+        Some(body) => {
+            let body = PutBody {
+                edit_id,
+                base_revision,
+                body: body.to_owned(),
+            };
+            client.send(Method::PUT, &path, Some(&body), 0).await
+        }
+        None => {
+            let body = DeleteBody {
+                edit_id,
+                base_revision,
+            };
+            client.send(Method::DELETE, &path, Some(&body), 0).await
+        }
+    }
+}
+
+/// The same edit id may be sent again whatever became of the first send.
+fn is_outcome_unknown(error: &LinkError) -> bool {
+    match error {
+        LinkError::Broken(_) | LinkError::Timeout { .. } => true,
+        LinkError::Status { status, .. } => *status == OUTCOME_UNKNOWN,
+        LinkError::NotSent(_) | LinkError::Malformed(_) => false,
+    }
+}
+
+async fn diff(client: &AdminClient, name: &str, file: PathBuf) -> Result<(), CliError> {
+    let body = json!({ "body": read_body(file)? });
+    let path = format!("{}/diff", section_path(name));
+    let answer: DiffAnswer = client
+        .send(Method::POST, &path, Some(&body), 0)
+        .await
+        .map_err(failed)?;
+    for change in &answer.changes {
+        if let Some(before) = &change.before {
+            println!("- {} = {before}", change.key);
+        }
+        if let Some(after) = &change.after {
+            println!("+ {} = {after}", change.key);
+        }
+    }
+    eprintln!("against revision {}", answer.revision);
+    if answer.faults.is_empty() {
+        return Ok(());
+    }
+    let faults: Vec<String> = answer.faults.iter().map(ToString::to_string).collect();
+    Err(CliError::Failed(faults.join("\n")))
+}
+
+async fn history(
+    client: &AdminClient,
+    section: Option<&str>,
+    limit: usize,
+) -> Result<(), CliError> {
+    let mut path = format!("/v1/config/history?limit={limit}");
+    if let Some(section) = section {
+        path.push_str(&format!("&section={}", escaped(section)));
+    }
+    let answer: HistoryAnswer = client.get(&path, 0).await.map_err(failed)?;
+    for entry in &answer.edits {
+        let decision = match entry.outcome {
+            EditOutcome::Accepted { revision, .. } => format!("accepted as {revision}"),
+            EditOutcome::Conflict { revision, .. } => format!("conflict with {revision}"),
+        };
+        println!(
+            "{}\t{}\t{}\t{}\tfrom {}\t{decision}",
+            entry.outcome.offset(),
+            entry.team,
+            entry.section,
+            entry.edit_id,
+            entry.base_revision
+        );
+    }
+    Ok(())
+}
+
+async fn wait(client: &AdminClient, revision: u64, timeout_s: u64) -> Result<(), CliError> {
+    let wait_ms = timeout_s.saturating_mul(MS_PER_S);
+    let path = format!("/v1/config/wait?revision={revision}&wait_ms={wait_ms}");
+    let answer: InForceAnswer = client.get(&path, wait_ms).await.map_err(failed)?;
+    let count = format!(
+        "in force on {} of {} processes",
+        answer.in_force, answer.processes
+    );
+    if answer.lacking.is_empty() {
+        println!("{count}");
+        return Ok(());
+    }
+    let reason = format!("{count}; not on {}", answer.lacking.join(", "));
+    Err(CliError::Failed(reason))
+}
+
+fn read_body(path: PathBuf) -> Result<String, CliError> {
+    fs::read_to_string(&path)
+        .map_err(|error| CliError::Invalid(format!("{}: {error}", path.display())))
+}
--- a/src/conf/team_settings.rs
+++ b/src/conf/team_settings.rs
@@ -18,6 +18,11 @@
 }
 
 impl TeamSettings {
+    /// Whether the team may write the section called `name`.
+    pub fn may_write(&self, name: &str) -> bool {
+        self.sections.iter().any(|pattern| covers(pattern, name))
+    }
+
     pub(super) fn read_all(reader: &mut Reader) -> Vec<Self> {
         let mut teams: Vec<Self> = Vec::new();
         for name in reader.sections_of(PREFIX) {
@@ -51,3 +56,11 @@
         let _ = Self::read(reader, "NAME".to_owned());
     }
 }
+
+/// Whether `pattern` covers `name`; `*` stands for any text, once a pattern.
+fn covers(pattern: &str, name: &str) -> bool {
+    let Some((start, end)) = pattern.split_once('*') else {
+        return pattern == name;
+    };
+    name.len() >= start.len() + end.len() && name.starts_with(start) && name.ends_with(end)
+}
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -50,13 +50,78 @@
         revision: edit.base_revision,
         body: body.clone(),
     };
+    check_section(document, &section)
+}
+
+/// Parts of the document that have no effect: invalid sections and dangling references.
+pub fn inert_parts(document: &Document) -> Vec<SectionFault> {
+    let mut faults = Vec::new();
+    for section in document.sections() {
+        if let Err(found) = check_section(document, section) {
+            faults.extend(found);
+        }
+    }
+    for branch in document.branches() {
+        let models = branch
+            .models
+            .iter()
+            .map(|model| ("models", format!("model {model}")));
+        let services = branch.services.iter();
+        let services = services.map(|service| ("services", format!("service {service}")));
+        for (key, named) in models.chain(services) {
+            faults.extend(dangling(
+                document,
+                format!("branch {}", branch.name),
+                key,
+                named,
+            ));
+        }
+    }
+    for model in document.models() {
+        if let Some(base) = &model.base {
+            let named = format!("model {base}");
+            faults.extend(dangling(
+                document,
+                format!("model {}", model.name),
+                "base",
+                named,
+            ));
+        }
+    }
+    faults
+}
+
+fn dangling(
+    document: &Document,
+    section: String,
+    key: &str,
+    named: String,
+) -> Option<SectionFault> {
+    if document.section(&named).is_some() {
+        return None;
+    }
+    Some(SectionFault {
+        section,
+        key: Some(key.to_owned()),
+        reason: FaultReason::Dangling { section: named },
+    })
+}
+
+fn check_section(document: &Document, section: &Section) -> Result<(), Vec<SectionFault>> {
+    let fault = |reason| {
+        Err(vec![SectionFault {
+            section: section.name.clone(),
+            key: None,
+            reason,
+        }])
+    };
     if !is_label(section.label()) {
         return fault(FaultReason::InvalidLabel);
     }
     match section.kind() {
-        ModelSection::KIND => ModelSection::parse(&section).map(drop),
-        BranchSection::KIND => check_branch(document, &section),
-        ServiceSection::KIND => ServiceSection::parse(&section).map(drop),
+        ModelSection::KIND => ModelSection::parse(section).map(drop),
+        BranchSection::KIND => check_branch(document, section),
+        ServiceSection::KIND => ServiceSection::parse(section).map(drop),
         _ => fault(FaultReason::UnknownKind),
     }
 }
--- a/src/document/section_fault.rs
+++ b/src/document/section_fault.rs
@@ -44,6 +44,11 @@
         /// What is allowed.
         allowed: String,
     },
+    /// The value names a section that does not exist.
+    Dangling {
+        /// Section that is named.
+        section: String,
+    },
     /// The shares of all branches together pass 100 percent.
     SharesExceed {
         /// Sum with this edit.
@@ -99,6 +104,7 @@
             Self::InvalidValue { value, allowed } => {
                 write!(f, "{value:?} is not {allowed}")
             }
+            Self::Dangling { section } => write!(f, "there is no section [{section}]"),
             Self::SharesExceed { sum_percent } => write!(
                 f,
                 "the shares of all branches add up to {sum_percent} percent, more than 100"
--- a/src/document/section_reader.rs
+++ b/src/document/section_reader.rs
@@ -1,12 +1,11 @@
 use std::ops::RangeInclusive;
 
-use ini::Ini;
-use ini::ParseOption;
 use ini::Properties;
 
 use crate::document::FaultReason;
 use crate::document::Section;
 use crate::document::SectionFault;
+use crate::document::key_change::parse_body;
 use crate::weights::Digest;
 
 /// Reads the values of one section and collects what is wrong with them.
@@ -20,12 +19,7 @@
 impl<'a> SectionReader<'a> {
     /// Reads the body of `section`, whose keys must be among `known`.
     pub fn new(section: &'a Section, known: &[&str]) -> Result<Self, Vec<SectionFault>> {
-        let options = ParseOption {
-            enabled_quote: false,
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
-        let ini = Ini::load_from_str_opt(&section.body, options).map_err(|error| {
+        let ini = parse_body(&section.body).map_err(|error| {
             vec![SectionFault {
                 section: section.name.clone(),
                 key: None,
--- /dev/null
+++ b/src/entry/admin/diff.rs
@@ -0,0 +1,49 @@
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+
+use super::answers::DiffAnswer;
+use super::team::team;
+use crate::document::Edit;
+use crate::document::KeyChange;
+use crate::document::check_edit;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+
+/// Stands for the edit's id, which a comparison does not have.
+const DIFF_ID: &str = "diff";
+
+/// A body to compare with the section.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DiffBody {
+    body: String,
+}
+
+/// Compares a body with the section in force and checks it, without an edit.
+pub async fn diff(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    name: web::Path<String>,
+    body: web::Json<DiffBody>,
+) -> Result<HttpResponse, ApiError> {
+    let team = team(&state, &request)?;
+    let document = state.node.document();
+    let name = name.into_inner();
+    let current = document.section(&name);
+    let before = current.map_or("", |section| section.body.as_str());
+    let changes = KeyChange::between(before, &body.body).unwrap_or_default();
+    let edit = Edit {
+        edit_id: DIFF_ID.to_owned(),
+        team: team.name.clone(),
+        base_revision: document.revision(&name),
+        section: name,
+        body: Some(body.into_inner().body),
+    };
+    Ok(HttpResponse::Ok().json(DiffAnswer {
+        revision: edit.base_revision,
+        changes,
+        faults: check_edit(&document, &edit).err().unwrap_or_default(),
+    }))
+}
--- /dev/null
+++ b/src/entry/admin/in_force.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+
+use super::answers::InForceAnswer;
+use super::team::team;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+use crate::hosts::Standing;
+
+/// Longest wait of one call.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(50);
+
+/// What to wait for.
+#[derive(Debug, Deserialize)]
+pub struct WaitQuery {
+    revision: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// Waits until every known process has a revision in force, and tells which lack it.
+pub async fn wait(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    query: web::Query<WaitQuery>,
+) -> Result<HttpResponse, ApiError> {
+    team(&state, &request)?;
+    let node = &state.node;
+    let deadline_ms = node.now_ms() + query.wait_ms.min(MAX_WAIT_MS);
+    loop {
+        let answer = in_force(&state, query.revision);
+        if answer.lacking.is_empty() || node.now_ms() >= deadline_ms {
+            return Ok(HttpResponse::Ok().json(answer));
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// A revision is in force on a process whose head is at least the revision.
+fn in_force(state: &EntryState, revision: u64) -> InForceAnswer {
+    let node = &state.node;
+    let now_ms = node.now_ms();
+    let mut lacking = Vec::new();
+    let mut processes = 1;
+    if node.config_mark().offset < revision {
+        lacking.push(node.name().to_owned());
+    }
+    for (_, host) in node.roster().hosts() {
+        if host.name == node.name() || host.standing(now_ms) == Standing::Leaving {
+            continue;
+        }
+        processes += 1;
+        let head = host.config.map_or(0, |mark| mark.offset);
+        if head < revision {
+            lacking.push(host.name.clone());
+        }
+    }
+    InForceAnswer {
+        revision,
+        processes,
+        in_force: processes - lacking.len(),
+        lacking,
+    }
+}
--- /dev/null
+++ b/src/entry/admin/mod.rs
@@ -0,0 +1,40 @@
+//! The administration API: one document, edited section by section.
+//!
+//! An edit is answered only after this entry's own fold shows how the log's
+//! order decided it. The same edit id may be sent again, through any entry, and
+//! gets the first outcome.
+
+mod answers;
+mod diff;
+mod edit;
+mod in_force;
+mod show;
+mod team;
+
+use actix_web::web;
+use actix_web::web::ServiceConfig;
+
+pub use answers::AcceptedAnswer;
+pub use answers::ConflictDetails;
+pub use answers::DeleteBody;
+pub use answers::DiffAnswer;
+pub use answers::DocumentAnswer;
+pub use answers::HistoryAnswer;
+pub use answers::InForceAnswer;
+pub use answers::PutBody;
+pub use answers::SectionAnswer;
+pub use answers::SectionHead;
+
+/// Routes of the administration API.
+pub fn routes(app: &mut ServiceConfig) {
+    app.route("/v1/config", web::get().to(show::document))
+        .route("/v1/config/history", web::get().to(show::history))
+        .route("/v1/config/wait", web::get().to(in_force::wait))
+        .route("/v1/config/sections/{name}", web::get().to(show::section))
+        .route("/v1/config/sections/{name}", web::put().to(edit::put))
+        .route("/v1/config/sections/{name}", web::delete().to(edit::delete))
+        .route(
+            "/v1/config/sections/{name}/diff",
+            web::post().to(diff::diff),
+        );
+}
--- /dev/null
+++ b/src/entry/admin/show.rs
@@ -0,0 +1,87 @@
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+
+use super::answers::DocumentAnswer;
+use super::answers::HistoryAnswer;
+use super::answers::SectionAnswer;
+use super::answers::SectionHead;
+use super::team::team;
+use crate::document::EditEntry;
+use crate::document::inert_parts;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+
+/// Edits in one answer when the caller names no limit.
+const DEFAULT_HISTORY: usize = 50;
+
+/// Shows the whole document.
+pub async fn document(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+) -> Result<HttpResponse, ApiError> {
+    team(&state, &request)?;
+    let node = &state.node;
+    let admission = node.admission().name().to_owned();
+    let follower = node.follower();
+    let fold = follower.fold();
+    let document = fold.shared_document();
+    let sections = document.sections().iter().map(|section| SectionHead {
+        name: section.name.clone(),
+        team: section.team.clone(),
+        revision: section.revision,
+    });
+    let inert = inert_parts(&document);
+    Ok(HttpResponse::Ok().json(DocumentAnswer {
+        offset: fold.head(),
+        digest: fold.digest(),
+        admission,
+        confirmed_age_ms: follower.confirmed_age_ms(node.now_ms()),
+        sections: sections.collect(),
+        document: document.to_string(),
+        inert: inert.iter().map(ToString::to_string).collect(),
+    }))
+}
+
+/// Shows one section and the revision to edit it from.
+pub async fn section(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    name: web::Path<String>,
+) -> Result<HttpResponse, ApiError> {
+    team(&state, &request)?;
+    let follower = state.node.follower();
+    let document = follower.fold().document();
+    Ok(HttpResponse::Ok().json(SectionAnswer {
+        offset: follower.fold().head(),
+        revision: document.revision(&name),
+        section: document.section(&name).cloned(),
+    }))
+}
+
+/// Which edits to show.
+#[derive(Debug, Deserialize)]
+pub struct HistoryQuery {
+    section: Option<String>,
+    limit: Option<usize>,
+}
+
+/// Shows decided edits, the latest first.
+pub async fn history(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    query: web::Query<HistoryQuery>,
+) -> Result<HttpResponse, ApiError> {
+    team(&state, &request)?;
+    let follower = state.node.follower();
+    let wanted = |entry: &&EditEntry| {
+        let section = query.section.as_ref();
+        section.is_none_or(|section| *section == entry.section)
+    };
+    let edits = follower.fold().history().rev().filter(wanted);
+    let limit = query.limit.unwrap_or(DEFAULT_HISTORY);
+    Ok(HttpResponse::Ok().json(HistoryAnswer {
+        edits: edits.take(limit).cloned().collect(),
+    }))
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: addresses, permits, routing and the administration API.
 
 mod addresses;
+pub mod admin;
 pub mod api_error;
 mod auth;
 mod call;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -8,6 +8,7 @@
 use crate::conf::EntrySettings;
 use crate::entry::EntryState;
 use crate::entry::addresses;
+use crate::entry::admin;
 use crate::entry::api_error;
 use crate::entry::call;
 use crate::entry::generate;
@@ -52,6 +53,7 @@
             .route("/v1/generate", web::post().to(generate::generate))
             .route("/v1/call", web::post().to(call::call))
             .default_service(web::to(api_error::unknown_path));
+        admin::routes(app);
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
--- a/src/entry/tailer.rs
+++ b/src/entry/tailer.rs
@@ -16,6 +16,9 @@
 /// Time a read waits at the log for a new record.
 const READ_WAIT_MS: u64 = 2000;
 
+/// A read waits at most this fraction of the retention, as checkpoints are due in between.
+const READ_WAIT_FRACTION: u64 = 16;
+
 /// Time between two looks at whether this entry should read.
 const IDLE_MS: u64 = 500;
 
@@ -84,7 +87,11 @@
         return Step::Idle;
     }
     let before = node.follower().read_from();
-    let wait_ms = if admits { READ_WAIT_MS } else { 0 };
+    let wait_ms = if admits {
+        READ_WAIT_MS.min(duty.retention_ms / READ_WAIT_FRACTION)
+    } else {
+        0
+    };
     if !read_log(state, wait_ms).await {
         return Step::Failed;
     }
--- /dev/null
+++ b/tests/config_api/main.rs
@@ -0,0 +1,187 @@
+//! The administration API and the `config` command against real processes.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use bergamotfork::links::LinkError;
+use bergamotfork::weights::Digest;
+use support::Cluster;
+use support::TOKEN;
+use support::until;
+
+const DESK_TOKEN: &str = "token of the desk";
+
+/// Two entries and an endpoint, all with a confirmed configuration.
+async fn start() -> (Cluster, String, String) {
+    let mut cluster = Cluster::new().await;
+    let desk = format!(
+        "[team desk]\ntoken_digest = {}\nsections = service desk-*\n",
+        Digest::of(DESK_TOKEN.as_bytes())
+    );
+    let one = cluster.entry("entry-1", "or-north", &desk).await;
+    let two = cluster.entry("entry-2", "wa-coast", &desk).await;
+    cluster.service("desk-1", "or-north", "bookdesk", &[]).await;
+    for entry in [&one, &two] {
+        ready(&cluster, entry).await;
+    }
+    (cluster, one, two)
+}
+
+async fn ready(cluster: &Cluster, entry: &str) {
+    let url = format!("{entry}/health/ready");
+    until("the entry is ready", 20, async || {
+        cluster.call(Method::GET, &url, None).await.ok()
+    })
+    .await;
+}
+
+async fn put(
+    cluster: &Cluster,
+    entry: &str,
+    section: &str,
+    edit: (&str, u64, &str),
+) -> Result<Value, (u16, Value)> {
+    let (edit_id, base_revision, body) = edit;
+    let url = format!("{entry}/v1/config/sections/{}", section.replace(' ', "%20"));
+    let body = json!({ "edit_id": edit_id, "base_revision": base_revision, "body": body });
+    match cluster.call(Method::PUT, &url, Some(&body)).await {
+        Ok(answer) => Ok(serde_json::from_slice(&answer).expect("the answer is JSON")),
+        Err(LinkError::Status { status, body, .. }) => Err((
+            status,
+            serde_json::from_str(&body).expect("the error is JSON"),
+        )),
+        Err(error) => panic!("no answer: {error}"),
+    }
+}
+
+#[actix_rt::test]
+async fn put_conflict_shows_winner() {
+    let (cluster, one, two) = start().await;
+    let section = "service bookdesk";
+    let first = put(&cluster, &one, section, ("a", 0, "timeout_ms = 1")).await;
+    let first = first.expect("accepted");
+    let revision = first["revision"].as_u64().expect("a revision");
+    let (status, answer) = put(&cluster, &two, section, ("b", 0, "timeout_ms = 2"))
+        .await
+        .expect_err("the section has changed");
+    assert_eq!((status, &answer["code"]), (409, &json!("conflict")));
+    let winner = &answer["details"]["winner"];
+    assert_eq!(winner["body"], "timeout_ms = 1");
+    assert_eq!(answer["details"]["revision"], revision);
+    // The same edit id through the other entry gives the first outcome.
+    let again = put(&cluster, &two, section, ("a", 0, "timeout_ms = 1")).await;
+    assert_eq!(again, Ok(first));
+    let reused = put(&cluster, &one, section, ("a", revision, "timeout_ms = 9")).await;
+    assert_eq!(reused.expect_err("the id is taken").0, 400);
+}
+
+#[actix_rt::test]
+async fn put_refused_before_the_log() {
+    let (cluster, one, _) = start().await;
+    let (status, answer) = put(&cluster, &one, "service bookdesk", ("a", 0, "speed = 3"))
+        .await
+        .expect_err("the key is unknown");
+    assert_eq!((status, &answer["code"]), (422, &json!("invalid_edit")));
+    let fault = &answer["details"]["faults"][0];
+    assert_eq!(fault["section"], "service bookdesk");
+    assert_eq!(fault["key"], "speed");
+    let large = format!("idempotent = {}", "x".repeat(70_000));
+    let (status, answer) = put(&cluster, &one, "service bookdesk", ("b", 0, &large))
+        .await
+        .expect_err("the section is too large");
+    assert_eq!(status, 422);
+    assert!(answer["message"].to_string().contains("more than 65536"));
+    let rights = put(&cluster, &one, "planet x", ("c", 0, "a = b")).await;
+    assert_eq!(rights.expect_err("no team has it").0, 403);
+    let url = format!("{one}/v1/config");
+    let shown = cluster.call(Method::GET, &url, None).await.expect("shown");
+    let shown: Value = serde_json::from_slice(&shown).expect("JSON");
+    assert_eq!(shown["offset"], 0, "nothing was appended: {shown}");
+}
+
+fn config(entry: &str, token: &str, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bergamotfork"))
+        .args(["config", "--entry", entry])
+        .args(args)
+        .env("BERGAMOTFORK_TOKEN", token)
+        .output()
+        .expect("the program starts")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn body_file(name: &str, body: &str) -> PathBuf {
+    let name = format!("bergamotfork-{}-{name}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, body).expect("the body is written");
+    path
+}
+
+#[actix_rt::test]
+async fn config_command_whole_edit() {
+    let (_cluster, one, two) = start().await;
+    let file = body_file("whole", "timeout_ms = 700\nidempotent = lookup\n");
+    let file = file.to_str().expect("the path is text");
+    let edited = config(&one, TOKEN, &["edit", "service desk-a", "--file", file]);
+    assert!(edited.status.success(), "{}", text(&edited.stderr));
+    let told = text(&edited.stdout);
+    let revision = told.trim().strip_prefix("accepted, revision ");
+    let revision = revision.expect("the revision is told");
+    let waited = config(&two, TOKEN, &["wait", revision]);
+    assert_eq!(text(&waited.stdout), "in force on 3 of 3 processes\n");
+    let shown = config(&two, DESK_TOKEN, &["show"]);
+    assert!(text(&shown.stdout).contains("[service desk-a]\ntimeout_ms = 700"));
+    let got = config(&two, DESK_TOKEN, &["get", "service desk-a"]);
+    assert!(text(&got.stdout).contains("idempotent = lookup"));
+    let other = body_file("other", "timeout_ms = 800\n");
+    let other = other.to_str().expect("the path is text");
+    let diff = config(&one, TOKEN, &["diff", "service desk-a", "--file", other]);
+    let expected = "- timeout_ms = 700\n+ timeout_ms = 800\n- idempotent = lookup\n";
+    assert_eq!(text(&diff.stdout), expected);
+    let late = ["edit", "service desk-a", "--file", other, "--base", "0"];
+    let late = config(&one, DESK_TOKEN, &late);
+    assert_eq!(late.status.code(), Some(1));
+    assert!(
+        text(&late.stderr).contains("timeout_ms = 700"),
+        "the winner"
+    );
+    let gone = config(&one, DESK_TOKEN, &["edit", "service desk-a", "--delete"]);
+    assert!(gone.status.success(), "{}", text(&gone.stderr));
+    let history = config(&one, TOKEN, &["history", "--section", "service desk-a"]);
+    let history = text(&history.stdout);
+    let teams: Vec<&str> = history
+        .lines()
+        .filter_map(|line| line.split('\t').nth(1))
+        .collect();
+    assert_eq!(teams, ["desk", "platform"]);
+}
+
+#[actix_rt::test]
+async fn config_command_refusals() {
+    let (_cluster, one, _) = start().await;
+    let file = body_file("refused", "timeout_ms = 700\n");
+    let file = file.to_str().expect("the path is text");
+    let foreign = config(&one, DESK_TOKEN, &["edit", "service other", "--file", file]);
+    assert_eq!(foreign.status.code(), Some(1));
+    assert!(text(&foreign.stderr).contains("forbidden: team \"desk\" may write"));
+    let unknown = config(&one, "no token", &["show"]);
+    assert!(text(&unknown.stderr).contains("wrong_token"));
+    let absent = config(&one, TOKEN, &["get", "model none"]);
+    assert!(text(&absent.stderr).contains("does not exist"));
+    let late = config(&one, TOKEN, &["wait", "5", "--timeout-s", "0"]);
+    assert_eq!(late.status.code(), Some(1));
+    let lacking = text(&late.stderr);
+    assert!(lacking.contains("in force on 0 of 3 processes; not on "));
+    assert!(lacking.contains("desk-1") && lacking.contains("entry-2"));
+}
