--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -1,3 +1,8 @@
+use crate::conf::PartitionPolicy;
+
+/// Time without confirmation after which a process counts as cut off.
+pub const CUT_OFF_MS: u64 = 30_000;
+
 /// Whether a process admits new work, going by its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -12,6 +17,20 @@
 }
 
 impl Admission {
+    /// Decides for a process last confirmed `age_ms` ago.
+    ///
+    /// `is_confirmed` tells whether that was since it started or last woke.
+    pub fn decide(is_confirmed: bool, age_ms: u64, policy: PartitionPolicy) -> Self {
+        if !is_confirmed {
+            return Self::Unconfirmed;
+        }
+        match (age_ms >= CUT_OFF_MS, policy) {
+            (false, _) => Self::Confirmed,
+            (true, PartitionPolicy::Serve) => Self::CutOffServing,
+            (true, PartitionPolicy::Refuse) => Self::CutOffRefusing,
+        }
+    }
+
     /// Whether new work is admitted.
     pub fn admits(self) -> bool {
         matches!(self, Self::Confirmed | Self::CutOffServing)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod watcher;
 
 pub use admission::Admission;
+pub use admission::CUT_OFF_MS;
 pub use config_pull::ConfigPull;
 pub use config_pull::emit_notices;
 pub use config_pull::pull_config;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -12,7 +12,6 @@
 use serde::de::DeserializeOwned;
 
 use crate::conf::ClusterSettings;
-use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
 use crate::document::Document;
@@ -34,9 +33,6 @@
 /// Bytes of the head of a request or answer between two processes, about.
 const HEADER_BYTES: usize = 200;
 
-/// Time without confirmation after which a process counts as cut off.
-const CUT_OFF_MS: u64 = 30_000;
-
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
 pub struct OwnState {
@@ -216,20 +212,22 @@
     pub fn admission(&self) -> Admission {
         let now_ms = self.now_ms();
         let follower = self.follower();
-        if !follower.admits(now_ms) {
-            return Admission::Unconfirmed;
-        }
         let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
-        match (age_ms >= CUT_OFF_MS, self.cluster.partition_policy) {
-            (false, _) => Admission::Confirmed,
-            (true, PartitionPolicy::Serve) => Admission::CutOffServing,
-            (true, PartitionPolicy::Refuse) => Admission::CutOffRefusing,
-        }
+        Admission::decide(
+            follower.admits(now_ms),
+            age_ms,
+            self.cluster.partition_policy,
+        )
     }
 
-    /// Whether the process admits new work.
+    /// Whether the process admits new work; work admitted while cut off is counted.
     pub fn is_ready(&self) -> bool {
-        self.admission().admits()
+        let admission = self.admission();
+        if admission == Admission::CutOffServing {
+            self.metrics
+                .add(Tally::CutOff, 1, "policy", admission.name());
+        }
+        admission.admits()
     }
 
     /// What the process answers a peer that reported.
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -78,7 +78,11 @@
 /// Entries this process reports to: the first by rendezvous rank of the names,
 /// and all of them while it needs the answers of a majority.
 fn targets(node: &Node) -> Vec<Target> {
-    let fanout = if node.is_ready() { FANOUT } else { usize::MAX };
+    let fanout = if node.admission().admits() {
+        FANOUT
+    } else {
+        usize::MAX
+    };
     let roster = node.roster();
     let mut ranked: Vec<_> = roster
         .hosts()
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -73,7 +73,7 @@
 }
 
 async fn ready(node: web::Data<Node>) -> HttpResponse {
-    if node.is_ready() && !node.is_leaving() {
+    if node.admission().admits() && !node.is_leaving() {
         HttpResponse::Ok().json("ready")
     } else {
         HttpResponse::ServiceUnavailable().json("not ready")
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -23,11 +23,13 @@
     ControlBytes,
     /// Calls to the platform, by `call`.
     PlatformCalls,
+    /// Work admitted without a confirmed configuration for long, by `policy`.
+    CutOff,
 }
 
 impl Tally {
     /// Every counter.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -35,6 +37,7 @@
         Self::ChunksRejected,
         Self::ControlBytes,
         Self::PlatformCalls,
+        Self::CutOff,
     ];
 
     /// Name of the counter in the exported text, which appends `_total`.
@@ -47,6 +50,7 @@
             Self::ChunksRejected => "bergamotfork_chunks_rejected",
             Self::ControlBytes => "bergamotfork_control_bytes",
             Self::PlatformCalls => "bergamotfork_platform_calls",
+            Self::CutOff => "bergamotfork_cut_off_admissions",
         }
     }
 }
--- a/tests/config_api/main.rs
+++ b/tests/config_api/main.rs
@@ -32,6 +32,7 @@
     cluster.service("desk-1", "or-north", "bookdesk", &[]).await;
     for entry in [&one, &two] {
         ready(&cluster, entry).await;
+        knows_all(&cluster, entry).await;
     }
     (cluster, one, two)
 }
@@ -44,6 +45,17 @@
     .await;
 }
 
+/// Waits until the entry has heard the other two processes.
+async fn knows_all(cluster: &Cluster, entry: &str) {
+    let url = format!("{entry}/v1/config/wait?revision=0");
+    until("the entry knows all processes", 20, async || {
+        let answer = cluster.call(Method::GET, &url, None).await.ok()?;
+        let answer: Value = serde_json::from_slice(&answer).ok()?;
+        (answer["processes"] == 3).then_some(())
+    })
+    .await;
+}
+
 async fn put(
     cluster: &Cluster,
     entry: &str,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the system as separate processes on loopback and ends them by id.
 #![allow(dead_code)]
+#![allow(unused_imports)]
 
 mod cluster;
 mod process;
