--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin_client;
 mod args;
+mod bench;
 mod config;
 mod endpoint;
 mod entry;
@@ -16,6 +17,7 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use bench::BenchArgs;
 pub use config::ConfigArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
@@ -38,6 +40,7 @@
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Settings(args) => settings::run(args),
         Command::Token(args) => token::run(args),
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -24,6 +24,7 @@
 use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
 use crate::hosts::Served;
+use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::node::Admission;
@@ -55,6 +56,7 @@
     started: Instant,
     metrics: Metrics,
     http: HttpClient,
+    cuts: Arc<Cuts>,
     roster: Mutex<Roster>,
     follower: Mutex<Follower>,
     own: Mutex<OwnState>,
@@ -70,7 +72,9 @@
         cluster: ClusterSettings,
         service: Option<String>,
     ) -> Self {
-        let http = HttpClient::to_processes(cluster.shared_key.clone());
+        let cuts = Arc::new(Cuts::default());
+        let http =
+            HttpClient::to_processes(cluster.shared_key.clone()).with_cuts(Arc::clone(&cuts));
         Self {
             process,
             platform,
@@ -80,6 +84,7 @@
             started: Instant::now(),
             metrics: Metrics::new(),
             http,
+            cuts,
             roster: Mutex::new(Roster::new()),
             follower: Mutex::new(Follower::new(0)),
             own: Mutex::default(),
@@ -133,6 +138,11 @@
         &self.http
     }
 
+    /// Addresses that it does not reach during a drill.
+    pub fn cuts(&self) -> &Arc<Cuts> {
+        &self.cuts
+    }
+
     /// Asks another process and counts the bytes of control traffic.
     ///
     /// # Errors
