--- a/src/bench/control_watch.rs
+++ b/src/bench/control_watch.rs
@@ -163,7 +163,7 @@
             .expect("no holder of the changes panics")
             .clone();
         for (index, node) in nodes.iter().enumerate() {
-            let head = node.config_mark().offset;
+            let head = node.follower().fold().head();
             seen.reverts += u64::from(head < heads[index]);
             heads[index] = head;
             // Changes come in the order of their offsets.
--- a/src/cli/admin_client.rs
+++ b/src/cli/admin_client.rs
@@ -1,58 +1,32 @@
-use std::env;
-use std::fs;
-use std::path::Path;
-
 use actix_web::http::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use super::CliError;
+use super::OperatorArgs;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 
-/// Variable that holds the team's token.
-const TOKEN_VARIABLE: &str = "BERGAMOTFORK_TOKEN";
-
-/// Variable that holds the base URL of an entry.
-const ENTRY_VARIABLE: &str = "BERGAMOTFORK_ENTRY";
-
 /// Time an entry has to answer, beyond the waiting it was asked for.
 const ANSWER_WAIT_MS: u64 = 20_000;
 
 /// A team's client of the administration API.
 #[derive(Debug)]
 pub struct AdminClient {
-    base_url: String,
+    operator: OperatorArgs,
     token: String,
 }
 
 impl AdminClient {
-    /// Client of the entry at `url` with the token in `token_file`, or of what
-    /// the environment names.
+    /// Client of the entry and team that `operator` names.
     ///
     /// # Errors
     ///
-    /// [`CliError::Invalid`] when either is missing.
-    pub fn new(url: Option<String>, token_file: Option<&Path>) -> Result<Self, CliError> {
-        let missing = |what: &str, variable: &str| {
-            CliError::Invalid(format!(
-                "{what} is missing; give the flag or set {variable}"
-            ))
-        };
-        let base_url = url
-            .or_else(|| env::var(ENTRY_VARIABLE).ok())
-            .ok_or_else(|| missing("--entry URL", ENTRY_VARIABLE))?;
-        let token = match token_file {
-            Some(path) => fs::read_to_string(path)
-                .map_err(|error| CliError::Invalid(format!("{}: {error}", path.display())))?,
-            None => env::var(TOKEN_VARIABLE)
-                .map_err(|_| missing("--token-file FILE", TOKEN_VARIABLE))?,
-        };
-        Ok(Self {
-            base_url: base_url.trim_end_matches('/').to_owned(),
-            token: token.trim().to_owned(),
-        })
+    /// [`CliError::Invalid`] when there is no token.
+    pub fn new(operator: OperatorArgs) -> Result<Self, CliError> {
+        let token = operator.token()?;
+        Ok(Self { operator, token })
     }
 
     /// Sends a request and decodes the answer; `wait_ms` is what the entry was asked to wait.
@@ -68,7 +42,7 @@
         wait_ms: u64,
     ) -> Result<A, LinkError> {
         let malformed = |error: serde_json::Error| LinkError::Malformed(error.to_string());
-        let url = format!("{}{path}", self.base_url);
+        let url = self.operator.url(path);
         let request = HttpClient::to_platform()
             .request(method, &url)
             .insert_header(("authorization", format!("Bearer {}", self.token)))
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -3,10 +3,12 @@
 
 use super::BenchArgs;
 use super::ConfigArgs;
+use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
 use super::StandinArgs;
+use super::StatusArgs;
 use super::TokenArgs;
 
 /// Distributes model weights in bursts and routes live requests.
@@ -28,6 +30,10 @@
     Endpoint(EndpointArgs),
     /// Show, edit and follow the configuration through an entry.
     Config(ConfigArgs),
+    /// Show the hosts, models and configuration as an entry sees them.
+    Status(StatusArgs),
+    /// Show the whole system at work, in this one process on loopback.
+    Demo(DemoArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
     /// Measure the system on this machine.
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::CliError;
+use super::OperatorArgs;
 use super::admin_client::AdminClient;
 use super::admin_client::escaped;
 use super::admin_client::failed;
@@ -36,12 +37,9 @@
 /// Arguments of `config`.
 #[derive(Debug, Args)]
 pub struct ConfigArgs {
-    /// Base URL of any entry [default: $BERGAMOTFORK_ENTRY].
-    #[arg(long, global = true, value_name = "URL")]
-    entry: Option<String>,
-    /// File with the team's bearer token [default: the token in $BERGAMOTFORK_TOKEN].
-    #[arg(long, global = true, value_name = "FILE")]
-    token_file: Option<PathBuf>,
+    /// Where to send it, and as whom.
+    #[command(flatten)]
+    operator: OperatorArgs,
     /// What to do with the configuration.
     #[command(subcommand)]
     command: ConfigCommand,
@@ -113,7 +111,7 @@
 ///
 /// [`CliError`] when an argument is missing or the entry refuses.
 pub fn run(args: ConfigArgs) -> Result<(), CliError> {
-    let client = AdminClient::new(args.entry, args.token_file.as_deref())?;
+    let client = AdminClient::new(args.operator)?;
     match args.command {
         ConfigCommand::Show { sections } => block_on(show(&client, sections)),
         ConfigCommand::Get { section } => block_on(get(&client, &section)),
