--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,7 +1,9 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
+mod admin_client;
 mod args;
 mod bench;
+mod config;
 mod demo;
 mod endpoint;
 mod entry;
@@ -19,6 +21,7 @@
 pub use args::Args;
 pub use args::Command;
 pub use bench::BenchArgs;
+pub use config::ConfigArgs;
 pub use demo::DemoArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
@@ -39,6 +42,7 @@
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
+        Command::Config(args) => config::run(args),
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -18,7 +18,11 @@
 /// Entries that `node` reports to: the first by rendezvous rank of the names,
 /// and all of them while it needs the answers of a majority.
 pub(super) fn targets(node: &Node) -> Vec<Target> {
-    let fanout = if node.is_ready() { FANOUT } else { usize::MAX };
+    let fanout = if node.admission().admits() {
+        FANOUT
+    } else {
+        usize::MAX
+    };
     let roster = node.roster();
     let mut ranked: Vec<_> = roster
         .hosts()
