--- a/src/cli/demo/callers.rs
+++ b/src/cli/demo/callers.rs
@@ -31,6 +31,9 @@
 const BOOKING_CALLERS: u64 = 2;
 const MAX_TOKENS: u32 = 12;
 
+/// Number of the first and only send of a permit.
+const FIRST_SEND: u32 = 1;
+
 /// Time a caller allows for an answer.
 const DEADLINE_MS: u64 = 5000;
 
@@ -161,6 +164,7 @@
             "path": BOOKING_PATH,
             "body": asked,
             "permit": permit,
+            "send": FIRST_SEND,
             "deadline_ms": DEADLINE_MS,
         });
         let ending = match self.post(&format!("{entry}/v1/call"), &body).await {
