--- a/src/cli/demo/report.rs
+++ b/src/cli/demo/report.rs
@@ -79,6 +79,11 @@
         [&tally.generate, &tally.lookups, &tally.bookings]
     }
 
+    /// Executions of bookings that had run before.
+    fn repeats(&self) -> u32 {
+        self.runs().values().map(|runs| runs - 1).sum()
+    }
+
     /// Executions of each booking.
     fn runs(&self) -> BTreeMap<&str, u32> {
         let mut runs = BTreeMap::new();
@@ -112,8 +117,9 @@
         writeln!(f, "bookings   {}", tally.bookings)?;
         writeln!(
             f,
-            "executions {}, none twice for one booking",
-            self.executions.len()
+            "executions {}, of which {} repeated a booking",
+            self.executions.len(),
+            self.repeats()
         )
     }
 }
