--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::BenchArgs;
 use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
@@ -32,6 +33,8 @@
     Demo(DemoArgs),
     /// Run a stand-in for a service of the platform.
     Standin(StandinArgs),
+    /// Measure the system on this machine.
+    Bench(BenchArgs),
     /// Check settings files, or list the keys they may hold.
     Settings(SettingsArgs),
     /// Work with bearer tokens.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod bench;
 mod demo;
 mod endpoint;
 mod entry;
@@ -17,6 +18,7 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use bench::BenchArgs;
 pub use demo::DemoArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
@@ -40,6 +42,7 @@
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Status(args) => status::run(args),
         Command::Demo(args) => demo::run(args),
         Command::Settings(args) => settings::run(args),
