--- a/src/entry/status_view.rs
+++ b/src/entry/status_view.rs
@@ -117,7 +117,10 @@
                 .collect(),
             hosts: roster
                 .hosts()
-                .map(|(_, host)| HostView::new(host, now_ms))
+                .map(|(_, host)| match host.name == answered_by {
+                    true => HostView::of_self(host, config),
+                    false => HostView::new(host, now_ms),
+                })
                 .collect(),
         }
     }
@@ -165,6 +168,16 @@
 }
 
 impl HostView {
+    /// The answering entry, which does not report to itself.
+    fn of_self(host: &Host, config: ConfigMark) -> Self {
+        Self {
+            standing: standing_name(Standing::Usable).to_owned(),
+            silent_ms: Some(0),
+            config_offset: Some(config.offset),
+            ..Self::new(host, 0)
+        }
+    }
+
     fn new(host: &Host, now_ms: u64) -> Self {
         Self {
             name: host.name.clone(),
--- a/tests/api_status/main.rs
+++ b/tests/api_status/main.rs
@@ -64,6 +64,8 @@
     };
     assert_eq!(host("engine-1").versions[0].present_percent, 100);
     assert_eq!(host("engine-1").standing, "usable");
+    assert_eq!(host("entry-1").standing, "usable");
+    assert_eq!(host("entry-1").config_offset, Some(1));
     assert_eq!(host("desk-1").service.as_deref(), Some("bookdesk"));
 
     let output = command(&entry, TOKEN, &[]);
--- a/tests/docs/catalogue.rs
+++ b/tests/docs/catalogue.rs
@@ -1,4 +1,5 @@
 use crate::pages::page;
+use bergamotfork::calls::RefusalReason;
 use bergamotfork::conf;
 use bergamotfork::entry::ErrorCode;
 use bergamotfork::hosts::HostRole;
@@ -83,6 +84,24 @@
     );
 }
 
+#[test]
+fn refusal_reasons_page_agrees() {
+    let expected: Vec<String> = RefusalReason::ALL
+        .iter()
+        .map(|r| {
+            let again = if r.retry_after_ms().is_some() {
+                "yes"
+            } else {
+                "no"
+            };
+            format!("| `{}` | {again} | {} |", r.code(), r.meaning())
+        })
+        .collect();
+    let text = page("docs/API.md");
+    let heading = "## Reasons of \"not run\"";
+    assert_rows("docs/API.md", &expected, &table_under(&text, heading));
+}
+
 #[test]
 fn error_codes_distinct() {
     let mut names: Vec<&str> = ErrorCode::ALL.iter().map(|code| code.name()).collect();
--- a/tests/docs/commands.rs
+++ b/tests/docs/commands.rs
@@ -24,7 +24,7 @@
 
 /// Arguments of a line that runs the program, perhaps at the end of a pipe.
 fn program_args(line: &str) -> Option<Vec<&str>> {
-    let command = line.rsplit(" | ").next()?;
+    let command = line.rsplit(" | ").next()?.trim_end_matches(')');
     let args = command
         .strip_prefix(BY_CARGO)
         .or_else(|| command.strip_prefix(BY_NAME))?;
