--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -12,6 +12,7 @@
 use crate::entry::addresses;
 use crate::entry::api_error;
 use crate::entry::call;
+use crate::entry::call_permits;
 use crate::entry::generate;
 use crate::entry::status;
 use crate::entry::tailer::Tailer;
@@ -55,6 +56,7 @@
             .service(at("/v1/generate", web::post().to(generate::generate)))
             .service(at("/v1/call", web::post().to(call::call)))
             .service(at("/v1/status", web::get().to(status::status)))
+            .service(at("/v1/permits", web::get().to(call_permits::permits)))
             .default_service(web::to(api_error::unknown_path));
         node::routes(app, &shared.node);
     })?;
--- a/src/hosts/beat.rs
+++ b/src/hosts/beat.rs
@@ -68,6 +68,8 @@
     pub sent_ms: u64,
     /// Tag of the sender's last full report.
     pub state: StateTag,
+    /// Tag of what the sender knows of requests that crash endpoints.
+    pub suspects: StateTag,
     /// Whether the sender finishes its work and goes.
     pub leaving: bool,
     /// Whether the sender wants an answer though nothing is new.
--- a/tests/hosts/beat.rs
+++ b/tests/hosts/beat.rs
@@ -24,6 +24,7 @@
         incarnation: report.incarnation,
         sent_ms: 86_400_000,
         state: report.state_tag(),
+        suspects: report.state_tag(),
         leaving: report.leaving,
         wants_answer: true,
         config_offset: 1 << 30,
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -20,9 +20,6 @@
 /// Bearer token of the branch and team of every test.
 pub const TOKEN: &str = "token of the tests";
 
-/// Shared key of the processes.
-const SHARED_KEY: &str = "a shared key for the tests";
-
 /// Ports one cluster may use.
 const PORTS: u16 = 200;
 
@@ -43,6 +40,9 @@
 }
 
 impl Cluster {
+    /// Shared key of the processes.
+    pub const SHARED_KEY: &str = "a shared key for the tests";
+
     /// Starts log, host list and origin.
     pub async fn new() -> Self {
         Self::with_log_args(&[]).await
@@ -186,10 +186,11 @@
             "[process]\nrole = {role}\nname = {name}\nregion = {region}\ndomain = {region}-a\n\
              listen = {address}\nlog_level = warn\n\
              [platform]\nlog_url = {}\nhosts_url = {}\norigin_url = {}\n\
-             [cluster]\nshared_key = {SHARED_KEY}\ngossip_ms = 200\nhosts_poll_ms = 200\n{body}",
+             [cluster]\nshared_key = {}\ngossip_ms = 200\nhosts_poll_ms = 200\n{body}",
             self.log_url(),
             self.hosts_url(),
             self.origin_url(),
+            Self::SHARED_KEY,
         );
         let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, text).expect("the settings are written");
