--- a/src/entry/admin/in_force.rs
+++ b/src/entry/admin/in_force.rs
@@ -58,7 +58,7 @@
             continue;
         }
         processes += 1;
-        let head = host.config.map_or(0, |mark| mark.offset);
+        let head = host.config_offset.unwrap_or(0);
         if head < revision {
             lacking.push(host.name.clone());
         }
