Add the swarm's state, its HTTP routes and the transfer actor

Cause: the plan needs hosts, have-maps and reads in flight over time, and real reads behind it. Questions for news wait at the peer until it has more, so a hungry host hears of a chunk without polling; each answer carries the have-map. A home's duties pass on when the next rank finds it gone by asking it, not by a fixed wait, since a slow origin makes any fixed wait too short. The test next_fetches_one_reader_per_chunk_and_region now tells each host what the feeding regions hold: a duty is read only from a known holder, so without that there was nothing to read. It asserts exactly one reader as before.

--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,1 +1,21 @@
 //! The endpoint role: the only process that gives its engine or service orders or calls.
+
+mod weights_http;
+mod weights_links;
+mod weights_share;
+mod weights_signal;
+mod weights_transfer;
+mod weights_version;
+
+pub use weights_http::WeightsHosts;
+pub use weights_http::configure_weights;
+pub use weights_links::WeightLink;
+pub use weights_links::WeightLinks;
+pub use weights_share::WeightsShare;
+pub use weights_transfer::SetMembers;
+pub use weights_transfer::StopTransfer;
+pub use weights_transfer::SwarmMember;
+pub use weights_transfer::Transfer;
+pub use weights_transfer::TransferOptions;
+pub use weights_version::StageName;
+pub use weights_version::WeightsVersion;
--- /dev/null
+++ b/src/endpoint/weights_http.rs
@@ -0,0 +1,227 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::body::BodyStream;
+use actix_web::body::SizedStream;
+use actix_web::web;
+use actix_web::web::ServiceConfig;
+use bytes::Bytes;
+use futures_util::stream;
+
+use super::WeightsShare;
+use super::WeightsVersion;
+use crate::links::has_key;
+use crate::links::read_rmp;
+use crate::links::rmp_response;
+use crate::observe::Tally;
+use crate::weights::ChunkFrame;
+use crate::weights::Digest;
+use crate::weights::PeerNote;
+use crate::weights::PeerQuestion;
+use crate::weights::ReadOutcome;
+
+/// Reads that may wait at a host.
+const MAX_UPLOADS: u32 = 4;
+
+/// Longest time a question waits for news.
+const MAX_WAIT_MS: u64 = 5000;
+
+/// Which hosts a server answers for.
+#[derive(Debug, Clone)]
+pub struct WeightsHosts {
+    shared_key: String,
+    /// Hosts by the address they listen on.
+    hosts: Vec<(SocketAddr, Arc<WeightsShare>)>,
+}
+
+impl WeightsHosts {
+    /// A server of one host, whatever address it listens on.
+    pub fn one(share: Arc<WeightsShare>, shared_key: impl Into<String>) -> Self {
+        let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+        Self::many(vec![(unspecified, share)], shared_key)
+    }
+
+    /// A server of several hosts, each with an address of its own.
+    pub fn many(
+        mut hosts: Vec<(SocketAddr, Arc<WeightsShare>)>,
+        shared_key: impl Into<String>,
+    ) -> Self {
+        hosts.sort_unstable_by_key(|(address, _)| *address);
+        Self {
+            shared_key: shared_key.into(),
+            hosts,
+        }
+    }
+
+    fn share(&self, request: &HttpRequest) -> Option<&Arc<WeightsShare>> {
+        if let [(_, only)] = self.hosts.as_slice() {
+            return Some(only);
+        }
+        let address = request.app_config().local_addr();
+        let at = self
+            .hosts
+            .binary_search_by_key(&address, |(address, _)| *address);
+        at.ok().map(|at| &self.hosts[at].1)
+    }
+}
+
+/// Adds the routes of peers and of the engine.
+pub fn configure_weights(app: &mut ServiceConfig, hosts: WeightsHosts) {
+    app.app_data(web::Data::new(hosts))
+        .route("/x/weights/{manifest}/have", web::post().to(answer_have))
+        .route(
+            "/x/weights/{manifest}/{index}",
+            web::post().to(answer_chunk),
+        )
+        .route("/x/local/{manifest}", web::get().to(answer_whole));
+}
+
+fn not_taking_part() -> HttpResponse {
+    HttpResponse::NotFound().body("this host does not hold the version")
+}
+
+/// Why a peer gets no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Refusal {
+    WrongKey,
+    NotTakingPart,
+}
+
+impl Refusal {
+    fn response(self) -> HttpResponse {
+        match self {
+            Self::WrongKey => HttpResponse::Unauthorized().body("wrong shared key"),
+            Self::NotTakingPart => not_taking_part(),
+        }
+    }
+}
+
+/// The host and version that a peer asks for.
+fn find(
+    hosts: &WeightsHosts,
+    request: &HttpRequest,
+    manifest: &str,
+) -> Result<(Arc<WeightsShare>, Arc<WeightsVersion>), Refusal> {
+    if !has_key(request, &hosts.shared_key) {
+        return Err(Refusal::WrongKey);
+    }
+    let share = hosts.share(request).ok_or(Refusal::NotTakingPart)?;
+    let digest = manifest.parse::<Digest>().ok();
+    let version = digest.and_then(|digest| share.version(digest));
+    let version = version.ok_or(Refusal::NotTakingPart)?;
+    Ok((Arc::clone(share), version))
+}
+
+async fn answer_have(
+    hosts: web::Data<WeightsHosts>,
+    request: HttpRequest,
+    manifest: web::Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    let (share, version) = match find(&hosts, &request, &manifest) {
+        Ok(found) => found,
+        Err(refusal) => return refusal.response(),
+    };
+    let Ok(question) = read_rmp::<PeerQuestion>(&body) else {
+        return HttpResponse::BadRequest().body("the question does not decode");
+    };
+    let known = question.known;
+    let wait = Duration::from_millis(question.wait_ms.min(MAX_WAIT_MS));
+    version.keep_question(question);
+    // A question that outlives its time is answered with what there is.
+    let _ = timeout(wait, wait_for_news(&version, known)).await;
+    match version.note() {
+        Some(note) => {
+            share.metrics.add(
+                Tally::ControlBytes,
+                control_bytes(&body, &note),
+                "direction",
+                "up",
+            );
+            rmp_response(&note)
+        }
+        None => not_taking_part(),
+    }
+}
+
+fn control_bytes(question: &Bytes, note: &PeerNote) -> u64 {
+    question.len() as u64 + note.have.encode().len() as u64
+}
+
+async fn wait_for_news(version: &WeightsVersion, known: u32) {
+    loop {
+        let generation = version.signal.generation();
+        if version.have().is_some_and(|have| have.count() > known) {
+            return;
+        }
+        version.signal.changed_since(generation).await;
+    }
+}
+
+async fn answer_chunk(
+    hosts: web::Data<WeightsHosts>,
+    request: HttpRequest,
+    path: web::Path<(String, u32)>,
+    body: Bytes,
+) -> HttpResponse {
+    let (manifest, index) = path.into_inner();
+    let (share, version) = match find(&hosts, &request, &manifest) {
+        Ok(found) => found,
+        Err(refusal) => return refusal.response(),
+    };
+    let Ok(question) = read_rmp::<PeerQuestion>(&body) else {
+        return HttpResponse::BadRequest().body("the question does not decode");
+    };
+    let region = question.region.clone();
+    version.keep_question(question);
+    let Some(chunk) = version.chunk(index) else {
+        return frame_response(&version, ReadOutcome::Absent, Bytes::new());
+    };
+    let Some(_upload) = version.start_upload(MAX_UPLOADS) else {
+        return frame_response(&version, ReadOutcome::Busy, Bytes::new());
+    };
+    share.links.send(chunk.len() as u64, &region).await;
+    share
+        .metrics
+        .add(Tally::WeightBytes, chunk.len() as u64, "direction", "up");
+    frame_response(&version, ReadOutcome::Sent, chunk)
+}
+
+fn frame_response(version: &WeightsVersion, outcome: ReadOutcome, chunk: Bytes) -> HttpResponse {
+    let Some(note) = version.note() else {
+        return not_taking_part();
+    };
+    let Some(head) = ChunkFrame::encode_head(outcome, note) else {
+        return HttpResponse::InternalServerError().body("the head does not encode");
+    };
+    let size = (head.len() + chunk.len()) as u64;
+    let parts = [Bytes::from(head), chunk].map(Ok::<_, actix_web::Error>);
+    HttpResponse::Ok().body(SizedStream::new(size, stream::iter(parts)))
+}
+
+async fn answer_whole(
+    hosts: web::Data<WeightsHosts>,
+    request: HttpRequest,
+    manifest: web::Path<String>,
+) -> HttpResponse {
+    let local = request.peer_addr().is_some_and(|peer| {
+        peer.ip() == request.app_config().local_addr().ip() || peer.ip().is_loopback()
+    });
+    let whole = hosts
+        .share(&request)
+        .zip(manifest.parse::<Digest>().ok())
+        .and_then(|(share, digest)| share.version(digest))
+        .and_then(|version| version.whole());
+    match whole {
+        Some(chunks) if local => {
+            let parts = chunks.into_iter().map(Ok::<_, actix_web::Error>);
+            HttpResponse::Ok().body(BodyStream::new(stream::iter(parts)))
+        }
+        Some(_) => HttpResponse::Forbidden().body("only the engine of this host reads here"),
+        None => not_taking_part(),
+    }
+}
--- /dev/null
+++ b/src/endpoint/weights_links.rs
@@ -0,0 +1,95 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+
+use crate::links::TokenBucket;
+
+/// Time a link may have been idle and still be made up for.
+const BURST_MS: u64 = 30;
+
+/// A link shared by several transfers.
+#[derive(Debug)]
+pub struct WeightLink {
+    started: Instant,
+    bucket: Mutex<TokenBucket>,
+    full_rate_bytes_per_s: u64,
+    reduced_rate_bytes_per_s: u64,
+}
+
+impl WeightLink {
+    /// A link of `rate_bytes_per_s`, of which `live_share_percent` is left to
+    /// live requests while any runs.
+    pub fn new(rate_bytes_per_s: u64, live_share_percent: u64) -> Arc<Self> {
+        let burst_bytes = rate_bytes_per_s.saturating_mul(BURST_MS) / 1000;
+        let left_percent = 100 - live_share_percent.min(99);
+        Arc::new(Self {
+            started: Instant::now(),
+            bucket: Mutex::new(TokenBucket::new(rate_bytes_per_s, burst_bytes)),
+            full_rate_bytes_per_s: rate_bytes_per_s,
+            reduced_rate_bytes_per_s: (rate_bytes_per_s.saturating_mul(left_percent) / 100)
+                .max(u64::from(rate_bytes_per_s > 0)),
+        })
+    }
+
+    /// Waits until `bytes` have passed, after all that came before.
+    pub async fn pass(&self, bytes: u64) {
+        let wait_us = self.reserve(bytes);
+        if wait_us > 0 {
+            sleep(Duration::from_micros(wait_us)).await;
+        }
+    }
+
+    /// Takes the next `bytes` of the link and returns the time until they have passed.
+    pub fn reserve(&self, bytes: u64) -> u64 {
+        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.bucket
+            .lock()
+            .expect("no holder of the bucket panics")
+            .reserve(now_us, bytes)
+    }
+
+    /// Yields to live requests, or takes the whole link again.
+    pub fn set_live(&self, live: bool) {
+        let rate_bytes_per_s = match live {
+            true => self.reduced_rate_bytes_per_s,
+            false => self.full_rate_bytes_per_s,
+        };
+        self.bucket
+            .lock()
+            .expect("no holder of the bucket panics")
+            .set_rate(rate_bytes_per_s);
+    }
+}
+
+/// The links of one host.
+#[derive(Debug, Clone)]
+pub struct WeightLinks {
+    /// Towards other hosts.
+    pub up: Arc<WeightLink>,
+    /// From other hosts and the origin.
+    pub down: Arc<WeightLink>,
+    /// Towards each other region, by name of the region.
+    pub crossings: Vec<(String, Arc<WeightLink>)>,
+}
+
+impl WeightLinks {
+    /// Links of the given rates, without limits between regions.
+    pub fn new(up_bytes_per_s: u64, down_bytes_per_s: u64, live_share_percent: u64) -> Self {
+        Self {
+            up: WeightLink::new(up_bytes_per_s, live_share_percent),
+            down: WeightLink::new(down_bytes_per_s, live_share_percent),
+            crossings: Vec::new(),
+        }
+    }
+
+    /// Waits until `bytes` have left for a host in `region`.
+    pub async fn send(&self, bytes: u64, region: &str) {
+        let crossing = self.crossings.iter().find(|(name, _)| name == region);
+        let crossing_us = crossing.map_or(0, |(_, link)| link.reserve(bytes));
+        let up_us = self.up.reserve(bytes);
+        sleep(Duration::from_micros(crossing_us.max(up_us))).await;
+    }
+}
--- /dev/null
+++ b/src/endpoint/weights_share.rs
@@ -0,0 +1,82 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use super::WeightLinks;
+use super::WeightsVersion;
+use crate::observe::Metrics;
+use crate::weights::Digest;
+use crate::weights::MemoryBudget;
+
+/// Everything the HTTP handlers and the transfers of one host share.
+#[derive(Debug)]
+pub struct WeightsShare {
+    /// Name of this host.
+    pub host: String,
+    /// Region of this host.
+    pub region: String,
+    /// Links for weights.
+    pub links: WeightLinks,
+    /// Memory for weights.
+    pub budget: Arc<MemoryBudget>,
+    /// Counters of the process.
+    pub metrics: Arc<Metrics>,
+    versions: Mutex<Vec<Arc<WeightsVersion>>>,
+}
+
+impl WeightsShare {
+    /// A host that holds no version yet.
+    pub fn new(
+        host: impl Into<String>,
+        region: impl Into<String>,
+        links: WeightLinks,
+        budget: Arc<MemoryBudget>,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            host: host.into(),
+            region: region.into(),
+            links,
+            budget,
+            metrics,
+            versions: Mutex::default(),
+        })
+    }
+
+    fn versions(&self) -> MutexGuard<'_, Vec<Arc<WeightsVersion>>> {
+        self.versions
+            .lock()
+            .expect("no holder of the versions panics")
+    }
+
+    /// The version `manifest`, if it is wanted here.
+    pub fn version(&self, manifest: Digest) -> Option<Arc<WeightsVersion>> {
+        let versions = self.versions();
+        let at = versions.binary_search_by_key(&manifest, |version| version.digest());
+        at.ok().map(|at| Arc::clone(&versions[at]))
+    }
+
+    /// Every version on this host.
+    pub fn all(&self) -> Vec<Arc<WeightsVersion>> {
+        self.versions().clone()
+    }
+
+    /// The version `manifest`, wanted from now on.
+    pub fn announce(&self, manifest: Digest) -> Arc<WeightsVersion> {
+        let mut versions = self.versions();
+        match versions.binary_search_by_key(&manifest, |version| version.digest()) {
+            Ok(at) => Arc::clone(&versions[at]),
+            Err(at) => {
+                let version = WeightsVersion::announced(manifest);
+                versions.insert(at, Arc::clone(&version));
+                version
+            }
+        }
+    }
+
+    /// Drops the version `manifest`; its memory is free once nothing uses it.
+    pub fn forget(&self, manifest: Digest) {
+        self.versions()
+            .retain(|version| version.digest() != manifest);
+    }
+}
--- /dev/null
+++ b/src/endpoint/weights_signal.rs
@@ -0,0 +1,55 @@
+use std::future::poll_fn;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::task::Poll;
+use std::task::Waker;
+
+#[derive(Debug, Default)]
+struct Waiters {
+    generation: u64,
+    wakers: Vec<Waker>,
+}
+
+/// Wakes tasks of any thread when something has changed.
+#[derive(Debug, Default)]
+pub(super) struct Signal {
+    waiters: Mutex<Waiters>,
+}
+
+impl Signal {
+    fn waiters(&self) -> MutexGuard<'_, Waiters> {
+        self.waiters
+            .lock()
+            .expect("no holder of the waiters panics")
+    }
+
+    /// Number of changes so far.
+    pub(super) fn generation(&self) -> u64 {
+        self.waiters().generation
+    }
+
+    /// Wakes all that wait.
+    pub(super) fn raise(&self) {
+        let wakers = {
+            let mut waiters = self.waiters();
+            waiters.generation += 1;
+            std::mem::take(&mut waiters.wakers)
+        };
+        for waker in wakers {
+            waker.wake();
+        }
+    }
+
+    /// Waits until there were changes after `generation`.
+    pub(super) async fn changed_since(&self, generation: u64) {
+        poll_fn(|context| {
+            let mut waiters = self.waiters();
+            if waiters.generation > generation {
+                return Poll::Ready(());
+            }
+            waiters.wakers.push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- a/src/weights/plan.rs
+++ b/src/weights/plan.rs
@@ -55,7 +55,7 @@
             max_fetches: 4,
             max_per_peer: 1,
             max_duties: 2,
-            takeover_wait_ms: 5000,
+            takeover_wait_ms: 60_000,
         }
     }
 }
@@ -217,34 +217,17 @@
     }
 
     fn held_nearby(&self, chunk: u32) -> bool {
-        self.input.neighbours.iter().any(|neighbour| {
-            !neighbour.lost
-                && neighbour.have.contains(chunk)
-                && self.input.homes.region_of(neighbour.key) == self.region
-        })
+        self.holders(chunk, self.region)
+            .any(|neighbour| !neighbour.lost)
     }
 
-    /// Where a duty is read: the origin, or a host of the feeding region.
+    /// Where a duty is read: the origin, or a holder in the feeding region.
     fn duty_source(&self, chunk: u32) -> Option<Source> {
         let Some(feeder) = self.input.homes.feeder(chunk, self.region) else {
             let open = self.input.origin_blocked_until_ms <= self.input.now_ms;
             return open.then_some(Source::Origin);
         };
-        let ranked = self.input.homes.ranked(chunk, feeder);
-        let holders = self.input.neighbours.iter().filter(|neighbour| {
-            neighbour.have.contains(chunk) && self.input.homes.region_of(neighbour.key) == feeder
-        });
-        let known = holders
-            .filter(|neighbour| self.accepts(neighbour))
-            .min_by_key(|neighbour| (self.load(neighbour.key), neighbour.queue));
-        if let Some(neighbour) = known {
-            return Some(Source::Peer(neighbour.key));
-        }
-        let home = ranked.iter().find(|key| match self.neighbour(**key) {
-            Some(neighbour) => self.accepts(neighbour),
-            None => self.load(**key) < self.input.settings.max_per_peer,
-        });
-        home.map(|key| Source::Peer(*key))
+        self.best_holder(chunk, feeder).map(Source::Peer)
     }
 
     fn add_swarm_reads(&mut self) {
@@ -260,7 +243,7 @@
             if self.swarm_reads >= self.input.settings.max_fetches {
                 return;
             }
-            if let Some(peer) = self.best_holder(chunk) {
+            if let Some(peer) = self.best_holder(chunk, self.region) {
                 self.push(Fetch {
                     chunk,
                     source: Source::Peer(peer),
@@ -277,7 +260,7 @@
             if !self.wants(chunk) {
                 continue;
             }
-            let holders = self.region_holders(chunk).count();
+            let holders = self.holders(chunk, self.region).count();
             if holders > 0 {
                 let order = mix(self.input.seed ^ u64::from(chunk));
                 wanted.push((u32::try_from(holders).unwrap_or(u32::MAX), order, chunk));
@@ -287,16 +270,15 @@
         wanted
     }
 
-    fn region_holders(&self, chunk: u32) -> impl Iterator<Item = &'a Neighbour> {
+    fn holders(&self, chunk: u32, region: usize) -> impl Iterator<Item = &'a Neighbour> {
         let homes = self.input.homes;
-        let region = self.region;
         self.input.neighbours.iter().filter(move |neighbour| {
             neighbour.have.contains(chunk) && homes.region_of(neighbour.key) == region
         })
     }
 
-    fn best_holder(&self, chunk: u32) -> Option<PeerKey> {
-        self.region_holders(chunk)
+    fn best_holder(&self, chunk: u32, region: usize) -> Option<PeerKey> {
+        self.holders(chunk, region)
             .filter(|neighbour| self.accepts(neighbour))
             .min_by_key(|neighbour| {
                 let order =
--- /dev/null
+++ b/src/weights/swarm.rs
@@ -0,0 +1,483 @@
+use crate::weights::Digest;
+use crate::weights::Fetch;
+use crate::weights::HaveMap;
+use crate::weights::Homes;
+use crate::weights::Neighbour;
+use crate::weights::PeerKey;
+use crate::weights::PeerNote;
+use crate::weights::PlanInput;
+use crate::weights::PlanSettings;
+use crate::weights::Source;
+use crate::weights::SwarmHost;
+use crate::weights::homes::mix;
+use crate::weights::homes::seed_of;
+use crate::weights::next_fetches;
+
+/// First pause after a failure; doubles with each further one.
+const FIRST_BLOCK_MS: u64 = 250;
+
+/// Longest pause after failures.
+const MAX_BLOCK_MS: u64 = 30_000;
+
+/// Pause before a peer that was busy or lacked a chunk is asked again.
+const BUSY_BLOCK_MS: u64 = 20;
+
+/// Pause of a peer that sent a wrong chunk.
+const PENALTY_MS: u64 = 10_000;
+
+/// Time for which a host is taken for dead after a failure.
+const LOST_MS: u64 = 3000;
+
+/// Shortest time between two questions to one peer.
+const PROBE_GAP_MS: u64 = 50;
+
+/// Time between two questions to the host whose duty this one would take over.
+const HOME_PROBE_GAP_MS: u64 = 1000;
+
+/// How long a question may wait at a peer for news.
+const PROBE_WAIT_MS: u64 = 1000;
+
+/// Limits of a transfer.
+#[derive(Debug, Clone, Default)]
+pub struct SwarmSettings {
+    /// Limits of each plan.
+    pub plan: PlanSettings,
+    /// Peers of the own region that are asked for news.
+    pub neighbours: usize,
+}
+
+/// How a read or question failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerFailure {
+    /// The peer answered nothing in time, or the connection failed.
+    Unreachable,
+    /// The peer doesn't take part in this version.
+    Declined,
+    /// The peer sent bytes that are not the chunk.
+    WrongChunk,
+}
+
+/// A question to a peer for its chunks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Probe {
+    /// Whom to ask.
+    pub peer: PeerKey,
+    /// Chunks it is known to hold.
+    pub known: u32,
+    /// How long it may wait for more.
+    pub wait_ms: u64,
+}
+
+/// What to do now.
+#[derive(Debug, Clone, Default)]
+pub struct Actions {
+    /// Reads to start.
+    pub fetches: Vec<Fetch>,
+    /// Questions to send.
+    pub probes: Vec<Probe>,
+}
+
+/// What is known of a peer beside its chunks.
+#[derive(Debug, Clone, Default)]
+struct Standing {
+    failures: u32,
+    lost_until_ms: u64,
+    probed_ms: Option<u64>,
+    probing: bool,
+}
+
+/// The state of one transfer: hosts, what they hold, what is in flight.
+#[derive(Debug)]
+pub struct Swarm {
+    manifest: Digest,
+    origin_region: String,
+    me: PeerKey,
+    hosts: Vec<SwarmHost>,
+    homes: Homes,
+    have: HaveMap,
+    neighbours: Vec<Neighbour>,
+    standings: Vec<Standing>,
+    picked: Vec<PeerKey>,
+    in_flight: Vec<Fetch>,
+    origin_failures: u32,
+    origin_blocked_until_ms: u64,
+    progress_ms: u64,
+    settings: SwarmSettings,
+    seed: u64,
+}
+
+impl Swarm {
+    /// A transfer of `manifest` to the host called `me`, one of `hosts`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `hosts` lacks `me`.
+    pub fn new(
+        manifest: Digest,
+        have: HaveMap,
+        hosts: Vec<SwarmHost>,
+        me: &str,
+        origin_region: &str,
+        settings: SwarmSettings,
+        now_ms: u64,
+    ) -> Self {
+        let at = hosts
+            .iter()
+            .position(|host| host.name == me)
+            .expect("a host takes part in its own transfers");
+        let homes = Homes::new(manifest, have.len(), &hosts, origin_region);
+        let mut swarm = Self {
+            manifest,
+            origin_region: origin_region.to_owned(),
+            me: key(at),
+            neighbours: Vec::new(),
+            standings: vec![Standing::default(); hosts.len()],
+            picked: Vec::new(),
+            in_flight: Vec::new(),
+            origin_failures: 0,
+            origin_blocked_until_ms: 0,
+            progress_ms: now_ms,
+            seed: seed_of(me.as_bytes()),
+            homes,
+            have,
+            hosts,
+            settings,
+        };
+        swarm.pick_neighbours();
+        swarm
+    }
+
+    /// Takes a new list of hosts; what is known of those that stay is kept.
+    pub fn set_hosts(&mut self, listed: &[SwarmHost]) {
+        let mut changed = false;
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            let found = listed.iter().find(|other| other.name == host.name);
+            let present = found.is_some_and(|other| other.present) || index == self.me.0 as usize;
+            changed |= host.present != present;
+            host.present = present;
+        }
+        for host in listed {
+            if self.key_of(&host.name).is_none() {
+                self.hosts.push(host.clone());
+                self.standings.push(Standing::default());
+                changed = true;
+            }
+        }
+        if changed {
+            self.homes = Homes::new(
+                self.manifest,
+                self.have.len(),
+                &self.hosts,
+                &self.origin_region,
+            );
+            self.pick_neighbours();
+        }
+    }
+
+    /// Key of the host called `name`.
+    pub fn key_of(&self, name: &str) -> Option<PeerKey> {
+        self.hosts
+            .iter()
+            .position(|host| host.name == name)
+            .map(key)
+    }
+
+    /// The host of `peer`.
+    pub fn host(&self, peer: PeerKey) -> &SwarmHost {
+        &self.hosts[peer.0 as usize]
+    }
+
+    /// Chunks held here.
+    pub fn have(&self) -> &HaveMap {
+        &self.have
+    }
+
+    /// Reads in progress.
+    pub fn in_flight(&self) -> &[Fetch] {
+        &self.in_flight
+    }
+
+    /// What to do at `now_ms`; taken as started.
+    pub fn next(&mut self, now_ms: u64) -> Actions {
+        self.refresh(now_ms);
+        self.seed = mix(self.seed);
+        let fetches = next_fetches(&PlanInput {
+            now_ms,
+            progress_ms: self.progress_ms,
+            me: self.me,
+            homes: &self.homes,
+            have: &self.have,
+            in_flight: &self.in_flight,
+            neighbours: &self.neighbours,
+            origin_blocked_until_ms: self.origin_blocked_until_ms,
+            settings: &self.settings.plan,
+            seed: self.seed,
+        });
+        self.in_flight.extend(&fetches);
+        let probes = self.next_probes(now_ms);
+        Actions { fetches, probes }
+    }
+
+    /// A peer told what it holds.
+    pub fn heard(&mut self, peer: PeerKey, have: &HaveMap, queue: u32) {
+        if have.len() != self.have.len() || peer == self.me {
+            return;
+        }
+        let standing = &mut self.standings[peer.0 as usize];
+        standing.failures = 0;
+        standing.lost_until_ms = 0;
+        let neighbour = self.neighbour_mut(peer);
+        neighbour.have.merge(have);
+        neighbour.queue = queue;
+        neighbour.lost = false;
+    }
+
+    /// A question was answered.
+    pub fn probe_answered(&mut self, peer: PeerKey, note: &PeerNote) {
+        self.standings[peer.0 as usize].probing = false;
+        self.heard(peer, &note.have, note.queue);
+    }
+
+    /// A question got no answer.
+    pub fn probe_failed(&mut self, peer: PeerKey, failure: PeerFailure, now_ms: u64) {
+        self.standings[peer.0 as usize].probing = false;
+        self.penalise(peer, failure, now_ms);
+    }
+
+    /// The chunk of `fetch` arrived and is correct.
+    pub fn stored(&mut self, fetch: Fetch, now_ms: u64) {
+        self.finish(fetch);
+        self.have.insert(fetch.chunk);
+        self.progress_ms = now_ms;
+        if fetch.source == Source::Origin {
+            self.origin_failures = 0;
+        }
+    }
+
+    /// The peer had no room or lacked the chunk.
+    pub fn deferred(&mut self, fetch: Fetch, now_ms: u64) {
+        self.finish(fetch);
+        if let Source::Peer(peer) = fetch.source {
+            self.neighbour_mut(peer).blocked_until_ms = now_ms + BUSY_BLOCK_MS;
+        }
+    }
+
+    /// A read at a peer failed.
+    pub fn peer_failed(&mut self, fetch: Fetch, failure: PeerFailure, now_ms: u64) {
+        self.finish(fetch);
+        if let Source::Peer(peer) = fetch.source {
+            self.penalise(peer, failure, now_ms);
+        }
+    }
+
+    /// A read at the origin failed; it may have named a time to wait.
+    pub fn origin_failed(&mut self, fetch: Fetch, retry_after_ms: Option<u64>, now_ms: u64) {
+        self.finish(fetch);
+        self.origin_failures += 1;
+        let own_ms = pause_ms(self.origin_failures);
+        // The jitter keeps hosts that were refused together from returning together.
+        let jitter_ms = mix(self.seed ^ now_ms) % (own_ms / 2 + 1);
+        let pause_ms = retry_after_ms.unwrap_or(0).max(own_ms) + jitter_ms;
+        self.origin_blocked_until_ms = self.origin_blocked_until_ms.max(now_ms + pause_ms);
+    }
+
+    fn finish(&mut self, fetch: Fetch) {
+        self.in_flight.retain(|other| *other != fetch);
+    }
+
+    fn neighbour_mut(&mut self, peer: PeerKey) -> &mut Neighbour {
+        let at = self
+            .neighbours
+            .binary_search_by_key(&peer, |neighbour| neighbour.key)
+            .unwrap_or_else(|at| {
+                let neighbour = Neighbour {
+                    key: peer,
+                    have: HaveMap::empty(self.have.len()),
+                    queue: 0,
+                    blocked_until_ms: 0,
+                    lost: false,
+                };
+                self.neighbours.insert(at, neighbour);
+                at
+            });
+        &mut self.neighbours[at]
+    }
+
+    fn penalise(&mut self, peer: PeerKey, failure: PeerFailure, now_ms: u64) {
+        let standing = &mut self.standings[peer.0 as usize];
+        standing.failures += 1;
+        let pause_ms = pause_ms(standing.failures);
+        if failure != PeerFailure::WrongChunk {
+            standing.lost_until_ms = now_ms + pause_ms.max(LOST_MS);
+        }
+        let blocked_ms = match failure {
+            PeerFailure::WrongChunk => PENALTY_MS,
+            _ => pause_ms.max(LOST_MS),
+        };
+        self.neighbour_mut(peer).blocked_until_ms = now_ms + blocked_ms;
+    }
+
+    /// Brings the marks of lost hosts up to date.
+    fn refresh(&mut self, now_ms: u64) {
+        for neighbour in &mut self.neighbours {
+            let index = neighbour.key.0 as usize;
+            neighbour.lost =
+                !self.hosts[index].present || self.standings[index].lost_until_ms > now_ms;
+        }
+    }
+
+    /// Chooses the peers that are asked for news, another choice on each host.
+    fn pick_neighbours(&mut self) {
+        let region = self.homes.region_of(self.me);
+        let mine = self.seed;
+        let mut others: Vec<(u64, PeerKey)> = (0..self.hosts.len())
+            .map(key)
+            .filter(|peer| *peer != self.me && self.homes.region_of(*peer) == region)
+            .filter(|peer| self.hosts[peer.0 as usize].present)
+            .map(|peer| {
+                let other = seed_of(self.hosts[peer.0 as usize].name.as_bytes());
+                (mix(mine ^ other.rotate_left(23)), peer)
+            })
+            .collect();
+        others.sort_unstable();
+        others.truncate(self.settings.neighbours);
+        self.picked = others.into_iter().map(|(_, peer)| peer).collect();
+        self.picked.sort_unstable();
+    }
+
+    fn next_probes(&mut self, now_ms: u64) -> Vec<Probe> {
+        if self.have.is_complete() {
+            return Vec::new();
+        }
+        let mut probes = Vec::new();
+        if self.swarm_reads() < self.settings.plan.max_fetches {
+            for peer in self.picked.clone() {
+                self.probe(peer, PROBE_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
+            }
+        }
+        for peer in self.feeding_homes() {
+            self.probe(peer, PROBE_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
+        }
+        for peer in self.homes_ahead() {
+            self.probe(peer, HOME_PROBE_GAP_MS, 0, now_ms, &mut probes);
+        }
+        probes
+    }
+
+    fn swarm_reads(&self) -> usize {
+        let region = self.homes.region_of(self.me);
+        let reads = self.in_flight.iter().filter(|fetch| match fetch.source {
+            Source::Origin => false,
+            Source::Peer(peer) => self.homes.region_of(peer) == region,
+        });
+        reads.count()
+    }
+
+    fn probe(
+        &mut self,
+        peer: PeerKey,
+        gap_ms: u64,
+        wait_ms: u64,
+        now_ms: u64,
+        probes: &mut Vec<Probe>,
+    ) {
+        let standing = &mut self.standings[peer.0 as usize];
+        let recent = standing
+            .probed_ms
+            .is_some_and(|probed_ms| now_ms < probed_ms + gap_ms);
+        if standing.probing || recent || standing.lost_until_ms > now_ms {
+            return;
+        }
+        standing.probing = true;
+        standing.probed_ms = Some(now_ms);
+        let known = self.neighbour_mut(peer).have.count();
+        probes.push(Probe {
+            peer,
+            known,
+            wait_ms,
+        });
+    }
+
+    /// First living hosts of feeding regions that have chunks this host brings in.
+    fn feeding_homes(&self) -> Vec<PeerKey> {
+        let region = self.homes.region_of(self.me);
+        if region == 0 {
+            return Vec::new();
+        }
+        let missing = self
+            .missing()
+            .filter(|chunk| self.first_living(*chunk, region) == Some(self.me));
+        let mut homes: Vec<PeerKey> = missing
+            .filter_map(|chunk| self.first_living(chunk, self.homes.feeder(chunk, region)?))
+            .collect();
+        homes.sort_unstable();
+        homes.dedup();
+        homes.retain(|peer| !self.offers_duty(*peer, region));
+        homes
+    }
+
+    /// Whether `peer` is known to hold a chunk that this host could bring in now.
+    fn offers_duty(&self, peer: PeerKey, region: usize) -> bool {
+        let Ok(at) = self
+            .neighbours
+            .binary_search_by_key(&peer, |neighbour| neighbour.key)
+        else {
+            return false;
+        };
+        let have = &self.neighbours[at].have;
+        let open = |chunk: &u32| !self.in_flight.iter().any(|fetch| fetch.chunk == *chunk);
+        self.missing()
+            .filter(open)
+            .any(|chunk| have.contains(chunk) && self.first_living(chunk, region) == Some(self.me))
+    }
+
+    /// Hosts directly before this one in rank for a chunk nobody is known to hold.
+    fn homes_ahead(&self) -> Vec<PeerKey> {
+        let region = self.homes.region_of(self.me);
+        let mut ahead = Vec::new();
+        for chunk in self.missing() {
+            let mut before = None;
+            for peer in self.homes.ranked(chunk, region) {
+                if *peer == self.me {
+                    ahead.extend(before);
+                    break;
+                }
+                if !self.is_lost(*peer) {
+                    before = Some(*peer);
+                }
+            }
+        }
+        ahead.sort_unstable();
+        ahead.dedup();
+        ahead
+    }
+
+    fn missing(&self) -> impl Iterator<Item = u32> {
+        (0..self.have.len()).filter(|chunk| !self.have.contains(*chunk))
+    }
+
+    fn first_living(&self, chunk: u32, region: usize) -> Option<PeerKey> {
+        let ranked = self.homes.ranked(chunk, region);
+        ranked.iter().copied().find(|peer| !self.is_lost(*peer))
+    }
+
+    fn is_lost(&self, peer: PeerKey) -> bool {
+        match self
+            .neighbours
+            .binary_search_by_key(&peer, |neighbour| neighbour.key)
+        {
+            Ok(at) => self.neighbours[at].lost,
+            Err(_) => false,
+        }
+    }
+}
+
+fn pause_ms(failures: u32) -> u64 {
+    FIRST_BLOCK_MS
+        .saturating_mul(1 << failures.saturating_sub(1).min(16))
+        .min(MAX_BLOCK_MS)
+}
+
+fn key(index: usize) -> PeerKey {
+    PeerKey(u32::try_from(index).unwrap_or(u32::MAX))
+}
--- a/tests/weights/plan.rs
+++ b/tests/weights/plan.rs
@@ -88,6 +88,23 @@
         })
     }
 
+    /// Every host of another region holds everything.
+    fn know_other_regions(&mut self) {
+        let region = self.homes.region_of(self.me);
+        let others = (0..12)
+            .map(PeerKey)
+            .filter(|key| self.homes.region_of(*key) != region);
+        self.neighbours = others
+            .map(|key| Neighbour {
+                key,
+                have: HaveMap::complete(CHUNKS),
+                queue: 0,
+                blocked_until_ms: 0,
+                lost: false,
+            })
+            .collect();
+    }
+
     fn neighbour(&self, key: PeerKey) -> Option<&Neighbour> {
         self.neighbours
             .iter()
@@ -175,6 +192,7 @@
             case.settings.max_duties = CHUNKS as usize;
             case.settings.max_per_peer = CHUNKS as usize;
             let region = case.homes.region_of(case.me);
+            case.know_other_regions();
             for fetch in case.plan() {
                 readers[region * CHUNKS as usize + fetch.chunk as usize] += 1;
             }
--- a/tests/weights/world.rs
+++ b/tests/weights/world.rs
@@ -21,6 +21,7 @@
         .map(|index| SwarmHost {
             name: format!("host-{index}"),
             region: format!("region-{}", index % regions),
+            present: true,
         })
         .collect()
 }
