Measure the burst: bench weights over loopback TCP

Hosts share a process; each has links of its own (token buckets), the product's own transfer and routes, and an engine that recomputes the whole digest. Killed hosts have a server of their own, which is really closed. Baselines are the same transfer with lists that leave no choice.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,1 +1,15 @@
 //! The load and experiment tool: measurements, each against its own baseline.
+
+mod weights;
+mod weights_bound;
+mod weights_fleet;
+mod weights_members;
+mod weights_plot;
+mod weights_result;
+
+pub use weights::Baseline;
+pub use weights::WeightsBench;
+pub use weights_bound::BoundInput;
+pub use weights_bound::bound_ms;
+pub use weights_plot::plot_weights;
+pub use weights_result::WeightsResult;
--- /dev/null
+++ b/src/bench/weights.rs
@@ -0,0 +1,251 @@
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use actix_web::http::Method;
+use serde::Deserialize;
+
+use super::BoundInput;
+use super::WeightsResult;
+use super::bound_ms;
+use super::weights_fleet::Fleet;
+use super::weights_fleet::FleetHost;
+use crate::links::HttpClient;
+use crate::links::LinkError;
+use crate::platform::OriginClient;
+use crate::standin::Handle;
+use crate::standin::origin;
+use crate::standin::origin::OriginOptions;
+use crate::standin::origin::OriginStats;
+use crate::standin::origin::Publication;
+use crate::weights::Digest;
+use crate::weights::Manifest;
+use crate::weights::mix;
+
+/// Copies the origin's link carries in the allowed time.
+const ORIGIN_COPIES: u64 = 4;
+
+/// Copies a host's link carries each way in the allowed time.
+const HOST_COPIES: u64 = 2;
+
+/// Rate of a link between regions, in percent of a host's link.
+const CROSSING_PERCENT: u64 = 40;
+
+/// Share of hosts that a list lacks when lists disagree.
+const UNLISTED_PERCENT: u64 = 5;
+
+/// When the doomed hosts end, in percent of the bound.
+const KILL_AT_PERCENT: u64 = 40;
+
+/// Time after which a run is given up, in bounds.
+const GIVE_UP_BOUNDS: u64 = 8;
+
+/// Time given to hosts for a version that a baseline moves badly.
+const GIVE_UP_BASELINE_BOUNDS: u64 = 400;
+
+/// How often the bench looks whether all hosts serve.
+const POLL_MS: u64 = 20;
+
+/// Time for a call of the bench itself.
+const CALL_WAIT_MS: u64 = 10_000;
+
+/// A plain scheme to compare with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Baseline {
+    /// Every host reads all from the origin.
+    Origin,
+    /// Every host reads all from the host before it.
+    Chain,
+    /// Every region is fed from the origin's region.
+    Star,
+}
+
+/// One measurement of a burst.
+#[derive(Debug, Clone)]
+pub struct WeightsBench {
+    /// Hosts that want the version.
+    pub hosts: usize,
+    /// Regions they stand in.
+    pub regions: usize,
+    /// Share of the hosts killed on the way; with any, the hosts' lists
+    /// disagree and the origin runs at half its rate.
+    pub kill_percent: u64,
+    /// Scheme to measure instead of the product's.
+    pub baseline: Option<Baseline>,
+    /// Whether a host's link carries both ways together.
+    pub shared_link: bool,
+    /// Size of the version.
+    pub bytes: u64,
+    /// Size of a chunk.
+    pub chunk_bytes: u32,
+    /// Time in which the origin's link carries 4 copies and a host's 2 each way.
+    pub allowed_ms: u64,
+    /// Reads in progress at each host.
+    pub fetches: usize,
+    /// Peers each host asks for news.
+    pub neighbours: usize,
+    /// Seed of all choices.
+    pub seed: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Published {
+    manifest: Digest,
+}
+
+impl WeightsBench {
+    /// Rate of a host's link.
+    pub fn host_bytes_per_s(&self) -> u64 {
+        self.bytes * HOST_COPIES * 1000 / self.allowed_ms
+    }
+
+    /// Rate of the origin's link.
+    pub fn origin_bytes_per_s(&self) -> u64 {
+        let full_bytes_per_s = self.bytes * ORIGIN_COPIES * 1000 / self.allowed_ms;
+        match self.kill_percent {
+            0 => full_bytes_per_s,
+            _ => full_bytes_per_s / 2,
+        }
+    }
+
+    /// Rate of a link between regions.
+    pub fn crossing_bytes_per_s(&self) -> u64 {
+        self.host_bytes_per_s() * CROSSING_PERCENT / 100
+    }
+
+    /// The shortest time in which any scheme could be done.
+    pub fn bound_ms(&self) -> u64 {
+        bound_ms(&BoundInput {
+            bytes: self.bytes,
+            hosts: self.hosts as u64,
+            regions: self.regions as u64,
+            origin_bytes_per_s: self.origin_bytes_per_s(),
+            host_bytes_per_s: self.host_bytes_per_s(),
+            shared_link: self.shared_link,
+            crossing_bytes_per_s: self.crossing_bytes_per_s(),
+        })
+    }
+
+    /// Name of the host `index`.
+    pub(super) fn host_name(index: usize) -> String {
+        format!("host-{index}")
+    }
+
+    pub(super) fn region_names(&self) -> Vec<String> {
+        (0..self.regions.max(1))
+            .map(|index| format!("region-{index}"))
+            .collect()
+    }
+
+    /// Whether host `index` is killed on the way.
+    pub(super) fn is_doomed(&self, index: usize) -> bool {
+        let doomed = self.hosts * usize::try_from(self.kill_percent).unwrap_or(0) / 100;
+        // Hosts in an order that the seed decides.
+        let rank = |host: usize| (mix(self.seed ^ host as u64), host);
+        (0..self.hosts)
+            .filter(|other| rank(*other) < rank(index))
+            .count()
+            < doomed
+    }
+
+    /// Whether the list of `index` lacks `other`.
+    pub(super) fn is_unlisted(&self, index: usize, other: usize) -> bool {
+        let draw = mix(self.seed ^ (index as u64) << 32 ^ other as u64);
+        self.kill_percent > 0 && draw % 100 < UNLISTED_PERCENT
+    }
+
+    pub(super) fn duties(&self) -> usize {
+        match self.baseline {
+            Some(Baseline::Origin | Baseline::Chain) => self.fetches,
+            _ => 2,
+        }
+    }
+
+    pub(super) fn per_peer(&self) -> usize {
+        match self.baseline {
+            Some(Baseline::Chain) => self.fetches,
+            _ => 1,
+        }
+    }
+
+    fn give_up_ms(&self) -> u64 {
+        let bounds = match self.baseline {
+            None => GIVE_UP_BOUNDS,
+            Some(_) => GIVE_UP_BASELINE_BOUNDS,
+        };
+        self.bound_ms() * bounds
+    }
+
+    /// Runs the burst until every surviving host serves, or time is up.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error when the hosts or the origin can't start.
+    pub async fn run(&self) -> io::Result<WeightsResult> {
+        let fleet = Fleet::start(self)?;
+        let origin = origin::start(OriginOptions {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            rate_bytes_per_s: self.origin_bytes_per_s(),
+            burst_bytes: u64::from(self.chunk_bytes),
+        })
+        .await?;
+        let manifest = self.publish(&origin).await.map_err(io::Error::other)?;
+        let started = Instant::now();
+        fleet.burst(self, &manifest, &origin.url(), started);
+        self.wait(&fleet, started).await;
+        let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let url = format!("{}/stats", origin.url());
+        let stats: OriginStats = HttpClient::to_platform()
+            .get_json(&url, CALL_WAIT_MS)
+            .await
+            .map_err(io::Error::other)?;
+        let result = WeightsResult::gather(self, &fleet, &stats, elapsed_ms);
+        fleet.stop().await;
+        origin.kill().await;
+        Ok(result)
+    }
+
+    async fn publish(&self, origin: &Handle) -> Result<Manifest, LinkError> {
+        let publication = Publication {
+            model: "bench".to_owned(),
+            version: "v1".to_owned(),
+            size_bytes: self.bytes,
+            chunk_bytes: self.chunk_bytes,
+            seed: self.seed,
+            base: None,
+        };
+        let url = format!("{}/v1/publish", origin.url());
+        let http = HttpClient::to_platform();
+        let published: Published = http
+            .send_json(Method::POST, &url, &publication, CALL_WAIT_MS)
+            .await?;
+        let manifest = OriginClient::new(origin.url())
+            .manifest("bench", "v1")
+            .await
+            .map_err(|error| LinkError::Malformed(error.to_string()))?;
+        match manifest.validate_as(published.manifest) {
+            Ok(()) => Ok(manifest),
+            Err(error) => Err(LinkError::Malformed(error.to_string())),
+        }
+    }
+
+    async fn wait(&self, fleet: &Fleet, started: Instant) {
+        let give_up = Duration::from_millis(self.give_up_ms());
+        let kill_at = Duration::from_millis(self.bound_ms() * KILL_AT_PERCENT / 100);
+        let mut killed = false;
+        while started.elapsed() < give_up {
+            if !killed && started.elapsed() >= kill_at {
+                killed = true;
+                fleet.kill_doomed().await;
+            }
+            let settled = |host: &FleetHost| host.doomed || host.served_ms().is_some();
+            if fleet.hosts.iter().all(settled) {
+                return;
+            }
+            sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/weights_bound.rs
@@ -0,0 +1,41 @@
+/// Links and sizes that the lower bound follows from.
+#[derive(Debug, Clone, Copy)]
+pub struct BoundInput {
+    /// Size of the version.
+    pub bytes: u64,
+    /// Hosts that receive it.
+    pub hosts: u64,
+    /// Regions, the origin's among them.
+    pub regions: u64,
+    /// Rate of the origin's link.
+    pub origin_bytes_per_s: u64,
+    /// Rate of a host's link each way, or of both ways together.
+    pub host_bytes_per_s: u64,
+    /// Whether a host's link carries both ways together.
+    pub shared_link: bool,
+    /// Rate of the link between two regions, each way.
+    pub crossing_bytes_per_s: u64,
+}
+
+/// Shortest time in which any scheme can bring the version to every host.
+///
+/// After Kumar and Ross, "Peer-assisted file distribution: the minimum
+/// distribution time" (2006), with a term for each cut between regions.
+pub fn bound_ms(input: &BoundInput) -> u64 {
+    let bytes = input.bytes as f64;
+    let hosts = input.hosts as f64;
+    let origin = input.origin_bytes_per_s as f64;
+    let host = input.host_bytes_per_s as f64;
+    let ways = if input.shared_link { 2.0 } else { 1.0 };
+    let from_origin = bytes / origin;
+    let into_host = bytes / host;
+    let in_all = ways * hosts * bytes / (origin + hosts * host);
+    // A region is entered from every other one.
+    let crossings = (input.regions.saturating_sub(1)) as f64;
+    let into_region = match input.regions {
+        0 | 1 => 0.0,
+        _ => bytes / (crossings * input.crossing_bytes_per_s as f64),
+    };
+    let bound_s = from_origin.max(into_host).max(in_all).max(into_region);
+    (bound_s * 1000.0).round() as u64
+}
--- /dev/null
+++ b/src/bench/weights_fleet.rs
@@ -0,0 +1,287 @@
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::Addr;
+use actix_rt::Arbiter;
+use actix_web::App;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+
+use super::WeightsBench;
+use crate::bench::weights_members::Members;
+use crate::endpoint::StopTransfer;
+use crate::endpoint::Transfer;
+use crate::endpoint::TransferOptions;
+use crate::endpoint::WeightLink;
+use crate::endpoint::WeightLinks;
+use crate::endpoint::WeightsHosts;
+use crate::endpoint::WeightsShare;
+use crate::endpoint::configure_weights;
+use crate::links::HttpClient;
+use crate::observe::Metrics;
+use crate::platform::OriginClient;
+use crate::weights::Digest;
+use crate::weights::Manifest;
+use crate::weights::MemoryBudget;
+use crate::weights::PlanSettings;
+use crate::weights::SwarmSettings;
+
+/// Threads that run the transfers of all hosts.
+const TRANSFER_THREADS: usize = 4;
+
+/// Threads that answer the reads of all hosts.
+const SERVER_THREADS: usize = 4;
+
+const SHARED_KEY: &str = "bench";
+
+/// One host of the fleet.
+pub(super) struct FleetHost {
+    pub(super) share: Arc<WeightsShare>,
+    pub(super) doomed: bool,
+    /// Time from the start of the burst until the host served.
+    served_ms: Arc<Mutex<Option<u64>>>,
+    transfer: Arc<Mutex<Option<Addr<Transfer>>>>,
+    server: Option<ServerHandle>,
+}
+
+impl FleetHost {
+    /// When the host served, if it does.
+    pub(super) fn served_ms(&self) -> Option<u64> {
+        *self.served_ms.lock().expect("no holder of the time panics")
+    }
+}
+
+/// Hosts on loopback, each with links of its own.
+pub(super) struct Fleet {
+    pub(super) hosts: Vec<FleetHost>,
+    /// Links between regions, by name of the pair.
+    pub(super) crossings: Vec<(String, Arc<WeightLink>)>,
+    addresses: Vec<SocketAddr>,
+    arbiters: Vec<Arbiter>,
+    server: ServerHandle,
+}
+
+impl Fleet {
+    /// Starts the servers of all hosts; nothing is fetched yet.
+    pub(super) fn start(bench: &WeightsBench) -> io::Result<Self> {
+        let regions = bench.region_names();
+        let crossings = crossing_links(bench, &regions);
+        let mut hosts = Vec::new();
+        for index in 0..bench.hosts {
+            let region = &regions[index % regions.len()];
+            hosts.push(FleetHost {
+                share: share(bench, index, region, &crossings),
+                doomed: bench.is_doomed(index),
+                served_ms: Arc::default(),
+                transfer: Arc::default(),
+                server: None,
+            });
+        }
+        let listeners = listeners(bench.hosts)?;
+        let addresses: Vec<SocketAddr> = listeners
+            .iter()
+            .map(TcpListener::local_addr)
+            .collect::<io::Result<_>>()?;
+        let server = serve(&mut hosts, listeners, &addresses)?;
+        let arbiters = (0..TRANSFER_THREADS).map(|_| Arbiter::new()).collect();
+        Ok(Self {
+            hosts,
+            crossings,
+            addresses,
+            arbiters,
+            server,
+        })
+    }
+
+    /// Announces the version to every host.
+    pub(super) fn burst(
+        &self,
+        bench: &WeightsBench,
+        manifest: &Manifest,
+        origin_url: &str,
+        started: Instant,
+    ) {
+        let members = Members::new(bench, &self.addresses);
+        for (index, host) in self.hosts.iter().enumerate() {
+            let share = Arc::clone(&host.share);
+            let manifest = manifest.clone();
+            let view = members.view(index);
+            let options = options(bench, origin_url);
+            let served_ms = Arc::clone(&host.served_ms);
+            let transfer = Arc::clone(&host.transfer);
+            self.arbiters[index % self.arbiters.len()].spawn_fn(move || {
+                let digest = manifest.digest();
+                let Some(actor) = Transfer::new(Arc::clone(&share), manifest, &view, options)
+                else {
+                    return;
+                };
+                *transfer.lock().expect("no holder of the address panics") = Some(actor.start());
+                actix_rt::spawn(load(share, digest, served_ms, started));
+            });
+        }
+    }
+
+    /// Ends the doomed hosts: their connections break and new ones are refused.
+    pub(super) async fn kill_doomed(&self) {
+        for host in self.hosts.iter().filter(|host| host.doomed) {
+            let transfer = host
+                .transfer
+                .lock()
+                .expect("no holder of the address panics")
+                .clone();
+            if let Some(transfer) = transfer {
+                transfer.do_send(StopTransfer);
+            }
+            if let Some(server) = &host.server {
+                server.stop(false).await;
+            }
+        }
+    }
+
+    /// Ends everything.
+    pub(super) async fn stop(self) {
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+        self.server.stop(false).await;
+        for host in &self.hosts {
+            if let Some(server) = &host.server {
+                server.stop(false).await;
+            }
+        }
+    }
+}
+
+/// Plays the engine: loads what was verified and reports its digest.
+async fn load(
+    share: Arc<WeightsShare>,
+    digest: Digest,
+    served_ms: Arc<Mutex<Option<u64>>>,
+    started: Instant,
+) {
+    let Some(version) = share.version(digest) else {
+        return;
+    };
+    version.fetched().await;
+    let Some(chunks) = version.whole() else {
+        return;
+    };
+    let mut hasher = blake3::Hasher::new();
+    for chunk in &chunks {
+        hasher.update(chunk);
+    }
+    version.loaded(hasher.finalize().into());
+    version.serve();
+    let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    *served_ms.lock().expect("no holder of the time panics") = Some(elapsed_ms);
+}
+
+fn options(bench: &WeightsBench, origin_url: &str) -> TransferOptions {
+    TransferOptions {
+        origin: OriginClient::new(origin_url),
+        origin_region: bench.region_names()[0].clone(),
+        http: HttpClient::to_processes(SHARED_KEY),
+        swarm: SwarmSettings {
+            plan: PlanSettings {
+                max_fetches: bench.fetches,
+                max_duties: bench.duties(),
+                max_per_peer: bench.per_peer(),
+                ..PlanSettings::default()
+            },
+            neighbours: bench.neighbours,
+        },
+        peer_wait_ms: 3000,
+        origin_wait_ms: 120_000,
+    }
+}
+
+fn share(
+    bench: &WeightsBench,
+    index: usize,
+    region: &str,
+    crossings: &[(String, Arc<WeightLink>)],
+) -> Arc<WeightsShare> {
+    let mut links = WeightLinks::new(bench.host_bytes_per_s(), bench.host_bytes_per_s(), 0);
+    if bench.shared_link {
+        links.down = Arc::clone(&links.up);
+    }
+    let prefix = format!("{region}>");
+    links.crossings = crossings
+        .iter()
+        .filter_map(|(pair, link)| Some((pair.strip_prefix(&prefix)?.to_owned(), Arc::clone(link))))
+        .collect();
+    WeightsShare::new(
+        WeightsBench::host_name(index),
+        region,
+        links,
+        MemoryBudget::new(bench.bytes),
+        Arc::new(Metrics::new()),
+    )
+}
+
+fn crossing_links(bench: &WeightsBench, regions: &[String]) -> Vec<(String, Arc<WeightLink>)> {
+    let mut links = Vec::new();
+    for from in regions {
+        for to in regions.iter().filter(|to| *to != from) {
+            let link = WeightLink::new(bench.crossing_bytes_per_s(), 0);
+            links.push((format!("{from}>{to}"), link));
+        }
+    }
+    links
+}
+
+fn listeners(count: usize) -> io::Result<Vec<TcpListener>> {
+    (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect()
+}
+
+/// One server for the hosts that stay, and one for each doomed host.
+fn serve(
+    hosts: &mut [FleetHost],
+    listeners: Vec<TcpListener>,
+    addresses: &[SocketAddr],
+) -> io::Result<ServerHandle> {
+    let staying: Vec<(SocketAddr, Arc<WeightsShare>)> = hosts
+        .iter()
+        .zip(addresses)
+        .filter(|(host, _)| !host.doomed)
+        .map(|(host, address)| (*address, Arc::clone(&host.share)))
+        .collect();
+    let many = WeightsHosts::many(staying, SHARED_KEY);
+    let mut server = HttpServer::new(move || {
+        let many = many.clone();
+        App::new().configure(move |app| configure_weights(app, many))
+    })
+    .workers(SERVER_THREADS)
+    .disable_signals()
+    .shutdown_timeout(0);
+    for (host, listener) in hosts.iter_mut().zip(listeners) {
+        if !host.doomed {
+            server = server.listen(listener)?;
+            continue;
+        }
+        let one = WeightsHosts::one(Arc::clone(&host.share), SHARED_KEY);
+        let running = HttpServer::new(move || {
+            let one = one.clone();
+            App::new().configure(move |app| configure_weights(app, one))
+        })
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(0)
+        .listen(listener)?
+        .run();
+        host.server = Some(running.handle());
+        actix_rt::spawn(running);
+    }
+    let running = server.run();
+    let handle = running.handle();
+    actix_rt::spawn(running);
+    Ok(handle)
+}
--- /dev/null
+++ b/src/bench/weights_members.rs
@@ -0,0 +1,76 @@
+use std::net::SocketAddr;
+
+use super::Baseline;
+use super::WeightsBench;
+use crate::endpoint::SwarmMember;
+use crate::weights::SwarmHost;
+
+/// What each host of a bench believes the swarm to be.
+///
+/// A baseline is the product's own transfer with a list that leaves no choice:
+/// a host that sees only itself reads all from the origin; one that sees only
+/// the host before it, in another region, reads all from that one.
+#[derive(Debug)]
+pub(super) struct Members<'a> {
+    bench: &'a WeightsBench,
+    all: Vec<SwarmMember>,
+}
+
+impl<'a> Members<'a> {
+    pub(super) fn new(bench: &'a WeightsBench, addresses: &[SocketAddr]) -> Self {
+        let regions = bench.region_names();
+        let all = addresses
+            .iter()
+            .enumerate()
+            .map(|(index, address)| SwarmMember {
+                host: SwarmHost {
+                    name: WeightsBench::host_name(index),
+                    region: regions[index % regions.len()].clone(),
+                    present: true,
+                },
+                address: *address,
+            })
+            .collect();
+        Self { bench, all }
+    }
+
+    /// The list of host `index`.
+    pub(super) fn view(&self, index: usize) -> Vec<SwarmMember> {
+        match self.bench.baseline {
+            None => self.listed(index),
+            Some(Baseline::Origin) => vec![self.all[index].clone()],
+            Some(Baseline::Chain) => self.chain(index),
+            Some(Baseline::Star) => self.star(index),
+        }
+    }
+
+    /// All hosts, but for those that this host's list lacks.
+    fn listed(&self, index: usize) -> Vec<SwarmMember> {
+        self.all
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other == index || !self.bench.is_unlisted(index, *other))
+            .map(|(_, member)| member.clone())
+            .collect()
+    }
+
+    fn chain(&self, index: usize) -> Vec<SwarmMember> {
+        let mut own = self.all[index].clone();
+        if index == 0 {
+            return vec![own];
+        }
+        let mut before = self.all[index - 1].clone();
+        before.host.region = self.bench.region_names()[0].clone();
+        own.host.region = "next".to_owned();
+        vec![before, own]
+    }
+
+    /// The origin's region and the own one, which is then fed from there.
+    fn star(&self, index: usize) -> Vec<SwarmMember> {
+        let first = &self.all[0].host.region;
+        let own = &self.all[index].host.region;
+        let seen =
+            |member: &&SwarmMember| member.host.region == *first || member.host.region == *own;
+        self.all.iter().filter(seen).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/bench/weights_result.rs
@@ -0,0 +1,173 @@
+use std::fmt;
+
+use serde::Serialize;
+
+use super::WeightsBench;
+use super::weights_fleet::Fleet;
+use crate::standin::origin::OriginStats;
+
+/// What a burst measured.
+#[derive(Debug, Clone, Serialize)]
+pub struct WeightsResult {
+    /// Hosts that wanted the version.
+    pub hosts: usize,
+    /// Regions they stood in.
+    pub regions: usize,
+    /// Processes that held them.
+    pub processes: usize,
+    /// Scheme measured.
+    pub scheme: String,
+    /// Whether a host's link carried both ways together.
+    pub shared_link: bool,
+    /// Size of the version.
+    pub bytes: u64,
+    /// Number of its chunks.
+    pub chunks: u64,
+    /// Hosts killed on the way.
+    pub killed_hosts: usize,
+    /// Hosts that serve the whole verified version.
+    pub verified_hosts: usize,
+    /// Time until the last of them served.
+    pub time_ms: u64,
+    /// Time until half of them served.
+    pub half_ms: u64,
+    /// Shortest time possible.
+    pub bound_ms: u64,
+    /// Time in bounds.
+    pub ratio_to_bound: f64,
+    /// Bytes read from the origin, in copies.
+    pub origin_copies: f64,
+    /// Bytes over the busiest link between two regions each way, in copies.
+    pub region_link_copies: f64,
+    /// Bytes sent by the busiest host, in copies.
+    pub host_up_copies_max: f64,
+    /// Control traffic of a host on average, asked and asking.
+    pub control_bytes_per_s: f64,
+    /// Processor time of the bench process per host, in percent of a core.
+    pub cpu_percent_per_host: f64,
+    /// When each host served, in order.
+    #[serde(skip)]
+    pub served_ms: Vec<u64>,
+    /// Hosts that had to serve in the end and did not.
+    #[serde(skip)]
+    pub missing_hosts: usize,
+}
+
+impl WeightsResult {
+    pub(super) fn gather(
+        bench: &WeightsBench,
+        fleet: &Fleet,
+        origin: &OriginStats,
+        elapsed_ms: u64,
+    ) -> Self {
+        let surviving = fleet.hosts.iter().filter(|host| !host.doomed);
+        let mut served_ms: Vec<u64> = surviving
+            .clone()
+            .filter_map(|host| host.served_ms())
+            .collect();
+        served_ms.sort_unstable();
+        let missing_hosts = surviving.count() - served_ms.len();
+        let time_ms = match missing_hosts {
+            0 => served_ms.last().copied().unwrap_or(elapsed_ms),
+            _ => elapsed_ms,
+        };
+        let copies = |bytes: u64| rounded(bytes as f64 / bench.bytes as f64);
+        let crossing_bytes = fleet
+            .crossings
+            .iter()
+            .map(|(_, link)| link.passed_bytes())
+            .max();
+        let up_bytes = fleet
+            .hosts
+            .iter()
+            .map(|host| host.share.links.up.passed_bytes())
+            .max();
+        let control_bytes: u64 = fleet
+            .hosts
+            .iter()
+            .map(|host| host.share.control_bytes())
+            .sum();
+        let host_seconds = bench.hosts as f64 * time_ms as f64 / 1000.0;
+        let bound_ms = bench.bound_ms();
+        Self {
+            hosts: bench.hosts,
+            regions: bench.regions,
+            processes: 1,
+            scheme: scheme(bench),
+            shared_link: bench.shared_link,
+            bytes: bench.bytes,
+            chunks: bench.bytes.div_ceil(u64::from(bench.chunk_bytes)),
+            killed_hosts: fleet.hosts.iter().filter(|host| host.doomed).count(),
+            verified_hosts: served_ms.len(),
+            time_ms,
+            half_ms: served_ms
+                .get(served_ms.len() / 2)
+                .copied()
+                .unwrap_or(elapsed_ms),
+            bound_ms,
+            ratio_to_bound: rounded(time_ms as f64 / bound_ms as f64),
+            origin_copies: copies(origin.chunk_bytes_sent),
+            region_link_copies: copies(crossing_bytes.unwrap_or(0)),
+            host_up_copies_max: copies(up_bytes.unwrap_or(0)),
+            control_bytes_per_s: rounded(control_bytes as f64 / host_seconds),
+            cpu_percent_per_host: rounded(cpu_seconds() * 100.0 / host_seconds),
+            served_ms,
+            missing_hosts,
+        }
+    }
+}
+
+fn scheme(bench: &WeightsBench) -> String {
+    match bench.baseline {
+        None => "swarm".to_owned(),
+        Some(baseline) => format!("{baseline:?}").to_lowercase(),
+    }
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
+
+/// Processor time of this process so far; 0 where the system doesn't tell.
+fn cpu_seconds() -> f64 {
+    /// Clock ticks in a second, fixed by the kernel's interface.
+    const TICKS_PER_S: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // User and system time are the 12th and 13th fields after the name.
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields = after_name.split_whitespace().skip(11).take(2);
+    let ticks: f64 = fields.filter_map(|field| field.parse::<f64>().ok()).sum();
+    ticks / TICKS_PER_S
+}
+
+impl fmt::Display for WeightsResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{}: {} of {} hosts in {} regions serve {} bytes ({} chunks), {} killed, {} process",
+            self.scheme,
+            self.verified_hosts,
+            self.hosts,
+            self.regions,
+            self.bytes,
+            self.chunks,
+            self.killed_hosts,
+            self.processes
+        )?;
+        writeln!(
+            f,
+            "time {} ms (half at {} ms), bound {} ms, ratio {:.3}",
+            self.time_ms, self.half_ms, self.bound_ms, self.ratio_to_bound
+        )?;
+        writeln!(
+            f,
+            "copies: origin {:.3}, busiest region link {:.3}, busiest host up {:.3}",
+            self.origin_copies, self.region_link_copies, self.host_up_copies_max
+        )?;
+        write!(
+            f,
+            "control {:.0} bytes/s per host, {:.2} % of a core per host",
+            self.control_bytes_per_s, self.cpu_percent_per_host
+        )
+    }
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::BenchArgs;
 use super::SettingsArgs;
 use super::TokenArgs;
 
@@ -19,6 +20,8 @@
 pub enum Command {
     /// Check settings files, or list the keys they may hold.
     Settings(SettingsArgs),
+    /// Run a measurement.
+    Bench(BenchArgs),
     /// Work with bearer tokens.
     Token(TokenArgs),
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod bench;
 mod endpoint;
 mod entry;
 mod errors;
@@ -13,6 +14,9 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use bench::BenchArgs;
+pub use bench::BenchKind;
+pub use bench::WeightsBenchArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
@@ -30,6 +34,7 @@
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
         Command::Settings(args) => settings::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Token(args) => token::run(args),
     }
 }
--- a/src/endpoint/weights_http.rs
+++ b/src/endpoint/weights_http.rs
@@ -136,12 +136,7 @@
     let _ = timeout(wait, wait_for_news(&version, known)).await;
     match version.note() {
         Some(note) => {
-            share.metrics.add(
-                Tally::ControlBytes,
-                control_bytes(&body, &note),
-                "direction",
-                "up",
-            );
+            share.count_control(control_bytes(&body, &note), "asked");
             rmp_response(&note)
         }
         None => not_taking_part(),
@@ -178,6 +173,7 @@
     };
     let region = question.region.clone();
     version.keep_question(question);
+    share.count_control(body.len() as u64, "asked");
     let Some(chunk) = version.chunk(index) else {
         return frame_response(&version, ReadOutcome::Absent, Bytes::new());
     };
--- a/src/endpoint/weights_links.rs
+++ b/src/endpoint/weights_links.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +19,7 @@
     bucket: Mutex<TokenBucket>,
     full_rate_bytes_per_s: u64,
     reduced_rate_bytes_per_s: u64,
+    passed_bytes: AtomicU64,
 }
 
 impl WeightLink {
@@ -31,6 +34,7 @@
             full_rate_bytes_per_s: rate_bytes_per_s,
             reduced_rate_bytes_per_s: (rate_bytes_per_s.saturating_mul(left_percent) / 100)
                 .max(u64::from(rate_bytes_per_s > 0)),
+            passed_bytes: AtomicU64::new(0),
         })
     }
 
@@ -44,6 +48,7 @@
 
     /// Takes the next `bytes` of the link and returns the time until they have passed.
     pub fn reserve(&self, bytes: u64) -> u64 {
+        self.passed_bytes.fetch_add(bytes, Ordering::Relaxed);
         let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.bucket
             .lock()
@@ -51,6 +56,11 @@
             .reserve(now_us, bytes)
     }
 
+    /// Bytes let through so far.
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
+    }
+
     /// Yields to live requests, or takes the whole link again.
     pub fn set_live(&self, live: bool) {
         let rate_bytes_per_s = match live {
--- a/src/endpoint/weights_share.rs
+++ b/src/endpoint/weights_share.rs
@@ -1,13 +1,19 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use super::WeightLinks;
 use super::WeightsVersion;
 use crate::observe::Metrics;
+use crate::observe::Tally;
 use crate::weights::Digest;
 use crate::weights::MemoryBudget;
 
+/// Bytes of HTTP headers of a request and its answer between processes.
+const HEADER_BYTES: u64 = 360;
+
 /// Everything the HTTP handlers and the transfers of one host share.
 #[derive(Debug)]
 pub struct WeightsShare {
@@ -22,6 +28,7 @@
     /// Counters of the process.
     pub metrics: Arc<Metrics>,
     versions: Mutex<Vec<Arc<WeightsVersion>>>,
+    control_bytes: AtomicU64,
 }
 
 impl WeightsShare {
@@ -40,6 +47,7 @@
             budget,
             metrics,
             versions: Mutex::default(),
+            control_bytes: AtomicU64::new(0),
         })
     }
 
@@ -49,6 +57,19 @@
             .expect("no holder of the versions panics")
     }
 
+    /// Counts one exchange beside the weights themselves.
+    pub(super) fn count_control(&self, body_bytes: u64, direction: &'static str) {
+        let bytes = body_bytes + HEADER_BYTES;
+        self.control_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.metrics
+            .add(Tally::ControlBytes, bytes, "direction", direction);
+    }
+
+    /// Bytes of control traffic so far, as asker and as asked.
+    pub fn control_bytes(&self) -> u64 {
+        self.control_bytes.load(Ordering::Relaxed)
+    }
+
     /// The version `manifest`, if it is wanted here.
     pub fn version(&self, manifest: Digest) -> Option<Arc<WeightsVersion>> {
         let versions = self.versions();
--- a/src/endpoint/weights_transfer.rs
+++ b/src/endpoint/weights_transfer.rs
@@ -210,6 +210,8 @@
                 let wait_ms = self.options.peer_wait_ms;
                 let reading = async move {
                     let result = read_from_peer(&http, &url, &question, wait_ms).await;
+                    let body_bytes = question.have.encode().len() as u64;
+                    share.count_control(body_bytes, "asking");
                     if let Ok(frame) = &result {
                         share.links.down.pass(frame.chunk.len() as u64).await;
                     }
@@ -235,7 +237,13 @@
         let question = self.question(probe.known, probe.wait_ms);
         let http = self.options.http.clone();
         let wait_ms = probe.wait_ms + PROBE_SLACK_MS;
-        let asking = async move { http.ask::<PeerNote>(&url, &question, wait_ms).await };
+        let share = Arc::clone(&self.share);
+        let asking = async move {
+            let result = http.ask::<PeerNote>(&url, &question, wait_ms).await;
+            let body_bytes = 2 * question.have.encode().len() as u64;
+            share.count_control(body_bytes, "asking");
+            result
+        };
         ctx.spawn(asking.into_actor(self).map(move |result, act, ctx| {
             let now_ms = act.now_ms();
             match result {
--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -156,6 +156,18 @@
         })
     }
 
+    /// Waits until the version is verified or held.
+    pub async fn fetched(&self) -> StageName {
+        loop {
+            let generation = self.signal.generation();
+            let stage = self.stage_name();
+            if stage >= StageName::Verified {
+                return stage;
+            }
+            self.signal.changed_since(generation).await;
+        }
+    }
+
     /// Starts the transfer.
     pub(super) fn begin(&self, manifest: Manifest, budget: &Arc<MemoryBudget>) -> StageName {
         {
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -29,6 +29,7 @@
 pub use homes::Homes;
 pub use homes::PeerKey;
 pub use homes::SwarmHost;
+pub(crate) use homes::mix;
 pub use manifest::Manifest;
 pub use manifest::ManifestError;
 pub use memory_budget::MemoryBudget;
