--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod weights_members;
 mod weights_plot;
 mod weights_result;
+mod weights_trace;
 
 pub use weights::Baseline;
 pub use weights::WeightsBench;
--- a/src/bench/weights.rs
+++ b/src/bench/weights.rs
@@ -13,6 +13,7 @@
 use super::bound_ms;
 use super::weights_fleet::Fleet;
 use super::weights_fleet::FleetHost;
+use super::weights_trace::WeightsTrace;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::platform::OriginClient;
@@ -89,6 +90,8 @@
     pub neighbours: usize,
     /// Seed of all choices.
     pub seed: u64,
+    /// Whether to print how the transfer goes on standard error.
+    pub trace: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -236,11 +239,15 @@
         let give_up = Duration::from_millis(self.give_up_ms());
         let kill_at = Duration::from_millis(self.bound_ms() * KILL_AT_PERCENT / 100);
         let mut killed = false;
+        let mut trace = WeightsTrace::new(self);
         while started.elapsed() < give_up {
             if !killed && started.elapsed() >= kill_at {
                 killed = true;
                 fleet.kill_doomed().await;
             }
+            if self.trace {
+                trace.sample(fleet, started);
+            }
             let settled = |host: &FleetHost| host.doomed || host.served_ms().is_some();
             if fleet.hosts.iter().all(settled) {
                 return;
--- a/src/endpoint/weights_http.rs
+++ b/src/endpoint/weights_http.rs
@@ -177,6 +177,9 @@
     let Some(chunk) = version.chunk(index) else {
         return frame_response(&version, ReadOutcome::Absent, Bytes::new());
     };
+    if share.links.is_clogged(&region) {
+        return frame_response(&version, ReadOutcome::Busy, Bytes::new());
+    }
     let Some(_upload) = version.start_upload(MAX_UPLOADS) else {
         return frame_response(&version, ReadOutcome::Busy, Bytes::new());
     };
--- a/src/endpoint/weights_links.rs
+++ b/src/endpoint/weights_links.rs
@@ -12,6 +12,9 @@
 /// Time a link may have been idle and still be made up for.
 const BURST_MS: u64 = 30;
 
+/// Backlog of a link between regions beyond which reads are turned away.
+const MAX_BACKLOG_MS: u64 = 1000;
+
 /// A link shared by several transfers.
 #[derive(Debug)]
 pub struct WeightLink {
@@ -49,13 +52,24 @@
     /// Takes the next `bytes` of the link and returns the time until they have passed.
     pub fn reserve(&self, bytes: u64) -> u64 {
         self.passed_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let now_us = self.now_us();
         self.bucket
             .lock()
             .expect("no holder of the bucket panics")
             .reserve(now_us, bytes)
     }
 
+    /// Time until what is reserved has passed.
+    pub fn backlog_ms(&self) -> u64 {
+        let now_us = self.now_us();
+        let bucket = self.bucket.lock().expect("no holder of the bucket panics");
+        bucket.backlog_us(now_us) / 1000
+    }
+
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// Bytes let through so far.
     pub fn passed_bytes(&self) -> u64 {
         self.passed_bytes.load(Ordering::Relaxed)
@@ -95,6 +109,12 @@
         }
     }
 
+    /// Whether so much waits for `region` that more would only time out.
+    pub fn is_clogged(&self, region: &str) -> bool {
+        let crossing = self.crossings.iter().find(|(name, _)| name == region);
+        crossing.is_some_and(|(_, link)| link.backlog_ms() > MAX_BACKLOG_MS)
+    }
+
     /// Waits until `bytes` have left for a host in `region`.
     pub async fn send(&self, bytes: u64, region: &str) {
         let crossing = self.crossings.iter().find(|(name, _)| name == region);
--- a/src/endpoint/weights_transfer.rs
+++ b/src/endpoint/weights_transfer.rs
@@ -248,7 +248,10 @@
             let now_ms = act.now_ms();
             match result {
                 Ok(note) => act.swarm.probe_answered(probe.peer, &note),
-                Err(error) => act.swarm.probe_failed(probe.peer, failure(&error), now_ms),
+                Err(error) => {
+                    act.share.metrics.retried(question_label(&error));
+                    act.swarm.probe_failed(probe.peer, failure(&error), now_ms);
+                }
             }
             act.drive(ctx);
         }));
@@ -378,6 +381,18 @@
     match error {
         LinkError::Status { .. } => PeerFailure::Declined,
         LinkError::Malformed(_) => PeerFailure::WrongChunk,
+        LinkError::Broken(_) => PeerFailure::Broken,
         _ => PeerFailure::Unreachable,
     }
 }
+
+/// Label in counters of a question that got no answer.
+fn question_label(error: &LinkError) -> &'static str {
+    match error {
+        LinkError::NotSent(_) => "question_not_sent",
+        LinkError::Broken(_) => "question_broken",
+        LinkError::Timeout { .. } => "question_timeout",
+        LinkError::Status { .. } => "question_declined",
+        LinkError::Malformed(_) => "question_malformed",
+    }
+}
--- a/src/weights/have_map.rs
+++ b/src/weights/have_map.rs
@@ -67,6 +67,19 @@
         index < self.len && self.words[(index / WORD_BITS) as usize] >> (index % WORD_BITS) & 1 == 1
     }
 
+    /// Chunks that `other` holds and this map doesn't.
+    pub fn missing_from<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = u32> + 'a {
+        let words = self.words.iter().zip(&other.words);
+        (0..).zip(words).flat_map(|(at, (mine, theirs))| {
+            let mut rest = theirs & !mine;
+            std::iter::from_fn(move || {
+                let bit = rest.trailing_zeros();
+                rest &= rest.wrapping_sub(1);
+                (bit < WORD_BITS).then_some(at * WORD_BITS + bit)
+            })
+        })
+    }
+
     /// Marks chunk `index` as held; false when it was, or is out of range.
     pub fn insert(&mut self, index: u32) -> bool {
         if index >= self.len || self.contains(index) {
--- a/src/weights/homes.rs
+++ b/src/weights/homes.rs
@@ -1,7 +1,7 @@
 use crate::weights::Digest;
 
 /// Ranks kept for each chunk and region.
-pub const KEPT_RANKS: usize = 3;
+pub const KEPT_RANKS: usize = 6;
 
 /// Index of a host in the list the plan was made from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/weights/plan.rs
+++ b/src/weights/plan.rs
@@ -255,17 +255,22 @@
     /// Chunks to read that a neighbour of the region holds: count of holders, a
     /// random order among equals, and the index.
     fn wanted_by_rarity(&self) -> Vec<(u32, u64, u32)> {
-        let mut wanted = Vec::new();
-        for chunk in 0..self.input.homes.chunks() {
-            if !self.wants(chunk) {
+        let mut not_wanted = self.busy.clone();
+        not_wanted.merge(self.input.have);
+        let mut holders = vec![0u32; self.input.homes.chunks() as usize];
+        for neighbour in self.input.neighbours {
+            if neighbour.lost || self.input.homes.region_of(neighbour.key) != self.region {
                 continue;
             }
-            let holders = self.holders(chunk, self.region).count();
-            if holders > 0 {
-                let order = mix(self.input.seed ^ u64::from(chunk));
-                wanted.push((u32::try_from(holders).unwrap_or(u32::MAX), order, chunk));
+            for chunk in not_wanted.missing_from(&neighbour.have) {
+                holders[chunk as usize] += 1;
             }
         }
+        let mut wanted: Vec<(u32, u64, u32)> = (0..)
+            .zip(holders)
+            .filter(|(_, count)| *count > 0)
+            .map(|(chunk, count)| (count, mix(self.input.seed ^ u64::from(chunk)), chunk))
+            .collect();
         wanted.sort_unstable();
         wanted
     }
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -28,9 +28,22 @@
 /// Time for which a host is taken for dead after a failure.
 const LOST_MS: u64 = 3000;
 
+/// Broken connections in a row after which a host is taken for dead.
+const BROKEN_LIMIT: u32 = 3;
+
+/// Time for which a host that declines may still be about to take part.
+const DECLINE_GRACE_MS: u64 = 5000;
+
+/// Pause before a host that declined is asked again.
+const DECLINE_PAUSE_MS: u64 = 500;
+
 /// Shortest time between two questions to one peer.
 const PROBE_GAP_MS: u64 = 50;
 
+/// Shortest time between two questions to a peer in another region, and pause
+/// before it is asked again after it was busy.
+const CROSSING_GAP_MS: u64 = 250;
+
 /// Time between two questions to the host whose duty this one would take over.
 const HOME_PROBE_GAP_MS: u64 = 1000;
 
@@ -49,8 +62,10 @@
 /// How a read or question failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerFailure {
-    /// The peer answered nothing in time, or the connection failed.
+    /// The peer answered nothing in time, or took no connection.
     Unreachable,
+    /// The connection broke; an idle one may just have been closed.
+    Broken,
     /// The peer doesn't take part in this version.
     Declined,
     /// The peer sent bytes that are not the chunk.
@@ -81,11 +96,21 @@
 #[derive(Debug, Clone, Default)]
 struct Standing {
     failures: u32,
+    declined_since_ms: Option<u64>,
     lost_until_ms: u64,
+    paused_until_ms: u64,
     probed_ms: Option<u64>,
     probing: bool,
 }
 
+impl Standing {
+    /// Whether a host that declined may still learn of the version.
+    fn may_join(&self, now_ms: u64) -> bool {
+        self.declined_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + DECLINE_GRACE_MS)
+    }
+}
+
 /// The state of one transfer: hosts, what they hold, what is in flight.
 #[derive(Debug)]
 pub struct Swarm {
@@ -102,6 +127,7 @@
     origin_failures: u32,
     origin_blocked_until_ms: u64,
     progress_ms: u64,
+    homes_probed_ms: u64,
     settings: SwarmSettings,
     seed: u64,
 }
@@ -137,6 +163,7 @@
             origin_failures: 0,
             origin_blocked_until_ms: 0,
             progress_ms: now_ms,
+            homes_probed_ms: now_ms,
             seed: seed_of(me.as_bytes()),
             homes,
             have,
@@ -225,7 +252,9 @@
         }
         let standing = &mut self.standings[peer.0 as usize];
         standing.failures = 0;
+        standing.declined_since_ms = None;
         standing.lost_until_ms = 0;
+        standing.paused_until_ms = 0;
         let neighbour = self.neighbour_mut(peer);
         neighbour.have.merge(have);
         neighbour.queue = queue;
@@ -258,7 +287,9 @@
     pub fn deferred(&mut self, fetch: Fetch, now_ms: u64) {
         self.finish(fetch);
         if let Source::Peer(peer) = fetch.source {
-            self.neighbour_mut(peer).blocked_until_ms = now_ms + BUSY_BLOCK_MS;
+            let same = self.homes.region_of(peer) == self.homes.region_of(self.me);
+            let pause_ms = if same { BUSY_BLOCK_MS } else { CROSSING_GAP_MS };
+            self.neighbour_mut(peer).blocked_until_ms = now_ms + pause_ms;
         }
     }
 
@@ -306,14 +337,20 @@
     fn penalise(&mut self, peer: PeerKey, failure: PeerFailure, now_ms: u64) {
         let standing = &mut self.standings[peer.0 as usize];
         standing.failures += 1;
-        let pause_ms = pause_ms(standing.failures);
-        if failure != PeerFailure::WrongChunk {
-            standing.lost_until_ms = now_ms + pause_ms.max(LOST_MS);
+        if failure == PeerFailure::Declined {
+            standing.declined_since_ms.get_or_insert(now_ms);
         }
+        let pause_ms = pause_ms(standing.failures);
         let blocked_ms = match failure {
             PeerFailure::WrongChunk => PENALTY_MS,
+            PeerFailure::Broken if standing.failures < BROKEN_LIMIT => BUSY_BLOCK_MS,
+            PeerFailure::Declined if standing.may_join(now_ms) => DECLINE_PAUSE_MS,
             _ => pause_ms.max(LOST_MS),
         };
+        standing.paused_until_ms = now_ms + blocked_ms;
+        if blocked_ms >= LOST_MS && failure != PeerFailure::WrongChunk {
+            standing.lost_until_ms = now_ms + blocked_ms;
+        }
         self.neighbour_mut(peer).blocked_until_ms = now_ms + blocked_ms;
     }
 
@@ -356,10 +393,13 @@
             }
         }
         for peer in self.feeding_homes() {
-            self.probe(peer, PROBE_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
+            self.probe(peer, CROSSING_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
         }
-        for peer in self.homes_ahead() {
-            self.probe(peer, HOME_PROBE_GAP_MS, 0, now_ms, &mut probes);
+        if now_ms >= self.homes_probed_ms + HOME_PROBE_GAP_MS {
+            self.homes_probed_ms = now_ms;
+            for peer in self.homes_ahead() {
+                self.probe(peer, HOME_PROBE_GAP_MS, 0, now_ms, &mut probes);
+            }
         }
         probes
     }
@@ -385,7 +425,8 @@
         let recent = standing
             .probed_ms
             .is_some_and(|probed_ms| now_ms < probed_ms + gap_ms);
-        if standing.probing || recent || standing.lost_until_ms > now_ms {
+        let paused = standing.paused_until_ms > now_ms;
+        if standing.probing || recent || paused {
             return;
         }
         standing.probing = true;
--- a/tests/weights/plan.rs
+++ b/tests/weights/plan.rs
@@ -271,3 +271,24 @@
     case.now_ms = 500;
     assert_eq!(case.plan().len(), case.settings.max_duties);
 }
+
+#[test]
+fn next_fetches_fourth_rank_takes_over_when_three_are_lost() {
+    let mut case = Case::new(12, 1, 0);
+    let ranked = case.homes.ranked(5, 0).to_vec();
+    case.me = ranked[3];
+    case.settings.max_duties = CHUNKS as usize;
+    let mut lost = ranked[..3].to_vec();
+    lost.sort_unstable();
+    case.neighbours = lost
+        .into_iter()
+        .map(|key| Neighbour {
+            key,
+            have: HaveMap::empty(CHUNKS),
+            queue: 0,
+            blocked_until_ms: 0,
+            lost: true,
+        })
+        .collect();
+    assert!(case.plan().iter().any(|fetch| fetch.chunk == 5));
+}
