--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,9 @@
 //! The load and experiment tool: measurements, each against its own baseline.
 
+mod control;
+mod control_fleet;
+mod control_result;
+mod control_watch;
 mod weights;
 mod weights_bound;
 mod weights_fleet;
@@ -8,6 +12,9 @@
 mod weights_result;
 mod weights_trace;
 
+pub use control::ControlBench;
+pub use control::ControlFault;
+pub use control_result::ControlResult;
 pub use weights::Baseline;
 pub use weights::WeightsBench;
 pub use weights_bound::BoundInput;
--- a/src/bench/weights.rs
+++ b/src/bench/weights.rs
@@ -1,11 +1,15 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
 use actix_rt::time::sleep;
 use actix_web::http::Method;
+use clap::Args;
+use clap::ValueEnum;
+use clap::builder::RangedU64ValueParser;
 use serde::Deserialize;
 
 use super::BoundInput;
@@ -54,7 +58,7 @@
 const CALL_WAIT_MS: u64 = 10_000;
 
 /// A plain scheme to compare with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum Baseline {
     /// Every host reads all from the origin.
     Origin,
@@ -65,33 +69,51 @@
 }
 
 /// One measurement of a burst.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Args)]
 pub struct WeightsBench {
     /// Hosts that want the version.
+    #[arg(long, default_value_t = 16, value_parser = RangedU64ValueParser::<usize>::new().range(1..=1000))]
     pub hosts: usize,
     /// Regions they stand in.
+    #[arg(long, default_value_t = 1, value_parser = RangedU64ValueParser::<usize>::new().range(1..=16))]
     pub regions: usize,
     /// Share of the hosts killed on the way; with any, the hosts' lists
     /// disagree and the origin runs at half its rate.
+    #[arg(long, value_name = "PERCENT", default_value_t = 0, value_parser = RangedU64ValueParser::<u64>::new().range(0..=90))]
     pub kill_percent: u64,
     /// Scheme to measure instead of the product's.
+    #[arg(long)]
     pub baseline: Option<Baseline>,
-    /// Whether a host's link carries both ways together.
+    /// Let each host's link carry both ways together.
+    #[arg(long)]
     pub shared_link: bool,
     /// Size of the version.
+    #[arg(long = "size-bytes", value_name = "BYTES", default_value_t = 4 << 20, value_parser = RangedU64ValueParser::<u64>::new().range(1..=1 << 30))]
     pub bytes: u64,
     /// Size of a chunk.
+    #[arg(long, value_name = "BYTES", default_value_t = 16 << 10, value_parser = RangedU64ValueParser::<u32>::new().range(1..=1 << 26))]
     pub chunk_bytes: u32,
     /// Time in which the origin's link carries 4 copies and a host's 2 each way.
+    #[arg(long, value_name = "MS", default_value_t = 20_000, value_parser = RangedU64ValueParser::<u64>::new().range(100..=3_600_000))]
     pub allowed_ms: u64,
     /// Reads in progress at each host.
+    #[arg(long, default_value_t = 4, value_parser = RangedU64ValueParser::<usize>::new().range(1..=64))]
     pub fetches: usize,
     /// Peers each host asks for news.
+    #[arg(long, default_value_t = 8)]
     pub neighbours: usize,
     /// Seed of all choices.
+    #[arg(long, default_value_t = 1)]
     pub seed: u64,
-    /// Whether to print how the transfer goes on standard error.
+    /// Print how the transfer goes on standard error.
+    #[arg(long)]
     pub trace: bool,
+    /// Print one JSON object.
+    #[arg(long)]
+    pub json: bool,
+    /// Draw the serving replicas over time.
+    #[arg(long, value_name = "FILE.svg")]
+    pub plot: Option<PathBuf>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -2,7 +2,12 @@
 use clap::Subcommand;
 
 use super::BenchArgs;
+use super::DemoArgs;
+use super::EndpointArgs;
+use super::EntryArgs;
 use super::SettingsArgs;
+use super::StandinArgs;
+use super::StatusArgs;
 use super::TokenArgs;
 
 /// Distributes model weights in bursts and routes live requests.
@@ -18,10 +23,20 @@
 /// The subcommands.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Run an entry: addresses, permits, routing, administration.
+    Entry(EntryArgs),
+    /// Run an endpoint beside an engine or a plain service.
+    Endpoint(EndpointArgs),
+    /// Show the hosts, models and configuration as an entry sees them.
+    Status(StatusArgs),
+    /// Show the whole system at work, in this one process on loopback.
+    Demo(DemoArgs),
+    /// Run a stand-in for a service of the platform.
+    Standin(StandinArgs),
+    /// Measure the system on this machine.
+    Bench(BenchArgs),
     /// Check settings files, or list the keys they may hold.
     Settings(SettingsArgs),
-    /// Run a measurement.
-    Bench(BenchArgs),
     /// Work with bearer tokens.
     Token(TokenArgs),
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,11 +2,15 @@
 
 mod args;
 mod bench;
+mod demo;
 mod endpoint;
 mod entry;
 mod errors;
+mod operator_args;
+mod process;
 mod settings;
 mod standin;
+mod status;
 mod stop_signal;
 mod token;
 
@@ -15,14 +19,16 @@
 pub use args::Args;
 pub use args::Command;
 pub use bench::BenchArgs;
-pub use bench::BenchKind;
-pub use bench::WeightsBenchArgs;
+pub use demo::DemoArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
+pub use operator_args::OperatorArgs;
+pub use process::run_process;
 pub use settings::SettingsArgs;
 pub use standin::StandinArgs;
 pub use standin::StandinKind;
+pub use status::StatusArgs;
 pub use stop_signal::stop_signal;
 pub use token::TokenArgs;
 
@@ -33,8 +39,13 @@
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
-        Command::Settings(args) => settings::run(args),
+        Command::Entry(args) => entry::run(args),
+        Command::Endpoint(args) => endpoint::run(args),
+        Command::Standin(args) => standin::run(args),
         Command::Bench(args) => bench::run(args),
+        Command::Status(args) => status::run(args),
+        Command::Demo(args) => demo::run(args),
+        Command::Settings(args) => settings::run(args),
         Command::Token(args) => token::run(args),
     }
 }
--- a/src/conf/platform_settings.rs
+++ b/src/conf/platform_settings.rs
@@ -3,6 +3,9 @@
 const SECTION: &str = "platform";
 const STREAM: &str = "config";
 
+/// Names no region: the first region of the hosts takes the origin's place.
+const FIRST_REGION: &str = "none";
+
 /// Where the platform's services are.
 #[derive(Debug, Clone)]
 pub struct PlatformSettings {
@@ -12,6 +15,8 @@
     pub hosts_url: String,
     /// The origin of weights.
     pub origin_url: String,
+    /// Region of the origin; default `none`, which takes the first by name.
+    pub origin_region: String,
     /// Stream of the log that carries the configuration; default `config`.
     pub config_stream: String,
 }
@@ -27,6 +32,7 @@
             log_url: log_url.into(),
             hosts_url: hosts_url.into(),
             origin_url: origin_url.into(),
+            origin_region: FIRST_REGION.to_owned(),
             config_stream: STREAM.to_owned(),
         }
     }
@@ -36,6 +42,7 @@
             log_url: reader.url(SECTION, "log_url"),
             hosts_url: reader.url(SECTION, "hosts_url"),
             origin_url: reader.url(SECTION, "origin_url"),
+            origin_region: reader.name_or(SECTION, "origin_region", FIRST_REGION),
             config_stream: reader.name_or(SECTION, "config_stream", STREAM),
         }
     }
--- a/src/endpoint/weights_http.rs
+++ b/src/endpoint/weights_http.rs
@@ -89,6 +89,7 @@
 enum Refusal {
     WrongKey,
     NotTakingPart,
+    Held,
 }
 
 impl Refusal {
@@ -96,6 +97,7 @@
         match self {
             Self::WrongKey => HttpResponse::Unauthorized().body("wrong shared key"),
             Self::NotTakingPart => not_taking_part(),
+            Self::Held => HttpResponse::Gone().body("this host can't proceed with the version"),
         }
     }
 }
@@ -113,6 +115,9 @@
     let digest = manifest.parse::<Digest>().ok();
     let version = digest.and_then(|digest| share.version(digest));
     let version = version.ok_or(Refusal::NotTakingPart)?;
+    if version.held().is_some() {
+        return Err(Refusal::Held);
+    }
     Ok((Arc::clone(share), version))
 }
 
--- /dev/null
+++ b/src/endpoint/weights_keeper.rs
@@ -0,0 +1,506 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::WrapFuture;
+
+use super::SetMembers;
+use super::StageName;
+use super::StopTransfer;
+use super::SwarmMember;
+use super::Transfer;
+use super::TransferOptions;
+use crate::document::ModelSection;
+use crate::endpoint::EndpointState;
+use crate::endpoint::weights_engine::EngineGiver;
+use crate::endpoint::weights_engine::Loading;
+use crate::endpoint::weights_tracked::TrackedVersion;
+use crate::hosts::HostRole;
+use crate::links::LinkError;
+use crate::observe::Event;
+use crate::observe::emit;
+use crate::platform::EngineClient;
+use crate::platform::OriginClient;
+use crate::platform::OriginError;
+use crate::weights::Ahead;
+use crate::weights::Digest;
+use crate::weights::Manifest;
+use crate::weights::PeerNote;
+use crate::weights::PeerQuestion;
+use crate::weights::PlanSettings;
+use crate::weights::SwarmHost;
+use crate::weights::SwarmSettings;
+use crate::weights::WeightsHeld;
+use crate::weights::may_change;
+use crate::weights::placement;
+
+/// How often the document is compared with what is here.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// A round that comes later than this follows a pause of the process.
+const PAUSED_MS: u64 = 3000;
+
+/// How often a serving engine is asked whether it still holds its versions.
+const ENGINE_CHECK_MS: u64 = 2000;
+
+/// Time between the last report of an old version and the order to drop it.
+const UNLOAD_GRACE_MS: u64 = 5000;
+
+/// Longest time a question to a host ahead may take.
+const AHEAD_WAIT_MS: u64 = 1000;
+
+/// Longest time one chunk from a peer may take.
+const PEER_WAIT_MS: u64 = 10_000;
+
+/// Longest time one chunk from the origin may take.
+const ORIGIN_WAIT_MS: u64 = 120_000;
+
+/// A model this host should serve.
+struct Want {
+    model: ModelSection,
+    /// Hosts that should serve it, in the order of a rollout.
+    members: Vec<SwarmMember>,
+    rank: usize,
+}
+
+/// Brings the versions that the document wants here, and loads and drops them.
+pub struct WeightsKeeper {
+    state: Arc<EndpointState>,
+    engine: SocketAddr,
+}
+
+impl WeightsKeeper {
+    /// Keeper of the host of `state`, whose engine listens at `engine`.
+    pub fn new(state: Arc<EndpointState>, engine: SocketAddr) -> Self {
+        Self { state, engine }
+    }
+}
+
+impl Actor for WeightsKeeper {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let mut rounds = Rounds {
+            state: Arc::clone(&self.state),
+            origin: OriginClient::new(self.state.node.platform().origin_url.clone()),
+            giver: EngineGiver::new(EngineClient::new(awc::Client::default(), self.engine)),
+            tracked: Vec::new(),
+            engine_asked_ms: 0,
+        };
+        let keeping = async move {
+            let mut before_ms = rounds.state.node.now_ms();
+            loop {
+                actix_rt::time::sleep(ROUND).await;
+                let now_ms = rounds.state.node.now_ms();
+                // After a pause hosts and document may be old: the next round decides.
+                let paused = now_ms.saturating_sub(before_ms) > PAUSED_MS;
+                if !paused && rounds.state.node.is_ready() {
+                    rounds.run().await;
+                }
+                before_ms = rounds.state.node.now_ms().min(now_ms + PAUSED_MS);
+            }
+        };
+        context.spawn(keeping.into_actor(self));
+    }
+}
+
+struct Rounds {
+    state: Arc<EndpointState>,
+    origin: OriginClient,
+    giver: EngineGiver,
+    tracked: Vec<TrackedVersion>,
+    engine_asked_ms: u64,
+}
+
+impl Rounds {
+    async fn run(&mut self) {
+        let wants = self.wants();
+        let live = self.state.node.own().load.running > 0;
+        self.state.weights.links.up.set_live(live);
+        self.state.weights.links.down.set_live(live);
+        self.track(&wants);
+        for at in 0..self.tracked.len() {
+            let digest = self.tracked[at].digest();
+            if let Some(want) = wants.iter().find(|want| want.model.manifest == digest) {
+                self.advance(at, want).await;
+            }
+        }
+        self.check_engine().await;
+        self.retire(&wants).await;
+        let served = self
+            .tracked
+            .iter()
+            .filter_map(TrackedVersion::report)
+            .collect();
+        self.state.node.own().served = served;
+    }
+
+    /// The models that rank this host among those that serve them.
+    fn wants(&self) -> Vec<Want> {
+        let node = &self.state.node;
+        let members = self.members();
+        let mut wants = Vec::new();
+        for model in node.document().models() {
+            // An adapter is placed as its base, so that they meet.
+            let placed_as = model.base.clone().unwrap_or_else(|| model.name.clone());
+            let names = members.iter().map(|member| member.host.name.as_str());
+            let chosen = placement(&placed_as, model.replicas, names);
+            let Some(rank) = chosen.iter().position(|name| *name == node.name()) else {
+                continue;
+            };
+            let ordered = chosen
+                .iter()
+                .filter_map(|name| {
+                    members
+                        .iter()
+                        .find(|member| member.host.name == *name)
+                        .cloned()
+                })
+                .collect();
+            wants.push(Want {
+                model,
+                members: ordered,
+                rank,
+            });
+        }
+        wants
+    }
+
+    /// Hosts with an engine, this one among them.
+    fn members(&self) -> Vec<SwarmMember> {
+        let node = &self.state.node;
+        let own = SwarmMember {
+            host: SwarmHost {
+                name: node.name().to_owned(),
+                region: self.state.weights.region.clone(),
+                present: true,
+            },
+            address: node.process().listen,
+        };
+        let roster = node.roster();
+        let others = roster
+            .askable(HostRole::Endpoint, node.now_ms())
+            .filter(|(_, host)| host.service.is_none() && host.name != node.name())
+            .map(|(_, host)| SwarmMember {
+                host: SwarmHost {
+                    name: host.name.clone(),
+                    region: host.region.clone(),
+                    present: true,
+                },
+                address: host.address,
+            });
+        others.chain([own]).collect()
+    }
+
+    /// Starts to track what is new, and gives up transfers that are not wanted.
+    fn track(&mut self, wants: &[Want]) {
+        for want in wants {
+            let digest = want.model.manifest;
+            match self
+                .tracked
+                .iter_mut()
+                .find(|tracked| tracked.digest() == digest)
+            {
+                Some(tracked) => tracked.retired_ms = None,
+                None => {
+                    let version = self.state.weights.announce(digest);
+                    self.tracked
+                        .push(TrackedVersion::new(want.model.clone(), version));
+                }
+            }
+        }
+        let wanted = |digest: Digest| wants.iter().any(|want| want.model.manifest == digest);
+        let share = &self.state.weights;
+        self.tracked.retain(|tracked| {
+            if tracked.serves() || wanted(tracked.digest()) {
+                return true;
+            }
+            if let Some(transfer) = &tracked.transfer {
+                transfer.do_send(StopTransfer);
+            }
+            share.forget(tracked.digest());
+            false
+        });
+    }
+
+    async fn advance(&mut self, at: usize, want: &Want) {
+        let now_ms = self.state.node.now_ms();
+        let tracked = &mut self.tracked[at];
+        match tracked.version.stage_name() {
+            StageName::Announced if tracked.is_due(now_ms) => self.begin(at, want).await,
+            StageName::Fetching => update_members(tracked, want),
+            StageName::Verified if tracked.is_due(now_ms) => self.load(at, want).await,
+            StageName::Held if tracked.is_due(now_ms) => tracked.version.retry(),
+            _ => {}
+        }
+    }
+
+    /// Reads the manifest and starts the transfer.
+    async fn begin(&mut self, at: usize, want: &Want) {
+        let manifest = self
+            .origin
+            .manifest(&want.model.name, &want.model.version)
+            .await;
+        let now_ms = self.state.node.now_ms();
+        let tracked = &mut self.tracked[at];
+        match manifest {
+            Ok(manifest) => self.start_transfer(at, manifest, want),
+            Err(OriginError::Missing) => {
+                tracked.failed(Some(WeightsHeld::ManifestMissing), 0, now_ms)
+            }
+            Err(OriginError::Limited { retry_after_ms }) => {
+                tracked.failed(None, retry_after_ms, now_ms)
+            }
+            Err(OriginError::Link(_)) => tracked.failed(None, 0, now_ms),
+        }
+    }
+
+    fn start_transfer(&mut self, at: usize, manifest: Manifest, want: &Want) {
+        let now_ms = self.state.node.now_ms();
+        let digest = self.tracked[at].digest();
+        if let Err(error) = manifest.validate_as(digest) {
+            self.tracked[at].failed(Some(error.into()), 0, now_ms);
+            return;
+        }
+        self.tracked[at].base = manifest.base;
+        let share = Arc::clone(&self.state.weights);
+        match Transfer::new(share, manifest, &want.members, self.options()) {
+            Some(transfer) => {
+                let tracked = &mut self.tracked[at];
+                tracked.members.clone_from(&want.members);
+                tracked.transfer = Some(transfer.start());
+                tracked.succeeded();
+            }
+            None => {
+                let held = self.tracked[at].version.held();
+                self.release_old(digest);
+                let cause = held.as_ref().map_or_else(String::new, ToString::to_string);
+                emit(
+                    Event::WeightsHeld,
+                    &[("manifest", &digest.short()), ("cause", &cause)],
+                );
+                self.tracked[at].failed(held, 0, now_ms);
+            }
+        }
+    }
+
+    /// Gives up the bytes of versions that the engine serves but nobody wants.
+    fn release_old(&self, wanted: Digest) {
+        let model = self
+            .tracked
+            .iter()
+            .find(|tracked| tracked.digest() == wanted);
+        let Some(name) = model.map(|tracked| &tracked.model.name) else {
+            return;
+        };
+        for old in &self.tracked {
+            if old.digest() != wanted && old.model.name == *name {
+                old.version.release();
+            }
+        }
+    }
+
+    fn options(&self) -> TransferOptions {
+        let settings = &self.state.settings.weights;
+        TransferOptions {
+            origin: self.origin.clone(),
+            origin_region: self.state.node.platform().origin_region.clone(),
+            http: self.state.node.http().clone(),
+            swarm: SwarmSettings {
+                plan: PlanSettings::default(),
+                neighbours: usize::try_from(settings.neighbours).unwrap_or(usize::MAX),
+            },
+            peer_wait_ms: PEER_WAIT_MS,
+            origin_wait_ms: ORIGIN_WAIT_MS,
+        }
+    }
+
+    /// Loads a verified version when its base is there and its turn has come.
+    async fn load(&mut self, at: usize, want: &Want) {
+        let base = self.tracked[at].base;
+        if let Some(base) = base
+            && !self
+                .tracked
+                .iter()
+                .any(|other| other.digest() == base && other.serves())
+        {
+            let now_ms = self.state.node.now_ms();
+            self.tracked[at].failed(Some(WeightsHeld::BaseNotLoaded { base }), 0, now_ms);
+            return;
+        }
+        if self.serves_old(want) && !self.is_turn(want).await {
+            return;
+        }
+        let loading = self.giver.load(&self.state, &self.tracked[at]).await;
+        let now_ms = self.state.node.now_ms();
+        let tracked = &mut self.tracked[at];
+        match loading {
+            Loading::Holds(whole) => take_loaded(tracked, whole, now_ms),
+            Loading::Unknown => {
+                self.state.node.metrics().retried("engine_reply_lost");
+                tracked.failed(None, 0, now_ms);
+            }
+            Loading::Refused(held) => tracked.failed(Some(held), 0, now_ms),
+        }
+    }
+
+    fn serves_old(&self, want: &Want) -> bool {
+        let model = &want.model;
+        let old = |tracked: &&TrackedVersion| {
+            tracked.model.name == model.name && tracked.digest() != model.manifest
+        };
+        self.tracked.iter().filter(old).any(TrackedVersion::serves)
+    }
+
+    /// Whether the hosts ahead in the order of the rollout have changed.
+    async fn is_turn(&self, want: &Want) -> bool {
+        let step = want.model.step_replicas.max(1) as usize;
+        let mut answers = vec![Ahead::Skipped; want.rank];
+        let mut at = want.rank;
+        while let Some(before) = at.checked_sub(step) {
+            answers[before] = self
+                .ask_ahead(&want.members[before], want.model.manifest)
+                .await;
+            if answers[before] != Ahead::Skipped {
+                break;
+            }
+            at = before;
+        }
+        may_change(want.rank, want.model.step_replicas, |rank| answers[rank])
+    }
+
+    async fn ask_ahead(&self, member: &SwarmMember, manifest: Digest) -> Ahead {
+        let url = format!("http://{}/x/weights/{manifest}/have", member.address);
+        let question = PeerQuestion {
+            host: self.state.weights.host.clone(),
+            region: self.state.weights.region.clone(),
+            have: crate::weights::HaveMap::empty(0),
+            known: 0,
+            wait_ms: 0,
+        };
+        let answer = self
+            .state
+            .node
+            .http()
+            .ask::<PeerNote>(&url, &question, AHEAD_WAIT_MS)
+            .await;
+        match answer {
+            Ok(note) if note.serving => Ahead::Serving,
+            Ok(_) | Err(LinkError::Status { status: 404, .. }) => Ahead::Pending,
+            Err(_) => Ahead::Skipped,
+        }
+    }
+
+    /// Notices an engine that lost what it served.
+    async fn check_engine(&mut self) {
+        let now_ms = self.state.node.now_ms();
+        let serving = self.tracked.iter().any(TrackedVersion::serves);
+        if !serving || now_ms < self.engine_asked_ms + ENGINE_CHECK_MS {
+            return;
+        }
+        self.engine_asked_ms = now_ms;
+        let Ok(held) = self.giver.state().await else {
+            return;
+        };
+        for tracked in &mut self.tracked {
+            let holds = held
+                .loaded
+                .iter()
+                .any(|loaded| loaded.manifest == tracked.digest());
+            if tracked.serves() && tracked.retired_ms.is_none() && !holds {
+                tracked.version.reload();
+            }
+        }
+    }
+
+    /// Drops versions that are served but not wanted, once others took over.
+    async fn retire(&mut self, wants: &[Want]) {
+        let now_ms = self.state.node.now_ms();
+        let mut gone = Vec::new();
+        for at in 0..self.tracked.len() {
+            let tracked = &self.tracked[at];
+            let digest = tracked.digest();
+            if !tracked.serves() || wants.iter().any(|want| want.model.manifest == digest) {
+                continue;
+            }
+            match tracked.retired_ms {
+                None if self.has_successor(at).await => self.tracked[at].retired_ms = Some(now_ms),
+                Some(retired_ms) if now_ms >= retired_ms + UNLOAD_GRACE_MS => gone.push(digest),
+                _ => {}
+            }
+        }
+        for digest in gone {
+            if self.giver.unload(&self.state, digest).await.is_ok() {
+                self.state.weights.forget(digest);
+                self.tracked.retain(|tracked| tracked.digest() != digest);
+            }
+        }
+    }
+
+    /// Whether the version at `at` is not needed any more: the new one is served
+    /// here or, when this host has none, by all that should.
+    async fn has_successor(&self, at: usize) -> bool {
+        let name = &self.tracked[at].model.name;
+        let Some(model) = self.state.node.document().model(name) else {
+            return true;
+        };
+        let here = self
+            .tracked
+            .iter()
+            .find(|other| other.digest() == model.manifest);
+        if let Some(here) = here {
+            return here.serves();
+        }
+        let members = self.members();
+        let placed_as = model.base.as_ref().unwrap_or(&model.name);
+        let names = members.iter().map(|member| member.host.name.as_str());
+        for name in placement(placed_as, model.replicas, names) {
+            let member = members.iter().find(|member| member.host.name == name);
+            let Some(member) = member else { continue };
+            if self.ask_ahead(member, model.manifest).await != Ahead::Serving {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+fn take_loaded(tracked: &mut TrackedVersion, whole: Digest, now_ms: u64) {
+    if tracked.version.loaded(whole) != StageName::Loaded {
+        let expected = tracked
+            .version
+            .manifest()
+            .map_or(whole, |manifest| manifest.whole);
+        let held = WeightsHeld::EngineMismatch {
+            expected,
+            found: whole,
+        };
+        tracked.failed(Some(held), 0, now_ms);
+        return;
+    }
+    tracked.version.serve();
+    tracked.succeeded();
+    emit(
+        Event::WeightsServing,
+        &[("manifest", &tracked.digest().short())],
+    );
+}
+
+fn update_members(tracked: &mut TrackedVersion, want: &Want) {
+    let same = tracked.members.len() == want.members.len()
+        && tracked
+            .members
+            .iter()
+            .zip(&want.members)
+            .all(|(old, new)| old.host == new.host && old.address == new.address);
+    if same {
+        return;
+    }
+    tracked.members.clone_from(&want.members);
+    if let Some(transfer) = &tracked.transfer {
+        transfer.do_send(SetMembers(want.members.clone()));
+    }
+}
--- a/src/endpoint/weights_transfer.rs
+++ b/src/endpoint/weights_transfer.rs
@@ -379,6 +379,7 @@
 
 fn failure(error: &LinkError) -> PeerFailure {
     match error {
+        LinkError::Status { status: 410, .. } => PeerFailure::Held,
         LinkError::Status { .. } => PeerFailure::Declined,
         LinkError::Malformed(_) => PeerFailure::WrongChunk,
         LinkError::Broken(_) => PeerFailure::Broken,
--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -36,6 +36,8 @@
     Verified(Replica<Verified>),
     Loaded(Replica<Loaded>),
     Serving(Replica<Serving>),
+    /// The engine serves the version; its bytes were given up here.
+    Resident,
     Held(WeightsHeld),
 }
 
@@ -94,7 +96,7 @@
             Stage::Fetching(_) => StageName::Fetching,
             Stage::Verified(_) => StageName::Verified,
             Stage::Loaded(_) => StageName::Loaded,
-            Stage::Serving(_) => StageName::Serving,
+            Stage::Serving(_) | Stage::Resident => StageName::Serving,
             Stage::Held(_) => StageName::Held,
         }
     }
@@ -110,7 +112,7 @@
     /// The manifest, once it is known.
     pub fn manifest(&self) -> Option<Arc<Manifest>> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
             Stage::Fetching(replica) => Some(replica.manifest().clone()),
             Stage::Verified(replica) => Some(replica.manifest().clone()),
             Stage::Loaded(replica) => Some(replica.manifest().clone()),
@@ -121,7 +123,7 @@
     /// Chunks held; None before the manifest is known.
     pub fn have(&self) -> Option<HaveMap> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
             Stage::Fetching(replica) => Some(replica.have().clone()),
             Stage::Verified(replica) => Some(replica.have().clone()),
             Stage::Loaded(replica) => Some(replica.have().clone()),
@@ -132,7 +134,7 @@
     /// One verified chunk.
     pub fn chunk(&self, index: u32) -> Option<Bytes> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
             Stage::Fetching(replica) => replica.chunk(index),
             Stage::Verified(replica) => replica.chunk(index),
             Stage::Loaded(replica) => replica.chunk(index),
@@ -153,6 +155,7 @@
         Some(PeerNote {
             have: self.have()?,
             queue: self.uploads.load(Ordering::Relaxed),
+            serving: self.stage_name() == StageName::Serving,
         })
     }
 
@@ -226,6 +229,31 @@
         })
     }
 
+    /// Goes back to where the engine must load again, after it lost its state.
+    pub(super) fn reload(&self) -> StageName {
+        self.advance(|stage| match stage {
+            Stage::Serving(replica) => Stage::Verified(replica.reload()),
+            Stage::Resident => Stage::Announced(Replica::announced(self.digest)),
+            other => other,
+        })
+    }
+
+    /// Gives up the bytes of a version that the engine serves.
+    pub(super) fn release(&self) {
+        self.advance(|stage| match stage {
+            Stage::Serving(_) => Stage::Resident,
+            other => other,
+        });
+    }
+
+    /// Starts over after the version was held.
+    pub(super) fn retry(&self) {
+        self.advance(|stage| match stage {
+            Stage::Held(_) => Stage::Announced(Replica::announced(self.digest)),
+            other => other,
+        });
+    }
+
     /// Replaces the stage by what `step` makes of it.
     fn advance(&self, step: impl FnOnce(Stage) -> Stage) -> StageName {
         {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,24 @@
 //! The entry role: addresses, permits, routing and the administration API.
 
+mod addresses;
 pub mod api_error;
+mod auth;
+mod call;
 mod error_code;
+mod generate;
+mod log_reader;
+mod server;
+mod state;
+mod status;
+mod status_view;
+mod tailer;
 
 pub use api_error::ApiError;
 pub use error_code::ErrorCode;
+pub use server::EntryHandle;
+pub use server::start;
+pub use state::EntryState;
+pub use status_view::HoldView;
+pub use status_view::HostView;
+pub use status_view::ModelView;
+pub use status_view::StatusView;
--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -99,6 +99,13 @@
             .filter_map(|key| self.host(*key).map(|host| (*key, host)))
     }
 
+    /// Number of hosts of `role` that the platform lists.
+    pub fn listed_count(&self, role: HostRole) -> usize {
+        self.hosts()
+            .filter(|(_, host)| host.role == role && host.listed)
+            .count()
+    }
+
     /// Hosts of `role` that may get new work.
     pub fn usable(&self, role: HostRole, now_ms: u64) -> impl Iterator<Item = (HostKey, &Host)> {
         self.hosts()
@@ -115,10 +122,13 @@
 
     /// Merges a list of the platform.
     pub fn take_list(&mut self, list: &HostList, now_ms: u64) -> ListTaken {
+        let mut names: Vec<&str> = list.hosts.iter().map(|host| host.name.as_str()).collect();
+        names.sort_unstable();
+        let is_named = |host: &Host| names.binary_search(&host.name.as_str()).is_ok();
         let listed_before = self.hosts().filter(|(_, host)| host.listed).count();
         let still_listed = self
             .hosts()
-            .filter(|(_, host)| host.listed && contains(list, &host.name))
+            .filter(|(_, host)| host.listed && is_named(host))
             .count();
         let doubted = self.doubts(listed_before, still_listed, now_ms);
         for record in &list.hosts {
@@ -140,7 +150,7 @@
         for slot in &mut self.slots {
             if let Some(host) = &mut slot.host
                 && host.listed
-                && !contains(list, &host.name)
+                && !is_named(host)
             {
                 host.listed = false;
                 host.unlisted_ms = now_ms;
@@ -242,7 +252,3 @@
         self.by_name.insert(at, key);
     }
 }
-
-fn contains(list: &HostList, name: &str) -> bool {
-    list.hosts.iter().any(|host| host.name == name)
-}
--- a/src/weights/peer_note.rs
+++ b/src/weights/peer_note.rs
@@ -25,6 +25,8 @@
     pub have: HaveMap,
     /// Reads that wait at it.
     pub queue: u32,
+    /// Whether its engine serves the version.
+    pub serving: bool,
 }
 
 /// What became of a read at a peer.
--- /dev/null
+++ b/src/weights/placement.rs
@@ -0,0 +1,48 @@
+use crate::weights::homes::mix;
+use crate::weights::homes::seed_of;
+
+/// The hosts that should serve `model`, best first: at most `replicas` of `hosts`.
+///
+/// Rendezvous hashing by name: a host that comes or goes moves only its own
+/// replicas, and every process that knows the same hosts finds the same ones.
+pub fn placement<'a>(
+    model: &str,
+    replicas: u32,
+    hosts: impl Iterator<Item = &'a str>,
+) -> Vec<&'a str> {
+    let model_seed = seed_of(model.as_bytes());
+    let mut ranked: Vec<(u64, &str)> = hosts
+        .map(|host| (mix(model_seed ^ seed_of(host.as_bytes())), host))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(replicas as usize);
+    ranked.into_iter().map(|(_, host)| host).collect()
+}
+
+/// What a host ahead in the order of a rollout told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ahead {
+    /// It serves the new version.
+    Serving,
+    /// It has not come so far.
+    Pending,
+    /// It is gone or can't proceed: the one ahead of it decides.
+    Skipped,
+}
+
+/// Whether the host at `rank` may change to the new version.
+///
+/// A host follows the one `step_replicas` ahead of it, so each of
+/// `step_replicas` chains changes one host at a time.
+pub fn may_change(rank: usize, step_replicas: u32, ahead: impl Fn(usize) -> Ahead) -> bool {
+    let step = step_replicas.max(1) as usize;
+    let mut at = rank;
+    while let Some(before) = at.checked_sub(step) {
+        match ahead(before) {
+            Ahead::Serving => return true,
+            Ahead::Pending => return false,
+            Ahead::Skipped => at = before,
+        }
+    }
+    true
+}
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -68,6 +68,8 @@
     Broken,
     /// The peer doesn't take part in this version.
     Declined,
+    /// The peer wants the version and can't proceed with it.
+    Held,
     /// The peer sent bytes that are not the chunk.
     WrongChunk,
 }
