--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -8,11 +8,12 @@
 
 use crate::conf::EndpointSettings;
 use crate::endpoint::EndpointState;
+use crate::endpoint::WeightsHosts;
+use crate::endpoint::WeightsKeeper;
 use crate::endpoint::call;
 use crate::endpoint::call_ticker::CallTicker;
+use crate::endpoint::configure_weights;
 use crate::endpoint::generate;
-use crate::endpoint::peer_routes;
-use crate::endpoint::weights_naive::Fetcher;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -51,19 +52,19 @@
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/x/generate", web::post().to(generate::generate))
             .route("/x/call", web::post().to(call::call))
-            .route("/x/nonce", web::post().to(call::nonce))
-            .route(
-                "/x/weights/{manifest}/{index}",
-                web::get().to(peer_routes::chunk),
-            )
-            .route("/x/local/{manifest}", web::get().to(peer_routes::whole));
+            .route("/x/nonce", web::post().to(call::nonce));
+        let hosts = WeightsHosts::one(
+            Arc::clone(&shared.weights),
+            shared.node.cluster().shared_key.clone(),
+        );
+        configure_weights(app, hosts);
         node::routes(app, &shared.node);
     })?;
     CallTicker::new(Arc::clone(&state)).start();
     Watcher::new(Arc::clone(&state.node)).start();
     Reporter::bind(Arc::clone(&state.node))?.start();
-    if state.engine_address().is_some() {
-        Fetcher::new(Arc::clone(&state)).start();
+    if let Some(engine) = state.engine_address() {
+        WeightsKeeper::new(Arc::clone(&state), engine).start();
     }
     emit(
         Event::ProcessStarted,
--- a/tests/weights/plan.rs
+++ b/tests/weights/plan.rs
@@ -88,6 +88,23 @@
         })
     }
 
+    /// Every host of another region holds everything.
+    fn know_other_regions(&mut self) {
+        let region = self.homes.region_of(self.me);
+        let others = (0..12)
+            .map(PeerKey)
+            .filter(|key| self.homes.region_of(*key) != region);
+        self.neighbours = others
+            .map(|key| Neighbour {
+                key,
+                have: HaveMap::complete(CHUNKS),
+                queue: 0,
+                blocked_until_ms: 0,
+                lost: false,
+            })
+            .collect();
+    }
+
     fn neighbour(&self, key: PeerKey) -> Option<&Neighbour> {
         self.neighbours
             .iter()
@@ -175,6 +192,7 @@
             case.settings.max_duties = CHUNKS as usize;
             case.settings.max_per_peer = CHUNKS as usize;
             let region = case.homes.region_of(case.me);
+            case.know_other_regions();
             for fetch in case.plan() {
                 readers[region * CHUNKS as usize + fetch.chunk as usize] += 1;
             }
@@ -253,3 +271,24 @@
     case.now_ms = 500;
     assert_eq!(case.plan().len(), case.settings.max_duties);
 }
+
+#[test]
+fn next_fetches_fourth_rank_takes_over_when_three_are_lost() {
+    let mut case = Case::new(12, 1, 0);
+    let ranked = case.homes.ranked(5, 0).to_vec();
+    case.me = ranked[3];
+    case.settings.max_duties = CHUNKS as usize;
+    let mut lost = ranked[..3].to_vec();
+    lost.sort_unstable();
+    case.neighbours = lost
+        .into_iter()
+        .map(|key| Neighbour {
+            key,
+            have: HaveMap::empty(CHUNKS),
+            queue: 0,
+            blocked_until_ms: 0,
+            lost: true,
+        })
+        .collect();
+    assert!(case.plan().iter().any(|fetch| fetch.chunk == 5));
+}
