Add the endpoint's side of token streams

Requests wait in the fair queue with heartbeats, run in a slot, and every answer is checked for its request id, manifest, whole digest and token count. A reader that is gone, or leaves 256 frames unread for 3 s, frees the slot and cancels on the engine.

--- /dev/null
+++ b/src/calls/generate_call.rs
@@ -0,0 +1,42 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::weights::Digest;
+
+/// Bytes of a prompt that cost about as much time as one decoded token.
+const PROMPT_BYTES_PER_TOKEN: u64 = 32;
+
+/// A request for tokens, from an entry to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GenerateCall {
+    /// Names the request in every answer to it.
+    pub request_id: String,
+    /// Branch it counts for.
+    pub branch: String,
+    /// Name of the model.
+    pub model: String,
+    /// The only weights it may be answered with.
+    pub manifest: Digest,
+    /// What the model continues.
+    pub prompt: String,
+    /// Most tokens wanted.
+    pub max_tokens: u32,
+    /// Seed of the sampling.
+    pub seed: u64,
+    /// Higher goes first on the engine.
+    pub priority: u8,
+    /// Index of the first token wanted.
+    #[serde(default)]
+    pub resume_from: u32,
+    /// Time left for the whole answer.
+    pub deadline_ms: u64,
+}
+
+impl GenerateCall {
+    /// What the request is expected to cost, in decoded tokens.
+    pub fn cost_tokens(&self) -> u64 {
+        let decoded = self.max_tokens.saturating_sub(self.resume_from);
+        let prefilled = self.prompt.len() as u64 / PROMPT_BYTES_PER_TOKEN;
+        u64::from(decoded) + prefilled + 1
+    }
+}
--- a/src/contracts/fair_queue.rs
+++ b/src/contracts/fair_queue.rs
@@ -261,14 +261,8 @@
         self.admission.wait_ms(lane.waiting_tokens, share_percent)
     }
 
-    /// When the next waiting request has to be given up.
-    pub fn next_expiry_ms(&self) -> Option<u64> {
-        let waiting = self.lanes.iter().flat_map(|lane| &lane.waiting);
-        waiting.map(|request| self.expiry_ms(request)).min()
-    }
-
     /// Latest time at which a request can start and still be whole by its deadline.
-    fn expiry_ms(&self, request: &Waiting<T>) -> u64 {
+    pub fn expiry_ms(&self, request: &Waiting<T>) -> u64 {
         let service_ms = self.admission.service_ms(request.cost_tokens);
         request.deadline_ms.saturating_sub(service_ms)
     }
--- /dev/null
+++ b/src/endpoint/generate_queue.rs
@@ -0,0 +1,198 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Instant;
+
+use tokio::sync::oneshot;
+
+use crate::calls::RefusalReason;
+use crate::contracts::BranchShare;
+use crate::contracts::FairQueue;
+use crate::contracts::Finished;
+use crate::contracts::Popped;
+use crate::contracts::Pushed;
+use crate::contracts::QueueLimits;
+use crate::contracts::QueueRefusal;
+use crate::contracts::Waiting;
+use crate::hosts::Load;
+
+/// A final refusal of the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Refusal {
+    pub(super) reason: RefusalReason,
+    pub(super) retry_after_ms: u64,
+}
+
+/// What the queue tells a request that waits.
+#[derive(Debug)]
+pub(super) enum Grant {
+    Run(RunSlot),
+    Refused(Refusal),
+}
+
+/// A request's place in the queue.
+#[derive(Debug)]
+pub(super) struct Place {
+    pub(super) grant: oneshot::Receiver<Grant>,
+    /// Time after which the request is given up.
+    pub(super) expiry_ms: u64,
+}
+
+/// The fair queue of an endpoint, shared by the requests in it.
+#[derive(Debug)]
+pub struct GenerateQueue {
+    slots: u32,
+    started: Instant,
+    queue: Mutex<FairQueue<oneshot::Sender<Grant>>>,
+}
+
+impl GenerateQueue {
+    /// Empty queue with `limits`.
+    pub fn new(limits: QueueLimits) -> Arc<Self> {
+        Arc::new(Self {
+            slots: limits.slots,
+            started: Instant::now(),
+            queue: Mutex::new(FairQueue::new(limits)),
+        })
+    }
+
+    /// Sets the shares of the branches.
+    pub fn set_shares(&self, shares: impl IntoIterator<Item = BranchShare>) {
+        let mut queue = self.lock();
+        for share in shares {
+            queue.set_share(share);
+        }
+    }
+
+    /// How busy the endpoint is.
+    pub fn load(&self) -> Load {
+        let queue = self.lock();
+        Load {
+            running: queue.running(),
+            queued: queue.waiting() as u32,
+            slots: self.slots,
+        }
+    }
+
+    /// Time since the queue was made.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Takes a place for a request that must be whole by `deadline_ms`.
+    pub(super) fn enter(
+        self: &Arc<Self>,
+        branch: &str,
+        cost_tokens: u64,
+        deadline_ms: u64,
+    ) -> Result<Place, Refusal> {
+        let now_ms = self.now_ms();
+        let (sender, grant) = oneshot::channel();
+        let mut queue = self.lock();
+        let request = Waiting {
+            branch: queue.branch(branch),
+            cost_tokens,
+            deadline_ms,
+            item: sender,
+        };
+        let expiry_ms = queue.expiry_ms(&request);
+        let pushed = queue.push(request, now_ms);
+        drop(queue);
+        match pushed {
+            Pushed::Queued => {
+                self.pump();
+                Ok(Place { grant, expiry_ms })
+            }
+            Pushed::Refused {
+                reason,
+                retry_after_ms,
+                ..
+            } => Err(Refusal {
+                reason: reason.into(),
+                retry_after_ms,
+            }),
+        }
+    }
+
+    /// Hands out free slots and refuses requests that are given up.
+    pub(super) fn pump(self: &Arc<Self>) {
+        while let Some((waiter, grant)) = self.next_grant() {
+            // A grant whose request has gone comes back and frees its slot when dropped.
+            let _ = waiter.send(grant);
+        }
+    }
+
+    fn next_grant(self: &Arc<Self>) -> Option<(oneshot::Sender<Grant>, Grant)> {
+        let now_ms = self.now_ms();
+        let mut queue = self.lock();
+        queue.withdraw(oneshot::Sender::is_closed);
+        match queue.pop(now_ms) {
+            Popped::Nothing => None,
+            Popped::Run(request) => {
+                let slot = RunSlot {
+                    queue: Arc::clone(self),
+                    started_ms: now_ms,
+                    work: Finished {
+                        branch: request.branch,
+                        cost_tokens: request.cost_tokens,
+                        used_tokens: 0,
+                        held_ms: None,
+                    },
+                };
+                Some((request.item, Grant::Run(slot)))
+            }
+            Popped::Expired {
+                request,
+                reason,
+                retry_after_ms,
+            } => {
+                let refusal = Refusal {
+                    reason: reason.into(),
+                    retry_after_ms,
+                };
+                Some((request.item, Grant::Refused(refusal)))
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FairQueue<oneshot::Sender<Grant>>> {
+        self.queue.lock().expect("no holder of the queue panics")
+    }
+}
+
+/// A slot of the engine, freed when dropped.
+#[derive(Debug)]
+pub(super) struct RunSlot {
+    queue: Arc<GenerateQueue>,
+    started_ms: u64,
+    work: Finished,
+}
+
+impl RunSlot {
+    /// Counts tokens that were made.
+    pub(super) fn used(&mut self, tokens: u64) {
+        self.work.used_tokens = (self.work.used_tokens + tokens).min(self.work.cost_tokens);
+    }
+
+    /// Notes that the answer is whole, so that its time is worth learning from.
+    pub(super) fn whole(&mut self) {
+        self.work.held_ms = Some(self.queue.now_ms() - self.started_ms);
+    }
+}
+
+impl Drop for RunSlot {
+    fn drop(&mut self) {
+        self.queue.lock().finish(self.work);
+        self.queue.pump();
+    }
+}
+
+impl From<QueueRefusal> for RefusalReason {
+    fn from(refusal: QueueRefusal) -> Self {
+        match refusal {
+            QueueRefusal::BranchQueueFull => Self::OverShare,
+            QueueRefusal::QueueFull | QueueRefusal::DeadlineTooNear => Self::Overloaded,
+            QueueRefusal::DeadlinePassed => Self::DeadlinePassed,
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/generate_run.rs
@@ -0,0 +1,248 @@
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use futures_util::future::Either;
+use futures_util::future::select;
+use tokio::sync::mpsc;
+
+use super::generate_queue::GenerateQueue;
+use super::generate_queue::Grant;
+use super::generate_queue::Place;
+use super::generate_queue::Refusal;
+use super::generate_queue::RunSlot;
+use crate::calls::GenerateCall;
+use crate::calls::GenerateFrame;
+use crate::calls::RefusalReason;
+use crate::calls::StreamFault;
+use crate::platform::EngineClient;
+use crate::platform::EngineError;
+use crate::platform::EngineFault;
+use crate::platform::EngineStream;
+use crate::platform::GenerateOrder;
+use crate::platform::StreamEvent;
+use crate::weights::Digest;
+
+/// Interval of heartbeats while a request waits for a slot.
+const BEAT_INTERVAL_MS: u64 = 500;
+
+/// Silence after which the engine's connection is abandoned.
+const ENGINE_SILENCE: Duration = Duration::from_millis(3000);
+
+/// Time a full buffer may wait for its reader.
+const SLOW_READER_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// The entry has closed the stream.
+struct ReaderGone;
+
+/// One request at an endpoint: it waits for a slot, then passes the engine's tokens on.
+pub(super) struct GenerateRun {
+    pub(super) queue: Arc<GenerateQueue>,
+    pub(super) engine: EngineClient,
+    pub(super) call: GenerateCall,
+    /// Whole digest of the weights that were verified here.
+    pub(super) whole: Digest,
+    pub(super) frames: mpsc::Sender<GenerateFrame>,
+}
+
+impl GenerateRun {
+    /// Runs the request to its final frame, or until the reader has gone.
+    pub(super) async fn run(self) {
+        let deadline_ms = self.queue.now_ms() + self.call.deadline_ms;
+        let cost_tokens = self.call.cost_tokens();
+        let place = match self
+            .queue
+            .enter(&self.call.branch, cost_tokens, deadline_ms)
+        {
+            Ok(place) => place,
+            Err(refusal) => return self.refuse(refusal).await,
+        };
+        let Ok(grant) = self.wait(place).await else {
+            self.queue.pump();
+            return;
+        };
+        match grant {
+            Grant::Run(slot) => self.run_in(slot, deadline_ms).await,
+            Grant::Refused(refusal) => self.refuse(refusal).await,
+        }
+    }
+
+    /// Waits for the queue's word, with heartbeats.
+    async fn wait(&self, mut place: Place) -> Result<Grant, ReaderGone> {
+        loop {
+            let left_ms = place.expiry_ms.saturating_sub(self.queue.now_ms()) + 1;
+            let pause = Duration::from_millis(left_ms.min(BEAT_INTERVAL_MS));
+            match self.unless_gone(timeout(pause, &mut place.grant)).await? {
+                Ok(Ok(grant)) => return Ok(grant),
+                // The queue drops no waiting request without a word.
+                Ok(Err(_)) => return Err(ReaderGone),
+                Err(_) => self.queue.pump(),
+            }
+            let load = self.queue.load();
+            self.send(GenerateFrame::Beat { load }).await?;
+        }
+    }
+
+    async fn run_in(&self, mut slot: RunSlot, deadline_ms: u64) {
+        // A process that was paused finds the deadline passed here.
+        let left_ms = deadline_ms.saturating_sub(self.queue.now_ms());
+        if left_ms == 0 {
+            return self.refuse(Refusal::deadline_passed()).await;
+        }
+        let streamed = self.stream(&mut slot, left_ms).await;
+        let last = match streamed {
+            Ok(last) => last,
+            Err(ReaderGone) => {
+                // An engine that does not see the closed connection is told.
+                let _ = self.engine.cancel(&self.call.request_id).await;
+                return;
+            }
+        };
+        drop(slot);
+        let _ = self.send(self.with_load(last)).await;
+    }
+
+    /// Passes tokens on and returns the final frame.
+    async fn stream(&self, slot: &mut RunSlot, left_ms: u64) -> Result<GenerateFrame, ReaderGone> {
+        let order = self.order(left_ms);
+        let mut events = match self.unless_gone(self.engine.generate(&order)).await? {
+            Ok(events) => events,
+            Err(error) => return Ok(failed(sort_error(&error))),
+        };
+        let mut next_index = self.call.resume_from;
+        loop {
+            match self.next_event(&mut events).await? {
+                Ok(StreamEvent::Token { index, text }) if index == next_index => {
+                    next_index += 1;
+                    slot.used(1);
+                    self.send(GenerateFrame::Token { index, text }).await?;
+                }
+                Ok(StreamEvent::Token { .. }) => return Ok(failed(StreamFault::WrongAnswer)),
+                Ok(StreamEvent::Beat) => {
+                    let load = self.queue.load();
+                    self.send(GenerateFrame::Beat { load }).await?;
+                }
+                Ok(StreamEvent::End {
+                    request_id,
+                    tokens,
+                    manifest,
+                    whole,
+                }) => {
+                    let is_ours = request_id == self.call.request_id
+                        && manifest == self.call.manifest
+                        && whole == self.whole
+                        && tokens == next_index;
+                    if !is_ours {
+                        return Ok(failed(StreamFault::WrongAnswer));
+                    }
+                    slot.whole();
+                    return Ok(GenerateFrame::End {
+                        request_id,
+                        tokens,
+                        manifest,
+                        whole,
+                        load: self.queue.load(),
+                    });
+                }
+                Ok(StreamEvent::Error { code, .. }) => return Ok(failed(sort_fault(code))),
+                Err(fault) => return Ok(failed(fault)),
+            }
+        }
+    }
+
+    async fn next_event(
+        &self,
+        events: &mut EngineStream,
+    ) -> Result<Result<StreamEvent, StreamFault>, ReaderGone> {
+        let next = timeout(ENGINE_SILENCE, events.next());
+        Ok(match self.unless_gone(next).await? {
+            Ok(Some(Ok(event))) => Ok(event),
+            // The connection ended without its end record, broke or fell silent.
+            Ok(Some(Err(_)) | None) | Err(_) => Err(StreamFault::EngineFailed),
+        })
+    }
+
+    fn order(&self, left_ms: u64) -> GenerateOrder {
+        GenerateOrder {
+            request_id: self.call.request_id.clone(),
+            model: self.call.model.clone(),
+            manifest: self.call.manifest,
+            prompt: self.call.prompt.clone(),
+            max_tokens: self.call.max_tokens,
+            seed: self.call.seed,
+            priority: self.call.priority,
+            resume_from: self.call.resume_from,
+            deadline_ms: left_ms,
+        }
+    }
+
+    /// The final frame with the load after its slot was freed.
+    fn with_load(&self, mut last: GenerateFrame) -> GenerateFrame {
+        if let GenerateFrame::End { load, .. } | GenerateFrame::Failed { load, .. } = &mut last {
+            *load = self.queue.load();
+        }
+        last
+    }
+
+    async fn refuse(&self, refusal: Refusal) {
+        let frame = GenerateFrame::Refused {
+            reason: refusal.reason,
+            retry_after_ms: Some(refusal.retry_after_ms),
+            load: self.queue.load(),
+        };
+        let _ = self.send(frame).await;
+    }
+
+    /// Sends a frame; a reader that leaves the buffer full for long counts as gone.
+    async fn send(&self, frame: GenerateFrame) -> Result<(), ReaderGone> {
+        match timeout(SLOW_READER_TIMEOUT, self.frames.send(frame)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(ReaderGone),
+        }
+    }
+
+    async fn unless_gone<T>(&self, work: impl Future<Output = T>) -> Result<T, ReaderGone> {
+        match select(pin!(work), pin!(self.frames.closed())).await {
+            Either::Left((done, _)) => Ok(done),
+            Either::Right(_) => Err(ReaderGone),
+        }
+    }
+}
+
+impl Refusal {
+    fn deadline_passed() -> Self {
+        Self {
+            reason: RefusalReason::DeadlinePassed,
+            retry_after_ms: 0,
+        }
+    }
+}
+
+fn failed(fault: StreamFault) -> GenerateFrame {
+    GenerateFrame::Failed {
+        fault,
+        load: crate::hosts::Load::default(),
+    }
+}
+
+fn sort_error(error: &EngineError) -> StreamFault {
+    match error {
+        EngineError::Refused(fault) => sort_fault(*fault),
+        EngineError::Unreachable(_) | EngineError::Status(_) | EngineError::Malformed(_) => {
+            StreamFault::EngineFailed
+        }
+    }
+}
+
+fn sort_fault(fault: EngineFault) -> StreamFault {
+    match fault {
+        EngineFault::NotLoaded | EngineFault::BaseNotLoaded => StreamFault::NotLoaded,
+        EngineFault::DeadlinePassed => StreamFault::DeadlinePassed,
+        EngineFault::StaleOrder
+        | EngineFault::SourceFailed
+        | EngineFault::Cancelled
+        | EngineFault::Other => StreamFault::EngineFailed,
+    }
+}
--- /dev/null
+++ b/src/endpoint/generate_server.rs
@@ -0,0 +1,69 @@
+use std::sync::Arc;
+
+use actix_web::HttpResponse;
+use actix_web::web::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream;
+use tokio::sync::mpsc;
+
+use super::generate_queue::GenerateQueue;
+use super::generate_run::GenerateRun;
+use crate::calls::GenerateCall;
+use crate::calls::GenerateFrame;
+use crate::calls::RefusalReason;
+use crate::platform::EngineClient;
+use crate::weights::Digest;
+
+/// Frames that wait for a slow reader.
+const BUFFERED_FRAMES: usize = 256;
+
+/// Runs requests for tokens on the engine of this host, through the fair queue.
+#[derive(Debug)]
+pub struct GenerateServer {
+    queue: Arc<GenerateQueue>,
+    engine: EngineClient,
+}
+
+impl GenerateServer {
+    /// Server in front of `engine`.
+    pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient) -> Self {
+        Self { queue, engine }
+    }
+
+    /// The queue in front of the engine.
+    pub fn queue(&self) -> &Arc<GenerateQueue> {
+        &self.queue
+    }
+
+    /// Runs a call on weights whose whole digest was verified to be `whole`.
+    pub fn run(&self, call: GenerateCall, whole: Digest) -> HttpResponse {
+        let (frames, mut received) = mpsc::channel(BUFFERED_FRAMES);
+        let run = GenerateRun {
+            queue: Arc::clone(&self.queue),
+            engine: self.engine.clone(),
+            call,
+            whole,
+            frames,
+        };
+        actix_rt::spawn(run.run());
+        respond(stream::poll_fn(move |context| received.poll_recv(context)))
+    }
+
+    /// Refuses a call before it reaches the queue.
+    pub fn refuse(&self, reason: RefusalReason) -> HttpResponse {
+        let frame = GenerateFrame::Refused {
+            reason,
+            retry_after_ms: reason.retry_after_ms(),
+            load: self.queue.load(),
+        };
+        respond(stream::iter([frame]))
+    }
+}
+
+fn respond(frames: impl Stream<Item = GenerateFrame> + 'static) -> HttpResponse {
+    let bodies = frames.map(|frame| Ok::<_, actix_web::Error>(Bytes::from(frame.to_bytes())));
+    HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .streaming(bodies)
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,14 +2,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_web::http::Method;
 use actix_web::http::StatusCode;
-use awc::Client;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::links::HttpClient;
 use crate::platform::CancelOrder;
 use crate::platform::EngineFault;
 use crate::platform::EngineRefusal;
@@ -55,17 +56,17 @@
 impl std::error::Error for EngineError {}
 
 /// Client of one engine; only its endpoint process holds one.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct EngineClient {
-    client: Client,
+    http: HttpClient,
     base_url: String,
 }
 
 impl EngineClient {
     /// Client of the engine at `address`.
-    pub fn new(client: Client, address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
-            client,
+            http: HttpClient::to_platform(),
             base_url: format!("http://{address}"),
         }
     }
@@ -117,8 +118,8 @@
     pub async fn state(&self) -> Result<EngineState, EngineError> {
         let url = format!("{}/v1/state", self.base_url);
         let mut response = self
-            .client
-            .get(url)
+            .http
+            .request(Method::GET, &url)
             .timeout(ORDER_TIMEOUT)
             .send()
             .await
@@ -138,8 +139,8 @@
     pub async fn generate(&self, order: &GenerateOrder) -> Result<EngineStream, EngineError> {
         let url = format!("{}/v1/generate", self.base_url);
         let mut response = self
-            .client
-            .post(url)
+            .http
+            .request(Method::POST, &url)
             .timeout(ORDER_TIMEOUT)
             .send_json(order)
             .await
@@ -166,8 +167,8 @@
     ) -> Result<T, EngineError> {
         let url = format!("{}{path}", self.base_url);
         let mut response = self
-            .client
-            .post(url)
+            .http
+            .request(Method::POST, &url)
             .timeout(timeout)
             .send_json(order)
             .await
@@ -180,14 +181,6 @@
     }
 }
 
-impl fmt::Debug for EngineClient {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("EngineClient")
-            .field("base_url", &self.base_url)
-            .finish_non_exhaustive()
-    }
-}
-
 fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
     match serde_json::from_slice::<EngineRefusal>(body) {
         Ok(refusal) => EngineError::Refused(refusal.code),
--- a/tests/contracts/fair_queue.rs
+++ b/tests/contracts/fair_queue.rs
@@ -216,8 +216,8 @@
     run(&mut queue).expect("a request waits");
     let mut near = request(a, 100);
     near.deadline_ms = 1500;
+    assert_eq!(queue.expiry_ms(&near), 500);
     assert_eq!(queue.push(near, 0), Pushed::Queued);
-    assert_eq!(queue.next_expiry_ms(), Some(500));
     assert_eq!(queue.pop(500), Popped::Nothing);
     let Popped::Expired { reason, .. } = queue.pop(501) else {
         panic!("the request cannot be whole by its deadline");
--- a/tests/generate_engine/fixture.rs
+++ b/tests/generate_engine/fixture.rs
@@ -56,7 +56,7 @@
         let source_url = format!("http://{}/", source.addrs()[0]);
         actix_rt::spawn(source.run());
         Self {
-            engine: EngineClient::new(awc::Client::new(), handle.address()),
+            engine: EngineClient::new(handle.address()),
             source_url,
         }
     }
