Route token streams with retries and resumption

The endpoint runs each request through the fair queue; the entry picks by load, prefix and pace, and joins attempts to one answer: refusals and failures go elsewhere within the branch's retry budget, a broken stream resumes from the next token on a replica of the same manifest, silence of 3 s abandons the connection, and a final refusal carries Retry-After. While a version rolls out, replicas of the one before answer too.

--- a/src/calls/router.rs
+++ b/src/calls/router.rs
@@ -6,6 +6,7 @@
 use crate::calls::candidate::mix;
 use crate::calls::endpoint_track::EndpointTrack;
 use crate::hosts::HostKey;
+use crate::hosts::Load;
 
 /// Endpoints one entry uses for a model; more are cut down to a subset.
 const SUBSET_SIZE: usize = 48;
@@ -102,6 +103,11 @@
         self.ensure_track(key).started(now_ms);
     }
 
+    /// Learns how busy an endpoint is from one of its answers.
+    pub fn answered(&mut self, key: HostKey, load: Load, now_ms: u64) {
+        self.ensure_track(key).answered(load, now_ms);
+    }
+
     /// Learns how far apart the tokens of an answer arrive.
     pub fn observed(&mut self, key: HostKey, token_interval_us: u64) {
         self.ensure_track(key).observed(token_interval_us);
--- /dev/null
+++ b/src/endpoint/generate.rs
@@ -0,0 +1,51 @@
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::Bytes;
+
+use crate::calls::GenerateCall;
+use crate::calls::RefusalReason;
+use crate::contracts::BranchShare;
+use crate::endpoint::EndpointState;
+use crate::endpoint::GenerateServer;
+use crate::links::has_key;
+use crate::links::read_rmp;
+
+/// Runs a request for tokens through the fair queue and streams its frames back.
+pub async fn generate(
+    state: web::Data<EndpointState>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    if !has_key(&request, &state.node.cluster().shared_key) {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let call: GenerateCall = match read_rmp(&body) {
+        Ok(call) => call,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
+    let Some(server) = &state.generate else {
+        return HttpResponse::NotFound().finish();
+    };
+    if state.node.is_leaving() {
+        return server.refuse(RefusalReason::Leaving);
+    }
+    let whole = state.weights().serving_whole(call.manifest);
+    let Some(whole) = whole else {
+        return server.refuse(RefusalReason::NotReady);
+    };
+    refresh_shares(&state, server);
+    server.run(call, whole)
+}
+
+/// Brings the queue's shares up to the configuration in force.
+fn refresh_shares(state: &EndpointState, server: &GenerateServer) {
+    let fold = state.node.fold();
+    let offset = fold.head();
+    if server.queue().shares_offset() == Some(offset) {
+        return;
+    }
+    let branches = fold.document().branches();
+    let shares = branches.iter().map(BranchShare::from);
+    server.queue().set_shares(offset, shares);
+}
--- a/src/endpoint/generate_queue.rs
+++ b/src/endpoint/generate_queue.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use tokio::sync::oneshot;
@@ -16,6 +18,9 @@
 use crate::contracts::Waiting;
 use crate::hosts::Load;
 
+/// Offset that stands for no configuration yet.
+const NO_OFFSET: u64 = u64::MAX;
+
 /// A final refusal of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Refusal {
@@ -43,6 +48,7 @@
 pub struct GenerateQueue {
     slots: u32,
     started: Instant,
+    shares_offset: AtomicU64,
     queue: Mutex<FairQueue<oneshot::Sender<Grant>>>,
 }
 
@@ -52,12 +58,22 @@
         Arc::new(Self {
             slots: limits.slots,
             started: Instant::now(),
+            shares_offset: AtomicU64::new(NO_OFFSET),
             queue: Mutex::new(FairQueue::new(limits)),
         })
     }
 
-    /// Sets the shares of the branches.
-    pub fn set_shares(&self, shares: impl IntoIterator<Item = BranchShare>) {
+    /// Configuration offset of the shares; `None` before the first.
+    pub fn shares_offset(&self) -> Option<u64> {
+        match self.shares_offset.load(Ordering::Relaxed) {
+            NO_OFFSET => None,
+            offset => Some(offset),
+        }
+    }
+
+    /// Sets the shares of the branches, as of a configuration offset.
+    pub fn set_shares(&self, offset: u64, shares: impl IntoIterator<Item = BranchShare>) {
+        self.shares_offset.store(offset, Ordering::Relaxed);
         let mut queue = self.lock();
         for share in shares {
             queue.set_share(share);
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,8 +1,18 @@
 //! The endpoint role: the only process that gives its engine or service orders or calls.
 
+mod call;
+mod generate;
+mod generate_load;
 mod generate_queue;
 mod generate_run;
 mod generate_server;
+mod peer_routes;
+mod server;
+mod state;
+mod weights_naive;
 
 pub use generate_queue::GenerateQueue;
 pub use generate_server::GenerateServer;
+pub use server::EndpointHandle;
+pub use server::start;
+pub use state::EndpointState;
--- /dev/null
+++ b/src/entry/generate.rs
@@ -0,0 +1,100 @@
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::Deserialize;
+
+use super::generate_event::GenerateEvent;
+use super::generate_relay::Relay;
+use crate::calls::GenerateCall;
+use crate::calls::Nonce;
+use crate::entry::ApiError;
+use crate::entry::EntryState;
+use crate::entry::ErrorCode;
+use crate::entry::auth;
+use crate::weights::Digest;
+
+/// Time allowed when the caller names none.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// A caller's request for tokens.
+#[derive(Debug, Deserialize)]
+pub struct GenerateBody {
+    branch: String,
+    model: String,
+    prompt: String,
+    max_tokens: u32,
+    #[serde(default)]
+    seed: u64,
+    #[serde(default)]
+    priority: u8,
+    deadline_ms: Option<u64>,
+    /// Index of the first token wanted, by a caller that has those before.
+    #[serde(default)]
+    resume_from: u32,
+    /// Version of the tokens that the caller has.
+    manifest: Option<Digest>,
+}
+
+/// Sends a request for tokens to a replica and streams the answer back.
+pub async fn generate(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    body: web::Json<GenerateBody>,
+) -> Result<HttpResponse, ApiError> {
+    let document = state.node.document();
+    let body = body.into_inner();
+    let branch = auth::branch(&document, &body.branch, &request)?;
+    let model = document.model(&body.model).ok_or_else(|| {
+        let message = format!("model {:?} does not exist", body.model);
+        ApiError::new(ErrorCode::UnknownModel, message)
+    })?;
+    if !branch.models.contains(&model.name) {
+        let message = format!(
+            "branch {:?} may not use model {:?}",
+            branch.name, model.name
+        );
+        return Err(ApiError::new(ErrorCode::Forbidden, message));
+    }
+    if let Some(manifest) = body.manifest
+        && manifest != model.manifest
+    {
+        let message = format!("model {:?} has another version now", model.name);
+        return Err(ApiError::new(ErrorCode::StreamBroken, message));
+    }
+    let call = GenerateCall {
+        request_id: Nonce::random().to_string(),
+        branch: branch.name,
+        model: model.name,
+        manifest: model.manifest,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        seed: body.seed,
+        priority: body.priority,
+        resume_from: body.resume_from,
+        deadline_ms: body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
+    };
+    answer(Relay::new(state.into_inner(), call)).await
+}
+
+/// Waits for the first event, so that a refusal gets its own status, then streams.
+async fn answer(mut relay: Relay) -> Result<HttpResponse, ApiError> {
+    let Some(first) = relay.next().await else {
+        let message = "the stream was empty";
+        return Err(ApiError::new(ErrorCode::Internal, message));
+    };
+    let first_line = Bytes::from(first?.to_line());
+    let rest = stream::unfold(relay, |mut relay| async move {
+        let event = match relay.next().await? {
+            Ok(event) => event,
+            Err(error) => GenerateEvent::error(relay.request_id(), &error),
+        };
+        Some((Bytes::from(event.to_line()), relay))
+    });
+    let lines = stream::iter([first_line]).chain(rest);
+    Ok(HttpResponse::Ok()
+        .content_type("application/x-ndjson")
+        .streaming(lines.map(Ok::<_, actix_web::Error>)))
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,22 @@
 //! The entry role: addresses, permits, routing and the administration API.
 
+mod addresses;
 pub mod api_error;
+mod auth;
+mod call;
 mod error_code;
+mod generate;
+mod generate_attempt;
+mod generate_event;
+mod generate_relay;
+mod generate_routing;
+mod server;
+mod state;
+mod tailer;
 
 pub use api_error::ApiError;
 pub use error_code::ErrorCode;
+pub use generate_routing::Routing;
+pub use server::EntryHandle;
+pub use server::start;
+pub use state::EntryState;
