--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,1 +1,18 @@
 //! The load and experiment tool: measurements, each against its own baseline.
+
+mod requests;
+mod requests_baseline;
+mod requests_driver;
+mod requests_fleet;
+mod requests_overhead;
+mod requests_result;
+mod requests_scenario;
+mod requests_tally;
+
+pub use requests::RequestsBench;
+pub use requests::RequestsResult;
+pub use requests_fleet::RequestsPolicy;
+pub use requests_overhead::OverheadResult;
+pub use requests_result::PolicyResult;
+pub use requests_scenario::RequestsScenario;
+pub use requests_tally::TallyResult;
--- /dev/null
+++ b/src/bench/requests_driver.rs
@@ -0,0 +1,230 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep_until;
+use awc::Client;
+use awc::Connector;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::requests_fleet::MODEL;
+use super::requests_fleet::RequestsPolicy;
+use super::requests_fleet::TOKEN;
+use super::requests_fleet::manifest;
+use super::requests_fleet::whole;
+use super::requests_scenario::Arrival;
+use super::requests_scenario::BRANCHES;
+use super::requests_scenario::DEADLINE_MS;
+use super::requests_scenario::TOKENS;
+use super::requests_scenario::WARM_UP_MS;
+use super::requests_scenario::prompt;
+use super::requests_tally::Outcome;
+use super::requests_tally::Tally;
+use crate::platform::LineBuffer;
+use crate::standin::engine::token_text;
+
+/// Seed of every request.
+const TOKEN_SEED: u64 = 7;
+
+/// Time after its deadline at which a caller stops to listen.
+const PATIENCE: Duration = Duration::from_millis(3000);
+
+/// A line of an answer.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+enum Line {
+    Token { index: u32, text: String },
+    Beat,
+    End { tokens: u32 },
+    Error { code: String },
+}
+
+/// Tallies of each branch.
+pub(super) type Tallies = Rc<RefCell<Vec<Tally>>>;
+
+/// Sends requests when they are due, however slow the answers are.
+#[derive(Clone)]
+pub(super) struct Driver {
+    client: Client,
+    policy: RequestsPolicy,
+    entries: Vec<SocketAddr>,
+    pub(super) tallies: Tallies,
+}
+
+/// What a caller saw of one request.
+#[derive(Debug)]
+pub(super) struct Seen {
+    pub(super) outcome: Outcome,
+    pub(super) first_token_at: Option<Instant>,
+}
+
+impl Driver {
+    pub(super) fn new(policy: RequestsPolicy, entries: Vec<SocketAddr>) -> Self {
+        let client = Client::builder()
+            .connector(Connector::new().limit(0))
+            .disable_timeout()
+            .finish();
+        let tallies = vec![Tally::new(); BRANCHES.len()];
+        Self {
+            client,
+            policy,
+            entries,
+            tallies: Rc::new(RefCell::new(tallies)),
+        }
+    }
+
+    /// Sends all `arrivals` and waits for the last answer.
+    pub(super) async fn run(&self, arrivals: Vec<Arrival>) {
+        let start = Instant::now();
+        let mut sent = Vec::with_capacity(arrivals.len());
+        for (number, arrival) in arrivals.into_iter().enumerate() {
+            let due = start + Duration::from_micros(arrival.at_us);
+            sleep_until(due.into()).await;
+            let this = self.clone();
+            sent.push(actix_rt::spawn(async move {
+                this.one(arrival, number, due).await;
+            }));
+        }
+        for request in sent {
+            request.await.expect("no request panics");
+        }
+    }
+
+    async fn one(&self, arrival: Arrival, number: usize, due: Instant) {
+        let prompt = prompt(&arrival, number);
+        let patience = Duration::from_millis(DEADLINE_MS) + PATIENCE;
+        let asked = self.ask(arrival.entry, BRANCHES[arrival.branch], &prompt, number);
+        let answered = actix_rt::time::timeout(patience, asked).await;
+        let seen = answered.unwrap_or_else(|_| Seen {
+            outcome: Outcome::Failed("no_answer".to_owned()),
+            first_token_at: None,
+        });
+        let took = due.elapsed();
+        let is_late = took > Duration::from_millis(DEADLINE_MS);
+        let outcome = match seen.outcome {
+            Outcome::Done if is_late => Outcome::Failed("late".to_owned()),
+            outcome => outcome,
+        };
+        if arrival.at_us < WARM_UP_MS * 1000 {
+            return;
+        }
+        let first_token = seen.first_token_at.map(|at| at - due);
+        self.tallies.borrow_mut()[arrival.branch].add(&outcome, first_token, took);
+    }
+
+    /// Sends one request and reads its answer.
+    pub(super) async fn ask(
+        &self,
+        entry: usize,
+        branch: &str,
+        prompt: &str,
+        number: usize,
+    ) -> Seen {
+        let address = self.entries[entry % self.entries.len()];
+        let (path, body) = match self.policy {
+            RequestsPolicy::Baseline => ("generate", engine_order(prompt, number)),
+            RequestsPolicy::Product | RequestsPolicy::Both => {
+                ("v1/generate", entry_request(branch, prompt))
+            }
+        };
+        self.send(&format!("http://{address}/{path}"), &body, prompt)
+            .await
+    }
+
+    /// Sends one request straight to an engine.
+    pub(super) async fn ask_engine(&self, engine: SocketAddr, prompt: &str, number: usize) -> Seen {
+        let body = engine_order(prompt, number);
+        self.send(&format!("http://{engine}/v1/generate"), &body, prompt)
+            .await
+    }
+
+    async fn send(&self, url: &str, body: &Value, prompt: &str) -> Seen {
+        let request = self.client.post(url).bearer_auth(TOKEN);
+        let mut first_token_at = None;
+        let outcome = match request.send_json(body).await {
+            Ok(mut response) if !response.status().is_success() => {
+                let body = response.body().await.unwrap_or_default();
+                let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+                match answer["code"].as_str() {
+                    Some(code) => Outcome::Refused(code.to_owned()),
+                    None => Outcome::Failed(format!("status_{}", response.status().as_u16())),
+                }
+            }
+            Ok(response) => {
+                let lines = response.map(Result::ok);
+                read(lines, prompt, &mut first_token_at).await
+            }
+            Err(_) => Outcome::Failed("connection".to_owned()),
+        };
+        Seen {
+            outcome,
+            first_token_at,
+        }
+    }
+}
+
+/// Reads an answer and checks that it is whole and its own.
+async fn read(
+    mut chunks: impl StreamExt<Item = Option<bytes::Bytes>> + Unpin,
+    prompt: &str,
+    first_token_at: &mut Option<Instant>,
+) -> Outcome {
+    let failed = |code: &str| Outcome::Failed(code.to_owned());
+    let mut lines = LineBuffer::default();
+    let mut next_index = 0;
+    loop {
+        let Some(line) = lines.next_line() else {
+            match chunks.next().await.flatten() {
+                Some(chunk) if lines.push(&chunk) => continue,
+                _ => return failed("truncated"),
+            }
+        };
+        match serde_json::from_slice(line) {
+            Ok(Line::Token { index, text }) => {
+                let expected = token_text(&whole(), prompt, TOKEN_SEED, next_index);
+                if index != next_index || text != expected {
+                    return failed("wrong_token");
+                }
+                first_token_at.get_or_insert_with(Instant::now);
+                next_index += 1;
+            }
+            Ok(Line::Beat) => {}
+            Ok(Line::End { tokens }) if tokens == TOKENS && next_index == TOKENS => {
+                return Outcome::Done;
+            }
+            Ok(Line::Error { code }) if first_token_at.is_none() => return Outcome::Refused(code),
+            Ok(Line::Error { code }) => return Outcome::Failed(code),
+            Ok(Line::End { .. }) | Err(_) => return failed("wrong_answer"),
+        }
+    }
+}
+
+fn engine_order(prompt: &str, number: usize) -> Value {
+    json!({
+        "request_id": format!("request-{number}"),
+        "model": MODEL,
+        "manifest": manifest(),
+        "prompt": prompt,
+        "max_tokens": TOKENS,
+        "seed": TOKEN_SEED,
+        "priority": 0,
+        "resume_from": 0,
+        "deadline_ms": DEADLINE_MS,
+    })
+}
+
+fn entry_request(branch: &str, prompt: &str) -> Value {
+    json!({
+        "branch": branch,
+        "model": MODEL,
+        "prompt": prompt,
+        "max_tokens": TOKENS,
+        "seed": TOKEN_SEED,
+        "deadline_ms": DEADLINE_MS,
+    })
+}
--- /dev/null
+++ b/src/bench/requests_fleet.rs
@@ -0,0 +1,407 @@
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::Bytes;
+use actix_web::web::Data;
+
+use super::requests_baseline;
+use super::requests_baseline::Fifo;
+use super::requests_baseline::RoundRobin;
+use super::requests_overhead::thread_number;
+use super::requests_scenario::BATCH_SLOWDOWN_PERCENT;
+use super::requests_scenario::BRANCHES;
+use super::requests_scenario::ENDPOINTS;
+use super::requests_scenario::ENTRIES;
+use super::requests_scenario::FIRST_TOKEN_MS;
+use super::requests_scenario::SLOTS;
+use super::requests_scenario::TOKEN_MS;
+use crate::calls::GenerateCall;
+use crate::conf::ClusterSettings;
+use crate::conf::EntrySettings;
+use crate::conf::PlatformSettings;
+use crate::conf::ProcessSettings;
+use crate::contracts::BranchShare;
+use crate::contracts::QueueLimits;
+use crate::document::Edit;
+use crate::document::LogRecord;
+use crate::endpoint::GenerateQueue;
+use crate::endpoint::GenerateServer;
+use crate::endpoint::SLOTS_PER_RESERVED;
+use crate::entry::EntryState;
+use crate::entry::generate_route;
+use crate::hosts::HostRole;
+use crate::hosts::Load;
+use crate::hosts::Progress;
+use crate::hosts::Report;
+use crate::hosts::Served;
+use crate::links::ServeOptions;
+use crate::links::read_rmp;
+use crate::links::serve;
+use crate::platform::EngineClient;
+use crate::platform::LoadOrder;
+use crate::platform::OrderNo;
+use crate::standin::Handle;
+use crate::standin::engine;
+use crate::standin::engine::EngineOptions;
+use crate::weights::Digest;
+
+/// Name of the model.
+pub(super) const MODEL: &str = "chat";
+
+/// Bearer token of every branch.
+pub(super) const TOKEN: &str = "a token of the bench";
+
+/// Key the processes share.
+const SHARED_KEY: &str = "a key of the bench";
+
+/// The weights that the engines load.
+const WEIGHTS: &[u8] = b"weights of a small model";
+
+/// Requests of one branch that wait at an endpoint.
+const BRANCH_WAITING: usize = 64;
+
+/// Port of every process; each has a loopback address of its own.
+const PORT: u16 = 7400;
+
+static NEXT_HOST: AtomicU32 = AtomicU32::new(1);
+
+/// Which policy a fleet runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum RequestsPolicy {
+    /// The entries and endpoints of this system.
+    Product,
+    /// Round robin over endpoints that run requests in order.
+    Baseline,
+    /// One after the other.
+    Both,
+}
+
+/// One endpoint of the fleet with its engine.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub(super) engine: EngineClient,
+    pub(super) engine_address: SocketAddr,
+    pub(super) address: SocketAddr,
+    pub(super) handle: Option<Handle>,
+    queue: Arc<GenerateQueue>,
+}
+
+/// Engines, endpoints and entries on loopback.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    policy: RequestsPolicy,
+    pub(super) members: Vec<Member>,
+    pub(super) entries: Vec<SocketAddr>,
+    states: Vec<Arc<EntryState>>,
+    /// Calls that reached endpoints.
+    pub(super) received: Arc<AtomicUsize>,
+    handles: Vec<Handle>,
+    entry_threads: Threads,
+    endpoint_threads: Threads,
+}
+
+/// Numbers of the worker threads of some servers.
+type Threads = Arc<Mutex<Vec<String>>>;
+
+fn add_thread(threads: &Threads) {
+    let mut threads = threads.lock().expect("no holder of the lock panics");
+    threads.extend(thread_number());
+}
+
+fn next_address() -> SocketAddr {
+    let process = std::process::id();
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let high = 1 + (process >> 8) % 250;
+    let ip = Ipv4Addr::new(127, high as u8, process as u8, host as u8);
+    SocketAddr::new(ip.into(), PORT)
+}
+
+/// Manifest of the model, which the bench only names.
+pub(super) fn manifest() -> Digest {
+    Digest::of(b"manifest of a small model")
+}
+
+/// Whole digest of the model's weights.
+pub(super) fn whole() -> Digest {
+    Digest::of(WEIGHTS)
+}
+
+impl Fleet {
+    /// Starts engines with loaded weights, endpoints and entries.
+    pub(super) async fn start(policy: RequestsPolicy, cache_blocks: usize) -> io::Result<Self> {
+        let source = serve(next_address(), &ServeOptions::default(), |app| {
+            app.default_service(web::to(|| async { WEIGHTS }));
+        })?;
+        let mut fleet = Self {
+            policy,
+            members: Vec::new(),
+            entries: Vec::new(),
+            states: Vec::new(),
+            received: Arc::default(),
+            handles: Vec::new(),
+            entry_threads: Threads::default(),
+            endpoint_threads: Threads::default(),
+        };
+        for _ in 0..ENDPOINTS {
+            fleet.add_member(&source, cache_blocks).await?;
+        }
+        for number in 0..ENTRIES {
+            fleet.add_entry(number)?;
+        }
+        fleet.handles.push(source);
+        fleet.report(&fleet.loads());
+        Ok(fleet)
+    }
+
+    async fn add_member(&mut self, source: &Handle, cache_blocks: usize) -> io::Result<()> {
+        let mut options = EngineOptions::new(next_address());
+        options.slots = SLOTS;
+        options.first_token_ms = FIRST_TOKEN_MS;
+        options.token_ms = TOKEN_MS;
+        options.batch_slowdown_percent = BATCH_SLOWDOWN_PERCENT;
+        options.cache_blocks = cache_blocks;
+        let handle = engine::start(options).await?;
+        let engine = EngineClient::new(handle.address());
+        let order = LoadOrder {
+            order: OrderNo {
+                offset: 1,
+                incarnation: 1,
+                sequence: 1,
+            },
+            model: MODEL.to_owned(),
+            version: "1".to_owned(),
+            manifest: manifest(),
+            base: None,
+            source_url: source.url(),
+        };
+        engine.load(&order).await.map_err(io::Error::other)?;
+        let queue = GenerateQueue::new(QueueLimits {
+            slots: SLOTS,
+            reserved: SLOTS / SLOTS_PER_RESERVED,
+            branch_waiting: BRANCH_WAITING,
+            waiting: BRANCH_WAITING * BRANCHES.len(),
+        });
+        let shares = BRANCHES.map(|branch| BranchShare {
+            branch: branch.to_owned(),
+            weight: 1,
+            burst_percent: 100,
+        });
+        queue.set_shares(0, shares);
+        let mut member = Member {
+            engine,
+            engine_address: handle.address(),
+            address: next_address(),
+            handle: None,
+            queue,
+        };
+        self.start_endpoint(&mut member)?;
+        self.members.push(member);
+        self.handles.push(handle);
+        Ok(())
+    }
+
+    /// Starts the endpoint process of a member, at first or again.
+    fn start_endpoint(&self, member: &mut Member) -> io::Result<()> {
+        let engine = member.engine.clone();
+        let queue = Arc::clone(&member.queue);
+        let received = Arc::clone(&self.received);
+        let options = ServeOptions::default();
+        let handle = match self.policy {
+            RequestsPolicy::Baseline => {
+                let fifo = Data::new(Fifo::new(SLOTS, engine, received));
+                serve(member.address, &options, move |app| {
+                    app.app_data(fifo.clone())
+                        .route("/generate", web::post().to(requests_baseline::endpoint));
+                })?
+            }
+            RequestsPolicy::Product | RequestsPolicy::Both => {
+                let server = Data::new(ProductEndpoint {
+                    server: GenerateServer::new(queue, engine),
+                    received,
+                });
+                let threads = Arc::clone(&self.endpoint_threads);
+                serve(member.address, &options, move |app| {
+                    add_thread(&threads);
+                    app.app_data(server.clone())
+                        .route("/x/generate", web::post().to(product_endpoint));
+                })?
+            }
+        };
+        member.handle = Some(handle);
+        Ok(())
+    }
+
+    fn add_entry(&mut self, number: usize) -> io::Result<()> {
+        let address = next_address();
+        self.entries.push(address);
+        let options = ServeOptions::default();
+        if self.policy == RequestsPolicy::Baseline {
+            let endpoints = self.members.iter().map(|member| member.address).collect();
+            let first = number * ENDPOINTS / ENTRIES;
+            let state = Data::new(RoundRobin::new(endpoints, first));
+            let handle = serve(address, &options, move |app| {
+                app.app_data(state.clone())
+                    .route("/generate", web::post().to(requests_baseline::entry));
+            })?;
+            self.handles.push(handle);
+            return Ok(());
+        }
+        let state = Arc::new(EntryState::new(entry_settings(number, address)));
+        for (offset, (section, body)) in sections().into_iter().enumerate() {
+            let edit = Edit {
+                edit_id: format!("edit-{offset}"),
+                team: "bench".to_owned(),
+                section,
+                base_revision: 0,
+                body: Some(body),
+            };
+            let record = LogRecord::Edit(edit).encode();
+            state.node.fold().apply(offset as u64, &record);
+        }
+        state.node.set_ready(true);
+        let shared = Data::from(Arc::clone(&state));
+        let threads = Arc::clone(&self.entry_threads);
+        let handle = serve(address, &options, move |app| {
+            add_thread(&threads);
+            app.app_data(shared.clone())
+                .route("/v1/generate", web::post().to(generate_route));
+        })?;
+        self.states.push(state);
+        self.handles.push(handle);
+        Ok(())
+    }
+
+    /// Load of each endpoint as its next report would say.
+    pub(super) fn loads(&self) -> Vec<Load> {
+        let queues = self.members.iter().map(|member| &member.queue);
+        queues.map(|queue| queue.load()).collect()
+    }
+
+    /// Gives the entries a report of every endpoint that runs, with the given loads.
+    pub(super) fn report(&self, loads: &[Load]) {
+        for state in &self.states {
+            let now_ms = state.node.now_ms();
+            let running = self.members.iter().enumerate();
+            for (number, member) in running.filter(|(_, member)| member.handle.is_some()) {
+                let report = Report {
+                    name: format!("endpoint-{number}"),
+                    address: member.address,
+                    role: HostRole::Endpoint,
+                    region: "or-north".to_owned(),
+                    domain: "a".to_owned(),
+                    service: None,
+                    incarnation: 1,
+                    leaving: false,
+                    config: state.node.config_mark(),
+                    load: loads[number],
+                    served: vec![Served {
+                        model: MODEL.to_owned(),
+                        version: "1".to_owned(),
+                        manifest: manifest(),
+                        progress: Progress::Serving,
+                        present_percent: 100,
+                        held: None,
+                    }],
+                    permit_epoch: 0,
+                };
+                state.node.roster().heard(&report, now_ms);
+            }
+        }
+    }
+
+    /// Kills the endpoint process of a member; its engine goes on.
+    pub(super) async fn kill(&mut self, number: usize) {
+        if let Some(handle) = self.members[number].handle.take() {
+            handle.kill().await;
+        }
+    }
+
+    /// Starts a killed endpoint process again.
+    pub(super) fn restart(&mut self, number: usize) -> io::Result<()> {
+        let mut member = self.members.remove(number);
+        let started = self.start_endpoint(&mut member);
+        self.members.insert(number, member);
+        started
+    }
+
+    /// Metrics of every entry as text.
+    pub(super) fn metrics(&self) -> Vec<String> {
+        let states = self.states.iter();
+        states.map(|state| state.node.metrics().render()).collect()
+    }
+
+    /// Worker threads of the entries.
+    pub(super) fn entry_threads(&self) -> Vec<String> {
+        self.entry_threads
+            .lock()
+            .expect("no holder of the lock panics")
+            .clone()
+    }
+
+    /// Worker threads of the endpoints.
+    pub(super) fn endpoint_threads(&self) -> Vec<String> {
+        self.endpoint_threads
+            .lock()
+            .expect("no holder of the lock panics")
+            .clone()
+    }
+
+    /// Stops everything.
+    pub(super) async fn stop(mut self) {
+        for number in 0..self.members.len() {
+            self.kill(number).await;
+        }
+        for handle in &self.handles {
+            handle.kill().await;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct ProductEndpoint {
+    server: GenerateServer,
+    received: Arc<AtomicUsize>,
+}
+
+async fn product_endpoint(state: Data<ProductEndpoint>, body: Bytes) -> HttpResponse {
+    state.received.fetch_add(1, Ordering::Relaxed);
+    match read_rmp::<GenerateCall>(&body) {
+        Ok(call) => state.server.run(call, whole()),
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+fn entry_settings(number: usize, listen: SocketAddr) -> EntrySettings {
+    let name = format!("entry-{number}");
+    let process = ProcessSettings::new(HostRole::Entry, name, "or-north", "a", listen);
+    // No part of the platform takes part.
+    let platform = PlatformSettings::new(
+        "http://127.0.0.1:1",
+        "http://127.0.0.1:1",
+        "http://127.0.0.1:1",
+    );
+    EntrySettings::new(process, platform, ClusterSettings::new(SHARED_KEY))
+}
+
+fn sections() -> Vec<(String, String)> {
+    let model = format!(
+        "version = 1\nmanifest = {}\nreplicas = {ENDPOINTS}\n",
+        manifest()
+    );
+    let token = Digest::of(TOKEN.as_bytes());
+    let share = 100 / BRANCHES.len();
+    let branch = format!(
+        "token_digest = {token}\nweight = 1\nshare_percent = {share}\nburst_percent = 100\nmodels = {MODEL}\n"
+    );
+    let mut sections = vec![(format!("model {MODEL}"), model)];
+    sections.extend(BRANCHES.map(|name| (format!("branch {name}"), branch.clone())));
+    sections
+}
--- /dev/null
+++ b/src/bench/requests_overhead.rs
@@ -0,0 +1,135 @@
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use actix_web::http::Method;
+use futures_util::StreamExt;
+use futures_util::stream;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde_json::json;
+
+use super::requests_driver::Driver;
+use super::requests_fleet::Fleet;
+use super::requests_fleet::RequestsPolicy;
+use super::requests_scenario::BRANCHES;
+use super::requests_tally::Outcome;
+use crate::links::HttpClient;
+
+/// Requests of each measurement.
+const REQUESTS: usize = 600;
+
+/// Requests in flight.
+const CONCURRENCY: usize = 4;
+
+/// Pace of the engines, so that the path weighs more.
+const FAST_PERCENT: u64 = 10;
+
+/// Time an engine has to take a fault.
+const FAULT_WAIT_MS: u64 = 1000;
+
+/// What the path adds to a direct call.
+#[derive(Debug, Serialize)]
+pub struct OverheadResult {
+    requests: usize,
+    concurrency: usize,
+    failed: usize,
+    direct_first_token_p50_ms: f64,
+    direct_first_token_p99_ms: f64,
+    path_first_token_p50_ms: f64,
+    path_first_token_p99_ms: f64,
+    added_p50_ms: f64,
+    added_p99_ms: f64,
+    entry_cpu_us_per_request: f64,
+    endpoint_cpu_us_per_request: f64,
+    requests_per_s_per_entry_core: f64,
+}
+
+/// Measures direct calls, then calls through entries and endpoints.
+pub(super) async fn measure_overhead() -> io::Result<OverheadResult> {
+    let fleet = Fleet::start(RequestsPolicy::Product, 0).await?;
+    for member in &fleet.members {
+        let url = format!("http://{}/fault", member.engine_address);
+        let order = json!({"pace_percent": FAST_PERCENT});
+        let http = HttpClient::to_platform();
+        let set = http.send_json::<()>(Method::POST, &url, &order, FAULT_WAIT_MS);
+        set.await.map_err(io::Error::other)?;
+    }
+    let driver = Driver::new(RequestsPolicy::Product, fleet.entries.clone());
+    let engines: Vec<SocketAddr> = fleet.members.iter().map(|it| it.engine_address).collect();
+    let direct = measure(&driver, Some(&engines)).await;
+    let entry_ns = cpu_ns(&fleet.entry_threads());
+    let endpoint_ns = cpu_ns(&fleet.endpoint_threads());
+    let path = measure(&driver, None).await;
+    let per_request = |ns: u64| ns as f64 / 1000.0 / REQUESTS as f64;
+    let entry_us = per_request(cpu_ns(&fleet.entry_threads()) - entry_ns);
+    let endpoint_us = per_request(cpu_ns(&fleet.endpoint_threads()) - endpoint_ns);
+    fleet.stop().await;
+    let ms = |times: &Times, quantile| times.first_us.value_at_quantile(quantile) as f64 / 1000.0;
+    Ok(OverheadResult {
+        requests: REQUESTS,
+        concurrency: CONCURRENCY,
+        failed: direct.failed + path.failed,
+        direct_first_token_p50_ms: ms(&direct, 0.50),
+        direct_first_token_p99_ms: ms(&direct, 0.99),
+        path_first_token_p50_ms: ms(&path, 0.50),
+        path_first_token_p99_ms: ms(&path, 0.99),
+        added_p50_ms: ms(&path, 0.50) - ms(&direct, 0.50),
+        added_p99_ms: ms(&path, 0.99) - ms(&direct, 0.99),
+        entry_cpu_us_per_request: entry_us,
+        endpoint_cpu_us_per_request: endpoint_us,
+        requests_per_s_per_entry_core: 1e6 / entry_us,
+    })
+}
+
+struct Times {
+    first_us: Histogram<u64>,
+    failed: usize,
+}
+
+async fn measure(driver: &Driver, engines: Option<&[SocketAddr]>) -> Times {
+    let asked = stream::iter(0..REQUESTS).map(|number| async move {
+        let start = Instant::now();
+        let prompt = format!("question {number}");
+        let seen = match engines {
+            Some(engines) => {
+                let engine = engines[number % engines.len()];
+                driver.ask_engine(engine, &prompt, number).await
+            }
+            None => {
+                let branch = BRANCHES[number % BRANCHES.len()];
+                driver.ask(number, branch, &prompt, number).await
+            }
+        };
+        let first_us = seen
+            .first_token_at
+            .map(|at| (at - start).as_micros() as u64);
+        (seen.outcome, first_us)
+    });
+    let answers: Vec<_> = asked.buffer_unordered(CONCURRENCY).collect().await;
+    let mut first_us = Histogram::new(3).expect("the precision is valid");
+    let mut failed = 0;
+    for (outcome, taken_us) in answers {
+        failed += usize::from(outcome != Outcome::Done);
+        if let Some(taken_us) = taken_us {
+            first_us.saturating_record(taken_us);
+        }
+    }
+    Times { first_us, failed }
+}
+
+/// Processor time of threads of this process, named by their numbers.
+fn cpu_ns(threads: &[String]) -> u64 {
+    let of_thread = |thread: &String| {
+        let text = fs::read_to_string(format!("/proc/self/task/{thread}/schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    threads.iter().filter_map(of_thread).sum()
+}
+
+/// Number of the calling thread.
+pub(super) fn thread_number() -> Option<String> {
+    let link = fs::read_link("/proc/thread-self").ok()?;
+    Some(link.file_name()?.to_str()?.to_owned())
+}
--- /dev/null
+++ b/src/bench/requests_tally.rs
@@ -0,0 +1,152 @@
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde::Serializer;
+use serde::ser::SerializeMap;
+
+use super::requests_scenario::MEASURED_MS;
+
+/// Longest time the histograms hold.
+const MAX_US: u64 = 60_000_000;
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// The whole answer came in time.
+    Done,
+    /// A final refusal with its code.
+    Refused(String),
+    /// No whole answer, with the code of the cause.
+    Failed(String),
+}
+
+/// Counts by reason, sorted.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Reasons(Vec<(String, u64)>);
+
+impl Reasons {
+    pub(super) fn add(&mut self, reason: &str, count: u64) {
+        match self
+            .0
+            .binary_search_by(|(known, _)| known.as_str().cmp(reason))
+        {
+            Ok(at) => self.0[at].1 += count,
+            Err(at) => self.0.insert(at, (reason.to_owned(), count)),
+        }
+    }
+}
+
+impl Reasons {
+    /// Takes back what was counted before.
+    pub(super) fn take(&mut self, reason: &str, count: u64) {
+        if let Ok(at) = self
+            .0
+            .binary_search_by(|(known, _)| known.as_str().cmp(reason))
+        {
+            self.0[at].1 = self.0[at].1.saturating_sub(count);
+        }
+    }
+}
+
+impl Serialize for Reasons {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(self.0.len()))?;
+        for (reason, count) in &self.0 {
+            map.serialize_entry(reason, count)?;
+        }
+        map.end()
+    }
+}
+
+/// What callers saw.
+#[derive(Debug, Clone)]
+pub(super) struct Tally {
+    offered: u64,
+    done: u64,
+    refused: Reasons,
+    failed: Reasons,
+    first_token_us: Histogram<u64>,
+    refusal_us: Histogram<u64>,
+}
+
+impl Tally {
+    pub(super) fn new() -> Self {
+        let histogram = || Histogram::new_with_max(MAX_US, 3).expect("the bounds are valid");
+        Self {
+            offered: 0,
+            done: 0,
+            refused: Reasons::default(),
+            failed: Reasons::default(),
+            first_token_us: histogram(),
+            refusal_us: histogram(),
+        }
+    }
+
+    /// Counts a request; times run from when it was due, not from when it was sent.
+    pub(super) fn add(&mut self, outcome: &Outcome, first_token: Option<Duration>, took: Duration) {
+        self.offered += 1;
+        match outcome {
+            Outcome::Done => self.done += 1,
+            Outcome::Refused(reason) => {
+                self.refused.add(reason, 1);
+                self.refusal_us.saturating_record(took.as_micros() as u64);
+            }
+            Outcome::Failed(reason) => self.failed.add(reason, 1),
+        }
+        if let Some(first_token) = first_token {
+            let first_token_us = first_token.as_micros() as u64;
+            self.first_token_us.saturating_record(first_token_us);
+        }
+    }
+
+    /// Adds what other callers saw.
+    pub(super) fn merge(&mut self, other: &Self) {
+        self.offered += other.offered;
+        self.done += other.done;
+        for (reason, count) in &other.refused.0 {
+            self.refused.add(reason, *count);
+        }
+        for (reason, count) in &other.failed.0 {
+            self.failed.add(reason, *count);
+        }
+        let same_bounds = "all histograms have the same bounds";
+        self.first_token_us
+            .add(&other.first_token_us)
+            .expect(same_bounds);
+        self.refusal_us.add(&other.refusal_us).expect(same_bounds);
+    }
+
+    pub(super) fn result(&self) -> TallyResult {
+        let first_token_ms = |quantile| ms(self.first_token_us.value_at_quantile(quantile));
+        TallyResult {
+            offered: self.offered,
+            done: self.done,
+            refused: self.refused.clone(),
+            failed: self.failed.clone(),
+            goodput_per_s: self.done as f64 * 1000.0 / MEASURED_MS as f64,
+            first_token_p50_ms: first_token_ms(0.50),
+            first_token_p95_ms: first_token_ms(0.95),
+            first_token_p99_ms: first_token_ms(0.99),
+            refusal_p99_ms: ms(self.refusal_us.value_at_quantile(0.99)),
+        }
+    }
+}
+
+fn ms(us: u64) -> f64 {
+    us as f64 / 1000.0
+}
+
+/// What callers saw, for output.
+#[derive(Debug, Clone, Serialize)]
+pub struct TallyResult {
+    pub offered: u64,
+    pub done: u64,
+    pub(super) refused: Reasons,
+    pub(super) failed: Reasons,
+    pub goodput_per_s: f64,
+    pub first_token_p50_ms: f64,
+    pub first_token_p95_ms: f64,
+    pub first_token_p99_ms: f64,
+    pub refusal_p99_ms: f64,
+}
--- a/src/calls/generate_frame.rs
+++ b/src/calls/generate_frame.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GenerateFrame {
+    /// The request left the queue and runs.
+    Started { load: Load },
     /// The next token.
     Token { index: u32, text: String },
     /// The connection is alive.
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod dispatch_ledger;
 mod endpoint_track;
+mod first_token_times;
 mod generate_call;
 mod generate_frame;
 mod nonce;
@@ -29,6 +30,7 @@
 pub use candidate::stable_hash;
 pub use dispatch_ledger::Dispatch;
 pub use dispatch_ledger::DispatchLedger;
+pub use first_token_times::FirstTokenTimes;
 pub use generate_call::GenerateCall;
 pub use generate_frame::BadFrame;
 pub use generate_frame::FrameBuffer;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use super::BenchArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
 use super::SettingsArgs;
@@ -30,4 +31,6 @@
     Settings(SettingsArgs),
     /// Work with bearer tokens.
     Token(TokenArgs),
+    /// Measure, each against a baseline.
+    Bench(BenchArgs),
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,8 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
 mod args;
+mod bench;
+mod bench_requests;
 mod endpoint;
 mod entry;
 mod errors;
@@ -14,6 +16,7 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use bench::BenchArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
@@ -31,6 +34,7 @@
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
+        Command::Bench(args) => bench::run(args),
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
--- a/src/contracts/fair_queue.rs
+++ b/src/contracts/fair_queue.rs
@@ -19,6 +19,8 @@
 pub struct QueueLimits {
     /// Requests that run at a time.
     pub slots: u32,
+    /// Slots of these that only branches below their share may take.
+    pub reserved: u32,
     /// Requests of one branch that wait.
     pub branch_waiting: usize,
     /// Requests that wait in all.
@@ -292,10 +294,19 @@
 
     /// The waiting branch with the least virtual time among those below their burst share.
     fn next_branch(&self) -> Option<BranchKey> {
+        if self.running >= self.limits.slots - self.limits.reserved.min(self.limits.slots) {
+            let total_weight = self.lanes.iter().map(Lane::weight).sum();
+            return self.least_virtual_time(|lane| self.is_below_share(lane, total_weight));
+        }
         let below = self.least_virtual_time(|lane| !self.is_over_burst(lane));
         below.or_else(|| self.least_virtual_time(|_| true))
     }
 
+    fn is_below_share(&self, lane: &Lane<T>, total_weight: u64) -> bool {
+        let share = u64::from(self.limits.slots) * lane.weight();
+        u64::from(lane.running + 1) * total_weight <= share
+    }
+
     fn least_virtual_time(&self, allowed: impl Fn(&Lane<T>) -> bool) -> Option<BranchKey> {
         let lanes = self.lanes.iter().enumerate();
         lanes
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -106,6 +106,8 @@
 
     /// Passes tokens on and returns the final frame.
     async fn stream(&self, slot: &mut RunSlot, left_ms: u64) -> Result<GenerateFrame, ReaderGone> {
+        let load = self.queue.load();
+        self.send(GenerateFrame::Started { load }).await?;
         let order = self.order(left_ms);
         let mut events = match self.unless_gone(self.engine.generate(&order)).await? {
             Ok(events) => events,
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -16,3 +16,4 @@
 pub use server::EndpointHandle;
 pub use server::start;
 pub use state::EndpointState;
+pub use state::SLOTS_PER_RESERVED;
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -14,6 +14,9 @@
 use crate::node::Node;
 use crate::platform::EngineClient;
 
+/// Slots for one slot that a bursting branch leaves to the others.
+pub const SLOTS_PER_RESERVED: u32 = 32;
+
 /// Full queues of branches that fit into the whole queue.
 const BRANCHES_WAITING: usize = 4;
 
@@ -47,6 +50,7 @@
         let generate = engine_address(&settings.backend).map(|address| {
             let queue = GenerateQueue::new(QueueLimits {
                 slots: settings.slots as u32,
+                reserved: settings.slots as u32 / SLOTS_PER_RESERVED,
                 branch_waiting: settings.queue_limit as usize,
                 waiting: settings.queue_limit as usize * BRANCHES_WAITING,
             });
--- a/src/entry/generate_attempt.rs
+++ b/src/entry/generate_attempt.rs
@@ -31,6 +31,8 @@
     Broken,
     /// The connection fell silent.
     Silent,
+    /// The first token is late, though the request runs.
+    LateFirstToken,
     /// The answer was not that of the request.
     WrongAnswer,
     /// The endpoint's queue was full.
@@ -49,6 +51,7 @@
             Self::NotSent => "not_sent",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::LateFirstToken => "late_first_token",
             Self::WrongAnswer => "wrong_answer",
             Self::Refused => "refused",
             Self::Leaving => "leaving",
@@ -63,6 +66,7 @@
             Self::NotSent
             | Self::Broken
             | Self::Silent
+            | Self::LateFirstToken
             | Self::WrongAnswer
             | Self::EngineFailed => Ending::Failed,
             Self::Refused | Self::Leaving | Self::NotLoaded => Ending::Neutral,
@@ -80,6 +84,10 @@
     frames: FrameBuffer,
     tokens: u32,
     first_token_at: Option<Instant>,
+    /// When the request left the endpoint's queue.
+    running_since: Option<Instant>,
+    /// Time the engine has for the first token.
+    late_ms: Option<u64>,
 }
 
 impl Attempt {
@@ -94,6 +102,8 @@
             frames: FrameBuffer::default(),
             tokens: 0,
             first_token_at: None,
+            running_since: None,
+            late_ms: None,
         }
     }
 
@@ -125,11 +135,34 @@
         Ok(())
     }
 
-    /// The next frame within `wait`.
+    /// The next frame within `wait`, or earlier if the first token is late.
     pub(super) async fn next(&mut self, wait: Duration) -> Result<GenerateFrame, RetryReason> {
-        timeout(wait, self.next_frame())
+        let late = self.time_to_late();
+        let is_shorter = late.is_some_and(|late| late < wait);
+        let reason = match is_shorter {
+            true => RetryReason::LateFirstToken,
+            false => RetryReason::Silent,
+        };
+        timeout(late.unwrap_or(wait).min(wait), self.next_frame())
             .await
-            .unwrap_or(Err(RetryReason::Silent))
+            .unwrap_or(Err(reason))
+    }
+
+    /// Time until the first token is late; `None` when it is not awaited.
+    fn time_to_late(&self) -> Option<Duration> {
+        if self.tokens > 0 {
+            return None;
+        }
+        let late = Duration::from_millis(self.late_ms?);
+        Some(late.saturating_sub(self.running_since?.elapsed()))
+    }
+
+    /// Notes that the request runs; `may_be_late` where no other replica could do better.
+    pub(super) fn saw_start(&mut self, may_be_late: bool) {
+        self.running_since = Some(Instant::now());
+        if !may_be_late {
+            self.late_ms = self.state.routing.first_tokens().late_ms();
+        }
     }
 
     async fn next_frame(&mut self) -> Result<GenerateFrame, RetryReason> {
@@ -148,6 +181,12 @@
 
     /// Counts a token for the endpoint's pace.
     pub(super) fn saw_token(&mut self) {
+        if self.tokens == 0
+            && let Some(since) = self.running_since
+        {
+            let taken_ms = since.elapsed().as_millis() as u64;
+            self.state.routing.first_tokens().add(taken_ms);
+        }
         let first_at = *self.first_token_at.get_or_insert_with(Instant::now);
         if self.tokens > 0 && self.tokens.is_multiple_of(PACE_TOKENS) {
             let interval_us = first_at.elapsed().as_micros() as u64 / u64::from(self.tokens);
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -168,6 +168,12 @@
     fn take(&mut self, frame: GenerateFrame) -> Step {
         let attempt = self.attempt.as_mut().expect("frames come from an attempt");
         match frame {
+            GenerateFrame::Started { load } => {
+                attempt.saw_load(load);
+                // One change of replica is enough; the second answer may take its time.
+                attempt.saw_start(self.attempts > 1);
+                Step::Again
+            }
             GenerateFrame::Token { index, text } if index == self.next_index => {
                 attempt.saw_token();
                 self.next_index += 1;
--- a/src/entry/generate_routing.rs
+++ b/src/entry/generate_routing.rs
@@ -4,6 +4,7 @@
 
 use crate::calls::Ask;
 use crate::calls::Candidate;
+use crate::calls::FirstTokenTimes;
 use crate::calls::GenerateCall;
 use crate::calls::RetryBudget;
 use crate::calls::Router;
@@ -26,6 +27,7 @@
 pub struct Routing {
     router: Mutex<Router>,
     retries: Mutex<RetryBudget>,
+    first_tokens: Mutex<FirstTokenTimes>,
 }
 
 impl Routing {
@@ -35,9 +37,17 @@
         Self {
             router: Mutex::new(Router::new(stable_hash(name.as_bytes()))),
             retries: Mutex::new(RetryBudget::new(ratio_permille, RETRY_BURST)),
+            first_tokens: Mutex::default(),
         }
     }
 
+    /// Times to first tokens, of all endpoints.
+    pub(super) fn first_tokens(&self) -> MutexGuard<'_, FirstTokenTimes> {
+        self.first_tokens
+            .lock()
+            .expect("no holder of the times panics")
+    }
+
     /// Requests in flight and what was learned from them.
     pub(super) fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().expect("no holder of the router panics")
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 
 pub use api_error::ApiError;
 pub use error_code::ErrorCode;
+pub use generate::generate as generate_route;
 pub use generate_routing::Routing;
 pub use server::EntryHandle;
 pub use server::start;
--- a/src/platform/engine_api.rs
+++ b/src/platform/engine_api.rs
@@ -67,6 +67,15 @@
     pub running: u32,
     pub queued: u32,
     pub cached_blocks: u32,
+    /// Streams that were started.
+    #[serde(default)]
+    pub started: u64,
+    /// Prompt blocks looked up in the cache.
+    #[serde(default)]
+    pub prompt_blocks: u64,
+    /// Prompt blocks found there.
+    #[serde(default)]
+    pub hit_blocks: u64,
     pub role: EngineRole,
 }
 
--- a/src/standin/engine/prefix_cache.rs
+++ b/src/standin/engine/prefix_cache.rs
@@ -8,6 +8,8 @@
     blocks: Vec<CachedBlock>,
     capacity: usize,
     uses: u64,
+    looked_up: u64,
+    hits: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -23,6 +25,8 @@
             blocks: Vec::new(),
             capacity,
             uses: 0,
+            looked_up: 0,
+            hits: 0,
         }
     }
 
@@ -36,11 +40,28 @@
         self.blocks.is_empty()
     }
 
+    /// Prompts admitted.
+    pub fn uses(&self) -> u64 {
+        self.uses
+    }
+
+    /// Blocks looked up.
+    pub fn looked_up(&self) -> u64 {
+        self.looked_up
+    }
+
+    /// Blocks found.
+    pub fn hits(&self) -> u64 {
+        self.hits
+    }
+
     /// Looks `prompt` up, caches it, and returns the hit share in percent.
     pub fn admit(&mut self, weights: &[u8], prompt: &[u8]) -> u64 {
         self.uses += 1;
         let keys = block_keys(weights, prompt);
         let hits = keys.iter().take_while(|&&key| self.touch(key)).count();
+        self.looked_up += keys.len() as u64;
+        self.hits += hits as u64;
         for &key in &keys[hits..] {
             self.insert(key);
         }
--- a/src/standin/engine/state.rs
+++ b/src/standin/engine/state.rs
@@ -135,6 +135,9 @@
             running: self.batch.running(),
             queued: self.batch.queued(),
             cached_blocks: inner.cache.len() as u32,
+            started: inner.cache.uses(),
+            prompt_blocks: inner.cache.looked_up(),
+            hit_blocks: inner.cache.hits(),
             role: inner.role,
         }
     }
--- a/tests/contracts/fair_queue.rs
+++ b/tests/contracts/fair_queue.rs
@@ -17,6 +17,7 @@
 fn queue(slots: u32) -> FairQueue<u32> {
     FairQueue::new(QueueLimits {
         slots,
+        reserved: 0,
         branch_waiting: 1000,
         waiting: 2000,
     })
@@ -149,10 +150,31 @@
     assert_eq!((running.len(), of_capped), (4, 2));
 }
 
+#[test]
+fn pop_reserve_is_for_branches_below_their_share() {
+    let mut queue = FairQueue::new(QueueLimits {
+        slots: 8,
+        reserved: 1,
+        branch_waiting: 100,
+        waiting: 100,
+    });
+    let bursting = queue.set_share(share("bursting", 1, 100));
+    let quiet = queue.set_share(share("quiet", 1, 100));
+    for _ in 0..20 {
+        queue.push(request(bursting, 10), 0);
+    }
+    let running: Vec<_> = std::iter::from_fn(|| run(&mut queue)).collect();
+    assert_eq!(running.len(), 7);
+    queue.push(request(quiet, 10), 0);
+    let next = run(&mut queue).expect("the reserve is free");
+    assert_eq!(next.branch, quiet);
+}
+
 #[test]
 fn push_full_branch_leaves_room_for_others() {
     let mut queue = FairQueue::new(QueueLimits {
         slots: 1,
+        reserved: 0,
         branch_waiting: 2,
         waiting: 3,
     });
