--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-use super::requests_driver::Driver;
+use super::requests_driver::drive;
 use super::requests_fleet::Fleet;
 use super::requests_fleet::RequestsPolicy;
 use super::requests_overhead::OverheadResult;
@@ -114,11 +114,10 @@
         load_percent: [f64; 4],
     ) -> io::Result<PolicyResult> {
         let mut fleet = Fleet::start(policy, self.scenario.cache_blocks()).await?;
-        let driver = Driver::new(policy, fleet.entries.clone());
-        let tallies = driver.tallies.clone();
         let arrivals = arrivals(load_percent, self.seed);
+        let driving = drive(policy, fleet.entries.clone(), arrivals);
         let start = Instant::now();
-        let driving = actix_rt::spawn(async move { driver.run(arrivals).await });
+        let driving = actix_rt::spawn(driving);
         let mut watch = Watch::default();
         let ticks = (WARM_UP_MS + MEASURED_MS) / TICK_MS;
         for tick in 0..ticks {
@@ -135,11 +134,11 @@
                     .push(busy_share(&engine_states(&fleet).await));
             }
         }
-        driving.await.expect("the driver does not panic");
+        let tallies = driving.await.expect("the driver does not panic");
         let after = Snapshot::take(&fleet).await;
         let before = watch.before.expect("the warm-up ended");
         let busy_share = watch.busy_samples.iter().sum::<f64>() / watch.busy_samples.len() as f64;
-        let result = PolicyResult::new(&tallies.borrow(), &before, &after, busy_share);
+        let result = PolicyResult::new(&tallies, &before, &after, busy_share);
         fleet.stop().await;
         Ok(result)
     }
--- a/src/bench/requests_driver.rs
+++ b/src/bench/requests_driver.rs
@@ -1,9 +1,10 @@
-use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_rt::Arbiter;
 use actix_rt::time::sleep_until;
 use awc::Client;
 use awc::Connector;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::oneshot;
 
 use super::requests_fleet::MODEL;
 use super::requests_fleet::RequestsPolicy;
@@ -44,8 +46,43 @@
     Error { code: String },
 }
 
+/// Threads that send requests.
+const THREADS: usize = 3;
+
 /// Tallies of each branch.
-pub(super) type Tallies = Rc<RefCell<Vec<Tally>>>;
+pub(super) type Tallies = Arc<Mutex<Vec<Tally>>>;
+
+/// Sends all `arrivals` from several threads and waits for the last answer.
+pub(super) async fn drive(
+    policy: RequestsPolicy,
+    entries: Vec<SocketAddr>,
+    arrivals: Vec<Arrival>,
+) -> Vec<Tally> {
+    let tallies = Tallies::new(Mutex::new(vec![Tally::new(); BRANCHES.len()]));
+    let start = Instant::now();
+    let mut threads = Vec::new();
+    for thread in 0..THREADS {
+        let numbered = arrivals.iter().copied().enumerate();
+        let own: Vec<(usize, Arrival)> = numbered.skip(thread).step_by(THREADS).collect();
+        let (done, ended) = oneshot::channel::<()>();
+        let (entries, tallies) = (entries.clone(), Arc::clone(&tallies));
+        let arbiter = Arbiter::new();
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(async move {
+                Driver::new(policy, entries, tallies).run(start, own).await;
+                // A run that was given up needs no word.
+                let _ = done.send(());
+            });
+        });
+        threads.push((arbiter, ended));
+    }
+    for (arbiter, ended) in threads {
+        ended.await.expect("no driver panics");
+        arbiter.stop();
+    }
+    let tallies = tallies.lock().expect("no driver panics");
+    tallies.clone()
+}
 
 /// Sends requests when they are due, however slow the answers are.
 #[derive(Clone)]
@@ -53,7 +90,7 @@
     client: Client,
     policy: RequestsPolicy,
     entries: Vec<SocketAddr>,
-    pub(super) tallies: Tallies,
+    tallies: Tallies,
 }
 
 /// What a caller saw of one request.
@@ -64,25 +101,22 @@
 }
 
 impl Driver {
-    pub(super) fn new(policy: RequestsPolicy, entries: Vec<SocketAddr>) -> Self {
+    pub(super) fn new(policy: RequestsPolicy, entries: Vec<SocketAddr>, tallies: Tallies) -> Self {
         let client = Client::builder()
             .connector(Connector::new().limit(0))
             .disable_timeout()
             .finish();
-        let tallies = vec![Tally::new(); BRANCHES.len()];
         Self {
             client,
             policy,
             entries,
-            tallies: Rc::new(RefCell::new(tallies)),
+            tallies,
         }
     }
 
-    /// Sends all `arrivals` and waits for the last answer.
-    pub(super) async fn run(&self, arrivals: Vec<Arrival>) {
-        let start = Instant::now();
+    async fn run(&self, start: Instant, arrivals: Vec<(usize, Arrival)>) {
         let mut sent = Vec::with_capacity(arrivals.len());
-        for (number, arrival) in arrivals.into_iter().enumerate() {
+        for (number, arrival) in arrivals {
             let due = start + Duration::from_micros(arrival.at_us);
             sleep_until(due.into()).await;
             let this = self.clone();
@@ -114,7 +148,8 @@
             return;
         }
         let first_token = seen.first_token_at.map(|at| at - due);
-        self.tallies.borrow_mut()[arrival.branch].add(&outcome, first_token, took);
+        let mut tallies = self.tallies.lock().expect("no driver panics");
+        tallies[arrival.branch].add(&outcome, first_token, took);
     }
 
     /// Sends one request and reads its answer.
--- a/src/bench/requests_overhead.rs
+++ b/src/bench/requests_overhead.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use super::requests_driver::Driver;
+use super::requests_driver::Tallies;
 use super::requests_fleet::Fleet;
 use super::requests_fleet::RequestsPolicy;
 use super::requests_scenario::BRANCHES;
@@ -20,6 +21,12 @@
 /// Requests of each measurement.
 const REQUESTS: usize = 600;
 
+/// Requests between two load reports.
+const BATCH: usize = 100;
+
+/// Longest time the histograms hold.
+const MAX_US: u64 = 60_000_000;
+
 /// Requests in flight.
 const CONCURRENCY: usize = 4;
 
@@ -56,12 +63,16 @@
         let set = http.send_json::<()>(Method::POST, &url, &order, FAULT_WAIT_MS);
         set.await.map_err(io::Error::other)?;
     }
-    let driver = Driver::new(RequestsPolicy::Product, fleet.entries.clone());
+    let driver = Driver::new(
+        RequestsPolicy::Product,
+        fleet.entries.clone(),
+        Tallies::default(),
+    );
     let engines: Vec<SocketAddr> = fleet.members.iter().map(|it| it.engine_address).collect();
-    let direct = measure(&driver, Some(&engines)).await;
+    let direct = measure(&fleet, &driver, Some(&engines)).await;
     let entry_ns = cpu_ns(&fleet.entry_threads());
     let endpoint_ns = cpu_ns(&fleet.endpoint_threads());
-    let path = measure(&driver, None).await;
+    let path = measure(&fleet, &driver, None).await;
     let per_request = |ns: u64| ns as f64 / 1000.0 / REQUESTS as f64;
     let entry_us = per_request(cpu_ns(&fleet.entry_threads()) - entry_ns);
     let endpoint_us = per_request(cpu_ns(&fleet.endpoint_threads()) - endpoint_ns);
@@ -88,35 +99,49 @@
     failed: usize,
 }
 
-async fn measure(driver: &Driver, engines: Option<&[SocketAddr]>) -> Times {
-    let asked = stream::iter(0..REQUESTS).map(|number| async move {
-        let start = Instant::now();
-        let prompt = format!("question {number}");
-        let seen = match engines {
-            Some(engines) => {
-                let engine = engines[number % engines.len()];
-                driver.ask_engine(engine, &prompt, number).await
-            }
-            None => {
-                let branch = BRANCHES[number % BRANCHES.len()];
-                driver.ask(number, branch, &prompt, number).await
+async fn measure(fleet: &Fleet, driver: &Driver, engines: Option<&[SocketAddr]>) -> Times {
+    let mut times = Times {
+        first_us: Histogram::new_with_max(MAX_US, 3).expect("the bounds are valid"),
+        failed: 0,
+    };
+    for first in (0..REQUESTS).step_by(BATCH) {
+        // Entries forget endpoints that do not report.
+        fleet.report(&fleet.loads());
+        let asked = (first..first + BATCH).map(|number| ask(driver, engines, number));
+        let answers = stream::iter(asked).buffer_unordered(CONCURRENCY);
+        let answers: Vec<(Outcome, Option<u64>)> = answers.collect().await;
+        for (outcome, first_us) in answers {
+            times.failed += usize::from(outcome != Outcome::Done);
+            if let Some(first_us) = first_us {
+                times.first_us.saturating_record(first_us);
             }
-        };
-        let first_us = seen
-            .first_token_at
-            .map(|at| (at - start).as_micros() as u64);
-        (seen.outcome, first_us)
-    });
-    let answers: Vec<_> = asked.buffer_unordered(CONCURRENCY).collect().await;
-    let mut first_us = Histogram::new(3).expect("the precision is valid");
-    let mut failed = 0;
-    for (outcome, taken_us) in answers {
-        failed += usize::from(outcome != Outcome::Done);
-        if let Some(taken_us) = taken_us {
-            first_us.saturating_record(taken_us);
         }
     }
-    Times { first_us, failed }
+    times
+}
+
+/// Asks an engine, or an entry where none is given; tells the time to the first token.
+async fn ask(
+    driver: &Driver,
+    engines: Option<&[SocketAddr]>,
+    number: usize,
+) -> (Outcome, Option<u64>) {
+    let start = Instant::now();
+    let prompt = format!("question {number}");
+    let seen = match engines {
+        Some(engines) => {
+            let engine = engines[number % engines.len()];
+            driver.ask_engine(engine, &prompt, number).await
+        }
+        None => {
+            let branch = BRANCHES[number % BRANCHES.len()];
+            driver.ask(number, branch, &prompt, number).await
+        }
+    };
+    let first_us = seen
+        .first_token_at
+        .map(|at| (at - start).as_micros() as u64);
+    (seen.outcome, first_us)
 }
 
 /// Processor time of threads of this process, named by their numbers.
--- a/src/calls/router.rs
+++ b/src/calls/router.rs
@@ -98,6 +98,15 @@
         home.or_else(|| self.lesser_of_two(&usable, now_ms))
     }
 
+    /// Whether an endpoint that was not tried has a free slot.
+    pub fn has_room(&self, ask: &Ask<'_>, now_ms: u64) -> bool {
+        let subset = self.subset(ask.candidates);
+        subset.iter().any(|candidate| {
+            let slots = u64::from(candidate.load.slots);
+            !ask.tried.contains(&candidate.key) && self.load(candidate, now_ms) < slots
+        })
+    }
+
     /// Counts a request sent to `key`.
     pub fn started(&mut self, key: HostKey, now_ms: u64) {
         self.ensure_track(key).started(now_ms);
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -165,6 +165,12 @@
         routing.choose(node, &self.call, self.pinned, &self.tried)
     }
 
+    fn has_room(&self) -> bool {
+        let node = &self.state.node;
+        let routing = &self.state.routing;
+        routing.has_room(node, &self.call, self.pinned, &self.tried)
+    }
+
     fn take(&mut self, frame: GenerateFrame) -> Step {
         let attempt = self.attempt.as_mut().expect("frames come from an attempt");
         match frame {
@@ -235,7 +241,7 @@
                 Step::Retry(RetryReason::Leaving)
             }
             RefusalReason::Overloaded | RefusalReason::OverShare
-                if self.refusals < MAX_REFUSALS =>
+                if self.refusals < MAX_REFUSALS && self.has_room() =>
             {
                 self.refusals += 1;
                 self.refusal = Some(error);
--- a/src/entry/generate_routing.rs
+++ b/src/entry/generate_routing.rs
@@ -13,6 +13,7 @@
 use crate::hosts::HostKey;
 use crate::hosts::HostRole;
 use crate::hosts::Progress;
+use crate::hosts::Roster;
 use crate::node::Node;
 use crate::weights::Digest;
 
@@ -73,16 +74,7 @@
     ) -> Option<Choice> {
         let now_ms = node.now_ms();
         let roster = node.roster();
-        let candidates: Vec<Candidate> = roster
-            .usable(HostRole::Endpoint, now_ms)
-            .filter(|(_, host)| served_manifest(host, call, pinned).is_some())
-            .map(|(key, host)| Candidate {
-                key,
-                name_hash: stable_hash(host.name.as_bytes()),
-                load: host.load,
-                heard_ms: now_ms.saturating_sub(host.silent_ms(now_ms).unwrap_or(0)),
-            })
-            .collect();
+        let candidates = candidates(&roster, call, pinned, now_ms);
         let entries = roster.usable(HostRole::Entry, now_ms).count();
         let ask = Ask {
             candidates: &candidates,
@@ -103,6 +95,42 @@
             started_ms: now_ms,
         })
     }
+
+    /// Whether an endpoint that was not tried has a free slot for `call`.
+    pub(super) fn has_room(
+        &self,
+        node: &Node,
+        call: &GenerateCall,
+        pinned: Option<Digest>,
+        tried: &[HostKey],
+    ) -> bool {
+        let now_ms = node.now_ms();
+        let candidates = candidates(&node.roster(), call, pinned, now_ms);
+        let ask = Ask {
+            candidates: &candidates,
+            prefix: None,
+            tried,
+        };
+        self.router().has_room(&ask, now_ms)
+    }
+}
+
+fn candidates(
+    roster: &Roster,
+    call: &GenerateCall,
+    pinned: Option<Digest>,
+    now_ms: u64,
+) -> Vec<Candidate> {
+    roster
+        .usable(HostRole::Endpoint, now_ms)
+        .filter(|(_, host)| served_manifest(host, call, pinned).is_some())
+        .map(|(key, host)| Candidate {
+            key,
+            name_hash: stable_hash(host.name.as_bytes()),
+            load: host.load,
+            heard_ms: now_ms.saturating_sub(host.silent_ms(now_ms).unwrap_or(0)),
+        })
+        .collect()
 }
 
 /// Where a request goes.
