Keep a bursting branch from overtaking the others in the fair queue

Cause: requests were charged their estimate when they started and given the rest back when they ended. The queue's virtual time followed the highest charge, so a returning branch started far behind a backlogged one that had been given back.

--- a/src/bench/requests_driver.rs
+++ b/src/bench/requests_driver.rs
@@ -22,7 +22,6 @@
 use super::requests_scenario::Arrival;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::DEADLINE_MS;
-use super::requests_scenario::TOKENS;
 use super::requests_scenario::WARM_UP_MS;
 use super::requests_scenario::prompt;
 use super::requests_tally::Outcome;
@@ -93,6 +92,15 @@
     tallies: Tallies,
 }
 
+/// What a caller asks.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Question<'a> {
+    pub(super) branch: &'a str,
+    pub(super) prompt: &'a str,
+    pub(super) tokens: u32,
+    pub(super) number: usize,
+}
+
 /// What a caller saw of one request.
 #[derive(Debug)]
 pub(super) struct Seen {
@@ -132,7 +140,13 @@
     async fn one(&self, arrival: Arrival, number: usize, due: Instant) {
         let prompt = prompt(&arrival, number);
         let patience = Duration::from_millis(DEADLINE_MS) + PATIENCE;
-        let asked = self.ask(arrival.entry, BRANCHES[arrival.branch], &prompt, number);
+        let question = Question {
+            branch: BRANCHES[arrival.branch],
+            prompt: &prompt,
+            tokens: arrival.tokens,
+            number,
+        };
+        let asked = self.ask(arrival.entry, &question);
         let answered = actix_rt::time::timeout(patience, asked).await;
         let seen = answered.unwrap_or_else(|_| Seen {
             outcome: Outcome::Failed("no_answer".to_owned()),
@@ -153,32 +167,26 @@
     }
 
     /// Sends one request and reads its answer.
-    pub(super) async fn ask(
-        &self,
-        entry: usize,
-        branch: &str,
-        prompt: &str,
-        number: usize,
-    ) -> Seen {
+    pub(super) async fn ask(&self, entry: usize, question: &Question<'_>) -> Seen {
         let address = self.entries[entry % self.entries.len()];
         let (path, body) = match self.policy {
-            RequestsPolicy::Baseline => ("generate", engine_order(prompt, number)),
+            RequestsPolicy::Baseline => ("generate", engine_order(question)),
             RequestsPolicy::Product | RequestsPolicy::Both => {
-                ("v1/generate", entry_request(branch, prompt))
+                ("v1/generate", entry_request(question))
             }
         };
-        self.send(&format!("http://{address}/{path}"), &body, prompt)
+        self.send(&format!("http://{address}/{path}"), &body, question)
             .await
     }
 
     /// Sends one request straight to an engine.
-    pub(super) async fn ask_engine(&self, engine: SocketAddr, prompt: &str, number: usize) -> Seen {
-        let body = engine_order(prompt, number);
-        self.send(&format!("http://{engine}/v1/generate"), &body, prompt)
+    pub(super) async fn ask_engine(&self, engine: SocketAddr, question: &Question<'_>) -> Seen {
+        let body = engine_order(question);
+        self.send(&format!("http://{engine}/v1/generate"), &body, question)
             .await
     }
 
-    async fn send(&self, url: &str, body: &Value, prompt: &str) -> Seen {
+    async fn send(&self, url: &str, body: &Value, question: &Question<'_>) -> Seen {
         let request = self.client.post(url).bearer_auth(TOKEN);
         let mut first_token_at = None;
         let outcome = match request.send_json(body).await {
@@ -192,7 +200,7 @@
             }
             Ok(response) => {
                 let lines = response.map(Result::ok);
-                read(lines, prompt, &mut first_token_at).await
+                read(lines, question, &mut first_token_at).await
             }
             Err(_) => Outcome::Failed("connection".to_owned()),
         };
@@ -206,7 +214,7 @@
 /// Reads an answer and checks that it is whole and its own.
 async fn read(
     mut chunks: impl StreamExt<Item = Option<bytes::Bytes>> + Unpin,
-    prompt: &str,
+    question: &Question<'_>,
     first_token_at: &mut Option<Instant>,
 ) -> Outcome {
     let failed = |code: &str| Outcome::Failed(code.to_owned());
@@ -221,7 +229,7 @@
         };
         match serde_json::from_slice(line) {
             Ok(Line::Token { index, text }) => {
-                let expected = token_text(&whole(), prompt, TOKEN_SEED, next_index);
+                let expected = token_text(&whole(), question.prompt, TOKEN_SEED, next_index);
                 if index != next_index || text != expected {
                     return failed("wrong_token");
                 }
@@ -229,7 +237,7 @@
                 next_index += 1;
             }
             Ok(Line::Beat) => {}
-            Ok(Line::End { tokens }) if tokens == TOKENS && next_index == TOKENS => {
+            Ok(Line::End { tokens }) if tokens == question.tokens && next_index == tokens => {
                 return Outcome::Done;
             }
             Ok(Line::Error { code }) if first_token_at.is_none() => return Outcome::Refused(code),
@@ -239,13 +247,13 @@
     }
 }
 
-fn engine_order(prompt: &str, number: usize) -> Value {
+fn engine_order(question: &Question<'_>) -> Value {
     json!({
-        "request_id": format!("request-{number}"),
+        "request_id": format!("request-{}", question.number),
         "model": MODEL,
         "manifest": manifest(),
-        "prompt": prompt,
-        "max_tokens": TOKENS,
+        "prompt": question.prompt,
+        "max_tokens": question.tokens,
         "seed": TOKEN_SEED,
         "priority": 0,
         "resume_from": 0,
@@ -253,12 +261,12 @@
     })
 }
 
-fn entry_request(branch: &str, prompt: &str) -> Value {
+fn entry_request(question: &Question<'_>) -> Value {
     json!({
-        "branch": branch,
+        "branch": question.branch,
         "model": MODEL,
-        "prompt": prompt,
-        "max_tokens": TOKENS,
+        "prompt": question.prompt,
+        "max_tokens": question.tokens,
         "seed": TOKEN_SEED,
         "deadline_ms": DEADLINE_MS,
     })
--- a/src/bench/requests_overhead.rs
+++ b/src/bench/requests_overhead.rs
@@ -11,10 +11,12 @@
 use serde_json::json;
 
 use super::requests_driver::Driver;
+use super::requests_driver::Question;
 use super::requests_driver::Tallies;
 use super::requests_fleet::Fleet;
 use super::requests_fleet::RequestsPolicy;
 use super::requests_scenario::BRANCHES;
+use super::requests_scenario::TOKENS;
 use super::requests_tally::Outcome;
 use crate::links::HttpClient;
 
@@ -128,15 +130,18 @@
 ) -> (Outcome, Option<u64>) {
     let start = Instant::now();
     let prompt = format!("question {number}");
+    let question = Question {
+        branch: BRANCHES[number % BRANCHES.len()],
+        prompt: &prompt,
+        tokens: TOKENS,
+        number,
+    };
     let seen = match engines {
         Some(engines) => {
             let engine = engines[number % engines.len()];
-            driver.ask_engine(engine, &prompt, number).await
-        }
-        None => {
-            let branch = BRANCHES[number % BRANCHES.len()];
-            driver.ask(number, branch, &prompt, number).await
+            driver.ask_engine(engine, &question).await
         }
+        None => driver.ask(number, &question).await,
     };
     let first_us = seen
         .first_token_at
--- a/src/bench/requests_scenario.rs
+++ b/src/bench/requests_scenario.rs
@@ -21,9 +21,12 @@
 /// How much slower a full batch decodes.
 pub(super) const BATCH_SLOWDOWN_PERCENT: u64 = 50;
 
-/// Tokens of each answer.
+/// Tokens of an answer on average.
 pub(super) const TOKENS: u32 = 8;
 
+/// Most by which an answer is shorter or longer.
+const TOKENS_SPREAD: u32 = 4;
+
 /// Time a caller gives its request.
 pub(super) const DEADLINE_MS: u64 = 2000;
 
@@ -71,6 +74,7 @@
     pub(super) entry: usize,
     /// Number of the prompt's head.
     pub(super) prefix: u32,
+    pub(super) tokens: u32,
 }
 
 impl RequestsScenario {
@@ -126,6 +130,7 @@
                 entry: random.random_range(0..ENTRIES),
                 // Squaring makes low numbers more frequent.
                 prefix: (random.random::<f64>().powi(2) * f64::from(PREFIXES)) as u32,
+                tokens: random.random_range(TOKENS - TOKENS_SPREAD..=TOKENS + TOKENS_SPREAD),
             });
             at_us += pause_us(&mut random, mean_us);
         }
--- a/src/calls/generate_call.rs
+++ b/src/calls/generate_call.rs
@@ -36,7 +36,11 @@
     /// What the request is expected to cost, in decoded tokens.
     pub fn cost_tokens(&self) -> u64 {
         let decoded = self.max_tokens.saturating_sub(self.resume_from);
-        let prefilled = self.prompt.len() as u64 / PROMPT_BYTES_PER_TOKEN;
-        u64::from(decoded) + prefilled + 1
+        u64::from(decoded) + self.prompt_tokens()
+    }
+
+    /// What reading the prompt costs, in decoded tokens.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.prompt.len() as u64 / PROMPT_BYTES_PER_TOKEN + 1
     }
 }
--- a/src/contracts/fair_queue.rs
+++ b/src/contracts/fair_queue.rs
@@ -11,6 +11,9 @@
 /// Shortest time after which a refused caller is asked back.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
+/// Weight of the latest request in the average use, as a divisor.
+const USED_SMOOTHING: u64 = 16;
+
 /// Margin over the estimated wait, in percent, so that few requests expire while they wait.
 const WAIT_MARGIN_PERCENT: u64 = 125;
 
@@ -84,9 +87,11 @@
 /// Weighted fair queue over branches in front of the slots of an engine.
 ///
 /// Each branch has a virtual time that advances by cost over weight with every
-/// request it runs; the waiting branch with the least virtual time goes next. A
-/// branch that was idle starts at the current virtual time, so idle shares are
-/// usable by the others and are given back at once, without credit.
+/// request it runs; the waiting branch with the least virtual time goes next. All
+/// start alike when none waits, so idle shares are usable by the others and are given
+/// back at once, without debt. A branch that comes back is ahead of those that wait
+/// by no more than one turn of its share of the slots. The cost is the part of their
+/// estimates that requests have used before; it is final when a request starts.
 #[derive(Debug)]
 pub struct FairQueue<T> {
     limits: QueueLimits,
@@ -94,10 +99,12 @@
     lanes: Vec<Lane<T>>,
     /// Keys sorted by the name of the branch.
     by_name: Vec<BranchKey>,
-    virtual_time: u64,
     waiting: usize,
     running: u32,
     admission: Admission,
+    used: UsedPart,
+    /// Virtual time of a request at weight 1, averaged.
+    mean_charge: u64,
 }
 
 #[derive(Debug)]
@@ -107,6 +114,22 @@
     waiting: VecDeque<Waiting<T>>,
     waiting_tokens: u64,
     running: u32,
+    used: UsedPart,
+}
+
+/// Part of their estimated cost that requests use, averaged; unknown at first.
+#[derive(Debug, Clone, Copy, Default)]
+struct UsedPart {
+    permille: Option<u64>,
+}
+
+impl UsedPart {
+    fn learn(&mut self, work: &Finished) {
+        let used_tokens = work.used_tokens.min(work.cost_tokens);
+        let latest = used_tokens * 1000 / work.cost_tokens.max(1);
+        let average = |known| (known * (USED_SMOOTHING - 1) + latest) / USED_SMOOTHING;
+        self.permille = Some(self.permille.map_or(latest, average));
+    }
 }
 
 impl<T> Lane<T> {
@@ -126,10 +149,11 @@
             limits,
             lanes: Vec::new(),
             by_name: Vec::new(),
-            virtual_time: 0,
             waiting: 0,
             running: 0,
             admission: Admission::new(limits.slots),
+            used: UsedPart::default(),
+            mean_charge: 0,
         }
     }
 
@@ -162,10 +186,11 @@
                 let key = BranchKey(self.lanes.len() as u32);
                 self.lanes.push(Lane {
                     share: BranchShare::unnamed(name),
-                    virtual_time: self.virtual_time,
+                    virtual_time: 0,
                     waiting: VecDeque::new(),
                     waiting_tokens: 0,
                     running: 0,
+                    used: UsedPart::default(),
                 });
                 self.by_name.insert(at, key);
                 key
@@ -213,22 +238,23 @@
         let next = lane.waiting.pop_front().expect("the lane has a request");
         lane.waiting_tokens -= next.cost_tokens;
         lane.running += 1;
-        self.virtual_time = self.virtual_time.max(lane.virtual_time);
-        lane.virtual_time += next.cost_tokens * TOKEN_TIME / lane.weight();
+        let used = lane.used.permille.or(self.used.permille);
+        let charge = (next.cost_tokens * used.unwrap_or(1000)).max(1) * TOKEN_TIME / 1000;
+        lane.virtual_time += charge / lane.weight();
+        self.mean_charge = (self.mean_charge * (USED_SMOOTHING - 1) + charge) / USED_SMOOTHING;
         self.waiting -= 1;
         self.running += 1;
         Popped::Run(next)
     }
 
-    /// Frees the slot of a request and gives its branch back what it did not use.
+    /// Frees the slot of a request and learns from what it used.
     pub fn finish(&mut self, work: Finished) {
         let lane = &mut self.lanes[work.branch.index()];
         lane.running -= 1;
         self.running -= 1;
-        let unused = work.cost_tokens.saturating_sub(work.used_tokens);
-        let refund = unused * TOKEN_TIME / lane.weight();
-        lane.virtual_time = lane.virtual_time.saturating_sub(refund);
         if let Some(held_ms) = work.held_ms {
+            lane.used.learn(&work);
+            self.used.learn(&work);
             self.admission.finished(work.cost_tokens, held_ms);
         }
     }
@@ -282,16 +308,38 @@
     }
 
     fn enqueue(&mut self, request: Waiting<T>) {
-        let virtual_time = self.virtual_time;
+        if self.waiting == 0 {
+            self.level();
+        }
+        let earliest = self.least_waiting_time().saturating_sub(self.slot_turn());
         let lane = &mut self.lanes[request.branch.index()];
         if lane.waiting.is_empty() {
-            lane.virtual_time = lane.virtual_time.max(virtual_time);
+            lane.virtual_time = lane.virtual_time.max(earliest);
         }
         lane.waiting_tokens += request.cost_tokens;
         lane.waiting.push_back(request);
         self.waiting += 1;
     }
 
+    /// Starts all branches alike, as nothing waits that could be overtaken.
+    fn level(&mut self) {
+        let start = self.slot_turn();
+        for lane in &mut self.lanes {
+            lane.virtual_time = start;
+        }
+    }
+
+    /// Virtual time in which every branch turns its share of the slots over once.
+    fn slot_turn(&self) -> u64 {
+        let total_weight: u64 = self.lanes.iter().map(Lane::weight).sum();
+        u64::from(self.limits.slots) * self.mean_charge / total_weight.max(1)
+    }
+
+    fn least_waiting_time(&self) -> u64 {
+        let waiting = self.lanes.iter().filter(|lane| !lane.waiting.is_empty());
+        waiting.map(|lane| lane.virtual_time).min().unwrap_or(0)
+    }
+
     /// The waiting branch with the least virtual time among those below their burst share.
     fn next_branch(&self) -> Option<BranchKey> {
         if self.running >= self.limits.slots - self.limits.reserved.min(self.limits.slots) {
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -114,6 +114,7 @@
             Err(error) => return Ok(failed(sort_error(&error))),
         };
         let mut next_index = self.call.resume_from;
+        slot.used(self.call.prompt_tokens());
         loop {
             match self.next_event(&mut events).await? {
                 Ok(StreamEvent::Token { index, text }) if index == next_index => {
--- a/tests/contracts/main.rs
+++ b/tests/contracts/main.rs
@@ -1,3 +1,4 @@
 //! Shares of branches: the fair queue and its admission.
 
 mod fair_queue;
+mod simulation;
