--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,9 @@
 //! The load and experiment tool: measurements, each against its own baseline.
 
+mod control;
+mod control_fleet;
+mod control_result;
+mod control_watch;
 mod requests;
 mod requests_baseline;
 mod requests_driver;
@@ -9,6 +13,9 @@
 mod requests_scenario;
 mod requests_tally;
 
+pub use control::ControlBench;
+pub use control::ControlFault;
+pub use control_result::ControlResult;
 pub use requests::RequestsBench;
 pub use requests::RequestsResult;
 pub use requests_fleet::RequestsPolicy;
--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -32,6 +32,8 @@
 use crate::contracts::QueueLimits;
 use crate::document::Edit;
 use crate::document::LogRecord;
+use crate::document::follow::LogPage;
+use crate::document::follow::LoggedRecord;
 use crate::endpoint::GenerateQueue;
 use crate::endpoint::GenerateServer;
 use crate::endpoint::SLOTS_PER_RESERVED;
@@ -255,18 +257,6 @@
             return Ok(());
         }
         let state = Arc::new(EntryState::new(entry_settings(number, address)));
-        for (offset, (section, body)) in sections().into_iter().enumerate() {
-            let edit = Edit {
-                edit_id: format!("edit-{offset}"),
-                team: "bench".to_owned(),
-                section,
-                base_revision: 0,
-                body: Some(body),
-            };
-            let record = LogRecord::Edit(edit).encode();
-            state.node.fold().apply(offset as u64, &record);
-        }
-        state.node.set_ready(true);
         let shared = Data::from(Arc::clone(&state));
         let threads = Arc::clone(&self.entry_threads);
         let handle = serve(address, &options, move |app| {
@@ -289,6 +279,7 @@
     pub(super) fn report(&self, loads: &[Load]) {
         for state in &self.states {
             let now_ms = state.node.now_ms();
+            state.node.follower().log_page(now_ms, now_ms, &log_page());
             let running = self.members.iter().enumerate();
             for (number, member) in running.filter(|(_, member)| member.handle.is_some()) {
                 let report = Report {
@@ -391,6 +382,27 @@
     EntrySettings::new(process, platform, ClusterSettings::new(SHARED_KEY))
 }
 
+/// The whole log: one edit for each section.
+fn log_page() -> LogPage {
+    let record = |(offset, (section, body)): (usize, (String, String))| LoggedRecord {
+        offset: offset as u64,
+        bytes: LogRecord::Edit(Edit {
+            edit_id: format!("edit-{offset}"),
+            team: "bench".to_owned(),
+            section,
+            base_revision: 0,
+            body: Some(body),
+        })
+        .encode(),
+    };
+    let records: Vec<LoggedRecord> = sections().into_iter().enumerate().map(record).collect();
+    LogPage {
+        earliest: 0,
+        next: records.len() as u64,
+        records,
+    }
+}
+
 fn sections() -> Vec<(String, String)> {
     let model = format!(
         "version = 1\nmanifest = {}\nreplicas = {ENDPOINTS}\n",
--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -4,6 +4,7 @@
 use super::CliError;
 use super::bench_requests;
 use super::bench_requests::RequestsBenchArgs;
+use crate::bench::ControlBench;
 
 /// Arguments of `bench`.
 #[derive(Debug, Args)]
@@ -13,15 +14,39 @@
     pub kind: BenchKind,
 }
 
-/// A measurement.
+/// The measurements.
 #[derive(Debug, Subcommand)]
 pub enum BenchKind {
+    /// How fast changes of the configuration are in force, and what control costs.
+    Control(ControlBench),
     /// Routing and fair shares under load and faults.
     Requests(RequestsBenchArgs),
 }
 
-pub(super) fn run(args: BenchArgs) -> Result<(), CliError> {
+/// Runs a measurement; all its roles share this process.
+///
+/// # Errors
+///
+/// [`CliError::Failed`] when it cannot run or its result is not good.
+pub fn run(args: BenchArgs) -> Result<(), CliError> {
     match args.kind {
+        BenchKind::Control(bench) => control(&bench),
         BenchKind::Requests(args) => bench_requests::run(&args),
     }
 }
+
+fn control(bench: &ControlBench) -> Result<(), CliError> {
+    let result = actix_rt::System::new()
+        .block_on(bench.run())
+        .map_err(|error| CliError::Failed(error.to_string()))?;
+    if bench.json {
+        println!("{}", serde_json::json!(result));
+    } else {
+        println!("{result}");
+    }
+    if result.is_good() {
+        return Ok(());
+    }
+    let reason = "a process lacks the last change, or an offset went back";
+    Err(CliError::Failed(reason.to_owned()))
+}
--- a/src/endpoint/generate.rs
+++ b/src/endpoint/generate.rs
@@ -40,12 +40,12 @@
 
 /// Brings the queue's shares up to the configuration in force.
 fn refresh_shares(state: &EndpointState, server: &GenerateServer) {
-    let fold = state.node.fold();
-    let offset = fold.head();
+    let follower = state.node.follower();
+    let offset = follower.fold().head();
     if server.queue().shares_offset() == Some(offset) {
         return;
     }
-    let branches = fold.document().branches();
+    let branches = follower.fold().document().branches();
     let shares = branches.iter().map(BranchShare::from);
     server.queue().set_shares(offset, shares);
 }
--- a/src/endpoint/weights_naive.rs
+++ b/src/endpoint/weights_naive.rs
@@ -200,7 +200,7 @@
     let engine = EngineClient::new(address);
     let order = LoadOrder {
         order: OrderNo {
-            offset: state.node.fold().head(),
+            offset: state.node.config_mark().offset,
             incarnation: state.node.incarnation(),
             sequence: 0,
         },
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -19,6 +19,9 @@
 /// Time allowed when the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// When to come back to an entry that is not ready.
+const NOT_READY_RETRY_MS: u64 = 1000;
+
 /// A caller's request for tokens.
 #[derive(Debug, Deserialize)]
 pub struct GenerateBody {
@@ -44,6 +47,14 @@
     request: HttpRequest,
     body: web::Json<GenerateBody>,
 ) -> Result<HttpResponse, ApiError> {
+    if !state.node.is_ready() {
+        let message = "the entry has not confirmed its configuration";
+        return Err(ApiError::later(
+            ErrorCode::NotReady,
+            message,
+            NOT_READY_RETRY_MS,
+        ));
+    }
     let document = state.node.document();
     let body = body.into_inner();
     let branch = auth::branch(&document, &body.branch, &request)?;
