Prove token streams against kill, silence, planned stop and a gone caller

Separate processes: the answer is whole and in order after its endpoint is killed or stopped mid-stream, a planned stop repeats nothing (engine starts = requests done), and a caller that goes away frees the engine. Two faults found on the way: a slow episode could shut an endpoint off for good, as requests were refused by what was learned in it (an idle engine is now tried, and faster answers count more); and with no other replica a leaving endpoint's refusal asked callers back at once.

--- a/src/contracts/admission.rs
+++ b/src/contracts/admission.rs
@@ -1,6 +1,10 @@
-/// Weight of the latest request in the averages, as a divisor.
+/// Weight of the latest request in the average, as a divisor.
 const SMOOTHING: u64 = 16;
 
+/// The same for a request that was faster than the average, so that an engine that
+/// was slow for a while is soon trusted again.
+const FASTER_SMOOTHING: u64 = 4;
+
 /// Time a stream takes before any has been measured, in microseconds a token.
 const INITIAL_COST_US: u64 = 0;
 
@@ -32,6 +36,9 @@
         let measured_us = held_ms * 1000 / cost_tokens.max(1);
         self.token_us = match self.token_us {
             INITIAL_COST_US => measured_us,
+            known_us if measured_us < known_us => {
+                (known_us * (FASTER_SMOOTHING - 1) + measured_us) / FASTER_SMOOTHING
+            }
             known_us => (known_us * (SMOOTHING - 1) + measured_us) / SMOOTHING,
         };
     }
--- a/src/contracts/fair_queue.rs
+++ b/src/contracts/fair_queue.rs
@@ -201,7 +201,7 @@
     /// Queues a request, or refuses it at once when it could not be served in time.
     pub fn push(&mut self, request: Waiting<T>, now_ms: u64) -> Pushed<T> {
         let wait_ms = self.wait_ms(request.branch);
-        let service_ms = self.admission.service_ms(request.cost_tokens);
+        let service_ms = self.service_ms(request.cost_tokens);
         let ready_ms = now_ms + wait_ms * WAIT_MARGIN_PERCENT / 100 + service_ms;
         let lane = &self.lanes[request.branch.index()];
         let reason = if request.deadline_ms <= now_ms {
@@ -291,10 +291,18 @@
 
     /// Latest time at which a request can start and still be whole by its deadline.
     pub fn expiry_ms(&self, request: &Waiting<T>) -> u64 {
-        let service_ms = self.admission.service_ms(request.cost_tokens);
+        let service_ms = self.service_ms(request.cost_tokens);
         request.deadline_ms.saturating_sub(service_ms)
     }
 
+    /// Time a request would run; an idle engine is tried whatever was learned of it.
+    fn service_ms(&self, cost_tokens: u64) -> u64 {
+        match self.running {
+            0 => 0,
+            _ => self.admission.service_ms(cost_tokens),
+        }
+    }
+
     fn expire(&self, request: Waiting<T>, now_ms: u64) -> Popped<T> {
         let reason = match request.deadline_ms <= now_ms {
             true => QueueRefusal::DeadlinePassed,
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -15,6 +15,7 @@
 use crate::entry::ErrorCode;
 use crate::hosts::HostKey;
 use crate::observe::Event;
+use crate::observe::Tally;
 use crate::observe::emit;
 use crate::weights::Digest;
 
@@ -85,6 +86,8 @@
                 Step::Emit(event) => return Some(Ok(event)),
                 Step::Last(event) => {
                     self.has_ended = true;
+                    let metrics = self.state.node.metrics();
+                    metrics.add(Tally::Requests, 1, "outcome", "done");
                     self.attempt = None;
                     return Some(Ok(event));
                 }
@@ -236,10 +239,7 @@
     fn refused(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) -> Step {
         let error = refusal_error(reason, retry_after_ms);
         match reason {
-            RefusalReason::Leaving | RefusalReason::NotReady => {
-                self.refusal = Some(error);
-                Step::Retry(RetryReason::Leaving)
-            }
+            RefusalReason::Leaving | RefusalReason::NotReady => Step::Retry(RetryReason::Leaving),
             RefusalReason::Overloaded | RefusalReason::OverShare
                 if self.refusals < MAX_REFUSALS && self.has_room() =>
             {
--- a/tests/contracts/fair_queue.rs
+++ b/tests/contracts/fair_queue.rs
@@ -227,6 +227,35 @@
     assert_eq!(retry_after_ms, 2000);
 }
 
+/// What was learned while an engine was slow does not shut it off for good.
+#[test]
+fn push_idle_endpoint_is_tried() {
+    let mut queue = queue(1);
+    let a = queue.set_share(share("a", 1, 100));
+    queue.push(request(a, 100), 0);
+    let slow = run(&mut queue).expect("a request waits");
+    finish(&mut queue, &slow, Some(50_000));
+    let near = |now_ms: u64| Waiting {
+        deadline_ms: now_ms + 2000,
+        ..request(a, 100)
+    };
+    assert_eq!(queue.push(near(0), 0), Pushed::Queued);
+    let tried = run(&mut queue).expect("the engine is idle");
+    assert_eq!(
+        refusal(queue.push(near(0), 0)),
+        QueueRefusal::DeadlineTooNear
+    );
+    finish(&mut queue, &tried, Some(1000));
+    for _ in 0..20 {
+        queue.push(near(0), 0);
+        let next = run(&mut queue).expect("the engine is idle");
+        finish(&mut queue, &next, Some(1000));
+    }
+    queue.push(near(0), 0);
+    run(&mut queue).expect("the engine is idle");
+    assert_eq!(queue.push(near(0), 0), Pushed::Queued);
+}
+
 #[test]
 fn pop_gives_up_once_the_answer_cannot_be_whole() {
     let mut queue = queue(1);
--- /dev/null
+++ b/tests/generate_path/world.rs
@@ -0,0 +1,183 @@
+use actix_rt::task::JoinHandle;
+use actix_web::http::Method;
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::Cluster;
+use crate::support::Process;
+use crate::support::TOKEN;
+use crate::support::until;
+use bergamotfork::links::HttpClient;
+use bergamotfork::links::LinkError;
+use bergamotfork::platform::EngineState;
+use bergamotfork::platform::StreamEvent;
+use bergamotfork::standin::engine::token_text;
+use bergamotfork::weights::Digest;
+
+const SEED: u64 = 3;
+const ENGINE_ARGS: [&str; 4] = ["--first-token-ms", "20", "--token-ms", "30"];
+
+/// An entry and some replicas of one model.
+pub struct World {
+    cluster: Cluster,
+    entry: String,
+    engines: Vec<String>,
+}
+
+impl World {
+    pub async fn start(replicas: usize) -> Self {
+        let mut cluster = Cluster::new().await;
+        let entry = cluster.entry("entry-1", "or-north", "").await;
+        let mut engines = Vec::new();
+        for number in 0..replicas {
+            let name = format!("engine-{number}");
+            let endpoint = cluster.engine(&name, "or-north", &ENGINE_ARGS).await;
+            engines.push(cluster.backend_of(&endpoint));
+        }
+        let manifest = cluster.publish("chat", "v1", 100_000).await;
+        let model = format!("version = v1\nmanifest = {manifest}\nreplicas = 2\n");
+        cluster.edit("model chat", 0, &model).await;
+        let digest = Digest::of(TOKEN.as_bytes());
+        let branch = format!("token_digest = {digest}\nshare_percent = 50\nmodels = chat\n");
+        cluster.edit("branch seaside", 0, &branch).await;
+        let world = Self {
+            cluster,
+            entry,
+            engines,
+        };
+        world.ready().await;
+        world
+    }
+
+    /// Waits until the entry knows the model and every engine serves it.
+    async fn ready(&self) {
+        until("the entry knows the model", 30, async || {
+            match self.ask("ready?", 1).await {
+                Ok(_) => Some(()),
+                Err(error) => error.to_string().contains("no_replica").then_some(()),
+            }
+        })
+        .await;
+        for number in 0..self.engines.len() {
+            until("the engine serves", 30, async || {
+                (!self.state(number).await?.loaded.is_empty()).then_some(())
+            })
+            .await;
+        }
+        until("the entry uses every replica", 30, async || {
+            let states = self.states().await;
+            if states.iter().all(|state| state.started > 0) {
+                return Some(());
+            }
+            let _ = self.ask("ready?", 1).await;
+            None
+        })
+        .await;
+    }
+
+    async fn state(&self, number: usize) -> Option<EngineState> {
+        let url = format!("http://{}/v1/state", self.engines[number]);
+        HttpClient::to_platform().get_json(&url, 2000).await.ok()
+    }
+
+    async fn states(&self) -> Vec<EngineState> {
+        let mut states = Vec::new();
+        for number in 0..self.engines.len() {
+            states.extend(self.state(number).await);
+        }
+        states
+    }
+
+    /// The endpoint whose engine runs a stream.
+    pub async fn serving(&self) -> usize {
+        until("an engine runs the stream", 20, async || {
+            let states = self.states().await;
+            states.iter().position(|state| state.running > 0)
+        })
+        .await
+    }
+
+    /// Waits until no engine runs a stream.
+    pub async fn idle(&self) {
+        until("no engine runs a stream", 20, async || {
+            let states = self.states().await;
+            states.iter().all(|state| state.running == 0).then_some(())
+        })
+        .await;
+    }
+
+    pub fn process(&mut self, number: usize) -> &mut Process {
+        self.cluster.process(&format!("engine-{number}"))
+    }
+
+    pub async fn ask(&self, prompt: &str, tokens: u32) -> Result<Bytes, LinkError> {
+        ask(&self.entry, prompt, tokens).await
+    }
+
+    /// Sends a request whose answer is awaited later.
+    pub fn start_asking(&self, prompt: &'static str, tokens: u32) -> JoinHandle<Bytes> {
+        let entry = self.entry.clone();
+        actix_rt::spawn(async move {
+            let answer = ask(&entry, prompt, tokens).await;
+            answer.expect("the entry answers")
+        })
+    }
+
+    /// Checks that an answer is whole, in order and made with one version.
+    pub fn check(&self, answer: &Bytes, prompt: &str, tokens: u32) {
+        let lines = answer.split(|&byte| byte == b'\n');
+        let mut events: Vec<StreamEvent> = lines
+            .filter(|line| !line.is_empty())
+            .map(|line| serde_json::from_slice(line).expect("a line is an event"))
+            .collect();
+        events.retain(|event| *event != StreamEvent::Beat);
+        let Some(StreamEvent::End {
+            tokens: count,
+            whole,
+            ..
+        }) = events.pop()
+        else {
+            panic!("no end record: {events:?}");
+        };
+        assert_eq!(count, tokens);
+        let expected: Vec<StreamEvent> = (0..tokens)
+            .map(|index| StreamEvent::Token {
+                index,
+                text: token_text(&whole, prompt, SEED, index),
+            })
+            .collect();
+        assert_eq!(events, expected);
+    }
+
+    /// Checks that a planned stop made no request run again.
+    pub async fn started_once(&self) {
+        let started: u64 = self.states().await.iter().map(|state| state.started).sum();
+        let asked = self.asked().await;
+        assert_eq!(started, asked);
+    }
+
+    /// Requests that the entry has answered whole.
+    async fn asked(&self) -> u64 {
+        let url = format!("{}/metrics", self.entry);
+        let request = HttpClient::to_platform().request(Method::GET, &url);
+        let text = HttpClient::exchange(request, Bytes::new(), 2000).await;
+        let text = String::from_utf8_lossy(&text.expect("the entry has metrics")).into_owned();
+        let line = text.lines().find(|line| {
+            line.starts_with("bergamotfork_requests_total{") && line.contains("\"done\"")
+        });
+        let count = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        count.expect("requests are counted")
+    }
+}
+
+async fn ask(entry: &str, prompt: &str, tokens: u32) -> Result<Bytes, LinkError> {
+    let body: Value = json!({
+        "branch": "seaside", "model": "chat", "prompt": prompt, "max_tokens": tokens, "seed": SEED,
+    });
+    let request = HttpClient::to_platform()
+        .request(Method::POST, &format!("{entry}/v1/generate"))
+        .insert_header(("authorization", format!("Bearer {TOKEN}")))
+        .insert_header(("content-type", "application/json"));
+    HttpClient::exchange(request, body.to_string(), 40_000).await
+}
