--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod admin_client;
 mod args;
 mod bench;
+mod bench_requests;
 mod config;
 mod demo;
 mod endpoint;
@@ -43,10 +44,10 @@
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
         Command::Config(args) => config::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
-        Command::Bench(args) => bench::run(args),
         Command::Status(args) => status::run(args),
         Command::Demo(args) => demo::run(args),
         Command::Settings(args) => settings::run(args),
--- a/src/contracts/branch_share.rs
+++ b/src/contracts/branch_share.rs
@@ -1,3 +1,8 @@
+use crate::document::BranchSection;
+
+/// Queue weight of one percent of guaranteed share.
+const WEIGHT_PER_PERCENT: u32 = 10_000;
+
 /// What a branch may use of the slots of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BranchShare {
@@ -19,3 +24,14 @@
         }
     }
 }
+
+impl From<&BranchSection> for BranchShare {
+    /// Guaranteed shares go first; the weight decides among branches without one.
+    fn from(section: &BranchSection) -> Self {
+        Self {
+            branch: section.name.clone(),
+            weight: section.share_percent * WEIGHT_PER_PERCENT + section.weight,
+            burst_percent: section.burst_percent,
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/generate_load.rs
@@ -0,0 +1,36 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+
+use crate::endpoint::EndpointState;
+
+/// How often the load in the reports is brought up to date.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Copies the load of the queue into what the process says of itself.
+#[derive(Debug)]
+pub struct LoadKeeper {
+    state: Arc<EndpointState>,
+}
+
+impl LoadKeeper {
+    /// Keeper of `state`'s load.
+    pub fn new(state: Arc<EndpointState>) -> Self {
+        Self { state }
+    }
+}
+
+impl Actor for LoadKeeper {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(REFRESH_INTERVAL, |this, _| {
+            if let Some(server) = &this.state.generate {
+                this.state.node.own().load = server.queue().load();
+            }
+        });
+    }
+}
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -14,6 +14,7 @@
 use crate::endpoint::call_ticker::CallTicker;
 use crate::endpoint::configure_weights;
 use crate::endpoint::generate;
+use crate::endpoint::generate_load::LoadKeeper;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -65,6 +66,7 @@
     Reporter::bind(Arc::clone(&state.node))?.start();
     if let Some(engine) = state.engine_address() {
         WeightsKeeper::new(Arc::clone(&state), engine).start();
+        LoadKeeper::new(Arc::clone(&state)).start();
     }
     emit(
         Event::ProcessStarted,
--- a/src/endpoint/weights_keeper.rs
+++ b/src/endpoint/weights_keeper.rs
@@ -86,7 +86,7 @@
         let mut rounds = Rounds {
             state: Arc::clone(&self.state),
             origin: OriginClient::new(self.state.node.platform().origin_url.clone()),
-            giver: EngineGiver::new(EngineClient::new(awc::Client::default(), self.engine)),
+            giver: EngineGiver::new(EngineClient::new(self.engine)),
             tracked: Vec::new(),
             engine_asked_ms: 0,
         };
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::PermitKey;
 use crate::conf::EntrySettings;
+use crate::entry::Routing;
 use crate::entry::call_book::CallBook;
 use crate::node::Node;
 use crate::platform::LogClient;
@@ -19,6 +20,8 @@
     pub calls: CallBook,
     /// Seals permits.
     pub permit_key: PermitKey,
+    /// Load and pace of the endpoints, and retries left.
+    pub routing: Routing,
 }
 
 impl EntryState {
@@ -33,12 +36,14 @@
         let log = LogClient::new(&settings.platform.log_url, &settings.platform.config_stream)
             .with_cuts(Arc::clone(node.cuts()));
         let permit_key = PermitKey::derive(&settings.cluster.shared_key);
+        let routing = Routing::new(&settings.process.name, settings.retry_budget_percent);
         Self {
             settings,
             node,
             log,
             calls: CallBook::new(),
             permit_key,
+            routing,
         }
     }
 }
