--- a/tests/calls_faults/caller.rs
+++ b/tests/calls_faults/caller.rs
@@ -90,9 +90,9 @@
 
 fn sort(answer: &Value) -> Outcome {
     let reason = answer["reason"].as_str().unwrap_or_default().to_owned();
-    match answer["code"].as_str() {
+    match answer["outcome"].as_str() {
         Some("not_run") => Outcome::NotRun(reason),
-        Some("outcome_unknown") => Outcome::Unknown(reason),
+        Some("unknown") => Outcome::Unknown(reason),
         _ => Outcome::Unknown(answer.to_string()),
     }
 }
