--- a/tests/calls/permits.rs
+++ b/tests/calls/permits.rs
@@ -220,3 +220,15 @@
     codes.dedup();
     assert_eq!(codes.len(), RefusalReason::ALL.len());
 }
+
+#[test]
+fn reasons_page_lists_every_code() {
+    let page = include_str!("../../docs/CALLS.md");
+    for reason in RefusalReason::ALL {
+        let wait = reason
+            .retry_after_ms()
+            .map_or("-".to_owned(), |wait_ms| wait_ms.to_string());
+        let row = format!("| `{}` | {wait} | {} |", reason.code(), reason.meaning());
+        assert!(page.contains(&row), "docs/CALLS.md lacks: {row}");
+    }
+}
--- /dev/null
+++ b/tests/spec_permits/fixture.rs
@@ -0,0 +1,44 @@
+use bergamotfork::calls::CallOutcome;
+use bergamotfork::calls::Nonce;
+use bergamotfork::calls::Permit;
+use bergamotfork::calls::PermitKey;
+use bergamotfork::calls::PermitLimits;
+use bergamotfork::calls::PermitPlace;
+use bergamotfork::calls::PermitTable;
+use bergamotfork::calls::StoredAnswer;
+
+pub const EPOCH_MS: u64 = 1;
+pub const FIRST_INCARNATION: u64 = 1;
+pub const NONCE: u128 = 7;
+
+pub fn permit() -> Permit {
+    let place = PermitPlace {
+        endpoint: "a".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: FIRST_INCARNATION,
+        epoch: 1,
+    };
+    Permit::with_nonce(&PermitKey::derive("key"), place, "b", "s", NONCE.into())
+}
+
+pub fn table(incarnation: u64, now_ms: u64) -> PermitTable {
+    let limits = PermitLimits {
+        epoch_ms: EPOCH_MS,
+        kept_epochs: 1,
+        epoch_permits: 4,
+        epoch_bytes: 64,
+        answer_bytes: 64,
+    };
+    PermitTable::new(incarnation, limits, now_ms)
+}
+
+pub fn answer() -> CallOutcome {
+    CallOutcome::Answer(StoredAnswer {
+        status: 200,
+        body: Vec::new(),
+    })
+}
+
+pub fn nonce() -> Nonce {
+    NONCE.into()
+}
--- a/tests/spec_permits/main.rs
+++ b/tests/spec_permits/main.rs
@@ -9,13 +9,16 @@
 //! product. Each protective rule is then taken out in turn, and the exploration
 //! must find a violation.
 
+mod fixture;
+mod messages;
+mod rules;
 mod world;
 
 use pathfinding::directed::bfs::bfs;
 use pathfinding::directed::bfs::bfs_reach;
 
-use crate::world::Bounds;
-use crate::world::Rule;
+use crate::rules::Bounds;
+use crate::rules::Rule;
 use crate::world::World;
 
 /// Resends by one caller, over restarts.
--- /dev/null
+++ b/tests/spec_permits/rules.rs
@@ -0,0 +1,37 @@
+/// A protective rule that can be taken out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Rule {
+    /// Asking for an unseen nonce records a refusal.
+    Tombstone,
+    /// Only send 1 may be told "not run" for a past incarnation.
+    SendOne,
+    /// The caller ignores answers to earlier sends.
+    LatestSend,
+    /// Dispatches are counted when the answer is given.
+    CountAtAnswer,
+    /// The table refuses permits of other incarnations.
+    Incarnation,
+    /// The table refuses permits of dropped epochs.
+    Epoch,
+    /// An entry vouches only for permits this process issued.
+    IssuedHere,
+    /// The HTTP client never resends a dispatch by itself.
+    FreshConnection,
+    /// A question that meets a new process says nothing of where the call went.
+    AskedApart,
+    /// An entry that told "not run" never dispatches the permit again.
+    ClosedAtEntry,
+}
+
+/// How much may happen in an exploration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Bounds {
+    /// Sends of the permit by its caller.
+    pub sends: u32,
+    /// Restarts and turns of the epoch.
+    pub restarts: u32,
+    /// Messages that arrive twice.
+    pub doubled: u32,
+    /// Questions for the nonce.
+    pub questions: u32,
+}
--- a/tests/spec_permits/world.rs
+++ b/tests/spec_permits/world.rs
@@ -1,64 +1,27 @@
+use crate::fixture::EPOCH_MS;
+use crate::fixture::FIRST_INCARNATION;
+use crate::fixture::NONCE;
+use crate::fixture::answer;
+use crate::fixture::nonce;
+use crate::fixture::permit;
+use crate::fixture::table;
+use crate::messages::GONE;
+use crate::messages::Message;
+use crate::messages::Told;
+use crate::rules::Bounds;
+use crate::rules::Rule;
 use bergamotfork::calls::Asked;
 use bergamotfork::calls::Begin;
 use bergamotfork::calls::CallOutcome;
 use bergamotfork::calls::Dispatch;
 use bergamotfork::calls::DispatchLedger;
-use bergamotfork::calls::Nonce;
-use bergamotfork::calls::Permit;
-use bergamotfork::calls::PermitKey;
-use bergamotfork::calls::PermitLimits;
-use bergamotfork::calls::PermitPlace;
 use bergamotfork::calls::PermitTable;
 use bergamotfork::calls::RefusalReason;
-use bergamotfork::calls::Reply;
 use bergamotfork::calls::SendFacts;
-use bergamotfork::calls::StoredAnswer;
-use bergamotfork::calls::UnknownReason;
 use bergamotfork::calls::verdict;
 use bergamotfork::weights::Digest;
 
 const ENTRIES: usize = 2;
-const EPOCH_MS: u64 = 1;
-const FIRST_INCARNATION: u64 = 1;
-const NONCE: u128 = 7;
-
-/// A protective rule that can be taken out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Rule {
-    /// Asking for an unseen nonce records a refusal.
-    Tombstone,
-    /// Only send 1 may be told "not run" for a past incarnation.
-    SendOne,
-    /// The caller ignores answers to earlier sends.
-    LatestSend,
-    /// Dispatches are counted when the answer is given.
-    CountAtAnswer,
-    /// The table refuses permits of other incarnations.
-    Incarnation,
-    /// The table refuses permits of dropped epochs.
-    Epoch,
-    /// An entry vouches only for permits this process issued.
-    IssuedHere,
-    /// The HTTP client never resends a dispatch by itself.
-    FreshConnection,
-    /// A question that meets a new process says nothing of where the call went.
-    AskedApart,
-    /// An entry that told "not run" never dispatches the permit again.
-    ClosedAtEntry,
-}
-
-/// How much may happen in an exploration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Bounds {
-    /// Sends of the permit by its caller.
-    pub sends: u32,
-    /// Restarts and turns of the epoch.
-    pub restarts: u32,
-    /// Messages that arrive twice.
-    pub doubled: u32,
-    /// Questions for the nonce.
-    pub questions: u32,
-}
 
 /// One send in progress at an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -71,39 +34,6 @@
     open: bool,
 }
 
-/// Number of a handler that no longer waits; its messages may still arrive.
-const GONE: usize = usize::MAX;
-
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Message {
-    Send { entry: usize, send_no: u32 },
-    Call { handler: usize },
-    Ask { handler: usize },
-    Reply { handler: usize, answer: Told },
-}
-
-/// Short form of a reply on its way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Told {
-    Answer,
-    NotRun(RefusalReason),
-    ArrivedUnknown(UnknownReason),
-    AskedUnknown(UnknownReason),
-    Closed(RefusalReason),
-}
-
-impl Told {
-    fn reply(self) -> Reply {
-        match self {
-            Self::Answer => Reply::Ended(answer()),
-            Self::NotRun(reason) => Reply::Ended(CallOutcome::not_run(reason)),
-            Self::ArrivedUnknown(reason) => Reply::ArrivedUnknown(reason),
-            Self::AskedUnknown(reason) => Reply::AskedUnknown(reason),
-            Self::Closed(reason) => Reply::NeverLeft(reason),
-        }
-    }
-}
-
 /// One state of callers, entries, endpoint and messages.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct World {
@@ -125,34 +55,6 @@
     runs: u32,
 }
 
-fn permit() -> Permit {
-    let place = PermitPlace {
-        endpoint: "a".to_owned(),
-        address: ([127, 0, 0, 1], 1).into(),
-        incarnation: FIRST_INCARNATION,
-        epoch: 1,
-    };
-    Permit::with_nonce(&PermitKey::derive("key"), place, "b", "s", NONCE.into())
-}
-
-fn table(incarnation: u64, now_ms: u64) -> PermitTable {
-    let limits = PermitLimits {
-        epoch_ms: EPOCH_MS,
-        kept_epochs: 1,
-        epoch_permits: 4,
-        epoch_bytes: 64,
-        answer_bytes: 64,
-    };
-    PermitTable::new(incarnation, limits, now_ms)
-}
-
-fn answer() -> CallOutcome {
-    CallOutcome::Answer(StoredAnswer {
-        status: 200,
-        body: Vec::new(),
-    })
-}
-
 impl World {
     pub fn new(without: Option<Rule>, bounds: Bounds) -> Self {
         let mut ledgers = vec![DispatchLedger::new(4); ENTRIES];
@@ -288,7 +190,13 @@
     fn entry_takes_in(self, entry: usize, send_no: u32, next: &mut Vec<Self>) {
         let handler = self.handlers.len();
         let mut world = self.clone();
-        world.add_handler(entry, send_no);
+        world.handlers.push(Handler {
+            entry,
+            send_no,
+            count_at_send: None,
+            asked: false,
+            open: true,
+        });
         let refused = Told::Closed(RefusalReason::Overloaded);
         world.clone().entry_concludes(handler, refused, next);
         match world.ledgers[entry].dispatch(nonce(), send_no) {
@@ -306,16 +214,6 @@
         }
     }
 
-    fn add_handler(&mut self, entry: usize, send_no: u32) {
-        self.handlers.push(Handler {
-            entry,
-            send_no,
-            count_at_send: None,
-            asked: false,
-            open: true,
-        });
-    }
-
     fn call_arrives(&mut self, handler: usize) {
         let mut permit = permit();
         if self.lacks(Rule::Incarnation) {
@@ -394,11 +292,11 @@
             if matches!(told, Told::Closed(_)) && self.left.questions > 0 {
                 next.push(self.with(|world| world.ask(handler)));
             }
-            self.close(handler);
+            self.handlers[handler].open = false;
             next.push(self);
             return;
         }
-        self.close(handler);
+        self.handlers[handler].open = false;
         next.push(self.with(|world| world.caller_hears(send_no, &outcome)));
         next.push(self);
     }
@@ -421,10 +319,6 @@
         }
     }
 
-    fn close(&mut self, handler: usize) {
-        self.handlers[handler].open = false;
-    }
-
     /// An entry takes the connection for silent and asks for the nonce over a new one.
     fn handlers_ask(&self, next: &mut Vec<Self>) {
         if self.left.questions == 0 {
@@ -496,12 +390,8 @@
         });
         for handler in 0..self.handlers.len() {
             if self.handlers[handler].entry == entry {
-                self.close(handler);
+                self.handlers[handler].open = false;
             }
         }
     }
 }
-
-fn nonce() -> Nonce {
-    NONCE.into()
-}
