--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -61,8 +61,6 @@
     death: DeathId,
     seen_ms: u64,
     cleared: bool,
-    // When this process last learned something of it.
-    changed_ms: u64,
 }
 
 impl Trace {
@@ -100,12 +98,11 @@
             death,
             seen_ms: now_ms,
             cleared: false,
-            changed_ms: now_ms,
         });
     }
 
     /// Clears a request that ran alone among suspects and crashed nothing.
-    pub fn clear(&mut self, fingerprint: Digest, now_ms: u64) {
+    pub fn clear(&mut self, fingerprint: Digest) {
         let first = self
             .traces
             .partition_point(|trace| trace.fingerprint < fingerprint);
@@ -113,10 +110,7 @@
             if trace.fingerprint != fingerprint {
                 break;
             }
-            if !trace.cleared {
-                trace.cleared = true;
-                trace.changed_ms = now_ms;
-            }
+            trace.cleared = true;
         }
     }
 
@@ -148,30 +142,36 @@
             .retain(|trace| now_ms.saturating_sub(trace.seen_ms) < window_ms);
     }
 
-    /// Everything known, for a process that starts.
+    /// Everything known, to spread.
     pub fn export(&self, now_ms: u64) -> Vec<SuspectRecord> {
-        self.export_since(now_ms, 0)
-    }
-
-    /// What this process learned in the last `recent_ms`, to spread.
-    pub fn export_recent(&self, now_ms: u64, recent_ms: u64) -> Vec<SuspectRecord> {
-        self.export_since(now_ms, now_ms.saturating_sub(recent_ms))
-    }
-
-    fn export_since(&self, now_ms: u64, since_ms: u64) -> Vec<SuspectRecord> {
         self.traces
             .iter()
-            .filter(|trace| trace.changed_ms >= since_ms)
+            .filter(|trace| !self.is_expired(trace, now_ms))
             .map(|trace| SuspectRecord {
                 fingerprint: trace.fingerprint,
                 death: trace.death.clone(),
                 age_ms: now_ms.saturating_sub(trace.seen_ms),
                 cleared: trace.cleared,
             })
-            .filter(|record| record.age_ms < self.window_ms)
             .collect()
     }
 
+    /// Digest of the deaths within the window; equal on processes that know the same.
+    pub fn digest(&self, now_ms: u64) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        for trace in &self.traces {
+            if self.is_expired(trace, now_ms) {
+                continue;
+            }
+            hasher.update(trace.fingerprint.as_bytes());
+            hasher.update(trace.death.endpoint.as_bytes());
+            hasher.update(&trace.death.incarnation.to_be_bytes());
+            hasher.update(&trace.death.crash_no.to_be_bytes());
+            hasher.update(&[u8::from(trace.cleared)]);
+        }
+        Digest::from(hasher.finalize())
+    }
+
     /// Takes in what another process knows.
     pub fn merge(&mut self, records: impl IntoIterator<Item = SuspectRecord>, now_ms: u64) {
         for record in records {
@@ -183,7 +183,6 @@
                 death: record.death,
                 seen_ms: now_ms.saturating_sub(record.age_ms),
                 cleared: record.cleared,
-                changed_ms: now_ms,
             });
         }
     }
@@ -209,10 +208,7 @@
         match found {
             Ok(at) => {
                 let known = &mut self.traces[at];
-                if trace.cleared && !known.cleared {
-                    known.cleared = true;
-                    known.changed_ms = trace.changed_ms;
-                }
+                known.cleared |= trace.cleared;
                 known.seen_ms = known.seen_ms.min(trace.seen_ms);
             }
             Err(at) => {
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -61,7 +61,7 @@
     })?;
     CallTicker::new(Arc::clone(&state)).start();
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     if state.engine_address().is_some() {
         Fetcher::new(Arc::clone(&state)).start();
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -10,6 +10,7 @@
 use crate::conf::EntrySettings;
 use crate::entry::EntryState;
 use crate::entry::addresses;
+use crate::entry::admin;
 use crate::entry::api_error;
 use crate::entry::call;
 use crate::entry::call_permits;
@@ -58,10 +59,11 @@
             .service(at("/v1/permits", web::get().to(call_permits::permits)))
             .service(at("/v1/status", web::get().to(status::status)))
             .default_service(web::to(api_error::unknown_path));
+        admin::routes(app);
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     Tailer::new(Arc::clone(&state)).start();
     emit(
         Event::ProcessStarted,
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -46,10 +46,7 @@
         );
     }
     node.suspects().merge(report.suspects, now_ms);
-    let mut answer = node.report_answer();
-    if matches!(heard, Heard::New | Heard::Replaced) {
-        answer.suspects = node.suspects().export(now_ms);
-    }
+    let answer = node.report_answer();
     node.count_control("received", body.len());
     node.count_control("sent", ANSWER_BYTES);
     rmp_response(&answer)
@@ -77,7 +74,7 @@
 }
 
 async fn ready(node: web::Data<Node>) -> HttpResponse {
-    if node.is_ready() && !node.is_leaving() {
+    if node.admission().admits() && !node.is_leaving() {
         HttpResponse::Ok().json("ready")
     } else {
         HttpResponse::ServiceUnavailable().json("not ready")
--- a/tests/api_input/main.rs
+++ b/tests/api_input/main.rs
@@ -211,6 +211,10 @@
         let later = answer.json()["retry_after_ms"].is_u64();
         assert_eq!(later, answer.header("retry-after").is_some(), "{case}");
         assert_eq!(later, code == "no_replica", "{case}");
+        if path == "/v1/call" && later {
+            assert_eq!(answer.json()["outcome"], "not_run", "{case}");
+            assert_eq!(answer.json()["reason"], "no_endpoint", "{case}");
+        }
         assert_healthy(address, &case);
     }
 }
