--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -2,6 +2,7 @@
 use clap::Subcommand;
 
 use super::BenchArgs;
+use super::ConfigArgs;
 use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
@@ -27,6 +28,8 @@
     Entry(EntryArgs),
     /// Run an endpoint beside an engine or a plain service.
     Endpoint(EndpointArgs),
+    /// Show, edit and follow the configuration through an entry.
+    Config(ConfigArgs),
     /// Show the hosts, models and configuration as an entry sees them.
     Status(StatusArgs),
     /// Show the whole system at work, in this one process on loopback.
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -14,7 +14,6 @@
 use crate::calls::SuspectRecord;
 use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
-use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
 use crate::document::Document;
@@ -43,15 +42,13 @@
 
 /// Bytes of the IP and UDP headers of a datagram.
 const DATAGRAM_HEADER_BYTES: usize = 28;
+
 /// Time a request stays suspect after a crash it was near.
 const SUSPECT_WINDOW_MS: u64 = 600_000;
 
 /// Crashes remembered, counted once per request that ran.
 const MAX_SUSPECTS: usize = 1024;
 
-/// Time without confirmation after which a process counts as cut off.
-const CUT_OFF_MS: u64 = 30_000;
-
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
 pub struct OwnState {
@@ -270,20 +267,22 @@
     pub fn admission(&self) -> Admission {
         let now_ms = self.now_ms();
         let follower = self.follower();
-        if !follower.admits(now_ms) {
-            return Admission::Unconfirmed;
-        }
         let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
-        match (age_ms >= CUT_OFF_MS, self.cluster.partition_policy) {
-            (false, _) => Admission::Confirmed,
-            (true, PartitionPolicy::Serve) => Admission::CutOffServing,
-            (true, PartitionPolicy::Refuse) => Admission::CutOffRefusing,
-        }
+        Admission::decide(
+            follower.admits(now_ms),
+            age_ms,
+            self.cluster.partition_policy,
+        )
     }
 
-    /// Whether the process admits new work.
+    /// Whether the process admits new work; work admitted while cut off is counted.
     pub fn is_ready(&self) -> bool {
-        self.admission().admits()
+        let admission = self.admission();
+        if admission == Admission::CutOffServing {
+            self.metrics
+                .add(Tally::CutOff, 1, "policy", admission.name());
+        }
+        admission.admits()
     }
 
     /// What the process answers a peer that reported.
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -81,7 +81,8 @@
 
     /// Sends one round of beats.
     fn beat_all(&mut self) {
-        let wants_answer = self.round.is_multiple_of(ANSWERED_EVERY) || !self.node.is_ready();
+        let wants_answer =
+            self.round.is_multiple_of(ANSWERED_EVERY) || !self.node.admission().admits();
         self.round += 1;
         let datagram = Datagram::Beat(self.node.beat(wants_answer)).seal(&self.wire.key);
         for target in targets(&self.node) {
