--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -7,9 +7,11 @@
 use crate::calls::PermitTable;
 use crate::conf::BackendSettings;
 use crate::conf::EndpointSettings;
+use crate::endpoint::WeightLinks;
+use crate::endpoint::WeightsShare;
 use crate::endpoint::call_desk::CallDesk;
-use crate::endpoint::weights_naive::HeldWeights;
 use crate::node::Node;
+use crate::weights::MemoryBudget;
 
 /// State shared by the handlers of an endpoint.
 #[derive(Debug)]
@@ -20,8 +22,9 @@
     pub node: Arc<Node>,
     /// Calls of the plain service that run here.
     pub calls: CallDesk,
+    /// Weights on this host.
+    pub weights: Arc<WeightsShare>,
     permits: Mutex<PermitTable>,
-    weights: Mutex<HeldWeights>,
 }
 
 impl EndpointState {
@@ -39,12 +42,13 @@
         ));
         let now_ms = node.now_ms();
         let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
+        let weights = weights_share(&settings, &node);
         Self {
             settings,
             node,
             calls: CallDesk::new(now_ms),
             permits: Mutex::new(permits),
-            weights: Mutex::default(),
+            weights,
         }
     }
 
@@ -55,13 +59,6 @@
             .expect("no holder of the permit table panics")
     }
 
-    /// Weights on this host.
-    pub fn weights(&self) -> MutexGuard<'_, HeldWeights> {
-        self.weights
-            .lock()
-            .expect("no holder of the weights panics")
-    }
-
     /// Address of the engine, unless a plain service is beside this process.
     pub fn engine_address(&self) -> Option<SocketAddr> {
         match &self.settings.backend {
@@ -70,3 +67,19 @@
         }
     }
 }
+
+fn weights_share(settings: &EndpointSettings, node: &Node) -> Arc<WeightsShare> {
+    let weights = &settings.weights;
+    let links = WeightLinks::new(
+        weights.up_bytes_per_s,
+        weights.down_bytes_per_s,
+        weights.live_share_percent,
+    );
+    WeightsShare::new(
+        node.name(),
+        settings.process.region.clone(),
+        links,
+        MemoryBudget::new(weights.budget_bytes),
+        Arc::clone(node.metrics()),
+    )
+}
