Give the pause and repeat tests teeth

A lost reply was settled from the fold before the record was ever repeated, so records are now repeated in the log itself. A read that waited at the log during the pause already carried the edit, so a second edit now follows it and the log is slow at the wake. The editing entry read the log for its own edit, so edits now go to the log directly, after every read of a later rank has come back.

--- a/tests/config_faults/pause.rs
+++ b/tests/config_faults/pause.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
-use crate::api::Told;
+use serde_json::json;
+
 use crate::api::is_ready;
-use crate::api::put_until_told;
 use crate::api::shown;
 use crate::api::until_in_force;
 use crate::api::until_ready;
@@ -26,20 +26,28 @@
         until_ready(&cluster, entry).await;
     }
     cluster.process("entry-0").signal("STOP");
-    let edit = ("a", 0, "timeout_ms = 700");
-    let told = put_until_told(&cluster, &entries[1], "service desk", edit).await;
-    let Told::Accepted { revision } = told else {
-        panic!("nobody else edits: {told:?}");
-    };
+    // The read that waits at the log gets the first edit; the second comes after it.
+    let first = cluster.edit("service desk", 0, "timeout_ms = 600").await + 1;
+    until("the others have the first edit", 20, async || {
+        let shown = shown(&cluster, &entries[1]).await?;
+        (shown.offset >= first).then_some(())
+    })
+    .await;
+    let revision = cluster
+        .edit("service desk", first, "timeout_ms = 700")
+        .await
+        + 1;
     actix_rt::time::sleep(PAUSE).await;
+    let slow = json!({ "delay_ms": 2000 });
+    cluster.fault(&cluster.log_url(), &slow).await;
     cluster.process("entry-0").signal("CONT");
     // From its first answer on, it is either not ready or up to date.
-    for _ in 0..40 {
+    for _ in 0..200 {
         if is_ready(&cluster, &entries[0]).await {
             let shown = shown(&cluster, &entries[0]).await.expect("it answers");
             assert!(shown.offset >= revision, "ready and behind: {shown:?}");
         }
-        actix_rt::time::sleep(Duration::from_millis(25)).await;
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
     }
     until_ready(&cluster, &entries[0]).await;
     until_in_force(&cluster, &entries[1], revision, 3).await;
@@ -56,20 +64,26 @@
     for entry in &entries {
         until_ready(&cluster, entry).await;
     }
+    // Every entry knows the others, and no read of a later rank waits at the log.
+    until_in_force(&cluster, &entries[3], 0, 5).await;
+    until_in_force(&cluster, &entries[4], 0, 5).await;
+    let first = cluster.edit("service desk", 0, "timeout_ms = 600").await + 1;
+    until_in_force(&cluster, &entries[3], first, 5).await;
     for name in &names[..3] {
         cluster.process(name).signal("STOP");
     }
     // The entries that are left read the log in their place.
-    let edit = ("a", 0, "timeout_ms = 700");
-    let told = put_until_told(&cluster, &entries[3], "service desk", edit).await;
-    let Told::Accepted { revision } = told else {
-        panic!("nobody else edits: {told:?}");
-    };
-    until("the other entry has the edit", 20, async || {
-        let shown = shown(&cluster, &entries[4]).await?;
-        (shown.offset >= revision).then_some(())
-    })
-    .await;
+    let revision = cluster
+        .edit("service desk", first, "timeout_ms = 700")
+        .await
+        + 1;
+    for entry in &entries[3..] {
+        until("the entry has the edit", 20, async || {
+            let shown = shown(&cluster, entry).await?;
+            (shown.offset >= revision).then_some(())
+        })
+        .await;
+    }
     for name in &names[..3] {
         cluster.process(name).signal("CONT");
     }
--- a/tests/config_faults/race.rs
+++ b/tests/config_faults/race.rs
@@ -4,11 +4,15 @@
 use crate::api::Told;
 use crate::api::fold_of_log;
 use crate::api::put_until_told;
+use crate::api::shown;
 use crate::api::until_in_force;
 use crate::api::until_ready;
 use crate::history;
 use crate::history::Observed;
 use crate::support::Cluster;
+use bergamotfork::document::Edit;
+use bergamotfork::document::LogRecord;
+use bergamotfork::platform::LogClient;
 
 const SECTIONS: [&str; 2] = ["service desk", "service member"];
 const EDITORS: usize = 4;
@@ -91,3 +95,30 @@
     let mut cluster = Cluster::new().await;
     race(&mut cluster, Some(json!({ "delay_ms": 200 }))).await;
 }
+
+#[actix_rt::test]
+async fn race_record_appended_again() {
+    let mut cluster = Cluster::new().await;
+    let entry = cluster.entry("entry-0", "wa-coast", "").await;
+    until_ready(&cluster, &entry).await;
+    let edit = |edit_id: &str, base_revision: u64, body: &str| Edit {
+        edit_id: edit_id.to_owned(),
+        team: "platform".to_owned(),
+        section: SECTIONS[0].to_owned(),
+        base_revision,
+        body: Some(body.to_owned()),
+    };
+    let first = edit("a", 0, "timeout_ms = 1");
+    let second = edit("b", 1, "timeout_ms = 2");
+    let log = LogClient::new(&cluster.log_url(), "config");
+    for edit in [&first, &first, &second, &first] {
+        let record = LogRecord::Edit(edit.clone()).encode();
+        log.append(record).await.expect("the log takes a record");
+    }
+    until_in_force(&cluster, &entry, 4, 1).await;
+    let again = ("a", 0, "timeout_ms = 1");
+    let told = put_until_told(&cluster, &entry, SECTIONS[0], again).await;
+    assert_eq!(told, Told::Accepted { revision: 1 });
+    let shown = shown(&cluster, &entry).await.expect("it answers");
+    assert!(shown.document.contains("timeout_ms = 2"), "{shown:?}");
+}
