--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -146,16 +146,32 @@
     pub fn export(&self, now_ms: u64) -> Vec<SuspectRecord> {
         self.traces
             .iter()
+            .filter(|trace| !self.is_expired(trace, now_ms))
             .map(|trace| SuspectRecord {
                 fingerprint: trace.fingerprint,
                 death: trace.death.clone(),
                 age_ms: now_ms.saturating_sub(trace.seen_ms),
                 cleared: trace.cleared,
             })
-            .filter(|record| record.age_ms < self.window_ms)
             .collect()
     }
 
+    /// Digest of the deaths within the window; equal on processes that know the same.
+    pub fn digest(&self, now_ms: u64) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        for trace in &self.traces {
+            if self.is_expired(trace, now_ms) {
+                continue;
+            }
+            hasher.update(trace.fingerprint.as_bytes());
+            hasher.update(trace.death.endpoint.as_bytes());
+            hasher.update(&trace.death.incarnation.to_be_bytes());
+            hasher.update(&trace.death.crash_no.to_be_bytes());
+            hasher.update(&[u8::from(trace.cleared)]);
+        }
+        Digest::from(hasher.finalize())
+    }
+
     /// Takes in what another process knows.
     pub fn merge(&mut self, records: impl IntoIterator<Item = SuspectRecord>, now_ms: u64) {
         for record in records {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -13,6 +13,7 @@
 use crate::entry::admin;
 use crate::entry::api_error;
 use crate::entry::call;
+use crate::entry::call_permits;
 use crate::entry::generate;
 use crate::entry::status;
 use crate::entry::tailer::Tailer;
@@ -56,12 +57,13 @@
             .service(at("/v1/generate", web::post().to(generate::generate)))
             .service(at("/v1/call", web::post().to(call::call)))
             .service(at("/v1/status", web::get().to(status::status)))
+            .service(at("/v1/permits", web::get().to(call_permits::permits)))
             .default_service(web::to(api_error::unknown_path));
         admin::routes(app);
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     Tailer::new(Arc::clone(&state)).start();
     emit(
         Event::ProcessStarted,
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -1,5 +1,7 @@
 //! The merged live list under a lagging, empty or halved list of the platform.
 
+mod beat;
+
 use arbtest::arbtest;
 
 use bergamotfork::hosts::ConfigMark;
@@ -60,6 +62,7 @@
         load: Load::default(),
         served: Vec::new(),
         permit_epoch: 0,
+        suspects: Vec::new(),
     }
 }
 
