Explore confirmations that peers pass on

A process may rely on the log as a peer saw it only if the peer read it to the end after the process started.

--- a/tests/spec_config/main.rs
+++ b/tests/spec_config/main.rs
@@ -132,3 +132,12 @@
     };
     assert_found(REPLACEMENTS, rules, "was in force");
 }
+
+#[test]
+fn explore_without_confirmed_after_start() {
+    let rules = Rules {
+        confirmed_after_start: false,
+        ..Rules::ALL
+    };
+    assert_found(REPLACEMENTS, rules, "was in force");
+}
--- a/tests/spec_config/model.rs
+++ b/tests/spec_config/model.rs
@@ -143,6 +143,9 @@
         let mut next = self.step();
         next.replacements = self.replacements.checked_sub(1)?;
         next.nodes[node] = Node::fresh();
+        for other in &mut next.nodes {
+            other.note_replaced(node);
+        }
         next.replaced = Some(node);
         Some(next)
     }
@@ -155,7 +158,7 @@
 
     fn ask(&self, node: usize, peer: usize, rules: Rules) -> Option<Self> {
         let mut next = self.step();
-        next.nodes[node].ask(peer, &self.nodes[peer], rules);
+        next.nodes[node].ask(node, peer, &self.nodes[peer], rules);
         self.changed(next, node)
     }
 
@@ -167,7 +170,7 @@
 
     fn changed(&self, next: Self, node: usize) -> Option<Self> {
         let (old, new) = (&self.nodes[node], &next.nodes[node]);
-        let same = (old.rank(), old.answered()) == (new.rank(), new.answered());
+        let same = (old.rank(), old.peers()) == (new.rank(), new.peers());
         (!same).then_some(next)
     }
 
@@ -199,8 +202,9 @@
         order.sort_by_key(|index| self.nodes[*index].rank());
         let nodes = order.iter().map(|index| {
             let node = &self.nodes[*index];
-            let answered = order.iter().map(|old| node.answered() >> old & 1);
-            (node.rank(), answered.collect())
+            let (answered, confirmed_after) = node.peers();
+            let bits = |old: &usize| (answered >> old & 1, confirmed_after >> old & 1);
+            (node.rank(), order.iter().map(bits).collect())
         });
         let nodes = nodes.collect();
         self.identity = Some(Identity {
@@ -218,7 +222,7 @@
 struct Identity {
     marks: Vec<Mark>,
     earliest: u64,
-    nodes: Vec<(NodeRank, Vec<u8>)>,
+    nodes: Vec<(NodeRank, Vec<(u8, u8)>)>,
     in_force: u64,
     left: ([u8; 2], u8, u8),
 }
--- a/tests/spec_config/node.rs
+++ b/tests/spec_config/node.rs
@@ -28,13 +28,31 @@
     follower: Rc<Follower>,
     // Entries that answered since the start, as bits; part of the state's identity.
     answered: u8,
+    // Entries that had started when the head was last known to be the end of the log.
+    confirmed_after: u8,
 }
 
+/// Time at which every process starts.
+const START_MS: u64 = 5;
+
+/// Time of every message.
+const NOW_MS: u64 = 10;
+
+/// Age of a confirmation from after the start of the asking process.
+const YOUNG_MS: u64 = 1;
+
+/// Age of a confirmation from before that.
+const OLD_MS: u64 = 9;
+
+/// Every entry, as bits.
+const ALL: u8 = (1 << ENTRIES) - 1;
+
 impl Node {
     pub fn fresh() -> Self {
         Self {
-            follower: Rc::new(Follower::new(0)),
+            follower: Rc::new(Follower::new(START_MS)),
             answered: 0,
+            confirmed_after: 0,
         }
     }
 
@@ -50,7 +68,7 @@
     }
 
     pub fn admits(&self) -> bool {
-        self.follower.admits(0)
+        self.follower.admits(NOW_MS)
     }
 
     /// Reads the next record, or searches a trimmed log for a checkpoint.
@@ -79,12 +97,21 @@
             next: log.next(),
             records,
         };
-        follower.log_page(0, 0, &page);
+        follower.log_page(NOW_MS, NOW_MS, &page);
+        if !trimmed && follower.fold().head() == log.next() {
+            self.confirmed_after = ALL;
+        }
+        self.forget_answers();
     }
 
-    /// Asks `peer`, entry number `index`.
-    pub fn ask(&mut self, index: usize, peer: &Self, rules: Rules) {
-        let mut answer = peer.follower.answer(0, self.fold().head());
+    /// Entry number `index` was replaced.
+    pub fn note_replaced(&mut self, index: usize) {
+        self.confirmed_after &= !(1 << index);
+    }
+
+    /// Asks `peer`; the numbers are those of this entry and of the peer.
+    pub fn ask(&mut self, own: usize, index: usize, peer: &Self, rules: Rules) {
+        let mut answer = peer.follower.answer(NOW_MS, self.fold().head());
         let checkpoint = peer.fold().checkpoint();
         let follower = Rc::make_mut(&mut self.follower);
         if !rules.adopt_forward_only && checkpoint.as_of < follower.fold().head() {
@@ -96,11 +123,23 @@
             answer.update = Update::Checkpoint(Box::new(checkpoint));
         }
         answer.mark.is_voter |= !rules.voters_only;
+        let is_after = peer.confirmed_after >> own & 1 == 1;
+        let is_young = is_after || !rules.confirmed_after_start;
+        let age_ms = if is_young { YOUNG_MS } else { OLD_MS };
+        answer.mark.confirmed_age_ms = answer.mark.confirmed_age_ms.map(|_| age_ms);
         let listed = if rules.majority { ENTRIES } else { 1 };
-        follower.peer_answer(0, 0, &index.to_string(), listed, &answer);
-        if answer.mark.is_voter && !self.admits() {
+        follower.peer_answer(NOW_MS, NOW_MS, &index.to_string(), listed, &answer);
+        if self.fold().head() >= answer.mark.head {
+            self.confirmed_after |= peer.confirmed_after;
+        }
+        if answer.mark.is_voter {
             self.answered |= 1 << index;
         }
+        self.forget_answers();
+    }
+
+    /// Who answered does not matter any more once the entry admits work.
+    fn forget_answers(&mut self) {
         if self.admits() {
             self.answered = 0;
         }
@@ -117,9 +156,9 @@
         }
     }
 
-    /// Entries that answered, as bits.
-    pub fn answered(&self) -> u8 {
-        self.answered
+    /// Entries that answered, and those that had started at the confirmation, as bits.
+    pub fn peers(&self) -> (u8, u8) {
+        (self.answered, self.confirmed_after)
     }
 }
 
@@ -146,12 +185,12 @@
 
 /// A follower that stands at `checkpoint` whatever it held before.
 fn adopt_anyway(follower: &Follower, checkpoint: &Checkpoint) -> Follower {
-    let mut moved = Follower::new(0);
-    let mut answer = follower.answer(0, u64::MAX);
+    let mut moved = Follower::new(START_MS);
+    let mut answer = follower.answer(NOW_MS, u64::MAX);
     answer.mark.head = checkpoint.as_of;
     answer.mark.digest = checkpoint.digest;
     answer.mark.is_voter = follower.is_voter();
     answer.update = Update::Checkpoint(Box::new(checkpoint.clone()));
-    moved.peer_answer(0, 0, "self", 1, &answer);
+    moved.peer_answer(NOW_MS, NOW_MS, "self", 1, &answer);
     moved
 }
--- a/tests/spec_config/rules.rs
+++ b/tests/spec_config/rules.rs
@@ -13,6 +13,8 @@
     pub majority: bool,
     /// Only entries past their own bootstrap count towards the majority.
     pub voters_only: bool,
+    /// A peer's confirmation counts only if it came after the start.
+    pub confirmed_after_start: bool,
 }
 
 impl Rules {
@@ -23,5 +25,6 @@
         gap_check: true,
         majority: true,
         voters_only: true,
+        confirmed_after_start: true,
     };
 }
