Ignore answers to what an earlier incarnation asked

An answer to a beat carries the clock of the process that asked. A host replaced at the same address got answers meant for the process before it: a question of an old clock lay after the start of the new one, so one entry that was cut off from the log could confirm it. A listed entry that answers this way made a fresh entry ready while the log was down (red before the change). The answer now names the incarnation it is for, the roster forgets the clock of a replaced incarnation, and a question from the future confirms nothing.

--- a/src/document/follow/follower.rs
+++ b/src/document/follow/follower.rs
@@ -155,7 +155,8 @@
             });
             return notices;
         }
-        if self.fold.head() >= answer.mark.head {
+        // A question from the future was asked by another process.
+        if self.fold.head() >= answer.mark.head && asked_ms <= now_ms {
             self.trust(asked_ms, peer, listed, &answer.mark);
         }
         notices
--- a/src/hosts/beat.rs
+++ b/src/hosts/beat.rs
@@ -87,6 +87,8 @@
 pub struct BeatAnswer {
     /// Who answers.
     pub name: NameTag,
+    /// Incarnation that sent the beat; a later one must not draw on the answer.
+    pub to: u64,
     /// The asking process's clock when it sent the beat that is answered.
     pub asked_ms: u64,
     /// Whether the entry wants a full report.
--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -211,12 +211,12 @@
             _ => Heard::Known,
         };
         let mut told = Host::from_report(report, now_ms);
-        told.beat_sent_ms = host.beat_sent_ms;
         told.listed = host.listed;
         told.unlisted_ms = host.unlisted_ms;
         told.listed_leaving = host.listed_leaving && heard != Heard::Replaced;
         if heard == Heard::Known {
             told.said_leaving |= host.said_leaving;
+            told.beat_sent_ms = host.beat_sent_ms;
         }
         *host = told;
         heard
--- a/src/node/beat_receiver.rs
+++ b/src/node/beat_receiver.rs
@@ -58,7 +58,7 @@
     };
     let is_behind = beat.config_offset < node.config_mark().offset;
     if wants_report || is_behind || beat.wants_answer {
-        let answer = node.beat_answer(beat.sent_ms, wants_report);
+        let answer = node.beat_answer(beat.incarnation, beat.sent_ms, wants_report);
         let datagram = Datagram::Answer(answer).seal(&wire.key);
         wire.send(node, &datagram, from);
     }
@@ -66,6 +66,9 @@
 
 /// Draws on an entry's answer: reports, pulls, or trusts what it confirms.
 async fn take_answer(node: &Arc<Node>, answer: &BeatAnswer) {
+    if answer.to != node.incarnation() {
+        return;
+    }
     let Some(target) = answering(node, answer) else {
         return;
     };
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -324,10 +324,11 @@
     }
 
     /// What the process answers to a beat sent at `asked_ms` of the sender's clock.
-    pub fn beat_answer(&self, asked_ms: u64, wants_report: bool) -> BeatAnswer {
+    pub fn beat_answer(&self, to: u64, asked_ms: u64, wants_report: bool) -> BeatAnswer {
         let answer = self.report_answer();
         BeatAnswer {
             name: NameTag::of(&self.process.name),
+            to,
             asked_ms,
             wants_report,
             config: answer.config,
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -104,10 +104,10 @@
             .hosts()
             .filter(|(_, host)| host.config_offset.is_some_and(|offset| offset < head))
             .filter(|(_, host)| host.silent_ms(now_ms).is_some())
-            .map(|(_, host)| (host.address, host.beat_sent_ms()))
+            .map(|(_, host)| (host.address, host.incarnation, host.beat_sent_ms()))
             .collect();
-        for (address, asked_ms) in behind {
-            let answer = self.node.beat_answer(asked_ms, false);
+        for (address, to, asked_ms) in behind {
+            let answer = self.node.beat_answer(to, asked_ms, false);
             let datagram = Datagram::Answer(answer).seal(&self.wire.key);
             self.wire.send(&self.node, &datagram, address);
         }
--- a/tests/config_faults/pause.rs
+++ b/tests/config_faults/pause.rs
@@ -1,5 +1,7 @@
+use std::net::UdpSocket as StdUdpSocket;
 use std::time::Duration;
 
+use actix_web::http::Method;
 use serde_json::json;
 
 use crate::api::is_ready;
@@ -9,6 +11,12 @@
 use crate::support::Cluster;
 use crate::support::until;
 use bergamotfork::conf::PartitionPolicy;
+use bergamotfork::document::Fold;
+use bergamotfork::hosts::BeatAnswer;
+use bergamotfork::hosts::BeatKey;
+use bergamotfork::hosts::ConfigMark;
+use bergamotfork::hosts::Datagram;
+use bergamotfork::hosts::NameTag;
 use bergamotfork::node::Admission;
 use bergamotfork::node::CUT_OFF_MS;
 
@@ -102,3 +110,43 @@
     let unconfirmed = Admission::decide(false, 0, serve);
     assert_eq!(unconfirmed, Admission::Unconfirmed);
 }
+
+#[actix_rt::test]
+async fn bootstrap_answer_to_an_earlier_incarnation() {
+    let mut cluster = Cluster::new().await;
+    cluster
+        .fault(&cluster.log_url(), &json!({"down": true}))
+        .await;
+    let entry = cluster.entry("entry-0", "wa-coast", "").await;
+    // A listed entry that answers what the process before this one asked.
+    let other = StdUdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let address = other.local_addr().expect("it is bound");
+    let record = json!({
+        "name": "entry-1", "address": address, "role": "entry", "region": "or-north",
+        "domain": "or-north-a", "service": null, "state": "live",
+    });
+    let url = format!("{}/v1/hosts/entry-1", cluster.hosts_url());
+    let put = cluster.call(Method::PUT, &url, Some(&record)).await;
+    put.expect("the host list takes a host");
+    let answer = BeatAnswer {
+        name: NameTag::of("entry-1"),
+        to: 1,
+        asked_ms: 1_000,
+        wants_report: false,
+        config: ConfigMark {
+            offset: 0,
+            digest: Fold::new().digest(),
+        },
+        is_voter: true,
+        confirmed_age_ms: Some(0),
+    };
+    let key = BeatKey::derive(Cluster::SHARED_KEY);
+    let datagram = Datagram::Answer(answer).seal(&key);
+    let to = entry.strip_prefix("http://").expect("a URL");
+    until_in_force(&cluster, &entry, 0, 2).await;
+    for _ in 0..40 {
+        other.send_to(&datagram, to).expect("it is sent");
+        assert!(!is_ready(&cluster, &entry).await);
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/tests/document/follow.rs
+++ b/tests/document/follow.rs
@@ -83,6 +83,16 @@
     assert!(follower.admits(60_002));
 }
 
+#[test]
+fn follower_answer_to_question_from_the_future() {
+    let entry = read(0, 1);
+    let mut fresh = Follower::new(0);
+    fresh.peer_answer(20, 5_000, "e1", 1, &entry.answer(0, 0));
+    assert!(!fresh.admits(20));
+    fresh.peer_answer(20, 15, "e1", 1, &entry.answer(0, 1));
+    assert!(fresh.admits(20));
+}
+
 #[test]
 fn follower_passes_records_on() {
     let mut entry = read(0, 2);
