--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -3,6 +3,8 @@
 
 use super::CliError;
 use crate::bench::ControlBench;
+use crate::bench::WeightsBench;
+use crate::bench::plot_weights;
 
 /// Arguments of `bench`.
 #[derive(Debug, Args)]
@@ -17,6 +19,8 @@
 pub enum BenchKind {
     /// How fast changes of the configuration are in force, and what control costs.
     Control(ControlBench),
+    /// Time until all hosts serve a new version, and bytes read from the origin.
+    Weights(WeightsBench),
 }
 
 /// Runs a measurement; all its roles share this process.
@@ -27,6 +31,7 @@
 pub fn run(args: BenchArgs) -> Result<(), CliError> {
     match args.kind {
         BenchKind::Control(bench) => control(&bench),
+        BenchKind::Weights(bench) => weights(&bench),
     }
 }
 
@@ -45,3 +50,24 @@
     let reason = "a process lacks the last change, or an offset went back";
     Err(CliError::Failed(reason.to_owned()))
 }
+
+fn weights(bench: &WeightsBench) -> Result<(), CliError> {
+    let result = actix_rt::System::new()
+        .block_on(bench.run())
+        .map_err(|error| CliError::Failed(error.to_string()))?;
+    if bench.json {
+        println!("{}", serde_json::json!(result));
+    } else {
+        println!("{result}");
+    }
+    if let Some(path) = &bench.plot {
+        plot_weights(&result, path).map_err(|error| CliError::Failed(error.to_string()))?;
+    }
+    match result.missing_hosts {
+        0 => Ok(()),
+        missing => {
+            let reason = format!("{missing} hosts do not serve the version");
+            Err(CliError::Failed(reason))
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/weights_tracked.rs
@@ -0,0 +1,111 @@
+use std::sync::Arc;
+
+use actix::Addr;
+
+use super::StageName;
+use super::SwarmMember;
+use super::Transfer;
+use super::WeightsVersion;
+use crate::document::ModelSection;
+use crate::hosts::Progress;
+use crate::hosts::Served;
+use crate::weights::Digest;
+use crate::weights::WeightsHeld;
+
+/// First pause after a failure; doubles with each further one.
+const FIRST_PAUSE_MS: u64 = 250;
+
+/// Longest pause after failures.
+const MAX_PAUSE_MS: u64 = 10_000;
+
+/// One version that this host serves or should serve.
+pub(super) struct TrackedVersion {
+    pub(super) model: ModelSection,
+    pub(super) version: Arc<WeightsVersion>,
+    pub(super) transfer: Option<Addr<Transfer>>,
+    pub(super) members: Vec<SwarmMember>,
+    /// Manifest of the base; adapters only, once known.
+    pub(super) base: Option<Digest>,
+    /// Why it waits, though not for good.
+    pub(super) waiting: Option<WeightsHeld>,
+    /// When it left the report; its engine drops it some time later.
+    pub(super) retired_ms: Option<u64>,
+    failures: u32,
+    retry_ms: u64,
+}
+
+impl TrackedVersion {
+    pub(super) fn new(model: ModelSection, version: Arc<WeightsVersion>) -> Self {
+        Self {
+            model,
+            version,
+            transfer: None,
+            members: Vec::new(),
+            base: None,
+            waiting: None,
+            retired_ms: None,
+            failures: 0,
+            retry_ms: 0,
+        }
+    }
+
+    pub(super) fn digest(&self) -> Digest {
+        self.version.digest()
+    }
+
+    pub(super) fn serves(&self) -> bool {
+        self.version.stage_name() == StageName::Serving
+    }
+
+    /// Whether the pause after the last failure is over.
+    pub(super) fn is_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.retry_ms
+    }
+
+    /// Notes a failure: the next try waits, and at least `wait_ms`.
+    pub(super) fn failed(&mut self, cause: Option<WeightsHeld>, wait_ms: u64, now_ms: u64) {
+        self.failures += 1;
+        let own_ms = FIRST_PAUSE_MS << (self.failures - 1).min(8);
+        self.retry_ms = now_ms + own_ms.min(MAX_PAUSE_MS).max(wait_ms);
+        self.waiting = cause;
+    }
+
+    /// Notes that the last step worked.
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.retry_ms = 0;
+        self.waiting = None;
+    }
+
+    /// What the reports say of it; None once it is retired.
+    pub(super) fn report(&self) -> Option<Served> {
+        if self.retired_ms.is_some() {
+            return None;
+        }
+        let held = self.version.held().or_else(|| self.waiting.clone());
+        let progress = match (self.version.stage_name(), &held) {
+            (StageName::Serving, _) => Progress::Serving,
+            (_, Some(_)) => Progress::Held,
+            (StageName::Verified | StageName::Loaded, None) => Progress::Verified,
+            (_, None) => Progress::Fetching,
+        };
+        Some(Served {
+            model: self.model.name.clone(),
+            version: self.model.version.clone(),
+            manifest: self.digest(),
+            progress,
+            present_percent: self.present_percent(),
+            held: held.map(|held| held.to_string()),
+        })
+    }
+
+    fn present_percent(&self) -> u8 {
+        if self.serves() {
+            return 100;
+        }
+        let percent = self.version.have().map_or(0, |have| {
+            u64::from(have.count()) * 100 / u64::from(have.len().max(1))
+        });
+        u8::try_from(percent).unwrap_or(100)
+    }
+}
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -69,7 +69,7 @@
     service: Option<String>,
     incarnation: u64,
     started: Instant,
-    metrics: Metrics,
+    metrics: Arc<Metrics>,
     http: HttpClient,
     cuts: Arc<Cuts>,
     roster: Mutex<Roster>,
@@ -98,7 +98,7 @@
             service,
             incarnation: unix_us(),
             started: Instant::now(),
-            metrics: Metrics::new(),
+            metrics: Arc::new(Metrics::new()),
             http,
             cuts,
             roster: Mutex::new(Roster::new()),
@@ -146,7 +146,7 @@
     }
 
     /// Counters of the process.
-    pub fn metrics(&self) -> &Metrics {
+    pub fn metrics(&self) -> &Arc<Metrics> {
         &self.metrics
     }
 
