Prove the transfer under faults; believe nothing of a peer that lied

A peer that sent a wrong chunk now counts as lost for 10 s. Also a peer that lacks a chunk it was known to hold was replaced: its map is replaced, not merged.

--- a/src/endpoint/weights_transfer.rs
+++ b/src/endpoint/weights_transfer.rs
@@ -274,7 +274,10 @@
                 match frame.outcome {
                     ReadOutcome::Sent => self.take_chunk(fetch, frame.chunk, "peer"),
                     ReadOutcome::Busy => self.defer(fetch, "peer_busy"),
-                    ReadOutcome::Absent => self.defer(fetch, "peer_lacks_chunk"),
+                    ReadOutcome::Absent => {
+                        self.share.metrics.retried("peer_lacks_chunk");
+                        self.swarm.replaced(fetch, &frame.note, now_ms);
+                    }
                 }
             }
             (ReadResult::Peer(Err(error)), _) => {
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -100,6 +100,8 @@
     failures: u32,
     declined_since_ms: Option<u64>,
     lost_until_ms: u64,
+    /// What it tells is not believed until then.
+    distrusted_until_ms: u64,
     paused_until_ms: u64,
     probed_ms: Option<u64>,
     probing: bool,
@@ -285,7 +287,17 @@
         }
     }
 
-    /// The peer had no room or lacked the chunk.
+    /// The peer lacks a chunk it was known to hold: another process answers there.
+    pub fn replaced(&mut self, fetch: Fetch, note: &PeerNote, now_ms: u64) {
+        self.deferred(fetch, now_ms);
+        if let Source::Peer(peer) = fetch.source
+            && note.have.len() == self.have.len()
+        {
+            self.neighbour_mut(peer).have = note.have.clone();
+        }
+    }
+
+    /// The peer had no room for the read.
     pub fn deferred(&mut self, fetch: Fetch, now_ms: u64) {
         self.finish(fetch);
         if let Source::Peer(peer) = fetch.source {
@@ -350,6 +362,9 @@
             _ => pause_ms.max(LOST_MS),
         };
         standing.paused_until_ms = now_ms + blocked_ms;
+        if failure == PeerFailure::WrongChunk {
+            standing.distrusted_until_ms = now_ms + blocked_ms;
+        }
         if blocked_ms >= LOST_MS && failure != PeerFailure::WrongChunk {
             standing.lost_until_ms = now_ms + blocked_ms;
         }
@@ -360,8 +375,9 @@
     fn refresh(&mut self, now_ms: u64) {
         for neighbour in &mut self.neighbours {
             let index = neighbour.key.0 as usize;
-            neighbour.lost =
-                !self.hosts[index].present || self.standings[index].lost_until_ms > now_ms;
+            let standing = &self.standings[index];
+            let until_ms = standing.lost_until_ms.max(standing.distrusted_until_ms);
+            neighbour.lost = !self.hosts[index].present || until_ms > now_ms;
         }
     }
 
--- /dev/null
+++ b/tests/weights_transfer/faults.rs
@@ -0,0 +1,214 @@
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use serde_json::json;
+
+use crate::fleet::CHUNKS;
+use crate::fleet::SIZE_BYTES;
+use crate::fleet::host;
+use crate::fleet::host_at;
+use crate::fleet::hosts;
+use crate::fleet::members;
+use crate::fleet::publish;
+use crate::fleet::send;
+use crate::fleet::stats;
+use crate::fleet::world;
+use bergamotfork::endpoint::SetMembers;
+use bergamotfork::endpoint::StopTransfer;
+use bergamotfork::weights::WeightsHeld;
+
+#[actix_rt::test]
+async fn transfer_without_faults_reads_one_copy() {
+    let world = world().await;
+    let hosts = hosts(6);
+    let members = members(&hosts);
+    for host in &hosts {
+        host.fetch(&world.origin, &world.manifest, &members);
+    }
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+    assert_eq!(stats(&world.origin).await.chunks_sent, u64::from(CHUNKS));
+}
+
+#[actix_rt::test]
+async fn transfer_chunk_corrupted_by_origin() {
+    let world = world().await;
+    send(
+        &world.origin,
+        "/fault",
+        json!({"corrupt_chunk": 3, "corrupt_times": 2}),
+    )
+    .await;
+    let hosts = hosts(3);
+    let members = members(&hosts);
+    for host in &hosts {
+        host.fetch(&world.origin, &world.manifest, &members);
+    }
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+    let rejected =
+        |host: &crate::fleet::Host| host.counted("bergamotfork_chunks_rejected", "wrong_digest");
+    assert!(hosts.iter().any(rejected));
+}
+
+#[actix_rt::test]
+async fn transfer_chunk_truncated_by_origin() {
+    let world = world().await;
+    send(&world.origin, "/fault", json!({"truncate_chunk": 3})).await;
+    let host = host("host", SIZE_BYTES);
+    host.fetch(
+        &world.origin,
+        &world.manifest,
+        std::slice::from_ref(&host.member),
+    );
+    while !host.counted("bergamotfork_chunks_rejected", "wrong_length") {
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(host.version(&world.manifest).whole().is_none());
+    send(&world.origin, "/fault", json!({})).await;
+    host.verified(&world.manifest).await;
+}
+
+#[actix_rt::test]
+async fn transfer_origin_down_and_back() {
+    let world = world().await;
+    send(&world.origin, "/fault", json!({"down": true})).await;
+    let hosts = hosts(4);
+    let members = members(&hosts);
+    for host in &hosts {
+        host.fetch(&world.origin, &world.manifest, &members);
+    }
+    while stats(&world.origin).await.chunk_requests < 20 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    send(&world.origin, "/fault", json!({})).await;
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+    assert_eq!(stats(&world.origin).await.chunks_sent, u64::from(CHUNKS));
+}
+
+#[actix_rt::test]
+async fn transfer_origin_limits_its_rate() {
+    let world = world().await;
+    let refuse = json!({"refuse": {"status": 429, "retry_after_s": 1, "count": 8}});
+    send(&world.origin, "/fault", refuse).await;
+    let hosts = hosts(4);
+    let members = members(&hosts);
+    for host in &hosts {
+        host.fetch(&world.origin, &world.manifest, &members);
+    }
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+    let stats = stats(&world.origin).await;
+    // Two reads of each host were refused, and each came back once.
+    assert!(stats.chunk_requests <= u64::from(CHUNKS) + 8, "{stats:?}");
+}
+
+#[actix_rt::test]
+async fn transfer_over_budget_is_held() {
+    let world = world().await;
+    let host = host("host", SIZE_BYTES - 1);
+    let members = std::slice::from_ref(&host.member);
+    assert!(
+        host.fetch(&world.origin, &world.manifest, members)
+            .is_none()
+    );
+    assert_eq!(
+        host.version(&world.manifest).held(),
+        Some(WeightsHeld::OverBudget {
+            size_bytes: SIZE_BYTES,
+            used_bytes: 0,
+            limit_bytes: SIZE_BYTES - 1,
+        })
+    );
+}
+
+#[actix_rt::test]
+async fn transfer_superseded_in_flight() {
+    let world = world().await;
+    let slow = json!({"rate_bytes_per_s": 40_000});
+    send(&world.origin, "/fault", slow).await;
+    let host = host("host", SIZE_BYTES);
+    let members = vec![host.member.clone()];
+    let old = host
+        .fetch(&world.origin, &world.manifest, &members)
+        .expect("it fits");
+    while host
+        .version(&world.manifest)
+        .have()
+        .is_none_or(|have| have.is_empty())
+    {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let newer = publish(&world.origin, "v2", 2).await;
+    send(&world.origin, "/fault", json!({})).await;
+    old.send(StopTransfer).await.expect("the transfer runs");
+    host.share.forget(world.manifest.digest());
+    while host.share.budget.used_bytes() > 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    host.fetch(&world.origin, &newer, &members)
+        .expect("the memory is free");
+    host.verified(&newer).await;
+    let whole = host
+        .version(&newer)
+        .whole()
+        .expect("it is verified")
+        .concat();
+    assert_eq!(bergamotfork::weights::Digest::of(&whole), newer.whole);
+    assert!(host.share.version(world.manifest.digest()).is_none());
+}
+
+#[actix_rt::test]
+async fn transfer_peer_killed_and_replaced_at_its_address() {
+    let world = world().await;
+    let slow = json!({"rate_bytes_per_s": 30_000});
+    send(&world.origin, "/fault", slow).await;
+    let mut hosts = hosts(4);
+    let list = members(&hosts);
+    for host in &hosts {
+        host.fetch(&world.origin, &world.manifest, &list);
+    }
+    while hosts[3]
+        .version(&world.manifest)
+        .have()
+        .is_none_or(|have| have.count() < 4)
+    {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let killed = hosts.pop().expect("there are four");
+    killed.server.kill().await;
+    let replaced = host_at("host-3", SIZE_BYTES, killed.server.address());
+    replaced.fetch(&world.origin, &world.manifest, &list);
+    send(&world.origin, "/fault", json!({})).await;
+    hosts.push(replaced);
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+}
+
+#[actix_rt::test]
+async fn transfer_host_joins_late() {
+    let world = world().await;
+    let hosts = hosts(3);
+    let list = members(&hosts);
+    let first: Vec<_> = hosts[..2]
+        .iter()
+        .map(|host| {
+            host.fetch(&world.origin, &world.manifest, &list[..2])
+                .expect("it fits")
+        })
+        .collect();
+    for transfer in first {
+        // A transfer that is done already has stopped.
+        let _ = transfer.send(SetMembers(list.clone())).await;
+    }
+    hosts[2].fetch(&world.origin, &world.manifest, &list);
+    for host in &hosts {
+        host.verified(&world.manifest).await;
+    }
+}
--- /dev/null
+++ b/tests/weights_transfer/fleet.rs
@@ -0,0 +1,192 @@
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::Addr;
+use actix_rt::time::timeout;
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use bergamotfork::endpoint::StageName;
+use bergamotfork::endpoint::SwarmMember;
+use bergamotfork::endpoint::Transfer;
+use bergamotfork::endpoint::TransferOptions;
+use bergamotfork::endpoint::WeightLinks;
+use bergamotfork::endpoint::WeightsHosts;
+use bergamotfork::endpoint::WeightsShare;
+use bergamotfork::endpoint::WeightsVersion;
+use bergamotfork::endpoint::configure_weights;
+use bergamotfork::links::HttpClient;
+use bergamotfork::links::ServeOptions;
+use bergamotfork::links::serve;
+use bergamotfork::observe::Metrics;
+use bergamotfork::platform::OriginClient;
+use bergamotfork::standin::Handle;
+use bergamotfork::standin::origin;
+use bergamotfork::standin::origin::OriginOptions;
+use bergamotfork::standin::origin::OriginStats;
+use bergamotfork::weights::Manifest;
+use bergamotfork::weights::MemoryBudget;
+use bergamotfork::weights::PlanSettings;
+use bergamotfork::weights::SwarmHost;
+use bergamotfork::weights::SwarmSettings;
+
+pub const KEY: &str = "a key";
+pub const SIZE_BYTES: u64 = 64 << 10;
+pub const CHUNK_BYTES: u32 = 2 << 10;
+pub const CHUNKS: u32 = 32;
+const CALL_WAIT_MS: u64 = 5000;
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// The origin with one published version.
+pub struct World {
+    pub origin: Handle,
+    pub manifest: Manifest,
+}
+
+/// A host with its server.
+pub struct Host {
+    pub share: Arc<WeightsShare>,
+    pub server: Handle,
+    pub member: SwarmMember,
+}
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+pub async fn world() -> World {
+    let options = OriginOptions {
+        listen: any_port(),
+        rate_bytes_per_s: 0,
+        burst_bytes: 0,
+    };
+    let origin = origin::start(options).await.expect("the address is free");
+    let manifest = publish(&origin, "v1", 1).await;
+    World { origin, manifest }
+}
+
+pub async fn publish(origin: &Handle, version: &str, seed: u64) -> Manifest {
+    let publication = json!({
+        "model": "chat", "version": version, "size_bytes": SIZE_BYTES,
+        "chunk_bytes": CHUNK_BYTES, "seed": seed,
+    });
+    send(origin, "/v1/publish", publication).await;
+    OriginClient::new(origin.url())
+        .manifest("chat", version)
+        .await
+        .expect("it was published")
+}
+
+pub async fn send(origin: &Handle, path: &str, body: Value) -> Value {
+    HttpClient::to_platform()
+        .send_json(
+            Method::POST,
+            &format!("{}{path}", origin.url()),
+            &body,
+            CALL_WAIT_MS,
+        )
+        .await
+        .expect("the origin answers")
+}
+
+pub async fn stats(origin: &Handle) -> OriginStats {
+    HttpClient::to_platform()
+        .get_json(&format!("{}/stats", origin.url()), CALL_WAIT_MS)
+        .await
+        .expect("the origin answers")
+}
+
+pub fn member(name: &str, address: SocketAddr) -> SwarmMember {
+    SwarmMember {
+        host: SwarmHost {
+            name: name.to_owned(),
+            region: "region".to_owned(),
+            present: true,
+        },
+        address,
+    }
+}
+
+pub fn host(name: &str, budget_bytes: u64) -> Host {
+    host_at(name, budget_bytes, any_port())
+}
+
+pub fn host_at(name: &str, budget_bytes: u64, listen: SocketAddr) -> Host {
+    let share = WeightsShare::new(
+        name,
+        "region",
+        WeightLinks::new(0, 0, 0),
+        MemoryBudget::new(budget_bytes),
+        Arc::new(Metrics::new()),
+    );
+    let hosts = WeightsHosts::one(Arc::clone(&share), KEY);
+    let server = serve(listen, &ServeOptions::default(), move |app| {
+        configure_weights(app, hosts.clone());
+    })
+    .expect("the address is free");
+    let member = member(name, server.address());
+    Host {
+        share,
+        server,
+        member,
+    }
+}
+
+pub fn hosts(count: usize) -> Vec<Host> {
+    (0..count)
+        .map(|index| host(&format!("host-{index}"), SIZE_BYTES))
+        .collect()
+}
+
+pub fn members(hosts: &[Host]) -> Vec<SwarmMember> {
+    hosts.iter().map(|host| host.member.clone()).collect()
+}
+
+impl Host {
+    /// Starts the transfer; None when the version is held.
+    pub fn fetch(
+        &self,
+        origin: &Handle,
+        manifest: &Manifest,
+        members: &[SwarmMember],
+    ) -> Option<Addr<Transfer>> {
+        let options = TransferOptions {
+            origin: OriginClient::new(origin.url()),
+            origin_region: "region".to_owned(),
+            http: HttpClient::to_processes(KEY),
+            swarm: SwarmSettings {
+                plan: PlanSettings::default(),
+                neighbours: 8,
+            },
+            peer_wait_ms: 500,
+            origin_wait_ms: 5000,
+        };
+        let share = Arc::clone(&self.share);
+        Transfer::new(share, manifest.clone(), members, options).map(Actor::start)
+    }
+
+    pub fn version(&self, manifest: &Manifest) -> Arc<WeightsVersion> {
+        self.share
+            .version(manifest.digest())
+            .expect("it was announced")
+    }
+
+    /// Waits until the whole is here and correct.
+    pub async fn verified(&self, manifest: &Manifest) {
+        let version = self.version(manifest);
+        let stage = timeout(LIMIT, version.fetched()).await;
+        assert_eq!(stage.ok(), Some(StageName::Verified), "{}", self.share.host);
+    }
+
+    /// Whether the counter `name` with the label value is above 0.
+    pub fn counted(&self, name: &str, label: &str) -> bool {
+        let text = self.share.metrics.render();
+        let label = format!("\"{label}\"");
+        text.lines()
+            .any(|line| line.starts_with(name) && line.contains(&label) && !line.ends_with(" 0"))
+    }
+}
