--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -1,7 +1,9 @@
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Actor;
+use actix_rt::time::timeout;
 use actix_web::web;
 
 use crate::conf::EndpointSettings;
@@ -9,6 +11,7 @@
 use crate::endpoint::WeightsHosts;
 use crate::endpoint::WeightsKeeper;
 use crate::endpoint::call;
+use crate::endpoint::call_ticker::CallTicker;
 use crate::endpoint::configure_weights;
 use crate::endpoint::generate;
 use crate::links::ServeOptions;
@@ -48,7 +51,8 @@
         app.app_data(web::Data::from(Arc::clone(&shared)))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/x/generate", web::post().to(generate::generate))
-            .route("/x/call", web::post().to(call::call));
+            .route("/x/call", web::post().to(call::call))
+            .route("/x/nonce", web::post().to(call::nonce));
         let hosts = WeightsHosts::one(
             Arc::clone(&shared.weights),
             shared.node.cluster().shared_key.clone(),
@@ -56,8 +60,9 @@
         configure_weights(app, hosts);
         node::routes(app, &shared.node);
     })?;
+    CallTicker::new(Arc::clone(&state)).start();
     Watcher::new(Arc::clone(&state.node)).start();
-    Reporter::new(Arc::clone(&state.node)).start();
+    Reporter::bind(Arc::clone(&state.node))?.start();
     if let Some(engine) = state.engine_address() {
         WeightsKeeper::new(Arc::clone(&state), engine).start();
     }
@@ -85,6 +90,9 @@
         emit(Event::ProcessStopping, &[("host", &node.name())]);
         node.leave();
         Reporter::report_now(node).await;
+        let drain = Duration::from_millis(self.state.settings.drain_ms);
+        // Calls outlive their connections, which the server alone waits for.
+        let _ = timeout(drain, self.state.calls.drained()).await;
         self.server.stop().await;
         emit(Event::ProcessStopped, &[("host", &node.name())]);
     }
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -9,6 +9,7 @@
 use crate::conf::EndpointSettings;
 use crate::endpoint::WeightLinks;
 use crate::endpoint::WeightsShare;
+use crate::endpoint::call_desk::CallDesk;
 use crate::node::Node;
 use crate::weights::MemoryBudget;
 
@@ -21,6 +22,8 @@
     pub node: Arc<Node>,
     /// Weights on this host.
     pub weights: Arc<WeightsShare>,
+    /// Calls of the plain service that run here.
+    pub calls: CallDesk,
     permits: Mutex<PermitTable>,
 }
 
@@ -37,11 +40,13 @@
             settings.cluster.clone(),
             service,
         ));
-        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), node.now_ms());
         let weights = weights_share(&settings, &node);
+        let now_ms = node.now_ms();
+        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
         Self {
             settings,
             node,
+            calls: CallDesk::new(now_ms),
             permits: Mutex::new(permits),
             weights,
         }
--- a/src/entry/status_view.rs
+++ b/src/entry/status_view.rs
@@ -117,7 +117,10 @@
                 .collect(),
             hosts: roster
                 .hosts()
-                .map(|(_, host)| HostView::new(host, now_ms))
+                .map(|(_, host)| match host.name == answered_by {
+                    true => HostView::of_self(host, config),
+                    false => HostView::new(host, now_ms),
+                })
                 .collect(),
         }
     }
@@ -165,6 +168,16 @@
 }
 
 impl HostView {
+    /// The answering entry, which does not report to itself.
+    fn of_self(host: &Host, config: ConfigMark) -> Self {
+        Self {
+            standing: standing_name(Standing::Usable).to_owned(),
+            silent_ms: Some(0),
+            config_offset: Some(config.offset),
+            ..Self::new(host, 0)
+        }
+    }
+
     fn new(host: &Host, now_ms: u64) -> Self {
         Self {
             name: host.name.clone(),
@@ -175,7 +188,7 @@
             service: host.service.clone(),
             standing: standing_name(host.standing(now_ms)).to_owned(),
             silent_ms: host.silent_ms(now_ms),
-            config_offset: host.config.map(|mark| mark.offset),
+            config_offset: host.config_offset,
             load: host.load,
             versions: host.served.clone(),
         }
@@ -187,7 +200,10 @@
     roster
         .hosts()
         .filter(|(_, host)| matches!(host.standing(now_ms), Standing::Usable | Standing::Leaving))
-        .filter(|(_, host)| host.config.is_some_and(|mark| mark.offset < config.offset))
+        .filter(|(_, host)| {
+            host.config_offset
+                .is_some_and(|offset| offset < config.offset)
+        })
         .map(|(_, host)| host.name.clone())
         .collect()
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,14 +2,17 @@
 //! configuration it has folded, and the reports it exchanges with entries.
 
 mod admission;
+mod beat_receiver;
 mod config_pull;
 #[allow(clippy::module_inception)]
 mod node;
 mod reporter;
 mod routes;
+mod targets;
 mod watcher;
 
 pub use admission::Admission;
+pub use admission::CUT_OFF_MS;
 pub use config_pull::ConfigPull;
 pub use config_pull::emit_notices;
 pub use config_pull::pull_config;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,20 +11,25 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::calls::SuspectRecord;
+use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
-use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
 use crate::document::Document;
 use crate::document::follow::Follower;
 use crate::document::follow::PeerAnswer;
+use crate::hosts::Beat;
+use crate::hosts::BeatAnswer;
 use crate::hosts::ConfigMark;
 use crate::hosts::HostRole;
 use crate::hosts::Load;
+use crate::hosts::NameTag;
 use crate::hosts::Report;
 use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
 use crate::hosts::Served;
+use crate::hosts::StateTag;
 use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
@@ -35,8 +40,14 @@
 /// Bytes of the head of a request or answer between two processes, about.
 const HEADER_BYTES: usize = 200;
 
-/// Time without confirmation after which a process counts as cut off.
-const CUT_OFF_MS: u64 = 30_000;
+/// Bytes of the IP and UDP headers of a datagram.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
+/// Time a request stays suspect after a crash it was near.
+const SUSPECT_WINDOW_MS: u64 = 600_000;
+
+/// Crashes remembered, counted once per request that ran.
+const MAX_SUSPECTS: usize = 1024;
 
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
@@ -64,6 +75,7 @@
     roster: Mutex<Roster>,
     follower: Mutex<Follower>,
     own: Mutex<OwnState>,
+    suspects: Mutex<SuspectTable>,
     leaving: AtomicBool,
     control_bytes: AtomicU64,
 }
@@ -92,6 +104,7 @@
             roster: Mutex::new(Roster::new()),
             follower: Mutex::new(Follower::new(0)),
             own: Mutex::default(),
+            suspects: Mutex::new(SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS)),
             leaving: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
         }
@@ -167,9 +180,18 @@
         rmp_serde::from_slice(&answer).map_err(|error| malformed(error.to_string()))
     }
 
-    /// Counts a message of control traffic with `body_bytes` of body.
+    /// Counts a request or answer of control traffic with `body_bytes` of body.
     pub fn count_control(&self, direction: &'static str, body_bytes: usize) {
-        let bytes = (body_bytes + HEADER_BYTES) as u64;
+        self.count_control_bytes(direction, body_bytes + HEADER_BYTES);
+    }
+
+    /// Counts a datagram of control traffic with `body_bytes` of body.
+    pub fn count_datagram(&self, direction: &'static str, body_bytes: usize) {
+        self.count_control_bytes(direction, body_bytes + DATAGRAM_HEADER_BYTES);
+    }
+
+    fn count_control_bytes(&self, direction: &'static str, bytes: usize) {
+        let bytes = bytes as u64;
         self.metrics
             .add(Tally::ControlBytes, bytes, "direction", direction);
         self.control_bytes.fetch_add(bytes, Ordering::Relaxed);
@@ -197,6 +219,25 @@
         self.own.lock().expect("no holder of the own state panics")
     }
 
+    /// Requests that ran when endpoints crashed.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects
+            .lock()
+            .expect("no holder of the suspects panics")
+    }
+
+    /// Everything known of suspects, to spread.
+    pub fn known_suspects(&self) -> Vec<SuspectRecord> {
+        let now_ms = self.now_ms();
+        self.suspects().export(now_ms)
+    }
+
+    /// Tag of everything known of suspects.
+    pub fn suspects_tag(&self) -> StateTag {
+        let now_ms = self.now_ms();
+        StateTag::of(self.suspects().digest(now_ms).as_bytes())
+    }
+
     /// The document in force.
     pub fn document(&self) -> Arc<Document> {
         self.follower().fold().shared_document()
@@ -226,33 +267,35 @@
     pub fn admission(&self) -> Admission {
         let now_ms = self.now_ms();
         let follower = self.follower();
-        if !follower.admits(now_ms) {
-            return Admission::Unconfirmed;
-        }
         let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
-        match (age_ms >= CUT_OFF_MS, self.cluster.partition_policy) {
-            (false, _) => Admission::Confirmed,
-            (true, PartitionPolicy::Serve) => Admission::CutOffServing,
-            (true, PartitionPolicy::Refuse) => Admission::CutOffRefusing,
-        }
+        Admission::decide(
+            follower.admits(now_ms),
+            age_ms,
+            self.cluster.partition_policy,
+        )
     }
 
-    /// Whether the process admits new work.
+    /// Whether the process admits new work; work admitted while cut off is counted.
     pub fn is_ready(&self) -> bool {
-        self.admission().admits()
+        let admission = self.admission();
+        if admission == Admission::CutOffServing {
+            self.metrics
+                .add(Tally::CutOff, 1, "policy", admission.name());
+        }
+        admission.admits()
     }
 
     /// What the process answers a peer that reported.
     pub fn report_answer(&self) -> ReportAnswer {
         let mark = self.follower().mark(self.now_ms());
         ReportAnswer {
-            incarnation: self.incarnation,
             config: ConfigMark {
                 offset: mark.head,
                 digest: mark.digest,
             },
             is_voter: self.process.role == HostRole::Entry && mark.is_voter,
             confirmed_age_ms: mark.confirmed_age_ms,
+            suspects: self.known_suspects(),
         }
     }
 
@@ -263,8 +306,39 @@
         answer
     }
 
+    /// The process's sign of life.
+    pub fn beat(&self, wants_answer: bool) -> Beat {
+        let report = self.report();
+        Beat {
+            name: NameTag::of(&self.process.name),
+            incarnation: self.incarnation,
+            sent_ms: self.now_ms(),
+            state: report.state_tag(),
+            suspects: self.suspects_tag(),
+            leaving: report.leaving,
+            wants_answer,
+            config_offset: report.config.offset,
+            load: report.load,
+            permit_epoch: report.permit_epoch,
+        }
+    }
+
+    /// What the process answers to a beat sent at `asked_ms` of the sender's clock.
+    pub fn beat_answer(&self, asked_ms: u64, wants_report: bool) -> BeatAnswer {
+        let answer = self.report_answer();
+        BeatAnswer {
+            name: NameTag::of(&self.process.name),
+            asked_ms,
+            wants_report,
+            config: answer.config,
+            is_voter: answer.is_voter,
+            confirmed_age_ms: answer.confirmed_age_ms,
+        }
+    }
+
     /// What the process says of itself now.
     pub fn report(&self) -> Report {
+        let suspects = self.known_suspects();
         let own = self.own();
         Report {
             name: self.process.name.clone(),
@@ -279,6 +353,7 @@
             load: own.load,
             served: own.served.clone(),
             permit_epoch: own.permit_epoch,
+            suspects,
         }
     }
 }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -20,9 +20,6 @@
 /// Bearer token of the branch and team of every test.
 pub const TOKEN: &str = "token of the tests";
 
-/// Shared key of the processes.
-const SHARED_KEY: &str = "a shared key for the tests";
-
 /// Ports one cluster may use.
 const PORTS: u16 = 200;
 
@@ -43,6 +40,9 @@
 }
 
 impl Cluster {
+    /// Shared key of the processes.
+    pub const SHARED_KEY: &str = "a shared key for the tests";
+
     /// Starts log, host list and origin.
     pub async fn new() -> Self {
         Self::with_log_args(&[]).await
@@ -134,13 +134,43 @@
         args.extend(engine_args);
         self.run(&format!("{name}-engine"), &args);
         self.listening(&backend).await;
-        let body =
-            format!("[backend]\nkind = engine\nurl = http://{backend}\nchecks_orders = yes\n");
-        self.role("endpoint", name, region, &address, &body, None)
-            .await;
+        self.endpoint_at(name, region, &address, &backend, "").await;
         address
     }
 
+    /// Starts an engine stand-in at `backend` without an endpoint.
+    pub fn run_engine(&mut self, name: &str, backend: &str) {
+        self.processes.retain(|(known, _)| known != name);
+        self.run(name, &["standin", "engine", "--listen", backend]);
+    }
+
+    /// An address that nothing else of this cluster takes.
+    pub fn spare_address(&mut self) -> String {
+        self.take_address()
+    }
+
+    /// Starts an endpoint beside the engine at `backend`, with further lines of settings.
+    pub async fn endpoint(&mut self, name: &str, region: &str, backend: &str, settings: &str) {
+        let address = self.take_address();
+        self.endpoint_at(name, region, &address, backend, settings)
+            .await;
+    }
+
+    async fn endpoint_at(
+        &mut self,
+        name: &str,
+        region: &str,
+        address: &str,
+        backend: &str,
+        settings: &str,
+    ) {
+        let body = format!(
+            "[backend]\nkind = engine\nurl = http://{backend}\nchecks_orders = yes\n{settings}"
+        );
+        self.role("endpoint", name, region, address, &body, None)
+            .await;
+    }
+
     /// Starts an endpoint beside a service stand-in; returns the address of the endpoint.
     pub async fn service(
         &mut self,
@@ -186,10 +216,11 @@
             "[process]\nrole = {role}\nname = {name}\nregion = {region}\ndomain = {region}-a\n\
              listen = {address}\nlog_level = warn\n\
              [platform]\nlog_url = {}\nhosts_url = {}\norigin_url = {}\n\
-             [cluster]\nshared_key = {SHARED_KEY}\ngossip_ms = 200\nhosts_poll_ms = 200\n{body}",
+             [cluster]\nshared_key = {}\ngossip_ms = 200\nhosts_poll_ms = 200\n{body}",
             self.log_url(),
             self.hosts_url(),
             self.origin_url(),
+            Self::SHARED_KEY,
         );
         let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, text).expect("the settings are written");
