--- a/src/endpoint/weights_tracked.rs
+++ b/src/endpoint/weights_tracked.rs
@@ -18,6 +18,9 @@
 /// Longest pause after failures.
 const MAX_PAUSE_MS: u64 = 10_000;
 
+/// Steps in which progress is reported, as each is a report of its own.
+const PERCENT_STEPS: u64 = 10;
+
 /// One version that this host serves or should serve.
 pub(super) struct TrackedVersion {
     pub(super) model: ModelSection,
@@ -104,7 +107,8 @@
             return 100;
         }
         let percent = self.version.have().map_or(0, |have| {
-            u64::from(have.count()) * 100 / u64::from(have.len().max(1))
+            let steps = u64::from(have.count()) * PERCENT_STEPS / u64::from(have.len().max(1));
+            steps * 100 / PERCENT_STEPS
         });
         u8::try_from(percent).unwrap_or(100)
     }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -134,13 +134,43 @@
         args.extend(engine_args);
         self.run(&format!("{name}-engine"), &args);
         self.listening(&backend).await;
-        let body =
-            format!("[backend]\nkind = engine\nurl = http://{backend}\nchecks_orders = yes\n");
-        self.role("endpoint", name, region, &address, &body, None)
-            .await;
+        self.endpoint_at(name, region, &address, &backend, "").await;
         address
     }
 
+    /// Starts an engine stand-in at `backend` without an endpoint.
+    pub fn run_engine(&mut self, name: &str, backend: &str) {
+        self.processes.retain(|(known, _)| known != name);
+        self.run(name, &["standin", "engine", "--listen", backend]);
+    }
+
+    /// An address that nothing else of this cluster takes.
+    pub fn spare_address(&mut self) -> String {
+        self.take_address()
+    }
+
+    /// Starts an endpoint beside the engine at `backend`, with further lines of settings.
+    pub async fn endpoint(&mut self, name: &str, region: &str, backend: &str, settings: &str) {
+        let address = self.take_address();
+        self.endpoint_at(name, region, &address, backend, settings)
+            .await;
+    }
+
+    async fn endpoint_at(
+        &mut self,
+        name: &str,
+        region: &str,
+        address: &str,
+        backend: &str,
+        settings: &str,
+    ) {
+        let body = format!(
+            "[backend]\nkind = engine\nurl = http://{backend}\nchecks_orders = yes\n{settings}"
+        );
+        self.role("endpoint", name, region, address, &body, None)
+            .await;
+    }
+
     /// Starts an endpoint beside a service stand-in; returns the address of the endpoint.
     pub async fn service(
         &mut self,
--- /dev/null
+++ b/tests/weights_rollout/site.rs
@@ -0,0 +1,116 @@
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::Cluster;
+use crate::support::TOKEN;
+use crate::support::until;
+use bergamotfork::entry::StatusView;
+use bergamotfork::links::HttpClient;
+use bergamotfork::platform::EngineState;
+use bergamotfork::weights::Digest;
+
+pub const MODEL_BYTES: u64 = 1 << 20;
+pub const LIMIT_S: u64 = 40;
+const REGION: &str = "or-north";
+
+/// A cluster with one entry and its engines.
+pub struct Site {
+    pub cluster: Cluster,
+    pub entry: String,
+    /// Addresses of the engines' own servers.
+    pub engines: Vec<String>,
+}
+
+impl Site {
+    pub async fn new(engines: usize, engine_args: &[&str]) -> Self {
+        let mut cluster = Cluster::new().await;
+        let entry = cluster.entry("entry-1", REGION, "").await;
+        let mut backends = Vec::new();
+        for number in 0..engines {
+            let address = cluster
+                .engine(&format!("engine-{number}"), REGION, engine_args)
+                .await;
+            backends.push(cluster.backend_of(&address));
+        }
+        Self {
+            cluster,
+            entry,
+            engines: backends,
+        }
+    }
+
+    /// Publishes a version and returns its manifest's digest.
+    pub async fn publish(&self, model: &str, version: &str, base: Option<Digest>) -> Digest {
+        let publication = json!({
+            "model": model, "version": version, "size_bytes": MODEL_BYTES,
+            "chunk_bytes": 32_768, "seed": version.len() + model.len() * 100, "base": base,
+        });
+        let url = format!("{}/v1/publish", self.cluster.origin_url());
+        let answer: Value = HttpClient::to_platform()
+            .send_json(Method::POST, &url, &publication, 10_000)
+            .await
+            .expect("the origin takes a version");
+        serde_json::from_value(answer["manifest"].clone()).expect("a digest is answered")
+    }
+
+    /// Changes the model's section; returns its new revision.
+    pub async fn order(
+        &self,
+        model: &str,
+        revision: u64,
+        version: &str,
+        manifest: Digest,
+        more: &str,
+    ) -> u64 {
+        let body = format!("version = {version}\nmanifest = {manifest}\n{more}\n");
+        let section = format!("model {model}");
+        let offset = self.cluster.edit(&section, revision, &body).await;
+        offset + 1
+    }
+
+    /// What the engine at `backend` holds; None while it doesn't answer.
+    pub async fn held(&self, backend: &str) -> Option<Vec<Digest>> {
+        let url = format!("http://{backend}/v1/state");
+        let state: EngineState = HttpClient::to_platform().get_json(&url, 2000).await.ok()?;
+        Some(state.loaded.iter().map(|loaded| loaded.manifest).collect())
+    }
+
+    /// Waits until every engine holds just `manifests`.
+    pub async fn all_hold(&self, manifests: &[Digest]) {
+        for backend in &self.engines {
+            until(
+                &format!("{backend} holds {manifests:?}"),
+                LIMIT_S,
+                async || {
+                    let held = self.held(backend).await?;
+                    let same = held.len() == manifests.len()
+                        && manifests.iter().all(|one| held.contains(one));
+                    same.then_some(())
+                },
+            )
+            .await;
+        }
+    }
+
+    pub async fn status(&self) -> Option<StatusView> {
+        let request = HttpClient::to_platform()
+            .request(Method::GET, &format!("{}/v1/status", self.entry))
+            .insert_header(("authorization", format!("Bearer {TOKEN}")));
+        let body = HttpClient::exchange(request, Vec::new(), 2000).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Waits until `model` is held somewhere for a cause that holds `text`.
+    pub async fn held_for(&self, model: &str, text: &str) {
+        until(&format!("{model} is held: {text}"), LIMIT_S, async || {
+            let status = self.status().await?;
+            let view = status.models.into_iter().find(|view| view.name == model)?;
+            view.held
+                .iter()
+                .any(|hold| hold.cause.contains(text))
+                .then_some(())
+        })
+        .await;
+    }
+}
