--- /dev/null
+++ b/tests/domain_loss/main.rs
@@ -0,0 +1,125 @@
+//! Loss of a failure domain under load, as separate processes.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use bergamotfork::platform::StreamEvent;
+use bergamotfork::weights::Digest;
+use support::Cluster;
+use support::TOKEN;
+use support::until;
+
+/// Regions, the first of which is lost.
+const REGIONS: [&str; 2] = ["wa-coast", "or-north"];
+
+/// A host that died gets no new work after this time.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+/// How long requests are sent after the loss.
+const AFTER: Duration = Duration::from_secs(6);
+
+/// Time between two requests.
+const PACE: Duration = Duration::from_millis(50);
+
+struct Sent {
+    at: Instant,
+    whole: bool,
+}
+
+async fn start() -> (Cluster, Vec<String>) {
+    let mut cluster = Cluster::new().await;
+    let mut entries = Vec::new();
+    for region in REGIONS {
+        entries.push(cluster.entry(&format!("entry-{region}"), region, "").await);
+        for number in 0..2 {
+            let name = format!("engine-{region}-{number}");
+            cluster.engine(&name, region, &[]).await;
+        }
+    }
+    let manifest = cluster.publish("chat", "v1", 1 << 18).await;
+    let model = format!("version = v1\nmanifest = {manifest}\nreplicas = 4\n");
+    cluster.edit("model chat", 0, &model).await;
+    let digest = Digest::of(TOKEN.as_bytes());
+    let branch = format!(
+        "token_digest = {digest}\nweight = 1\nshare_percent = 50\nburst_percent = 100\n\
+         models = chat\nservices =\n"
+    );
+    cluster.edit("branch seaside", 0, &branch).await;
+    (cluster, entries)
+}
+
+/// Replicas that the entry at `url` sees serving.
+async fn serving(cluster: &Cluster, url: &str) -> Option<usize> {
+    let url = format!("{url}/v1/status");
+    let body = cluster.call(Method::GET, &url, None).await.ok()?;
+    let status = String::from_utf8(body.to_vec()).ok()?;
+    Some(status.matches("\"progress\":\"serving\"").count())
+}
+
+async fn ask(cluster: &Cluster, url: &str, number: usize) -> Sent {
+    let at = Instant::now();
+    let request = json!({
+        "branch": "seaside", "model": "chat", "prompt": format!("hut {number}?"), "max_tokens": 3,
+    });
+    let url = format!("{url}/v1/generate");
+    let body = cluster.call(Method::POST, &url, Some(&request)).await;
+    let last = body.ok().and_then(|body| {
+        let line = body
+            .split(|byte| *byte == b'\n')
+            .rfind(|line| !line.is_empty())?;
+        serde_json::from_slice::<Value>(line).ok()
+    });
+    let whole = last.is_some_and(|last| {
+        matches!(
+            serde_json::from_value(last),
+            Ok(StreamEvent::End { tokens: 3, .. })
+        )
+    });
+    Sent { at, whole }
+}
+
+#[actix_rt::test]
+async fn domain_lost_under_load() {
+    let (mut cluster, entries) = start().await;
+    until("all replicas serve", 60, async || {
+        (serving(&cluster, &entries[1]).await? == 4).then_some(())
+    })
+    .await;
+    for number in 0..20 {
+        assert!(
+            ask(&cluster, &entries[1], number).await.whole,
+            "before the loss"
+        );
+    }
+    let lost = format!("-{}", REGIONS[0]);
+    for (_, process) in cluster
+        .processes
+        .iter_mut()
+        .filter(|(name, _)| name.contains(&lost))
+    {
+        process.kill();
+    }
+    let killed = Instant::now();
+    let mut sent = Vec::new();
+    while killed.elapsed() < AFTER {
+        sent.push(ask(&cluster, &entries[1], sent.len()).await);
+        actix_rt::time::sleep(PACE).await;
+    }
+    let failed: Vec<Duration> = sent
+        .iter()
+        .filter(|sent| !sent.whole)
+        .map(|sent| sent.at - killed)
+        .collect();
+    println!("{} of {} failed, at {failed:?}", failed.len(), sent.len());
+    assert!(
+        failed.iter().all(|after| *after <= NO_NEW_WORK),
+        "requests failed late: {failed:?}"
+    );
+}
