--- a/tests/docs/main.rs
+++ b/tests/docs/main.rs
@@ -2,5 +2,6 @@
 
 mod catalogue;
 mod commands;
+mod invariants;
 mod links;
 mod pages;
