--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -37,9 +37,6 @@
 /// Arguments of `config`.
 #[derive(Debug, Args)]
 pub struct ConfigArgs {
-    /// Where to send it, and as whom.
-    #[command(flatten)]
-    operator: OperatorArgs,
     /// What to do with the configuration.
     #[command(subcommand)]
     command: ConfigCommand,
@@ -49,12 +46,18 @@
 enum ConfigCommand {
     /// Print the whole document, or its sections with their revisions.
     Show {
+        /// Where to send it, and as whom.
+        #[command(flatten)]
+        operator: OperatorArgs,
         /// Print names, revisions and teams only.
         #[arg(long)]
         sections: bool,
     },
     /// Print one section; its revision goes to standard error.
     Get {
+        /// Where to send it, and as whom.
+        #[command(flatten)]
+        operator: OperatorArgs,
         /// Full name, such as "model chat".
         section: String,
     },
@@ -62,6 +65,9 @@
     Edit(EditArgs),
     /// Compare a file with the section in force, and check it.
     Diff {
+        /// Where to send it, and as whom.
+        #[command(flatten)]
+        operator: OperatorArgs,
         /// Full name, such as "model chat".
         section: String,
         /// File with lines `key = value`.
@@ -70,6 +76,9 @@
     },
     /// Print decided edits, the latest first.
     History {
+        /// Where to send it, and as whom.
+        #[command(flatten)]
+        operator: OperatorArgs,
         /// Only edits of this section.
         #[arg(long, value_name = "NAME")]
         section: Option<String>,
@@ -79,6 +88,9 @@
     },
     /// Wait until a revision is in force on every process.
     Wait {
+        /// Where to send it, and as whom.
+        #[command(flatten)]
+        operator: OperatorArgs,
         /// Revision, as `edit` printed it.
         revision: u64,
         /// Longest wait in seconds.
@@ -89,6 +101,9 @@
 
 #[derive(Debug, Args)]
 struct EditArgs {
+    /// Where to send it, and as whom.
+    #[command(flatten)]
+    operator: OperatorArgs,
     /// Full name, such as "model chat".
     section: String,
     /// File with lines `key = value`.
@@ -105,24 +120,39 @@
     edit_id: Option<String>,
 }
 
+impl ConfigCommand {
+    fn operator(&self) -> &OperatorArgs {
+        match self {
+            Self::Show { operator, .. }
+            | Self::Get { operator, .. }
+            | Self::Edit(EditArgs { operator, .. })
+            | Self::Diff { operator, .. }
+            | Self::History { operator, .. }
+            | Self::Wait { operator, .. } => operator,
+        }
+    }
+}
+
 /// Runs `config`.
 ///
 /// # Errors
 ///
 /// [`CliError`] when an argument is missing or the entry refuses.
 pub fn run(args: ConfigArgs) -> Result<(), CliError> {
-    let client = AdminClient::new(args.operator)?;
-    match args.command {
-        ConfigCommand::Show { sections } => block_on(show(&client, sections)),
-        ConfigCommand::Get { section } => block_on(get(&client, &section)),
+    let command = args.command;
+    let client = AdminClient::new(command.operator().clone())?;
+    match command {
+        ConfigCommand::Show { sections, .. } => block_on(show(&client, sections)),
+        ConfigCommand::Get { section, .. } => block_on(get(&client, &section)),
         ConfigCommand::Edit(edit_args) => block_on(edit(&client, edit_args)),
-        ConfigCommand::Diff { section, file } => block_on(diff(&client, &section, file)),
-        ConfigCommand::History { section, limit } => {
+        ConfigCommand::Diff { section, file, .. } => block_on(diff(&client, &section, file)),
+        ConfigCommand::History { section, limit, .. } => {
             block_on(history(&client, section.as_deref(), limit))
         }
         ConfigCommand::Wait {
             revision,
             timeout_s,
+            ..
         } => block_on(wait(&client, revision, timeout_s)),
     }
 }
--- a/src/cli/operator_args.rs
+++ b/src/cli/operator_args.rs
@@ -10,7 +10,7 @@
 const TOKEN_VARIABLE: &str = "BERGAMOTFORK_TOKEN";
 
 /// Where an operator's command is sent, and as whom.
-#[derive(Debug, Args)]
+#[derive(Debug, Clone, Args)]
 pub struct OperatorArgs {
     /// Base URL of any entry, such as http://127.0.0.1:7101.
     #[arg(long, value_name = "URL")]
--- a/tests/config_api/main.rs
+++ b/tests/config_api/main.rs
@@ -122,8 +122,9 @@
 
 fn config(entry: &str, token: &str, args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_bergamotfork"))
-        .args(["config", "--entry", entry])
+        .arg("config")
         .args(args)
+        .args(["--entry", entry])
         .env("BERGAMOTFORK_TOKEN", token)
         .output()
         .expect("the program starts")
