Explore the activation of a version in all states

The model drives the product's life cycle: two versions, bad and mixed chunks, an engine whose read is cut, whose reply is lost and which restarts, a document that changes its mind. No state of more than a thousand violates; taking out the verification of the whole, the chunk digests, or the comparison with the engine's digest is each found.

--- /dev/null
+++ b/tests/spec_weights/main.rs
@@ -0,0 +1,55 @@
+//! The activation of a version on one host, explored in all states.
+//!
+//! Two versions of the same sizes; chunks that arrive correct, corrupted or of
+//! the other version; a document that changes its mind; an engine that reads the
+//! bytes whole or cut short, whose reply may be lost and which may restart. The
+//! model drives the life cycle of the product. Each protective rule is then taken
+//! out in turn, and the exploration must find a violation.
+
+mod world;
+
+use pathfinding::directed::bfs::bfs;
+use pathfinding::directed::bfs::bfs_reach;
+
+use crate::world::Rule;
+use crate::world::World;
+
+/// Fewest states that make the exploration worth its name.
+const LEAST_STATES: usize = 1000;
+
+fn violation_without(rule: Rule) -> Option<Vec<World>> {
+    bfs(&World::new(Some(rule)), World::successors, |world| {
+        world.violation().is_some()
+    })
+}
+
+#[test]
+fn activation_holds_in_all_states() {
+    let mut states = 0;
+    for world in bfs_reach(World::new(None), World::successors) {
+        assert_eq!(world.violation(), None, "{world:?}");
+        states += 1;
+    }
+    assert!(states > LEAST_STATES, "{states} states");
+}
+
+#[test]
+fn activation_reaches_serving() {
+    let path = bfs(&World::new(None), World::successors, World::serves_wanted);
+    assert!(path.is_some());
+}
+
+#[test]
+fn activation_fails_without_the_whole_verified() {
+    assert!(violation_without(Rule::VerifyWhole).is_some());
+}
+
+#[test]
+fn activation_fails_without_chunk_digests() {
+    assert!(violation_without(Rule::CheckChunks).is_some());
+}
+
+#[test]
+fn activation_fails_without_the_digest_of_the_engine() {
+    assert!(violation_without(Rule::CompareLoaded).is_some());
+}
