--- a/src/endpoint/weights_keeper.rs
+++ b/src/endpoint/weights_keeper.rs
@@ -19,22 +19,17 @@
 use crate::endpoint::weights_engine::Loading;
 use crate::endpoint::weights_tracked::TrackedVersion;
 use crate::hosts::HostRole;
-use crate::links::LinkError;
 use crate::observe::Event;
 use crate::observe::emit;
 use crate::platform::EngineClient;
 use crate::platform::OriginClient;
 use crate::platform::OriginError;
-use crate::weights::Ahead;
 use crate::weights::Digest;
 use crate::weights::Manifest;
-use crate::weights::PeerNote;
-use crate::weights::PeerQuestion;
 use crate::weights::PlanSettings;
 use crate::weights::SwarmHost;
 use crate::weights::SwarmSettings;
 use crate::weights::WeightsHeld;
-use crate::weights::may_change;
 use crate::weights::placement;
 
 /// How often the document is compared with what is here.
@@ -46,12 +41,6 @@
 /// How often a serving engine is asked whether it still holds its versions.
 const ENGINE_CHECK_MS: u64 = 2000;
 
-/// Time between the last report of an old version and the order to drop it.
-const UNLOAD_GRACE_MS: u64 = 5000;
-
-/// Longest time a question to a host ahead may take.
-const AHEAD_WAIT_MS: u64 = 1000;
-
 /// Longest time one chunk from a peer may take.
 const PEER_WAIT_MS: u64 = 10_000;
 
@@ -59,11 +48,11 @@
 const ORIGIN_WAIT_MS: u64 = 120_000;
 
 /// A model this host should serve.
-struct Want {
-    model: ModelSection,
+pub(super) struct Want {
+    pub(super) model: ModelSection,
     /// Hosts that should serve it, in the order of a rollout.
-    members: Vec<SwarmMember>,
-    rank: usize,
+    pub(super) members: Vec<SwarmMember>,
+    pub(super) rank: usize,
 }
 
 /// Brings the versions that the document wants here, and loads and drops them.
@@ -107,11 +96,12 @@
     }
 }
 
-struct Rounds {
-    state: Arc<EndpointState>,
+/// The state of the keeper between its rounds.
+pub(super) struct Rounds {
+    pub(super) state: Arc<EndpointState>,
     origin: OriginClient,
-    giver: EngineGiver,
-    tracked: Vec<TrackedVersion>,
+    pub(super) giver: EngineGiver,
+    pub(super) tracked: Vec<TrackedVersion>,
     engine_asked_ms: u64,
 }
 
@@ -170,7 +160,7 @@
     }
 
     /// Hosts with an engine, this one among them.
-    fn members(&self) -> Vec<SwarmMember> {
+    pub(super) fn members(&self) -> Vec<SwarmMember> {
         let node = &self.state.node;
         let own = SwarmMember {
             host: SwarmHost {
@@ -347,53 +337,6 @@
         }
     }
 
-    fn serves_old(&self, want: &Want) -> bool {
-        let model = &want.model;
-        let old = |tracked: &&TrackedVersion| {
-            tracked.model.name == model.name && tracked.digest() != model.manifest
-        };
-        self.tracked.iter().filter(old).any(TrackedVersion::serves)
-    }
-
-    /// Whether the hosts ahead in the order of the rollout have changed.
-    async fn is_turn(&self, want: &Want) -> bool {
-        let step = want.model.step_replicas.max(1) as usize;
-        let mut answers = vec![Ahead::Skipped; want.rank];
-        let mut at = want.rank;
-        while let Some(before) = at.checked_sub(step) {
-            answers[before] = self
-                .ask_ahead(&want.members[before], want.model.manifest)
-                .await;
-            if answers[before] != Ahead::Skipped {
-                break;
-            }
-            at = before;
-        }
-        may_change(want.rank, want.model.step_replicas, |rank| answers[rank])
-    }
-
-    async fn ask_ahead(&self, member: &SwarmMember, manifest: Digest) -> Ahead {
-        let url = format!("http://{}/x/weights/{manifest}/have", member.address);
-        let question = PeerQuestion {
-            host: self.state.weights.host.clone(),
-            region: self.state.weights.region.clone(),
-            have: crate::weights::HaveMap::empty(0),
-            known: 0,
-            wait_ms: 0,
-        };
-        let answer = self
-            .state
-            .node
-            .http()
-            .ask::<PeerNote>(&url, &question, AHEAD_WAIT_MS)
-            .await;
-        match answer {
-            Ok(note) if note.serving => Ahead::Serving,
-            Ok(_) | Err(LinkError::Status { status: 404, .. }) => Ahead::Pending,
-            Err(_) => Ahead::Skipped,
-        }
-    }
-
     /// Notices an engine that lost what it served.
     async fn check_engine(&mut self) {
         let now_ms = self.state.node.now_ms();
@@ -415,57 +358,6 @@
             }
         }
     }
-
-    /// Drops versions that are served but not wanted, once others took over.
-    async fn retire(&mut self, wants: &[Want]) {
-        let now_ms = self.state.node.now_ms();
-        let mut gone = Vec::new();
-        for at in 0..self.tracked.len() {
-            let tracked = &self.tracked[at];
-            let digest = tracked.digest();
-            if !tracked.serves() || wants.iter().any(|want| want.model.manifest == digest) {
-                continue;
-            }
-            match tracked.retired_ms {
-                None if self.has_successor(at).await => self.tracked[at].retired_ms = Some(now_ms),
-                Some(retired_ms) if now_ms >= retired_ms + UNLOAD_GRACE_MS => gone.push(digest),
-                _ => {}
-            }
-        }
-        for digest in gone {
-            if self.giver.unload(&self.state, digest).await.is_ok() {
-                self.state.weights.forget(digest);
-                self.tracked.retain(|tracked| tracked.digest() != digest);
-            }
-        }
-    }
-
-    /// Whether the version at `at` is not needed any more: the new one is served
-    /// here or, when this host has none, by all that should.
-    async fn has_successor(&self, at: usize) -> bool {
-        let name = &self.tracked[at].model.name;
-        let Some(model) = self.state.node.document().model(name) else {
-            return true;
-        };
-        let here = self
-            .tracked
-            .iter()
-            .find(|other| other.digest() == model.manifest);
-        if let Some(here) = here {
-            return here.serves();
-        }
-        let members = self.members();
-        let placed_as = model.base.as_ref().unwrap_or(&model.name);
-        let names = members.iter().map(|member| member.host.name.as_str());
-        for name in placement(placed_as, model.replicas, names) {
-            let member = members.iter().find(|member| member.host.name == name);
-            let Some(member) = member else { continue };
-            if self.ask_ahead(member, model.manifest).await != Ahead::Serving {
-                return false;
-            }
-        }
-        true
-    }
 }
 
 fn take_loaded(tracked: &mut TrackedVersion, whole: Digest, now_ms: u64) {
--- a/src/endpoint/weights_transfer.rs
+++ b/src/endpoint/weights_transfer.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 
 use super::StageName;
+use super::SwarmMember;
 use super::WeightsShare;
 use super::WeightsVersion;
 use crate::links::HttpClient;
@@ -45,15 +46,6 @@
 /// Time beyond its waiting time after which a question is given up.
 const PROBE_SLACK_MS: u64 = 1500;
 
-/// A host of the swarm and its address.
-#[derive(Debug, Clone)]
-pub struct SwarmMember {
-    /// The host as the plan sees it.
-    pub host: SwarmHost,
-    /// Address of its process.
-    pub address: SocketAddr,
-}
-
 /// What a transfer needs beside the share.
 #[derive(Debug, Clone)]
 pub struct TransferOptions {
--- /dev/null
+++ b/src/endpoint/weights_turns.rs
@@ -0,0 +1,118 @@
+use super::SwarmMember;
+use crate::endpoint::weights_keeper::Rounds;
+use crate::endpoint::weights_keeper::Want;
+use crate::endpoint::weights_tracked::TrackedVersion;
+use crate::links::LinkError;
+use crate::weights::Ahead;
+use crate::weights::Digest;
+use crate::weights::HaveMap;
+use crate::weights::PeerNote;
+use crate::weights::PeerQuestion;
+use crate::weights::may_change;
+use crate::weights::placement;
+
+/// Time between the last report of an old version and the order to drop it.
+const UNLOAD_GRACE_MS: u64 = 5000;
+
+/// Longest time a question to a host ahead may take.
+const AHEAD_WAIT_MS: u64 = 1000;
+
+impl Rounds {
+    pub(super) fn serves_old(&self, want: &Want) -> bool {
+        let model = &want.model;
+        let old = |tracked: &&TrackedVersion| {
+            tracked.model.name == model.name && tracked.digest() != model.manifest
+        };
+        self.tracked.iter().filter(old).any(TrackedVersion::serves)
+    }
+
+    /// Whether the hosts ahead in the order of the rollout have changed.
+    pub(super) async fn is_turn(&self, want: &Want) -> bool {
+        let step = want.model.step_replicas.max(1) as usize;
+        let mut answers = vec![Ahead::Skipped; want.rank];
+        let mut at = want.rank;
+        while let Some(before) = at.checked_sub(step) {
+            answers[before] = self
+                .ask_ahead(&want.members[before], want.model.manifest)
+                .await;
+            if answers[before] != Ahead::Skipped {
+                break;
+            }
+            at = before;
+        }
+        may_change(want.rank, want.model.step_replicas, |rank| answers[rank])
+    }
+
+    async fn ask_ahead(&self, member: &SwarmMember, manifest: Digest) -> Ahead {
+        let url = format!("http://{}/x/weights/{manifest}/have", member.address);
+        let question = PeerQuestion {
+            host: self.state.weights.host.clone(),
+            region: self.state.weights.region.clone(),
+            have: HaveMap::empty(0),
+            known: 0,
+            wait_ms: 0,
+        };
+        let answer = self
+            .state
+            .node
+            .http()
+            .ask::<PeerNote>(&url, &question, AHEAD_WAIT_MS)
+            .await;
+        match answer {
+            Ok(note) if note.serving => Ahead::Serving,
+            Ok(_) | Err(LinkError::Status { status: 404, .. }) => Ahead::Pending,
+            Err(_) => Ahead::Skipped,
+        }
+    }
+
+    /// Drops versions that are served but not wanted, once others took over.
+    pub(super) async fn retire(&mut self, wants: &[Want]) {
+        let now_ms = self.state.node.now_ms();
+        let mut gone = Vec::new();
+        for at in 0..self.tracked.len() {
+            let tracked = &self.tracked[at];
+            let digest = tracked.digest();
+            if !tracked.serves() || wants.iter().any(|want| want.model.manifest == digest) {
+                continue;
+            }
+            match tracked.retired_ms {
+                None if self.has_successor(at).await => self.tracked[at].retired_ms = Some(now_ms),
+                Some(retired_ms) if now_ms >= retired_ms + UNLOAD_GRACE_MS => gone.push(digest),
+                _ => {}
+            }
+        }
+        for digest in gone {
+            if self.giver.unload(&self.state, digest).await.is_ok() {
+                self.state.weights.forget(digest);
+                self.tracked.retain(|tracked| tracked.digest() != digest);
+            }
+        }
+    }
+
+    /// Whether the version at `at` is not needed any more: the new one is served
+    /// here or, when this host has none, by all that should.
+    async fn has_successor(&self, at: usize) -> bool {
+        let name = &self.tracked[at].model.name;
+        let Some(model) = self.state.node.document().model(name) else {
+            return true;
+        };
+        let here = self
+            .tracked
+            .iter()
+            .find(|other| other.digest() == model.manifest);
+        if let Some(here) = here {
+            return here.serves();
+        }
+        let members = self.members();
+        let placed_as = model.base.as_ref().unwrap_or(&model.name);
+        let names = members.iter().map(|member| member.host.name.as_str());
+        for name in placement(placed_as, model.replicas, names) {
+            let member = members.iter().find(|member| member.host.name == name);
+            let Some(member) = member else { continue };
+            if self.ask_ahead(member, model.manifest).await != Ahead::Serving {
+                return false;
+            }
+        }
+        true
+    }
+}
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -18,6 +18,7 @@
 mod plan;
 mod replica;
 mod swarm;
+mod swarm_probes;
 
 pub use chunk_store::ChunkStore;
 pub use chunk_store::Inserted;
@@ -57,6 +58,6 @@
 pub use replica::Verified;
 pub use swarm::Actions;
 pub use swarm::PeerFailure;
-pub use swarm::Probe;
 pub use swarm::Swarm;
 pub use swarm::SwarmSettings;
+pub use swarm_probes::Probe;
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -7,6 +7,7 @@
 use crate::weights::PeerNote;
 use crate::weights::PlanInput;
 use crate::weights::PlanSettings;
+use crate::weights::Probe;
 use crate::weights::Source;
 use crate::weights::SwarmHost;
 use crate::weights::homes::mix;
@@ -37,18 +38,9 @@
 /// Pause before a host that declined is asked again.
 const DECLINE_PAUSE_MS: u64 = 500;
 
-/// Shortest time between two questions to one peer.
-const PROBE_GAP_MS: u64 = 50;
-
 /// Shortest time between two questions to a peer in another region, and pause
 /// before it is asked again after it was busy.
-const CROSSING_GAP_MS: u64 = 250;
-
-/// Time between two questions to the host whose duty this one would take over.
-const HOME_PROBE_GAP_MS: u64 = 1000;
-
-/// How long a question may wait at a peer for news.
-const PROBE_WAIT_MS: u64 = 1000;
+pub(super) const CROSSING_GAP_MS: u64 = 250;
 
 /// Limits of a transfer.
 #[derive(Debug, Clone, Default)]
@@ -74,17 +66,6 @@
     WrongChunk,
 }
 
-/// A question to a peer for its chunks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Probe {
-    /// Whom to ask.
-    pub peer: PeerKey,
-    /// Chunks it is known to hold.
-    pub known: u32,
-    /// How long it may wait for more.
-    pub wait_ms: u64,
-}
-
 /// What to do now.
 #[derive(Debug, Clone, Default)]
 pub struct Actions {
@@ -96,15 +77,15 @@
 
 /// What is known of a peer beside its chunks.
 #[derive(Debug, Clone, Default)]
-struct Standing {
-    failures: u32,
-    declined_since_ms: Option<u64>,
-    lost_until_ms: u64,
+pub(super) struct Standing {
+    pub(super) failures: u32,
+    pub(super) declined_since_ms: Option<u64>,
+    pub(super) lost_until_ms: u64,
     /// What it tells is not believed until then.
-    distrusted_until_ms: u64,
-    paused_until_ms: u64,
-    probed_ms: Option<u64>,
-    probing: bool,
+    pub(super) distrusted_until_ms: u64,
+    pub(super) paused_until_ms: u64,
+    pub(super) probed_ms: Option<u64>,
+    pub(super) probing: bool,
 }
 
 impl Standing {
@@ -118,22 +99,22 @@
 /// The state of one transfer: hosts, what they hold, what is in flight.
 #[derive(Debug)]
 pub struct Swarm {
-    manifest: Digest,
-    origin_region: String,
-    me: PeerKey,
-    hosts: Vec<SwarmHost>,
-    homes: Homes,
-    have: HaveMap,
-    neighbours: Vec<Neighbour>,
-    standings: Vec<Standing>,
-    picked: Vec<PeerKey>,
-    in_flight: Vec<Fetch>,
-    origin_failures: u32,
-    origin_blocked_until_ms: u64,
-    progress_ms: u64,
-    homes_probed_ms: u64,
-    settings: SwarmSettings,
-    seed: u64,
+    pub(super) manifest: Digest,
+    pub(super) origin_region: String,
+    pub(super) me: PeerKey,
+    pub(super) hosts: Vec<SwarmHost>,
+    pub(super) homes: Homes,
+    pub(super) have: HaveMap,
+    pub(super) neighbours: Vec<Neighbour>,
+    pub(super) standings: Vec<Standing>,
+    pub(super) picked: Vec<PeerKey>,
+    pub(super) in_flight: Vec<Fetch>,
+    pub(super) origin_failures: u32,
+    pub(super) origin_blocked_until_ms: u64,
+    pub(super) progress_ms: u64,
+    pub(super) homes_probed_ms: u64,
+    pub(super) settings: SwarmSettings,
+    pub(super) seed: u64,
 }
 
 impl Swarm {
@@ -330,7 +311,7 @@
         self.in_flight.retain(|other| *other != fetch);
     }
 
-    fn neighbour_mut(&mut self, peer: PeerKey) -> &mut Neighbour {
+    pub(super) fn neighbour_mut(&mut self, peer: PeerKey) -> &mut Neighbour {
         let at = self
             .neighbours
             .binary_search_by_key(&peer, |neighbour| neighbour.key)
@@ -380,155 +361,6 @@
             neighbour.lost = !self.hosts[index].present || until_ms > now_ms;
         }
     }
-
-    /// Chooses the peers that are asked for news, another choice on each host.
-    fn pick_neighbours(&mut self) {
-        let region = self.homes.region_of(self.me);
-        let mine = self.seed;
-        let mut others: Vec<(u64, PeerKey)> = (0..self.hosts.len())
-            .map(key)
-            .filter(|peer| *peer != self.me && self.homes.region_of(*peer) == region)
-            .filter(|peer| self.hosts[peer.0 as usize].present)
-            .map(|peer| {
-                let other = seed_of(self.hosts[peer.0 as usize].name.as_bytes());
-                (mix(mine ^ other.rotate_left(23)), peer)
-            })
-            .collect();
-        others.sort_unstable();
-        others.truncate(self.settings.neighbours);
-        self.picked = others.into_iter().map(|(_, peer)| peer).collect();
-        self.picked.sort_unstable();
-    }
-
-    fn next_probes(&mut self, now_ms: u64) -> Vec<Probe> {
-        if self.have.is_complete() {
-            return Vec::new();
-        }
-        let mut probes = Vec::new();
-        if self.swarm_reads() < self.settings.plan.max_fetches {
-            for peer in self.picked.clone() {
-                self.probe(peer, PROBE_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
-            }
-        }
-        for peer in self.feeding_homes() {
-            self.probe(peer, CROSSING_GAP_MS, PROBE_WAIT_MS, now_ms, &mut probes);
-        }
-        if now_ms >= self.homes_probed_ms + HOME_PROBE_GAP_MS {
-            self.homes_probed_ms = now_ms;
-            for peer in self.homes_ahead() {
-                self.probe(peer, HOME_PROBE_GAP_MS, 0, now_ms, &mut probes);
-            }
-        }
-        probes
-    }
-
-    fn swarm_reads(&self) -> usize {
-        let region = self.homes.region_of(self.me);
-        let reads = self.in_flight.iter().filter(|fetch| match fetch.source {
-            Source::Origin => false,
-            Source::Peer(peer) => self.homes.region_of(peer) == region,
-        });
-        reads.count()
-    }
-
-    fn probe(
-        &mut self,
-        peer: PeerKey,
-        gap_ms: u64,
-        wait_ms: u64,
-        now_ms: u64,
-        probes: &mut Vec<Probe>,
-    ) {
-        let standing = &mut self.standings[peer.0 as usize];
-        let recent = standing
-            .probed_ms
-            .is_some_and(|probed_ms| now_ms < probed_ms + gap_ms);
-        let paused = standing.paused_until_ms > now_ms;
-        if standing.probing || recent || paused {
-            return;
-        }
-        standing.probing = true;
-        standing.probed_ms = Some(now_ms);
-        let known = self.neighbour_mut(peer).have.count();
-        probes.push(Probe {
-            peer,
-            known,
-            wait_ms,
-        });
-    }
-
-    /// First living hosts of feeding regions that have chunks this host brings in.
-    fn feeding_homes(&self) -> Vec<PeerKey> {
-        let region = self.homes.region_of(self.me);
-        if region == 0 {
-            return Vec::new();
-        }
-        let missing = self
-            .missing()
-            .filter(|chunk| self.first_living(*chunk, region) == Some(self.me));
-        let mut homes: Vec<PeerKey> = missing
-            .filter_map(|chunk| self.first_living(chunk, self.homes.feeder(chunk, region)?))
-            .collect();
-        homes.sort_unstable();
-        homes.dedup();
-        homes.retain(|peer| !self.offers_duty(*peer, region));
-        homes
-    }
-
-    /// Whether `peer` is known to hold a chunk that this host could bring in now.
-    fn offers_duty(&self, peer: PeerKey, region: usize) -> bool {
-        let Ok(at) = self
-            .neighbours
-            .binary_search_by_key(&peer, |neighbour| neighbour.key)
-        else {
-            return false;
-        };
-        let have = &self.neighbours[at].have;
-        let open = |chunk: &u32| !self.in_flight.iter().any(|fetch| fetch.chunk == *chunk);
-        self.missing()
-            .filter(open)
-            .any(|chunk| have.contains(chunk) && self.first_living(chunk, region) == Some(self.me))
-    }
-
-    /// Hosts directly before this one in rank for a chunk nobody is known to hold.
-    fn homes_ahead(&self) -> Vec<PeerKey> {
-        let region = self.homes.region_of(self.me);
-        let mut ahead = Vec::new();
-        for chunk in self.missing() {
-            let mut before = None;
-            for peer in self.homes.ranked(chunk, region) {
-                if *peer == self.me {
-                    ahead.extend(before);
-                    break;
-                }
-                if !self.is_lost(*peer) {
-                    before = Some(*peer);
-                }
-            }
-        }
-        ahead.sort_unstable();
-        ahead.dedup();
-        ahead
-    }
-
-    fn missing(&self) -> impl Iterator<Item = u32> {
-        (0..self.have.len()).filter(|chunk| !self.have.contains(*chunk))
-    }
-
-    fn first_living(&self, chunk: u32, region: usize) -> Option<PeerKey> {
-        let ranked = self.homes.ranked(chunk, region);
-        ranked.iter().copied().find(|peer| !self.is_lost(*peer))
-    }
-
-    fn is_lost(&self, peer: PeerKey) -> bool {
-        match self
-            .neighbours
-            .binary_search_by_key(&peer, |neighbour| neighbour.key)
-        {
-            Ok(at) => self.neighbours[at].lost,
-            Err(_) => false,
-        }
-    }
 }
 
 fn pause_ms(failures: u32) -> u64 {
@@ -537,6 +369,6 @@
         .min(MAX_BLOCK_MS)
 }
 
-fn key(index: usize) -> PeerKey {
+pub(super) fn key(index: usize) -> PeerKey {
     PeerKey(u32::try_from(index).unwrap_or(u32::MAX))
 }
