--- a/src/calls/candidate.rs
+++ b/src/calls/candidate.rs
@@ -1,6 +1,5 @@
 use crate::hosts::HostKey;
 use crate::hosts::Load;
-use crate::weights::Digest;
 
 /// An endpoint that could serve a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,11 +14,18 @@
     pub heard_ms: u64,
 }
 
-/// Hash of `bytes` that is alike on every process.
+/// Offset basis of the 64-bit FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Prime of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hash of `bytes` that is alike on every process; no protection against forgery.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
-    let digest = Digest::of(bytes);
-    let head = digest.as_bytes().first_chunk();
-    u64::from_le_bytes(*head.expect("32 bytes hold 8"))
+    let fnv = bytes.iter().fold(FNV_BASIS, |hash, &byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    mix(fnv, 0)
 }
 
 /// Mixes two hashes (SplitMix64 finaliser).
--- a/src/calls/endpoint_track.rs
+++ b/src/calls/endpoint_track.rs
@@ -1,5 +1,6 @@
 use crate::calls::Candidate;
 use crate::hosts::HostKey;
+use crate::hosts::Load;
 
 /// Time in which the count of recent requests halves.
 const RECENT_HALF_LIFE_MS: f64 = 2000.0;
@@ -33,6 +34,8 @@
     pub(super) probed_ms: u64,
     strikes: u32,
     successes: u32,
+    /// Load that came with an answer, and when.
+    answered: Option<(Load, u64)>,
 }
 
 impl EndpointTrack {
@@ -47,6 +50,7 @@
             probed_ms: 0,
             strikes: 0,
             successes: 0,
+            answered: None,
         }
     }
 
@@ -79,6 +83,10 @@
         };
     }
 
+    pub(super) fn answered(&mut self, load: Load, now_ms: u64) {
+        self.answered = Some((load, now_ms));
+    }
+
     pub(super) fn succeeded(&mut self) {
         self.successes += 1;
         if self.successes >= FORGIVE_AFTER {
@@ -95,15 +103,19 @@
 
     /// Requests expected on the endpoint now, of all `entries`.
     pub(super) fn load(&self, candidate: &Candidate, entries: u64, now_ms: u64) -> u64 {
-        if now_ms.saturating_sub(candidate.heard_ms) > STALE_MS {
+        let (load, heard_ms) = match self.answered {
+            Some((load, at_ms)) if at_ms > candidate.heard_ms => (load, at_ms),
+            _ => (candidate.load, candidate.heard_ms),
+        };
+        if now_ms.saturating_sub(heard_ms) > STALE_MS {
             return self.in_flight() * entries;
         }
         let unseen = self
             .started_ms
             .iter()
-            .filter(|&&started_ms| started_ms >= candidate.heard_ms)
+            .filter(|&&started_ms| started_ms >= heard_ms)
             .count();
-        let reported = u64::from(candidate.load.running) + u64::from(candidate.load.queued);
+        let reported = u64::from(load.running) + u64::from(load.queued);
         (reported + unseen as u64).max(self.in_flight())
     }
 }
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -7,12 +7,22 @@
 use crate::calls::PermitTable;
 use crate::conf::BackendSettings;
 use crate::conf::EndpointSettings;
+use crate::contracts::QueueLimits;
+use crate::endpoint::GenerateQueue;
+use crate::endpoint::GenerateServer;
 use crate::endpoint::WeightLinks;
 use crate::endpoint::WeightsShare;
 use crate::endpoint::call_desk::CallDesk;
 use crate::node::Node;
+use crate::platform::EngineClient;
 use crate::weights::MemoryBudget;
 
+/// Slots for one slot that a bursting branch leaves to the others.
+pub const SLOTS_PER_RESERVED: u32 = 32;
+
+/// Full queues of branches that fit into the whole queue.
+const BRANCHES_WAITING: usize = 4;
+
 /// State shared by the handlers of an endpoint.
 #[derive(Debug)]
 pub struct EndpointState {
@@ -20,10 +30,12 @@
     pub settings: EndpointSettings,
     /// Identity, hosts and configuration.
     pub node: Arc<Node>,
-    /// Weights on this host.
-    pub weights: Arc<WeightsShare>,
     /// Calls of the plain service that run here.
     pub calls: CallDesk,
+    /// Weights on this host.
+    pub weights: Arc<WeightsShare>,
+    /// Runs requests for tokens; `None` beside a plain service.
+    pub generate: Option<GenerateServer>,
     permits: Mutex<PermitTable>,
 }
 
@@ -40,13 +52,23 @@
             settings.cluster.clone(),
             service,
         ));
-        let weights = weights_share(&settings, &node);
         let now_ms = node.now_ms();
         let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
+        let weights = weights_share(&settings, &node);
+        let generate = engine_address(&settings.backend).map(|address| {
+            let queue = GenerateQueue::new(QueueLimits {
+                slots: settings.slots as u32,
+                reserved: settings.slots as u32 / SLOTS_PER_RESERVED,
+                branch_waiting: settings.queue_limit as usize,
+                waiting: settings.queue_limit as usize * BRANCHES_WAITING,
+            });
+            GenerateServer::new(queue, EngineClient::new(address))
+        });
         Self {
             settings,
             node,
             calls: CallDesk::new(now_ms),
+            generate,
             permits: Mutex::new(permits),
             weights,
         }
@@ -61,10 +83,14 @@
 
     /// Address of the engine, unless a plain service is beside this process.
     pub fn engine_address(&self) -> Option<SocketAddr> {
-        match &self.settings.backend {
-            BackendSettings::Engine { url, .. } => url.strip_prefix("http://")?.parse().ok(),
-            BackendSettings::Service { .. } => None,
-        }
+        engine_address(&self.settings.backend)
+    }
+}
+
+fn engine_address(backend: &BackendSettings) -> Option<SocketAddr> {
+    match backend {
+        BackendSettings::Engine { url, .. } => url.strip_prefix("http://")?.parse().ok(),
+        BackendSettings::Service { .. } => None,
     }
 }
 
--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -37,7 +37,9 @@
     Loaded(Replica<Loaded>),
     Serving(Replica<Serving>),
     /// The engine serves the version; its bytes were given up here.
-    Resident,
+    Resident {
+        whole: Digest,
+    },
     Held(WeightsHeld),
 }
 
@@ -96,7 +98,7 @@
             Stage::Fetching(_) => StageName::Fetching,
             Stage::Verified(_) => StageName::Verified,
             Stage::Loaded(_) => StageName::Loaded,
-            Stage::Serving(_) | Stage::Resident => StageName::Serving,
+            Stage::Serving(_) | Stage::Resident { .. } => StageName::Serving,
             Stage::Held(_) => StageName::Held,
         }
     }
@@ -112,7 +114,7 @@
     /// The manifest, once it is known.
     pub fn manifest(&self) -> Option<Arc<Manifest>> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident { .. } | Stage::Held(_) => None,
             Stage::Fetching(replica) => Some(replica.manifest().clone()),
             Stage::Verified(replica) => Some(replica.manifest().clone()),
             Stage::Loaded(replica) => Some(replica.manifest().clone()),
@@ -123,7 +125,7 @@
     /// Chunks held; None before the manifest is known.
     pub fn have(&self) -> Option<HaveMap> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident { .. } | Stage::Held(_) => None,
             Stage::Fetching(replica) => Some(replica.have().clone()),
             Stage::Verified(replica) => Some(replica.have().clone()),
             Stage::Loaded(replica) => Some(replica.have().clone()),
@@ -134,7 +136,7 @@
     /// One verified chunk.
     pub fn chunk(&self, index: u32) -> Option<Bytes> {
         match &*self.stage() {
-            Stage::Announced(_) | Stage::Resident | Stage::Held(_) => None,
+            Stage::Announced(_) | Stage::Resident { .. } | Stage::Held(_) => None,
             Stage::Fetching(replica) => replica.chunk(index),
             Stage::Verified(replica) => replica.chunk(index),
             Stage::Loaded(replica) => replica.chunk(index),
@@ -142,6 +144,15 @@
         }
     }
 
+    /// Digest of the whole that answers must carry, while the engine serves it.
+    pub fn serving_whole(&self) -> Option<Digest> {
+        match &*self.stage() {
+            Stage::Serving(replica) => Some(replica.manifest().whole),
+            Stage::Resident { whole } => Some(*whole),
+            _ => None,
+        }
+    }
+
     /// All bytes in order; only while the engine may load them.
     pub fn whole(&self) -> Option<Vec<Bytes>> {
         match &*self.stage() {
@@ -233,7 +244,7 @@
     pub(super) fn reload(&self) -> StageName {
         self.advance(|stage| match stage {
             Stage::Serving(replica) => Stage::Verified(replica.reload()),
-            Stage::Resident => Stage::Announced(Replica::announced(self.digest)),
+            Stage::Resident { .. } => Stage::Announced(Replica::announced(self.digest)),
             other => other,
         })
     }
@@ -241,7 +252,9 @@
     /// Gives up the bytes of a version that the engine serves.
     pub(super) fn release(&self) {
         self.advance(|stage| match stage {
-            Stage::Serving(_) => Stage::Resident,
+            Stage::Serving(replica) => Stage::Resident {
+                whole: replica.manifest().whole,
+            },
             other => other,
         });
     }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -1,21 +1,27 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::http::Method;
 use actix_web::web;
+use actix_web::web::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
 use serde::Deserialize;
 
+use super::generate_event::GenerateEvent;
+use super::generate_relay::Relay;
 use crate::calls::GenerateCall;
 use crate::calls::Nonce;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::ErrorCode;
 use crate::entry::auth;
-use crate::hosts::HostRole;
-use crate::hosts::Progress;
+use crate::weights::Digest;
 
 /// Time allowed when the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// When to come back to an entry that is not ready.
+const NOT_READY_RETRY_MS: u64 = 1000;
+
 /// A caller's request for tokens.
 #[derive(Debug, Deserialize)]
 pub struct GenerateBody {
@@ -28,6 +34,11 @@
     #[serde(default)]
     priority: u8,
     deadline_ms: Option<u64>,
+    /// Index of the first token wanted, by a caller that has those before.
+    #[serde(default)]
+    resume_from: u32,
+    /// Version of the tokens that the caller has.
+    manifest: Option<Digest>,
 }
 
 /// Sends a request for tokens to a replica and streams the answer back.
@@ -36,6 +47,14 @@
     request: HttpRequest,
     body: web::Json<GenerateBody>,
 ) -> Result<HttpResponse, ApiError> {
+    if !state.node.is_ready() {
+        let message = "the entry has not confirmed its configuration";
+        return Err(ApiError::later(
+            ErrorCode::NotReady,
+            message,
+            NOT_READY_RETRY_MS,
+        ));
+    }
     let document = state.node.document();
     let body = body.into_inner();
     let branch = auth::branch(&document, &body.branch, &request)?;
@@ -50,6 +69,12 @@
         );
         return Err(ApiError::new(ErrorCode::Forbidden, message));
     }
+    if let Some(manifest) = body.manifest
+        && manifest != model.manifest
+    {
+        let message = format!("model {:?} has another version now", model.name);
+        return Err(ApiError::new(ErrorCode::StreamBroken, message));
+    }
     let call = GenerateCall {
         request_id: Nonce::random().to_string(),
         branch: branch.name,
@@ -59,39 +84,28 @@
         max_tokens: body.max_tokens,
         seed: body.seed,
         priority: body.priority,
+        resume_from: body.resume_from,
         deadline_ms: body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
     };
-    forward(&state, &call).await
+    answer(Relay::new(state.into_inner(), call)).await
 }
 
-async fn forward(state: &EntryState, call: &GenerateCall) -> Result<HttpResponse, ApiError> {
-    let now_ms = state.node.now_ms();
-    let address = state
-        .node
-        .roster()
-        .usable(HostRole::Endpoint, now_ms)
-        .filter(|(_, host)| {
-            host.served.iter().any(|served| {
-                served.manifest == call.manifest && served.progress == Progress::Serving
-            })
-        })
-        .min_by_key(|(_, host)| host.load.running)
-        .map(|(_, host)| host.address);
-    let Some(address) = address else {
-        let message = format!("no live endpoint serves model {:?}", call.model);
-        return Err(ApiError::later(ErrorCode::NoReplica, message, 1000));
+/// Waits for the first event, so that a refusal gets its own status, then streams.
+async fn answer(mut relay: Relay) -> Result<HttpResponse, ApiError> {
+    let Some(first) = relay.next().await else {
+        let message = "the stream was empty";
+        return Err(ApiError::new(ErrorCode::Internal, message));
     };
-    let url = format!("http://{address}/x/generate");
-    let body = rmp_serde::to_vec_named(call)
-        .map_err(|error| ApiError::new(ErrorCode::Internal, error.to_string()))?;
-    let response = state
-        .node
-        .http()
-        .request(Method::POST, &url)
-        .send_body(body)
-        .await
-        .map_err(|error| ApiError::new(ErrorCode::StreamBroken, error.to_string()))?;
-    Ok(HttpResponse::build(response.status())
+    let first_line = Bytes::from(first?.to_line());
+    let rest = stream::unfold(relay, |mut relay| async move {
+        let event = match relay.next().await? {
+            Ok(event) => event,
+            Err(error) => GenerateEvent::error(relay.request_id(), &error),
+        };
+        Some((Bytes::from(event.to_line()), relay))
+    });
+    let lines = stream::iter([first_line]).chain(rest);
+    Ok(HttpResponse::Ok()
         .content_type("application/x-ndjson")
-        .streaming(response))
+        .streaming(lines.map(Ok::<_, actix_web::Error>)))
 }
--- a/tests/contracts/fair_queue.rs
+++ b/tests/contracts/fair_queue.rs
@@ -17,6 +17,7 @@
 fn queue(slots: u32) -> FairQueue<u32> {
     FairQueue::new(QueueLimits {
         slots,
+        reserved: 0,
         branch_waiting: 1000,
         waiting: 2000,
     })
@@ -149,10 +150,31 @@
     assert_eq!((running.len(), of_capped), (4, 2));
 }
 
+#[test]
+fn pop_reserve_is_for_branches_below_their_share() {
+    let mut queue = FairQueue::new(QueueLimits {
+        slots: 8,
+        reserved: 1,
+        branch_waiting: 100,
+        waiting: 100,
+    });
+    let bursting = queue.set_share(share("bursting", 1, 100));
+    let quiet = queue.set_share(share("quiet", 1, 100));
+    for _ in 0..20 {
+        queue.push(request(bursting, 10), 0);
+    }
+    let running: Vec<_> = std::iter::from_fn(|| run(&mut queue)).collect();
+    assert_eq!(running.len(), 7);
+    queue.push(request(quiet, 10), 0);
+    let next = run(&mut queue).expect("the reserve is free");
+    assert_eq!(next.branch, quiet);
+}
+
 #[test]
 fn push_full_branch_leaves_room_for_others() {
     let mut queue = FairQueue::new(QueueLimits {
         slots: 1,
+        reserved: 0,
         branch_waiting: 2,
         waiting: 3,
     });
@@ -205,6 +227,35 @@
     assert_eq!(retry_after_ms, 2000);
 }
 
+/// What was learned while an engine was slow does not shut it off for good.
+#[test]
+fn push_idle_endpoint_is_tried() {
+    let mut queue = queue(1);
+    let a = queue.set_share(share("a", 1, 100));
+    queue.push(request(a, 100), 0);
+    let slow = run(&mut queue).expect("a request waits");
+    finish(&mut queue, &slow, Some(50_000));
+    let near = |now_ms: u64| Waiting {
+        deadline_ms: now_ms + 2000,
+        ..request(a, 100)
+    };
+    assert_eq!(queue.push(near(0), 0), Pushed::Queued);
+    let tried = run(&mut queue).expect("the engine is idle");
+    assert_eq!(
+        refusal(queue.push(near(0), 0)),
+        QueueRefusal::DeadlineTooNear
+    );
+    finish(&mut queue, &tried, Some(1000));
+    for _ in 0..20 {
+        queue.push(near(0), 0);
+        let next = run(&mut queue).expect("the engine is idle");
+        finish(&mut queue, &next, Some(1000));
+    }
+    queue.push(near(0), 0);
+    run(&mut queue).expect("the engine is idle");
+    assert_eq!(queue.push(near(0), 0), Pushed::Queued);
+}
+
 #[test]
 fn pop_gives_up_once_the_answer_cannot_be_whole() {
     let mut queue = queue(1);
@@ -216,8 +267,8 @@
     run(&mut queue).expect("a request waits");
     let mut near = request(a, 100);
     near.deadline_ms = 1500;
+    assert_eq!(queue.expiry_ms(&near), 500);
     assert_eq!(queue.push(near, 0), Pushed::Queued);
-    assert_eq!(queue.next_expiry_ms(), Some(500));
     assert_eq!(queue.pop(500), Popped::Nothing);
     let Popped::Expired { reason, .. } = queue.pop(501) else {
         panic!("the request cannot be whole by its deadline");
