Send the operators' calls of demo and status through the administration API

The demonstration appended its edits to the log itself; it now puts them to an entry as an operator does. status uses the client that config uses, and the entry checks teams in one place. The table of bad input covers the administration API; a wrong method there is answered with wrong_method instead of unknown_path.

--- a/src/cli/demo/fleet.rs
+++ b/src/cli/demo/fleet.rs
@@ -217,11 +217,6 @@
         self.entries.iter().map(|entry| entry.parts.url()).collect()
     }
 
-    /// Base URL of the log.
-    pub fn log_url(&self) -> String {
-        self.platform.parts.log.url()
-    }
-
     /// Base URL of the origin.
     pub fn origin_url(&self) -> String {
         self.platform.parts.origin.url()
--- a/src/cli/demo/operator.rs
+++ b/src/cli/demo/operator.rs
@@ -13,12 +13,11 @@
 use super::fleet::SERVICE;
 use super::fleet::TEAM_TOKEN;
 use crate::cli::CliError;
-use crate::document::Edit;
-use crate::document::LogRecord;
+use crate::cli::admin_client::section_path;
 use crate::entry::StatusView;
+use crate::entry::admin::PutBody;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::platform::LogClient;
 use crate::platform::OriginClient;
 use crate::weights::Digest;
 
@@ -38,12 +37,16 @@
 pub const BOOKING_PATH: &str = "book";
 
 const VERSION: &str = "1";
-const TEAM: &str = "demo";
-const STREAM: &str = "config";
 const CHUNK_BYTES: u32 = 1024 * 1024;
 const SEED: u64 = 1;
 const ANSWER_WAIT_MS: u64 = 5000;
 const POLL_MS: u64 = 50;
+
+/// HTTP status of an entry whose configuration is not confirmed yet.
+const NOT_READY: u16 = 503;
+
+/// Time an entry has to confirm its configuration.
+const READY_LIMIT: Duration = Duration::from_secs(10);
 const BURST_LIMIT_MS: u64 = 15_000;
 const PERCENT: u64 = 100;
 
@@ -52,7 +55,6 @@
 pub struct Operator {
     http: HttpClient,
     entry_url: String,
-    log_url: String,
     origin_url: String,
 }
 
@@ -72,7 +74,6 @@
         Self {
             http: HttpClient::to_platform(),
             entry_url: fleet.entry_urls().swap_remove(0),
-            log_url: fleet.log_url(),
             origin_url: fleet.origin_url(),
         }
     }
@@ -123,22 +124,38 @@
                 ),
             ),
         ];
-        let log = LogClient::new(&self.log_url, STREAM);
         for (section, body) in sections {
-            let edit = Edit {
-                edit_id: format!("demo {section}"),
-                team: TEAM.to_owned(),
-                section,
-                base_revision: 0,
-                body: Some(body),
-            };
-            log.append(LogRecord::Edit(edit).encode())
-                .await
-                .map_err(failed)?;
+            self.edit(&section, body).await?;
         }
         Ok(())
     }
 
+    /// Sends one edit, again until the entry is ready to take it.
+    async fn edit(&self, section: &str, body: String) -> Result<(), CliError> {
+        let url = format!("{}{}", self.entry_url, section_path(section));
+        let edit = json!(PutBody {
+            edit_id: format!("demo {section}"),
+            base_revision: 0,
+            body,
+        });
+        let started = Instant::now();
+        loop {
+            let request = self
+                .http
+                .request(Method::PUT, &url)
+                .bearer_auth(TEAM_TOKEN)
+                .insert_header(("content-type", "application/json"));
+            let sent = HttpClient::exchange(request, edit.to_string(), ANSWER_WAIT_MS).await;
+            match sent {
+                Ok(_) => return Ok(()),
+                Err(LinkError::Status { status, .. })
+                    if status == NOT_READY && started.elapsed() < READY_LIMIT => {}
+                Err(error) => return Err(failed(error)),
+            }
+            sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
     /// Shows the burst until `hosts` hosts serve the model.
     pub async fn watch_burst(&self, hosts: u32) -> Result<(), CliError> {
         let bar = progress_bar(hosts);
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -1,17 +1,14 @@
 use actix_rt::System;
-use actix_web::http::Method;
-use bytes::Bytes;
 use clap::Args;
+use serde_json::Value;
 
 use super::CliError;
 use super::OperatorArgs;
+use super::admin_client::AdminClient;
+use super::admin_client::failed;
 use crate::entry::HostView;
 use crate::entry::ModelView;
 use crate::entry::StatusView;
-use crate::links::HttpClient;
-
-/// Time an entry has to answer.
-const ANSWER_WAIT_MS: u64 = 10_000;
 
 /// Arguments of `status`.
 #[derive(Debug, Args)]
@@ -24,29 +21,25 @@
 }
 
 /// Runs `status`.
+///
+/// # Errors
+///
+/// [`CliError`] when an argument is missing or the entry refuses.
 pub fn run(args: StatusArgs) -> Result<(), CliError> {
-    let token = args.operator.token()?;
-    let url = args.operator.url("/v1/status");
-    let body = System::new().block_on(fetch(&url, &token))?;
+    let client = AdminClient::new(args.operator)?;
+    let answer: Value = System::new()
+        .block_on(client.get("/v1/status", 0))
+        .map_err(failed)?;
     if args.json {
-        println!("{}", String::from_utf8_lossy(&body));
+        println!("{answer}");
         return Ok(());
     }
-    let view: StatusView = serde_json::from_slice(&body)
-        .map_err(|error| CliError::Failed(format!("{url}: {error}")))?;
+    let view: StatusView = serde_json::from_value(answer)
+        .map_err(|error| CliError::Failed(format!("the status is malformed: {error}")))?;
     print(&view);
     Ok(())
 }
 
-async fn fetch(url: &str, token: &str) -> Result<Bytes, CliError> {
-    let request = HttpClient::to_platform()
-        .request(Method::GET, url)
-        .bearer_auth(token);
-    HttpClient::exchange(request, Bytes::new(), ANSWER_WAIT_MS)
-        .await
-        .map_err(|error| CliError::Failed(format!("{url}: {error}")))
-}
-
 fn print(view: &StatusView) {
     let ready = if view.ready { "ready" } else { "not ready" };
     println!(
--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -24,6 +24,16 @@
 pub use answers::PutBody;
 pub use answers::SectionAnswer;
 pub use answers::SectionHead;
+pub(super) use team::team;
+
+/// Paths of the administration API.
+pub const PATHS: [&str; 5] = [
+    "/v1/config",
+    "/v1/config/history",
+    "/v1/config/wait",
+    "/v1/config/sections/{name}",
+    "/v1/config/sections/{name}/diff",
+];
 
 /// Routes of the administration API.
 pub fn routes(app: &mut ServiceConfig) {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -60,6 +60,10 @@
             .service(at("/v1/permits", web::get().to(call_permits::permits)))
             .default_service(web::to(api_error::unknown_path));
         admin::routes(app);
+        for path in admin::PATHS {
+            let refuse = web::to(api_error::wrong_method);
+            app.service(web::resource(path).default_service(refuse));
+        }
         node::routes(app, &shared.node);
     })?;
     Watcher::new(Arc::clone(&state.node)).start();
--- a/tests/api_input/main.rs
+++ b/tests/api_input/main.rs
@@ -69,6 +69,13 @@
     format!(r#"{{"branch":"{branch}","model":"{model}","prompt":"hut?","max_tokens":2}}"#)
 }
 
+/// A section that does not exist and that the team may write.
+const SECTION: &str = "/v1/config/sections/model%20new";
+
+fn edit(body: &str) -> String {
+    format!(r#"{{"edit_id":"e {body}","base_revision":0,"body":"{body}"}}"#)
+}
+
 fn call_body(branch: &str, service: &str) -> String {
     format!(r#"{{"branch":"{branch}","service":"{service}","path":"lookup","body":{{}}}}"#)
 }
@@ -192,6 +199,54 @@
         ),
         ("POST", "/v1/call", TOKEN, "null", 400, "bad_json"),
         ("POST", "/v1/call", TOKEN, &large, 413, "body_too_large"),
+        ("GET", "/v1/config", "", "", 401, "missing_token"),
+        ("GET", "/v1/config", "no", "", 401, "wrong_token"),
+        ("POST", "/v1/config", TOKEN, "{}", 405, "wrong_method"),
+        ("POST", SECTION, TOKEN, "{}", 405, "wrong_method"),
+        ("PUT", "/v1/config/wait", TOKEN, "{}", 405, "wrong_method"),
+        ("GET", "/v1/config/wait", TOKEN, "", 400, "bad_request"),
+        (
+            "PUT",
+            SECTION,
+            "",
+            &edit("version = v2"),
+            401,
+            "missing_token",
+        ),
+        (
+            "PUT",
+            SECTION,
+            "no",
+            &edit("version = v2"),
+            401,
+            "wrong_token",
+        ),
+        ("PUT", SECTION, TOKEN, "{", 400, "bad_json"),
+        ("PUT", SECTION, TOKEN, &large, 413, "body_too_large"),
+        (
+            "PUT",
+            SECTION,
+            TOKEN,
+            &edit("version = v2"),
+            422,
+            "invalid_edit",
+        ),
+        (
+            "PUT",
+            "/v1/config/sections/secret%20x",
+            TOKEN,
+            &edit(""),
+            403,
+            "forbidden",
+        ),
+        (
+            "PUT",
+            "/v1/config/sections/model%20chat",
+            TOKEN,
+            &edit("replicas = 1"),
+            409,
+            "conflict",
+        ),
     ];
     for (method, path, token, body, status, code) in cases {
         let authorization = match token {
