--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -2,6 +2,8 @@
 use clap::Subcommand;
 
 use super::CliError;
+use super::bench_requests;
+use super::bench_requests::RequestsBenchArgs;
 use crate::bench::ControlBench;
 use crate::bench::WeightsBench;
 use crate::bench::plot_weights;
@@ -21,6 +23,8 @@
     Control(ControlBench),
     /// Time until all hosts serve a new version, and bytes read from the origin.
     Weights(WeightsBench),
+    /// Routing and fair shares under load and faults.
+    Requests(RequestsBenchArgs),
 }
 
 /// Runs a measurement; all its roles share this process.
@@ -32,6 +36,7 @@
     match args.kind {
         BenchKind::Control(bench) => control(&bench),
         BenchKind::Weights(bench) => weights(&bench),
+        BenchKind::Requests(args) => bench_requests::run(&args),
     }
 }
 
--- a/src/endpoint/generate.rs
+++ b/src/endpoint/generate.rs
@@ -4,13 +4,14 @@
 use actix_web::web::Bytes;
 
 use crate::calls::GenerateCall;
+use crate::calls::RefusalReason;
+use crate::contracts::BranchShare;
 use crate::endpoint::EndpointState;
-use crate::links::HttpClient;
+use crate::endpoint::GenerateServer;
 use crate::links::has_key;
 use crate::links::read_rmp;
-use crate::platform::GenerateOrder;
 
-/// Passes a request for tokens to the engine and streams its answer back.
+/// Runs a request for tokens through the fair queue and streams its frames back.
 pub async fn generate(
     state: web::Data<EndpointState>,
     request: HttpRequest,
@@ -23,23 +24,28 @@
         Ok(call) => call,
         Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
     };
-    let order = GenerateOrder {
-        request_id: call.request_id,
-        model: call.model,
-        manifest: call.manifest,
-        prompt: call.prompt,
-        max_tokens: call.max_tokens,
-        seed: call.seed,
-        priority: call.priority,
-        resume_from: 0,
-        deadline_ms: call.deadline_ms,
+    let Some(server) = &state.generate else {
+        return HttpResponse::NotFound().finish();
     };
-    let url = format!("{}/v1/generate", state.settings.backend.url());
-    let engine = HttpClient::to_platform().request(actix_web::http::Method::POST, &url);
-    match engine.send_json(&order).await {
-        Ok(response) => HttpResponse::build(response.status())
-            .content_type("application/x-ndjson")
-            .streaming(response),
-        Err(error) => HttpResponse::BadGateway().body(error.to_string()),
+    if state.node.is_leaving() {
+        return server.refuse(RefusalReason::Leaving);
     }
+    let version = state.weights.version(call.manifest);
+    let Some(whole) = version.and_then(|version| version.serving_whole()) else {
+        return server.refuse(RefusalReason::NotReady);
+    };
+    refresh_shares(&state, server);
+    server.run(call, whole)
+}
+
+/// Brings the queue's shares up to the configuration in force.
+fn refresh_shares(state: &EndpointState, server: &GenerateServer) {
+    let follower = state.node.follower();
+    let offset = follower.fold().head();
+    if server.queue().shares_offset() == Some(offset) {
+        return;
+    }
+    let branches = follower.fold().document().branches();
+    let shares = branches.iter().map(BranchShare::from);
+    server.queue().set_shares(offset, shares);
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -56,8 +56,8 @@
             .service(at("/v1/addresses", web::get().to(addresses::addresses)))
             .service(at("/v1/generate", web::post().to(generate::generate)))
             .service(at("/v1/call", web::post().to(call::call)))
-            .service(at("/v1/status", web::get().to(status::status)))
             .service(at("/v1/permits", web::get().to(call_permits::permits)))
+            .service(at("/v1/status", web::get().to(status::status)))
             .default_service(web::to(api_error::unknown_path));
         admin::routes(app);
         for path in admin::PATHS {
