Stop the host with the most running requests in the demonstration

The host was chosen by the load that an entry had heard, which lags: every run stopped a host without a request on it, and the entries counted 0 retries. The endpoints' own load is now asked.

--- a/src/cli/demo/fleet.rs
+++ b/src/cli/demo/fleet.rs
@@ -22,6 +22,7 @@
 use crate::hosts::HostRole;
 use crate::hosts::HostState;
 use crate::links::HttpClient;
+use crate::observe::Tally;
 use crate::standin::Handle;
 use crate::standin::engine;
 use crate::standin::engine::EngineOptions;
@@ -222,6 +223,13 @@
         self.platform.parts.origin.url()
     }
 
+    /// Name of the engine host with the most running requests.
+    pub fn busiest(&self) -> String {
+        let running = |host: &&Host| host.machine.parts.1.node().own().load.running;
+        let busiest = self.engines.iter().max_by_key(running);
+        busiest.map_or_else(String::new, |host| host.name.clone())
+    }
+
     /// Stops the engine host called `name` without notice.
     pub async fn kill(&mut self, name: &str) {
         let Some(at) = self.engines.iter().position(|host| host.name == name) else {
@@ -231,6 +239,15 @@
         host.kill().await;
     }
 
+    /// Calls that the entries sent again.
+    pub fn retries(&self) -> u64 {
+        let counted = |entry: &Machine<EntryHandle>| {
+            let text = entry.parts.node().metrics().render();
+            retries_in(&text)
+        };
+        self.entries.iter().map(counted).sum()
+    }
+
     /// What the services executed, as they noted it themselves.
     pub async fn executions(&self) -> Result<Vec<Execution>, CliError> {
         let http = HttpClient::to_platform();
@@ -291,6 +308,14 @@
     })
 }
 
+/// Sum of the counters of retries in a metrics text.
+fn retries_in(text: &str) -> u64 {
+    text.lines()
+        .filter(|line| line.starts_with(Tally::Retries.name()))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok())
+        .sum()
+}
+
 fn process(role: HostRole, kind: &str, index: usize, places: &mut Places) -> ProcessSettings {
     let region = REGIONS[index % REGIONS.len()];
     let domain = index / REGIONS.len() % DOMAINS_PER_REGION + 1;
--- a/src/cli/demo/mod.rs
+++ b/src/cli/demo/mod.rs
@@ -68,11 +68,12 @@
     println!("sending calls; one host stops without notice in the middle");
     let callers = Callers::start(fleet.entry_urls(), whole);
     sleep(Duration::from_millis(CALLS_MS)).await;
-    let stopped = operator.busiest().await?;
+    let stopped = fleet.busiest();
     fleet.kill(&stopped).await;
     sleep(Duration::from_millis(CALLS_MS)).await;
     let tally = callers.finish().await;
     let executions = fleet.executions().await?;
+    let retries = fleet.retries();
     fleet.stop().await;
     Ok(Report {
         hosts: args.hosts,
@@ -81,6 +82,7 @@
         origin_bytes,
         stopped,
         tally,
+        retries,
         executions,
     })
 }
--- a/src/cli/demo/operator.rs
+++ b/src/cli/demo/operator.rs
@@ -184,19 +184,6 @@
         serde_json::from_slice(&answer.ok()?).ok()
     }
 
-    /// Name of the replica with the most running requests.
-    pub async fn busiest(&self) -> Result<String, CliError> {
-        let view = self.status().await;
-        let busiest = view
-            .iter()
-            .flat_map(|view| &view.hosts)
-            .filter(|host| host.versions.iter().any(|served| served.model == MODEL))
-            .max_by_key(|host| host.load.running);
-        busiest
-            .map(|host| host.name.clone())
-            .ok_or_else(|| CliError::Failed("the entry shows no replica".to_owned()))
-    }
-
     /// Bytes of chunks that the origin has sent.
     pub async fn origin_bytes(&self) -> Result<u64, CliError> {
         let url = format!("{}/stats", self.origin_url);
--- a/src/cli/demo/report.rs
+++ b/src/cli/demo/report.rs
@@ -27,6 +27,8 @@
     pub stopped: String,
     /// How the calls ended.
     pub tally: Tally,
+    /// Calls that the entries sent again.
+    pub retries: u64,
     /// What the services executed.
     pub executions: Vec<Execution>,
 }
@@ -115,6 +117,7 @@
         writeln!(f, "generate   {}", tally.generate)?;
         writeln!(f, "lookups    {}", tally.lookups)?;
         writeln!(f, "bookings   {}", tally.bookings)?;
+        writeln!(f, "retries    {} by the entries", self.retries)?;
         writeln!(
             f,
             "executions {}, of which {} repeated a booking",
--- a/tests/demo/main.rs
+++ b/tests/demo/main.rs
@@ -27,6 +27,7 @@
         "generate",
         "lookups",
         "bookings",
+        "retries",
     ] {
         assert!(text.contains(line), "no line {line:?} in {text}");
     }
