--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod control_watch;
 mod requests;
 mod requests_baseline;
+mod requests_document;
 mod requests_driver;
 mod requests_fleet;
 mod requests_overhead;
--- /dev/null
+++ b/src/bench/requests_document.rs
@@ -0,0 +1,69 @@
+use std::net::SocketAddr;
+
+use super::requests_fleet::MODEL;
+use super::requests_fleet::TOKEN;
+use super::requests_fleet::manifest;
+use super::requests_scenario::BRANCHES;
+use super::requests_scenario::ENDPOINTS;
+use crate::conf::ClusterSettings;
+use crate::conf::EntrySettings;
+use crate::conf::PlatformSettings;
+use crate::conf::ProcessSettings;
+use crate::document::Edit;
+use crate::document::LogRecord;
+use crate::document::follow::LogPage;
+use crate::document::follow::LoggedRecord;
+use crate::hosts::HostRole;
+use crate::weights::Digest;
+
+/// Key the processes share.
+const SHARED_KEY: &str = "a key of the bench";
+
+/// Settings of an entry of the bench.
+pub(super) fn entry_settings(number: usize, listen: SocketAddr) -> EntrySettings {
+    let name = format!("entry-{number}");
+    let process = ProcessSettings::new(HostRole::Entry, name, "or-north", "a", listen);
+    // No part of the platform takes part.
+    let platform = PlatformSettings::new(
+        "http://127.0.0.1:1",
+        "http://127.0.0.1:1",
+        "http://127.0.0.1:1",
+    );
+    EntrySettings::new(process, platform, ClusterSettings::new(SHARED_KEY))
+}
+
+/// The whole log: one edit for each section.
+pub(super) fn log_page() -> LogPage {
+    let record = |(offset, (section, body)): (usize, (String, String))| LoggedRecord {
+        offset: offset as u64,
+        bytes: LogRecord::Edit(Edit {
+            edit_id: format!("edit-{offset}"),
+            team: "bench".to_owned(),
+            section,
+            base_revision: 0,
+            body: Some(body),
+        })
+        .encode(),
+    };
+    let records: Vec<LoggedRecord> = sections().into_iter().enumerate().map(record).collect();
+    LogPage {
+        earliest: 0,
+        next: records.len() as u64,
+        records,
+    }
+}
+
+fn sections() -> Vec<(String, String)> {
+    let model = format!(
+        "version = 1\nmanifest = {}\nreplicas = {ENDPOINTS}\n",
+        manifest()
+    );
+    let token = Digest::of(TOKEN.as_bytes());
+    let share = 100 / BRANCHES.len();
+    let branch = format!(
+        "token_digest = {token}\nweight = 1\nshare_percent = {share}\nburst_percent = 100\nmodels = {MODEL}\n"
+    );
+    let mut sections = vec![(format!("model {MODEL}"), model)];
+    sections.extend(BRANCHES.map(|name| (format!("branch {name}"), branch.clone())));
+    sections
+}
--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -15,6 +15,8 @@
 use super::requests_baseline;
 use super::requests_baseline::Fifo;
 use super::requests_baseline::RoundRobin;
+use super::requests_document::entry_settings;
+use super::requests_document::log_page;
 use super::requests_overhead::thread_number;
 use super::requests_scenario::BATCH_SLOWDOWN_PERCENT;
 use super::requests_scenario::BRANCHES;
@@ -24,16 +26,8 @@
 use super::requests_scenario::SLOTS;
 use super::requests_scenario::TOKEN_MS;
 use crate::calls::GenerateCall;
-use crate::conf::ClusterSettings;
-use crate::conf::EntrySettings;
-use crate::conf::PlatformSettings;
-use crate::conf::ProcessSettings;
 use crate::contracts::BranchShare;
 use crate::contracts::QueueLimits;
-use crate::document::Edit;
-use crate::document::LogRecord;
-use crate::document::follow::LogPage;
-use crate::document::follow::LoggedRecord;
 use crate::endpoint::GenerateQueue;
 use crate::endpoint::GenerateServer;
 use crate::endpoint::SLOTS_PER_RESERVED;
@@ -61,9 +55,6 @@
 /// Bearer token of every branch.
 pub(super) const TOKEN: &str = "a token of the bench";
 
-/// Key the processes share.
-const SHARED_KEY: &str = "a key of the bench";
-
 /// The weights that the engines load.
 const WEIGHTS: &[u8] = b"weights of a small model";
 
@@ -302,6 +293,7 @@
                         held: None,
                     }],
                     permit_epoch: 0,
+                    suspects: Vec::new(),
                 };
                 state.node.roster().heard(&report, now_ms);
             }
@@ -369,51 +361,3 @@
         Err(error) => HttpResponse::BadRequest().body(error.to_string()),
     }
 }
-
-fn entry_settings(number: usize, listen: SocketAddr) -> EntrySettings {
-    let name = format!("entry-{number}");
-    let process = ProcessSettings::new(HostRole::Entry, name, "or-north", "a", listen);
-    // No part of the platform takes part.
-    let platform = PlatformSettings::new(
-        "http://127.0.0.1:1",
-        "http://127.0.0.1:1",
-        "http://127.0.0.1:1",
-    );
-    EntrySettings::new(process, platform, ClusterSettings::new(SHARED_KEY))
-}
-
-/// The whole log: one edit for each section.
-fn log_page() -> LogPage {
-    let record = |(offset, (section, body)): (usize, (String, String))| LoggedRecord {
-        offset: offset as u64,
-        bytes: LogRecord::Edit(Edit {
-            edit_id: format!("edit-{offset}"),
-            team: "bench".to_owned(),
-            section,
-            base_revision: 0,
-            body: Some(body),
-        })
-        .encode(),
-    };
-    let records: Vec<LoggedRecord> = sections().into_iter().enumerate().map(record).collect();
-    LogPage {
-        earliest: 0,
-        next: records.len() as u64,
-        records,
-    }
-}
-
-fn sections() -> Vec<(String, String)> {
-    let model = format!(
-        "version = 1\nmanifest = {}\nreplicas = {ENDPOINTS}\n",
-        manifest()
-    );
-    let token = Digest::of(TOKEN.as_bytes());
-    let share = 100 / BRANCHES.len();
-    let branch = format!(
-        "token_digest = {token}\nweight = 1\nshare_percent = {share}\nburst_percent = 100\nmodels = {MODEL}\n"
-    );
-    let mut sections = vec![(format!("model {MODEL}"), model)];
-    sections.extend(BRANCHES.map(|name| (format!("branch {name}"), branch.clone())));
-    sections
-}
--- a/src/calls/generate_call.rs
+++ b/src/calls/generate_call.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::fingerprint;
 use crate::weights::Digest;
 
 /// Bytes of a prompt that cost about as much time as one decoded token.
@@ -30,9 +31,17 @@
     pub resume_from: u32,
     /// Time left for the whole answer.
     pub deadline_ms: u64,
+    /// Whether the request was near a crash and must run with no other such request.
+    #[serde(default)]
+    pub is_suspect: bool,
 }
 
 impl GenerateCall {
+    /// Names the request wherever its caller sends it again.
+    pub fn fingerprint(&self) -> Digest {
+        fingerprint(&format!("model {}", self.model), self.prompt.as_bytes())
+    }
+
     /// What the request is expected to cost, in decoded tokens.
     pub fn cost_tokens(&self) -> u64 {
         let decoded = self.max_tokens.saturating_sub(self.resume_from);
--- a/src/calls/generate_frame.rs
+++ b/src/calls/generate_frame.rs
@@ -17,6 +17,11 @@
 pub enum StreamFault {
     /// The engine failed or fell silent.
     EngineFailed,
+    /// The engine died while it ran the request.
+    EngineCrashed {
+        /// Crash of the engine within the incarnation of the endpoint.
+        crash_no: u32,
+    },
     /// The engine does not serve the weights asked for.
     NotLoaded,
     /// The engine answered another request or with other weights.
@@ -25,18 +30,6 @@
     DeadlinePassed,
 }
 
-impl StreamFault {
-    /// Name in metrics and answers.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::EngineFailed => "engine_failed",
-            Self::NotLoaded => "not_loaded",
-            Self::WrongAnswer => "wrong_answer",
-            Self::DeadlinePassed => "deadline_passed",
-        }
-    }
-}
-
 /// One frame of a token stream from an endpoint to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/calls/permit_table.rs
+++ b/src/calls/permit_table.rs
@@ -170,8 +170,8 @@
         epoch.entries[at].state = State::Ended(request, kept);
     }
 
-    /// What became of a permit; one that was not seen is refused from now on.
-    pub fn ask(&mut self, permit: &Permit, now_ms: u64) -> Asked {
+    /// What became of a permit; one that was not seen is refused for `reason` from now on.
+    pub fn ask(&mut self, permit: &Permit, reason: RefusalReason, now_ms: u64) -> Asked {
         let limits = self.limits.clone();
         let epoch = match self.open_epoch(permit, now_ms) {
             Ok(epoch) => epoch,
@@ -181,7 +181,6 @@
             Ok(at) => epoch.entries[at].asked(),
             Err(_) if epoch.is_full(&limits) => Asked::NotRun(RefusalReason::PermitsFull),
             Err(at) => {
-                let reason = RefusalReason::Withdrawn;
                 epoch.insert(at, permit.nonce, State::Tombstone(reason));
                 Asked::NotRun(reason)
             }
--- a/src/calls/refusal_reason.rs
+++ b/src/calls/refusal_reason.rs
@@ -58,6 +58,7 @@
     Overloaded "overloaded" Some(RETRY_BUSY_MS), "The queue is full.";
     OverShare "over_share" Some(RETRY_BUSY_MS), "The branch exceeds its share.";
     DeadlinePassed "deadline_passed" None, "The deadline passed before the request was run.";
+    Paused "paused" Some(RETRY_MOVE_MS), "The process was paused and the call may be past its deadline.";
     RetryBudgetSpent "retry_budget_spent" Some(RETRY_MOVE_MS), "The branch has no retries left.";
     SuspectBusy "suspect_busy" Some(RETRY_MOVE_MS), "The request was near a crash and another such request runs here.";
     CrashSuspect "crash_suspect" None, "Endpoints that ran this request crashed.";
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,8 +1,10 @@
 //! The command line: arguments, one file per subcommand, and exit codes.
 
+mod admin_client;
 mod args;
 mod bench;
 mod bench_requests;
+mod config;
 mod demo;
 mod endpoint;
 mod entry;
@@ -20,6 +22,7 @@
 pub use args::Args;
 pub use args::Command;
 pub use bench::BenchArgs;
+pub use config::ConfigArgs;
 pub use demo::DemoArgs;
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
@@ -41,6 +44,7 @@
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
         Command::Bench(args) => bench::run(args),
+        Command::Config(args) => config::run(args),
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_rt::time::sleep;
 use actix_rt::time::timeout;
 use futures_util::future::Either;
 use futures_util::future::select;
 use tokio::sync::mpsc;
 
+use super::call_run::is_alive;
+use super::engine_watch::EngineWatch;
+use super::engine_watch::SuspectGuard;
 use super::generate_queue::GenerateQueue;
 use super::generate_queue::Grant;
 use super::generate_queue::Place;
@@ -34,6 +38,9 @@
 /// Time a full buffer may wait for its reader.
 const SLOW_READER_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// Time between two looks at the slot for suspects.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The entry has closed the stream.
 struct ReaderGone;
 
@@ -41,6 +48,7 @@
 pub(super) struct GenerateRun {
     pub(super) queue: Arc<GenerateQueue>,
     pub(super) engine: EngineClient,
+    pub(super) watch: Arc<EngineWatch>,
     pub(super) call: GenerateCall,
     /// Whole digest of the weights that were verified here.
     pub(super) whole: Digest,
@@ -51,6 +59,9 @@
     /// Runs the request to its final frame, or until the reader has gone.
     pub(super) async fn run(self) {
         let deadline_ms = self.queue.now_ms() + self.call.deadline_ms;
+        let Ok(_suspect) = self.wait_as_suspect(deadline_ms).await else {
+            return;
+        };
         let cost_tokens = self.call.cost_tokens();
         let place = match self
             .queue
@@ -69,6 +80,26 @@
         }
     }
 
+    /// Waits until no other suspect runs here, if the request is one.
+    async fn wait_as_suspect(
+        &self,
+        deadline_ms: u64,
+    ) -> Result<Option<SuspectGuard<'_>>, ReaderGone> {
+        if !self.call.is_suspect {
+            return Ok(None);
+        }
+        loop {
+            let entered = self.watch.enter(self.call.fingerprint());
+            // Past the deadline the queue refuses the request.
+            if entered.is_some() || self.queue.now_ms() >= deadline_ms {
+                return Ok(entered);
+            }
+            self.unless_gone(sleep(SUSPECT_PAUSE)).await?;
+            let load = self.queue.load();
+            self.send(GenerateFrame::Beat { load }).await?;
+        }
+    }
+
     /// Waits for the queue's word, with heartbeats.
     async fn wait(&self, mut place: Place) -> Result<Grant, ReaderGone> {
         loop {
@@ -111,6 +142,8 @@
         let order = self.order(left_ms);
         let mut events = match self.unless_gone(self.engine.generate(&order)).await? {
             Ok(events) => events,
+            // The engine may have died before it sent the head of its answer.
+            Err(EngineError::Unreachable(_)) => return Ok(failed(self.look_for_crash().await)),
             Err(error) => return Ok(failed(sort_error(&error))),
         };
         let mut next_index = self.call.resume_from;
@@ -119,6 +152,7 @@
             match self.next_event(&mut events).await? {
                 Ok(StreamEvent::Token { index, text }) if index == next_index => {
                     next_index += 1;
+                    self.watch.is_up();
                     slot.used(1);
                     self.send(GenerateFrame::Token { index, text }).await?;
                 }
@@ -162,11 +196,21 @@
         let next = timeout(ENGINE_SILENCE, events.next());
         Ok(match self.unless_gone(next).await? {
             Ok(Some(Ok(event))) => Ok(event),
-            // The connection ended without its end record, broke or fell silent.
-            Ok(Some(Err(_)) | None) | Err(_) => Err(StreamFault::EngineFailed),
+            // The connection ended without its end record.
+            Ok(Some(Err(_)) | None) => Err(self.look_for_crash().await),
+            Err(_) => Err(StreamFault::EngineFailed),
         })
     }
 
+    async fn look_for_crash(&self) -> StreamFault {
+        match is_alive(self.engine.address()).await {
+            true => StreamFault::EngineFailed,
+            false => StreamFault::EngineCrashed {
+                crash_no: self.watch.crashed(),
+            },
+        }
+    }
+
     fn order(&self, left_ms: u64) -> GenerateOrder {
         GenerateOrder {
             request_id: self.call.request_id.clone(),
@@ -233,9 +277,10 @@
 fn sort_error(error: &EngineError) -> StreamFault {
     match error {
         EngineError::Refused(fault) => sort_fault(*fault),
-        EngineError::Unreachable(_) | EngineError::Status(_) | EngineError::Malformed(_) => {
-            StreamFault::EngineFailed
-        }
+        EngineError::NotSent(_)
+        | EngineError::Unreachable(_)
+        | EngineError::Status(_)
+        | EngineError::Malformed(_) => StreamFault::EngineFailed,
     }
 }
 
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,6 +1,11 @@
 //! The endpoint role: the only process that gives its engine or service orders or calls.
 
 mod call;
+mod call_beats;
+mod call_desk;
+mod call_run;
+mod call_ticker;
+mod engine_watch;
 mod generate;
 mod generate_load;
 mod generate_queue;
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -10,6 +10,7 @@
 use crate::contracts::QueueLimits;
 use crate::endpoint::GenerateQueue;
 use crate::endpoint::GenerateServer;
+use crate::endpoint::call_desk::CallDesk;
 use crate::endpoint::weights_naive::HeldWeights;
 use crate::node::Node;
 use crate::platform::EngineClient;
@@ -29,6 +30,8 @@
     pub node: Arc<Node>,
     /// Runs requests for tokens; `None` beside a plain service.
     pub generate: Option<GenerateServer>,
+    /// Calls of the plain service that run here.
+    pub calls: CallDesk,
     permits: Mutex<PermitTable>,
     weights: Mutex<HeldWeights>,
 }
@@ -46,7 +49,6 @@
             settings.cluster.clone(),
             service,
         ));
-        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), node.now_ms());
         let generate = engine_address(&settings.backend).map(|address| {
             let queue = GenerateQueue::new(QueueLimits {
                 slots: settings.slots as u32,
@@ -56,10 +58,13 @@
             });
             GenerateServer::new(queue, EngineClient::new(address))
         });
+        let now_ms = node.now_ms();
+        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
         Self {
             settings,
             node,
             generate,
+            calls: CallDesk::new(now_ms),
             permits: Mutex::new(permits),
             weights: Mutex::default(),
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,9 +1,16 @@
 //! The entry role: addresses, permits, routing and the administration API.
 
 mod addresses;
+pub mod admin;
 pub mod api_error;
 mod auth;
 mod call;
+mod call_answer;
+mod call_book;
+mod call_link;
+mod call_once;
+mod call_permits;
+mod call_repeatable;
 mod error_code;
 mod generate;
 mod generate_attempt;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -3,6 +3,7 @@
 use crate::calls::PermitKey;
 use crate::conf::EntrySettings;
 use crate::entry::Routing;
+use crate::entry::call_book::CallBook;
 use crate::node::Node;
 use crate::platform::LogClient;
 
@@ -15,6 +16,8 @@
     pub node: Arc<Node>,
     /// The stream of the log that carries the configuration.
     pub log: LogClient,
+    /// What it remembers of the calls of plain services.
+    pub calls: CallBook,
     /// Seals permits.
     pub permit_key: PermitKey,
     /// Load and pace of the endpoints, and retries left.
@@ -38,6 +41,7 @@
             settings,
             node,
             log,
+            calls: CallBook::new(),
             permit_key,
             routing,
         }
--- a/src/hosts/report.rs
+++ b/src/hosts/report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::SuspectRecord;
 use crate::document::follow::PeerMark;
 use crate::hosts::HostRole;
 use crate::hosts::StateTag;
@@ -86,10 +87,12 @@
     pub served: Vec<Served>,
     /// Epoch that new permits for it should name.
     pub permit_epoch: u64,
+    /// Requests that ran when endpoints crashed.
+    pub suspects: Vec<SuspectRecord>,
 }
 
 impl Report {
-    /// Tag of all that changes seldom: everything but load, offset and epoch.
+    /// Tag of all that changes seldom: not load, offset, epoch and suspects.
     pub fn state_tag(&self) -> StateTag {
         let served: Vec<_> = self
             .served
@@ -110,6 +113,8 @@
 pub struct ReportAnswer {
     /// Configuration in force on the entry.
     pub config: ConfigMark,
+    /// Requests that ran when endpoints crashed.
+    pub suspects: Vec<SuspectRecord>,
     /// Whether the entry is past its own bootstrap.
     pub is_voter: bool,
     /// Time since its configuration was known to be the end of the log.
--- a/src/node/beat_receiver.rs
+++ b/src/node/beat_receiver.rs
@@ -51,7 +51,8 @@
 fn take_beat(node: &Node, wire: &Wire, beat: &Beat, from: SocketAddr) {
     let now_ms = node.now_ms();
     let wants_report = match node.roster().beat(beat, now_ms) {
-        BeatHeard::Known => false,
+        // Reports exchange what both know of suspects.
+        BeatHeard::Known => beat.suspects != node.suspects_tag(),
         BeatHeard::NeedsReport => true,
         BeatHeard::Outdated => return,
     };
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,8 +11,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::calls::SuspectRecord;
+use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
-use crate::conf::PartitionPolicy;
 use crate::conf::PlatformSettings;
 use crate::conf::ProcessSettings;
 use crate::document::Document;
@@ -28,6 +29,7 @@
 use crate::hosts::ReportAnswer;
 use crate::hosts::Roster;
 use crate::hosts::Served;
+use crate::hosts::StateTag;
 use crate::links::Cuts;
 use crate::links::HttpClient;
 use crate::links::LinkError;
@@ -41,8 +43,11 @@
 /// Bytes of the IP and UDP headers of a datagram.
 const DATAGRAM_HEADER_BYTES: usize = 28;
 
-/// Time without confirmation after which a process counts as cut off.
-const CUT_OFF_MS: u64 = 30_000;
+/// Time a request stays suspect after a crash it was near.
+const SUSPECT_WINDOW_MS: u64 = 600_000;
+
+/// Crashes remembered, counted once per request that ran.
+const MAX_SUSPECTS: usize = 1024;
 
 /// What this process says of itself beside its identity.
 #[derive(Debug, Default)]
@@ -70,6 +75,7 @@
     roster: Mutex<Roster>,
     follower: Mutex<Follower>,
     own: Mutex<OwnState>,
+    suspects: Mutex<SuspectTable>,
     leaving: AtomicBool,
     control_bytes: AtomicU64,
 }
@@ -98,6 +104,7 @@
             roster: Mutex::new(Roster::new()),
             follower: Mutex::new(Follower::new(0)),
             own: Mutex::default(),
+            suspects: Mutex::new(SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS)),
             leaving: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
         }
@@ -212,6 +219,25 @@
         self.own.lock().expect("no holder of the own state panics")
     }
 
+    /// Requests that ran when endpoints crashed.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects
+            .lock()
+            .expect("no holder of the suspects panics")
+    }
+
+    /// Everything known of suspects, to spread.
+    pub fn known_suspects(&self) -> Vec<SuspectRecord> {
+        let now_ms = self.now_ms();
+        self.suspects().export(now_ms)
+    }
+
+    /// Tag of everything known of suspects.
+    pub fn suspects_tag(&self) -> StateTag {
+        let now_ms = self.now_ms();
+        StateTag::of(self.suspects().digest(now_ms).as_bytes())
+    }
+
     /// The document in force.
     pub fn document(&self) -> Arc<Document> {
         self.follower().fold().shared_document()
@@ -241,20 +267,22 @@
     pub fn admission(&self) -> Admission {
         let now_ms = self.now_ms();
         let follower = self.follower();
-        if !follower.admits(now_ms) {
-            return Admission::Unconfirmed;
-        }
         let age_ms = follower.confirmed_age_ms(now_ms).unwrap_or(now_ms);
-        match (age_ms >= CUT_OFF_MS, self.cluster.partition_policy) {
-            (false, _) => Admission::Confirmed,
-            (true, PartitionPolicy::Serve) => Admission::CutOffServing,
-            (true, PartitionPolicy::Refuse) => Admission::CutOffRefusing,
-        }
+        Admission::decide(
+            follower.admits(now_ms),
+            age_ms,
+            self.cluster.partition_policy,
+        )
     }
 
-    /// Whether the process admits new work.
+    /// Whether the process admits new work; work admitted while cut off is counted.
     pub fn is_ready(&self) -> bool {
-        self.admission().admits()
+        let admission = self.admission();
+        if admission == Admission::CutOffServing {
+            self.metrics
+                .add(Tally::CutOff, 1, "policy", admission.name());
+        }
+        admission.admits()
     }
 
     /// What the process answers a peer that reported.
@@ -267,6 +295,7 @@
             },
             is_voter: self.process.role == HostRole::Entry && mark.is_voter,
             confirmed_age_ms: mark.confirmed_age_ms,
+            suspects: self.known_suspects(),
         }
     }
 
@@ -285,6 +314,7 @@
             incarnation: self.incarnation,
             sent_ms: self.now_ms(),
             state: report.state_tag(),
+            suspects: self.suspects_tag(),
             leaving: report.leaving,
             wants_answer,
             config_offset: report.config.offset,
@@ -308,6 +338,7 @@
 
     /// What the process says of itself now.
     pub fn report(&self) -> Report {
+        let suspects = self.known_suspects();
         let own = self.own();
         Report {
             name: self.process.name.clone(),
@@ -322,6 +353,7 @@
             load: own.load,
             served: own.served.clone(),
             permit_epoch: own.permit_epoch,
+            suspects,
         }
     }
 }
--- a/src/node/reporter.rs
+++ b/src/node/reporter.rs
@@ -81,7 +81,8 @@
 
     /// Sends one round of beats.
     fn beat_all(&mut self) {
-        let wants_answer = self.round.is_multiple_of(ANSWERED_EVERY) || !self.node.is_ready();
+        let wants_answer =
+            self.round.is_multiple_of(ANSWERED_EVERY) || !self.node.admission().admits();
         self.round += 1;
         let datagram = Datagram::Beat(self.node.beat(wants_answer)).seal(&self.wire.key);
         for target in targets(&self.node) {
@@ -151,6 +152,10 @@
     let asked_ms = node.now_ms();
     let report = node.report();
     let answer: Result<ReportAnswer, _> = node.ask(&url, &report, ANSWER_WAIT_MS).await;
+    if let Ok(answer) = &answer {
+        let now_ms = node.now_ms();
+        node.suspects().merge(answer.suspects.clone(), now_ms);
+    }
     match answer {
         Ok(answer) if answer.config.offset > node.follower().fold().head() => {
             pull_config(node, &target.name, target.address).await;
--- a/tests/generate_path/world.rs
+++ b/tests/generate_path/world.rs
@@ -16,7 +16,7 @@
 use bergamotfork::weights::Digest;
 
 const SEED: u64 = 3;
-const ENGINE_ARGS: [&str; 4] = ["--first-token-ms", "20", "--token-ms", "30"];
+const ENGINE_ARGS: [&str; 5] = ["--first-token-ms", "20", "--token-ms", "30", "--may-crash"];
 
 /// An entry and some replicas of one model.
 pub struct World {
@@ -36,7 +36,8 @@
             engines.push(cluster.backend_of(&endpoint));
         }
         let manifest = cluster.publish("chat", "v1", 100_000).await;
-        let model = format!("version = v1\nmanifest = {manifest}\nreplicas = 2\n");
+        let replicas = replicas.max(1);
+        let model = format!("version = v1\nmanifest = {manifest}\nreplicas = {replicas}\n");
         cluster.edit("model chat", 0, &model).await;
         let digest = Digest::of(TOKEN.as_bytes());
         let branch = format!("token_digest = {digest}\nshare_percent = 50\nmodels = chat\n");
@@ -89,6 +90,10 @@
         states
     }
 
+    pub async fn engines_alive(&self) -> usize {
+        self.states().await.len()
+    }
+
     /// The endpoint whose engine runs a stream.
     pub async fn serving(&self) -> usize {
         until("an engine runs the stream", 20, async || {
