--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -5,6 +5,8 @@
 use super::bench_requests;
 use super::bench_requests::RequestsBenchArgs;
 use crate::bench::ControlBench;
+use crate::bench::WeightsBench;
+use crate::bench::plot_weights;
 
 /// Arguments of `bench`.
 #[derive(Debug, Args)]
@@ -21,6 +23,8 @@
     Control(ControlBench),
     /// Routing and fair shares under load and faults.
     Requests(RequestsBenchArgs),
+    /// Time until all hosts serve a new version, and bytes read from the origin.
+    Weights(WeightsBench),
 }
 
 /// Runs a measurement; all its roles share this process.
@@ -32,6 +36,7 @@
     match args.kind {
         BenchKind::Control(bench) => control(&bench),
         BenchKind::Requests(args) => bench_requests::run(&args),
+        BenchKind::Weights(bench) => weights(&bench),
     }
 }
 
@@ -50,3 +55,24 @@
     let reason = "a process lacks the last change, or an offset went back";
     Err(CliError::Failed(reason.to_owned()))
 }
+
+fn weights(bench: &WeightsBench) -> Result<(), CliError> {
+    let result = actix_rt::System::new()
+        .block_on(bench.run())
+        .map_err(|error| CliError::Failed(error.to_string()))?;
+    if bench.json {
+        println!("{}", serde_json::json!(result));
+    } else {
+        println!("{result}");
+    }
+    if let Some(path) = &bench.plot {
+        plot_weights(&result, path).map_err(|error| CliError::Failed(error.to_string()))?;
+    }
+    match result.missing_hosts {
+        0 => Ok(()),
+        missing => {
+            let reason = format!("{missing} hosts do not serve the version");
+            Err(CliError::Failed(reason))
+        }
+    }
+}
--- a/src/endpoint/generate.rs
+++ b/src/endpoint/generate.rs
@@ -30,8 +30,8 @@
     if state.node.is_leaving() {
         return server.refuse(RefusalReason::Leaving);
     }
-    let whole = state.weights().serving_whole(call.manifest);
-    let Some(whole) = whole else {
+    let version = state.weights.version(call.manifest);
+    let Some(whole) = version.and_then(|version| version.serving_whole()) else {
         return server.refuse(RefusalReason::NotReady);
     };
     refresh_shares(&state, server);
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -10,10 +10,12 @@
 use crate::contracts::QueueLimits;
 use crate::endpoint::GenerateQueue;
 use crate::endpoint::GenerateServer;
+use crate::endpoint::WeightLinks;
+use crate::endpoint::WeightsShare;
 use crate::endpoint::call_desk::CallDesk;
-use crate::endpoint::weights_naive::HeldWeights;
 use crate::node::Node;
 use crate::platform::EngineClient;
+use crate::weights::MemoryBudget;
 
 /// Slots for one slot that a bursting branch leaves to the others.
 pub const SLOTS_PER_RESERVED: u32 = 32;
@@ -32,8 +34,9 @@
     pub generate: Option<GenerateServer>,
     /// Calls of the plain service that run here.
     pub calls: CallDesk,
+    /// Weights on this host.
+    pub weights: Arc<WeightsShare>,
     permits: Mutex<PermitTable>,
-    weights: Mutex<HeldWeights>,
 }
 
 impl EndpointState {
@@ -60,13 +63,14 @@
         });
         let now_ms = node.now_ms();
         let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
+        let weights = weights_share(&settings, &node);
         Self {
             settings,
             node,
             generate,
             calls: CallDesk::new(now_ms),
             permits: Mutex::new(permits),
-            weights: Mutex::default(),
+            weights,
         }
     }
 
@@ -77,13 +81,6 @@
             .expect("no holder of the permit table panics")
     }
 
-    /// Weights on this host.
-    pub fn weights(&self) -> MutexGuard<'_, HeldWeights> {
-        self.weights
-            .lock()
-            .expect("no holder of the weights panics")
-    }
-
     /// Address of the engine, unless a plain service is beside this process.
     pub fn engine_address(&self) -> Option<SocketAddr> {
         engine_address(&self.settings.backend)
@@ -96,3 +93,19 @@
         BackendSettings::Service { .. } => None,
     }
 }
+
+fn weights_share(settings: &EndpointSettings, node: &Node) -> Arc<WeightsShare> {
+    let weights = &settings.weights;
+    let links = WeightLinks::new(
+        weights.up_bytes_per_s,
+        weights.down_bytes_per_s,
+        weights.live_share_percent,
+    );
+    WeightsShare::new(
+        node.name(),
+        settings.process.region.clone(),
+        links,
+        MemoryBudget::new(weights.budget_bytes),
+        Arc::clone(node.metrics()),
+    )
+}
