--- a/src/endpoint/call_run.rs
+++ b/src/endpoint/call_run.rs
@@ -107,7 +107,7 @@
 ///
 /// A process that dies closes its sockets one by one, so its listener may
 /// still accept after its other connections have broken.
-async fn is_alive(address: &str) -> bool {
+pub(super) async fn is_alive(address: &str) -> bool {
     let Ok(Ok(probe)) = timeout(PROBE_WAIT, TcpStream::connect(address)).await else {
         return false;
     };
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -7,6 +7,7 @@
 use futures_util::stream;
 use tokio::sync::mpsc;
 
+use super::engine_watch::EngineWatch;
 use super::generate_queue::GenerateQueue;
 use super::generate_run::GenerateRun;
 use crate::calls::GenerateCall;
@@ -23,12 +24,17 @@
 pub struct GenerateServer {
     queue: Arc<GenerateQueue>,
     engine: EngineClient,
+    watch: Arc<EngineWatch>,
 }
 
 impl GenerateServer {
     /// Server in front of `engine`.
     pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient) -> Self {
-        Self { queue, engine }
+        Self {
+            queue,
+            engine,
+            watch: Arc::default(),
+        }
     }
 
     /// The queue in front of the engine.
@@ -42,6 +48,7 @@
         let run = GenerateRun {
             queue: Arc::clone(&self.queue),
             engine: self.engine.clone(),
+            watch: Arc::clone(&self.watch),
             call,
             whole,
             frames,
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -5,6 +5,7 @@
 mod call_desk;
 mod call_run;
 mod call_ticker;
+mod engine_watch;
 mod generate;
 mod generate_load;
 mod generate_queue;
--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Whole digest of the weights that the engine serves; `None` if it does not.
+    pub fn serving_whole(&self) -> Option<Digest> {
+        match &*self.stage() {
+            Stage::Serving(replica) => Some(replica.manifest().whole),
+            Stage::Resident { whole } => Some(*whole),
+            _ => None,
+        }
+    }
+
     /// Chunks held; None before the manifest is known.
     pub fn have(&self) -> Option<HaveMap> {
         match &*self.stage() {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -86,6 +86,7 @@
         priority: body.priority,
         resume_from: body.resume_from,
         deadline_ms: body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
+        is_suspect: false,
     };
     answer(Relay::new(state.into_inner(), call)).await
 }
--- a/src/entry/generate_attempt.rs
+++ b/src/entry/generate_attempt.rs
@@ -41,6 +41,8 @@
     Leaving,
     /// The endpoint's engine failed.
     EngineFailed,
+    /// The endpoint's engine died.
+    EngineCrashed,
     /// The engine did not serve the weights after all.
     NotLoaded,
 }
@@ -56,6 +58,7 @@
             Self::Refused => "refused",
             Self::Leaving => "leaving",
             Self::EngineFailed => "engine_failed",
+            Self::EngineCrashed => "engine_crashed",
             Self::NotLoaded => "not_loaded",
         }
     }
@@ -68,7 +71,8 @@
             | Self::Silent
             | Self::LateFirstToken
             | Self::WrongAnswer
-            | Self::EngineFailed => Ending::Failed,
+            | Self::EngineFailed
+            | Self::EngineCrashed => Ending::Failed,
             Self::Refused | Self::Leaving | Self::NotLoaded => Ending::Neutral,
         }
     }
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -5,22 +5,25 @@
 use super::generate_attempt::RetryReason;
 use super::generate_event::GenerateEvent;
 use super::generate_routing::Choice;
+use crate::calls::DeathId;
 use crate::calls::Ending;
 use crate::calls::GenerateCall;
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
+use crate::calls::Standing;
 use crate::calls::StreamFault;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::ErrorCode;
 use crate::hosts::HostKey;
+use crate::node::Reporter;
 use crate::observe::Event;
 use crate::observe::Tally;
 use crate::observe::emit;
 use crate::weights::Digest;
 
 /// Endpoints one request is sent to at most, beside those that are leaving.
-const MAX_ATTEMPTS: usize = 4;
+const MAX_ATTEMPTS: usize = 6;
 
 /// Times a request is sent on after a full queue.
 const MAX_REFUSALS: u32 = 1;
@@ -137,6 +140,13 @@
 
     /// Sends the call to an endpoint that has not been tried.
     async fn open(&mut self, left_ms: u64, wait: Duration) -> Step {
+        match self.standing() {
+            Standing::Clear => {}
+            Standing::Suspect => self.call.is_suspect = true,
+            Standing::Refused => {
+                return Step::Fail(refusal_error(RefusalReason::CrashSuspect, None));
+            }
+        }
         let mut chosen = self.choose();
         if chosen.is_none() && self.is_fresh {
             // Every replica was tried: a fresh connection may do what an old one did not.
@@ -168,6 +178,38 @@
         routing.choose(node, &self.call, self.pinned, &self.tried)
     }
 
+    /// How the request is treated after the crashes it was near.
+    fn standing(&self) -> Standing {
+        let now_ms = self.state.node.now_ms();
+        let request = self.call.fingerprint();
+        self.state.node.suspects().standing(request, now_ms)
+    }
+
+    /// Remembers that the request ran when an engine died, and tells the other processes.
+    fn note_crash(&self, crash_no: u32) {
+        let node = &self.state.node;
+        let Some(key) = self.attempt.as_ref().map(|attempt| attempt.key) else {
+            return;
+        };
+        let Some((endpoint, incarnation)) = node
+            .roster()
+            .host(key)
+            .map(|host| (host.name.clone(), host.incarnation))
+        else {
+            return;
+        };
+        let death = DeathId {
+            endpoint,
+            incarnation,
+            crash_no,
+        };
+        let now_ms = node.now_ms();
+        let request = self.call.fingerprint();
+        node.suspects().add_death(request, death, now_ms);
+        let node = Arc::clone(node);
+        actix_rt::spawn(async move { Reporter::report_now(&node).await });
+    }
+
     fn has_room(&self) -> bool {
         let node = &self.state.node;
         let routing = &self.state.routing;
@@ -209,6 +251,10 @@
                     return Step::Retry(RetryReason::WrongAnswer);
                 }
                 attempt.ending = Ending::Whole;
+                if self.call.is_suspect {
+                    let request = self.call.fingerprint();
+                    self.state.node.suspects().clear(request);
+                }
                 Step::Last(GenerateEvent::End {
                     request_id,
                     tokens,
@@ -228,6 +274,10 @@
                 attempt.saw_load(load);
                 match fault {
                     StreamFault::DeadlinePassed => Step::Fail(deadline_passed()),
+                    StreamFault::EngineCrashed { crash_no } => {
+                        self.note_crash(crash_no);
+                        Step::Retry(RetryReason::EngineCrashed)
+                    }
                     StreamFault::EngineFailed => Step::Retry(RetryReason::EngineFailed),
                     StreamFault::NotLoaded => Step::Retry(RetryReason::NotLoaded),
                     StreamFault::WrongAnswer => Step::Retry(RetryReason::WrongAnswer),
--- a/src/entry/generate_routing.rs
+++ b/src/entry/generate_routing.rs
@@ -21,7 +21,7 @@
 const PREFIX_BYTES: usize = 256;
 
 /// Retries a branch may save up.
-const RETRY_BURST: u32 = 5;
+const RETRY_BURST: u32 = 20;
 
 /// Routing state of an entry.
 #[derive(Debug)]
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -4,6 +4,8 @@
 
 use actix_web::http::Method;
 use actix_web::http::StatusCode;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
@@ -32,6 +34,8 @@
 /// Why a call to an engine failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineError {
+    /// No connection was made: the order never left this process.
+    NotSent(String),
     /// No answer came.
     Unreachable(String),
     /// The engine refused the order.
@@ -45,6 +49,7 @@
 impl fmt::Display for EngineError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::NotSent(reason) => write!(f, "the engine accepts no connection: {reason}"),
             Self::Unreachable(reason) => write!(f, "the engine did not answer: {reason}"),
             Self::Refused(fault) => write!(f, "the engine refused the order: {}", fault.name()),
             Self::Status(status) => write!(f, "the engine answered with status {status}"),
@@ -71,6 +76,13 @@
         }
     }
 
+    /// Address of the engine.
+    pub fn address(&self) -> &str {
+        self.base_url
+            .strip_prefix("http://")
+            .expect("the base URL starts so")
+    }
+
     /// Orders the engine to load weights.
     ///
     /// # Errors
@@ -144,7 +156,7 @@
             .timeout(ORDER_TIMEOUT)
             .send_json(order)
             .await
-            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+            .map_err(|e| sort_error(&e))?;
         if response.status() != StatusCode::OK {
             let body = response
                 .body()
@@ -172,7 +184,7 @@
             .timeout(timeout)
             .send_json(order)
             .await
-            .map_err(|e| EngineError::Unreachable(e.to_string()))?;
+            .map_err(|e| sort_error(&e))?;
         let body = response
             .body()
             .await
@@ -181,6 +193,16 @@
     }
 }
 
+fn sort_error(error: &SendRequestError) -> EngineError {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            EngineError::Unreachable(error.to_string())
+        }
+        SendRequestError::Connect(_) => EngineError::NotSent(error.to_string()),
+        _ => EngineError::Unreachable(error.to_string()),
+    }
+}
+
 fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
     match serde_json::from_slice::<EngineRefusal>(body) {
         Ok(refusal) => EngineError::Refused(refusal.code),
--- a/tests/generate_path/main.rs
+++ b/tests/generate_path/main.rs
@@ -78,3 +78,22 @@
     answer.abort();
     world.idle().await;
 }
+
+/// A prompt that kills every engine is refused after three deaths of the fleet.
+#[actix_rt::test]
+async fn generate_poison_is_refused_after_three_deaths() {
+    let world = World::start(5).await;
+    let innocent = world.start_asking("tides?", LONG);
+    world.serving().await;
+    let poison = "what [[crash]] is this?";
+    for _ in 0..6 {
+        let refused = world.ask(poison, 4).await;
+        assert!(refused.is_err(), "no engine survives it");
+    }
+    let refused = world.ask(poison, 4).await.expect_err("it is refused");
+    assert!(refused.to_string().contains("request_blocked"), "{refused}");
+    assert!(world.engines_alive().await >= 2);
+    world.check(&innocent.await.expect("the caller waits"), "tides?", LONG);
+    let answer = world.ask("rules?", 4).await.expect("engines are left");
+    world.check(&answer, "rules?", 4);
+}
