--- a/tests/docs/commands.rs
+++ b/tests/docs/commands.rs
@@ -42,7 +42,8 @@
 fn assert_accepted(place: &str, line: &str, args: &[&str]) {
     let mut path: Vec<&str> = Vec::new();
     let mut help = help_of(&path);
-    for arg in args {
+    let mut args = args.iter();
+    while let Some(arg) = args.next() {
         let row = format!("  {arg} ");
         let listed = help
             .split("Commands:")
@@ -53,6 +54,10 @@
             help = help_of(&path);
         } else if arg.starts_with("--") {
             assert!(help.contains(arg), "{place}: {line}: unknown flag {arg}");
+            if help.contains(&format!("{arg} <")) {
+                // The value of the flag.
+                args.next();
+            }
         } else {
             let takes_more = !help.contains("<COMMAND>");
             assert!(takes_more, "{place}: {line}: unknown subcommand {arg}");
