Check that a leaving endpoint refuses while it still drains

The test passed with the endpoint's leave taken out, because the process was gone before the limit. Its calls now outlast the limit, and a permit held from before must be told "leaving". This test was not run again with the leave taken out.

--- a/tests/calls_faults/leaving.rs
+++ b/tests/calls_faults/leaving.rs
@@ -16,8 +16,15 @@
 
 #[actix_rt::test]
 async fn leaving_endpoint_finishes_calls_and_takes_none() {
-    let mut desk = Desk::start(2, 2, &["--delay-ms", "1500"]).await;
+    // The calls outlast the limit, so the endpoint still drains when it is checked.
+    let mut desk = Desk::start(2, 2, &["--delay-ms", "4000"]).await;
     let entries = desk.entries.clone();
+    let left = desk.endpoints[0].clone();
+    let held = until("a permit of the endpoint", 10, async || {
+        let permit = caller::permit(&entries[0]).await?;
+        (permit.address.to_string() == left).then_some(permit)
+    })
+    .await;
     let calls = (0..12_usize).map(|number| {
         let entries = entries.clone();
         async move { caller::book(&entries, number, &json!({ "booking": number }), 1).await }
@@ -30,7 +37,6 @@
     .await;
     desk.cluster.process("desk-0").signal("TERM");
     let asked = Instant::now();
-    let left = desk.endpoints[0].clone();
     for entry in &entries {
         until("only the other endpoint gets permits", 3, async || {
             let permit = caller::permit(entry).await?;
@@ -40,12 +46,16 @@
         })
         .await;
     }
+    let late = caller::send(&entries[0], "book", &json!("late"), Some(&held), 1).await;
     assert!(asked.elapsed() < LEAVE_LIMIT);
-    let events: Vec<_> = running.await.expect("the callers end").concat();
+    assert_eq!(late.outcome, Outcome::NotRun("leaving".to_owned()));
+    assert_eq!(desk.cluster.process("desk-0").exit_code(), None);
+    let mut events: Vec<_> = running.await.expect("the callers end").concat();
     assert_eq!(events.len(), 12);
     for event in &events {
         assert!(matches!(event.outcome, Outcome::Answer(_)), "{event:?}");
     }
+    events.push(late);
     assert_eq!(check(&events, &desk.ledger().await), []);
     let ended = until("the endpoint ends", 15, async || {
         desk.cluster.process("desk-0").exit_code()
