--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -21,10 +21,10 @@
 pub enum BenchKind {
     /// How fast changes of the configuration are in force, and what control costs.
     Control(ControlBench),
-    /// Routing and fair shares under load and faults.
-    Requests(RequestsBenchArgs),
     /// Time until all hosts serve a new version, and bytes read from the origin.
     Weights(WeightsBench),
+    /// Routing and fair shares under load and faults.
+    Requests(RequestsBenchArgs),
 }
 
 /// Runs a measurement; all its roles share this process.
@@ -35,8 +35,8 @@
 pub fn run(args: BenchArgs) -> Result<(), CliError> {
     match args.kind {
         BenchKind::Control(bench) => control(&bench),
-        BenchKind::Requests(args) => bench_requests::run(&args),
         BenchKind::Weights(bench) => weights(&bench),
+        BenchKind::Requests(args) => bench_requests::run(&args),
     }
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -43,8 +43,8 @@
 /// Returns [`CliError`] when the subcommand fails or its settings are invalid.
 pub fn run() -> Result<(), CliError> {
     match Args::parse().command {
-        Command::Bench(args) => bench::run(args),
         Command::Config(args) => config::run(args),
+        Command::Bench(args) => bench::run(args),
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -30,12 +30,12 @@
     pub settings: EndpointSettings,
     /// Identity, hosts and configuration.
     pub node: Arc<Node>,
-    /// Runs requests for tokens; `None` beside a plain service.
-    pub generate: Option<GenerateServer>,
     /// Calls of the plain service that run here.
     pub calls: CallDesk,
     /// Weights on this host.
     pub weights: Arc<WeightsShare>,
+    /// Runs requests for tokens; `None` beside a plain service.
+    pub generate: Option<GenerateServer>,
     permits: Mutex<PermitTable>,
 }
 
@@ -52,6 +52,9 @@
             settings.cluster.clone(),
             service,
         ));
+        let now_ms = node.now_ms();
+        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
+        let weights = weights_share(&settings, &node);
         let generate = engine_address(&settings.backend).map(|address| {
             let queue = GenerateQueue::new(QueueLimits {
                 slots: settings.slots as u32,
@@ -61,14 +64,11 @@
             });
             GenerateServer::new(queue, EngineClient::new(address))
         });
-        let now_ms = node.now_ms();
-        let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
-        let weights = weights_share(&settings, &node);
         Self {
             settings,
             node,
-            generate,
             calls: CallDesk::new(now_ms),
+            generate,
             permits: Mutex::new(permits),
             weights,
         }
--- a/src/entry/call_answer.rs
+++ b/src/entry/call_answer.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Serialize)]
 struct Ending<'a> {
     code: &'static str,
+    outcome: &'static str,
     reason: &'static str,
     message: &'static str,
     request_id: &'a str,
@@ -41,10 +42,11 @@
                 .content_type("application/json")
                 .body(answer.body)
         }
-        CallOutcome::NotRun { reason: why, .. } => builder(status_of(why), retry_after_ms)
+        CallOutcome::NotRun { reason: why, .. } => builder(code_of(why).status(), retry_after_ms)
             .insert_header((REQUEST_ID_HEADER, request_id))
             .json(Ending {
-                code: ErrorCode::NotRun.name(),
+                code: code_of(why).name(),
+                outcome: "not_run",
                 reason,
                 message: why.meaning(),
                 request_id,
@@ -55,6 +57,7 @@
             .insert_header((REQUEST_ID_HEADER, request_id))
             .json(Ending {
                 code: ErrorCode::OutcomeUnknown.name(),
+                outcome: "unknown",
                 reason,
                 message: ErrorCode::OutcomeUnknown.meaning(),
                 request_id,
@@ -73,20 +76,24 @@
     builder
 }
 
-fn status_of(reason: RefusalReason) -> StatusCode {
+/// Code of the API for a refusal; `reason` tells more.
+fn code_of(reason: RefusalReason) -> ErrorCode {
     match reason {
-        RefusalReason::Unauthorized => StatusCode::UNAUTHORIZED,
-        RefusalReason::NotAllowed => StatusCode::FORBIDDEN,
-        RefusalReason::Malformed => StatusCode::BAD_REQUEST,
-        RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        RefusalReason::PermitRequired | RefusalReason::PermitInvalid => StatusCode::BAD_REQUEST,
-        RefusalReason::PermitReused => StatusCode::CONFLICT,
-        RefusalReason::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
-        RefusalReason::Overloaded
-        | RefusalReason::OverShare
-        | RefusalReason::RetryBudgetSpent
-        | RefusalReason::SuspectBusy => StatusCode::TOO_MANY_REQUESTS,
-        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::NotAllowed => ErrorCode::Forbidden,
+        RefusalReason::BodyTooLarge => ErrorCode::BodyTooLarge,
+        RefusalReason::Malformed
+        | RefusalReason::PermitRequired
+        | RefusalReason::PermitInvalid
+        | RefusalReason::PermitReused => ErrorCode::BadRequest,
+        RefusalReason::CrashSuspect => ErrorCode::RequestBlocked,
+        RefusalReason::Overloaded | RefusalReason::OverShare | RefusalReason::SuspectBusy => {
+            ErrorCode::Overloaded
+        }
+        RefusalReason::RetryBudgetSpent => ErrorCode::RetryBudgetSpent,
+        RefusalReason::DeadlinePassed => ErrorCode::DeadlinePassed,
+        RefusalReason::NoEndpoint => ErrorCode::NoReplica,
+        RefusalReason::NotReady => ErrorCode::NotReady,
+        RefusalReason::Leaving => ErrorCode::Leaving,
+        _ => ErrorCode::NotRun,
     }
 }
--- a/tests/api_input/main.rs
+++ b/tests/api_input/main.rs
@@ -69,6 +69,13 @@
     format!(r#"{{"branch":"{branch}","model":"{model}","prompt":"hut?","max_tokens":2}}"#)
 }
 
+/// A section that does not exist and that the team may write.
+const SECTION: &str = "/v1/config/sections/model%20new";
+
+fn edit(body: &str) -> String {
+    format!(r#"{{"edit_id":"e {body}","base_revision":0,"body":"{body}"}}"#)
+}
+
 fn call_body(branch: &str, service: &str) -> String {
     format!(r#"{{"branch":"{branch}","service":"{service}","path":"lookup","body":{{}}}}"#)
 }
@@ -188,10 +195,58 @@
             TOKEN,
             &call_body("seaside", "bookdesk"),
             503,
-            "not_run",
+            "no_replica",
         ),
         ("POST", "/v1/call", TOKEN, "null", 400, "bad_json"),
         ("POST", "/v1/call", TOKEN, &large, 413, "body_too_large"),
+        ("GET", "/v1/config", "", "", 401, "missing_token"),
+        ("GET", "/v1/config", "no", "", 401, "wrong_token"),
+        ("POST", "/v1/config", TOKEN, "{}", 405, "wrong_method"),
+        ("POST", SECTION, TOKEN, "{}", 405, "wrong_method"),
+        ("PUT", "/v1/config/wait", TOKEN, "{}", 405, "wrong_method"),
+        ("GET", "/v1/config/wait", TOKEN, "", 400, "bad_request"),
+        (
+            "PUT",
+            SECTION,
+            "",
+            &edit("version = v2"),
+            401,
+            "missing_token",
+        ),
+        (
+            "PUT",
+            SECTION,
+            "no",
+            &edit("version = v2"),
+            401,
+            "wrong_token",
+        ),
+        ("PUT", SECTION, TOKEN, "{", 400, "bad_json"),
+        ("PUT", SECTION, TOKEN, &large, 413, "body_too_large"),
+        (
+            "PUT",
+            SECTION,
+            TOKEN,
+            &edit("version = v2"),
+            422,
+            "invalid_edit",
+        ),
+        (
+            "PUT",
+            "/v1/config/sections/secret%20x",
+            TOKEN,
+            &edit(""),
+            403,
+            "forbidden",
+        ),
+        (
+            "PUT",
+            "/v1/config/sections/model%20chat",
+            TOKEN,
+            &edit("replicas = 1"),
+            409,
+            "conflict",
+        ),
     ];
     for (method, path, token, body, status, code) in cases {
         let authorization = match token {
@@ -210,8 +265,9 @@
         assert!(answer.json()["message"].is_string(), "{case}");
         let later = answer.json()["retry_after_ms"].is_u64();
         assert_eq!(later, answer.header("retry-after").is_some(), "{case}");
-        assert_eq!(later, matches!(code, "no_replica" | "not_run"), "{case}");
-        if code == "not_run" {
+        assert_eq!(later, code == "no_replica", "{case}");
+        if path == "/v1/call" && later {
+            assert_eq!(answer.json()["outcome"], "not_run", "{case}");
             assert_eq!(answer.json()["reason"], "no_endpoint", "{case}");
         }
         assert_healthy(address, &case);
--- /dev/null
+++ b/tests/weights_rollout/holds.rs
@@ -0,0 +1,60 @@
+use serde_json::json;
+
+use crate::site::Site;
+
+#[actix_rt::test]
+async fn rollout_adapter_waits_for_its_base() {
+    let site = Site::new(2, &[]).await;
+    let base = site.publish("chat", "v1", None).await;
+    let adapter = site.publish("tides", "v1", Some(base)).await;
+    let more = "replicas = 2\nbase = chat";
+    site.order("tides", 0, "v1", adapter, more).await;
+    site.held_for("tides", "is not loaded").await;
+    for backend in &site.engines {
+        assert_eq!(site.held(backend).await, Some(Vec::new()));
+    }
+    site.order("chat", 0, "v1", base, "replicas = 2").await;
+    site.all_hold(&[base, adapter]).await;
+}
+
+#[actix_rt::test]
+async fn rollout_manifest_wrong_then_right() {
+    let site = Site::new(1, &[]).await;
+    let first = site.publish("chat", "v1", None).await;
+    let origin = site.cluster.origin_url();
+    site.cluster
+        .fault(&origin, &json!({"manifest_wrong": true}))
+        .await;
+    site.order("chat", 0, "v1", first, "replicas = 1").await;
+    site.held_for("chat", "manifest has digest").await;
+    site.cluster
+        .fault(&origin, &json!({"manifest_missing": true}))
+        .await;
+    site.held_for("chat", "no such manifest").await;
+    site.cluster.fault(&origin, &json!({})).await;
+    site.all_hold(&[first]).await;
+}
+
+#[actix_rt::test]
+async fn rollout_over_budget_is_told() {
+    let mut site = Site::new(0, &[]).await;
+    let backend = site.cluster.spare_address();
+    site.cluster.run_engine("engine", &backend);
+    let settings = "[weights]\nbudget_bytes = 1048576\n";
+    site.cluster
+        .endpoint("host", "or-north", &backend, settings)
+        .await;
+    site.engines.push(backend);
+    let large = site.cluster.publish("large", "v1", 2 << 20).await;
+    let large = large.parse().expect("a digest");
+    site.order("large", 0, "v1", large, "replicas = 1").await;
+    site.held_for("large", "does not fit").await;
+    // A version that fits is served all the same, and so is its successor.
+    let first = site.publish("chat", "v1", None).await;
+    let revision = site.order("chat", 0, "v1", first, "replicas = 1").await;
+    site.all_hold(&[first]).await;
+    let second = site.publish("chat", "version2", None).await;
+    site.order("chat", revision, "version2", second, "replicas = 1")
+        .await;
+    site.all_hold(&[second]).await;
+}
