--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -153,15 +153,6 @@
         }
     }
 
-    /// Digest of the whole that answers must carry, while the engine serves it.
-    pub fn serving_whole(&self) -> Option<Digest> {
-        match &*self.stage() {
-            Stage::Serving(replica) => Some(replica.manifest().whole),
-            Stage::Resident { whole } => Some(*whole),
-            _ => None,
-        }
-    }
-
     /// All bytes in order; only while the engine may load them.
     pub fn whole(&self) -> Option<Vec<Bytes>> {
         match &*self.stage() {
