--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -6,6 +6,7 @@
 use super::DemoArgs;
 use super::EndpointArgs;
 use super::EntryArgs;
+use super::ModelArgs;
 use super::SettingsArgs;
 use super::StandinArgs;
 use super::StatusArgs;
@@ -30,6 +31,8 @@
     Endpoint(EndpointArgs),
     /// Show, edit and follow the configuration through an entry.
     Config(ConfigArgs),
+    /// Roll a model out to its next version, and watch it.
+    Model(ModelArgs),
     /// Show the hosts, models and configuration as an entry sees them.
     Status(StatusArgs),
     /// Show the whole system at work, in this one process on loopback.
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -177,7 +177,10 @@
     Ok(())
 }
 
-async fn read_section(client: &AdminClient, name: &str) -> Result<SectionAnswer, CliError> {
+pub(super) async fn read_section(
+    client: &AdminClient,
+    name: &str,
+) -> Result<SectionAnswer, CliError> {
     let path = section_path(name);
     client.get(&path, 0).await.map_err(failed)
 }
@@ -202,22 +205,32 @@
     };
     let edit_id = args.edit_id.unwrap_or_else(|| Nonce::random().to_string());
     eprintln!("edit id {edit_id}, base {base_revision}");
+    let accepted = submit(
+        client,
+        &args.section,
+        &edit_id,
+        base_revision,
+        body.as_deref(),
+    );
+    println!("accepted, revision {}", accepted.await?.revision);
+    Ok(())
+}
+
+/// Sends an edit, again with the same id while its outcome is unknown.
+pub(super) async fn submit(
+    client: &AdminClient,
+    section: &str,
+    edit_id: &str,
+    base_revision: u64,
+    body: Option<&str>,
+) -> Result<AcceptedAnswer, CliError> {
     let mut sends = 1;
-    let accepted = loop {
-        let sent = send_edit(
-            client,
-            &args.section,
-            &edit_id,
-            base_revision,
-            body.as_deref(),
-        );
-        match sent.await {
+    loop {
+        match send_edit(client, section, edit_id, base_revision, body).await {
             Err(error) if sends < MAX_SENDS && is_outcome_unknown(&error) => sends += 1,
-            result => break result.map_err(failed)?,
+            result => return result.map_err(failed),
         }
-    };
-    println!("accepted, revision {}", accepted.revision);
-    Ok(())
+    }
 }
 
 async fn send_edit(
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod entry;
 mod errors;
+mod model;
 mod operator_args;
 mod process;
 mod settings;
@@ -27,6 +28,7 @@
 pub use endpoint::EndpointArgs;
 pub use entry::EntryArgs;
 pub use errors::CliError;
+pub use model::ModelArgs;
 pub use operator_args::OperatorArgs;
 pub use process::run_process;
 pub use settings::SettingsArgs;
@@ -48,6 +50,7 @@
         Command::Entry(args) => entry::run(args),
         Command::Endpoint(args) => endpoint::run(args),
         Command::Standin(args) => standin::run(args),
+        Command::Model(args) => model::run(args),
         Command::Status(args) => status::run(args),
         Command::Demo(args) => demo::run(args),
         Command::Settings(args) => settings::run(args),
--- /dev/null
+++ b/src/cli/model.rs
@@ -0,0 +1,169 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use clap::Args;
+use clap::Subcommand;
+use indicatif::ProgressBar;
+use indicatif::ProgressStyle;
+
+use super::CliError;
+use super::OperatorArgs;
+use super::admin_client::AdminClient;
+use super::admin_client::failed;
+use super::config::read_section;
+use super::config::submit;
+use crate::calls::Nonce;
+use crate::entry::ModelView;
+use crate::entry::StatusView;
+use crate::weights::Digest;
+
+/// Time between two looks at the progress.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Arguments of `model`.
+#[derive(Debug, Args)]
+pub struct ModelArgs {
+    #[command(subcommand)]
+    command: ModelCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum ModelCommand {
+    /// Print every model with its version and replicas.
+    List {
+        #[command(flatten)]
+        operator: OperatorArgs,
+    },
+    /// Ask for another version of a model.
+    Rollout(RolloutArgs),
+}
+
+#[derive(Debug, Args)]
+struct RolloutArgs {
+    #[command(flatten)]
+    operator: OperatorArgs,
+    /// Name of the model, such as "chat".
+    model: String,
+    /// Version to roll out.
+    #[arg(long, value_name = "VERSION")]
+    version: String,
+    /// Digest of the version's manifest.
+    #[arg(long, value_name = "DIGEST")]
+    manifest: Digest,
+    /// Wait until every replica serves it, and show the progress.
+    #[arg(long)]
+    watch: bool,
+    /// Longest watch in seconds.
+    #[arg(long, default_value_t = 600, requires = "watch")]
+    timeout_s: u64,
+}
+
+/// Runs `model`.
+///
+/// # Errors
+///
+/// [`CliError`] when an argument is missing, the entry refuses, or a watched
+/// rollout does not end in time.
+pub fn run(args: ModelArgs) -> Result<(), CliError> {
+    let system = actix_rt::System::new();
+    match args.command {
+        ModelCommand::List { operator } => system.block_on(list(&AdminClient::new(operator)?)),
+        ModelCommand::Rollout(args) => {
+            let client = AdminClient::new(args.operator.clone())?;
+            system.block_on(rollout(&client, &args))
+        }
+    }
+}
+
+async fn models(client: &AdminClient) -> Result<Vec<ModelView>, CliError> {
+    let view: StatusView = client.get("/v1/status", 0).await.map_err(failed)?;
+    Ok(view.models)
+}
+
+async fn list(client: &AdminClient) -> Result<(), CliError> {
+    for model in models(client).await? {
+        let ModelView { name, version, .. } = &model;
+        let manifest = model.manifest.short();
+        println!("{name}\t{version}\t{manifest}\t{}", progress(&model));
+    }
+    Ok(())
+}
+
+async fn rollout(client: &AdminClient, args: &RolloutArgs) -> Result<(), CliError> {
+    let name = format!("model {}", args.model);
+    let answer = read_section(client, &name).await?;
+    let Some(section) = answer.section else {
+        let reason = format!("section [{name}] does not exist; create it with `config edit`");
+        return Err(CliError::Failed(reason));
+    };
+    let body = with_version(&section.body, &args.version, args.manifest);
+    let edit_id = Nonce::random().to_string();
+    let accepted = submit(client, &name, &edit_id, answer.revision, Some(&body)).await?;
+    println!("accepted, revision {}", accepted.revision);
+    if args.watch {
+        watch(client, args).await?;
+    }
+    Ok(())
+}
+
+/// The section's body with another version and manifest; other keys stay.
+fn with_version(body: &str, version: &str, manifest: Digest) -> String {
+    let mut lines: Vec<String> = body
+        .lines()
+        .filter(|line| !matches!(key_of(line), "version" | "manifest"))
+        .map(str::to_owned)
+        .collect();
+    lines.push(format!("version = {version}"));
+    lines.push(format!("manifest = {manifest}"));
+    lines.join("\n") + "\n"
+}
+
+fn key_of(line: &str) -> &str {
+    line.split('=').next().unwrap_or_default().trim()
+}
+
+/// Shows the progress until every replica serves the version.
+async fn watch(client: &AdminClient, args: &RolloutArgs) -> Result<(), CliError> {
+    let deadline = Instant::now() + Duration::from_secs(args.timeout_s);
+    let style = ProgressStyle::with_template("{prefix} {bar:30} {pos}/{len} serving  {msg}")
+        .expect("the template is valid");
+    let bar = ProgressBar::new(0).with_style(style);
+    bar.set_prefix(format!("{} {}", args.model, args.version));
+    loop {
+        let all = models(client).await?;
+        let model = all.iter().find(|model| model.name == args.model);
+        if let Some(model) = model.filter(|model| model.manifest == args.manifest) {
+            bar.set_length(u64::from(model.wanted));
+            bar.set_position(u64::from(model.serving));
+            bar.set_message(progress(model));
+            if model.serving >= model.wanted {
+                bar.finish();
+                println!("{} {}: {}", model.name, model.version, progress(model));
+                return Ok(());
+            }
+        }
+        if Instant::now() >= deadline {
+            bar.abandon();
+            let state = model.map_or_else(|| "not in force".to_owned(), progress);
+            let reason = format!(
+                "not every replica serves after {} s: {state}",
+                args.timeout_s
+            );
+            return Err(CliError::Failed(reason));
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// How far a model has come, with the cause of each hold.
+fn progress(model: &ModelView) -> String {
+    let mut text = format!(
+        "{} of {} serving, {} verified, {} fetching, {} on other versions",
+        model.serving, model.wanted, model.verified, model.fetching, model.other_versions
+    );
+    for hold in &model.held {
+        text.push_str(&format!("; held on {}: {}", hold.host, hold.cause));
+    }
+    text
+}
--- a/src/endpoint/call.rs
+++ b/src/endpoint/call.rs
@@ -22,8 +22,7 @@
 use crate::endpoint::EndpointState;
 use crate::endpoint::call_beats::beating_response;
 use crate::endpoint::call_run::CallRun;
-use crate::links::has_key;
-use crate::links::read_rmp;
+use crate::links::open_call;
 use crate::weights::Digest;
 
 /// Takes in a call of the service beside this process.
@@ -32,12 +31,9 @@
     request: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
-    if !has_key(&request, &state.node.cluster().shared_key) {
-        return HttpResponse::Unauthorized().finish();
-    }
-    let call: ServiceCall = match read_rmp(&body) {
+    let call: ServiceCall = match open_call(&request, &body, &state.node.cluster().shared_key) {
         Ok(call) => call,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(fault) => return fault.response(),
     };
     let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
     beating_response(async move {
@@ -56,12 +52,10 @@
     request: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
-    if !has_key(&request, &state.node.cluster().shared_key) {
-        return HttpResponse::Unauthorized().finish();
-    }
-    let question: NonceQuestion = match read_rmp(&body) {
+    let question: NonceQuestion = match open_call(&request, &body, &state.node.cluster().shared_key)
+    {
         Ok(question) => question,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(fault) => return fault.response(),
     };
     beating_response(async move {
         let asked = ask(&state, &question.permit, question.reason);
--- a/src/endpoint/generate.rs
+++ b/src/endpoint/generate.rs
@@ -8,8 +8,7 @@
 use crate::contracts::BranchShare;
 use crate::endpoint::EndpointState;
 use crate::endpoint::GenerateServer;
-use crate::links::has_key;
-use crate::links::read_rmp;
+use crate::links::open_call;
 
 /// Runs a request for tokens through the fair queue and streams its frames back.
 pub async fn generate(
@@ -17,12 +16,9 @@
     request: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
-    if !has_key(&request, &state.node.cluster().shared_key) {
-        return HttpResponse::Unauthorized().finish();
-    }
-    let call: GenerateCall = match read_rmp(&body) {
+    let call: GenerateCall = match open_call(&request, &body, &state.node.cluster().shared_key) {
         Ok(call) => call,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(fault) => return fault.response(),
     };
     let Some(server) = &state.generate else {
         return HttpResponse::NotFound().finish();
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::links::CallFault;
 use crate::links::LinkError;
 use crate::links::SHARED_KEY_HEADER;
 use crate::links::body_timeout::limit_body_time;
@@ -84,6 +85,22 @@
     rmp_serde::from_slice(body).map_err(|error| LinkError::Malformed(error.to_string()))
 }
 
+/// Decodes a call between processes, which must carry the shared key.
+///
+/// # Errors
+///
+/// [`CallFault`], whose response refuses the call.
+pub fn open_call<T: DeserializeOwned>(
+    request: &HttpRequest,
+    body: &[u8],
+    shared_key: &str,
+) -> Result<T, CallFault> {
+    if !has_key(request, shared_key) {
+        return Err(CallFault::WrongKey);
+    }
+    read_rmp(body).map_err(CallFault::Malformed)
+}
+
 /// A response with a MessagePack body.
 pub fn rmp_response(answer: &impl Serialize) -> HttpResponse {
     match rmp_serde::to_vec_named(answer) {
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -3,19 +3,24 @@
 //! Calls between this system's processes carry MessagePack bodies and the
 //! shared key; calls to the platform and to callers carry JSON.
 
+pub mod raw_bytes;
+
 mod body_timeout;
+mod call_fault;
 mod cuts;
 mod errors;
 mod http_client;
 mod http_server;
 mod token_bucket;
 
+pub use call_fault::CallFault;
 pub use cuts::Cuts;
 pub use errors::LinkError;
 pub use http_client::HttpClient;
 pub use http_client::SHARED_KEY_HEADER;
 pub use http_server::ServeOptions;
 pub use http_server::has_key;
+pub use http_server::open_call;
 pub use http_server::read_rmp;
 pub use http_server::rmp_response;
 pub use http_server::serve;
--- /dev/null
+++ b/src/links/raw_bytes.rs
@@ -0,0 +1,43 @@
+//! Encodes bytes as one binary string, for fields under `#[serde(with)]`.
+
+use std::fmt;
+
+use serde::Deserializer;
+use serde::Serializer;
+use serde::de;
+
+/// Encodes `bytes`.
+///
+/// # Errors
+///
+/// The serialiser's own error.
+pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_bytes(bytes)
+}
+
+/// Decodes bytes.
+///
+/// # Errors
+///
+/// The deserialiser's own error, also when the value is not a byte string.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    deserializer.deserialize_byte_buf(BytesVisitor)
+}
+
+struct BytesVisitor;
+
+impl de::Visitor<'_> for BytesVisitor {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a byte string")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+        Ok(bytes.to_vec())
+    }
+
+    fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+        Ok(bytes)
+    }
+}
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -8,8 +8,7 @@
 
 use crate::hosts::Heard;
 use crate::hosts::Report;
-use crate::links::has_key;
-use crate::links::read_rmp;
+use crate::links::open_call;
 use crate::links::rmp_response;
 use crate::node::ConfigPull;
 use crate::node::Node;
@@ -30,12 +29,9 @@
 }
 
 async fn report(node: web::Data<Node>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    if !has_key(&request, &node.cluster().shared_key) {
-        return HttpResponse::Unauthorized().finish();
-    }
-    let report: Report = match read_rmp(&body) {
+    let report: Report = match open_call(&request, &body, &node.cluster().shared_key) {
         Ok(report) => report,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(fault) => return fault.response(),
     };
     let now_ms = node.now_ms();
     let heard = node.roster().heard(&report, now_ms);
@@ -53,12 +49,9 @@
 }
 
 async fn config(node: web::Data<Node>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    if !has_key(&request, &node.cluster().shared_key) {
-        return HttpResponse::Unauthorized().finish();
-    }
-    let pull: ConfigPull = match read_rmp(&body) {
+    let pull: ConfigPull = match open_call(&request, &body, &node.cluster().shared_key) {
         Ok(pull) => pull,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(fault) => return fault.response(),
     };
     rmp_response(&node.config_answer(pull.from))
 }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 
 /// Entries one process reports to.
-const FANOUT: usize = 12;
+const FANOUT: usize = 10;
 
 /// An entry to report to.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/tests/rollout_history/command.rs
@@ -0,0 +1,42 @@
+use std::process::Command;
+use std::process::Output;
+
+use super::*;
+
+fn model(entry: &str, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bergamotfork"))
+        .arg("model")
+        .args(args)
+        .args(["--entry", entry])
+        .env("BERGAMOTFORK_TOKEN", TOKEN)
+        .output()
+        .expect("the program starts")
+}
+
+#[actix_rt::test]
+async fn rollout_command_watch() {
+    let mut cluster = Cluster::new().await;
+    let entry = cluster.entry("entry-1", "or-north", "").await;
+    cluster.engine("engine-1", "or-north", &[]).await;
+    let first = cluster.publish("chat", "v1", 1 << 18).await;
+    let second = cluster.publish("chat", "v2", (1 << 18) + 5).await;
+    let body = format!("version = v1\nmanifest = {first}\nreplicas = 1\n");
+    cluster.edit("model chat", 0, &body).await;
+    until("the replica serves v1", 60, async || {
+        (serving(&cluster, &entry, &first).await? == 1).then_some(())
+    })
+    .await;
+    let rollout = ["rollout", "chat", "--version", "v2", "--manifest", &second];
+    let output = model(&entry, &[&rollout[..], &["--watch"]].concat());
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{output:?}");
+    assert!(text.contains("chat v2: 1 of 1 serving"), "{text}");
+    let listed = model(&entry, &["list"]);
+    let text = String::from_utf8_lossy(&listed.stdout).into_owned();
+    assert!(text.starts_with("chat\tv2\t"), "{text}");
+    let missing = model(
+        &entry,
+        &["rollout", "no", "--version", "v2", "--manifest", &second],
+    );
+    assert_eq!(missing.status.code(), Some(1), "{missing:?}");
+}
--- a/tests/rollout_history/main.rs
+++ b/tests/rollout_history/main.rs
@@ -1,5 +1,6 @@
 //! Rollouts forwards and back under load: every answer is made with one version.
 
+mod command;
 #[path = "../support/mod.rs"]
 mod support;
 
