--- a/src/cli/demo/operator.rs
+++ b/src/cli/demo/operator.rs
@@ -22,7 +22,7 @@
 use crate::weights::Digest;
 
 /// Branch whose callers call.
-pub const BRANCH: &str = "hutline";
+pub const BRANCH: &str = "dunes";
 
 /// Bearer token of that branch.
 pub const BRANCH_TOKEN: &str = "demo-branch-token";
