--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,4 +42,5 @@
 pub use replica_table::ReplicaKey;
 pub use replica_table::ReplicaTable;
 pub use retry_window::RetryWindow;
+pub use rotation::rotation_first;
 pub use rotation::rotation_slot;
--- a/src/fleet/rotation.rs
+++ b/src/fleet/rotation.rs
@@ -12,6 +12,16 @@
     names.filter(|other| rank_of(other, seed) > own).count()
 }
 
+/// Value beside the name that comes first in the order for `seed`.
+pub fn rotation_first<'a, T>(
+    names: impl Iterator<Item = (&'a str, T)>,
+    seed: u64,
+) -> Option<T> {
+    names
+        .max_by_key(|entry| rank_of(entry.0, seed))
+        .map(|entry| entry.1)
+}
+
 fn rank_of(name: &str, seed: u64) -> (u64, &str) {
     let hash = name
         .bytes()
--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -66,13 +66,15 @@
 /// Tells the other entries and the endpoint processes that this one is alive.
 pub async fn send_beats(state: Rc<RefCell<GatewayState>>, socket: Rc<UdpSocket>) {
     let mut count = 0u64;
+    let mut is_news = false;
+    let news = state.borrow().news_notice.clone();
     loop {
         let (bytes, targets) = {
             let mut state = state.borrow_mut();
             state.settle_lapsed();
             let beat = Datagram::Beat(own_beat(&state));
             let mut targets = entry_targets(&state);
-            if count.is_multiple_of(BEATS_PER_HELLO) {
+            if is_news || count.is_multiple_of(BEATS_PER_HELLO) {
                 targets.extend(endpoint_targets(&state));
             }
             targets.sort_unstable();
@@ -86,7 +88,9 @@
             }
         }
         count += 1;
-        tokio::time::sleep(BEAT_INTERVAL).await;
+        is_news = tokio::time::timeout(BEAT_INTERVAL, news.notified())
+            .await
+            .is_ok();
     }
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -9,10 +9,12 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::TopicSink;
+use crate::gateway::piece_cache::PieceCache;
 use crate::http1::InternalHandler;
 use crate::http1::InternalReply;
 use crate::http1::InternalRequest;
 use crate::observe::Metrics;
+use crate::weights::OriginPort;
 
 /// Addresses in one answer of the directory.
 const MAX_ADDRESSES: usize = 64;
@@ -101,14 +103,16 @@
 
 /// Answers the other processes of the system, and readers of metrics.
 #[derive(Debug)]
-pub struct Internal {
+pub struct Internal<O> {
     /// What the process knows.
     pub state: Rc<RefCell<GatewayState>>,
     /// Counters.
     pub metrics: Rc<Metrics>,
+    /// Weights that pass through.
+    pub pieces: Rc<PieceCache<O>>,
 }
 
-impl Internal {
+impl<O: OriginPort> Internal<O> {
     /// Records at or after an offset: `TOPIC/OFFSET`.
     fn records(&self, question: &str) -> Option<InternalReply> {
         let (label, offset) = question.split_once('/')?;
@@ -132,7 +136,7 @@
     }
 }
 
-impl InternalHandler for Internal {
+impl<O: OriginPort> InternalHandler for Internal<O> {
     async fn handle(&self, request: InternalRequest) -> InternalReply {
         let path = request.head.path();
         if path == METRICS_PATH {
@@ -142,6 +146,9 @@
                 body: self.metrics.render().into_bytes(),
             };
         }
+        if let Some(reply) = self.pieces.answer(path).await {
+            return reply;
+        }
         path.strip_prefix(RECORDS_PATH)
             .and_then(|rest| self.records(rest.strip_prefix('/')?))
             .unwrap_or_else(|| InternalReply::status(404))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -188,7 +188,7 @@
         let seed = state.random();
         let now_ms = state.now_ms();
         let model = request.facts.model.as_deref();
-        let weights_version = model.and_then(|model| state.required_version(model));
+        let required = model.and_then(|model| state.required_version(model));
         let service = request.catalog.service(&request.service);
         let usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
@@ -199,7 +199,7 @@
                     && !request.tried.contains(key)
                     && model.is_none_or(|model| {
                         let version = replica.weights_version(model, now_ms);
-                        version > 0 && version >= weights_version.unwrap_or(0)
+                        version > 0 && version >= required.unwrap_or(0)
                     })
             })
             .collect();
@@ -227,7 +227,9 @@
                     id: replica.record.id.clone(),
                     address: replica.record.address,
                     predicted_ms,
-                    weights_version,
+                    weights_version: required
+                        .and(model)
+                        .map(|model| replica.weights_version(model, now_ms)),
                     load_age_ms: replica
                         .fresh_load(now_ms)
                         .map(|load| now_ms - load.at_ms),
--- /dev/null
+++ b/src/gateway/piece_cache.rs
@@ -0,0 +1,313 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::OnceCell;
+use tokio::time::Instant;
+
+use crate::fleet::rotation_first;
+use crate::gateway::GatewayState;
+use crate::http1::Ask;
+use crate::http1::Client;
+use crate::http1::InternalReply;
+use crate::observe::Event;
+use crate::observe::LogLine;
+use crate::observe::Metrics;
+use crate::observe::Tally;
+use crate::weights::OriginPort;
+use crate::weights::PieceManifest;
+use crate::weights::ReadFault;
+use crate::weights::agreed_manifest;
+
+/// Path of a piece, before `MODEL/VERSION/INDEX`.
+pub const PIECE_PATH: &str = "/piece/";
+
+/// Path of a piece that is read from the origin unless it is at hand.
+pub const HOME_PIECE_PATH: &str = "/home-piece/";
+
+/// Path of a manifest, before `MODEL/VERSION`.
+pub const MANIFEST_PATH: &str = "/manifest/";
+
+/// Time for a piece from another entry, which may wait for the origin.
+const ENTRY_PIECE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Reads of one piece from the origin before it is given up.
+const ORIGIN_TRIES: u32 = 3;
+
+/// Pieces that an entry reads ahead from the origin at a time.
+const AHEAD_READS: usize = 2;
+
+/// Pause before reading ahead goes on after a failure.
+const AHEAD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time without a reader after which a version is dropped.
+const KEEP_TIME: Duration = Duration::from_secs(15);
+
+/// Interval at which unused versions are looked for.
+const EVICT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// One version of weights in memory.
+#[derive(Debug)]
+struct CachedVersion {
+    model: String,
+    version: u64,
+    manifest: OnceCell<Rc<PieceManifest>>,
+    pieces: RefCell<Vec<Rc<OnceCell<Rc<Vec<u8>>>>>>,
+    used: RefCell<Instant>,
+}
+
+/// Pieces of weights that pass through an entry.
+///
+/// Entries have the fastest links. Each piece has one home among them, which
+/// reads it from the origin; the other entries read it from there once, and the
+/// hosts of their region from them. So one copy leaves the origin, and each
+/// link between regions carries one.
+#[derive(Debug)]
+pub struct PieceCache<O> {
+    state: Rc<RefCell<GatewayState>>,
+    origin: O,
+    metrics: Rc<Metrics>,
+    versions: RefCell<Vec<Rc<CachedVersion>>>,
+}
+
+impl<O: OriginPort> PieceCache<O> {
+    /// An empty cache.
+    pub fn new(state: Rc<RefCell<GatewayState>>, origin: O, metrics: Rc<Metrics>) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            origin,
+            metrics,
+            versions: RefCell::default(),
+        })
+    }
+
+    /// Answers a call for a piece or a manifest; None when it is neither.
+    pub async fn answer(&self, path: &str) -> Option<InternalReply> {
+        if let Some(question) = path.strip_prefix(MANIFEST_PATH) {
+            let (model, version) = question.split_once('/')?;
+            let cached = self.version(model, version.parse().ok()?);
+            return Some(match self.manifest(&cached).await {
+                Ok(manifest) => InternalReply {
+                    status: 200,
+                    content_type: "application/msgpack",
+                    body: rmp_serde::to_vec(&*manifest).ok()?,
+                },
+                Err(error) => unavailable(&error),
+            });
+        }
+        let home = path.strip_prefix(HOME_PIECE_PATH);
+        let question = home.or_else(|| path.strip_prefix(PIECE_PATH))?;
+        let mut parts = question.split('/');
+        let model = parts.next()?;
+        let version = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        let cached = self.version(model, version);
+        Some(match self.piece(&cached, index, home.is_some()).await {
+            Ok(bytes) => InternalReply {
+                status: 200,
+                content_type: "application/octet-stream",
+                body: bytes.to_vec(),
+            },
+            Err(error) => unavailable(&error),
+        })
+    }
+
+    fn version(&self, model: &str, version: u64) -> Rc<CachedVersion> {
+        let mut versions = self.versions.borrow_mut();
+        let known = versions
+            .iter()
+            .find(|v| v.model == model && v.version == version);
+        if let Some(known) = known {
+            *known.used.borrow_mut() = Instant::now();
+            return known.clone();
+        }
+        let cached = Rc::new(CachedVersion {
+            model: model.to_owned(),
+            version,
+            manifest: OnceCell::new(),
+            pieces: RefCell::default(),
+            used: RefCell::new(Instant::now()),
+        });
+        versions.push(cached.clone());
+        cached
+    }
+
+    fn origin_address(&self) -> Result<SocketAddr, ReadFault> {
+        let state = self.state.borrow();
+        let services = state.catalog.iter().flat_map(|catalog| catalog.services());
+        services
+            .filter_map(|service| service.origin.as_ref())
+            .map(|origin| origin.address)
+            .next()
+            .ok_or_else(|| ReadFault::Unreachable("no origin is configured".to_owned()))
+    }
+
+    async fn manifest(&self, cached: &CachedVersion) -> Result<Rc<PieceManifest>, ReadFault> {
+        let read = async || {
+            let origin = self.origin_address()?;
+            agreed_manifest(&self.origin, origin, &cached.model, cached.version)
+                .await
+                .map(Rc::new)
+        };
+        cached.manifest.get_or_try_init(read).await.cloned()
+    }
+
+    /// A piece from memory, from its home, or from the origin.
+    async fn piece(
+        &self,
+        cached: &CachedVersion,
+        index: u32,
+        as_home: bool,
+    ) -> Result<Rc<Vec<u8>>, ReadFault> {
+        let manifest = self.manifest(cached).await?;
+        let cell = {
+            let mut pieces = cached.pieces.borrow_mut();
+            pieces.resize_with(manifest.digests.len(), Rc::default);
+            match pieces.get(index as usize) {
+                Some(cell) => cell.clone(),
+                None => return Err(ReadFault::Refused(404)),
+            }
+        };
+        let read = async || {
+            if !as_home
+                && let Some(home) = self.home(index)
+                && let Some(bytes) = self.read_home(cached, &manifest, index, home).await
+            {
+                return Ok(Rc::new(bytes));
+            }
+            self.read_origin(cached, &manifest, index).await.map(Rc::new)
+        };
+        cell.get_or_try_init(read).await.cloned()
+    }
+
+    /// The entry that reads a piece from the origin; None when it is this one.
+    fn home(&self, index: u32) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        let own = (state.settings.name.as_str(), None);
+        let others = state
+            .peers
+            .alive(state.now_ms())
+            .map(|peer| (peer.name.as_str(), Some(peer.internal)));
+        rotation_first(std::iter::once(own).chain(others), u64::from(index))?
+    }
+
+    async fn read_home(
+        &self,
+        cached: &CachedVersion,
+        manifest: &PieceManifest,
+        index: u32,
+        home: SocketAddr,
+    ) -> Option<Vec<u8>> {
+        let target = format!("{HOME_PIECE_PATH}{}/{}/{index}", cached.model, cached.version);
+        let mut client = Client::new(home, Duration::ZERO);
+        match client.ask(&Ask::get(&target, ENTRY_PIECE_TIMEOUT)).await {
+            Ok(reply) if reply.status == 200 && manifest.matches(index, &reply.body) => {
+                Some(reply.body)
+            }
+            Ok(reply) => {
+                log::debug!("{home} gave no piece: {}", reply.status);
+                None
+            }
+            Err(error) => {
+                log::debug!("{home} gave no piece: {error}");
+                None
+            }
+        }
+    }
+
+    async fn read_origin(
+        &self,
+        cached: &CachedVersion,
+        manifest: &PieceManifest,
+        index: u32,
+    ) -> Result<Vec<u8>, ReadFault> {
+        let mut fault = ReadFault::Spoilt;
+        for _ in 0..ORIGIN_TRIES {
+            let origin = self.origin_address()?;
+            let read = self.origin.piece(origin, &cached.model, cached.version, index);
+            match read.await {
+                Ok(bytes) if manifest.matches(index, &bytes) => {
+                    self.metrics
+                        .add(Tally::WeightBytes, bytes.len() as u64, "direction", "origin");
+                    return Ok(bytes);
+                }
+                Ok(_) => {
+                    LogLine::new(Event::PieceRejected)
+                        .text("model", &cached.model)
+                        .number("version", cached.version)
+                        .number("piece", index)
+                        .text("from", "origin")
+                        .write();
+                    fault = ReadFault::Spoilt;
+                }
+                Err(error) => fault = error,
+            }
+        }
+        Err(fault)
+    }
+
+    /// Reads the pieces of newly declared versions whose home is here, before
+    /// anybody asks for them.
+    pub async fn read_ahead(self: Rc<Self>) {
+        let news = self.state.borrow().weights_notice.clone();
+        loop {
+            let declared = self.state.borrow().weights.last().cloned();
+            if let Some(declared) = declared
+                && !self.is_at_hand(&declared.model, declared.version)
+            {
+                let cached = self.version(&declared.model, declared.version);
+                if let Err(error) = self.read_home_pieces(&cached).await {
+                    log::debug!("cannot read version {} ahead: {error}", declared.version);
+                    tokio::time::sleep(AHEAD_PAUSE).await;
+                    continue;
+                }
+                LogLine::new(Event::WeightsStaged)
+                    .text("model", &declared.model)
+                    .number("version", declared.version)
+                    .write();
+            }
+            news.notified().await;
+        }
+    }
+
+    fn is_at_hand(&self, model: &str, version: u64) -> bool {
+        let versions = self.versions.borrow();
+        let known = versions
+            .iter()
+            .find(|v| v.model == model && v.version == version);
+        known.is_some_and(|v| {
+            let pieces = v.pieces.borrow();
+            !pieces.is_empty() && pieces.iter().all(|piece| piece.initialized())
+        })
+    }
+
+    async fn read_home_pieces(&self, cached: &CachedVersion) -> Result<(), ReadFault> {
+        let manifest = self.manifest(cached).await?;
+        let own: Vec<u32> = (0..manifest.chunks())
+            .filter(|index| self.home(*index).is_none())
+            .collect();
+        for group in own.chunks(AHEAD_READS) {
+            let reads = group.iter().map(|index| self.piece(cached, *index, true));
+            for result in futures_util::future::join_all(reads).await {
+                result?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops versions that nobody reads any more.
+    pub async fn evict_unused(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(EVICT_INTERVAL).await;
+            self.versions
+                .borrow_mut()
+                .retain(|version| version.used.borrow().elapsed() < KEEP_TIME);
+        }
+    }
+}
+
+fn unavailable(error: &ReadFault) -> InternalReply {
+    log::debug!("weights are not at hand: {error}");
+    InternalReply::status(503)
+}
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -22,11 +22,13 @@
 use crate::gateway::follow::follow_topic;
 use crate::gateway::forward::Gateway;
 use crate::gateway::front::serve_clients;
+use crate::gateway::piece_cache::PieceCache;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::observe::flush_log;
+use crate::weights::OriginPort;
 
 /// Interval at which log lines are handed to their writer.
 const LOG_INTERVAL: Duration = Duration::from_millis(250);
@@ -48,6 +50,7 @@
     settings: GatewaySettings,
     dialect: Rc<impl Dialect + 'static>,
     decoder: Rc<impl RecordDecoder + 'static>,
+    origin: impl OriginPort,
     source: impl Fn() -> S,
 ) -> io::Result<()> {
     let mut terminate =
@@ -55,7 +58,10 @@
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
     let metrics = Rc::new(Metrics::new());
     let state = GatewayState::new(settings.clone());
-    listen(&settings, &state, &dialect, &metrics).await?;
+    let pieces = PieceCache::new(state.clone(), origin, metrics.clone());
+    listen(&settings, &state, &dialect, &metrics, &pieces).await?;
+    actix_rt::spawn(pieces.clone().read_ahead());
+    actix_rt::spawn(pieces.evict_unused());
     let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     for topic in Topic::ALL {
         actix_rt::spawn(follow_topic(
@@ -94,6 +100,7 @@
     state: &Rc<RefCell<GatewayState>>,
     dialect: &Rc<impl Dialect + 'static>,
     metrics: &Rc<Metrics>,
+    pieces: &Rc<PieceCache<impl OriginPort>>,
 ) -> io::Result<()> {
     let front = TcpListener::bind(settings.front).await?;
     let gateway = Gateway {
@@ -120,6 +127,7 @@
         let internal = Internal {
             state: state.clone(),
             metrics: metrics.clone(),
+            pieces: pieces.clone(),
         };
         actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, internal));
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -41,6 +41,13 @@
 /// Part by which the deadlines of clients that ask for the first time differ.
 const DEADLINE_SPREAD: f64 = 0.17;
 
+/// Time before the bound on new weights from which a request must get them, in
+/// ms: it may wait at a replica, and this process learned of them late.
+const WEIGHTS_MARGIN_MS: u64 = 1_300;
+
+/// Declarations of weights remembered.
+const MAX_DECLARED: usize = 32;
+
 /// Broken connections remembered.
 const MAX_BREAKS: usize = 256;
 
@@ -71,7 +78,7 @@
     pub settings: GatewaySettings,
     /// Configuration in force.
     pub catalog: Option<Rc<Catalog>>,
-    /// Versions of weights, one a model.
+    /// Versions of weights, in the order of their declaration.
     pub weights: Vec<DeclaredWeights>,
     /// Replicas of all services.
     pub replicas: ReplicaTable,
@@ -87,6 +94,10 @@
     pub requests: usize,
     /// Wakes tasks that wait for a stop signal.
     pub stop_notice: Rc<Notify>,
+    /// Wakes the task that reads new weights ahead.
+    pub weights_notice: Rc<Notify>,
+    /// Wakes the task that tells others what is new.
+    pub news_notice: Rc<Notify>,
     ledgers: [Ledger; 3],
     budgets: Vec<(String, RetryWindow)>,
     longest_deadlines_ms: Vec<(String, u64)>,
@@ -114,6 +125,8 @@
             stopping: None,
             requests: 0,
             stop_notice: Rc::new(Notify::new()),
+            weights_notice: Rc::new(Notify::new()),
+            news_notice: Rc::new(Notify::new()),
             ledgers: Default::default(),
             budgets: Vec::new(),
             longest_deadlines_ms: Vec::new(),
@@ -216,7 +229,10 @@
         let value = record.value.clone();
         let offset = record.offset;
         match (topic, value) {
-            (Topic::Operator, Some(value)) => self.take_operator(key, &value, offset, decoder),
+            (Topic::Operator, Some(value)) => {
+                self.take_operator(key, &value, offset, decoder);
+                self.news_notice.notify_one();
+            }
             (Topic::Replicas, Some(value)) => self.take_replica(key, &value, offset, decoder),
             (Topic::Replicas, None) if self.is_lapse_excused() => {
                 self.lapsed.push(key.to_owned());
@@ -259,11 +275,16 @@
             version,
             learned_ms,
         };
-        match self.weights.iter_mut().find(|w| w.model == declared.model) {
-            Some(known) if known.version < version => *known = declared,
-            Some(_) => {}
-            None => self.weights.push(declared),
+        // Each version has its own time; those of long ago bind no further.
+        let is_known = |w: &DeclaredWeights| w.model == declared.model && w.version >= version;
+        if self.weights.iter().any(is_known) {
+            return;
+        }
+        if self.weights.len() >= MAX_DECLARED {
+            self.weights.remove(0);
         }
+        self.weights.push(declared);
+        self.weights_notice.notify_one();
     }
 
     fn take_replica(&mut self, key: &str, value: &[u8], offset: u64, decoder: &impl RecordDecoder) {
@@ -396,13 +417,15 @@
         }
     }
 
-    /// Version of `model` that every answer must now come from.
+    /// Version of `model` that every answer must at least come from now.
     pub fn required_version(&self, model: &str) -> Option<u64> {
-        let declared = self.weights.iter().find(|w| w.model == model)?;
-        let age_ms = self.now_ms().saturating_sub(declared.learned_ms);
-        // A request may wait at a replica; it must begin before the bound.
-        let apply_ms = self.settings.weights_apply_ms * 3 / 4;
-        (age_ms >= apply_ms).then_some(declared.version)
+        let now_ms = self.now_ms();
+        let apply_ms = self.settings.weights_apply_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+        self.weights
+            .iter()
+            .filter(|w| w.model == model && now_ms.saturating_sub(w.learned_ms) >= apply_ms)
+            .map(|w| w.version)
+            .max()
     }
 }
 
--- /dev/null
+++ b/src/staging/goal.rs
@@ -0,0 +1,129 @@
+/// Time that gathering a whole version takes, in ms: its size over the link of
+/// a host, with some reserve.
+const GATHER_MS: u64 = 2_500;
+
+/// Time without a new piece after which gathering is taken for stuck, in ms.
+const STUCK_MS: u64 = 900;
+
+/// Time before the bound on new weights at which entries stop sending to
+/// engines that lack them, in ms.
+const APPLY_MARGIN_MS: u64 = 1_300;
+
+/// Time before that at which the last engine gets its order, in ms.
+const ORDER_MARGIN_MS: u64 = 400;
+
+/// Age of a declaration at which an empty engine starts with it, in ms: its
+/// pieces lie on the entries by then.
+const SETTLED_MS: u64 = 1_000;
+
+/// A version of weights that the operator declared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Declaration {
+    /// Version.
+    pub version: u64,
+    /// Steady time at which this process learned of it.
+    pub learned_ms: u64,
+}
+
+/// Where gathering a version stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gathering {
+    /// Version.
+    pub version: u64,
+    /// Steady time at which it began.
+    pub began_ms: u64,
+    /// Steady time of the last new piece.
+    pub progress_ms: u64,
+    /// Whether every piece is staged.
+    pub is_whole: bool,
+}
+
+/// All that the next version to load depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct GoalInput<'a> {
+    /// Steady time.
+    pub now_ms: u64,
+    /// Version that the engine holds, or was ordered to load; 0 for none.
+    pub held: u64,
+    /// Declarations, by rising version.
+    pub declared: &'a [Declaration],
+    /// What is being gathered.
+    pub gathering: Option<Gathering>,
+    /// Time within which new weights must answer every request.
+    pub apply_ms: u64,
+    /// Place of this engine among those of its service, from 0 to 1.
+    pub turn: f64,
+}
+
+/// What to load next, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Goal {
+    /// Version.
+    pub version: u64,
+    /// Steady time before which it is not to be loaded.
+    pub not_before_ms: u64,
+}
+
+/// Chooses the version to load next; None when nothing newer is declared.
+///
+/// Loading takes an engine out of service for a while. So a version is passed
+/// over for a newer one that can be gathered before the first is due, unless
+/// the newer one can't be had. Engines that serve take turns from the time at
+/// which all have the pieces until the version is due.
+pub fn next_goal(input: &GoalInput<'_>) -> Option<Goal> {
+    let open = input.declared.partition_point(|d| d.version <= input.held);
+    let (first, newest) = match &input.declared[open..] {
+        [] => return None,
+        [only] => (only, only),
+        [first, .., newest] => (first, newest),
+    };
+    let due_ms = first.learned_ms + input.apply_ms.saturating_sub(APPLY_MARGIN_MS);
+    let chosen = if first.version == newest.version {
+        first
+    } else {
+        choose(input, first, newest, due_ms)
+    };
+    let first_ms = chosen.learned_ms + GATHER_MS;
+    let last_ms = due_ms.saturating_sub(ORDER_MARGIN_MS);
+    let not_before_ms = if input.held == 0 || last_ms <= first_ms {
+        0
+    } else {
+        first_ms + ((last_ms - first_ms) as f64 * input.turn) as u64
+    };
+    Some(Goal {
+        version: chosen.version,
+        not_before_ms,
+    })
+}
+
+fn choose<'a>(
+    input: &GoalInput<'_>,
+    first: &'a Declaration,
+    newest: &'a Declaration,
+    due_ms: u64,
+) -> &'a Declaration {
+    let of = |version| input.gathering.filter(|g| g.version == version);
+    let is_stuck = |version| {
+        of(version).is_some_and(|g| !g.is_whole && input.now_ms >= g.progress_ms + STUCK_MS)
+    };
+    if input.held == 0 {
+        let is_settled = input.now_ms >= newest.learned_ms + SETTLED_MS;
+        return if is_settled && !is_stuck(newest.version) {
+            newest
+        } else {
+            first
+        };
+    }
+    let ready_ms = match of(newest.version) {
+        Some(g) if g.is_whole => input.now_ms,
+        Some(g) => (g.began_ms + GATHER_MS).max(input.now_ms),
+        None => input.now_ms + GATHER_MS,
+    };
+    if is_stuck(newest.version) {
+        return first;
+    }
+    if is_stuck(first.version) || ready_ms <= due_ms || input.now_ms >= due_ms {
+        return newest;
+    }
+    first
+}
--- a/src/staging/keeper.rs
+++ b/src/staging/keeper.rs
@@ -2,12 +2,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::fleet::rotation_slot;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::staging::EnginePort;
-use crate::staging::OriginPort;
+use crate::weights::OriginPort;
 use crate::staging::StagingState;
 use crate::staging::transfer::Gathered;
 use crate::staging::transfer::Transfer;
@@ -15,13 +14,6 @@
 /// Pause between looks at what the engine holds.
 const LOOK_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Time over which the engines of a service take turns to load, in ms: engines
-/// that load serve nobody.
-const ROTATION_MS: u64 = 2_000;
-
-/// Share of the time for new weights by which the last engine gets its order.
-const ORDER_BY: f64 = 0.6;
-
 /// Time between the word that an engine is about to load and its order: entries
 /// stop sending in it.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(150);
@@ -39,7 +31,7 @@
     loop {
         let models = state.borrow().models();
         for model in models {
-            let version = state.borrow().wanted(&model).0;
+            let version = state.borrow().wanted(&model);
             let transfer = Transfer {
                 state: &state,
                 engine: &engine,
@@ -56,52 +48,53 @@
 
 async fn keep_model<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>) {
     let state = transfer.state;
-    let (is_held, is_busy, is_asked) = {
-        let state = state.borrow();
-        let Some(report) = &state.report else {
+    let (goal, is_staged, is_asked) = {
+        let mut state = state.borrow_mut();
+        if state.report.is_none() {
             return;
-        };
+        }
+        state.settle_order(transfer.model);
         (
-            report.version(transfer.model) == transfer.version,
-            report.is_busy,
+            state.goal(transfer.model),
+            state.is_staged(transfer.model, transfer.version),
             state.is_asked_for(transfer.model, transfer.version),
         )
     };
-    let have_all = state
-        .borrow_mut()
-        .stage(transfer.model)
-        .is_whole(transfer.version);
-    if is_held {
-        state.borrow_mut().is_ordering = false;
-        if have_all || !is_asked {
-            return;
-        }
-    }
-    if !have_all && transfer.run().await == Gathered::Superseded {
+    let is_goal = goal.is_some_and(|goal| goal.version == transfer.version);
+    if !is_staged && (is_goal || is_asked) && transfer.run().await == Gathered::Superseded {
         return;
     }
-    if is_held || is_busy {
-        return;
+    if is_goal {
+        order(transfer).await;
     }
-    order(transfer).await;
 }
 
-/// Waits for this engine's turn and orders it to load.
+/// Orders the engine to load, if its turn has come and it is not busy.
 async fn order<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>) {
     let state = transfer.state;
-    let wait_ms = state.borrow().turn_ms(transfer.model, transfer.version);
-    if wait_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(wait_ms.min(200))).await;
-        return;
+    {
+        let state = state.borrow();
+        let is_turn = state
+            .goal(transfer.model)
+            .is_some_and(|goal| state.now_ms() >= goal.not_before_ms);
+        let is_free = state.report.as_ref().is_some_and(|report| !report.is_busy);
+        if !is_turn || !is_free {
+            return;
+        }
     }
     state.borrow_mut().is_ordering = true;
     tokio::time::sleep(ANNOUNCE_TIME).await;
-    if !transfer.recheck().await || state.borrow().wanted(transfer.model).0 != transfer.version {
+    if !transfer.recheck().await || state.borrow().wanted(transfer.model) != transfer.version {
+        state.borrow_mut().is_ordering = false;
         return;
     }
     let mut engine = transfer.engine.clone();
     let line = match engine.load(transfer.model, transfer.version).await {
-        Ok(()) => LogLine::new(Event::OrderGiven),
+        Ok(()) => {
+            let ordered = (transfer.model.to_owned(), transfer.version);
+            state.borrow_mut().ordered = Some(ordered);
+            LogLine::new(Event::OrderGiven)
+        }
         Err(error) => LogLine::new(Event::OrderFailed).text("error", error.to_string()),
     };
     line.text("model", transfer.model)
@@ -115,9 +108,10 @@
             report.is_busy || report.version(transfer.model) == transfer.version
         });
         if is_seen {
-            return;
+            break;
         }
     }
+    state.borrow_mut().is_ordering = false;
 }
 
 impl StagingState {
@@ -128,26 +122,11 @@
         })
     }
 
-    /// Time until this engine's turn to load `version`; 0 when it is now.
-    ///
-    /// An engine that serves nothing loads at once. The others take turns, and
-    /// the last turn comes early enough for what runs to end in time.
-    fn turn_ms(&self, model: &str, version: u64) -> u64 {
-        let serves = self
-            .report
-            .as_ref()
-            .is_some_and(|report| report.version(model) > 0);
-        if !serves {
-            return 0;
+    /// Forgets an order that the engine has carried out, or no longer knows.
+    fn settle_order(&mut self, model: &str) {
+        let is_busy = self.report.as_ref().is_some_and(|report| report.is_busy);
+        if !is_busy && self.ordered.as_ref().is_some_and(|o| o.0 == model) {
+            self.ordered = None;
         }
-        let own = self.settings.replica.to_string();
-        let names: Vec<String> = self.replicas.iter().map(|r| r.address.to_string()).collect();
-        let slot = rotation_slot(&own, names.iter().map(String::as_str), version) as u64;
-        let count = names.len().max(1) as u64;
-        let (_, learned_ms) = self.wanted(model);
-        let last_ms = (self.settings.weights_apply_ms as f64 * ORDER_BY) as u64;
-        let first_ms = last_ms.saturating_sub(ROTATION_MS);
-        let turn_ms = learned_ms + first_ms + ROTATION_MS * slot.min(count) / count;
-        turn_ms.saturating_sub(self.now_ms())
     }
 }
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -5,6 +5,7 @@
 //! leaves the origin, and each link between regions carries each piece once.
 //! What the wire calls things is behind the traits in `ports`.
 
+mod goal;
 mod keeper;
 mod pieces;
 mod ports;
@@ -14,11 +15,13 @@
 mod state;
 mod transfer;
 
-pub use ports::EngineFault;
+pub use goal::Declaration;
+pub use goal::Gathering;
+pub use goal::Goal;
+pub use goal::GoalInput;
+pub use goal::next_goal;
 pub use ports::EnginePort;
 pub use ports::EngineReport;
-pub use ports::OriginPort;
-pub use ports::WeightsManifest;
 pub use process::run;
 pub use settings::StagingSettings;
 pub use state::Stage;
--- a/src/staging/pieces.rs
+++ b/src/staging/pieces.rs
@@ -1,6 +1,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use crate::gateway::MANIFEST_PATH;
+use crate::gateway::PIECE_PATH;
 use crate::http1::InternalHandler;
 use crate::http1::InternalReply;
 use crate::http1::InternalRequest;
@@ -11,12 +13,6 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Path of a piece, before `MODEL/VERSION/INDEX`.
-pub const PIECE_PATH: &str = "/piece/";
-
-/// Path of a manifest, before `MODEL/VERSION`.
-pub const MANIFEST_PATH: &str = "/manifest/";
-
 /// Gives pieces and manifests to other hosts.
 #[derive(Debug)]
 pub struct Pieces<E> {
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -22,7 +22,7 @@
 use crate::observe::Metrics;
 use crate::observe::flush_log;
 use crate::staging::EnginePort;
-use crate::staging::OriginPort;
+use crate::weights::OriginPort;
 use crate::staging::StagingSettings;
 use crate::staging::StagingState;
 use crate::staging::keeper::keep_weights;
@@ -34,7 +34,10 @@
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval of the notes on pieces while any host lacks some.
-const NOTE_INTERVAL: Duration = Duration::from_millis(120);
+const NOTE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Hosts beyond which the notes become rarer, so that their number stays bounded.
+const NOTE_HOSTS: u32 = 20;
 
 /// Time without a sign of an entry after which the store is read, in ms.
 const ENTRIES_SILENT_MS: u64 = 2_500;
@@ -158,7 +161,9 @@
         };
         match rmp_serde::from_slice(&buffer[..len]) {
             Ok(Datagram::Beat(beat)) => {
-                state.borrow_mut().entry_heard(beat.internal);
+                state
+                    .borrow_mut()
+                    .entry_heard(beat.internal, &beat.failure_domain);
                 for topic in TOPICS {
                     let is_behind = {
                         let state = state.borrow();
@@ -197,8 +202,9 @@
 /// Tells the other hosts which pieces are held, while anybody lacks some.
 async fn send_notes(state: Rc<RefCell<StagingState>>, socket: Rc<UdpSocket>) {
     loop {
-        {
+        let interval = {
             let state = state.borrow();
+            let hosts = u32::try_from(state.replicas.len()).unwrap_or(u32::MAX);
             if state.is_gathering() {
                 for (bytes, target) in notes(&state) {
                     // A lost note is made good by the next one.
@@ -207,8 +213,9 @@
                     }
                 }
             }
-        }
-        tokio::time::sleep(NOTE_INTERVAL).await;
+            NOTE_INTERVAL * hosts.div_ceil(NOTE_HOSTS).max(1)
+        };
+        tokio::time::sleep(interval).await;
     }
 }
 
@@ -245,16 +252,8 @@
     fn is_gathering(&self) -> bool {
         let now_ms = self.now_ms();
         let is_own = self.models().iter().any(|model| {
-            let (version, _) = self.wanted(model);
-            let holds = self
-                .report
-                .as_ref()
-                .is_some_and(|report| report.version(model) == version);
-            let is_whole = self
-                .stages
-                .iter()
-                .any(|stage| stage.model == *model && stage.is_whole(version));
-            !holds && !is_whole
+            self.goal(model)
+                .is_some_and(|goal| !self.is_staged(model, goal.version))
         });
         let is_others = self.holders.iter().any(|holder| {
             !holder.have.is_complete() && now_ms.saturating_sub(holder.heard_ms) < 3_000
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -10,6 +10,7 @@
 use crate::fleet::OriginProfile;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::Topic;
+use crate::fleet::rotation_slot;
 use crate::gateway::OperatorRecord;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
@@ -17,7 +18,12 @@
 use crate::observe::LogLine;
 use crate::staging::EngineReport;
 use crate::staging::StagingSettings;
-use crate::staging::WeightsManifest;
+use crate::staging::goal::Declaration;
+use crate::staging::goal::Gathering;
+use crate::staging::goal::Goal;
+use crate::staging::goal::GoalInput;
+use crate::staging::goal::next_goal;
+use crate::weights::PieceManifest;
 use crate::weights::HaveMap;
 
 /// Version that engines hold before any was declared.
@@ -27,13 +33,27 @@
 /// than a restart takes, so that a new process soon knows every load.
 const ENTRY_KEPT_MS: u64 = 60_000;
 
+/// Silence after which an entry is not asked for weights, in ms: several beats.
+const ENTRY_ALIVE_MS: u64 = 1_600;
+
+/// An entry that was heard from.
+#[derive(Debug)]
+struct KnownEntry {
+    address: SocketAddr,
+    failure_domain: String,
+    heard_ms: u64,
+}
+
+/// Declarations remembered.
+const MAX_DECLARED: usize = 32;
+
 /// What lies in the staging area for one model.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stage {
     /// Model.
     pub model: String,
     /// Digests of the version that is gathered.
-    pub manifest: Option<WeightsManifest>,
+    pub manifest: Option<PieceManifest>,
     /// Version of each piece, as checked; 0 when unknown.
     pub versions: Vec<u64>,
 }
@@ -90,9 +110,14 @@
     pub stages: Vec<Stage>,
     /// What other hosts hold.
     pub holders: Vec<Holder>,
-    // Address and steady time of the last sign.
-    entries: Vec<(SocketAddr, u64)>,
-    declared: Vec<(String, u64, u64)>,
+    // Ascending by address.
+    entries: Vec<KnownEntry>,
+    /// Model and version of the order under way.
+    pub ordered: Option<(String, u64)>,
+    /// Version that is being gathered.
+    pub gathering: Option<Gathering>,
+    // Model and declaration, by rising version.
+    declared: Vec<(String, Declaration)>,
     ledgers: [Ledger; 3],
     started: Instant,
 }
@@ -109,6 +134,8 @@
             stages: Vec::new(),
             holders: Vec::new(),
             entries: Vec::new(),
+            ordered: None,
+            gathering: None,
             declared: Vec::new(),
             ledgers: Default::default(),
             started: Instant::now(),
@@ -121,24 +148,51 @@
     }
 
     /// Notes a sign of an entry.
-    pub fn entry_heard(&mut self, address: SocketAddr) {
+    pub fn entry_heard(&mut self, address: SocketAddr, failure_domain: &str) {
         let now_ms = self.now_ms();
         self.entries
-            .retain(|entry| now_ms.saturating_sub(entry.1) < ENTRY_KEPT_MS);
-        match self.entries.binary_search_by(|e| e.0.cmp(&address)) {
-            Ok(at) => self.entries[at].1 = now_ms,
-            Err(at) => self.entries.insert(at, (address, now_ms)),
+            .retain(|entry| now_ms.saturating_sub(entry.heard_ms) < ENTRY_KEPT_MS);
+        match self.entries.binary_search_by(|e| e.address.cmp(&address)) {
+            Ok(at) => self.entries[at].heard_ms = now_ms,
+            Err(at) => self.entries.insert(
+                at,
+                KnownEntry {
+                    address,
+                    failure_domain: failure_domain.to_owned(),
+                    heard_ms: now_ms,
+                },
+            ),
         }
     }
 
     /// Entries to tell the load.
     pub fn entries(&self) -> impl Iterator<Item = SocketAddr> {
-        self.entries.iter().map(|entry| entry.0)
+        self.entries.iter().map(|entry| entry.address)
+    }
+
+    /// Entries heard from lately; those of the own region, if there are any.
+    pub fn near_entries(&self) -> Vec<SocketAddr> {
+        let now_ms = self.now_ms();
+        let alive: Vec<&KnownEntry> = self
+            .entries
+            .iter()
+            .filter(|entry| now_ms.saturating_sub(entry.heard_ms) < ENTRY_ALIVE_MS)
+            .collect();
+        let region = self.settings.region(&self.settings.failure_domain);
+        let near: Vec<SocketAddr> = alive
+            .iter()
+            .filter(|entry| self.settings.region(&entry.failure_domain) == region)
+            .map(|entry| entry.address)
+            .collect();
+        if near.is_empty() {
+            return alive.iter().map(|entry| entry.address).collect();
+        }
+        near
     }
 
     /// Steady time of the last sign of any entry.
     pub fn last_entry_ms(&self) -> Option<u64> {
-        self.entries.iter().map(|entry| entry.1).max()
+        self.entries.iter().map(|entry| entry.heard_ms).max()
     }
 
     /// Models of the own engine.
@@ -162,12 +216,56 @@
             .find_map(|service| service.origin.clone())
     }
 
-    /// Version of `model` that the engine is to hold, and when it was learned.
-    pub fn wanted(&self, model: &str) -> (u64, u64) {
-        self.declared
+    /// Version of `model` that the engine holds, or was ordered to load.
+    pub fn held(&self, model: &str) -> u64 {
+        let reported = self.report.as_ref().map_or(0, |report| report.version(model));
+        let ordered = self.ordered.iter().find(|ordered| ordered.0 == model);
+        reported.max(ordered.map_or(0, |ordered| ordered.1))
+    }
+
+    /// What to load next of `model`; None when nothing newer is declared.
+    pub fn goal(&self, model: &str) -> Option<Goal> {
+        let mut declared: Vec<Declaration> = self
+            .declared
             .iter()
-            .find(|declared| declared.0 == model)
-            .map_or((FIRST_VERSION, 0), |declared| (declared.1, declared.2))
+            .filter(|declared| declared.0 == model)
+            .map(|declared| declared.1)
+            .collect();
+        if declared.is_empty() {
+            declared.push(Declaration {
+                version: FIRST_VERSION,
+                learned_ms: 0,
+            });
+        }
+        next_goal(&GoalInput {
+            now_ms: self.now_ms(),
+            held: self.held(model),
+            declared: &declared,
+            gathering: self.gathering,
+            apply_ms: self.settings.weights_apply_ms,
+            turn: self.turn(),
+        })
+    }
+
+    /// Version of `model` to gather: the next to load, or else the one held.
+    pub fn wanted(&self, model: &str) -> u64 {
+        self.goal(model)
+            .map_or_else(|| self.held(model), |goal| goal.version)
+    }
+
+    /// Place of the own engine among those of its service, from 0 to 1.
+    fn turn(&self) -> f64 {
+        let own = self.settings.replica.to_string();
+        let names: Vec<String> = self.replicas.iter().map(|r| r.address.to_string()).collect();
+        let slot = rotation_slot(&own, names.iter().map(String::as_str), 0);
+        slot.min(names.len()) as f64 / names.len().max(1) as f64
+    }
+
+    /// Whether every piece of `version` lies in the staging area.
+    pub fn is_staged(&self, model: &str, version: u64) -> bool {
+        self.stages
+            .iter()
+            .any(|stage| stage.model == model && stage.is_whole(version))
     }
 
     /// Staging area of `model`.
@@ -234,11 +332,18 @@
             .number("version", version)
             .number("offset", offset)
             .write();
-        match self.declared.iter_mut().find(|d| d.0 == model) {
-            Some(known) if known.1 < version => *known = (model, version, now_ms),
-            Some(_) => {}
-            None => self.declared.push((model, version, now_ms)),
+        let is_known = |d: &(String, Declaration)| d.0 == model && d.1.version >= version;
+        if self.declared.iter().any(is_known) {
+            return;
+        }
+        if self.declared.len() >= MAX_DECLARED {
+            self.declared.remove(0);
         }
+        let declaration = Declaration {
+            version,
+            learned_ms: now_ms,
+        };
+        self.declared.push((model, declaration));
     }
 }
 
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -6,20 +6,22 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
+use crate::fleet::rotation_first;
 use crate::fleet::rotation_slot;
+use crate::gateway::MANIFEST_PATH;
+use crate::gateway::PIECE_PATH;
 use crate::http1::Ask;
 use crate::http1::Client;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::observe::Tally;
-use crate::staging::EngineFault;
+use crate::weights::ReadFault;
 use crate::staging::EnginePort;
-use crate::staging::OriginPort;
+use crate::staging::Gathering;
+use crate::weights::OriginPort;
 use crate::staging::StagingState;
-use crate::staging::WeightsManifest;
-use crate::staging::pieces::MANIFEST_PATH;
-use crate::staging::pieces::PIECE_PATH;
+use crate::weights::PieceManifest;
 use crate::weights::Digest;
 use crate::weights::Fetch;
 use crate::weights::HaveMap;
@@ -30,6 +32,7 @@
 use crate::weights::PlanSettings;
 use crate::weights::Source;
 use crate::weights::SwarmHost;
+use crate::weights::agreed_manifest;
 use crate::weights::next_fetches;
 
 /// Longest time between two looks at the plan.
@@ -58,12 +61,53 @@
 
 /// Reads in progress at a time.
 const PLAN: PlanSettings = PlanSettings {
-    max_fetches: 4,
+    max_fetches: 6,
     max_per_peer: 2,
     max_duties: 3,
     takeover_wait_ms: 500,
 };
 
+/// Reads from entries in progress at a time: enough to keep the host's link busy.
+const MAX_ENTRY_READS: usize = 5;
+
+/// Pause before an entry that failed is asked again, in ms: the origin may be away.
+const ENTRY_PAUSE_MS: u64 = 1_000;
+
+/// Where a piece is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// From an entry that it passes through.
+    Entry(SocketAddr),
+    /// From another host or the origin.
+    Swarm(Source),
+}
+
+impl Place {
+    /// Pause before it is asked again after a failure.
+    fn pause_ms(self) -> u64 {
+        match self {
+            Self::Entry(_) => ENTRY_PAUSE_MS,
+            Self::Swarm(_) => SOURCE_PAUSE_MS,
+        }
+    }
+}
+
+/// One read of a piece.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Read {
+    chunk: u32,
+    place: Place,
+}
+
+/// Entry through which all hosts of a region read a piece.
+fn entry_for(chunk: u32, entries: &[SocketAddr]) -> Option<SocketAddr> {
+    let names: Vec<String> = entries.iter().map(SocketAddr::to_string).collect();
+    rotation_first(
+        names.iter().map(String::as_str).zip(entries.iter().copied()),
+        u64::from(chunk),
+    )
+}
+
 /// How gathering a version ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Gathered {
@@ -100,6 +144,8 @@
 impl<E: EnginePort, O: OriginPort> Transfer<'_, E, O> {
     /// Gathers until the version is complete or no longer wanted.
     pub async fn run(&self) -> Gathered {
+        let began_ms = self.state.borrow().now_ms();
+        self.note_progress(began_ms, began_ms, false);
         let Some(manifest) = self.manifest().await else {
             return Gathered::Superseded;
         };
@@ -114,7 +160,7 @@
     }
 
     fn is_wanted(&self) -> bool {
-        self.state.borrow().wanted(self.model).0 == self.version
+        self.state.borrow().wanted(self.model) == self.version
     }
 
     fn have(&self) -> HaveMap {
@@ -122,7 +168,7 @@
     }
 
     /// Reads the manifest from a host that has it, or from the origin.
-    async fn manifest(&self) -> Option<WeightsManifest> {
+    async fn manifest(&self) -> Option<PieceManifest> {
         if let Some(known) = self.known_manifest() {
             return Some(known);
         }
@@ -137,8 +183,10 @@
             if !self.is_wanted() {
                 return None;
             }
-            if let Some(manifest) = self.manifest_from_hosts().await {
-                return Some(self.keep_manifest(manifest));
+            for address in self.manifest_holders() {
+                if let Some(manifest) = self.manifest_from(address).await {
+                    return Some(self.keep_manifest(manifest));
+                }
             }
             if wait.is_zero() {
                 if let Some(manifest) = self.manifest_from_origin().await {
@@ -153,13 +201,13 @@
         }
     }
 
-    fn known_manifest(&self) -> Option<WeightsManifest> {
+    fn known_manifest(&self) -> Option<PieceManifest> {
         let mut state = self.state.borrow_mut();
         let known = state.stage(self.model).manifest.clone();
         known.filter(|manifest| manifest.version == self.version)
     }
 
-    fn keep_manifest(&self, manifest: WeightsManifest) -> WeightsManifest {
+    fn keep_manifest(&self, manifest: PieceManifest) -> PieceManifest {
         let mut state = self.state.borrow_mut();
         let stage = state.stage(self.model);
         stage.versions.resize(manifest.digests.len(), 0);
@@ -167,47 +215,44 @@
         manifest
     }
 
-    async fn manifest_from_hosts(&self) -> Option<WeightsManifest> {
-        let holder = {
-            let state = self.state.borrow();
-            let holds = |h: &&crate::staging::state::Holder| {
-                h.model == self.model && h.version == self.version
-            };
-            state.holders.iter().find(holds)?.address
-        };
+    /// Hosts that have the manifest, and an entry that can get it.
+    fn manifest_holders(&self) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let holders = state
+            .holders
+            .iter()
+            .filter(|h| h.model == self.model && h.version == self.version);
+        let hosts = holders.map(|holder| holder.address).take(1);
+        let entry = entry_for(0, &state.near_entries());
+        hosts.chain(entry).collect()
+    }
+
+    async fn manifest_from(&self, address: SocketAddr) -> Option<PieceManifest> {
         let target = format!("{MANIFEST_PATH}{}/{}", self.model, self.version);
-        let mut client = Client::new(holder, Duration::ZERO);
+        let mut client = Client::new(address, Duration::ZERO);
         match client.ask(&Ask::get(&target, MANIFEST_TIMEOUT)).await {
             Ok(reply) if reply.status == 200 => rmp_serde::from_slice(&reply.body).ok(),
             Ok(_) => None,
             Err(error) => {
-                log::debug!("{holder} gave no manifest: {error}");
+                log::debug!("{address} gave no manifest: {error}");
                 None
             }
         }
     }
 
-    /// Reads the manifest until two answers agree: what the origin sends may be
-    /// spoilt on the way, and nothing else shows a wrong digest.
-    async fn manifest_from_origin(&self) -> Option<WeightsManifest> {
+    async fn manifest_from_origin(&self) -> Option<PieceManifest> {
         let origin = self.state.borrow().origin()?.address;
-        let mut last: Option<WeightsManifest> = None;
-        for _ in 0..4 {
-            let read = self.origin.manifest(origin, self.model, self.version);
-            match read.await {
-                Ok(manifest) if last.as_ref() == Some(&manifest) => return last,
-                Ok(manifest) => last = Some(manifest),
-                Err(error) => {
-                    log::debug!("the origin gave no manifest: {error}");
-                    return None;
-                }
+        match agreed_manifest(self.origin, origin, self.model, self.version).await {
+            Ok(manifest) => Some(manifest),
+            Err(error) => {
+                log::debug!("the origin gave no manifest: {error}");
+                None
             }
         }
-        None
     }
 
     /// Checks the staged pieces whose version is not known.
-    async fn take_inventory(&self, manifest: &WeightsManifest) {
+    async fn take_inventory(&self, manifest: &PieceManifest) {
         for index in 0..manifest.chunks() {
             let known = self.state.borrow_mut().stage(self.model).versions[index as usize];
             if known == 0 {
@@ -228,7 +273,7 @@
         is_whole
     }
 
-    async fn check_piece(&self, manifest: &WeightsManifest, index: u32) -> bool {
+    async fn check_piece(&self, manifest: &PieceManifest, index: u32) -> bool {
         let mut engine = self.engine.clone();
         let is_right = match engine.read_piece(self.model, index).await {
             Ok(Some(bytes)) => manifest.matches(index, &bytes),
@@ -244,10 +289,10 @@
         is_right
     }
 
-    async fn fetch_missing(&self, manifest: &WeightsManifest) -> Gathered {
-        let mut in_flight: Vec<Fetch> = Vec::new();
+    async fn fetch_missing(&self, manifest: &PieceManifest) -> Gathered {
+        let mut in_flight: Vec<Read> = Vec::new();
         let mut reads = FuturesUnordered::new();
-        let mut blocked: Vec<(Source, u64)> = Vec::new();
+        let mut blocked: Vec<(Place, u64)> = Vec::new();
         let mut swarm = self.swarm(manifest);
         let started_ms = self.state.borrow().now_ms();
         let mut progress_ms = started_ms;
@@ -257,6 +302,7 @@
                 return Gathered::Superseded;
             }
             let have = self.have();
+            self.note_progress(started_ms, progress_ms, have.is_complete());
             if have.is_complete() {
                 LogLine::new(Event::WeightsStaged)
                     .text("model", self.model)
@@ -269,24 +315,31 @@
                 swarm = self.swarm(manifest);
             }
             seed = seed.wrapping_add(1);
-            let planned = self.plan(&swarm, &have, &in_flight, &blocked, (started_ms, progress_ms), seed);
-            for fetch in planned {
-                in_flight.push(fetch);
-                let address = match fetch.source {
-                    Source::Origin => None,
-                    Source::Peer(key) => Some(swarm.addresses[key.0 as usize]),
+            let now_ms = self.state.borrow().now_ms();
+            blocked.retain(|block| block.1 > now_ms);
+            let planned = self
+                .entry_reads(&have, &in_flight, &blocked)
+                .unwrap_or_else(|| {
+                    let times = (started_ms, progress_ms);
+                    self.swarm_reads(&swarm, &have, &in_flight, &blocked, times, seed)
+                });
+            for read in planned {
+                in_flight.push(read);
+                let address = match read.place {
+                    Place::Entry(address) => Some(address),
+                    Place::Swarm(Source::Origin) => None,
+                    Place::Swarm(Source::Peer(key)) => Some(swarm.addresses[key.0 as usize]),
                 };
-                reads.push(async move { (fetch, self.read(fetch.chunk, address).await) });
+                reads.push(async move { (read, self.read(read.chunk, address).await) });
             }
             tokio::select! {
-                Some((fetch, result)) = reads.next() => {
-                    in_flight.retain(|other| *other != fetch);
+                Some((read, result)) = reads.next() => {
+                    in_flight.retain(|other| *other != read);
                     let now_ms = self.state.borrow().now_ms();
-                    if self.take_piece(manifest, fetch, result).await {
+                    if self.take_piece(manifest, read, result).await {
                         progress_ms = now_ms;
                     } else {
-                        blocked.retain(|block| block.1 > now_ms);
-                        blocked.push((fetch.source, now_ms + SOURCE_PAUSE_MS));
+                        blocked.push((read.place, now_ms + read.place.pause_ms()));
                     }
                 }
                 () = tokio::time::sleep(PLAN_INTERVAL) => {}
@@ -294,6 +347,45 @@
         }
     }
 
+    fn note_progress(&self, began_ms: u64, progress_ms: u64, is_whole: bool) {
+        self.state.borrow_mut().gathering = Some(Gathering {
+            version: self.version,
+            began_ms,
+            progress_ms,
+            is_whole,
+        });
+    }
+
+    /// Reads from entries to start now; None when no entry can be asked.
+    ///
+    /// All hosts ask in the same order, so that a piece is read from the origin
+    /// when the first of them wants it, and lies ready for the others.
+    fn entry_reads(
+        &self,
+        have: &HaveMap,
+        in_flight: &[Read],
+        blocked: &[(Place, u64)],
+    ) -> Option<Vec<Read>> {
+        let mut entries = self.state.borrow().near_entries();
+        entries.retain(|entry| blocked.iter().all(|block| block.0 != Place::Entry(*entry)));
+        if entries.is_empty() {
+            return None;
+        }
+        let room = MAX_ENTRY_READS.saturating_sub(in_flight.len());
+        let is_free = |chunk: &u32| {
+            !have.contains(*chunk) && in_flight.iter().all(|read| read.chunk != *chunk)
+        };
+        let reads = (0..have.len()).filter(is_free).take(room);
+        Some(
+            reads
+                .filter_map(|chunk| {
+                    let place = Place::Entry(entry_for(chunk, &entries)?);
+                    Some(Read { chunk, place })
+                })
+                .collect(),
+        )
+    }
+
     /// Endpoint processes of the replicas of the service, ascending.
     fn hosts(&self) -> Vec<SocketAddr> {
         let state = self.state.borrow();
@@ -309,7 +401,7 @@
         hosts
     }
 
-    fn swarm(&self, manifest: &WeightsManifest) -> Swarm {
+    fn swarm(&self, manifest: &PieceManifest) -> Swarm {
         let addresses = self.hosts();
         let state = self.state.borrow();
         let settings = &state.settings;
@@ -346,19 +438,34 @@
         }
     }
 
-    fn plan(
+    /// Reads from the swarm to start now.
+    fn swarm_reads(
         &self,
         swarm: &Swarm,
         have: &HaveMap,
-        in_flight: &[Fetch],
-        blocked: &[(Source, u64)],
+        in_flight: &[Read],
+        blocked: &[(Place, u64)],
         (started_ms, progress_ms): (u64, u64),
         seed: u64,
-    ) -> Vec<Fetch> {
+    ) -> Vec<Read> {
+        // What comes through an entry need not be planned.
+        let mut held = have.clone();
+        let mut planned = Vec::new();
+        for read in in_flight {
+            match read.place {
+                Place::Entry(_) => {
+                    held.insert(read.chunk);
+                }
+                Place::Swarm(source) => planned.push(Fetch {
+                    chunk: read.chunk,
+                    source,
+                }),
+            }
+        }
         let state = self.state.borrow();
         let now_ms = state.now_ms();
         let blocked_until = |source: Source| {
-            let mine = blocked.iter().filter(|block| block.0 == source);
+            let mine = blocked.iter().filter(|block| block.0 == Place::Swarm(source));
             mine.map(|block| block.1).max().unwrap_or(0)
         };
         let neighbours: Vec<Neighbour> = (0u32..)
@@ -384,26 +491,33 @@
                 }
             })
             .collect();
-        next_fetches(&PlanInput {
+        let fetches = next_fetches(&PlanInput {
             now_ms,
             progress_ms,
             me: swarm.me,
             homes: &swarm.homes,
-            have,
-            in_flight,
+            have: &held,
+            in_flight: &planned,
             neighbours: &neighbours,
             origin_blocked_until_ms: blocked_until(Source::Origin),
             settings: &PLAN,
             seed,
-        })
+        });
+        fetches
+            .into_iter()
+            .map(|fetch| Read {
+                chunk: fetch.chunk,
+                place: Place::Swarm(fetch.source),
+            })
+            .collect()
     }
 
     /// Reads one piece from another host, or from the origin.
-    async fn read(&self, index: u32, address: Option<SocketAddr>) -> Result<Vec<u8>, EngineFault> {
+    async fn read(&self, index: u32, address: Option<SocketAddr>) -> Result<Vec<u8>, ReadFault> {
         let Some(address) = address else {
             let origin = self.state.borrow().origin().map(|origin| origin.address);
             let Some(origin) = origin else {
-                return Err(EngineFault::Unreachable("no origin is configured".to_owned()));
+                return Err(ReadFault::Unreachable("no origin is configured".to_owned()));
             };
             let read = self.origin.piece(origin, self.model, self.version, index);
             return read.await;
@@ -412,51 +526,52 @@
         let mut client = Client::new(address, Duration::ZERO);
         match client.ask(&Ask::get(&target, PIECE_TIMEOUT)).await {
             Ok(reply) if reply.status == 200 => Ok(reply.body),
-            Ok(reply) => Err(EngineFault::Refused(reply.status)),
-            Err(error) => Err(EngineFault::Unreachable(error.to_string())),
+            Ok(reply) => Err(ReadFault::Refused(reply.status)),
+            Err(error) => Err(ReadFault::Unreachable(error.to_string())),
         }
     }
 
     /// Checks a piece and stages it.
     async fn take_piece(
         &self,
-        manifest: &WeightsManifest,
-        fetch: Fetch,
-        result: Result<Vec<u8>, EngineFault>,
+        manifest: &PieceManifest,
+        read: Read,
+        result: Result<Vec<u8>, ReadFault>,
     ) -> bool {
         let bytes = match result {
             Ok(bytes) => bytes,
             Err(error) => {
-                log::debug!("piece {} was not read: {error}", fetch.chunk);
+                log::debug!("piece {} was not read: {error}", read.chunk);
                 return false;
             }
         };
-        let from = match fetch.source {
-            Source::Origin => "origin",
-            Source::Peer(_) => "host",
+        let from = match read.place {
+            Place::Entry(_) => "entry",
+            Place::Swarm(Source::Origin) => "origin",
+            Place::Swarm(Source::Peer(_)) => "host",
         };
         self.metrics
             .add(Tally::WeightBytes, bytes.len() as u64, "direction", from);
-        if !manifest.matches(fetch.chunk, &bytes) {
+        if !manifest.matches(read.chunk, &bytes) {
             LogLine::new(Event::PieceRejected)
                 .text("model", self.model)
                 .number("version", self.version)
-                .number("piece", fetch.chunk)
+                .number("piece", read.chunk)
                 .text("from", from)
                 .write();
             return false;
         }
         // The piece of the version before is overwritten from here on.
-        self.state.borrow_mut().stage(self.model).versions[fetch.chunk as usize] = 0;
+        self.state.borrow_mut().stage(self.model).versions[read.chunk as usize] = 0;
         let mut engine = self.engine.clone();
-        match engine.write_piece(self.model, fetch.chunk, &bytes).await {
+        match engine.write_piece(self.model, read.chunk, &bytes).await {
             Ok(()) => {
                 let mut state = self.state.borrow_mut();
-                state.stage(self.model).versions[fetch.chunk as usize] = self.version;
+                state.stage(self.model).versions[read.chunk as usize] = self.version;
                 true
             }
             Err(error) => {
-                log::debug!("piece {} was not staged: {error}", fetch.chunk);
+                log::debug!("piece {} was not staged: {error}", read.chunk);
                 false
             }
         }
