--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -9,7 +9,7 @@
 const LATE_SLOT_FILL: f64 = 0.8;
 
 /// Advantage of a replica in the own failure domain, in ms of predicted time.
-const NEARNESS_BONUS_MS: f64 = 12.0;
+const NEARNESS_BONUS_MS: f64 = 40.0;
 
 /// Random part of a prediction, in ms, so that entries that see the same loads
 /// do not all choose the same replica.
@@ -137,8 +137,8 @@
     let requests = replica
         .known_requests(input.now_ms)
         .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entries));
-    let predicted_ms =
-        pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
+    let predicted_ms = replica.delay_ms(input.now_ms)
+        + pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
     let on_time_ms = input.target_ms as f64 * TARGET_FILL - input.waited_ms as f64;
     let fits = if on_time_ms > 0.0 && !input.is_return {
         predicted_ms <= on_time_ms
@@ -159,7 +159,8 @@
         latency_ms => latency_ms,
     };
     let failures = replica.failure_share(input.now_ms);
-    Some(latency_ms * (1.0 + 2.0 * fill) * (1.0 + FAILURE_PENALTY * failures))
+    let busy_ms = latency_ms * (1.0 + 2.0 * fill) * (1.0 + FAILURE_PENALTY * failures);
+    Some(replica.delay_ms(input.now_ms) + busy_ms)
 }
 
 /// Time until an engine with `requests` requests gives the first event of one
--- /dev/null
+++ b/src/fleet/declarations.rs
@@ -0,0 +1,116 @@
+use crate::fleet::DeclarationNote;
+
+/// Declarations remembered.
+const MAX_DECLARED: usize = 32;
+
+/// Declarations told to others: older ones bind no further.
+const MAX_TOLD: usize = 4;
+
+/// A version of weights that the operator declared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Declaration {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Steady time at which the system learned of it; before the start of the
+    /// process for one that is older.
+    pub learned_ms: i64,
+    /// Whether that time is known, and not only a bound.
+    pub is_exact: bool,
+}
+
+/// The operator's declarations, each with its own time.
+///
+/// A process that starts late finds a declaration in the store without its age.
+/// It takes it for due, until another process tells the age.
+#[derive(Debug, Default)]
+pub struct Declarations {
+    // In the order of their arrival, which is that of rising versions.
+    entries: Vec<Declaration>,
+}
+
+impl Declarations {
+    /// Takes a declaration; returns whether it is new.
+    pub fn add(&mut self, declaration: Declaration) -> bool {
+        let is_known = |known: &Declaration| {
+            known.model == declaration.model && known.version >= declaration.version
+        };
+        if self.entries.iter().any(is_known) {
+            return false;
+        }
+        if self.entries.len() >= MAX_DECLARED {
+            self.entries.remove(0);
+        }
+        self.entries.push(declaration);
+        true
+    }
+
+    /// Takes what another process knows of the ages.
+    pub fn merge(&mut self, notes: &[DeclarationNote], now_ms: i64) {
+        for note in notes {
+            let learned_ms = now_ms - i64::try_from(note.age_ms).unwrap_or(i64::MAX / 2);
+            let same =
+                |known: &&mut Declaration| known.model == note.model && known.version == note.version;
+            match self.entries.iter_mut().find(same) {
+                Some(known) if known.is_exact => {
+                    known.learned_ms = known.learned_ms.min(learned_ms);
+                }
+                Some(known) => {
+                    known.learned_ms = learned_ms;
+                    known.is_exact = true;
+                }
+                None => self.insert_older(note, learned_ms),
+            }
+        }
+    }
+
+    /// Takes a declaration that was superseded before this process started.
+    fn insert_older(&mut self, note: &DeclarationNote, learned_ms: i64) {
+        let at = self
+            .entries
+            .iter()
+            .position(|known| known.model == note.model && known.version > note.version);
+        if let Some(at) = at {
+            self.entries.insert(
+                at,
+                Declaration {
+                    model: note.model.clone(),
+                    version: note.version,
+                    learned_ms,
+                    is_exact: true,
+                },
+            );
+        }
+    }
+
+    /// Declarations of `model`, by rising version.
+    pub fn of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Declaration> {
+        self.entries.iter().filter(move |d| d.model == model)
+    }
+
+    /// The latest declaration.
+    pub fn latest(&self) -> Option<&Declaration> {
+        self.entries.last()
+    }
+
+    /// Whether the age of every declaration is known.
+    pub fn are_exact(&self) -> bool {
+        self.entries.iter().all(|declaration| declaration.is_exact)
+    }
+
+    /// The latest declarations with their ages, for others.
+    pub fn notes(&self, now_ms: i64) -> Vec<DeclarationNote> {
+        self.entries
+            .iter()
+            .rev()
+            .filter(|declaration| declaration.is_exact)
+            .take(MAX_TOLD)
+            .map(|declaration| DeclarationNote {
+                model: declaration.model.clone(),
+                version: declaration.version,
+                age_ms: u64::try_from(now_ms - declaration.learned_ms).unwrap_or(0),
+            })
+            .collect()
+    }
+}
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -100,10 +100,14 @@
             }
         }
         self.end_offset = self.end_offset.max(end_offset);
-        self.is_known = true;
         changed
     }
 
+    /// Notes that a listing was taken in whole.
+    pub fn set_known(&mut self) {
+        self.is_known = true;
+    }
+
     /// Extends what is covered, after a read that held every record before `offset`.
     pub fn advance(&mut self, offset: u64) {
         self.end_offset = self.end_offset.max(offset);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod catalog;
+mod declarations;
 mod engine_load;
 mod ledger;
 mod peers;
@@ -28,10 +29,13 @@
 pub use catalog::RouteKind;
 pub use catalog::Service;
 pub use catalog::Workspace;
+pub use declarations::Declaration;
+pub use declarations::Declarations;
 pub use engine_load::EngineLoad;
 pub use ledger::Ledger;
 pub use ledger::LedgerRecord;
 pub use ledger::Topic;
+pub use peers::DeclarationNote;
 pub use peers::EntryBeat;
 pub use peers::LoadReport;
 pub use peers::Member;
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -17,6 +17,19 @@
     pub internal: SocketAddr,
 }
 
+/// A declaration of weights, as processes tell it to each other.
+///
+/// Its age is what a process that starts late can't learn from the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclarationNote {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Time since the sender learned of it.
+    pub age_ms: u64,
+}
+
 /// What an entry tells the others, several times a second.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EntryBeat {
@@ -34,6 +47,8 @@
     pub is_ready: bool,
     /// Ends of the topics that it holds, in the order of `Topic::ALL`.
     pub ends: [u64; 3],
+    /// Latest declarations of weights whose age is known.
+    pub declared: Vec<DeclarationNote>,
     /// Requests that crashed replicas lately, and on how many.
     pub suspects: Vec<SuspectRecord>,
 }
@@ -57,6 +72,8 @@
     pub version: u64,
     /// Slowness; 1 is the usual speed.
     pub pace: f32,
+    /// Latest declarations of weights whose age is known.
+    pub declared: Vec<DeclarationNote>,
 }
 
 /// One other entry.
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -28,6 +28,24 @@
 /// Weight of the newest answer in the mean service time.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Weight of the newest observation in the mean delay beyond the prediction.
+const DELAY_WEIGHT: f64 = 0.3;
+
+/// Time after which an unused replica's mean delay has halved, in ms.
+const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// Delay below which a late answer says nothing of the replica, in ms: about the
+/// error of a prediction.
+const DELAY_NOISE_MS: f64 = 150.0;
+
+/// A request at a replica that has not begun to answer.
+#[derive(Debug)]
+struct Awaited {
+    ticket: u64,
+    sent_ms: u64,
+    predicted_ms: f64,
+}
+
 /// Index of a replica in the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaKey(u32);
@@ -51,6 +69,9 @@
     failure_share: f64,
     failure_ms: u64,
     latency_ms: f64,
+    awaited: Vec<Awaited>,
+    delay_ms: f64,
+    delay_at_ms: u64,
 }
 
 impl Replica {
@@ -68,6 +89,9 @@
             failure_share: 0.0,
             failure_ms: now_ms,
             latency_ms: 0.0,
+            awaited: Vec::new(),
+            delay_ms: 0.0,
+            delay_at_ms: now_ms,
         }
     }
 
@@ -96,6 +120,12 @@
         Some(total.max(self.in_flight))
     }
 
+    /// Whether a request would begin at once, by the latest report.
+    pub fn has_free_slots(&self, now_ms: u64) -> bool {
+        self.known_requests(now_ms)
+            .is_some_and(|requests| requests * 4 < self.record.slots * 3)
+    }
+
     /// Version of the weights of `model`, by the latest report.
     pub fn weights_version(&self, model: &str, now_ms: u64) -> u64 {
         if let Some(load) = self.fresh_load(now_ms) {
@@ -114,6 +144,33 @@
         self.failure_share * 0.5f64.powf(idle_ms / FAILURE_HALF_LIFE_MS)
     }
 
+    /// Time by which it answers later than predicted, by past answers and by
+    /// those that are overdue now.
+    pub fn delay_ms(&self, now_ms: u64) -> f64 {
+        let overdue = self.awaited.iter().map(|awaited| {
+            now_ms.saturating_sub(awaited.sent_ms) as f64 - awaited.predicted_ms
+        });
+        let worst = overdue.fold(self.mean_delay_ms(now_ms), f64::max);
+        if worst < DELAY_NOISE_MS { 0.0 } else { worst }
+    }
+
+    fn mean_delay_ms(&self, now_ms: u64) -> f64 {
+        let idle_ms = now_ms.saturating_sub(self.delay_at_ms) as f64;
+        self.delay_ms * 0.5f64.powf(idle_ms / DELAY_HALF_LIFE_MS)
+    }
+
+    fn take_delay(&mut self, ticket: u64, now_ms: u64) {
+        let Some(at) = self.awaited.iter().position(|a| a.ticket == ticket) else {
+            return;
+        };
+        let awaited = self.awaited.swap_remove(at);
+        let took_ms = now_ms.saturating_sub(awaited.sent_ms) as f64;
+        let newest_ms = (took_ms - awaited.predicted_ms).max(0.0);
+        let past_ms = self.mean_delay_ms(now_ms);
+        self.delay_ms = past_ms + DELAY_WEIGHT * (newest_ms - past_ms);
+        self.delay_at_ms = now_ms;
+    }
+
     /// Mean time of its answers; 0 before the first.
     pub fn latency_ms(&self) -> f64 {
         self.latency_ms
@@ -141,6 +198,7 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     replicas: Vec<Replica>,
+    tickets: u64,
 }
 
 impl ReplicaTable {
@@ -217,16 +275,29 @@
         }
     }
 
-    /// Counts a request sent to a replica.
-    pub fn started(&mut self, key: ReplicaKey, now_ms: u64) {
+    /// Counts a request sent to a replica; returns the ticket of the send.
+    pub fn started(&mut self, key: ReplicaKey, predicted_ms: f64, now_ms: u64) -> u64 {
+        self.tickets += 1;
         let replica = &mut self.replicas[key.0 as usize];
         replica.in_flight += 1;
         replica.sent_ms.push(now_ms);
+        replica.awaited.push(Awaited {
+            ticket: self.tickets,
+            sent_ms: now_ms,
+            predicted_ms,
+        });
+        self.tickets
+    }
+
+    /// Notes that the replica began to answer a send.
+    pub fn began(&mut self, key: ReplicaKey, ticket: u64, now_ms: u64) {
+        self.replicas[key.0 as usize].take_delay(ticket, now_ms);
     }
 
     /// Counts a request that is no longer at a replica.
-    pub fn ended(&mut self, key: ReplicaKey) {
+    pub fn ended(&mut self, key: ReplicaKey, ticket: u64, now_ms: u64) {
         let replica = &mut self.replicas[key.0 as usize];
+        replica.take_delay(ticket, now_ms);
         replica.in_flight = replica.in_flight.saturating_sub(1);
         replica.ended_since_load += 1;
     }
--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -105,6 +105,7 @@
         failure_domain: state.settings.failure_domain.clone(),
         is_ready: state.is_ready(),
         ends: state.ends(),
+        declared: state.weights.notes(state.now_ms() as i64),
         suspects,
     }
 }
@@ -181,6 +182,8 @@
         pace: f64::from(report.pace),
     };
     state.replicas.take_load(from.ip(), report.port, load);
+    let now_ms = state.now_ms() as i64;
+    state.weights.merge(&report.declared, now_ms);
 }
 
 fn take_beat(
@@ -194,6 +197,7 @@
     }
     let now_ms = known.now_ms();
     known.suspects.merge(beat.suspects.iter().cloned(), now_ms);
+    known.weights.merge(&beat.declared, now_ms as i64);
     let own_ends = known.ends();
     let lines = LogLine::new(Event::EntrySeen)
         .text("entry", &beat.name)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,6 +20,7 @@
 use crate::gateway::exchange::Sent;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
+use crate::gateway::relay::StreamWatch;
 use crate::gateway::relay::answer_head;
 use crate::gateway::request::Request;
 use crate::http1::Connection;
@@ -100,11 +101,35 @@
 struct Visit<'a> {
     state: &'a RefCell<GatewayState>,
     key: ReplicaKey,
+    ticket: u64,
+}
+
+impl StreamWatch for Visit<'_> {
+    fn first_event(&self) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.replicas.began(self.key, self.ticket, now_ms);
+    }
+
+    fn is_lost(&self, silence: Duration) -> bool {
+        if silence >= STREAM_SILENCE {
+            return true;
+        }
+        let state = self.state.borrow();
+        let replica = state.replicas.get(self.key);
+        let is_dark = replica.is_gone
+            || replica
+                .fresh_load(state.now_ms())
+                .is_some_and(|load| !load.is_up);
+        silence >= DARK_SILENCE && is_dark
+    }
 }
 
 impl Drop for Visit<'_> {
     fn drop(&mut self) {
-        self.state.borrow_mut().replicas.ended(self.key);
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.replicas.ended(self.key, self.ticket, now_ms);
     }
 }
 
@@ -156,8 +181,7 @@
                 }
                 Some(Sent::Stream(stream)) => {
                     let close = self.closes(&request);
-                    let is_lost = |silence| self.is_stream_lost(place.key, silence);
-                    let end = relay.pump(client, stream, close, is_lost).await;
+                    let end = relay.pump(client, stream, close, &visit).await;
                     drop(visit);
                     if let Some(next) = self
                         .stream_ended(client, &request, &place, &relay, end, &mut progress)
@@ -189,6 +213,7 @@
         let now_ms = state.now_ms();
         let model = request.facts.model.as_deref();
         let required = model.and_then(|model| state.required_version(model));
+        let expected = model.and_then(|model| state.expected_version(model));
         let service = request.catalog.service(&request.service);
         let usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
@@ -199,7 +224,10 @@
                     && !request.tried.contains(key)
                     && model.is_none_or(|model| {
                         let version = replica.weights_version(model, now_ms);
-                        version > 0 && version >= required.unwrap_or(0)
+                        let is_current = version >= expected.unwrap_or(0);
+                        version > 0
+                            && version >= required.unwrap_or(0)
+                            && (is_current || replica.has_free_slots(now_ms))
                     })
             })
             .collect();
@@ -246,7 +274,9 @@
     fn begin<'a>(&'a self, request: &mut Request, place: &Place) -> Visit<'a> {
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
-        state.replicas.started(place.key, now_ms);
+        let ticket = state
+            .replicas
+            .started(place.key, place.predicted_ms, now_ms);
         if request.sends == 0 && request.tried.is_empty() {
             state.budget(&request.service).request(now_ms);
         }
@@ -262,6 +292,7 @@
         Visit {
             state: &self.state,
             key: place.key,
+            ticket,
         }
     }
 
@@ -390,20 +421,6 @@
         allowed
     }
 
-    /// Whether a silent stream's replica is to be given up.
-    fn is_stream_lost(&self, key: ReplicaKey, silence: Duration) -> bool {
-        if silence >= STREAM_SILENCE {
-            return true;
-        }
-        let state = self.state.borrow();
-        let replica = state.replicas.get(key);
-        let is_dark = replica.is_gone
-            || replica
-                .fresh_load(state.now_ms())
-                .is_some_and(|load| !load.is_up);
-        silence >= DARK_SILENCE && is_dark
-    }
-
     /// Ends a stream, or returns None when another replica may go on with it.
     async fn stream_ended(
         &self,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -13,6 +13,7 @@
 use crate::gateway::forward::Gateway;
 use crate::gateway::forward::Next;
 use crate::gateway::forward::own_answer;
+use crate::gateway::process::LEAVE_TIME;
 use crate::gateway::request::Request;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -32,6 +33,10 @@
 /// Pause that a client is told while this entry knows no configuration, in ms.
 const RETRY_AFTER_START_MS: u64 = 500;
 
+/// Pause that a client is told by an entry that is leaving, in ms: other entries
+/// take its request at once.
+const RETRY_AFTER_STOP_MS: u64 = 10;
+
 /// Time that an idle connection stays open after a stop signal, so that a
 /// request under way to us is still answered.
 const STOPPING_IDLE: Duration = Duration::from_millis(1_500);
@@ -54,10 +59,17 @@
     }
 }
 
-/// Accepts clients until the listener fails.
+/// Accepts clients until the process leaves.
 pub async fn serve_clients<D: Dialect + 'static>(listener: TcpListener, gateway: Gateway<D>) {
+    let left = left(&gateway);
+    let mut left = std::pin::pin!(left);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = &mut left => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let gateway = gateway.clone();
                 actix_rt::spawn(async move {
@@ -72,6 +84,13 @@
     }
 }
 
+/// Resolves when a stopping process takes no further requests.
+async fn left<D: Dialect>(gateway: &Gateway<D>) {
+    let notice = gateway.state.borrow().stop_notice.clone();
+    notice.notified().await;
+    tokio::time::sleep(LEAVE_TIME).await;
+}
+
 async fn serve_client<D: Dialect>(mut client: Connection, gateway: &Gateway<D>) {
     loop {
         let head = match next_head(&mut client, gateway).await {
@@ -176,6 +195,14 @@
     arrived: Instant,
 ) -> Result<Box<Request>, (RequestHead, Refusal)> {
     let mut state = gateway.state.borrow_mut();
+    if state.stopping.is_some_and(|since| since.elapsed() >= LEAVE_TIME) {
+        let refusal = Refusal {
+            status: 503,
+            cause: "stopping",
+            retry_after_ms: Some(RETRY_AFTER_STOP_MS),
+        };
+        return Err((head, refusal));
+    }
     let Some(catalog) = state.catalog.clone() else {
         let refusal = Refusal {
             status: 503,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,5 +46,4 @@
 pub use ports::SourceError;
 pub use process::run;
 pub use settings::GatewaySettings;
-pub use state::DeclaredWeights;
 pub use state::GatewayState;
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -252,7 +252,7 @@
     pub async fn read_ahead(self: Rc<Self>) {
         let news = self.state.borrow().weights_notice.clone();
         loop {
-            let declared = self.state.borrow().weights.last().cloned();
+            let declared = self.state.borrow().weights.latest().cloned();
             if let Some(declared) = declared
                 && !self.is_at_hand(&declared.model, declared.version)
             {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -33,9 +33,9 @@
 /// Interval at which log lines are handed to their writer.
 const LOG_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time after a stop signal in which clients still learn of it and connect
-/// elsewhere.
-const LEAVE_TIME: Duration = Duration::from_millis(2_500);
+/// Time after a stop signal in which requests are still taken: clients learn of
+/// it and connect elsewhere.
+pub const LEAVE_TIME: Duration = Duration::from_millis(2_500);
 
 /// Time before the kill at which the process ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,14 @@
     TimedOut,
 }
 
+/// Follows the part of a stream that one replica sends.
+pub trait StreamWatch {
+    /// Takes note of an event; only the first one tells something.
+    fn first_event(&self);
+    /// Whether a replica that was silent for that long is to be given up.
+    fn is_lost(&self, silence: Duration) -> bool;
+}
+
 /// A stream on its way to one client, over one or more replicas.
 #[derive(Debug)]
 pub struct StreamRelay {
@@ -71,13 +79,14 @@
 
     /// Passes one replica's part on until it ends.
     ///
-    /// `is_lost` tells, after some silence, whether to give the replica up.
+    /// `watch` is told of the first event, and asked whether to give a silent
+    /// replica up.
     pub async fn pump(
         &mut self,
         client: &mut Connection,
         mut stream: Box<EventStream>,
         close: bool,
-        is_lost: impl Fn(Duration) -> bool,
+        watch: &impl StreamWatch,
     ) -> StreamEnd {
         if self.head.is_none() {
             self.head = Some(head_bytes(&stream.head, close));
@@ -88,9 +97,13 @@
             let decoded = stream
                 .decoder
                 .decode(&mut stream.connection.inbox, splitter.buffer());
+            let events = self.events;
             if let Some(end) = self.pass_on(client, &mut splitter).await {
                 return end;
             }
+            if events < self.events {
+                watch.first_event();
+            }
             if let Err(error) = decoded {
                 return StreamEnd::Broken(error.label());
             }
@@ -116,7 +129,7 @@
                     if Instant::now() >= self.until {
                         return StreamEnd::TimedOut;
                     }
-                    if is_lost(heard.elapsed()) {
+                    if watch.is_lost(heard.elapsed()) {
                         return StreamEnd::Broken("silent");
                     }
                 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,8 @@
 use crate::calls::DeathId;
 use crate::calls::SuspectTable;
 use crate::fleet::Catalog;
+use crate::fleet::Declaration;
+use crate::fleet::Declarations;
 use crate::fleet::Ledger;
 use crate::fleet::LedgerRecord;
 use crate::fleet::PeerTable;
@@ -45,8 +47,13 @@
 /// ms: it may wait at a replica, and this process learned of them late.
 const WEIGHTS_MARGIN_MS: u64 = 1_300;
 
-/// Declarations of weights remembered.
-const MAX_DECLARED: usize = 32;
+/// Time before the bound from which engines without new weights get only what
+/// can begin at once, in ms: the longest wait at an engine more than the margin.
+const WEIGHTS_NOTICE_MS: u64 = 3_000;
+
+/// Time after its start in which an entry waits for the ages of declarations, in
+/// ms: two beats of the others.
+const AGES_AWAITED_MS: u64 = 600;
 
 /// Broken connections remembered.
 const MAX_BREAKS: usize = 256;
@@ -60,17 +67,6 @@
     at_ms: u64,
 }
 
-/// A version of weights that the operator declared.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DeclaredWeights {
-    /// Model.
-    pub model: String,
-    /// Version.
-    pub version: u64,
-    /// Steady time at which this process learned of it.
-    pub learned_ms: u64,
-}
-
 /// What an entry process knows, shared by its tasks.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -78,8 +74,8 @@
     pub settings: GatewaySettings,
     /// Configuration in force.
     pub catalog: Option<Rc<Catalog>>,
-    /// Versions of weights, in the order of their declaration.
-    pub weights: Vec<DeclaredWeights>,
+    /// Versions of weights that were declared.
+    pub weights: Declarations,
     /// Replicas of all services.
     pub replicas: ReplicaTable,
     /// The other entries.
@@ -117,7 +113,7 @@
         Rc::new(RefCell::new(Self {
             settings,
             catalog: None,
-            weights: Vec::new(),
+            weights: Declarations::default(),
             replicas: ReplicaTable::default(),
             peers: PeerTable::default(),
             suspects: SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS),
@@ -155,6 +151,7 @@
         self.stopping.is_none()
             && self.catalog.is_some()
             && self.ledgers[Topic::Replicas as usize].is_known()
+            && (self.weights.are_exact() || self.now_ms() >= AGES_AWAITED_MS)
     }
 
     /// Ends of the topics, in the order of `Topic::ALL`.
@@ -264,27 +261,29 @@
     }
 
     fn declare(&mut self, model: String, version: u64, offset: u64) {
-        let learned_ms = self.now_ms();
-        LogLine::new(Event::WeightsDeclared)
+        // What the first listing holds may be of any age.
+        let is_exact = self.ledger(Topic::Operator).is_known();
+        let now_ms = self.now_ms() as i64;
+        let learned_ms = if is_exact {
+            now_ms
+        } else {
+            now_ms - self.settings.weights_apply_ms as i64
+        };
+        let line = LogLine::new(Event::WeightsDeclared)
             .text("model", &model)
             .number("version", version)
             .number("offset", offset)
-            .write();
-        let declared = DeclaredWeights {
+            .flag("age_known", is_exact);
+        let declaration = Declaration {
             model,
             version,
             learned_ms,
+            is_exact,
         };
-        // Each version has its own time; those of long ago bind no further.
-        let is_known = |w: &DeclaredWeights| w.model == declared.model && w.version >= version;
-        if self.weights.iter().any(is_known) {
-            return;
-        }
-        if self.weights.len() >= MAX_DECLARED {
-            self.weights.remove(0);
+        if self.weights.add(declaration) {
+            line.write();
+            self.weights_notice.notify_one();
         }
-        self.weights.push(declared);
-        self.weights_notice.notify_one();
     }
 
     fn take_replica(&mut self, key: &str, value: &[u8], offset: u64, decoder: &impl RecordDecoder) {
@@ -419,12 +418,22 @@
 
     /// Version of `model` that every answer must at least come from now.
     pub fn required_version(&self, model: &str) -> Option<u64> {
-        let now_ms = self.now_ms();
-        let apply_ms = self.settings.weights_apply_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+        self.version_due_in(model, WEIGHTS_MARGIN_MS)
+    }
+
+    /// Version of `model` that is due soon: engines without it get only what
+    /// can begin at once.
+    pub fn expected_version(&self, model: &str) -> Option<u64> {
+        self.version_due_in(model, WEIGHTS_NOTICE_MS)
+    }
+
+    fn version_due_in(&self, model: &str, ahead_ms: u64) -> Option<u64> {
+        let now_ms = self.now_ms() as i64;
+        let due_ms = self.settings.weights_apply_ms.saturating_sub(ahead_ms) as i64;
         self.weights
-            .iter()
-            .filter(|w| w.model == model && now_ms.saturating_sub(w.learned_ms) >= apply_ms)
-            .map(|w| w.version)
+            .of(model)
+            .filter(|declaration| now_ms - declaration.learned_ms >= due_ms)
+            .map(|declaration| declaration.version)
             .max()
     }
 }
@@ -445,6 +454,7 @@
         for key in changed {
             self.take_change(topic, &key, decoder);
         }
+        self.ledgers[topic as usize].set_known();
     }
 
     fn take_records(
--- a/src/staging/goal.rs
+++ b/src/staging/goal.rs
@@ -1,29 +1,22 @@
+use crate::fleet::Declaration;
+
 /// Time that gathering a whole version takes, in ms: its size over the link of
 /// a host, with some reserve.
-const GATHER_MS: u64 = 2_500;
+const GATHER_MS: i64 = 2_500;
 
 /// Time without a new piece after which gathering is taken for stuck, in ms.
-const STUCK_MS: u64 = 900;
+const STUCK_MS: i64 = 900;
 
 /// Time before the bound on new weights at which entries stop sending to
 /// engines that lack them, in ms.
-const APPLY_MARGIN_MS: u64 = 1_300;
+const APPLY_MARGIN_MS: i64 = 1_300;
 
 /// Time before that at which the last engine gets its order, in ms.
-const ORDER_MARGIN_MS: u64 = 400;
+const ORDER_MARGIN_MS: i64 = 400;
 
 /// Age of a declaration at which an empty engine starts with it, in ms: its
 /// pieces lie on the entries by then.
-const SETTLED_MS: u64 = 1_000;
-
-/// A version of weights that the operator declared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Declaration {
-    /// Version.
-    pub version: u64,
-    /// Steady time at which this process learned of it.
-    pub learned_ms: u64,
-}
+const SETTLED_MS: i64 = 1_000;
 
 /// Where gathering a version stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,9 +24,9 @@
     /// Version.
     pub version: u64,
     /// Steady time at which it began.
-    pub began_ms: u64,
+    pub began_ms: i64,
     /// Steady time of the last new piece.
-    pub progress_ms: u64,
+    pub progress_ms: i64,
     /// Whether every piece is staged.
     pub is_whole: bool,
 }
@@ -42,7 +35,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct GoalInput<'a> {
     /// Steady time.
-    pub now_ms: u64,
+    pub now_ms: i64,
     /// Version that the engine holds, or was ordered to load; 0 for none.
     pub held: u64,
     /// Declarations, by rising version.
@@ -50,7 +43,7 @@
     /// What is being gathered.
     pub gathering: Option<Gathering>,
     /// Time within which new weights must answer every request.
-    pub apply_ms: u64,
+    pub apply_ms: i64,
     /// Place of this engine among those of its service, from 0 to 1.
     pub turn: f64,
 }
@@ -61,7 +54,7 @@
     /// Version.
     pub version: u64,
     /// Steady time before which it is not to be loaded.
-    pub not_before_ms: u64,
+    pub not_before_ms: i64,
 }
 
 /// Chooses the version to load next; None when nothing newer is declared.
@@ -77,18 +70,18 @@
         [only] => (only, only),
         [first, .., newest] => (first, newest),
     };
-    let due_ms = first.learned_ms + input.apply_ms.saturating_sub(APPLY_MARGIN_MS);
+    let due_ms = first.learned_ms + input.apply_ms - APPLY_MARGIN_MS;
     let chosen = if first.version == newest.version {
         first
     } else {
         choose(input, first, newest, due_ms)
     };
     let first_ms = chosen.learned_ms + GATHER_MS;
-    let last_ms = due_ms.saturating_sub(ORDER_MARGIN_MS);
+    let last_ms = due_ms - ORDER_MARGIN_MS;
     let not_before_ms = if input.held == 0 || last_ms <= first_ms {
-        0
+        input.now_ms
     } else {
-        first_ms + ((last_ms - first_ms) as f64 * input.turn) as u64
+        first_ms + ((last_ms - first_ms) as f64 * input.turn) as i64
     };
     Some(Goal {
         version: chosen.version,
@@ -100,7 +93,7 @@
     input: &GoalInput<'_>,
     first: &'a Declaration,
     newest: &'a Declaration,
-    due_ms: u64,
+    due_ms: i64,
 ) -> &'a Declaration {
     let of = |version| input.gathering.filter(|g| g.version == version);
     let is_stuck = |version| {
--- a/src/staging/keeper.rs
+++ b/src/staging/keeper.rs
@@ -76,7 +76,7 @@
         let state = state.borrow();
         let is_turn = state
             .goal(transfer.model)
-            .is_some_and(|goal| state.now_ms() >= goal.not_before_ms);
+            .is_some_and(|goal| state.now_ms() as i64 >= goal.not_before_ms);
         let is_free = state.report.as_ref().is_some_and(|report| !report.is_busy);
         if !is_turn || !is_free {
             return;
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -15,7 +15,6 @@
 mod state;
 mod transfer;
 
-pub use goal::Declaration;
 pub use goal::Gathering;
 pub use goal::Goal;
 pub use goal::GoalInput;
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -161,9 +161,12 @@
         };
         match rmp_serde::from_slice(&buffer[..len]) {
             Ok(Datagram::Beat(beat)) => {
-                state
-                    .borrow_mut()
-                    .entry_heard(beat.internal, &beat.failure_domain);
+                {
+                    let mut state = state.borrow_mut();
+                    state.entry_heard(beat.internal, &beat.failure_domain);
+                    let now_ms = state.now_ms() as i64;
+                    state.declared.merge(&beat.declared, now_ms);
+                }
                 for topic in TOPICS {
                     let is_behind = {
                         let state = state.borrow();
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -48,6 +48,7 @@
 fn load_report(state: &StagingState) -> LoadReport {
     let port = state.settings.replica.port();
     let models = state.models();
+    let declared = state.declared.notes(state.now_ms() as i64);
     let Some(report) = &state.report else {
         return LoadReport {
             port,
@@ -58,6 +59,7 @@
             memory_used: 0.0,
             version: 0,
             pace: 1.0,
+            declared,
         };
     };
     let version = models.iter().map(|model| report.version(model)).min();
@@ -70,6 +72,7 @@
         memory_used: report.memory_used as f32,
         version: version.unwrap_or(0),
         pace: report.pace as f32,
+        declared,
     }
 }
 
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -5,6 +5,8 @@
 use tokio::time::Instant;
 
 use crate::fleet::Catalog;
+use crate::fleet::Declaration;
+use crate::fleet::Declarations;
 use crate::fleet::Ledger;
 use crate::fleet::LedgerRecord;
 use crate::fleet::OriginProfile;
@@ -18,7 +20,6 @@
 use crate::observe::LogLine;
 use crate::staging::EngineReport;
 use crate::staging::StagingSettings;
-use crate::staging::goal::Declaration;
 use crate::staging::goal::Gathering;
 use crate::staging::goal::Goal;
 use crate::staging::goal::GoalInput;
@@ -44,9 +45,6 @@
     heard_ms: u64,
 }
 
-/// Declarations remembered.
-const MAX_DECLARED: usize = 32;
-
 /// What lies in the staging area for one model.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stage {
@@ -116,8 +114,8 @@
     pub ordered: Option<(String, u64)>,
     /// Version that is being gathered.
     pub gathering: Option<Gathering>,
-    // Model and declaration, by rising version.
-    declared: Vec<(String, Declaration)>,
+    /// Versions of weights that were declared.
+    pub declared: Declarations,
     ledgers: [Ledger; 3],
     started: Instant,
 }
@@ -136,7 +134,7 @@
             entries: Vec::new(),
             ordered: None,
             gathering: None,
-            declared: Vec::new(),
+            declared: Declarations::default(),
             ledgers: Default::default(),
             started: Instant::now(),
         }))
@@ -225,24 +223,21 @@
 
     /// What to load next of `model`; None when nothing newer is declared.
     pub fn goal(&self, model: &str) -> Option<Goal> {
-        let mut declared: Vec<Declaration> = self
-            .declared
-            .iter()
-            .filter(|declared| declared.0 == model)
-            .map(|declared| declared.1)
-            .collect();
+        let mut declared: Vec<Declaration> = self.declared.of(model).cloned().collect();
         if declared.is_empty() {
             declared.push(Declaration {
+                model: model.to_owned(),
                 version: FIRST_VERSION,
                 learned_ms: 0,
+                is_exact: false,
             });
         }
         next_goal(&GoalInput {
-            now_ms: self.now_ms(),
+            now_ms: self.now_ms() as i64,
             held: self.held(model),
             declared: &declared,
             gathering: self.gathering,
-            apply_ms: self.settings.weights_apply_ms,
+            apply_ms: self.settings.weights_apply_ms as i64,
             turn: self.turn(),
         })
     }
@@ -326,24 +321,28 @@
     }
 
     fn declare(&mut self, model: String, version: u64, offset: u64) {
-        let now_ms = self.now_ms();
-        LogLine::new(Event::WeightsDeclared)
+        // What the first listing holds may be of any age.
+        let is_exact = self.ledger(Topic::Operator).is_known();
+        let now_ms = self.now_ms() as i64;
+        let learned_ms = if is_exact {
+            now_ms
+        } else {
+            now_ms - self.settings.weights_apply_ms as i64
+        };
+        let line = LogLine::new(Event::WeightsDeclared)
             .text("model", &model)
             .number("version", version)
             .number("offset", offset)
-            .write();
-        let is_known = |d: &(String, Declaration)| d.0 == model && d.1.version >= version;
-        if self.declared.iter().any(is_known) {
-            return;
-        }
-        if self.declared.len() >= MAX_DECLARED {
-            self.declared.remove(0);
-        }
+            .flag("age_known", is_exact);
         let declaration = Declaration {
+            model,
             version,
-            learned_ms: now_ms,
+            learned_ms,
+            is_exact,
         };
-        self.declared.push((model, declaration));
+        if self.declared.add(declaration) {
+            line.write();
+        }
     }
 }
 
@@ -362,6 +361,7 @@
         for key in self.ledgers[topic as usize].apply_listing(records, end_offset) {
             self.take_change(topic, &key, decoder);
         }
+        self.ledgers[topic as usize].set_known();
     }
 
     fn take_records(
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -189,7 +189,9 @@
                 }
             }
             if wait.is_zero() {
-                if let Some(manifest) = self.manifest_from_origin().await {
+                if self.state.borrow().near_entries().is_empty()
+                    && let Some(manifest) = self.manifest_from_origin().await
+                {
                     return Some(self.keep_manifest(manifest));
                 }
                 tokio::time::sleep(MANIFEST_PAUSE).await;
@@ -253,10 +255,11 @@
 
     /// Checks the staged pieces whose version is not known.
     async fn take_inventory(&self, manifest: &PieceManifest) {
+        let mut engine = self.engine.clone();
         for index in 0..manifest.chunks() {
             let known = self.state.borrow_mut().stage(self.model).versions[index as usize];
             if known == 0 {
-                self.check_piece(manifest, index).await;
+                self.check_piece(&mut engine, manifest, index).await;
             }
         }
     }
@@ -266,15 +269,15 @@
         let Some(manifest) = self.known_manifest() else {
             return false;
         };
+        let mut engine = self.engine.clone();
         let mut is_whole = true;
         for index in 0..manifest.chunks() {
-            is_whole &= self.check_piece(&manifest, index).await;
+            is_whole &= self.check_piece(&mut engine, &manifest, index).await;
         }
         is_whole
     }
 
-    async fn check_piece(&self, manifest: &PieceManifest, index: u32) -> bool {
-        let mut engine = self.engine.clone();
+    async fn check_piece(&self, engine: &mut E, manifest: &PieceManifest, index: u32) -> bool {
         let is_right = match engine.read_piece(self.model, index).await {
             Ok(Some(bytes)) => manifest.matches(index, &bytes),
             Ok(None) => false,
@@ -294,6 +297,7 @@
         let mut reads = FuturesUnordered::new();
         let mut blocked: Vec<(Place, u64)> = Vec::new();
         let mut swarm = self.swarm(manifest);
+        let mut engine = self.engine.clone();
         let started_ms = self.state.borrow().now_ms();
         let mut progress_ms = started_ms;
         let mut seed = started_ms;
@@ -336,7 +340,7 @@
                 Some((read, result)) = reads.next() => {
                     in_flight.retain(|other| *other != read);
                     let now_ms = self.state.borrow().now_ms();
-                    if self.take_piece(manifest, read, result).await {
+                    if self.take_piece(manifest, read, result, &mut engine).await {
                         progress_ms = now_ms;
                     } else {
                         blocked.push((read.place, now_ms + read.place.pause_ms()));
@@ -350,8 +354,8 @@
     fn note_progress(&self, began_ms: u64, progress_ms: u64, is_whole: bool) {
         self.state.borrow_mut().gathering = Some(Gathering {
             version: self.version,
-            began_ms,
-            progress_ms,
+            began_ms: began_ms as i64,
+            progress_ms: progress_ms as i64,
             is_whole,
         });
     }
@@ -499,7 +503,12 @@
             have: &held,
             in_flight: &planned,
             neighbours: &neighbours,
-            origin_blocked_until_ms: blocked_until(Source::Origin),
+            // While entries live, they alone read the origin.
+            origin_blocked_until_ms: if state.near_entries().is_empty() {
+                blocked_until(Source::Origin)
+            } else {
+                u64::MAX
+            },
             settings: &PLAN,
             seed,
         });
@@ -537,6 +546,7 @@
         manifest: &PieceManifest,
         read: Read,
         result: Result<Vec<u8>, ReadFault>,
+        engine: &mut E,
     ) -> bool {
         let bytes = match result {
             Ok(bytes) => bytes,
@@ -563,7 +573,6 @@
         }
         // The piece of the version before is overwritten from here on.
         self.state.borrow_mut().stage(self.model).versions[read.chunk as usize] = 0;
-        let mut engine = self.engine.clone();
         match engine.write_piece(self.model, read.chunk, &bytes).await {
             Ok(()) => {
                 let mut state = self.state.borrow_mut();
