Take turns until the version is due, also after one passed over

Own sends and an estimate of the others' since the last load report count; delays steer placement and refuse only sick engines.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -24,6 +24,10 @@
 /// Predicted time of a plain answer before anything was observed, in ms.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
 
+/// Delay beyond the prediction at which an engine gets nothing more, in ms: well
+/// beyond what its queue explains.
+const SICK_DELAY_MS: f64 = 800.0;
+
 /// Load of a plain service, in requests of this entry for each slot, at which
 /// more are refused.
 const PLAIN_FILL: f64 = 2.0;
@@ -82,6 +86,8 @@
     pub failure_domain: &'a str,
     /// Entries that are alive.
     pub entries: u32,
+    /// Requests that the other entries send to one replica in a ms.
+    pub others_per_ms: f64,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Time since the request arrived.
@@ -135,17 +141,20 @@
     };
     let pace = replica.fresh_load(input.now_ms).map_or(1.0, |load| load.pace);
     let requests = replica
-        .known_requests(input.now_ms)
+        .known_requests(input.others_per_ms, input.now_ms)
         .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entries));
-    let predicted_ms = replica.delay_ms(input.now_ms)
-        + pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
+    let delay_ms = replica.delay_ms(input.now_ms);
+    let predicted_ms =
+        pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
     let on_time_ms = input.target_ms as f64 * TARGET_FILL - input.waited_ms as f64;
-    let fits = if on_time_ms > 0.0 && !input.is_return {
+    let fits = if delay_ms >= SICK_DELAY_MS {
+        false
+    } else if on_time_ms > 0.0 && !input.is_return {
         predicted_ms <= on_time_ms
     } else {
         f64::from(requests) < f64::from(engine.slots) * LATE_SLOT_FILL
     };
-    fits.then_some(predicted_ms)
+    fits.then_some(predicted_ms + delay_ms)
 }
 
 fn plain_predicted_ms(input: &AdmissionInput<'_>, replica: &Replica) -> Option<f64> {
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -112,17 +112,19 @@
             .filter(|load| now_ms.saturating_sub(load.at_ms) < LOAD_STALE_MS)
     }
 
-    /// Requests at the replica by the last report and the sends since then.
-    pub fn known_requests(&self, now_ms: u64) -> Option<u32> {
+    /// Requests at the replica by the last report, the own sends since then, and
+    /// those of the other entries at `others_per_ms`.
+    pub fn known_requests(&self, others_per_ms: f64, now_ms: u64) -> Option<u32> {
         let load = self.fresh_load(now_ms)?;
         let sent = u32::try_from(self.sent_ms.len()).unwrap_or(u32::MAX);
-        let total = (load.running + load.queued + sent).saturating_sub(self.ended_since_load);
-        Some(total.max(self.in_flight))
+        let others = others_per_ms * now_ms.saturating_sub(load.at_ms) as f64;
+        let total = load.running + load.queued + sent + others as u32;
+        Some(total.saturating_sub(self.ended_since_load).max(self.in_flight))
     }
 
     /// Whether a request would begin at once, by the latest report.
-    pub fn has_free_slots(&self, now_ms: u64) -> bool {
-        self.known_requests(now_ms)
+    pub fn has_free_slots(&self, others_per_ms: f64, now_ms: u64) -> bool {
+        self.known_requests(others_per_ms, now_ms)
             .is_some_and(|requests| requests * 4 < self.record.slots * 3)
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -215,19 +215,24 @@
         let required = model.and_then(|model| state.required_version(model));
         let expected = model.and_then(|model| state.expected_version(model));
         let service = request.catalog.service(&request.service);
+        let takes_work = |replica: &Replica| {
+            replica.record.service == request.service && replica.is_usable(now_ms)
+        };
+        let count = state.replicas.listed().filter(|(_, r)| takes_work(r)).count();
+        let others_per_ms =
+            state.others_demand_per_ms(&request.service) / count.max(1) as f64;
         let usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
             .listed()
             .filter(|(key, replica)| {
-                replica.record.service == request.service
-                    && replica.is_usable(now_ms)
+                takes_work(replica)
                     && !request.tried.contains(key)
                     && model.is_none_or(|model| {
                         let version = replica.weights_version(model, now_ms);
                         let is_current = version >= expected.unwrap_or(0);
                         version > 0
                             && version >= required.unwrap_or(0)
-                            && (is_current || replica.has_free_slots(now_ms))
+                            && (is_current || replica.has_free_slots(others_per_ms, now_ms))
                     })
             })
             .collect();
@@ -237,6 +242,7 @@
             engine: service.and_then(|service| service.engine.as_ref()),
             failure_domain: &state.settings.failure_domain,
             entries: state.entry_count(),
+            others_per_ms,
             prompt_tokens: request.facts.prompt_tokens,
             waited_ms: request.waited_ms(),
             is_return: request.waited_before_ms > 0,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -233,6 +233,7 @@
     let waited_before_ms = state.waited_before_ms(&route.name, deadline_ms);
     let until = arrived + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random());
+    state.count_demand(&service);
     let target = format!("{}{}{}", host, head.target, workspace.as_deref().unwrap_or(""));
     let fingerprint = fingerprint(&target, &body);
     let is_late = waited_before_ms > 0;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Ledger;
 use crate::fleet::LedgerRecord;
 use crate::fleet::PeerTable;
+use crate::fleet::RateMeter;
 use crate::fleet::ReplicaState;
 use crate::fleet::ReplicaTable;
 use crate::fleet::RetryWindow;
@@ -45,7 +46,7 @@
 
 /// Time before the bound on new weights from which a request must get them, in
 /// ms: it may wait at a replica, and this process learned of them late.
-const WEIGHTS_MARGIN_MS: u64 = 1_300;
+const WEIGHTS_MARGIN_MS: u64 = 900;
 
 /// Time before the bound from which engines without new weights get only what
 /// can begin at once, in ms: the longest wait at an engine more than the margin.
@@ -96,6 +97,7 @@
     pub news_notice: Rc<Notify>,
     ledgers: [Ledger; 3],
     budgets: Vec<(String, RetryWindow)>,
+    demands: Vec<(String, RateMeter)>,
     longest_deadlines_ms: Vec<(String, u64)>,
     lost_topics: [bool; 3],
     regained_ms: u64,
@@ -125,6 +127,7 @@
             news_notice: Rc::new(Notify::new()),
             ledgers: Default::default(),
             budgets: Vec::new(),
+            demands: Vec::new(),
             longest_deadlines_ms: Vec::new(),
             lost_topics: [false; 3],
             regained_ms: 0,
@@ -342,6 +345,30 @@
         &mut self.budgets[at].1
     }
 
+    /// Counts a request for `service`, sent or refused.
+    pub fn count_demand(&mut self, service: &str) {
+        let now_ms = self.now_ms();
+        let demands = &mut self.demands;
+        let at = match demands.binary_search_by(|d| d.0.as_str().cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                demands.insert(at, (service.to_owned(), RateMeter::default()));
+                at
+            }
+        };
+        demands[at].1.add(now_ms);
+    }
+
+    /// Requests for `service` that the other entries get in a ms, if each gets
+    /// as many as this one.
+    pub fn others_demand_per_ms(&self, service: &str) -> f64 {
+        let others = f64::from(self.entry_count() - 1);
+        match self.demands.binary_search_by(|d| d.0.as_str().cmp(service)) {
+            Ok(at) => self.demands[at].1.per_ms(self.now_ms()) * others,
+            Err(_) => 0.0,
+        }
+    }
+
     /// Entries alive, this one among them.
     pub fn entry_count(&self) -> u32 {
         let peers = self.peers.alive(self.now_ms()).count();
--- a/src/staging/goal.rs
+++ b/src/staging/goal.rs
@@ -9,10 +9,10 @@
 
 /// Time before the bound on new weights at which entries stop sending to
 /// engines that lack them, in ms.
-const APPLY_MARGIN_MS: i64 = 1_300;
+const APPLY_MARGIN_MS: i64 = 900;
 
 /// Time before that at which the last engine gets its order, in ms.
-const ORDER_MARGIN_MS: i64 = 400;
+const ORDER_MARGIN_MS: i64 = 300;
 
 /// Age of a declaration at which an empty engine starts with it, in ms: its
 /// pieces lie on the entries by then.
@@ -76,7 +76,14 @@
     } else {
         choose(input, first, newest, due_ms)
     };
-    let first_ms = chosen.learned_ms + GATHER_MS;
+    // Engines that passed an earlier version over load until that one is due.
+    let gathered_ms = chosen.learned_ms + GATHER_MS;
+    let first_ms = match input.declared[..open].last() {
+        Some(earlier) => {
+            gathered_ms.max(earlier.learned_ms + input.apply_ms - APPLY_MARGIN_MS)
+        }
+        None => gathered_ms,
+    };
     let last_ms = due_ms - ORDER_MARGIN_MS;
     let not_before_ms = if input.held == 0 || last_ms <= first_ms {
         input.now_ms
