Keep what waits for its order whole; take back what waits at old weights

Pieces of a later version gather in memory while an earlier one waits; entries count what the others send to replicas with room, send only to half-empty engines when a version is nearly due, and take back what has not begun.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -125,7 +125,7 @@
     /// Whether a request would begin at once, by the latest report.
     pub fn has_free_slots(&self, others_per_ms: f64, now_ms: u64) -> bool {
         self.known_requests(others_per_ms, now_ms)
-            .is_some_and(|requests| requests * 4 < self.record.slots * 3)
+            .is_some_and(|requests| requests * 2 < self.record.slots)
     }
 
     /// Version of the weights of `model`, by the latest report.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -87,6 +87,7 @@
     predicted_ms: f64,
     weights_version: Option<u64>,
     load_age_ms: Option<u64>,
+    begin_within_ms: Option<u64>,
 }
 
 /// The final answer to a request, for its log line.
@@ -215,27 +216,39 @@
         let required = model.and_then(|model| state.required_version(model));
         let expected = model.and_then(|model| state.expected_version(model));
         let service = request.catalog.service(&request.service);
-        let takes_work = |replica: &Replica| {
-            replica.record.service == request.service && replica.is_usable(now_ms)
-        };
-        let count = state.replicas.listed().filter(|(_, r)| takes_work(r)).count();
-        let others_per_ms =
-            state.others_demand_per_ms(&request.service) / count.max(1) as f64;
-        let usable: Vec<(ReplicaKey, &Replica)> = state
+        let mut usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
             .listed()
             .filter(|(key, replica)| {
-                takes_work(replica)
+                replica.record.service == request.service
+                    && replica.is_usable(now_ms)
                     && !request.tried.contains(key)
                     && model.is_none_or(|model| {
                         let version = replica.weights_version(model, now_ms);
-                        let is_current = version >= expected.unwrap_or(0);
-                        version > 0
-                            && version >= required.unwrap_or(0)
-                            && (is_current || replica.has_free_slots(others_per_ms, now_ms))
+                        version > 0 && version >= required.unwrap_or(0)
                     })
             })
             .collect();
+        if let (Some(model), Some(expected)) = (model, expected) {
+            usable.retain(|(_, replica)| {
+                replica.weights_version(model, now_ms) >= expected
+                    || replica.has_free_slots(0.0, now_ms)
+            });
+        }
+        // What the others send goes to the replicas that have room.
+        let open = usable.iter().filter(|(_, r)| r.has_free_slots(0.0, now_ms));
+        let sharers = match open.count() {
+            0 => usable.len().max(1),
+            open => open,
+        };
+        let others_per_ms =
+            state.others_demand_per_ms(&request.service) / sharers as f64;
+        if let (Some(model), Some(expected)) = (model, expected) {
+            usable.retain(|(_, replica)| {
+                replica.weights_version(model, now_ms) >= expected
+                    || replica.has_free_slots(others_per_ms, now_ms)
+            });
+        }
         let admission = admit(&AdmissionInput {
             now_ms,
             replicas: &usable,
@@ -264,6 +277,9 @@
                     weights_version: required
                         .and(model)
                         .map(|model| replica.weights_version(model, now_ms)),
+                    begin_within_ms: model.and_then(|model| {
+                        state.begin_within_ms(model, replica.weights_version(model, now_ms))
+                    }),
                     load_age_ms: replica
                         .fresh_load(now_ms)
                         .map(|load| now_ms - load.at_ms),
@@ -331,6 +347,10 @@
         } else {
             request.until
         };
+        let head_until = match place.begin_within_ms {
+            Some(within_ms) => head_until.min(Instant::now() + Duration::from_millis(within_ms)),
+            None => head_until,
+        };
         let work = exchange::send(&*self.dialect, request, place.address, &facts, head_until);
         client.unless_closed(work).await
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,9 +34,10 @@
 /// Crashes remembered.
 const MAX_SUSPECTS: usize = 64;
 
-/// Time after the store's return within which a lapsed record may come back, in
-/// ms: the platform states about two seconds.
-const LAPSE_GRACE_MS: u64 = 2_200;
+/// Time after the store's return within which a lapsed record is waited for, in
+/// ms: it comes back within about two seconds, but a replica that has left must
+/// be out of use within the same time.
+const LAPSE_GRACE_MS: u64 = 1_600;
 
 /// Time between a broken connection and the sign that its replica crashed, in ms.
 const BREAK_WINDOW_MS: u64 = 2_500;
@@ -46,7 +47,11 @@
 
 /// Time before the bound on new weights from which a request must get them, in
 /// ms: it may wait at a replica, and this process learned of them late.
-const WEIGHTS_MARGIN_MS: u64 = 900;
+const WEIGHTS_MARGIN_MS: u64 = 1_300;
+
+/// Time before the bound at which a request that waits at an engine with old
+/// weights is taken back, in ms: this process learned of them late.
+const WEIGHTS_CANCEL_MS: u64 = 400;
 
 /// Time before the bound from which engines without new weights get only what
 /// can begin at once, in ms: the longest wait at an engine more than the margin.
@@ -448,6 +453,19 @@
         self.version_due_in(model, WEIGHTS_MARGIN_MS)
     }
 
+    /// Time until a request at an engine with `version` of `model` must have
+    /// begun; None while no later version is declared.
+    pub fn begin_within_ms(&self, model: &str, version: u64) -> Option<u64> {
+        let now_ms = self.now_ms() as i64;
+        let apply_ms = (self.settings.weights_apply_ms - WEIGHTS_CANCEL_MS) as i64;
+        self.weights
+            .of(model)
+            .filter(|declaration| declaration.version > version)
+            .map(|declaration| declaration.learned_ms + apply_ms - now_ms)
+            .min()
+            .map(|left_ms| u64::try_from(left_ms).unwrap_or(0))
+    }
+
     /// Version of `model` that is due soon: engines without it get only what
     /// can begin at once.
     pub fn expected_version(&self, model: &str) -> Option<u64> {
--- a/src/staging/goal.rs
+++ b/src/staging/goal.rs
@@ -9,7 +9,7 @@
 
 /// Time before the bound on new weights at which entries stop sending to
 /// engines that lack them, in ms.
-const APPLY_MARGIN_MS: i64 = 900;
+const APPLY_MARGIN_MS: i64 = 1_300;
 
 /// Time before that at which the last engine gets its order, in ms.
 const ORDER_MARGIN_MS: i64 = 300;
@@ -40,8 +40,8 @@
     pub held: u64,
     /// Declarations, by rising version.
     pub declared: &'a [Declaration],
-    /// What is being gathered.
-    pub gathering: Option<Gathering>,
+    /// What was gathered of each version.
+    pub gatherings: &'a [Gathering],
     /// Time within which new weights must answer every request.
     pub apply_ms: i64,
     /// Place of this engine among those of its service, from 0 to 1.
@@ -102,7 +102,7 @@
     newest: &'a Declaration,
     due_ms: i64,
 ) -> &'a Declaration {
-    let of = |version| input.gathering.filter(|g| g.version == version);
+    let of = |version| input.gatherings.iter().find(|g| g.version == version);
     let is_stuck = |version| {
         of(version).is_some_and(|g| !g.is_whole && input.now_ms >= g.progress_ms + STUCK_MS)
     };
--- a/src/staging/keeper.rs
+++ b/src/staging/keeper.rs
@@ -6,9 +6,9 @@
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::staging::EnginePort;
+use crate::staging::Goal;
 use crate::weights::OriginPort;
 use crate::staging::StagingState;
-use crate::staging::transfer::Gathered;
 use crate::staging::transfer::Transfer;
 
 /// Pause between looks at what the engine holds.
@@ -31,8 +31,11 @@
     loop {
         let models = state.borrow().models();
         for model in models {
-            let version = state.borrow().wanted(&model);
-            let transfer = Transfer {
+            if state.borrow().report.is_none() {
+                continue;
+            }
+            state.borrow_mut().settle_order(&model);
+            let transfer = |version| Transfer {
                 state: &state,
                 engine: &engine,
                 origin: &origin,
@@ -40,51 +43,33 @@
                 model: &model,
                 version,
             };
-            keep_model(&transfer).await;
+            let to_gather = state.borrow().to_gather(&model);
+            if let Some(version) = to_gather {
+                transfer(version).run().await;
+            }
+            let goal = state.borrow().goal(&model);
+            if let Some(goal) = goal {
+                order(&transfer(goal.version), goal).await;
+            }
         }
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
 
-async fn keep_model<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>) {
-    let state = transfer.state;
-    let (goal, is_staged, is_asked) = {
-        let mut state = state.borrow_mut();
-        if state.report.is_none() {
-            return;
-        }
-        state.settle_order(transfer.model);
-        (
-            state.goal(transfer.model),
-            state.is_staged(transfer.model, transfer.version),
-            state.is_asked_for(transfer.model, transfer.version),
-        )
-    };
-    let is_goal = goal.is_some_and(|goal| goal.version == transfer.version);
-    if !is_staged && (is_goal || is_asked) && transfer.run().await == Gathered::Superseded {
-        return;
-    }
-    if is_goal {
-        order(transfer).await;
-    }
-}
-
 /// Orders the engine to load, if its turn has come and it is not busy.
-async fn order<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>) {
+async fn order<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>, goal: Goal) {
     let state = transfer.state;
     {
         let state = state.borrow();
-        let is_turn = state
-            .goal(transfer.model)
-            .is_some_and(|goal| state.now_ms() as i64 >= goal.not_before_ms);
+        let is_turn = state.now_ms() as i64 >= goal.not_before_ms;
         let is_free = state.report.as_ref().is_some_and(|report| !report.is_busy);
-        if !is_turn || !is_free {
+        if !is_turn || !is_free || !state.is_whole(transfer.model, goal.version) {
             return;
         }
     }
     state.borrow_mut().is_ordering = true;
     tokio::time::sleep(ANNOUNCE_TIME).await;
-    if !transfer.recheck().await || state.borrow().wanted(transfer.model) != transfer.version {
+    if !transfer.stage_pieces().await {
         state.borrow_mut().is_ordering = false;
         return;
     }
@@ -92,7 +77,9 @@
     let line = match engine.load(transfer.model, transfer.version).await {
         Ok(()) => {
             let ordered = (transfer.model.to_owned(), transfer.version);
-            state.borrow_mut().ordered = Some(ordered);
+            let mut state = state.borrow_mut();
+            state.ordered = Some(ordered);
+            state.stage(transfer.model).release(transfer.version);
             LogLine::new(Event::OrderGiven)
         }
         Err(error) => LogLine::new(Event::OrderFailed).text("error", error.to_string()),
@@ -115,13 +102,6 @@
 }
 
 impl StagingState {
-    /// Whether another host still lacks pieces of the version.
-    fn is_asked_for(&self, model: &str, version: u64) -> bool {
-        self.holders.iter().any(|holder| {
-            holder.model == model && holder.version == version && !holder.have.is_complete()
-        })
-    }
-
     /// Forgets an order that the engine has carried out, or no longer knows.
     fn settle_order(&mut self, model: &str) {
         let is_busy = self.report.as_ref().is_some_and(|report| report.is_busy);
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -12,6 +12,7 @@
 mod process;
 mod reporter;
 mod settings;
+mod stage;
 mod state;
 mod transfer;
 
@@ -23,5 +24,6 @@
 pub use ports::EngineReport;
 pub use process::run;
 pub use settings::StagingSettings;
-pub use state::Stage;
+pub use stage::Stage;
+pub use stage::WeightsCopy;
 pub use state::StagingState;
--- a/src/staging/pieces.rs
+++ b/src/staging/pieces.rs
@@ -30,8 +30,19 @@
         let model = parts.next()?;
         let version: u64 = parts.next()?.parse().ok()?;
         let index: u32 = parts.next()?.parse().ok()?;
-        let held = self.state.borrow_mut().stage(model).versions.get(index as usize).copied();
-        if held != Some(version) {
+        let (staged, in_memory) = {
+            let mut state = self.state.borrow_mut();
+            let stage = state.stage(model);
+            (stage.staged(index), stage.piece(version, index))
+        };
+        if let Some(bytes) = in_memory {
+            return Some(InternalReply {
+                status: 200,
+                content_type: "application/octet-stream",
+                body: bytes.to_vec(),
+            });
+        }
+        if staged != version {
             return None;
         }
         let mut engine = self.engine.clone();
@@ -53,10 +64,7 @@
         let (model, version) = question.split_once('/')?;
         let version: u64 = version.parse().ok()?;
         let mut state = self.state.borrow_mut();
-        let manifest = state.stage(model).manifest.as_ref()?;
-        if manifest.version != version {
-            return None;
-        }
+        let manifest = &state.stage(model).copy(version)?.manifest;
         Some(InternalReply {
             status: 200,
             content_type: "application/msgpack",
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -235,17 +235,17 @@
     targets.dedup();
     let mut notes = Vec::new();
     for stage in &state.stages {
-        let Some(manifest) = &stage.manifest else {
-            continue;
-        };
-        let note = Datagram::Have(HaveNote {
-            address: own,
-            model: stage.model.clone(),
-            version: manifest.version,
-            have: stage.have(manifest.version),
-        });
-        let bytes = note.encode();
-        notes.extend(targets.iter().map(|target| (bytes.clone(), *target)));
+        for copy in stage.copies() {
+            let version = copy.manifest.version;
+            let note = Datagram::Have(HaveNote {
+                address: own,
+                model: stage.model.clone(),
+                version,
+                have: stage.have(version),
+            });
+            let bytes = note.encode();
+            notes.extend(targets.iter().map(|target| (bytes.clone(), *target)));
+        }
     }
     notes
 }
@@ -254,10 +254,8 @@
     /// Whether this host or another one lacks pieces of a wanted version.
     fn is_gathering(&self) -> bool {
         let now_ms = self.now_ms();
-        let is_own = self.models().iter().any(|model| {
-            self.goal(model)
-                .is_some_and(|goal| !self.is_staged(model, goal.version))
-        });
+        let models = self.models();
+        let is_own = models.iter().any(|model| self.to_gather(model).is_some());
         let is_others = self.holders.iter().any(|holder| {
             !holder.have.is_complete() && now_ms.saturating_sub(holder.heard_ms) < 3_000
         });
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -19,12 +19,12 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::staging::EngineReport;
+use crate::staging::Stage;
 use crate::staging::StagingSettings;
 use crate::staging::goal::Gathering;
 use crate::staging::goal::Goal;
 use crate::staging::goal::GoalInput;
 use crate::staging::goal::next_goal;
-use crate::weights::PieceManifest;
 use crate::weights::HaveMap;
 
 /// Version that engines hold before any was declared.
@@ -37,6 +37,9 @@
 /// Silence after which an entry is not asked for weights, in ms: several beats.
 const ENTRY_ALIVE_MS: u64 = 1_600;
 
+/// Time that a note of another host is kept, in ms.
+const HOLDER_KEPT_MS: u64 = 10_000;
+
 /// An entry that was heard from.
 #[derive(Debug)]
 struct KnownEntry {
@@ -45,37 +48,6 @@
     heard_ms: u64,
 }
 
-/// What lies in the staging area for one model.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Stage {
-    /// Model.
-    pub model: String,
-    /// Digests of the version that is gathered.
-    pub manifest: Option<PieceManifest>,
-    /// Version of each piece, as checked; 0 when unknown.
-    pub versions: Vec<u64>,
-}
-
-impl Stage {
-    /// Pieces of `version` that are held.
-    pub fn have(&self, version: u64) -> HaveMap {
-        let mut have = HaveMap::empty(u32::try_from(self.versions.len()).unwrap_or(u32::MAX));
-        for (index, held) in (0u32..).zip(&self.versions) {
-            if *held == version {
-                have.insert(index);
-            }
-        }
-        have
-    }
-}
-
-impl Stage {
-    /// Whether every piece of `version` is held.
-    pub fn is_whole(&self, version: u64) -> bool {
-        !self.versions.is_empty() && self.versions.iter().all(|held| *held == version)
-    }
-}
-
 /// What another host says that it holds.
 #[derive(Debug, Clone)]
 pub struct Holder {
@@ -112,8 +84,6 @@
     entries: Vec<KnownEntry>,
     /// Model and version of the order under way.
     pub ordered: Option<(String, u64)>,
-    /// Version that is being gathered.
-    pub gathering: Option<Gathering>,
     /// Versions of weights that were declared.
     pub declared: Declarations,
     ledgers: [Ledger; 3],
@@ -133,7 +103,6 @@
             holders: Vec::new(),
             entries: Vec::new(),
             ordered: None,
-            gathering: None,
             declared: Declarations::default(),
             ledgers: Default::default(),
             started: Instant::now(),
@@ -232,20 +201,48 @@
                 is_exact: false,
             });
         }
+        let gatherings: Vec<Gathering> = self
+            .stages
+            .iter()
+            .filter(|stage| stage.model == model)
+            .flat_map(Stage::gatherings)
+            .collect();
         next_goal(&GoalInput {
             now_ms: self.now_ms() as i64,
             held: self.held(model),
             declared: &declared,
-            gathering: self.gathering,
+            gatherings: &gatherings,
             apply_ms: self.settings.weights_apply_ms as i64,
             turn: self.turn(),
         })
     }
 
-    /// Version of `model` to gather: the next to load, or else the one held.
-    pub fn wanted(&self, model: &str) -> u64 {
-        self.goal(model)
-            .map_or_else(|| self.held(model), |goal| goal.version)
+    /// Version of `model` to gather now; None when nothing is lacking.
+    ///
+    /// While the next version to load waits for its turn, a later one is
+    /// gathered already.
+    pub fn to_gather(&self, model: &str) -> Option<u64> {
+        let goal = self.goal(model);
+        if let Some(goal) = goal {
+            if !self.is_whole(model, goal.version) {
+                return Some(goal.version);
+            }
+            if self.now_ms() as i64 >= goal.not_before_ms {
+                return None;
+            }
+            let latest = self.declared.of(model).last()?.version;
+            return (!self.is_whole(model, latest)).then_some(latest);
+        }
+        // Others may lack pieces that only lie here unchecked.
+        let held = self.held(model);
+        (self.is_asked_for(model, held) && !self.is_whole(model, held)).then_some(held)
+    }
+
+    /// Whether another host still lacks pieces of the version.
+    fn is_asked_for(&self, model: &str, version: u64) -> bool {
+        self.holders.iter().any(|holder| {
+            holder.model == model && holder.version == version && !holder.have.is_complete()
+        })
     }
 
     /// Place of the own engine among those of its service, from 0 to 1.
@@ -256,23 +253,32 @@
         slot.min(names.len()) as f64 / names.len().max(1) as f64
     }
 
-    /// Whether every piece of `version` lies in the staging area.
-    pub fn is_staged(&self, model: &str, version: u64) -> bool {
+    /// Whether every piece of `version` is held.
+    pub fn is_whole(&self, model: &str, version: u64) -> bool {
         self.stages
             .iter()
             .any(|stage| stage.model == model && stage.is_whole(version))
     }
 
+    /// Whether pieces of `version` may go to the staging area at once: no version
+    /// before it waits there for its order.
+    pub fn may_overwrite(&self, model: &str, version: u64) -> bool {
+        let held = self.held(model);
+        let waits = |stage: &Stage| {
+            stage.copies().iter().any(|copy| {
+                let other = copy.manifest.version;
+                other > held && other < version && stage.is_whole(other)
+            })
+        };
+        !self.stages.iter().any(|s| s.model == model && waits(s))
+    }
+
     /// Staging area of `model`.
     pub fn stage(&mut self, model: &str) -> &mut Stage {
         let at = match self.stages.iter().position(|stage| stage.model == model) {
             Some(at) => at,
             None => {
-                self.stages.push(Stage {
-                    model: model.to_owned(),
-                    manifest: None,
-                    versions: Vec::new(),
-                });
+                self.stages.push(Stage::new(model));
                 self.stages.len() - 1
             }
         };
@@ -282,8 +288,13 @@
     /// Takes a note of what another host holds.
     pub fn holder_heard(&mut self, holder: Holder) {
         let same = |known: &&mut Holder| {
-            known.address == holder.address && known.model == holder.model
+            known.address == holder.address
+                && known.model == holder.model
+                && known.version == holder.version
         };
+        let now_ms = self.now_ms();
+        self.holders
+            .retain(|known| now_ms.saturating_sub(known.heard_ms) < HOLDER_KEPT_MS);
         match self.holders.iter_mut().find(same) {
             Some(known) => *known = holder,
             None => self.holders.push(holder),
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -18,7 +18,6 @@
 use crate::observe::Tally;
 use crate::weights::ReadFault;
 use crate::staging::EnginePort;
-use crate::staging::Gathering;
 use crate::weights::OriginPort;
 use crate::staging::StagingState;
 use crate::weights::PieceManifest;
@@ -144,8 +143,6 @@
 impl<E: EnginePort, O: OriginPort> Transfer<'_, E, O> {
     /// Gathers until the version is complete or no longer wanted.
     pub async fn run(&self) -> Gathered {
-        let began_ms = self.state.borrow().now_ms();
-        self.note_progress(began_ms, began_ms, false);
         let Some(manifest) = self.manifest().await else {
             return Gathered::Superseded;
         };
@@ -160,7 +157,7 @@
     }
 
     fn is_wanted(&self) -> bool {
-        self.state.borrow().wanted(self.model) == self.version
+        self.state.borrow().to_gather(self.model) == Some(self.version)
     }
 
     fn have(&self) -> HaveMap {
@@ -170,7 +167,7 @@
     /// Reads the manifest from a host that has it, or from the origin.
     async fn manifest(&self) -> Option<PieceManifest> {
         if let Some(known) = self.known_manifest() {
-            return Some(known);
+            return Some(self.keep_manifest(known));
         }
         let slot = {
             let state = self.state.borrow();
@@ -205,15 +202,14 @@
 
     fn known_manifest(&self) -> Option<PieceManifest> {
         let mut state = self.state.borrow_mut();
-        let known = state.stage(self.model).manifest.clone();
-        known.filter(|manifest| manifest.version == self.version)
+        let copy = state.stage(self.model).copy(self.version);
+        copy.map(|copy| copy.manifest.clone())
     }
 
     fn keep_manifest(&self, manifest: PieceManifest) -> PieceManifest {
         let mut state = self.state.borrow_mut();
-        let stage = state.stage(self.model);
-        stage.versions.resize(manifest.digests.len(), 0);
-        stage.manifest = Some(manifest.clone());
+        let now_ms = state.now_ms() as i64;
+        state.stage(self.model).begin(manifest.clone(), now_ms);
         manifest
     }
 
@@ -257,26 +253,49 @@
     async fn take_inventory(&self, manifest: &PieceManifest) {
         let mut engine = self.engine.clone();
         for index in 0..manifest.chunks() {
-            let known = self.state.borrow_mut().stage(self.model).versions[index as usize];
-            if known == 0 {
+            let staged = self.state.borrow_mut().stage(self.model).staged(index);
+            if staged == 0 {
                 self.check_piece(&mut engine, manifest, index).await;
             }
         }
     }
 
-    /// Checks every staged piece once more; returns whether all are right.
-    pub async fn recheck(&self) -> bool {
+    /// Puts every piece into the staging area and checks what lies there;
+    /// returns whether all are right.
+    pub async fn stage_pieces(&self) -> bool {
         let Some(manifest) = self.known_manifest() else {
             return false;
         };
         let mut engine = self.engine.clone();
         let mut is_whole = true;
         for index in 0..manifest.chunks() {
-            is_whole &= self.check_piece(&mut engine, &manifest, index).await;
+            let (staged, bytes) = {
+                let mut state = self.state.borrow_mut();
+                let stage = state.stage(self.model);
+                (stage.staged(index), stage.piece(self.version, index))
+            };
+            if staged == self.version && self.check_piece(&mut engine, &manifest, index).await {
+                continue;
+            }
+            let is_written = match bytes {
+                Some(bytes) => self.write_piece(&mut engine, index, &bytes).await,
+                None => false,
+            };
+            is_whole &= is_written && self.check_piece(&mut engine, &manifest, index).await;
         }
         is_whole
     }
 
+    async fn write_piece(&self, engine: &mut E, index: u32, bytes: &[u8]) -> bool {
+        match engine.write_piece(self.model, index, bytes).await {
+            Ok(()) => true,
+            Err(error) => {
+                log::debug!("piece {index} was not staged: {error}");
+                false
+            }
+        }
+    }
+
     async fn check_piece(&self, engine: &mut E, manifest: &PieceManifest, index: u32) -> bool {
         let is_right = match engine.read_piece(self.model, index).await {
             Ok(Some(bytes)) => manifest.matches(index, &bytes),
@@ -286,9 +305,9 @@
                 false
             }
         };
+        let staged = if is_right { self.version } else { 0 };
         let mut state = self.state.borrow_mut();
-        state.stage(self.model).versions[index as usize] =
-            if is_right { self.version } else { 0 };
+        state.stage(self.model).set_staged(index, staged);
         is_right
     }
 
@@ -306,7 +325,6 @@
                 return Gathered::Superseded;
             }
             let have = self.have();
-            self.note_progress(started_ms, progress_ms, have.is_complete());
             if have.is_complete() {
                 LogLine::new(Event::WeightsStaged)
                     .text("model", self.model)
@@ -351,15 +369,6 @@
         }
     }
 
-    fn note_progress(&self, began_ms: u64, progress_ms: u64, is_whole: bool) {
-        self.state.borrow_mut().gathering = Some(Gathering {
-            version: self.version,
-            began_ms: began_ms as i64,
-            progress_ms: progress_ms as i64,
-            is_whole,
-        });
-    }
-
     /// Reads from entries to start now; None when no entry can be asked.
     ///
     /// All hosts ask in the same order, so that a piece is read from the origin
@@ -479,7 +488,11 @@
                 let note = state
                     .holders
                     .iter()
-                    .find(|holder| holder.address == *address && holder.model == self.model);
+                    .find(|holder| {
+                        holder.address == *address
+                            && holder.model == self.model
+                            && holder.version == self.version
+                    });
                 let is_lost = match note {
                     Some(note) => now_ms.saturating_sub(note.heard_ms) >= HOLDER_SILENT_MS,
                     None => now_ms.saturating_sub(started_ms) >= HOLDER_AWAITED_MS,
@@ -487,7 +500,7 @@
                 Neighbour {
                     key,
                     have: note
-                        .filter(|n| n.version == self.version && n.have.len() == have.len())
+                        .filter(|note| note.have.len() == have.len())
                         .map_or_else(|| HaveMap::empty(have.len()), |note| note.have.clone()),
                     queue: 0,
                     blocked_until_ms: blocked_until(Source::Peer(key)),
@@ -571,18 +584,17 @@
                 .write();
             return false;
         }
-        // The piece of the version before is overwritten from here on.
-        self.state.borrow_mut().stage(self.model).versions[read.chunk as usize] = 0;
-        match engine.write_piece(self.model, read.chunk, &bytes).await {
-            Ok(()) => {
-                let mut state = self.state.borrow_mut();
-                state.stage(self.model).versions[read.chunk as usize] = self.version;
-                true
-            }
-            Err(error) => {
-                log::debug!("piece {} was not staged: {error}", read.chunk);
-                false
-            }
+        let is_free = self.state.borrow().may_overwrite(self.model, self.version);
+        let is_staged = is_free && self.write_piece(engine, read.chunk, &bytes).await;
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms() as i64;
+        let stage = state.stage(self.model);
+        if is_staged {
+            stage.set_staged(read.chunk, self.version);
+            stage.note_progress(self.version, now_ms);
+        } else {
+            stage.keep_piece(self.version, read.chunk, bytes, now_ms);
         }
+        true
     }
 }
