--- /dev/null
+++ b/tests/fleet/fixture.rs
@@ -0,0 +1,65 @@
+use bergamotfork::fleet::EngineLoad;
+use bergamotfork::fleet::EngineProfile;
+use bergamotfork::fleet::ReplicaKey;
+use bergamotfork::fleet::ReplicaRecord;
+use bergamotfork::fleet::ReplicaState;
+use bergamotfork::fleet::ReplicaTable;
+
+/// An engine of 16 slots, as large as those of the platform.
+pub fn engine() -> EngineProfile {
+    EngineProfile {
+        slots: 16,
+        step_ms: 9.27,
+        step_per_request_ms: 0.0232,
+        step_per_1k_context_ms: 0.0322,
+        read_per_ms: 20.7,
+        steps_per_pass: 5,
+        usual_prompt: 979.0,
+        usual_answer: 92.0,
+        chunks: 48,
+        chunk_bytes: 49_152,
+        models: Vec::new(),
+    }
+}
+
+pub fn record(id: &str, host: u8) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "chat".to_owned(),
+        address: format!("10.0.0.{host}:80").parse().unwrap(),
+        failure_domain: "a".to_owned(),
+        slots: 16,
+        state: ReplicaState::Ready,
+        cold_remaining_ms: 0,
+        heartbeat_no: 1,
+        born_unix_ms: Some(1),
+        weights: vec![("m".to_owned(), 1)],
+    }
+}
+
+pub fn load(at_ms: u64, running: u32, queued: u32) -> EngineLoad {
+    EngineLoad {
+        at_ms,
+        is_up: true,
+        is_loading: false,
+        running,
+        queued,
+        memory_used: 0.1,
+        version: 1,
+        pace: 1.0,
+    }
+}
+
+/// A table of replicas with these requests at each, as reported at `at_ms`.
+pub fn table(at_ms: u64, requests: &[u32]) -> (ReplicaTable, Vec<ReplicaKey>) {
+    let mut table = ReplicaTable::default();
+    let mut keys = Vec::new();
+    for (host, requests) in (1u8..).zip(requests) {
+        let (key, _) = table.register(record(&format!("r{host}"), host), at_ms);
+        let ip = format!("10.0.0.{host}").parse().unwrap();
+        let running = (*requests).min(16);
+        table.take_load(ip, 80, load(at_ms, running, requests - running));
+        keys.push(key);
+    }
+    (table, keys)
+}
--- /dev/null
+++ b/tests/http1/main.rs
@@ -0,0 +1,142 @@
+//! Heads, framing and bodies: what is accepted, and what could smuggle a request.
+
+use bytes::BytesMut;
+
+use bergamotfork::http1::BodyDecoder;
+use bergamotfork::http1::Framing;
+use bergamotfork::http1::Http1Error;
+use bergamotfork::http1::RequestHead;
+use bergamotfork::http1::ResponseHead;
+
+const MAX_HEAD_BYTES: usize = 1_024;
+
+fn request(text: &str) -> Result<Option<RequestHead>, Http1Error> {
+    RequestHead::take(&mut BytesMut::from(text), MAX_HEAD_BYTES)
+}
+
+fn framing(lines: &str) -> Result<Framing, Http1Error> {
+    let text = format!("POST /a/b HTTP/1.1\r\nHost: h\r\n{lines}\r\n");
+    request(&text)
+        .expect("the head parses")
+        .expect("the head is whole")
+        .framing()
+}
+
+fn decode(framing: Framing, parts: &[&str]) -> Result<(Vec<u8>, bool), Http1Error> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    for part in parts {
+        decoder.decode(&mut BytesMut::from(*part), &mut body)?;
+    }
+    Ok((body, decoder.is_done()))
+}
+
+#[test]
+fn request_head_partial_waits() {
+    assert!(request("GET / HTTP/1.1\r\nHost: h\r\n").unwrap().is_none());
+}
+
+#[test]
+fn request_head_leaves_the_rest() {
+    let mut inbox = BytesMut::from("GET /x?y=1 HTTP/1.1\r\nHost: h\r\n\r\nGET /z");
+    let head = RequestHead::take(&mut inbox, MAX_HEAD_BYTES).unwrap().unwrap();
+    assert_eq!((head.path(), head.query()), ("/x", "y=1"));
+    assert_eq!(&inbox[..], b"GET /z");
+}
+
+#[test]
+fn request_head_too_large_is_refused() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(MAX_HEAD_BYTES));
+    assert!(matches!(request(&long), Err(Http1Error::HeadTooLarge)));
+    let endless = format!("GET / HTTP/1.1\r\nX: {}", "a".repeat(MAX_HEAD_BYTES));
+    assert!(matches!(request(&endless), Err(Http1Error::HeadTooLarge)));
+}
+
+#[test]
+fn request_head_folded_line_is_refused() {
+    let folded = "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n";
+    assert!(matches!(request(folded), Err(Http1Error::Malformed(_))));
+}
+
+#[test]
+fn request_head_space_before_colon_is_refused() {
+    let spaced = "GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\n";
+    assert!(matches!(request(spaced), Err(Http1Error::Malformed(_))));
+}
+
+#[test]
+fn framing_plain_forms() {
+    assert_eq!(framing("").unwrap(), Framing::None);
+    assert_eq!(framing("Content-Length: 5\r\n").unwrap(), Framing::Length(5));
+    assert_eq!(
+        framing("Transfer-Encoding: chunked\r\n").unwrap(),
+        Framing::Chunked
+    );
+}
+
+#[test]
+fn framing_ambiguous_is_refused() {
+    for lines in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Content-Length: \r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        assert!(
+            matches!(framing(lines), Err(Http1Error::Malformed(_))),
+            "{lines:?} was taken"
+        );
+    }
+}
+
+#[test]
+fn decode_length_in_parts() {
+    let (body, done) = decode(Framing::Length(5), &["ab", "cde"]).unwrap();
+    assert_eq!((body.as_slice(), done), (b"abcde".as_slice(), true));
+}
+
+#[test]
+fn decode_chunks_with_trailer() {
+    let text = "3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    let (body, done) = decode(Framing::Chunked, &[text]).unwrap();
+    assert_eq!((body.as_slice(), done), (b"abcde".as_slice(), true));
+}
+
+#[test]
+fn decode_chunks_malformed_is_refused() {
+    for text in ["\r\n", "xyz\r\n", "-1\r\n", "3\r\nabcd\r\n", "3\nabc\r\n"] {
+        assert!(decode(Framing::Chunked, &[text]).is_err(), "{text:?} was taken");
+    }
+}
+
+#[test]
+fn decode_leaves_surplus_bytes() {
+    let mut inbox = BytesMut::from("abcHTTP/1.1 200 OK");
+    let mut body = Vec::new();
+    let mut decoder = BodyDecoder::new(Framing::Length(3));
+    decoder.decode(&mut inbox, &mut body).unwrap();
+    assert!(decoder.is_done());
+    assert_eq!(&inbox[..], b"HTTP/1.1 200 OK");
+}
+
+#[test]
+fn finish_tells_whole_from_broken() {
+    assert!(BodyDecoder::new(Framing::UntilClose).finish().is_ok());
+    assert!(BodyDecoder::new(Framing::Length(1)).finish().is_err());
+    assert!(BodyDecoder::new(Framing::Chunked).finish().is_err());
+}
+
+#[test]
+fn response_framing_without_length_ends_with_connection() {
+    let text = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+    let head = ResponseHead::take(&mut BytesMut::from(text), MAX_HEAD_BYTES)
+        .unwrap()
+        .unwrap();
+    assert_eq!(head.framing("GET").unwrap(), Framing::UntilClose);
+    assert_eq!(head.framing("HEAD").unwrap(), Framing::None);
+}
