--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -139,7 +139,9 @@
     let Some(engine) = input.engine else {
         return plain_predicted_ms(input, replica);
     };
-    let pace = replica.fresh_load(input.now_ms).map_or(1.0, |load| load.pace);
+    let pace = replica
+        .fresh_load(input.now_ms)
+        .map_or(1.0, |load| load.pace);
     let requests = replica
         .known_requests(input.others_per_ms, input.now_ms)
         .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entries));
@@ -177,11 +179,7 @@
 ///
 /// A free slot costs half a pass and the reading, which shares the engine with
 /// the passes of the others; without one, as many requests must end as wait.
-pub fn predicted_first_event_ms(
-    engine: &EngineProfile,
-    requests: u32,
-    prompt_tokens: f64,
-) -> f64 {
+pub fn predicted_first_event_ms(engine: &EngineProfile, requests: u32, prompt_tokens: f64) -> f64 {
     let slots = f64::from(engine.slots.max(1));
     let running = f64::from(requests).min(slots);
     let context_k = running * (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
--- a/src/fleet/declarations.rs
+++ b/src/fleet/declarations.rs
@@ -50,8 +50,9 @@
     pub fn merge(&mut self, notes: &[DeclarationNote], now_ms: i64) {
         for note in notes {
             let learned_ms = now_ms - i64::try_from(note.age_ms).unwrap_or(i64::MAX / 2);
-            let same =
-                |known: &&mut Declaration| known.model == note.model && known.version == note.version;
+            let same = |known: &&mut Declaration| {
+                known.model == note.model && known.version == note.version
+            };
             match self.entries.iter_mut().find(same) {
                 Some(known) if known.is_exact => {
                     known.learned_ms = known.learned_ms.min(learned_ms);
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -119,7 +119,11 @@
         let sent = u32::try_from(self.sent_ms.len()).unwrap_or(u32::MAX);
         let others = others_per_ms * now_ms.saturating_sub(load.at_ms) as f64;
         let total = load.running + load.queued + sent + others as u32;
-        Some(total.saturating_sub(self.ended_since_load).max(self.in_flight))
+        Some(
+            total
+                .saturating_sub(self.ended_since_load)
+                .max(self.in_flight),
+        )
     }
 
     /// Whether a request would begin at once, by the latest report.
@@ -149,9 +153,10 @@
     /// Time by which it answers later than predicted, by past answers and by
     /// those that are overdue now.
     pub fn delay_ms(&self, now_ms: u64) -> f64 {
-        let overdue = self.awaited.iter().map(|awaited| {
-            now_ms.saturating_sub(awaited.sent_ms) as f64 - awaited.predicted_ms
-        });
+        let overdue = self
+            .awaited
+            .iter()
+            .map(|awaited| now_ms.saturating_sub(awaited.sent_ms) as f64 - awaited.predicted_ms);
         let worst = overdue.fold(self.mean_delay_ms(now_ms), f64::max);
         if worst < DELAY_NOISE_MS { 0.0 } else { worst }
     }
--- a/src/fleet/retry_window.rs
+++ b/src/fleet/retry_window.rs
@@ -49,8 +49,7 @@
         let oldest = (current + 1).saturating_sub(STEPS as u64);
         let live = self.steps.iter().filter(|step| step.0 >= oldest);
         let (requests, resends) = live.fold((0, 0), |sum, step| (sum.0 + step.1, sum.1 + step.2));
-        let allowed =
-            self.ratio * f64::from(requests) + self.extra / f64::from(self.most_entries);
+        let allowed = self.ratio * f64::from(requests) + self.extra / f64::from(self.most_entries);
         if f64::from(resends) + 1.0 > allowed {
             return false;
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub enum Sent {
     /// Nothing was sent.
-    NotSent(Http1Error),
+    Unreachable(Http1Error),
     /// The replica states that the request did not run.
     NotRun,
     /// Another replica has the address; the request did not run.
@@ -88,8 +88,9 @@
 ) -> Sent {
     let mut connection = match Connection::open(address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
-        Err(error) => return Sent::NotSent(error),
+        Err(error) => return Sent::Unreachable(error),
     };
+    connection.reset_on_drop();
     let bytes = request_bytes(dialect, request, facts);
     match connection.write_or_readable(&bytes, request.until).await {
         Ok(_) => {}
@@ -143,7 +144,10 @@
     answer.is_encoded.then_some(Sent::Broken("encoded"))
 }
 
-async fn read_head(connection: &mut Connection, until: Instant) -> Result<ResponseHead, Http1Error> {
+async fn read_head(
+    connection: &mut Connection,
+    until: Instant,
+) -> Result<ResponseHead, Http1Error> {
     loop {
         match ResponseHead::take(&mut connection.inbox, MAX_HEAD_BYTES)? {
             Some(head) if head.status < 200 => continue,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -58,7 +58,9 @@
     let mut failures = 0u32;
     loop {
         let step = if must_list {
-            list(&state, topic, &mut source, &*decoder).await.map(|()| false)
+            list(&state, topic, &mut source, &*decoder)
+                .await
+                .map(|()| false)
         } else {
             read(&state, topic, &mut source, &*decoder).await
         };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -196,7 +196,14 @@
             if !self.may_resend(&request, &progress) {
                 let cause = progress.last_cause;
                 return self
-                    .give_up(client, &request, &relay, progress, cause, RETRY_AFTER_FAULT_MS)
+                    .give_up(
+                        client,
+                        &request,
+                        &relay,
+                        progress,
+                        cause,
+                        RETRY_AFTER_FAULT_MS,
+                    )
                     .await;
             }
         }
@@ -241,8 +248,7 @@
             0 => usable.len().max(1),
             open => open,
         };
-        let others_per_ms =
-            state.others_demand_per_ms(&request.service) / sharers as f64;
+        let others_per_ms = state.others_demand_per_ms(&request.service) / sharers as f64;
         if let (Some(model), Some(expected)) = (model, expected) {
             usable.retain(|(_, replica)| {
                 replica.weights_version(model, now_ms) >= expected
@@ -280,9 +286,7 @@
                     begin_within_ms: model.and_then(|model| {
                         state.begin_within_ms(model, replica.weights_version(model, now_ms))
                     }),
-                    load_age_ms: replica
-                        .fresh_load(now_ms)
-                        .map(|load| now_ms - load.at_ms),
+                    load_age_ms: replica.fresh_load(now_ms).map(|load| now_ms - load.at_ms),
                 })
             }
             Admission::Refuse {
@@ -307,7 +311,10 @@
             .text("id", &request.facts.attempt_id)
             .text("replica", &place.id)
             .number("predicted_ms", place.predicted_ms as i64)
-            .number("load_age_ms", place.load_age_ms.map_or(-1, |age| age as i64))
+            .number(
+                "load_age_ms",
+                place.load_age_ms.map_or(-1, |age| age as i64),
+            )
             .number("config", request.catalog.version)
             .number("left_ms", request.left_ms())
             .write();
@@ -340,8 +347,8 @@
         } else {
             ANSWER_PATIENCE
         };
-        let may_leave = request.route.kind.is_repeatable()
-            && request.sends + 1 < request.route.max_attempts;
+        let may_leave =
+            request.route.kind.is_repeatable() && request.sends + 1 < request.route.max_attempts;
         let head_until = if may_leave {
             Instant::now() + patience
         } else {
@@ -366,7 +373,8 @@
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         let cause = match &sent {
-            Sent::NotSent(_) => {
+            Sent::Unreachable(error) => {
+                log::debug!("{} was not reached: {error}", place.id);
                 progress.unreachable += 1;
                 state.replicas.unreachable(place.key, now_ms);
                 state.blame_breaks(&place.id);
@@ -583,7 +591,8 @@
     ) -> Next {
         let close = self.closes(request);
         let mut bytes = answer_head(&answer.head, close);
-        bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", answer.body.len()).as_bytes());
+        bytes
+            .extend_from_slice(format!("Content-Length: {}\r\n\r\n", answer.body.len()).as_bytes());
         bytes.extend_from_slice(&answer.body);
         let written = client.write_until(&bytes, request.until).await;
         let ending = Ending {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -195,7 +195,10 @@
     arrived: Instant,
 ) -> Result<Box<Request>, (RequestHead, Refusal)> {
     let mut state = gateway.state.borrow_mut();
-    if state.stopping.is_some_and(|since| since.elapsed() >= LEAVE_TIME) {
+    if state
+        .stopping
+        .is_some_and(|since| since.elapsed() >= LEAVE_TIME)
+    {
         let refusal = Refusal {
             status: 503,
             cause: "stopping",
@@ -234,7 +237,12 @@
     let until = arrived + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random());
     state.count_demand(&service);
-    let target = format!("{}{}{}", host, head.target, workspace.as_deref().unwrap_or(""));
+    let target = format!(
+        "{}{}{}",
+        host,
+        head.target,
+        workspace.as_deref().unwrap_or("")
+    );
     let fingerprint = fingerprint(&target, &body);
     let is_late = waited_before_ms > 0;
     Ok(Box::new(Request {
@@ -305,7 +313,12 @@
 ) -> Next {
     let close = head.wants_close() || gateway.state.borrow().stopping.is_some();
     let facts = gateway.dialect.request_facts(head);
-    let config = gateway.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+    let config = gateway
+        .state
+        .borrow()
+        .catalog
+        .as_ref()
+        .map_or(0, |c| c.version);
     LogLine::new(Event::RequestEnded)
         .text("id", &facts.attempt_id)
         .number("status", refusal.status)
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -47,13 +47,16 @@
 /// Interval at which unused versions are looked for.
 const EVICT_INTERVAL: Duration = Duration::from_secs(5);
 
+/// A piece that is read once, however many ask for it.
+type PieceCell = Rc<OnceCell<Rc<Vec<u8>>>>;
+
 /// One version of weights in memory.
 #[derive(Debug)]
 struct CachedVersion {
     model: String,
     version: u64,
     manifest: OnceCell<Rc<PieceManifest>>,
-    pieces: RefCell<Vec<Rc<OnceCell<Rc<Vec<u8>>>>>>,
+    pieces: RefCell<Vec<PieceCell>>,
     used: RefCell<Instant>,
 }
 
@@ -176,7 +179,9 @@
             {
                 return Ok(Rc::new(bytes));
             }
-            self.read_origin(cached, &manifest, index).await.map(Rc::new)
+            self.read_origin(cached, &manifest, index)
+                .await
+                .map(Rc::new)
         };
         cell.get_or_try_init(read).await.cloned()
     }
@@ -199,7 +204,10 @@
         index: u32,
         home: SocketAddr,
     ) -> Option<Vec<u8>> {
-        let target = format!("{HOME_PIECE_PATH}{}/{}/{index}", cached.model, cached.version);
+        let target = format!(
+            "{HOME_PIECE_PATH}{}/{}/{index}",
+            cached.model, cached.version
+        );
         let mut client = Client::new(home, Duration::ZERO);
         match client.ask(&Ask::get(&target, ENTRY_PIECE_TIMEOUT)).await {
             Ok(reply) if reply.status == 200 && manifest.matches(index, &reply.body) => {
@@ -225,11 +233,17 @@
         let mut fault = ReadFault::Spoilt;
         for _ in 0..ORIGIN_TRIES {
             let origin = self.origin_address()?;
-            let read = self.origin.piece(origin, &cached.model, cached.version, index);
+            let read = self
+                .origin
+                .piece(origin, &cached.model, cached.version, index);
             match read.await {
                 Ok(bytes) if manifest.matches(index, &bytes) => {
-                    self.metrics
-                        .add(Tally::WeightBytes, bytes.len() as u64, "direction", "origin");
+                    self.metrics.add(
+                        Tally::WeightBytes,
+                        bytes.len() as u64,
+                        "direction",
+                        "origin",
+                    );
                     return Ok(bytes);
                 }
                 Ok(_) => {
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -144,8 +144,7 @@
 /// The keyed topics of the platform's store.
 pub trait RecordSource {
     /// Reads the newest record of each key.
-    fn listing(&mut self, topic: Topic)
-    -> impl Future<Output = Result<Listing, SourceError>>;
+    fn listing(&mut self, topic: Topic) -> impl Future<Output = Result<Listing, SourceError>>;
     /// Reads records from `offset` on, and waits for the first up to `wait`.
     fn read(
         &mut self,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -53,8 +53,7 @@
     origin: impl OriginPort,
     source: impl Fn() -> S,
 ) -> io::Result<()> {
-    let mut terminate =
-        tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
     let metrics = Rc::new(Metrics::new());
     let state = GatewayState::new(settings.clone());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -175,7 +175,12 @@
             .unwrap_or(StreamEnd::Complete)
     }
 
-    async fn write(&mut self, client: &Connection, data: &[u8], is_last: bool) -> Option<StreamEnd> {
+    async fn write(
+        &mut self,
+        client: &Connection,
+        data: &[u8],
+        is_last: bool,
+    ) -> Option<StreamEnd> {
         let mut bytes = Vec::with_capacity(data.len() + 64);
         if !self.is_head_out {
             bytes.extend_from_slice(self.head.as_deref().unwrap_or_default());
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -105,7 +105,10 @@
 }
 
 fn request_bytes(address: SocketAddr, ask: &Ask<'_>) -> Vec<u8> {
-    let mut bytes = format!("{} {} HTTP/1.1\r\nHost: {address}\r\n", ask.method, ask.target);
+    let mut bytes = format!(
+        "{} {} HTTP/1.1\r\nHost: {address}\r\n",
+        ask.method, ask.target
+    );
     if !ask.content_type.is_empty() {
         bytes.push_str(&format!("Content-Type: {}\r\n", ask.content_type));
     }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -148,12 +148,14 @@
         }
     }
 
-    /// Resets the connection instead of closing it in order, so that a body
-    /// that ends with the connection can't be taken for complete.
-    pub fn reset(self) {
+    /// Makes the connection end with a reset whenever it is dropped.
+    ///
+    /// What was not sent by then is discarded, so that a request that is given
+    /// up does not reach its replica later.
+    pub fn reset_on_drop(&self) {
         let socket = socket2::SockRef::from(&self.stream);
         if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
-            log::debug!("cannot reset a connection: {error}");
+            log::debug!("a connection will not be reset: {error}");
         }
     }
 }
--- a/src/staging/goal.rs
+++ b/src/staging/goal.rs
@@ -79,9 +79,7 @@
     // Engines that passed an earlier version over load until that one is due.
     let gathered_ms = chosen.learned_ms + GATHER_MS;
     let first_ms = match input.declared[..open].last() {
-        Some(earlier) => {
-            gathered_ms.max(earlier.learned_ms + input.apply_ms - APPLY_MARGIN_MS)
-        }
+        Some(earlier) => gathered_ms.max(earlier.learned_ms + input.apply_ms - APPLY_MARGIN_MS),
         None => gathered_ms,
     };
     let last_ms = due_ms - ORDER_MARGIN_MS;
--- a/src/staging/keeper.rs
+++ b/src/staging/keeper.rs
@@ -7,9 +7,9 @@
 use crate::observe::Metrics;
 use crate::staging::EnginePort;
 use crate::staging::Goal;
-use crate::weights::OriginPort;
 use crate::staging::StagingState;
 use crate::staging::transfer::Transfer;
+use crate::weights::OriginPort;
 
 /// Pause between looks at what the engine holds.
 const LOOK_INTERVAL: Duration = Duration::from_millis(60);
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -22,13 +22,13 @@
 use crate::observe::Metrics;
 use crate::observe::flush_log;
 use crate::staging::EnginePort;
-use crate::weights::OriginPort;
 use crate::staging::StagingSettings;
 use crate::staging::StagingState;
 use crate::staging::keeper::keep_weights;
 use crate::staging::pieces::Pieces;
 use crate::staging::reporter::report_load;
 use crate::staging::state::Holder;
+use crate::weights::OriginPort;
 
 /// Interval at which log lines are handed to their writer.
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
@@ -59,8 +59,7 @@
     decoder: Rc<impl RecordDecoder + 'static>,
     source: impl Fn() -> S,
 ) -> io::Result<()> {
-    let mut terminate =
-        tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
     let metrics = Rc::new(Metrics::new());
     let state = StagingState::new(settings.clone());
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -30,21 +30,25 @@
                 None
             }
         };
-        let mut state_now = state.borrow_mut();
-        log_change(state_now.report.as_ref(), report.as_ref());
-        state_now.report = report;
-        let bytes = Datagram::Load(load_report(&state_now)).encode();
-        for entry in state_now.entries() {
-            // A lost report is made good by the next one.
-            if let Err(error) = socket.try_send_to(&bytes, entry) {
-                log::debug!("a load report to {entry} was not sent: {error}");
-            }
-        }
-        drop(state_now);
+        tell_entries(&state, report, &socket);
         tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
 
+/// Keeps the report and tells the entries.
+fn tell_entries(state: &RefCell<StagingState>, report: Option<EngineReport>, socket: &UdpSocket) {
+    let mut state = state.borrow_mut();
+    log_change(state.report.as_ref(), report.as_ref());
+    state.report = report;
+    let bytes = Datagram::Load(load_report(&state)).encode();
+    for entry in state.entries() {
+        // A lost report is made good by the next one.
+        if let Err(error) = socket.try_send_to(&bytes, entry) {
+            log::debug!("a load report to {entry} was not sent: {error}");
+        }
+    }
+}
+
 fn load_report(state: &StagingState) -> LoadReport {
     let port = state.settings.replica.port();
     let models = state.models();
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -185,7 +185,10 @@
 
     /// Version of `model` that the engine holds, or was ordered to load.
     pub fn held(&self, model: &str) -> u64 {
-        let reported = self.report.as_ref().map_or(0, |report| report.version(model));
+        let reported = self
+            .report
+            .as_ref()
+            .map_or(0, |report| report.version(model));
         let ordered = self.ordered.iter().find(|ordered| ordered.0 == model);
         reported.max(ordered.map_or(0, |ordered| ordered.1))
     }
@@ -248,7 +251,11 @@
     /// Place of the own engine among those of its service, from 0 to 1.
     fn turn(&self) -> f64 {
         let own = self.settings.replica.to_string();
-        let names: Vec<String> = self.replicas.iter().map(|r| r.address.to_string()).collect();
+        let names: Vec<String> = self
+            .replicas
+            .iter()
+            .map(|r| r.address.to_string())
+            .collect();
         let slot = rotation_slot(&own, names.iter().map(String::as_str), 0);
         slot.min(names.len()) as f64 / names.len().max(1) as f64
     }
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -16,19 +16,19 @@
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::observe::Tally;
-use crate::weights::ReadFault;
 use crate::staging::EnginePort;
-use crate::weights::OriginPort;
 use crate::staging::StagingState;
-use crate::weights::PieceManifest;
 use crate::weights::Digest;
 use crate::weights::Fetch;
 use crate::weights::HaveMap;
 use crate::weights::Homes;
 use crate::weights::Neighbour;
+use crate::weights::OriginPort;
 use crate::weights::PeerKey;
+use crate::weights::PieceManifest;
 use crate::weights::PlanInput;
 use crate::weights::PlanSettings;
+use crate::weights::ReadFault;
 use crate::weights::Source;
 use crate::weights::SwarmHost;
 use crate::weights::agreed_manifest;
@@ -102,7 +102,10 @@
 fn entry_for(chunk: u32, entries: &[SocketAddr]) -> Option<SocketAddr> {
     let names: Vec<String> = entries.iter().map(SocketAddr::to_string).collect();
     rotation_first(
-        names.iter().map(String::as_str).zip(entries.iter().copied()),
+        names
+            .iter()
+            .map(String::as_str)
+            .zip(entries.iter().copied()),
         u64::from(chunk),
     )
 }
@@ -171,7 +174,11 @@
         }
         let slot = {
             let state = self.state.borrow();
-            let names: Vec<String> = state.replicas.iter().map(|r| r.address.to_string()).collect();
+            let names: Vec<String> = state
+                .replicas
+                .iter()
+                .map(|r| r.address.to_string())
+                .collect();
             let own = state.settings.replica.to_string();
             rotation_slot(&own, names.iter().map(String::as_str), self.version)
         };
@@ -478,21 +485,20 @@
         let state = self.state.borrow();
         let now_ms = state.now_ms();
         let blocked_until = |source: Source| {
-            let mine = blocked.iter().filter(|block| block.0 == Place::Swarm(source));
+            let mine = blocked
+                .iter()
+                .filter(|block| block.0 == Place::Swarm(source));
             mine.map(|block| block.1).max().unwrap_or(0)
         };
         let neighbours: Vec<Neighbour> = (0u32..)
             .zip(&swarm.addresses)
             .map(|(index, address)| {
                 let key = PeerKey(index);
-                let note = state
-                    .holders
-                    .iter()
-                    .find(|holder| {
-                        holder.address == *address
-                            && holder.model == self.model
-                            && holder.version == self.version
-                    });
+                let note = state.holders.iter().find(|holder| {
+                    holder.address == *address
+                        && holder.model == self.model
+                        && holder.version == self.version
+                });
                 let is_lost = match note {
                     Some(note) => now_ms.saturating_sub(note.heard_ms) >= HOLDER_SILENT_MS,
                     None => now_ms.saturating_sub(started_ms) >= HOLDER_AWAITED_MS,
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -1,3 +1,5 @@
+use crate::fixture::engine;
+use crate::fixture::table;
 use bergamotfork::fleet::Admission;
 use bergamotfork::fleet::AdmissionInput;
 use bergamotfork::fleet::RefusalCause;
@@ -7,9 +9,6 @@
 use bergamotfork::fleet::admit;
 use bergamotfork::fleet::predicted_first_event_ms;
 
-use crate::fixture::engine;
-use crate::fixture::table;
-
 const TARGET_MS: u64 = 400;
 
 fn decide(table: &ReplicaTable, now_ms: u64, seed: u64, is_return: bool) -> Admission {
@@ -73,7 +72,10 @@
 #[test]
 fn admit_returned_request_needs_free_slots() {
     let (busy, _) = table(0, &[15, 16]);
-    assert!(matches!(decide(&busy, 10, 1, true), Admission::Refuse { .. }));
+    assert!(matches!(
+        decide(&busy, 10, 1, true),
+        Admission::Refuse { .. }
+    ));
     let (calm, _) = table(0, &[6, 16]);
     assert!(matches!(decide(&calm, 10, 1, true), Admission::Send { .. }));
 }
--- a/tests/fleet/beliefs.rs
+++ b/tests/fleet/beliefs.rs
@@ -1,3 +1,6 @@
+use crate::fixture::load;
+use crate::fixture::record;
+use crate::fixture::table;
 use bergamotfork::fleet::Catalog;
 use bergamotfork::fleet::Declaration;
 use bergamotfork::fleet::DeclarationNote;
@@ -12,10 +15,6 @@
 use bergamotfork::fleet::rotation_first;
 use bergamotfork::fleet::rotation_slot;
 
-use crate::fixture::load;
-use crate::fixture::record;
-use crate::fixture::table;
-
 fn route(name: &str, path_prefix: &str) -> Route {
     Route {
         name: name.to_owned(),
@@ -41,7 +40,11 @@
 
 #[test]
 fn catalog_route_longest_prefix_wins() {
-    let routes = vec![route("short", "/a/"), route("long", "/a/b/"), route("root", "/")];
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("root", "/"),
+    ];
     let catalog = Catalog::new(1, routes, Vec::new(), Limits::default(), Vec::new());
     let name = |path| catalog.route("h", path).map(|route| route.name.as_str());
     assert_eq!(name("/a/b/c"), Some("long"));
@@ -74,7 +77,10 @@
     assert!(ledger.apply(change("a", 5, Some("new"))));
     assert!(!ledger.apply(change("a", 3, Some("old"))));
     assert!(!ledger.apply(change("a", 5, Some("same"))));
-    assert_eq!(ledger.get("a").unwrap().value.as_deref(), Some(b"new".as_slice()));
+    assert_eq!(
+        ledger.get("a").unwrap().value.as_deref(),
+        Some(b"new".as_slice())
+    );
     assert_eq!(ledger.end_offset(), 6);
 }
 
--- a/tests/http1/main.rs
+++ b/tests/http1/main.rs
@@ -39,14 +39,19 @@
 #[test]
 fn request_head_leaves_the_rest() {
     let mut inbox = BytesMut::from("GET /x?y=1 HTTP/1.1\r\nHost: h\r\n\r\nGET /z");
-    let head = RequestHead::take(&mut inbox, MAX_HEAD_BYTES).unwrap().unwrap();
+    let head = RequestHead::take(&mut inbox, MAX_HEAD_BYTES)
+        .unwrap()
+        .unwrap();
     assert_eq!((head.path(), head.query()), ("/x", "y=1"));
     assert_eq!(&inbox[..], b"GET /z");
 }
 
 #[test]
 fn request_head_too_large_is_refused() {
-    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(MAX_HEAD_BYTES));
+    let long = format!(
+        "GET / HTTP/1.1\r\nX: {}\r\n\r\n",
+        "a".repeat(MAX_HEAD_BYTES)
+    );
     assert!(matches!(request(&long), Err(Http1Error::HeadTooLarge)));
     let endless = format!("GET / HTTP/1.1\r\nX: {}", "a".repeat(MAX_HEAD_BYTES));
     assert!(matches!(request(&endless), Err(Http1Error::HeadTooLarge)));
@@ -67,7 +72,10 @@
 #[test]
 fn framing_plain_forms() {
     assert_eq!(framing("").unwrap(), Framing::None);
-    assert_eq!(framing("Content-Length: 5\r\n").unwrap(), Framing::Length(5));
+    assert_eq!(
+        framing("Content-Length: 5\r\n").unwrap(),
+        Framing::Length(5)
+    );
     assert_eq!(
         framing("Transfer-Encoding: chunked\r\n").unwrap(),
         Framing::Chunked
@@ -110,7 +118,10 @@
 #[test]
 fn decode_chunks_malformed_is_refused() {
     for text in ["\r\n", "xyz\r\n", "-1\r\n", "3\r\nabcd\r\n", "3\nabc\r\n"] {
-        assert!(decode(Framing::Chunked, &[text]).is_err(), "{text:?} was taken");
+        assert!(
+            decode(Framing::Chunked, &[text]).is_err(),
+            "{text:?} was taken"
+        );
     }
 }
 
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -85,7 +85,10 @@
 
 #[test]
 fn next_goal_empty_engine_loads_at_once() {
-    assert_eq!(goal(9_000, 0, &[(1, 0)], &[], 0.9).unwrap().not_before_ms, 9_000);
+    assert_eq!(
+        goal(9_000, 0, &[(1, 0)], &[], 0.9).unwrap().not_before_ms,
+        9_000
+    );
 }
 
 #[test]
