--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -94,6 +94,8 @@
     pub waited_ms: u64,
     /// Whether the client was refused before and has come back.
     pub is_return: bool,
+    /// Whether the client has part of the answer already.
+    pub has_begun: bool,
     /// Time within which the answer is on time.
     pub target_ms: u64,
     /// Time that is left in all.
@@ -151,6 +153,8 @@
     let on_time_ms = input.target_ms as f64 * TARGET_FILL - input.waited_ms as f64;
     let fits = if delay_ms >= SICK_DELAY_MS {
         false
+    } else if input.has_begun {
+        requests <= engine.slots
     } else if on_time_ms > 0.0 && !input.is_return {
         predicted_ms <= on_time_ms
     } else {
--- a/src/fleet/retry_window.rs
+++ b/src/fleet/retry_window.rs
@@ -43,14 +43,19 @@
         self.step(now_ms).1 += 1;
     }
 
-    /// Takes one further send out of the budget; false when it is spent.
-    pub fn try_resend(&mut self, now_ms: u64) -> bool {
+    /// Whether one further send is within the budget.
+    pub fn has_room(&self, now_ms: u64) -> bool {
         let current = now_ms / self.step_ms + 1;
         let oldest = (current + 1).saturating_sub(STEPS as u64);
         let live = self.steps.iter().filter(|step| step.0 >= oldest);
         let (requests, resends) = live.fold((0, 0), |sum, step| (sum.0 + step.1, sum.1 + step.2));
         let allowed = self.ratio * f64::from(requests) + self.extra / f64::from(self.most_entries);
-        if f64::from(resends) + 1.0 > allowed {
+        f64::from(resends) + 1.0 <= allowed
+    }
+
+    /// Takes one further send out of the budget; false when it is spent.
+    pub fn try_resend(&mut self, now_ms: u64) -> bool {
+        if !self.has_room(now_ms) {
             return false;
         }
         self.step(now_ms).2 += 1;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,6 +66,8 @@
     NotRun,
     /// Another replica has the address; the request did not run.
     Misplaced,
+    /// The replica holds other weights than expected; the request did not run.
+    OtherWeights,
     /// It may have run, and there is no valid answer.
     Broken(&'static str),
     /// The answer.
@@ -102,7 +104,7 @@
         Err(error) => return Sent::Broken(error.label()),
     };
     let answer = dialect.answer_facts(&head);
-    if let Some(outcome) = reject(&answer, &head, request) {
+    if let Some(outcome) = reject(&answer, &head, request, facts) {
         return outcome;
     }
     let framing = match head.framing(&request.head.method) {
@@ -124,7 +126,12 @@
 }
 
 /// Outcome of an answer that is not the replica's answer to this request.
-fn reject(answer: &AnswerFacts, head: &ResponseHead, request: &Request) -> Option<Sent> {
+fn reject(
+    answer: &AnswerFacts,
+    head: &ResponseHead,
+    request: &Request,
+    facts: &SendFacts<'_>,
+) -> Option<Sent> {
     let is_other = answer
         .attempt_id
         .as_ref()
@@ -132,8 +139,13 @@
     if is_other {
         return Some(Sent::Broken("other_answer"));
     }
-    if answer.is_misplaced {
-        return Some(Sent::Misplaced);
+    if answer.is_misdirected {
+        let is_expected = answer.replica_id.as_deref() == Some(facts.replica_id);
+        return Some(if is_expected {
+            Sent::OtherWeights
+        } else {
+            Sent::Misplaced
+        });
     }
     if answer.is_not_run && head.status >= 400 {
         return Some(Sent::NotRun);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -158,7 +158,7 @@
             return self.end(client, &request, &progress, ending).await;
         }
         loop {
-            let place = match self.place(&request) {
+            let place = match self.place(&request, relay.has_begun()) {
                 Ok(place) => place,
                 Err((cause, retry_after_ms)) => {
                     return self
@@ -215,7 +215,7 @@
     }
 
     /// Chooses a replica, or tells why there is none and when to come back.
-    fn place(&self, request: &Request) -> Result<Place, (&'static str, u64)> {
+    fn place(&self, request: &Request, has_begun: bool) -> Result<Place, (&'static str, u64)> {
         let mut state = self.state.borrow_mut();
         let seed = state.random();
         let now_ms = state.now_ms();
@@ -265,6 +265,7 @@
             prompt_tokens: request.facts.prompt_tokens,
             waited_ms: request.waited_ms(),
             is_return: request.waited_before_ms > 0,
+            has_begun,
             target_ms: request.route.target_ms,
             left_ms: request.left_ms(),
             seed,
@@ -347,8 +348,9 @@
         } else {
             ANSWER_PATIENCE
         };
-        let may_leave =
-            request.route.kind.is_repeatable() && request.sends + 1 < request.route.max_attempts;
+        let may_leave = request.route.kind.is_repeatable()
+            && request.sends + 1 < request.route.max_attempts
+            && self.has_budget(request);
         let head_until = if may_leave {
             Instant::now() + patience
         } else {
@@ -362,6 +364,12 @@
         client.unless_closed(work).await
     }
 
+    fn has_budget(&self, request: &Request) -> bool {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.budget(&request.service).has_room(now_ms)
+    }
+
     /// Learns from what became of a send; returns an answer to pass on.
     fn take_outcome(
         &self,
@@ -385,6 +393,11 @@
                 state.replicas.was_full(place.key, now_ms);
                 "replica_full"
             }
+            Sent::OtherWeights => {
+                request.sends += 1;
+                state.replicas.was_full(place.key, now_ms);
+                "other_weights"
+            }
             Sent::Misplaced => {
                 request.sends += 1;
                 state.replicas.misplaced(place.key, now_ms);
@@ -641,6 +654,9 @@
         ending: &Ending<'_>,
         stream: Option<(f64, u64)>,
     ) {
+        let took_ms = request.arrived.elapsed().as_secs_f64() * 1_000.0;
+        let answer_ms = stream.map_or(took_ms, |stream| stream.0);
+        self.metrics.answered(outcome_of(ending.status), answer_ms);
         let mut line = LogLine::new(Event::RequestEnded)
             .text("id", &request.facts.attempt_id)
             .text("route", &request.route.name)
@@ -650,10 +666,7 @@
             .text("replica", &progress.replica)
             .number("sends", request.sends)
             .number("config", request.catalog.version)
-            .number(
-                "took_ms",
-                u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
-            )
+            .number("took_ms", took_ms as i64)
             .number("waited_before_ms", request.waited_before_ms);
         if let Some(retry_after_ms) = ending.retry_after_ms {
             line = line.number("retry_after_ms", retry_after_ms);
@@ -667,6 +680,17 @@
     }
 }
 
+/// Name of an outcome in the metrics; status 0 is an answer that was not finished.
+fn outcome_of(status: u16) -> &'static str {
+    match status {
+        200..300 => "served",
+        502 | 504 => "failed",
+        503 => "refused",
+        0 => "not_finished",
+        _ => "other",
+    }
+}
+
 fn log_failed_attempt(request: &Request, place: &Place, cause: &str) {
     LogLine::new(Event::AttemptFailed)
         .text("id", &request.facts.attempt_id)
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -65,8 +65,10 @@
     pub is_signed: bool,
     /// Whether the replica states that the request did not run.
     pub is_not_run: bool,
-    /// Whether another replica has the address.
-    pub is_misplaced: bool,
+    /// Whether the replica is not the expected one, or its weights are not.
+    pub is_misdirected: bool,
+    /// Identity of the replica that answers, where it names itself.
+    pub replica_id: Option<String>,
     /// Whether the body is encoded, which no replica does.
     pub is_encoded: bool,
 }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -1,5 +1,6 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -62,8 +63,14 @@
     // Keeps the instruments alive.
     _provider: SdkMeterProvider,
     counters: Vec<Counter<u64>>,
+    answer_ms: Histogram<f64>,
 }
 
+/// Upper bounds of the answer times, in ms: around the targets of routes.
+const ANSWER_BOUNDS_MS: [f64; 12] = [
+    25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 400.0, 500.0, 750.0, 1_000.0, 2_000.0, 5_000.0,
+];
+
 impl Metrics {
     /// Fresh counters.
     pub fn new() -> Self {
@@ -78,10 +85,15 @@
             .iter()
             .map(|tally| meter.u64_counter(tally.name()).build())
             .collect();
+        let answer_ms = meter
+            .f64_histogram("bergamotfork_answer_ms")
+            .with_boundaries(ANSWER_BOUNDS_MS.to_vec())
+            .build();
         Self {
             registry,
             _provider: provider,
             counters,
+            answer_ms,
         }
     }
 
@@ -100,6 +112,14 @@
         self.add(Tally::Retries, 1, "reason", reason);
     }
 
+    /// Counts a request that ended with `outcome`, and the time to its answer or
+    /// first event.
+    pub fn answered(&self, outcome: &'static str, answer_ms: f64) {
+        self.add(Tally::Requests, 1, "outcome", outcome);
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.answer_ms.record(answer_ms, &labels);
+    }
+
     /// All counters in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -26,6 +26,7 @@
         prompt_tokens: 800,
         waited_ms: 0,
         is_return,
+        has_begun: false,
         target_ms: TARGET_MS,
         left_ms: 6_000,
         seed,
@@ -149,6 +150,7 @@
             prompt_tokens: 800,
             waited_ms: 0,
             is_return: false,
+            has_begun: false,
             target_ms: TARGET_MS,
             left_ms: 6_000,
             seed: 1,
@@ -157,3 +159,30 @@
     assert!(matches!(at(5), Admission::Send { .. }));
     assert!(matches!(at(95), Admission::Refuse { .. }));
 }
+
+/// A stream that broke off in the middle goes on where a late request would not
+/// begin, but not behind others.
+#[test]
+fn admit_begun_stream_goes_on_beside_late_ones() {
+    let decide = |requests: u32| {
+        let (table, _) = table(0, &[requests]);
+        let replicas: Vec<(ReplicaKey, &Replica)> = table.listed().collect();
+        admit(&AdmissionInput {
+            now_ms: 10,
+            replicas: &replicas,
+            engine: Some(&engine()),
+            failure_domain: "a",
+            entries: 6,
+            others_per_ms: 0.0,
+            prompt_tokens: 800,
+            waited_ms: 1_500,
+            is_return: false,
+            has_begun: true,
+            target_ms: TARGET_MS,
+            left_ms: 4_000,
+            seed: 1,
+        })
+    };
+    assert!(matches!(decide(15), Admission::Send { .. }));
+    assert!(matches!(decide(20), Admission::Refuse { .. }));
+}
