--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -4,10 +4,14 @@
 use serde::Serialize;
 
 use crate::calls::SuspectRecord;
+use crate::fleet::rotation_slot;
 
 /// Silence after which an entry is taken for dead, in ms: several beats.
 const ENTRY_SILENT_MS: u64 = 900;
 
+/// Seed of the rank by which entries read the store.
+const READER_SEED: u64 = 1;
+
 /// An entry, as it registers itself for the others to find.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -45,6 +49,8 @@
     pub failure_domain: String,
     /// Whether it takes new clients.
     pub is_ready: bool,
+    /// Whether the platform's store answers it.
+    pub has_store: bool,
     /// Ends of the topics that it holds, in the order of `Topic::ALL`.
     pub ends: [u64; 3],
     /// Latest declarations of weights whose age is known.
@@ -123,6 +129,18 @@
             .map(|peer| &peer.beat)
     }
 
+    /// Whether another entry of `failure_domain` reads the store for `own` as well.
+    ///
+    /// One entry a failure domain reads, by a rank that all agree on; who loses
+    /// the store or falls silent is passed over.
+    pub fn has_reader(&self, own: &str, failure_domain: &str, now_ms: u64) -> bool {
+        let readers = self
+            .alive(now_ms)
+            .filter(|peer| peer.has_store && peer.failure_domain == failure_domain)
+            .map(|peer| peer.name.as_str());
+        rotation_slot(own, readers, READER_SEED) > 0
+    }
+
     /// Every entry ever heard from, for beats to those that may be back.
     pub fn all(&self) -> impl Iterator<Item = &EntryBeat> {
         self.peers.iter().map(|peer| &peer.beat)
--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -104,6 +104,7 @@
         front: state.settings.front,
         failure_domain: state.settings.failure_domain.clone(),
         is_ready: state.is_ready(),
+        has_store: state.has_store(),
         ends: state.ends(),
         declared: state.weights.notes(state.now_ms() as i64),
         suspects,
@@ -203,12 +204,14 @@
         .text("entry", &beat.name)
         .flag("ready", beat.is_ready);
     let internal = beat.internal;
+    let is_near = beat.failure_domain == known.settings.failure_domain;
     let ends = beat.ends;
     if known.peers.heard(beat, now_ms) {
         lines.write();
     }
     for topic in Topic::ALL {
-        let is_behind = ends[topic as usize] > own_ends[topic as usize];
+        let is_behind = ends[topic as usize] > own_ends[topic as usize]
+            && (is_near || known.is_outdated(topic));
         if is_behind && known.may_pull(topic) {
             let state = state.clone();
             let decoder = decoder.clone();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -41,6 +41,9 @@
 /// Pause between reads of the replicas' records, which change all the time.
 const REPLICAS_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause between looks at whether another entry still reads for this one.
+const READER_CHECK: Duration = Duration::from_millis(200);
+
 /// Pause between reads of other topics.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -57,6 +60,10 @@
     let mut must_list = true;
     let mut failures = 0u32;
     loop {
+        if !must_list && state.borrow().has_reader() {
+            tokio::time::sleep(READER_CHECK).await;
+            continue;
+        }
         let step = if must_list {
             list(&state, topic, &mut source, &*decoder)
                 .await
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -11,6 +11,7 @@
 use crate::http1::Ask;
 use crate::http1::Client;
 use crate::http1::InternalReply;
+use crate::links::TokenBucket;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
@@ -35,8 +36,11 @@
 /// Reads of one piece from the origin before it is given up.
 const ORIGIN_TRIES: u32 = 3;
 
-/// Pieces that an entry reads ahead from the origin at a time.
-const AHEAD_READS: usize = 2;
+/// Part of an entry's link that pieces may take: requests go before them.
+const LINK_SHARE: f64 = 0.4;
+
+/// Bytes of pieces that may go out at once.
+const LINK_BURST_BYTES: u64 = 128 * 1024;
 
 /// Pause before reading ahead goes on after a failure.
 const AHEAD_PAUSE: Duration = Duration::from_millis(300);
@@ -72,12 +76,18 @@
     origin: O,
     metrics: Rc<Metrics>,
     versions: RefCell<Vec<Rc<CachedVersion>>>,
+    link: RefCell<TokenBucket>,
+    started: Instant,
 }
 
 impl<O: OriginPort> PieceCache<O> {
     /// An empty cache.
     pub fn new(state: Rc<RefCell<GatewayState>>, origin: O, metrics: Rc<Metrics>) -> Rc<Self> {
+        let link_mbps = state.borrow().settings.link_mbps;
+        let bytes_per_s = (link_mbps * LINK_SHARE * 1_000_000.0 / 8.0) as u64;
         Rc::new(Self {
+            link: RefCell::new(TokenBucket::new(bytes_per_s.max(1), LINK_BURST_BYTES)),
+            started: Instant::now(),
             state,
             origin,
             metrics,
@@ -106,7 +116,11 @@
         let version = parts.next()?.parse().ok()?;
         let index = parts.next()?.parse().ok()?;
         let cached = self.version(model, version);
-        Some(match self.piece(&cached, index, home.is_some()).await {
+        let piece = self.piece(&cached, index, home.is_some()).await;
+        if let Ok(bytes) = &piece {
+            self.wait_for_link(bytes.len()).await;
+        }
+        Some(match piece {
             Ok(bytes) => InternalReply {
                 status: 200,
                 content_type: "application/octet-stream",
@@ -116,6 +130,13 @@
         })
     }
 
+    /// Waits until the link has room for a piece.
+    async fn wait_for_link(&self, len: usize) {
+        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let wait_us = self.link.borrow_mut().reserve(now_us, len as u64);
+        tokio::time::sleep(Duration::from_micros(wait_us)).await;
+    }
+
     fn version(&self, model: &str, version: u64) -> Rc<CachedVersion> {
         let mut versions = self.versions.borrow_mut();
         let known = versions
@@ -296,20 +317,39 @@
         })
     }
 
+    /// Reads the pieces whose home is here, each when its turn on the origin's
+    /// link comes, so that they arrive in the order in which hosts ask.
     async fn read_home_pieces(&self, cached: &CachedVersion) -> Result<(), ReadFault> {
         let manifest = self.manifest(cached).await?;
-        let own: Vec<u32> = (0..manifest.chunks())
-            .filter(|index| self.home(*index).is_none())
-            .collect();
-        for group in own.chunks(AHEAD_READS) {
-            let reads = group.iter().map(|index| self.piece(cached, *index, true));
-            for result in futures_util::future::join_all(reads).await {
-                result?;
+        let began = Instant::now();
+        let turn = self.origin_turn();
+        for index in 0..manifest.chunks() {
+            if self.home(index).is_none() {
+                tokio::time::sleep_until(began + turn * index).await;
+                self.piece(cached, index, true).await?;
             }
         }
         Ok(())
     }
 
+    /// Time that one piece takes on the origin's link.
+    fn origin_turn(&self) -> Duration {
+        let state = self.state.borrow();
+        let services = || state.catalog.iter().flat_map(|catalog| catalog.services());
+        let chunk_bytes = services()
+            .filter_map(|service| service.engine.as_ref())
+            .map(|engine| f64::from(engine.chunk_bytes))
+            .fold(0.0, f64::max);
+        let link_mbps = services()
+            .filter_map(|service| service.origin.as_ref())
+            .map(|origin| origin.link_mbps)
+            .fold(0.0, f64::max);
+        if link_mbps <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(chunk_bytes * 8.0 / (link_mbps * 1_000_000.0))
+    }
+
     /// Drops versions that nobody reads any more.
     pub async fn evict_unused(self: Rc<Self>) {
         loop {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,6 +33,8 @@
     pub resend_window_ms: u64,
     /// Time within which new weights must answer every request.
     pub weights_apply_ms: u64,
+    /// Bandwidth of the host's link.
+    pub link_mbps: f64,
     /// Connections that may be open at once.
     pub max_connections: usize,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -57,6 +57,9 @@
 /// can begin at once, in ms: the longest wait at an engine more than the margin.
 const WEIGHTS_NOTICE_MS: u64 = 3_000;
 
+/// Time without a record of any replica after which a far entry is asked, in ms.
+const OUTDATED_MS: u64 = 700;
+
 /// Time after its start in which an entry waits for the ages of declarations, in
 /// ms: two beats of the others.
 const AGES_AWAITED_MS: u64 = 600;
@@ -109,6 +112,7 @@
     lapsed: Vec<String>,
     breaks: Vec<Break>,
     pulls: [bool; 3],
+    news_ms: [u64; 3],
     rng: Pcg64Mcg,
     started: Instant,
 }
@@ -139,6 +143,7 @@
             lapsed: Vec::new(),
             breaks: Vec::new(),
             pulls: [false; 3],
+            news_ms: [0; 3],
             rng,
             started: Instant::now(),
         }))
@@ -177,6 +182,24 @@
         self.pulls[topic as usize] = false;
     }
 
+    /// Whether the store answers this process.
+    pub fn has_store(&self) -> bool {
+        !self.lost_topics.contains(&true)
+    }
+
+    /// Whether another entry reads the store for this one.
+    pub fn has_reader(&self) -> bool {
+        let settings = &self.settings;
+        self.peers
+            .has_reader(&settings.name, &settings.failure_domain, self.now_ms())
+    }
+
+    /// Whether `topic` has brought nothing for so long that a far entry is asked.
+    pub fn is_outdated(&self, topic: Topic) -> bool {
+        topic != Topic::Replicas
+            || self.now_ms().saturating_sub(self.news_ms[topic as usize]) >= OUTDATED_MS
+    }
+
     /// Notes whether the store answers for `topic`.
     pub fn note_source(&mut self, topic: Topic, error: Option<&dyn std::error::Error>) {
         let now_ms = self.now_ms();
@@ -516,6 +539,9 @@
                 changed.push(key);
             }
         }
+        if next_offset > self.ledgers[topic as usize].end_offset() || !changed.is_empty() {
+            self.news_ms[topic as usize] = self.now_ms();
+        }
         self.ledgers[topic as usize].advance(next_offset);
         for key in changed {
             self.take_change(topic, &key, decoder);
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -16,13 +16,20 @@
 /// request at the peak.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Reports for each one that also goes to entries of other regions, whose links
+/// are thin.
+const REPORTS_PER_FAR_REPORT: u64 = 2;
+
 /// Reads the engine's state and tells the entries, again and again.
 pub async fn report_load(
     state: Rc<RefCell<StagingState>>,
     mut engine: impl EnginePort,
     socket: Rc<UdpSocket>,
 ) {
+    let mut count = 0u64;
     loop {
+        count += 1;
+        let to_far = count.is_multiple_of(REPORTS_PER_FAR_REPORT);
         let report = match engine.report().await {
             Ok(report) => Some(report),
             Err(error) => {
@@ -30,18 +37,25 @@
                 None
             }
         };
-        tell_entries(&state, report, &socket);
+        tell_entries(&state, report, &socket, to_far);
         tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
 
 /// Keeps the report and tells the entries.
-fn tell_entries(state: &RefCell<StagingState>, report: Option<EngineReport>, socket: &UdpSocket) {
+fn tell_entries(
+    state: &RefCell<StagingState>,
+    report: Option<EngineReport>,
+    socket: &UdpSocket,
+    to_far: bool,
+) {
     let mut state = state.borrow_mut();
     log_change(state.report.as_ref(), report.as_ref());
     state.report = report;
     let bytes = Datagram::Load(load_report(&state)).encode();
-    for entry in state.entries() {
+    let near = state.near_entries();
+    let targets = state.entries().filter(|e| to_far || near.contains(e));
+    for entry in targets {
         // A lost report is made good by the next one.
         if let Err(error) = socket.try_send_to(&bytes, entry) {
             log::debug!("a load report to {entry} was not sent: {error}");
