--- a/src/bench/control.rs
+++ b/src/bench/control.rs
@@ -16,7 +16,7 @@
 use crate::document::LogRecord;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::platform::LogClient;
+use crate::clients::LogClient;
 
 /// Time all processes have to find each other before the first change.
 const SETTLE: Duration = Duration::from_secs(3);
--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -23,7 +23,7 @@
 use super::requests_scenario::arrivals;
 use crate::hosts::Load;
 use crate::links::HttpClient;
-use crate::platform::EngineState;
+use crate::clients::EngineState;
 
 /// Time between looks at the engines.
 const TICK_MS: u64 = 100;
--- a/src/bench/requests_baseline.rs
+++ b/src/bench/requests_baseline.rs
@@ -13,8 +13,8 @@
 use tokio::sync::Semaphore;
 
 use crate::links::HttpClient;
-use crate::platform::EngineClient;
-use crate::platform::GenerateOrder;
+use crate::clients::EngineClient;
+use crate::clients::GenerateOrder;
 
 /// Plain entry: the endpoints in turn, one try.
 #[derive(Debug)]
--- a/src/bench/requests_driver.rs
+++ b/src/bench/requests_driver.rs
@@ -26,7 +26,7 @@
 use super::requests_scenario::prompt;
 use super::requests_tally::Outcome;
 use super::requests_tally::Tally;
-use crate::platform::LineBuffer;
+use crate::clients::LineBuffer;
 use crate::standin::engine::token_text;
 
 /// Seed of every request.
--- a/src/bench/requests_result.rs
+++ b/src/bench/requests_result.rs
@@ -10,7 +10,7 @@
 use super::requests_tally::Reasons;
 use super::requests_tally::Tally;
 use super::requests_tally::TallyResult;
-use crate::platform::EngineState;
+use crate::clients::EngineState;
 
 /// Name of the counter of retries in the metrics.
 const RETRIES: &str = "bergamotfork_retries_total{";
--- a/src/bench/weights.rs
+++ b/src/bench/weights.rs
@@ -20,7 +20,7 @@
 use super::weights_trace::WeightsTrace;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::platform::OriginClient;
+use crate::clients::OriginClient;
 use crate::standin::Handle;
 use crate::standin::origin;
 use crate::standin::origin::OriginOptions;
--- a/src/bench/weights_fleet.rs
+++ b/src/bench/weights_fleet.rs
@@ -25,7 +25,7 @@
 use crate::endpoint::configure_weights;
 use crate::links::HttpClient;
 use crate::observe::Metrics;
-use crate::platform::OriginClient;
+use crate::clients::OriginClient;
 use crate::weights::Digest;
 use crate::weights::Manifest;
 use crate::weights::MemoryBudget;
--- a/src/cli/demo/callers.rs
+++ b/src/cli/demo/callers.rs
@@ -21,8 +21,8 @@
 use crate::calls::Permit;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::platform::ServiceAnswer;
-use crate::platform::StreamEvent;
+use crate::clients::ServiceAnswer;
+use crate::clients::StreamEvent;
 use crate::standin::engine::token_text;
 use crate::weights::Digest;
 
--- a/src/cli/demo/operator.rs
+++ b/src/cli/demo/operator.rs
@@ -18,7 +18,7 @@
 use crate::entry::admin::PutBody;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::platform::OriginClient;
+use crate::clients::OriginClient;
 use crate::weights::Digest;
 
 /// Branch whose callers call.
--- a/src/platform/engine.rs
+++ b/src/clients/engine.rs
@@ -13,17 +13,17 @@
 use serde::de::DeserializeOwned;
 
 use crate::links::HttpClient;
-use crate::platform::CancelOrder;
-use crate::platform::EngineFault;
-use crate::platform::EngineRefusal;
-use crate::platform::EngineState;
-use crate::platform::GenerateOrder;
-use crate::platform::LineBuffer;
-use crate::platform::LoadAnswer;
-use crate::platform::LoadOrder;
-use crate::platform::RoleOrder;
-use crate::platform::StreamEvent;
-use crate::platform::UnloadOrder;
+use crate::clients::CancelOrder;
+use crate::clients::EngineFault;
+use crate::clients::EngineRefusal;
+use crate::clients::EngineState;
+use crate::clients::GenerateOrder;
+use crate::clients::LineBuffer;
+use crate::clients::LoadAnswer;
+use crate::clients::LoadOrder;
+use crate::clients::RoleOrder;
+use crate::clients::StreamEvent;
+use crate::clients::UnloadOrder;
 
 /// Time an engine may take to load weights.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
--- a/src/platform/engine_api.rs
+++ b/src/clients/engine_api.rs
@@ -1,7 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::platform::OrderNo;
+use crate::clients::OrderNo;
 use crate::weights::Digest;
 
 /// Order to load weights, which the engine reads from `source_url`.
--- a/src/platform/mod.rs
+++ b/src/clients/mod.rs
@@ -1,4 +1,5 @@
-//! Clients of the platform: log, origin, host list, engine and service.
+//! Clients of the services around the product's own interface: log, origin, host
+//! list, engine and service.
 
 mod engine;
 mod engine_api;
--- a/src/endpoint/call_run.rs
+++ b/src/endpoint/call_run.rs
@@ -14,8 +14,8 @@
 use crate::endpoint::EndpointState;
 use crate::links::LinkError;
 use crate::node::Reporter;
-use crate::platform;
-use crate::platform::ServiceClient;
+use crate::clients;
+use crate::clients::ServiceClient;
 use crate::weights::Digest;
 
 /// Time a service has to accept a connection that only tests whether it lives.
@@ -54,7 +54,7 @@
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
         let service = self.state.node.document().service(&call.service);
         let timeout_ms = service.map_or(left_ms, |service| service.timeout_ms);
-        let passed_on = platform::ServiceCall {
+        let passed_on = clients::ServiceCall {
             path: call.path,
             request_id: call.request_id,
             key: nonce.map(|nonce| nonce.to_string()),
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -21,12 +21,12 @@
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
 use crate::calls::StreamFault;
-use crate::platform::EngineClient;
-use crate::platform::EngineError;
-use crate::platform::EngineFault;
-use crate::platform::EngineStream;
-use crate::platform::GenerateOrder;
-use crate::platform::StreamEvent;
+use crate::clients::EngineClient;
+use crate::clients::EngineError;
+use crate::clients::EngineFault;
+use crate::clients::EngineStream;
+use crate::clients::GenerateOrder;
+use crate::clients::StreamEvent;
 use crate::weights::Digest;
 
 /// Interval of heartbeats while a request waits for a slot.
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -13,7 +13,7 @@
 use crate::calls::GenerateCall;
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
-use crate::platform::EngineClient;
+use crate::clients::EngineClient;
 use crate::weights::Digest;
 
 /// Frames that wait for a slow reader.
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::WeightsShare;
 use crate::endpoint::call_desk::CallDesk;
 use crate::node::Node;
-use crate::platform::EngineClient;
+use crate::clients::EngineClient;
 use crate::weights::MemoryBudget;
 
 /// Slots for one slot that a bursting branch leaves to the others.
--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -1,12 +1,12 @@
 use crate::endpoint::EndpointState;
 use crate::endpoint::weights_tracked::TrackedVersion;
-use crate::platform::EngineClient;
-use crate::platform::EngineError;
-use crate::platform::EngineFault;
-use crate::platform::EngineState;
-use crate::platform::LoadOrder;
-use crate::platform::OrderNo;
-use crate::platform::UnloadOrder;
+use crate::clients::EngineClient;
+use crate::clients::EngineError;
+use crate::clients::EngineFault;
+use crate::clients::EngineState;
+use crate::clients::LoadOrder;
+use crate::clients::OrderNo;
+use crate::clients::UnloadOrder;
 use crate::weights::Digest;
 use crate::weights::WeightsHeld;
 
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -25,7 +25,7 @@
 use crate::entry::call_repeatable::call_repeatable;
 use crate::observe::Event;
 use crate::observe::emit;
-use crate::platform::REQUEST_ID_HEADER;
+use crate::clients::REQUEST_ID_HEADER;
 
 /// Time allowed when the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
--- a/src/entry/log_reader.rs
+++ b/src/entry/log_reader.rs
@@ -10,7 +10,7 @@
 use crate::observe::Event;
 use crate::observe::Tally;
 use crate::observe::emit;
-use crate::platform::LogSlice;
+use crate::clients::LogSlice;
 
 /// Records asked for in one read.
 const READ_MAX: usize = 256;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,7 +5,7 @@
 use crate::entry::Routing;
 use crate::entry::call_book::CallBook;
 use crate::node::Node;
-use crate::platform::LogClient;
+use crate::clients::LogClient;
 
 /// State shared by the handlers of an entry.
 #[derive(Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bench;
 pub mod calls;
 pub mod cli;
+pub mod clients;
 pub mod conf;
 pub mod contracts;
 pub mod document;
@@ -20,7 +21,6 @@
 pub mod links;
 pub mod node;
 pub mod observe;
-pub mod platform;
 pub mod regions;
 pub mod staging;
 pub mod standin;
--- a/src/node/watcher.rs
+++ b/src/node/watcher.rs
@@ -8,7 +8,7 @@
 
 use crate::node::Node;
 use crate::observe::Tally;
-use crate::platform::HostsClient;
+use crate::clients::HostsClient;
 
 /// Reads the platform's list of hosts and merges it into the roster.
 #[derive(Debug)]
--- a/src/standin/engine/generation.rs
+++ b/src/standin/engine/generation.rs
@@ -11,10 +11,10 @@
 
 use super::batch::Slot;
 use super::state::Engine;
-use crate::platform::EngineFault;
-use crate::platform::GenerateOrder;
-use crate::platform::LoadedWeights;
-use crate::platform::StreamEvent;
+use crate::clients::EngineFault;
+use crate::clients::GenerateOrder;
+use crate::clients::LoadedWeights;
+use crate::clients::StreamEvent;
 use crate::weights::Digest;
 
 /// Interval of heartbeats while no token is due.
--- a/src/standin/engine/handlers.rs
+++ b/src/standin/engine/handlers.rs
@@ -15,15 +15,15 @@
 
 use super::generation::Generation;
 use super::state::Engine;
-use crate::platform::CancelOrder;
-use crate::platform::EngineFault;
-use crate::platform::EngineRefusal;
-use crate::platform::GenerateOrder;
-use crate::platform::LoadAnswer;
-use crate::platform::LoadOrder;
-use crate::platform::LoadedWeights;
-use crate::platform::RoleOrder;
-use crate::platform::UnloadOrder;
+use crate::clients::CancelOrder;
+use crate::clients::EngineFault;
+use crate::clients::EngineRefusal;
+use crate::clients::GenerateOrder;
+use crate::clients::LoadAnswer;
+use crate::clients::LoadOrder;
+use crate::clients::LoadedWeights;
+use crate::clients::RoleOrder;
+use crate::clients::UnloadOrder;
 use crate::weights::Digest;
 
 /// Time to read weights from their source.
--- a/src/standin/engine/state.rs
+++ b/src/standin/engine/state.rs
@@ -8,12 +8,12 @@
 use super::EngineOptions;
 use super::PrefixCache;
 use super::batch::Batch;
-use crate::platform::EngineFault;
-use crate::platform::EngineRefusal;
-use crate::platform::EngineRole;
-use crate::platform::EngineState;
-use crate::platform::LoadedWeights;
-use crate::platform::OrderNo;
+use crate::clients::EngineFault;
+use crate::clients::EngineRefusal;
+use crate::clients::EngineRole;
+use crate::clients::EngineState;
+use crate::clients::LoadedWeights;
+use crate::clients::OrderNo;
 use crate::weights::Digest;
 
 /// State of one engine stand-in.
--- a/src/standin/hosts.rs
+++ b/src/standin/hosts.rs
@@ -15,7 +15,7 @@
 use crate::hosts::HostRecord;
 use crate::links::ServeOptions;
 use crate::links::serve;
-use crate::platform::HostList;
+use crate::clients::HostList;
 use crate::standin::Handle;
 
 /// How the stand-in for the platform's list of hosts starts.
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -16,8 +16,8 @@
 
 use crate::links::ServeOptions;
 use crate::links::serve;
-use crate::platform::LogEntry;
-use crate::platform::LogSlice;
+use crate::clients::LogEntry;
+use crate::clients::LogSlice;
 use crate::standin::Handle;
 
 /// How often a waiting read looks for new records.
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -20,9 +20,9 @@
 
 use crate::links::ServeOptions;
 use crate::links::serve;
-use crate::platform::IDEMPOTENCY_KEY_HEADER;
-use crate::platform::REQUEST_ID_HEADER;
-use crate::platform::ServiceAnswer;
+use crate::clients::IDEMPOTENCY_KEY_HEADER;
+use crate::clients::REQUEST_ID_HEADER;
+use crate::clients::ServiceAnswer;
 use crate::standin::Handle;
 
 /// Text in a body that makes the stand-in crash, if it may.
--- a/tests/api_stop/main.rs
+++ b/tests/api_stop/main.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use bergamotfork::links::HttpClient;
-use bergamotfork::platform::StreamEvent;
+use bergamotfork::clients::StreamEvent;
 use bergamotfork::weights::Digest;
 use support::Cluster;
 use support::TOKEN;
--- a/tests/calls_faults/caller.rs
+++ b/tests/calls_faults/caller.rs
@@ -12,7 +12,7 @@
 use crate::support::TOKEN;
 use bergamotfork::calls::Permit;
 use bergamotfork::links::HttpClient;
-use bergamotfork::platform::REQUEST_ID_HEADER;
+use bergamotfork::clients::REQUEST_ID_HEADER;
 
 /// Time a caller gives one send.
 const SEND_WAIT: Duration = Duration::from_secs(8);
--- a/tests/calls_faults/storm.rs
+++ b/tests/calls_faults/storm.rs
@@ -19,7 +19,7 @@
 use crate::history::Violation;
 use crate::history::check;
 use bergamotfork::links::HttpClient;
-use bergamotfork::platform::IDEMPOTENCY_KEY_HEADER;
+use bergamotfork::clients::IDEMPOTENCY_KEY_HEADER;
 
 const CALLERS: usize = 8;
 const FAULTS: usize = 10;
--- a/tests/config_faults/api.rs
+++ b/tests/config_faults/api.rs
@@ -9,7 +9,7 @@
 use bergamotfork::document::Fold;
 use bergamotfork::entry::admin::DocumentAnswer;
 use bergamotfork::links::LinkError;
-use bergamotfork::platform::LogClient;
+use bergamotfork::clients::LogClient;
 
 /// Time within which a change must be in force everywhere.
 pub const IN_FORCE_S: u64 = 20;
--- a/tests/config_faults/race.rs
+++ b/tests/config_faults/race.rs
@@ -12,7 +12,7 @@
 use crate::support::Cluster;
 use bergamotfork::document::Edit;
 use bergamotfork::document::LogRecord;
-use bergamotfork::platform::LogClient;
+use bergamotfork::clients::LogClient;
 
 const SECTIONS: [&str; 2] = ["service desk", "service member"];
 const EDITORS: usize = 4;
--- a/tests/config_faults/trim.rs
+++ b/tests/config_faults/trim.rs
@@ -4,7 +4,7 @@
 use crate::api::until_ready;
 use crate::support::Cluster;
 use crate::support::until;
-use bergamotfork::platform::LogClient;
+use bergamotfork::clients::LogClient;
 
 const RETENTION_MS: &str = "6000";
 const SETTINGS: &str = "log_retention_ms = 6000";
--- a/tests/generate_engine/main.rs
+++ b/tests/generate_engine/main.rs
@@ -3,9 +3,9 @@
 mod fixture;
 
 use crate::fixture::Fixture;
-use bergamotfork::platform::EngineError;
-use bergamotfork::platform::EngineFault;
-use bergamotfork::platform::StreamEvent;
+use bergamotfork::clients::EngineError;
+use bergamotfork::clients::EngineFault;
+use bergamotfork::clients::StreamEvent;
 use bergamotfork::standin::engine::token_text;
 
 #[actix_rt::test]
--- a/tests/generate_path/world.rs
+++ b/tests/generate_path/world.rs
@@ -10,8 +10,8 @@
 use crate::support::until;
 use bergamotfork::links::HttpClient;
 use bergamotfork::links::LinkError;
-use bergamotfork::platform::EngineState;
-use bergamotfork::platform::StreamEvent;
+use bergamotfork::clients::EngineState;
+use bergamotfork::clients::StreamEvent;
 use bergamotfork::standin::engine::token_text;
 use bergamotfork::weights::Digest;
 
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -17,7 +17,7 @@
 use bergamotfork::hosts::Roster;
 use bergamotfork::hosts::SILENCE_MS;
 use bergamotfork::hosts::Standing;
-use bergamotfork::platform::HostList;
+use bergamotfork::clients::HostList;
 use bergamotfork::weights::Digest;
 
 /// The brief allows a few seconds; the project promises this.
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use bergamotfork::platform::StreamEvent;
+use bergamotfork::clients::StreamEvent;
 use bergamotfork::weights::Digest;
 use support::Cluster;
 use support::TOKEN;
--- a/tests/rollout_history/main.rs
+++ b/tests/rollout_history/main.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use bergamotfork::links::LinkError;
-use bergamotfork::platform::StreamEvent;
+use bergamotfork::clients::StreamEvent;
 use bergamotfork::standin::engine::token_text;
 use bergamotfork::weights::Digest;
 use support::Cluster;
--- a/tests/routing/router.rs
+++ b/tests/routing/router.rs
@@ -14,7 +14,7 @@
 use bergamotfork::hosts::HostState;
 use bergamotfork::hosts::Load;
 use bergamotfork::hosts::Roster;
-use bergamotfork::platform::HostList;
+use bergamotfork::clients::HostList;
 
 const SLOTS: u32 = 16;
 
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -14,7 +14,7 @@
 use bergamotfork::document::LogRecord;
 use bergamotfork::links::HttpClient;
 use bergamotfork::links::LinkError;
-use bergamotfork::platform::LogClient;
+use bergamotfork::clients::LogClient;
 use bergamotfork::weights::Digest;
 
 /// Bearer token of the branch and team of every test.
--- a/tests/weights/origin.rs
+++ b/tests/weights/origin.rs
@@ -5,8 +5,8 @@
 use serde_json::json;
 
 use bergamotfork::links::HttpClient;
-use bergamotfork::platform::OriginClient;
-use bergamotfork::platform::OriginError;
+use bergamotfork::clients::OriginClient;
+use bergamotfork::clients::OriginError;
 use bergamotfork::standin::Handle;
 use bergamotfork::standin::origin;
 use bergamotfork::standin::origin::OriginOptions;
--- a/tests/weights_rollout/site.rs
+++ b/tests/weights_rollout/site.rs
@@ -7,7 +7,7 @@
 use crate::support::until;
 use bergamotfork::entry::StatusView;
 use bergamotfork::links::HttpClient;
-use bergamotfork::platform::EngineState;
+use bergamotfork::clients::EngineState;
 use bergamotfork::weights::Digest;
 
 pub const MODEL_BYTES: u64 = 1 << 20;
--- a/tests/weights_transfer/fleet.rs
+++ b/tests/weights_transfer/fleet.rs
@@ -23,7 +23,7 @@
 use bergamotfork::links::ServeOptions;
 use bergamotfork::links::serve;
 use bergamotfork::observe::Metrics;
-use bergamotfork::platform::OriginClient;
+use bergamotfork::clients::OriginClient;
 use bergamotfork::standin::Handle;
 use bergamotfork::standin::origin;
 use bergamotfork::standin::origin::OriginOptions;
