Notice a reader of the store that is cut off; try replicas never seen

An entry without a record of any replica for 0.9 s reads for itself; reads wait 2 s at most. A plain replica that was never used got nothing while others were fast (found by path_lapsed_record_is_waited_for_and_then_gone).

--- a/src/bench/control.rs
+++ b/src/bench/control.rs
@@ -12,11 +12,11 @@
 use crate::bench::ControlResult;
 use crate::bench::control_fleet::ControlFleet;
 use crate::bench::control_watch::ControlWatch;
+use crate::clients::LogClient;
 use crate::document::Edit;
 use crate::document::LogRecord;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::clients::LogClient;
 
 /// Time all processes have to find each other before the first change.
 const SETTLE: Duration = Duration::from_secs(3);
--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -21,9 +21,9 @@
 use super::requests_scenario::SLOTS;
 use super::requests_scenario::WARM_UP_MS;
 use super::requests_scenario::arrivals;
+use crate::clients::EngineState;
 use crate::hosts::Load;
 use crate::links::HttpClient;
-use crate::clients::EngineState;
 
 /// Time between looks at the engines.
 const TICK_MS: u64 = 100;
--- a/src/bench/requests_baseline.rs
+++ b/src/bench/requests_baseline.rs
@@ -12,9 +12,9 @@
 use futures_util::stream;
 use tokio::sync::Semaphore;
 
-use crate::links::HttpClient;
 use crate::clients::EngineClient;
 use crate::clients::GenerateOrder;
+use crate::links::HttpClient;
 
 /// Plain entry: the endpoints in turn, one try.
 #[derive(Debug)]
--- a/src/bench/weights_fleet.rs
+++ b/src/bench/weights_fleet.rs
@@ -15,6 +15,7 @@
 
 use super::WeightsBench;
 use crate::bench::weights_members::Members;
+use crate::clients::OriginClient;
 use crate::endpoint::StopTransfer;
 use crate::endpoint::Transfer;
 use crate::endpoint::TransferOptions;
@@ -25,7 +26,6 @@
 use crate::endpoint::configure_weights;
 use crate::links::HttpClient;
 use crate::observe::Metrics;
-use crate::clients::OriginClient;
 use crate::weights::Digest;
 use crate::weights::Manifest;
 use crate::weights::MemoryBudget;
--- a/src/cli/demo/callers.rs
+++ b/src/cli/demo/callers.rs
@@ -19,10 +19,10 @@
 use super::tally::Ending;
 use super::tally::Tally;
 use crate::calls::Permit;
-use crate::links::HttpClient;
-use crate::links::LinkError;
 use crate::clients::ServiceAnswer;
 use crate::clients::StreamEvent;
+use crate::links::HttpClient;
+use crate::links::LinkError;
 use crate::standin::engine::token_text;
 use crate::weights::Digest;
 
--- a/src/cli/demo/operator.rs
+++ b/src/cli/demo/operator.rs
@@ -14,11 +14,11 @@
 use super::fleet::TEAM_TOKEN;
 use crate::cli::CliError;
 use crate::cli::admin_client::section_path;
+use crate::clients::OriginClient;
 use crate::entry::StatusView;
 use crate::entry::admin::PutBody;
 use crate::links::HttpClient;
 use crate::links::LinkError;
-use crate::clients::OriginClient;
 use crate::weights::Digest;
 
 /// Branch whose callers call.
--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -12,7 +12,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::links::HttpClient;
 use crate::clients::CancelOrder;
 use crate::clients::EngineFault;
 use crate::clients::EngineRefusal;
@@ -24,6 +23,7 @@
 use crate::clients::RoleOrder;
 use crate::clients::StreamEvent;
 use crate::clients::UnloadOrder;
+use crate::links::HttpClient;
 
 /// Time an engine may take to load weights.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
--- a/src/endpoint/call_run.rs
+++ b/src/endpoint/call_run.rs
@@ -11,11 +11,11 @@
 use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
 use crate::calls::UnknownReason;
+use crate::clients;
+use crate::clients::ServiceClient;
 use crate::endpoint::EndpointState;
 use crate::links::LinkError;
 use crate::node::Reporter;
-use crate::clients;
-use crate::clients::ServiceClient;
 use crate::weights::Digest;
 
 /// Time a service has to accept a connection that only tests whether it lives.
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -5,6 +5,7 @@
 
 use crate::calls::PermitLimits;
 use crate::calls::PermitTable;
+use crate::clients::EngineClient;
 use crate::conf::BackendSettings;
 use crate::conf::EndpointSettings;
 use crate::contracts::QueueLimits;
@@ -14,7 +15,6 @@
 use crate::endpoint::WeightsShare;
 use crate::endpoint::call_desk::CallDesk;
 use crate::node::Node;
-use crate::clients::EngineClient;
 use crate::weights::MemoryBudget;
 
 /// Slots for one slot that a bursting branch leaves to the others.
--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -1,5 +1,3 @@
-use crate::endpoint::EndpointState;
-use crate::endpoint::weights_tracked::TrackedVersion;
 use crate::clients::EngineClient;
 use crate::clients::EngineError;
 use crate::clients::EngineFault;
@@ -7,6 +5,8 @@
 use crate::clients::LoadOrder;
 use crate::clients::OrderNo;
 use crate::clients::UnloadOrder;
+use crate::endpoint::EndpointState;
+use crate::endpoint::weights_tracked::TrackedVersion;
 use crate::weights::Digest;
 use crate::weights::WeightsHeld;
 
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -12,6 +12,7 @@
 use crate::calls::Permit;
 use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
+use crate::clients::REQUEST_ID_HEADER;
 use crate::document::BranchSection;
 use crate::document::Document;
 use crate::document::ServiceSection;
@@ -25,7 +26,6 @@
 use crate::entry::call_repeatable::call_repeatable;
 use crate::observe::Event;
 use crate::observe::emit;
-use crate::clients::REQUEST_ID_HEADER;
 
 /// Time allowed when the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
--- a/src/entry/call_answer.rs
+++ b/src/entry/call_answer.rs
@@ -7,8 +7,8 @@
 use crate::calls::CallOutcome;
 use crate::calls::Permit;
 use crate::calls::RefusalReason;
-use crate::entry::ErrorCode;
 use crate::clients::REQUEST_ID_HEADER;
+use crate::entry::ErrorCode;
 
 /// Milliseconds in a second, the unit of `Retry-After`.
 const MS_PER_S: u64 = 1000;
--- a/src/entry/log_reader.rs
+++ b/src/entry/log_reader.rs
@@ -1,3 +1,4 @@
+use crate::clients::LogSlice;
 use crate::document::LogRecord;
 use crate::document::follow::LogDuty;
 use crate::document::follow::LogPage;
@@ -10,7 +11,6 @@
 use crate::observe::Event;
 use crate::observe::Tally;
 use crate::observe::emit;
-use crate::clients::LogSlice;
 
 /// Records asked for in one read.
 const READ_MAX: usize = 256;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
 
 use crate::calls::PermitKey;
+use crate::clients::LogClient;
 use crate::conf::EntrySettings;
 use crate::entry::Routing;
 use crate::entry::call_book::CallBook;
 use crate::node::Node;
-use crate::clients::LogClient;
 
 /// State shared by the handlers of an entry.
 #[derive(Debug)]
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -21,8 +21,9 @@
 /// How much worse a replica looks for each share of failures.
 const FAILURE_PENALTY: f64 = 6.0;
 
-/// Predicted time of a plain answer before anything was observed, in ms.
-const UNKNOWN_LATENCY_MS: f64 = 50.0;
+/// Least predicted time of a plain answer, in ms; also for a replica that was not
+/// observed yet, so that it is tried.
+const LEAST_LATENCY_MS: f64 = 10.0;
 
 /// Delay beyond the prediction at which an engine gets nothing more, in ms: well
 /// beyond what its queue explains.
@@ -169,10 +170,7 @@
     if fill >= PLAIN_FILL {
         return None;
     }
-    let latency_ms = match replica.latency_ms() {
-        0.0 => UNKNOWN_LATENCY_MS,
-        latency_ms => latency_ms,
-    };
+    let latency_ms = replica.latency_ms().max(LEAST_LATENCY_MS);
     let failures = replica.failure_share(input.now_ms);
     let busy_ms = latency_ms * (1.0 + 2.0 * fill) * (1.0 + FAILURE_PENALTY * failures);
     Some(replica.delay_ms(input.now_ms) + busy_ms)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -35,8 +35,9 @@
     );
 }
 
-/// Longest wait of one read for new records.
-const READ_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of one read for new records: a silent connection is noticed soon
+/// after it.
+const READ_WAIT: Duration = Duration::from_secs(2);
 
 /// Pause between reads of the replicas' records, which change all the time.
 const REPLICAS_PAUSE: Duration = Duration::from_millis(400);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -57,6 +57,10 @@
 /// can begin at once, in ms: the longest wait at an engine more than the margin.
 const WEIGHTS_NOTICE_MS: u64 = 3_000;
 
+/// Time without a record of any replica after which an entry reads the store
+/// itself, in ms: its reader may be cut off without knowing it.
+const READER_SILENT_MS: u64 = 900;
+
 /// Time without a record of any replica after which a far entry is asked, in ms.
 const OUTDATED_MS: u64 = 700;
 
@@ -187,11 +191,15 @@
         !self.lost_topics.contains(&true)
     }
 
-    /// Whether another entry reads the store for this one.
+    /// Whether another entry reads the store for this one, and news comes in.
     pub fn has_reader(&self) -> bool {
         let settings = &self.settings;
-        self.peers
-            .has_reader(&settings.name, &settings.failure_domain, self.now_ms())
+        let now_ms = self.now_ms();
+        let silent_ms = now_ms.saturating_sub(self.news_ms[Topic::Replicas as usize]);
+        silent_ms < READER_SILENT_MS
+            && self
+                .peers
+                .has_reader(&settings.name, &settings.failure_domain, now_ms)
     }
 
     /// Whether `topic` has brought nothing for so long that a far entry is asked.
--- a/src/hosts/roster.rs
+++ b/src/hosts/roster.rs
@@ -1,3 +1,4 @@
+use crate::clients::HostList;
 use crate::hosts::Beat;
 use crate::hosts::Host;
 use crate::hosts::HostKey;
@@ -6,7 +7,6 @@
 use crate::hosts::NameTag;
 use crate::hosts::Report;
 use crate::hosts::Standing;
-use crate::clients::HostList;
 
 /// Time a list that lost more than half of its hosts must stand before it is believed.
 pub const DOUBT_MS: u64 = 30_000;
--- a/src/node/watcher.rs
+++ b/src/node/watcher.rs
@@ -6,9 +6,9 @@
 use actix::Context;
 use actix::WrapFuture;
 
+use crate::clients::HostsClient;
 use crate::node::Node;
 use crate::observe::Tally;
-use crate::clients::HostsClient;
 
 /// Reads the platform's list of hosts and merges it into the roster.
 #[derive(Debug)]
--- a/src/standin/hosts.rs
+++ b/src/standin/hosts.rs
@@ -12,10 +12,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clients::HostList;
 use crate::hosts::HostRecord;
 use crate::links::ServeOptions;
 use crate::links::serve;
-use crate::clients::HostList;
 use crate::standin::Handle;
 
 /// How the stand-in for the platform's list of hosts starts.
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -14,10 +14,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::links::ServeOptions;
-use crate::links::serve;
 use crate::clients::LogEntry;
 use crate::clients::LogSlice;
+use crate::links::ServeOptions;
+use crate::links::serve;
 use crate::standin::Handle;
 
 /// How often a waiting read looks for new records.
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::links::ServeOptions;
-use crate::links::serve;
 use crate::clients::IDEMPOTENCY_KEY_HEADER;
 use crate::clients::REQUEST_ID_HEADER;
 use crate::clients::ServiceAnswer;
+use crate::links::ServeOptions;
+use crate::links::serve;
 use crate::standin::Handle;
 
 /// Text in a body that makes the stand-in crash, if it may.
--- a/tests/api_stop/main.rs
+++ b/tests/api_stop/main.rs
@@ -10,8 +10,8 @@
 use serde_json::Value;
 use serde_json::json;
 
-use bergamotfork::links::HttpClient;
 use bergamotfork::clients::StreamEvent;
+use bergamotfork::links::HttpClient;
 use bergamotfork::weights::Digest;
 use support::Cluster;
 use support::TOKEN;
--- a/tests/calls_faults/caller.rs
+++ b/tests/calls_faults/caller.rs
@@ -11,8 +11,8 @@
 use crate::history::Outcome;
 use crate::support::TOKEN;
 use bergamotfork::calls::Permit;
-use bergamotfork::links::HttpClient;
 use bergamotfork::clients::REQUEST_ID_HEADER;
+use bergamotfork::links::HttpClient;
 
 /// Time a caller gives one send.
 const SEND_WAIT: Duration = Duration::from_secs(8);
--- a/tests/calls_faults/storm.rs
+++ b/tests/calls_faults/storm.rs
@@ -18,8 +18,8 @@
 use crate::history::Outcome;
 use crate::history::Violation;
 use crate::history::check;
-use bergamotfork::links::HttpClient;
 use bergamotfork::clients::IDEMPOTENCY_KEY_HEADER;
+use bergamotfork::links::HttpClient;
 
 const CALLERS: usize = 8;
 const FAULTS: usize = 10;
--- a/tests/config_faults/api.rs
+++ b/tests/config_faults/api.rs
@@ -6,10 +6,10 @@
 
 use crate::support::Cluster;
 use crate::support::until;
+use bergamotfork::clients::LogClient;
 use bergamotfork::document::Fold;
 use bergamotfork::entry::admin::DocumentAnswer;
 use bergamotfork::links::LinkError;
-use bergamotfork::clients::LogClient;
 
 /// Time within which a change must be in force everywhere.
 pub const IN_FORCE_S: u64 = 20;
--- a/tests/config_faults/race.rs
+++ b/tests/config_faults/race.rs
@@ -10,9 +10,9 @@
 use crate::history;
 use crate::history::Observed;
 use crate::support::Cluster;
+use bergamotfork::clients::LogClient;
 use bergamotfork::document::Edit;
 use bergamotfork::document::LogRecord;
-use bergamotfork::clients::LogClient;
 
 const SECTIONS: [&str; 2] = ["service desk", "service member"];
 const EDITORS: usize = 4;
--- a/tests/generate_path/world.rs
+++ b/tests/generate_path/world.rs
@@ -8,10 +8,10 @@
 use crate::support::Process;
 use crate::support::TOKEN;
 use crate::support::until;
-use bergamotfork::links::HttpClient;
-use bergamotfork::links::LinkError;
 use bergamotfork::clients::EngineState;
 use bergamotfork::clients::StreamEvent;
+use bergamotfork::links::HttpClient;
+use bergamotfork::links::LinkError;
 use bergamotfork::standin::engine::token_text;
 use bergamotfork::weights::Digest;
 
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -4,6 +4,7 @@
 
 use arbtest::arbtest;
 
+use bergamotfork::clients::HostList;
 use bergamotfork::hosts::ConfigMark;
 use bergamotfork::hosts::DOUBT_MS;
 use bergamotfork::hosts::FORGET_MS;
@@ -17,7 +18,6 @@
 use bergamotfork::hosts::Roster;
 use bergamotfork::hosts::SILENCE_MS;
 use bergamotfork::hosts::Standing;
-use bergamotfork::clients::HostList;
 use bergamotfork::weights::Digest;
 
 /// The brief allows a few seconds; the project promises this.
--- a/tests/rollout_history/main.rs
+++ b/tests/rollout_history/main.rs
@@ -13,8 +13,8 @@
 use serde_json::Value;
 use serde_json::json;
 
-use bergamotfork::links::LinkError;
 use bergamotfork::clients::StreamEvent;
+use bergamotfork::links::LinkError;
 use bergamotfork::standin::engine::token_text;
 use bergamotfork::weights::Digest;
 use support::Cluster;
--- a/tests/routing/router.rs
+++ b/tests/routing/router.rs
@@ -8,13 +8,13 @@
 use bergamotfork::calls::Ending;
 use bergamotfork::calls::Router;
 use bergamotfork::calls::stable_hash;
+use bergamotfork::clients::HostList;
 use bergamotfork::hosts::HostKey;
 use bergamotfork::hosts::HostRecord;
 use bergamotfork::hosts::HostRole;
 use bergamotfork::hosts::HostState;
 use bergamotfork::hosts::Load;
 use bergamotfork::hosts::Roster;
-use bergamotfork::clients::HostList;
 
 const SLOTS: u32 = 16;
 
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -10,11 +10,11 @@
 
 use super::Process;
 use super::until;
+use bergamotfork::clients::LogClient;
 use bergamotfork::document::Edit;
 use bergamotfork::document::LogRecord;
 use bergamotfork::links::HttpClient;
 use bergamotfork::links::LinkError;
-use bergamotfork::clients::LogClient;
 use bergamotfork::weights::Digest;
 
 /// Bearer token of the branch and team of every test.
--- a/tests/weights/origin.rs
+++ b/tests/weights/origin.rs
@@ -4,9 +4,9 @@
 use serde_json::Value;
 use serde_json::json;
 
-use bergamotfork::links::HttpClient;
 use bergamotfork::clients::OriginClient;
 use bergamotfork::clients::OriginError;
+use bergamotfork::links::HttpClient;
 use bergamotfork::standin::Handle;
 use bergamotfork::standin::origin;
 use bergamotfork::standin::origin::OriginOptions;
--- a/tests/weights_rollout/site.rs
+++ b/tests/weights_rollout/site.rs
@@ -5,9 +5,9 @@
 use crate::support::Cluster;
 use crate::support::TOKEN;
 use crate::support::until;
+use bergamotfork::clients::EngineState;
 use bergamotfork::entry::StatusView;
 use bergamotfork::links::HttpClient;
-use bergamotfork::clients::EngineState;
 use bergamotfork::weights::Digest;
 
 pub const MODEL_BYTES: u64 = 1 << 20;
--- a/tests/weights_transfer/fleet.rs
+++ b/tests/weights_transfer/fleet.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use bergamotfork::clients::OriginClient;
 use bergamotfork::endpoint::StageName;
 use bergamotfork::endpoint::SwarmMember;
 use bergamotfork::endpoint::Transfer;
@@ -23,7 +24,6 @@
 use bergamotfork::links::ServeOptions;
 use bergamotfork::links::serve;
 use bergamotfork::observe::Metrics;
-use bergamotfork::clients::OriginClient;
 use bergamotfork::standin::Handle;
 use bergamotfork::standin::origin;
 use bergamotfork::standin::origin::OriginOptions;
