Believe the reader's records while the store turns this entry away

A record counts as lapsed only while neither this entry nor its reader reaches the store; a lost store is tried again every 2 s.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -45,6 +45,9 @@
 /// Pause between looks at whether another entry still reads for this one.
 const READER_CHECK: Duration = Duration::from_millis(200);
 
+/// Pause between tries to reach a lost store while another entry reads it.
+const LOST_PAUSE: Duration = Duration::from_secs(2);
+
 /// Pause between reads of other topics.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -62,8 +65,11 @@
     let mut failures = 0u32;
     loop {
         if !must_list && state.borrow().has_reader() {
-            tokio::time::sleep(READER_CHECK).await;
-            continue;
+            if !state.borrow().is_lost(topic) {
+                tokio::time::sleep(READER_CHECK).await;
+                continue;
+            }
+            tokio::time::sleep(LOST_PAUSE).await;
         }
         let step = if must_list {
             list(&state, topic, &mut source, &*decoder)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -112,7 +112,7 @@
     demands: Vec<(String, RateMeter)>,
     longest_deadlines_ms: Vec<(String, u64)>,
     lost_topics: [bool; 3],
-    regained_ms: u64,
+    away_ms: Option<u64>,
     lapsed: Vec<String>,
     breaks: Vec<Break>,
     pulls: [bool; 3],
@@ -143,7 +143,7 @@
             demands: Vec::new(),
             longest_deadlines_ms: Vec::new(),
             lost_topics: [false; 3],
-            regained_ms: 0,
+            away_ms: None,
             lapsed: Vec::new(),
             breaks: Vec::new(),
             pulls: [false; 3],
@@ -210,7 +210,6 @@
 
     /// Notes whether the store answers for `topic`.
     pub fn note_source(&mut self, topic: Topic, error: Option<&dyn std::error::Error>) {
-        let now_ms = self.now_ms();
         let lost = &mut self.lost_topics[topic as usize];
         match error {
             Some(error) if !*lost => {
@@ -223,9 +222,6 @@
             }
             None if *lost => {
                 *lost = false;
-                if topic == Topic::Replicas {
-                    self.regained_ms = now_ms;
-                }
                 LogLine::new(Event::DependencyRegained)
                     .text("dependency", "store")
                     .text("topic", topic.label())
@@ -253,9 +249,21 @@
     }
 
     /// Whether a missing record may still be the store's fault.
-    fn is_lapse_excused(&self) -> bool {
-        self.lost_topics[Topic::Replicas as usize]
-            || (self.regained_ms > 0 && self.now_ms() < self.regained_ms + LAPSE_GRACE_MS)
+    ///
+    /// The store is away when it answers neither this process nor the entry
+    /// that reads for it.
+    fn is_lapse_excused(&mut self) -> bool {
+        let now_ms = self.now_ms();
+        if self.lost_topics[Topic::Replicas as usize] && !self.has_reader() {
+            self.away_ms = Some(now_ms);
+        }
+        self.away_ms
+            .is_some_and(|away_ms| now_ms < away_ms + LAPSE_GRACE_MS)
+    }
+
+    /// Whether the store did not answer the last read of `topic`.
+    pub fn is_lost(&self, topic: Topic) -> bool {
+        self.lost_topics[topic as usize]
     }
 
     fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder) {
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -60,14 +60,19 @@
 
 /// Reads in progress at a time.
 const PLAN: PlanSettings = PlanSettings {
-    max_fetches: 6,
+    max_fetches: 3,
     max_per_peer: 2,
     max_duties: 3,
     takeover_wait_ms: 500,
 };
 
-/// Reads from entries in progress at a time: enough to keep the host's link busy.
-const MAX_ENTRY_READS: usize = 5;
+/// Reads from entries in progress at a time: what is under way delays the
+/// requests to the replica, whose link it shares.
+const MAX_ENTRY_READS: usize = 2;
+
+/// Time of one read beyond which only one is in progress, in ms: the link is
+/// narrower than it should be.
+const SLOW_READ_MS: u64 = 300;
 
 /// Pause before an entry that failed is asked again, in ms: the origin may be away.
 const ENTRY_PAUSE_MS: u64 = 1_000;
@@ -326,6 +331,7 @@
         let mut engine = self.engine.clone();
         let started_ms = self.state.borrow().now_ms();
         let mut progress_ms = started_ms;
+        let mut is_slow = false;
         let mut seed = started_ms;
         loop {
             if !self.is_wanted() {
@@ -347,7 +353,7 @@
             let now_ms = self.state.borrow().now_ms();
             blocked.retain(|block| block.1 > now_ms);
             let planned = self
-                .entry_reads(&have, &in_flight, &blocked)
+                .entry_reads(&have, &in_flight, &blocked, is_slow)
                 .unwrap_or_else(|| {
                     let times = (started_ms, progress_ms);
                     self.swarm_reads(&swarm, &have, &in_flight, &blocked, times, seed)
@@ -359,12 +365,13 @@
                     Place::Swarm(Source::Origin) => None,
                     Place::Swarm(Source::Peer(key)) => Some(swarm.addresses[key.0 as usize]),
                 };
-                reads.push(async move { (read, self.read(read.chunk, address).await) });
+                reads.push(async move { (read, now_ms, self.read(read.chunk, address).await) });
             }
             tokio::select! {
-                Some((read, result)) = reads.next() => {
+                Some((read, began_ms, result)) = reads.next() => {
                     in_flight.retain(|other| *other != read);
                     let now_ms = self.state.borrow().now_ms();
+                    is_slow = now_ms.saturating_sub(began_ms) >= SLOW_READ_MS;
                     if self.take_piece(manifest, read, result, &mut engine).await {
                         progress_ms = now_ms;
                     } else {
@@ -385,13 +392,15 @@
         have: &HaveMap,
         in_flight: &[Read],
         blocked: &[(Place, u64)],
+        is_slow: bool,
     ) -> Option<Vec<Read>> {
         let mut entries = self.state.borrow().near_entries();
         entries.retain(|entry| blocked.iter().all(|block| block.0 != Place::Entry(*entry)));
         if entries.is_empty() {
             return None;
         }
-        let room = MAX_ENTRY_READS.saturating_sub(in_flight.len());
+        let most = if is_slow { 1 } else { MAX_ENTRY_READS };
+        let room = most.saturating_sub(in_flight.len());
         let is_free = |chunk: &u32| {
             !have.contains(*chunk) && in_flight.iter().all(|read| read.chunk != *chunk)
         };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,7 +1,21 @@
-//! Streams are cut into whole events.
+//! Streams are cut into whole events; records change what an entry believes.
 
+use std::net::SocketAddr;
+
+use bergamotfork::fleet::EntryBeat;
+use bergamotfork::fleet::LedgerRecord;
+use bergamotfork::fleet::ReplicaRecord;
+use bergamotfork::fleet::ReplicaState;
+use bergamotfork::fleet::Topic;
+use bergamotfork::gateway::BadRecord;
 use bergamotfork::gateway::EventSplitter;
+use bergamotfork::gateway::GatewaySettings;
+use bergamotfork::gateway::GatewayState;
+use bergamotfork::gateway::OperatorRecord;
+use bergamotfork::gateway::RecordDecoder;
+use bergamotfork::gateway::SourceError;
 use bergamotfork::gateway::StreamEvent;
+use bergamotfork::gateway::TopicSink;
 
 fn split(parts: &[&str]) -> (Vec<StreamEvent>, Vec<u8>) {
     let mut splitter = EventSplitter::default();
@@ -42,3 +56,125 @@
     assert_eq!(events.len(), 1);
     assert_eq!(rest, b"id: 2\nda");
 }
+
+/// Reads records whose value is the address of a replica.
+struct Addresses;
+
+impl RecordDecoder for Addresses {
+    fn operator_record(&self, _key: &str, _value: &[u8]) -> Result<OperatorRecord, BadRecord> {
+        Ok(OperatorRecord::Other)
+    }
+
+    fn replica_record(&self, key: &str, value: &[u8]) -> Result<ReplicaRecord, BadRecord> {
+        Ok(ReplicaRecord {
+            id: key.to_owned(),
+            service: "s".to_owned(),
+            address: String::from_utf8_lossy(value).parse().unwrap(),
+            failure_domain: "z".to_owned(),
+            slots: 1,
+            state: ReplicaState::Ready,
+            cold_remaining_ms: 0,
+            heartbeat_no: 1,
+            born_unix_ms: None,
+            weights: Vec::new(),
+        })
+    }
+}
+
+fn settings() -> GatewaySettings {
+    let any: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    GatewaySettings {
+        name: "own".to_owned(),
+        failure_domain: "z".to_owned(),
+        regions: Vec::new(),
+        front: any,
+        ready: None,
+        directory: None,
+        internal: any,
+        metrics: any,
+        heartbeat_ms: 1_000,
+        grace_ms: 1_000,
+        directory_keep_s: 1,
+        resend_ratio: 0.1,
+        resend_extra: 1.0,
+        resend_window_ms: 1_000,
+        weights_apply_ms: 8_000,
+        link_mbps: 100.0,
+        max_connections: 10,
+    }
+}
+
+fn beat(name: String) -> EntryBeat {
+    let any: SocketAddr = "127.0.0.1:2".parse().unwrap();
+    EntryBeat {
+        name,
+        incarnation: 1,
+        internal: any,
+        front: any,
+        failure_domain: "z".to_owned(),
+        is_ready: true,
+        has_store: true,
+        ends: [0; 3],
+        declared: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn record(offset: u64, value: Option<&str>) -> LedgerRecord {
+    LedgerRecord {
+        key: "i-1".to_owned(),
+        offset,
+        value: value.map(|text| text.as_bytes().to_vec()),
+    }
+}
+
+fn listed(state: &GatewayState) -> usize {
+    state.replicas.listed().count()
+}
+
+/// An entry that the store turns away learns from the entry that reads for it:
+/// a replica that has left is gone at once.
+#[actix_rt::test]
+async fn take_records_replica_gone_while_another_entry_reads() {
+    let state = GatewayState::new(settings());
+    let mut state = state.borrow_mut();
+    state.take_listing(
+        Topic::Replicas,
+        vec![record(0, Some("127.0.0.1:9"))],
+        1,
+        &Addresses,
+    );
+    for index in 0..8 {
+        let now_ms = state.now_ms();
+        state.peers.heard(beat(format!("entry-{index}")), now_ms);
+    }
+    let lost = SourceError::Refused(503);
+    state.note_source(Topic::Replicas, Some(&lost));
+    state.take_records(
+        Topic::Replicas,
+        vec![record(1, Some("127.0.0.1:9"))],
+        2,
+        &Addresses,
+    );
+    assert!(state.has_reader());
+    assert_eq!(listed(&state), 1);
+    state.take_records(Topic::Replicas, vec![record(2, None)], 3, &Addresses);
+    assert_eq!(listed(&state), 0);
+}
+
+/// While the store is away for all, a record that lapsed is waited for.
+#[actix_rt::test]
+async fn take_records_lapsed_record_while_the_store_is_away() {
+    let state = GatewayState::new(settings());
+    let mut state = state.borrow_mut();
+    state.take_listing(
+        Topic::Replicas,
+        vec![record(0, Some("127.0.0.1:9"))],
+        1,
+        &Addresses,
+    );
+    let lost = SourceError::Refused(503);
+    state.note_source(Topic::Replicas, Some(&lost));
+    state.take_records(Topic::Replicas, vec![record(2, None)], 3, &Addresses);
+    assert_eq!(listed(&state), 1);
+}
