--- a/src/fleet/declarations.rs
+++ b/src/fleet/declarations.rs
@@ -1,4 +1,6 @@
 use crate::fleet::DeclarationNote;
+use crate::observe::Event;
+use crate::observe::LogLine;
 
 /// Declarations remembered.
 const MAX_DECLARED: usize = 32;
@@ -20,6 +22,19 @@
     pub is_exact: bool,
 }
 
+/// A declaration as a record of the store holds it.
+#[derive(Debug)]
+pub struct DeclaredRecord {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Offset of the record.
+    pub offset: u64,
+    /// Whether the record came after the first listing, and so just now.
+    pub is_fresh: bool,
+}
+
 /// The operator's declarations, each with its own time.
 ///
 /// A process that starts late finds a declaration in the store without its age.
@@ -46,6 +61,32 @@
         true
     }
 
+    /// Takes what a record of the store declares; returns whether it is new.
+    ///
+    /// What a first listing holds may be of any age: it counts as due.
+    pub fn declare(&mut self, record: DeclaredRecord, now_ms: i64, apply_ms: i64) -> bool {
+        let line = LogLine::new(Event::WeightsDeclared)
+            .text("model", &record.model)
+            .number("version", record.version)
+            .number("offset", record.offset)
+            .flag("age_known", record.is_fresh);
+        let learned_ms = if record.is_fresh {
+            now_ms
+        } else {
+            now_ms - apply_ms
+        };
+        let is_new = self.add(Declaration {
+            model: record.model,
+            version: record.version,
+            learned_ms,
+            is_exact: record.is_fresh,
+        });
+        if is_new {
+            line.write();
+        }
+        is_new
+    }
+
     /// Takes what another process knows of the ages.
     pub fn merge(&mut self, notes: &[DeclarationNote], now_ms: i64) {
         for note in notes {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The catalogue of routes, the replicas with their observed health and load,
 //! the other entries, and the decisions on placement, admission and retries.
-//! Nothing here does I/O; time is an argument in ms of the steady clock.
+//! Nothing here does I/O, beyond queueing log lines; time is an argument in ms of
+//! the steady clock.
 
 mod admission;
 mod catalog;
@@ -32,6 +33,7 @@
 pub use catalog::Workspace;
 pub use declarations::Declaration;
 pub use declarations::Declarations;
+pub use declarations::DeclaredRecord;
 pub use engine_load::EngineLoad;
 pub use ledger::Ledger;
 pub use ledger::LedgerRecord;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -140,11 +140,7 @@
     async fn handle(&self, request: InternalRequest) -> InternalReply {
         let path = request.head.path();
         if path == METRICS_PATH {
-            return InternalReply {
-                status: 200,
-                content_type: "text/plain; version=0.0.4",
-                body: self.metrics.render().into_bytes(),
-            };
+            return InternalReply::metrics(self.metrics.render());
         }
         if let Some(reply) = self.pieces.answer(path).await {
             return reply;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -72,7 +72,7 @@
             tokio::time::sleep(LOST_PAUSE).await;
         }
         let step = if must_list {
-            list(&state, topic, &mut source, &*decoder)
+            read_listing(&state, topic, &mut source, &*decoder)
                 .await
                 .map(|()| false)
         } else {
@@ -99,8 +99,9 @@
     }
 }
 
-async fn list(
-    state: &RefCell<GatewayState>,
+/// Reads the newest record of each key of a topic.
+pub async fn read_listing(
+    state: &RefCell<impl TopicSink>,
     topic: Topic,
     source: &mut impl RecordSource,
     decoder: &impl RecordDecoder,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,6 +18,8 @@
 use crate::gateway::exchange;
 use crate::gateway::exchange::Answer;
 use crate::gateway::exchange::Sent;
+use crate::gateway::own_answer::outcome_of;
+use crate::gateway::own_answer::own_answer;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::StreamWatch;
@@ -680,17 +682,6 @@
     }
 }
 
-/// Name of an outcome in the metrics; status 0 is an answer that was not finished.
-fn outcome_of(status: u16) -> &'static str {
-    match status {
-        200..300 => "served",
-        502 | 504 => "failed",
-        503 => "refused",
-        0 => "not_finished",
-        _ => "other",
-    }
-}
-
 fn log_failed_attempt(request: &Request, place: &Place, cause: &str) {
     LogLine::new(Event::AttemptFailed)
         .text("id", &request.facts.attempt_id)
@@ -699,29 +690,3 @@
         .number("sends", request.sends)
         .write();
 }
-
-/// An answer of the system's own, without a body.
-pub fn own_answer(status: u16, retry_after_ms: Option<u64>, close: bool) -> Vec<u8> {
-    let reason = match status {
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Error",
-    };
-    let mut text = format!("HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n");
-    if let Some(retry_after_ms) = retry_after_ms {
-        let seconds = Duration::from_millis(retry_after_ms).as_secs_f64();
-        text.push_str(&format!("Retry-After: {seconds:.3}\r\n"));
-    }
-    if close {
-        text.push_str("Connection: close\r\n");
-    }
-    text.push_str("\r\n");
-    text.into_bytes()
-}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -12,7 +12,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::forward::Gateway;
 use crate::gateway::forward::Next;
-use crate::gateway::forward::own_answer;
+use crate::gateway::own_answer::own_answer;
 use crate::gateway::process::LEAVE_TIME;
 use crate::gateway::request::Request;
 use crate::http1::BodyDecoder;
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -43,6 +43,15 @@
 }
 
 impl InternalReply {
+    /// Answer with metrics in the Prometheus text format.
+    pub fn metrics(text: String) -> Self {
+        Self {
+            status: 200,
+            content_type: "text/plain; version=0.0.4",
+            body: text.into_bytes(),
+        }
+    }
+
     /// Answer without a body.
     pub fn status(status: u16) -> Self {
         Self {
--- a/src/staging/pieces.rs
+++ b/src/staging/pieces.rs
@@ -77,11 +77,7 @@
     async fn handle(&self, request: InternalRequest) -> InternalReply {
         let path = request.head.path();
         if path == METRICS_PATH {
-            return InternalReply {
-                status: 200,
-                content_type: "text/plain; version=0.0.4",
-                body: self.metrics.render().into_bytes(),
-            };
+            return InternalReply::metrics(self.metrics.render());
         }
         let reply = if let Some(question) = path.strip_prefix(PIECE_PATH) {
             self.piece(question).await
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -13,9 +13,9 @@
 use crate::gateway::MAX_DATAGRAM_BYTES;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
-use crate::gateway::SourceError;
 use crate::gateway::TopicSink;
 use crate::gateway::pull_records;
+use crate::gateway::read_listing;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -120,7 +120,7 @@
         };
         if must_read {
             for topic in TOPICS {
-                if let Err(error) = list(&state, topic, &mut source, &*decoder).await {
+                if let Err(error) = read_listing(&state, topic, &mut source, &*decoder).await {
                     log::debug!("the store was not read: {error}");
                 }
             }
@@ -129,18 +129,6 @@
     }
 }
 
-async fn list(
-    state: &RefCell<StagingState>,
-    topic: Topic,
-    source: &mut impl RecordSource,
-    decoder: &impl RecordDecoder,
-) -> Result<(), SourceError> {
-    let listing = source.listing(topic).await?;
-    let mut state = state.borrow_mut();
-    state.take_listing(topic, listing.records, listing.end_offset, decoder);
-    Ok(())
-}
-
 /// Takes beats of entries and notes of other hosts.
 async fn receive_datagrams(
     state: Rc<RefCell<StagingState>>,
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Catalog;
 use crate::fleet::Declaration;
 use crate::fleet::Declarations;
+use crate::fleet::DeclaredRecord;
 use crate::fleet::Ledger;
 use crate::fleet::LedgerRecord;
 use crate::fleet::OriginProfile;
@@ -339,28 +340,15 @@
     }
 
     fn declare(&mut self, model: String, version: u64, offset: u64) {
-        // What the first listing holds may be of any age.
-        let is_exact = self.ledger(Topic::Operator).is_known();
-        let now_ms = self.now_ms() as i64;
-        let learned_ms = if is_exact {
-            now_ms
-        } else {
-            now_ms - self.settings.weights_apply_ms as i64
-        };
-        let line = LogLine::new(Event::WeightsDeclared)
-            .text("model", &model)
-            .number("version", version)
-            .number("offset", offset)
-            .flag("age_known", is_exact);
-        let declaration = Declaration {
+        let record = DeclaredRecord {
             model,
             version,
-            learned_ms,
-            is_exact,
+            offset,
+            is_fresh: self.ledger(Topic::Operator).is_known(),
         };
-        if self.declared.add(declaration) {
-            line.write();
-        }
+        let now_ms = self.now_ms() as i64;
+        let apply_ms = self.settings.weights_apply_ms as i64;
+        self.declared.declare(record, now_ms, apply_ms);
     }
 }
 
