--- a/tests/docs/commands.rs
+++ b/tests/docs/commands.rs
@@ -99,7 +99,7 @@
 
 #[test]
 fn readme_test_command_is_ci() {
-    let command = "cargo test --locked";
+    let command = "cargo test --locked --workspace";
     let readme = page("README.md");
     assert!(
         shell_lines(&readme).contains(&command),
