Read datagrams and refuse records in one place; drop what the change made dead

Entries and endpoint processes had the same loop over datagrams and the same line for an unreadable record (the endpoint's line names the topic now as well). The outcome of gathering was read by nobody, and two functions took a client that they did not use. Otherwise no change of behaviour.

--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -27,7 +27,7 @@
 const BEATS_PER_HELLO: u64 = 2;
 
 /// Largest datagram, in bytes.
-pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
 /// Suspects told in one beat, so that it fits a datagram.
 const MAX_TOLD_SUSPECTS: usize = 16;
@@ -144,12 +144,8 @@
         .collect()
 }
 
-/// Takes beats and load reports.
-pub async fn receive_datagrams(
-    state: Rc<RefCell<GatewayState>>,
-    socket: Rc<UdpSocket>,
-    decoder: Rc<impl RecordDecoder + 'static>,
-) {
+/// Hands each readable datagram to `take`, with its sender.
+pub async fn for_each_datagram(socket: &UdpSocket, mut take: impl FnMut(Datagram, SocketAddr)) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (len, from) = match socket.recv_from(&mut buffer).await {
@@ -161,15 +157,27 @@
             }
         };
         match rmp_serde::from_slice(&buffer[..len]) {
-            Ok(Datagram::Beat(beat)) => take_beat(&state, beat, &decoder),
-            Ok(Datagram::Load(report)) => take_load(&state, &report, from),
-            // Notes on pieces are for endpoint processes.
-            Ok(Datagram::Have(_)) => {}
+            Ok(datagram) => take(datagram, from),
             Err(error) => log::debug!("a datagram from {from} is unreadable: {error}"),
         }
     }
 }
 
+/// Takes beats and load reports.
+pub async fn receive_datagrams(
+    state: Rc<RefCell<GatewayState>>,
+    socket: Rc<UdpSocket>,
+    decoder: Rc<impl RecordDecoder + 'static>,
+) {
+    for_each_datagram(&socket, |datagram, from| match datagram {
+        Datagram::Beat(beat) => take_beat(&state, beat, &decoder),
+        Datagram::Load(report) => take_load(&state, &report, from),
+        // Notes on pieces are for endpoint processes.
+        Datagram::Have(_) => {}
+    })
+    .await;
+}
+
 fn take_load(state: &RefCell<GatewayState>, report: &LoadReport, from: SocketAddr) {
     let mut state = state.borrow_mut();
     let load = EngineLoad {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -186,9 +186,8 @@
                     let close = self.closes(&request);
                     let end = relay.pump(client, stream, close, &visit).await;
                     drop(visit);
-                    if let Some(next) = self
-                        .stream_ended(client, &request, &place, &relay, end, &mut progress)
-                        .await
+                    if let Some(next) =
+                        self.stream_ended(&request, &place, &relay, end, &mut progress)
                     {
                         return next;
                     }
@@ -471,9 +470,8 @@
     }
 
     /// Ends a stream, or returns None when another replica may go on with it.
-    async fn stream_ended(
+    fn stream_ended(
         &self,
-        client: &mut Connection,
         request: &Request,
         place: &Place,
         relay: &StreamRelay,
@@ -509,7 +507,7 @@
             }
             StreamEnd::ClientGone => Some(self.client_left(request, progress)),
             StreamEnd::TimedOut if relay.has_begun() => {
-                Some(self.break_off(client, request, progress, "timeout"))
+                Some(self.break_off(request, progress, "timeout"))
             }
             StreamEnd::TimedOut => {
                 progress.may_have_run = true;
@@ -542,7 +540,7 @@
         retry_after_ms: u64,
     ) -> Next {
         if relay.has_begun() {
-            return self.break_off(client, request, &progress, cause);
+            return self.break_off(request, &progress, cause);
         }
         if let Some(answer) = progress.fallback.take() {
             return self.answer(client, request, &progress, answer).await;
@@ -570,13 +568,7 @@
     }
 
     /// Ends a stream that has begun in a way that can't look complete.
-    fn break_off(
-        &self,
-        _client: &mut Connection,
-        request: &Request,
-        progress: &Progress,
-        cause: &str,
-    ) -> Next {
+    fn break_off(&self, request: &Request, progress: &Progress, cause: &str) -> Next {
         let ending = Ending {
             status: 0,
             cause,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 
 pub use beats::Datagram;
 pub use beats::HaveNote;
-pub use beats::MAX_DATAGRAM_BYTES;
+pub use beats::for_each_datagram;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::StreamEvent;
 pub use follow::TopicSink;
@@ -49,3 +49,4 @@
 pub use pull::pull_records;
 pub use settings::GatewaySettings;
 pub use state::GatewayState;
+pub use state::reject_record;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -553,7 +553,8 @@
     }
 }
 
-fn reject_record(topic: Topic, key: &str, offset: u64, error: &dyn std::error::Error) {
+/// Logs a record that can't be read.
+pub fn reject_record(topic: Topic, key: &str, offset: u64, error: &dyn std::error::Error) {
     LogLine::new(Event::RecordRejected)
         .text("topic", topic.label())
         .text("key", key)
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -10,10 +10,10 @@
 use crate::fleet::Topic;
 use crate::gateway::Datagram;
 use crate::gateway::HaveNote;
-use crate::gateway::MAX_DATAGRAM_BYTES;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::TopicSink;
+use crate::gateway::for_each_datagram;
 use crate::gateway::pull_records;
 use crate::gateway::read_listing;
 use crate::http1::serve_internal;
@@ -136,57 +136,45 @@
     decoder: Rc<impl RecordDecoder + 'static>,
 ) {
     let pulls = Rc::new(RefCell::new([false; 3]));
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (len, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("a datagram was not received: {error}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
+    for_each_datagram(&socket, |datagram, _| match datagram {
+        Datagram::Beat(beat) => {
+            {
+                let mut state = state.borrow_mut();
+                state.entry_heard(beat.internal, &beat.failure_domain);
+                let now_ms = state.now_ms() as i64;
+                state.declared.merge(&beat.declared, now_ms);
             }
-        };
-        match rmp_serde::from_slice(&buffer[..len]) {
-            Ok(Datagram::Beat(beat)) => {
-                {
-                    let mut state = state.borrow_mut();
-                    state.entry_heard(beat.internal, &beat.failure_domain);
-                    let now_ms = state.now_ms() as i64;
-                    state.declared.merge(&beat.declared, now_ms);
-                }
-                for topic in TOPICS {
-                    let is_behind = {
-                        let state = state.borrow();
-                        beat.ends[topic as usize] > state.ledger(topic).end_offset()
-                            && (topic == Topic::Operator || state.is_gathering())
-                    };
-                    if is_behind && !pulls.borrow()[topic as usize] {
-                        pulls.borrow_mut()[topic as usize] = true;
-                        let (state, decoder, pulls) =
-                            (state.clone(), decoder.clone(), pulls.clone());
-                        actix_rt::spawn(async move {
-                            pull_records(&state, topic, beat.internal, &*decoder).await;
-                            pulls.borrow_mut()[topic as usize] = false;
-                        });
-                    }
+            for topic in TOPICS {
+                let is_behind = {
+                    let state = state.borrow();
+                    beat.ends[topic as usize] > state.ledger(topic).end_offset()
+                        && (topic == Topic::Operator || state.is_gathering())
+                };
+                if is_behind && !pulls.borrow()[topic as usize] {
+                    pulls.borrow_mut()[topic as usize] = true;
+                    let (state, decoder, pulls) = (state.clone(), decoder.clone(), pulls.clone());
+                    actix_rt::spawn(async move {
+                        pull_records(&state, topic, beat.internal, &*decoder).await;
+                        pulls.borrow_mut()[topic as usize] = false;
+                    });
                 }
             }
-            Ok(Datagram::Have(note)) => {
-                let mut state = state.borrow_mut();
-                let heard_ms = state.now_ms();
-                state.holder_heard(Holder {
-                    address: note.address,
-                    model: note.model,
-                    version: note.version,
-                    have: note.have,
-                    heard_ms,
-                });
-            }
-            // Load reports are for entries.
-            Ok(Datagram::Load(_)) => {}
-            Err(error) => log::debug!("a datagram from {from} is unreadable: {error}"),
         }
-    }
+        Datagram::Have(note) => {
+            let mut state = state.borrow_mut();
+            let heard_ms = state.now_ms();
+            state.holder_heard(Holder {
+                address: note.address,
+                model: note.model,
+                version: note.version,
+                have: note.have,
+                heard_ms,
+            });
+        }
+        // Load reports are for entries.
+        Datagram::Load(_) => {}
+    })
+    .await;
 }
 
 /// Tells the other hosts which pieces are held, while anybody lacks some.
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -17,8 +17,7 @@
 use crate::gateway::OperatorRecord;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
-use crate::observe::Event;
-use crate::observe::LogLine;
+use crate::gateway::reject_record;
 use crate::staging::EngineReport;
 use crate::staging::Stage;
 use crate::staging::StagingSettings;
@@ -322,7 +321,7 @@
                     self.declare(model, version, offset);
                 }
                 Ok(OperatorRecord::Other) => {}
-                Err(error) => reject(key, offset, &error),
+                Err(error) => reject_record(topic, key, offset, &error),
             },
             (Topic::Replicas, value) => {
                 self.replicas.retain(|replica| replica.id != key);
@@ -331,7 +330,7 @@
                     Some(Ok(record)) if record.service == self.settings.service => {
                         self.replicas.push(record);
                     }
-                    Some(Err(error)) => reject(key, offset, &error),
+                    Some(Err(error)) => reject_record(topic, key, offset, &error),
                     _ => {}
                 }
             }
@@ -386,11 +385,3 @@
         self.ledgers[topic as usize].advance(next_offset);
     }
 }
-
-fn reject(key: &str, offset: u64, error: &dyn std::error::Error) {
-    LogLine::new(Event::RecordRejected)
-        .text("key", key)
-        .number("offset", offset)
-        .text("error", error.to_string())
-        .write();
-}
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -115,15 +115,6 @@
     )
 }
 
-/// How gathering a version ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Gathered {
-    /// Every piece is staged and was checked.
-    Complete,
-    /// Another version is wanted now.
-    Superseded,
-}
-
 /// Gathers the pieces of one version into the staging area.
 #[derive(Debug)]
 pub struct Transfer<'a, E, O> {
@@ -150,9 +141,9 @@
 
 impl<E: EnginePort, O: OriginPort> Transfer<'_, E, O> {
     /// Gathers until the version is complete or no longer wanted.
-    pub async fn run(&self) -> Gathered {
+    pub async fn run(&self) {
         let Some(manifest) = self.manifest().await else {
-            return Gathered::Superseded;
+            return;
         };
         self.take_inventory(&manifest).await;
         LogLine::new(Event::TransferStarted)
@@ -161,7 +152,7 @@
             .number("held", self.have().count())
             .number("pieces", manifest.chunks())
             .write();
-        self.fetch_missing(&manifest).await
+        self.fetch_missing(&manifest).await;
     }
 
     fn is_wanted(&self) -> bool {
@@ -323,7 +314,7 @@
         is_right
     }
 
-    async fn fetch_missing(&self, manifest: &PieceManifest) -> Gathered {
+    async fn fetch_missing(&self, manifest: &PieceManifest) {
         let mut in_flight: Vec<Read> = Vec::new();
         let mut reads = FuturesUnordered::new();
         let mut blocked: Vec<(Place, u64)> = Vec::new();
@@ -335,7 +326,7 @@
         let mut seed = started_ms;
         loop {
             if !self.is_wanted() {
-                return Gathered::Superseded;
+                return;
             }
             let have = self.have();
             if have.is_complete() {
@@ -344,7 +335,7 @@
                     .number("version", self.version)
                     .number("took_ms", self.state.borrow().now_ms() - started_ms)
                     .write();
-                return Gathered::Complete;
+                return;
             }
             if self.hosts() != swarm.addresses && in_flight.is_empty() {
                 swarm = self.swarm(manifest);
