Learn new weights from any process that knows of them

Change: a note with a later version declares it, with its age. Test: declarations_newer_version_is_learned_from_others, red before.

--- a/src/fleet/declarations.rs
+++ b/src/fleet/declarations.rs
@@ -87,8 +87,9 @@
         is_new
     }
 
-    /// Takes what another process knows of the ages.
-    pub fn merge(&mut self, notes: &[DeclarationNote], now_ms: i64) {
+    /// Takes what another process knows; returns whether a version is new.
+    pub fn merge(&mut self, notes: &[DeclarationNote], now_ms: i64) -> bool {
+        let mut is_news = false;
         for note in notes {
             let learned_ms = now_ms - i64::try_from(note.age_ms).unwrap_or(i64::MAX / 2);
             let same = |known: &&mut Declaration| {
@@ -102,27 +103,37 @@
                     known.learned_ms = learned_ms;
                     known.is_exact = true;
                 }
-                None => self.insert_older(note, learned_ms),
+                None => is_news |= self.insert(note, learned_ms),
             }
         }
+        is_news
     }
 
-    /// Takes a declaration that was superseded before this process started.
-    fn insert_older(&mut self, note: &DeclarationNote, learned_ms: i64) {
-        let at = self
+    /// Takes a version that only others knew; returns whether it is the latest.
+    fn insert(&mut self, note: &DeclarationNote, learned_ms: i64) -> bool {
+        let declaration = Declaration {
+            model: note.model.clone(),
+            version: note.version,
+            learned_ms,
+            is_exact: true,
+        };
+        let later = self
             .entries
             .iter()
             .position(|known| known.model == note.model && known.version > note.version);
-        if let Some(at) = at {
-            self.entries.insert(
-                at,
-                Declaration {
-                    model: note.model.clone(),
-                    version: note.version,
-                    learned_ms,
-                    is_exact: true,
-                },
-            );
+        match later {
+            Some(at) => {
+                self.entries.insert(at, declaration);
+                false
+            }
+            None => {
+                LogLine::new(Event::WeightsDeclared)
+                    .text("model", &note.model)
+                    .number("version", note.version)
+                    .number("age_ms", note.age_ms)
+                    .write();
+                self.add(declaration)
+            }
         }
     }
 
--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -193,7 +193,9 @@
     };
     state.replicas.take_load(from.ip(), report.port, load);
     let now_ms = state.now_ms() as i64;
-    state.weights.merge(&report.declared, now_ms);
+    if state.weights.merge(&report.declared, now_ms) {
+        state.weights_notice.notify_one();
+    }
 }
 
 fn take_beat(
@@ -207,7 +209,9 @@
     }
     let now_ms = known.now_ms();
     known.suspects.merge(beat.suspects.iter().cloned(), now_ms);
-    known.weights.merge(&beat.declared, now_ms as i64);
+    if known.weights.merge(&beat.declared, now_ms as i64) {
+        known.weights_notice.notify_one();
+    }
     let own_ends = known.ends();
     let lines = LogLine::new(Event::EntrySeen)
         .text("entry", &beat.name)
--- a/tests/fleet/beliefs.rs
+++ b/tests/fleet/beliefs.rs
@@ -208,6 +208,30 @@
     assert_eq!(known, [(2, 100 - 4_000), (3, 100 - 2_000)]);
 }
 
+/// A process that reads the store late begins with new weights at once.
+#[test]
+fn declarations_newer_version_is_learned_from_others() {
+    let mut known = Declarations::default();
+    known.add(declaration(2, 1_000, true));
+    let note = DeclarationNote {
+        model: "m".to_owned(),
+        version: 3,
+        age_ms: 400,
+    };
+    assert!(known.merge(std::slice::from_ref(&note), 5_000));
+    assert_eq!(*known.latest().unwrap(), declaration(3, 4_600, true));
+    assert!(
+        !known.merge(std::slice::from_ref(&note), 5_100),
+        "news only once"
+    );
+    assert!(
+        !known.merge(std::slice::from_ref(&note), 5_100),
+        "news only once"
+    );
+    // Its record, which comes later, changes nothing.
+    assert!(!known.add(declaration(3, 6_000, true)));
+}
+
 #[test]
 fn declarations_earliest_age_stays() {
     let mut known = Declarations::default();
