A single record no longer counts as all before it

Entries were added just then and listed the replicas while 46 of them changed; a record on a later page, newer than the listing's first page, moved the end of the ledger past records that were on no page. Others that read from that entry skipped them as well.

Change: a record moves nothing; only a listing's end and a read's end do. What a listing lacks gets an offset before its end, so that those that read from this process learn of it too: they kept such replicas until they read the store.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -63,8 +63,9 @@
     }
 
     /// Takes one record; returns whether it is news.
+    ///
+    /// It says nothing of the records before it: [`Ledger::advance`] does.
     pub fn apply(&mut self, record: LedgerRecord) -> bool {
-        self.end_offset = self.end_offset.max(record.offset + 1);
         match self.records.binary_search_by(|r| r.key.cmp(&record.key)) {
             Ok(at) if self.records[at].offset >= record.offset => false,
             Ok(at) => {
@@ -96,6 +97,9 @@
             let is_listed = listed.binary_search(&record.key).is_ok();
             if !is_listed && record.offset < end_offset && record.value.is_some() {
                 record.value = None;
+                // Later than its last record and before the listing, so that
+                // those that read from this process learn of it.
+                record.offset = end_offset - 1;
                 changed.push(record.key.clone());
             }
         }
