Tell how old the knowledge of replicas is, so that one entry reads a quiet store

Cause: an entry took a second without news for a reader that is cut off; where replicas seldom change, all entries read the store by themselves most of the time.

Change: beats carry the age of the replicas' records since the store confirmed them, the reader asks for them every 0.6 s, and the next entry by rank reads too when they are 1.1 s old (then one more each 0.3 s). Hosts read the store again after pauses that grow to 2.8 s.

--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -12,14 +12,14 @@
 /// Seed of the rank by which entries read the store.
 const READER_SEED: u64 = 1;
 
-/// Time without news after which the next entry by rank reads the store as well,
-/// in ms: its reader may be cut off without knowing it.
-const READER_SILENT_MS: u64 = 900;
+/// Age of what is known at which the next entry by rank reads the store as well,
+/// in ms: more than a reader's interval and a beat; its reader may be cut off.
+const READER_SILENT_MS: u64 = 1_100;
 
 /// Further time for each further entry, in ms: the time in which the one before
 /// reads the store and tells the others. All at once, they would fill the link
 /// whose delay made them read.
-const READER_STAGGER_MS: u64 = 500;
+const READER_STAGGER_MS: u64 = 300;
 
 /// An entry, as it registers itself for the others to find.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +64,8 @@
     pub has_store: bool,
     /// Ends of the topics that it holds, in the order of `Topic::ALL`.
     pub ends: [u64; 3],
+    /// Age of its replicas' records, since the store confirmed them.
+    pub replicas_age_ms: u64,
     /// Latest declarations of weights whose age is known.
     pub declared: Vec<DeclarationNote>,
     /// Requests that crashed replicas lately, and on how many.
@@ -141,18 +143,18 @@
     }
 
     /// Whether another entry of `failure_domain` reads the store for `own` as well,
-    /// when the last news came `silent_ms` ago.
+    /// while what is known is `age_ms` old.
     ///
     /// One entry a failure domain reads, by a rank that all agree on; who loses
     /// the store or falls silent is passed over.
-    pub fn has_reader(&self, own: &str, failure_domain: &str, now_ms: u64, silent_ms: u64) -> bool {
+    pub fn has_reader(&self, own: &str, failure_domain: &str, now_ms: u64, age_ms: u64) -> bool {
         let readers = self
             .alive(now_ms)
             .filter(|peer| peer.has_store && peer.failure_domain == failure_domain)
             .map(|peer| peer.name.as_str());
         let rank = rotation_slot(own, readers, READER_SEED) as u64;
         let patience_ms = READER_SILENT_MS + READER_STAGGER_MS * rank.saturating_sub(1);
-        rank > 0 && silent_ms < patience_ms
+        rank > 0 && age_ms < patience_ms
     }
 
     /// Every entry ever heard from, for beats to those that may be back.
--- a/src/gateway/beats.rs
+++ b/src/gateway/beats.rs
@@ -107,6 +107,7 @@
         is_ready: state.is_ready(),
         has_store: state.has_store(),
         ends: state.ends(),
+        replicas_age_ms: state.replicas_age_ms(),
         declared: state.weights.notes(state.now_ms() as i64),
         suspects,
     }
@@ -219,6 +220,9 @@
     let internal = beat.internal;
     let is_near = beat.failure_domain == known.settings.failure_domain;
     let ends = beat.ends;
+    if ends[Topic::Replicas as usize] <= own_ends[Topic::Replicas as usize] {
+        known.confirm_replicas(beat.replicas_age_ms);
+    }
     if known.peers.heard(beat, now_ms) {
         lines.write();
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -39,6 +39,10 @@
 /// after it.
 const READ_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait of one read for records of replicas: the other entries of the
+/// failure domain count on it that the store is heard from all the time.
+const REPLICAS_WAIT: Duration = Duration::from_millis(200);
+
 /// Pause between reads of the replicas' records, which change all the time.
 const REPLICAS_PAUSE: Duration = Duration::from_millis(400);
 
@@ -82,11 +86,15 @@
             Ok(is_trimmed) => {
                 must_list = is_trimmed;
                 failures = 0;
-                state.borrow_mut().note_source(topic, None);
-                let pause = if topic == Topic::Replicas {
-                    REPLICAS_PAUSE
-                } else {
-                    SHORT_PAUSE
+                let pause = {
+                    let mut state = state.borrow_mut();
+                    state.note_source(topic, None);
+                    if topic == Topic::Replicas {
+                        state.confirm_replicas(0);
+                        REPLICAS_PAUSE
+                    } else {
+                        SHORT_PAUSE
+                    }
                 };
                 tokio::time::sleep(pause).await;
             }
@@ -120,7 +128,12 @@
     decoder: &impl RecordDecoder,
 ) -> Result<bool, SourceError> {
     let from = state.borrow().ledger(topic).end_offset();
-    match source.read(topic, from, READ_WAIT).await? {
+    let wait = if topic == Topic::Replicas {
+        REPLICAS_WAIT
+    } else {
+        READ_WAIT
+    };
+    match source.read(topic, from, wait).await? {
         Records::Trimmed => Ok(true),
         Records::Next {
             records,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -57,8 +57,8 @@
 /// can begin at once, in ms: the longest wait at an engine more than the margin.
 const WEIGHTS_NOTICE_MS: u64 = 3_000;
 
-/// Time without a record of any replica after which a far entry is asked, in ms.
-const OUTDATED_MS: u64 = 700;
+/// Age of the replicas' records at which a far entry is asked for them, in ms.
+const OUTDATED_MS: u64 = 1_000;
 
 /// Time after its start in which an entry waits for the ages of declarations, in
 /// ms: two beats of the others.
@@ -112,7 +112,7 @@
     lapsed: Vec<String>,
     breaks: Vec<Break>,
     pulls: [bool; 3],
-    news_ms: [u64; 3],
+    replicas_fresh_ms: u64,
     rng: Pcg64Mcg,
     started: Instant,
 }
@@ -143,7 +143,7 @@
             lapsed: Vec::new(),
             breaks: Vec::new(),
             pulls: [false; 3],
-            news_ms: [0; 3],
+            replicas_fresh_ms: 0,
             rng,
             started: Instant::now(),
         }))
@@ -187,19 +187,33 @@
         !self.lost_topics.contains(&true)
     }
 
-    /// Whether another entry reads the store for this one, and news comes in.
+    /// Age of the replicas' records, since the store confirmed them to this entry
+    /// or to one that told it.
+    pub fn replicas_age_ms(&self) -> u64 {
+        self.now_ms().saturating_sub(self.replicas_fresh_ms)
+    }
+
+    /// Notes that the replicas' records are as of `age_ms` ago.
+    pub fn confirm_replicas(&mut self, age_ms: u64) {
+        let fresh_ms = self.now_ms().saturating_sub(age_ms);
+        self.replicas_fresh_ms = self.replicas_fresh_ms.max(fresh_ms);
+    }
+
+    /// Whether another entry reads the store for this one, and tells it.
     pub fn has_reader(&self) -> bool {
         let settings = &self.settings;
         let now_ms = self.now_ms();
-        let silent_ms = now_ms.saturating_sub(self.news_ms[Topic::Replicas as usize]);
-        self.peers
-            .has_reader(&settings.name, &settings.failure_domain, now_ms, silent_ms)
+        self.peers.has_reader(
+            &settings.name,
+            &settings.failure_domain,
+            now_ms,
+            self.replicas_age_ms(),
+        )
     }
 
-    /// Whether `topic` has brought nothing for so long that a far entry is asked.
+    /// Whether what is known of `topic` is so old that a far entry is asked.
     pub fn is_outdated(&self, topic: Topic) -> bool {
-        topic != Topic::Replicas
-            || self.now_ms().saturating_sub(self.news_ms[topic as usize]) >= OUTDATED_MS
+        topic != Topic::Replicas || self.replicas_age_ms() >= OUTDATED_MS
     }
 
     /// Notes whether the store answers for `topic`.
@@ -537,9 +551,6 @@
                 changed.push(key);
             }
         }
-        if next_offset > self.ledgers[topic as usize].end_offset() || !changed.is_empty() {
-            self.news_ms[topic as usize] = self.now_ms();
-        }
         self.ledgers[topic as usize].advance(next_offset);
         for key in changed {
             self.take_change(topic, &key, decoder);
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -48,8 +48,10 @@
 /// Time without a sign of an entry after which the store is read, in ms.
 const ENTRIES_SILENT_MS: u64 = 2_500;
 
-/// Pause between looks at whether the store must be read.
-const STORE_PAUSE: Duration = Duration::from_millis(700);
+/// Pause before the store is read again, and the longest to which it grows: the
+/// entries take some seconds to find a host that has just started.
+const STORE_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(700), Duration::from_millis(2_800));
 
 /// Time that pieces are still given out after a stop signal.
 const STOP_TIME: Duration = Duration::from_millis(300);
@@ -118,6 +120,8 @@
     mut source: impl RecordSource,
     decoder: Rc<impl RecordDecoder>,
 ) {
+    let (shortest, longest) = STORE_PAUSE;
+    let mut pause = shortest;
     loop {
         let must_read = {
             let state = state.borrow();
@@ -134,8 +138,12 @@
                     log::debug!("the store was not read: {error}");
                 }
             }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(longest);
+        } else {
+            pause = shortest;
+            tokio::time::sleep(pause).await;
         }
-        tokio::time::sleep(STORE_PAUSE).await;
     }
 }
 
