Split the large files of forwarding, transfer and state

Move only: placement.rs and ending.rs out of gateway/forward.rs, adopt.rs out of gateway/state.rs, manifest.rs and swarm_reads.rs out of staging/transfer.rs.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,29 +1,21 @@
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::calls::Standing;
-use crate::fleet::Admission;
-use crate::fleet::AdmissionInput;
-use crate::fleet::Replica;
-use crate::fleet::ReplicaKey;
 use crate::fleet::RouteKind;
-use crate::fleet::admit;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::SendFacts;
+use crate::gateway::ending::Ending;
 use crate::gateway::exchange;
 use crate::gateway::exchange::Answer;
 use crate::gateway::exchange::Sent;
-use crate::gateway::own_answer::outcome_of;
-use crate::gateway::own_answer::own_answer;
+use crate::gateway::placement::Place;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
-use crate::gateway::relay::StreamWatch;
-use crate::gateway::relay::answer_head;
 use crate::gateway::request::Request;
 use crate::http1::Connection;
 use crate::observe::Event;
@@ -37,13 +29,6 @@
 /// another replica: several targets, and less than a client's patience.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_600);
 
-/// Silence within a stream after which its replica is given up, if no report of
-/// it comes either.
-const DARK_SILENCE: Duration = Duration::from_millis(800);
-
-/// Silence within a stream after which its connection is given up in any case.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
-
 /// Longest wait for a plain repeatable answer before another replica is asked.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(900);
 
@@ -80,70 +65,14 @@
     }
 }
 
-/// Where a request goes.
-#[derive(Debug)]
-struct Place {
-    key: ReplicaKey,
-    id: String,
-    address: SocketAddr,
-    predicted_ms: f64,
-    weights_version: Option<u64>,
-    load_age_ms: Option<u64>,
-    begin_within_ms: Option<u64>,
-}
-
-/// The final answer to a request, for its log line.
-#[derive(Debug)]
-struct Ending<'a> {
-    status: u16,
-    cause: &'a str,
-    retry_after_ms: Option<u64>,
-}
-
-/// Counts a request at a replica for as long as it lives.
-struct Visit<'a> {
-    state: &'a RefCell<GatewayState>,
-    key: ReplicaKey,
-    ticket: u64,
-}
-
-impl StreamWatch for Visit<'_> {
-    fn first_event(&self) {
-        let mut state = self.state.borrow_mut();
-        let now_ms = state.now_ms();
-        state.replicas.began(self.key, self.ticket, now_ms);
-    }
-
-    fn is_lost(&self, silence: Duration) -> bool {
-        if silence >= STREAM_SILENCE {
-            return true;
-        }
-        let state = self.state.borrow();
-        let replica = state.replicas.get(self.key);
-        let is_dark = replica.is_gone
-            || replica
-                .fresh_load(state.now_ms())
-                .is_some_and(|load| !load.is_up);
-        silence >= DARK_SILENCE && is_dark
-    }
-}
-
-impl Drop for Visit<'_> {
-    fn drop(&mut self) {
-        let mut state = self.state.borrow_mut();
-        let now_ms = state.now_ms();
-        state.replicas.ended(self.key, self.ticket, now_ms);
-    }
-}
-
 /// What was learned from the sends of one request so far.
 #[derive(Debug, Default)]
-struct Progress {
+pub(super) struct Progress {
     unreachable: u32,
-    may_have_run: bool,
-    fallback: Option<Answer>,
-    last_cause: &'static str,
-    replica: String,
+    pub(super) may_have_run: bool,
+    pub(super) fallback: Option<Answer>,
+    pub(super) last_cause: &'static str,
+    pub(super) replica: String,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -215,118 +144,6 @@
         state.suspects.standing(request.fingerprint, state.now_ms()) == Standing::Refused
     }
 
-    /// Chooses a replica, or tells why there is none and when to come back.
-    fn place(&self, request: &Request, has_begun: bool) -> Result<Place, (&'static str, u64)> {
-        let mut state = self.state.borrow_mut();
-        let seed = state.random();
-        let now_ms = state.now_ms();
-        let model = request.facts.model.as_deref();
-        let required = model.and_then(|model| state.required_version(model));
-        let expected = model.and_then(|model| state.expected_version(model));
-        let service = request.catalog.service(&request.service);
-        let mut usable: Vec<(ReplicaKey, &Replica)> = state
-            .replicas
-            .listed()
-            .filter(|(key, replica)| {
-                replica.record.service == request.service
-                    && replica.is_usable(now_ms)
-                    && !request.tried.contains(key)
-                    && model.is_none_or(|model| {
-                        let version = replica.weights_version(model, now_ms);
-                        version > 0 && version >= required.unwrap_or(0)
-                    })
-            })
-            .collect();
-        if let (Some(model), Some(expected)) = (model, expected) {
-            usable.retain(|(_, replica)| {
-                replica.weights_version(model, now_ms) >= expected
-                    || replica.has_free_slots(0.0, now_ms)
-            });
-        }
-        // What the others send goes to the replicas that have room.
-        let open = usable.iter().filter(|(_, r)| r.has_free_slots(0.0, now_ms));
-        let sharers = match open.count() {
-            0 => usable.len().max(1),
-            open => open,
-        };
-        let others_per_ms = state.others_demand_per_ms(&request.service) / sharers as f64;
-        if let (Some(model), Some(expected)) = (model, expected) {
-            usable.retain(|(_, replica)| {
-                replica.weights_version(model, now_ms) >= expected
-                    || replica.has_free_slots(others_per_ms, now_ms)
-            });
-        }
-        let admission = admit(&AdmissionInput {
-            now_ms,
-            replicas: &usable,
-            engine: service.and_then(|service| service.engine.as_ref()),
-            failure_domain: &state.settings.failure_domain,
-            entries: state.entry_count(),
-            others_per_ms,
-            prompt_tokens: request.facts.prompt_tokens,
-            waited_ms: request.waited_ms(),
-            is_return: request.waited_before_ms > 0,
-            has_begun,
-            target_ms: request.route.target_ms,
-            left_ms: request.left_ms(),
-            seed,
-        });
-        match admission {
-            Admission::Send {
-                replica: key,
-                predicted_ms,
-            } => {
-                let replica = state.replicas.get(key);
-                Ok(Place {
-                    key,
-                    id: replica.record.id.clone(),
-                    address: replica.record.address,
-                    predicted_ms,
-                    weights_version: required
-                        .and(model)
-                        .map(|model| replica.weights_version(model, now_ms)),
-                    begin_within_ms: model.and_then(|model| {
-                        state.begin_within_ms(model, replica.weights_version(model, now_ms))
-                    }),
-                    load_age_ms: replica.fresh_load(now_ms).map(|load| now_ms - load.at_ms),
-                })
-            }
-            Admission::Refuse {
-                cause,
-                retry_after_ms,
-            } => Err((cause.label(), retry_after_ms)),
-        }
-    }
-
-    /// Counts a send.
-    fn begin<'a>(&'a self, request: &mut Request, place: &Place) -> Visit<'a> {
-        let mut state = self.state.borrow_mut();
-        let now_ms = state.now_ms();
-        let ticket = state
-            .replicas
-            .started(place.key, place.predicted_ms, now_ms);
-        if request.sends == 0 && request.tried.is_empty() {
-            state.budget(&request.service).request(now_ms);
-        }
-        request.tried.push(place.key);
-        LogLine::new(Event::RequestPlaced)
-            .text("id", &request.facts.attempt_id)
-            .text("replica", &place.id)
-            .number("predicted_ms", place.predicted_ms as i64)
-            .number(
-                "load_age_ms",
-                place.load_age_ms.map_or(-1, |age| age as i64),
-            )
-            .number("config", request.catalog.version)
-            .number("left_ms", request.left_ms())
-            .write();
-        Visit {
-            state: &self.state,
-            key: place.key,
-            ticket,
-        }
-    }
-
     /// Sends the request; None when the client left meanwhile.
     async fn send(
         &self,
@@ -528,150 +345,6 @@
             }
         }
     }
-
-    /// Gives the final answer to a request that no further replica gets.
-    async fn give_up(
-        &self,
-        client: &mut Connection,
-        request: &Request,
-        relay: &StreamRelay,
-        mut progress: Progress,
-        cause: &'static str,
-        retry_after_ms: u64,
-    ) -> Next {
-        if relay.has_begun() {
-            return self.break_off(request, &progress, cause);
-        }
-        if let Some(answer) = progress.fallback.take() {
-            return self.answer(client, request, &progress, answer).await;
-        }
-        let ending = if !progress.may_have_run {
-            Ending {
-                status: 503,
-                cause,
-                retry_after_ms: Some(retry_after_ms.min(request.left_ms() / 3)),
-            }
-        } else if request.left_ms() == 0 {
-            Ending {
-                status: 504,
-                cause: "timeout",
-                retry_after_ms: None,
-            }
-        } else {
-            Ending {
-                status: 502,
-                cause: progress.last_cause,
-                retry_after_ms: None,
-            }
-        };
-        self.end(client, request, &progress, ending).await
-    }
-
-    /// Ends a stream that has begun in a way that can't look complete.
-    fn break_off(&self, request: &Request, progress: &Progress, cause: &str) -> Next {
-        let ending = Ending {
-            status: 0,
-            cause,
-            retry_after_ms: None,
-        };
-        self.log_end(request, progress, &ending, None);
-        Next::Close
-    }
-
-    fn client_left(&self, request: &Request, progress: &Progress) -> Next {
-        let ending = Ending {
-            status: 0,
-            cause: "client_left",
-            retry_after_ms: None,
-        };
-        self.log_end(request, progress, &ending, None);
-        Next::Close
-    }
-
-    /// Passes a replica's whole answer on.
-    async fn answer(
-        &self,
-        client: &mut Connection,
-        request: &Request,
-        progress: &Progress,
-        answer: Answer,
-    ) -> Next {
-        let close = self.closes(request);
-        let mut bytes = answer_head(&answer.head, close);
-        bytes
-            .extend_from_slice(format!("Content-Length: {}\r\n\r\n", answer.body.len()).as_bytes());
-        bytes.extend_from_slice(&answer.body);
-        let written = client.write_until(&bytes, request.until).await;
-        let ending = Ending {
-            status: answer.head.status,
-            cause: "answered",
-            retry_after_ms: None,
-        };
-        self.log_end(request, progress, &ending, None);
-        match written {
-            Ok(()) if !close => Next::Keep,
-            _ => Next::Close,
-        }
-    }
-
-    /// Gives an answer of the system's own.
-    async fn end(
-        &self,
-        client: &mut Connection,
-        request: &Request,
-        progress: &Progress,
-        ending: Ending<'_>,
-    ) -> Next {
-        let close = self.closes(request);
-        let bytes = own_answer(ending.status, ending.retry_after_ms, close);
-        let until = Instant::now() + Duration::from_secs(1);
-        let written = client.write_until(&bytes, until).await;
-        if ending.status == 503 {
-            self.metrics.refused("request");
-        }
-        self.log_end(request, progress, &ending, None);
-        match written {
-            Ok(()) if !close => Next::Keep,
-            _ => Next::Close,
-        }
-    }
-
-    /// Whether the client's connection ends after this answer.
-    fn closes(&self, request: &Request) -> bool {
-        request.head.wants_close() || self.state.borrow().stopping.is_some()
-    }
-
-    fn log_end(
-        &self,
-        request: &Request,
-        progress: &Progress,
-        ending: &Ending<'_>,
-        stream: Option<(f64, u64)>,
-    ) {
-        let took_ms = request.arrived.elapsed().as_secs_f64() * 1_000.0;
-        let answer_ms = stream.map_or(took_ms, |stream| stream.0);
-        self.metrics.answered(outcome_of(ending.status), answer_ms);
-        let mut line = LogLine::new(Event::RequestEnded)
-            .text("id", &request.facts.attempt_id)
-            .text("route", &request.route.name)
-            .text("service", &request.service)
-            .number("status", ending.status)
-            .text("cause", ending.cause)
-            .text("replica", &progress.replica)
-            .number("sends", request.sends)
-            .number("config", request.catalog.version)
-            .number("took_ms", took_ms as i64)
-            .number("waited_before_ms", request.waited_before_ms);
-        if let Some(retry_after_ms) = ending.retry_after_ms {
-            line = line.number("retry_after_ms", retry_after_ms);
-        }
-        if let Some((first_event_ms, events)) = stream {
-            line = line
-                .number("first_event_ms", first_event_ms as i64)
-                .number("events", events);
-        }
-        line.write();
-    }
 }
 
 fn log_failed_attempt(request: &Request, place: &Place, cause: &str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,8 +5,10 @@
 //! the wire calls things is behind the traits in `ports`, which an adapter
 //! implements.
 
+mod adopt;
 mod beats;
 mod directory;
+mod ending;
 mod event_splitter;
 mod exchange;
 mod follow;
@@ -14,6 +16,7 @@
 mod front;
 mod own_answer;
 mod piece_cache;
+mod placement;
 mod ports;
 mod process;
 mod pull;
@@ -23,6 +26,7 @@
 mod settings;
 mod state;
 
+pub use adopt::reject_record;
 pub use beats::Datagram;
 pub use beats::HaveNote;
 pub use beats::for_each_datagram;
@@ -52,4 +56,3 @@
 pub use records_reply::RecordsReply;
 pub use settings::GatewaySettings;
 pub use state::GatewayState;
-pub use state::reject_record;
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,189 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::fleet::Admission;
+use crate::fleet::AdmissionInput;
+use crate::fleet::Replica;
+use crate::fleet::ReplicaKey;
+use crate::fleet::admit;
+use crate::gateway::Dialect;
+use crate::gateway::GatewayState;
+use crate::gateway::forward::Gateway;
+use crate::gateway::relay::StreamWatch;
+use crate::gateway::request::Request;
+use crate::observe::Event;
+use crate::observe::LogLine;
+
+/// Silence within a stream after which its replica is given up, if no report of
+/// it comes either.
+const DARK_SILENCE: Duration = Duration::from_millis(800);
+
+/// Silence within a stream after which its connection is given up in any case.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Where a request goes.
+#[derive(Debug)]
+pub(super) struct Place {
+    pub(super) key: ReplicaKey,
+    pub(super) id: String,
+    pub(super) address: SocketAddr,
+    pub(super) predicted_ms: f64,
+    pub(super) weights_version: Option<u64>,
+    pub(super) load_age_ms: Option<u64>,
+    pub(super) begin_within_ms: Option<u64>,
+}
+
+/// Counts a request at a replica for as long as it lives.
+pub(super) struct Visit<'a> {
+    state: &'a RefCell<GatewayState>,
+    key: ReplicaKey,
+    ticket: u64,
+}
+
+impl StreamWatch for Visit<'_> {
+    fn first_event(&self) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.replicas.began(self.key, self.ticket, now_ms);
+    }
+
+    fn is_lost(&self, silence: Duration) -> bool {
+        if silence >= STREAM_SILENCE {
+            return true;
+        }
+        let state = self.state.borrow();
+        let replica = state.replicas.get(self.key);
+        let is_dark = replica.is_gone
+            || replica
+                .fresh_load(state.now_ms())
+                .is_some_and(|load| !load.is_up);
+        silence >= DARK_SILENCE && is_dark
+    }
+}
+
+impl Drop for Visit<'_> {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.replicas.ended(self.key, self.ticket, now_ms);
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Chooses a replica, or tells why there is none and when to come back.
+    pub(super) fn place(
+        &self,
+        request: &Request,
+        has_begun: bool,
+    ) -> Result<Place, (&'static str, u64)> {
+        let mut state = self.state.borrow_mut();
+        let seed = state.random();
+        let now_ms = state.now_ms();
+        let model = request.facts.model.as_deref();
+        let required = model.and_then(|model| state.required_version(model));
+        let expected = model.and_then(|model| state.expected_version(model));
+        let service = request.catalog.service(&request.service);
+        let mut usable: Vec<(ReplicaKey, &Replica)> = state
+            .replicas
+            .listed()
+            .filter(|(key, replica)| {
+                replica.record.service == request.service
+                    && replica.is_usable(now_ms)
+                    && !request.tried.contains(key)
+                    && model.is_none_or(|model| {
+                        let version = replica.weights_version(model, now_ms);
+                        version > 0 && version >= required.unwrap_or(0)
+                    })
+            })
+            .collect();
+        if let (Some(model), Some(expected)) = (model, expected) {
+            usable.retain(|(_, replica)| {
+                replica.weights_version(model, now_ms) >= expected
+                    || replica.has_free_slots(0.0, now_ms)
+            });
+        }
+        // What the others send goes to the replicas that have room.
+        let open = usable.iter().filter(|(_, r)| r.has_free_slots(0.0, now_ms));
+        let sharers = match open.count() {
+            0 => usable.len().max(1),
+            open => open,
+        };
+        let others_per_ms = state.others_demand_per_ms(&request.service) / sharers as f64;
+        if let (Some(model), Some(expected)) = (model, expected) {
+            usable.retain(|(_, replica)| {
+                replica.weights_version(model, now_ms) >= expected
+                    || replica.has_free_slots(others_per_ms, now_ms)
+            });
+        }
+        let admission = admit(&AdmissionInput {
+            now_ms,
+            replicas: &usable,
+            engine: service.and_then(|service| service.engine.as_ref()),
+            failure_domain: &state.settings.failure_domain,
+            entries: state.entry_count(),
+            others_per_ms,
+            prompt_tokens: request.facts.prompt_tokens,
+            waited_ms: request.waited_ms(),
+            is_return: request.waited_before_ms > 0,
+            has_begun,
+            target_ms: request.route.target_ms,
+            left_ms: request.left_ms(),
+            seed,
+        });
+        match admission {
+            Admission::Send {
+                replica: key,
+                predicted_ms,
+            } => {
+                let replica = state.replicas.get(key);
+                Ok(Place {
+                    key,
+                    id: replica.record.id.clone(),
+                    address: replica.record.address,
+                    predicted_ms,
+                    weights_version: required
+                        .and(model)
+                        .map(|model| replica.weights_version(model, now_ms)),
+                    begin_within_ms: model.and_then(|model| {
+                        state.begin_within_ms(model, replica.weights_version(model, now_ms))
+                    }),
+                    load_age_ms: replica.fresh_load(now_ms).map(|load| now_ms - load.at_ms),
+                })
+            }
+            Admission::Refuse {
+                cause,
+                retry_after_ms,
+            } => Err((cause.label(), retry_after_ms)),
+        }
+    }
+
+    /// Counts a send.
+    pub(super) fn begin<'a>(&'a self, request: &mut Request, place: &Place) -> Visit<'a> {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        let ticket = state
+            .replicas
+            .started(place.key, place.predicted_ms, now_ms);
+        if request.sends == 0 && request.tried.is_empty() {
+            state.budget(&request.service).request(now_ms);
+        }
+        request.tried.push(place.key);
+        LogLine::new(Event::RequestPlaced)
+            .text("id", &request.facts.attempt_id)
+            .text("replica", &place.id)
+            .number("predicted_ms", place.predicted_ms as i64)
+            .number(
+                "load_age_ms",
+                place.load_age_ms.map_or(-1, |age| age as i64),
+            )
+            .number("config", request.catalog.version)
+            .number("left_ms", request.left_ms())
+            .write();
+        Visit {
+            state: &self.state,
+            key: place.key,
+            ticket,
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,18 +11,13 @@
 use crate::calls::SuspectTable;
 use crate::fleet::Catalog;
 use crate::fleet::Declarations;
-use crate::fleet::DeclaredRecord;
 use crate::fleet::Ledger;
-use crate::fleet::LedgerRecord;
 use crate::fleet::PeerTable;
 use crate::fleet::RateMeter;
-use crate::fleet::ReplicaState;
 use crate::fleet::ReplicaTable;
 use crate::fleet::RetryWindow;
 use crate::fleet::Topic;
 use crate::gateway::GatewaySettings;
-use crate::gateway::OperatorRecord;
-use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -34,11 +29,6 @@
 /// Crashes remembered.
 const MAX_SUSPECTS: usize = 64;
 
-/// Time after the store's return within which a lapsed record is waited for, in
-/// ms: it comes back within about two seconds, but a replica that has left must
-/// be out of use within the same time.
-const LAPSE_GRACE_MS: u64 = 1_600;
-
 /// Time between a broken connection and the sign that its replica crashed, in ms.
 const BREAK_WINDOW_MS: u64 = 2_500;
 
@@ -103,13 +93,13 @@
     pub weights_notice: Rc<Notify>,
     /// Wakes the task that tells others what is new.
     pub news_notice: Rc<Notify>,
-    ledgers: [Ledger; 3],
+    pub(super) ledgers: [Ledger; 3],
     budgets: Vec<(String, RetryWindow)>,
     demands: Vec<(String, RateMeter)>,
     longest_deadlines_ms: Vec<(String, u64)>,
-    lost_topics: [bool; 3],
-    away_ms: Option<u64>,
-    lapsed: Vec<String>,
+    pub(super) lost_topics: [bool; 3],
+    pub(super) away_ms: Option<u64>,
+    pub(super) lapsed: Vec<String>,
     breaks: Vec<Break>,
     pulls: [bool; 3],
     replicas_fresh_ms: u64,
@@ -239,131 +229,11 @@
         }
     }
 
-    /// Takes replicas out whose records lapsed while the store was away and did
-    /// not come back since.
-    pub fn settle_lapsed(&mut self) {
-        if self.lapsed.is_empty() || self.is_lapse_excused() {
-            return;
-        }
-        for id in std::mem::take(&mut self.lapsed) {
-            let is_listed = self
-                .ledger(Topic::Replicas)
-                .get(&id)
-                .is_some_and(|record| record.value.is_some());
-            if !is_listed {
-                self.remove_replica(&id);
-            }
-        }
-    }
-
-    /// Whether a missing record may still be the store's fault.
-    ///
-    /// The store is away when it answers neither this process nor the entry
-    /// that reads for it.
-    fn is_lapse_excused(&mut self) -> bool {
-        let now_ms = self.now_ms();
-        if self.lost_topics[Topic::Replicas as usize] && !self.has_reader() {
-            self.away_ms = Some(now_ms);
-        }
-        self.away_ms
-            .is_some_and(|away_ms| now_ms < away_ms + LAPSE_GRACE_MS)
-    }
-
     /// Whether the store did not answer the last read of `topic`.
     pub fn is_lost(&self, topic: Topic) -> bool {
         self.lost_topics[topic as usize]
     }
 
-    fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder) {
-        let Some(record) = self.ledger(topic).get(key) else {
-            return;
-        };
-        let value = record.value.clone();
-        let offset = record.offset;
-        match (topic, value) {
-            (Topic::Operator, Some(value)) => {
-                self.take_operator(key, &value, offset, decoder);
-                self.news_notice.notify_one();
-            }
-            (Topic::Replicas, Some(value)) => self.take_replica(key, &value, offset, decoder),
-            (Topic::Replicas, None) if self.is_lapse_excused() => {
-                self.lapsed.push(key.to_owned());
-            }
-            (Topic::Replicas, None) => self.remove_replica(key),
-            (Topic::Operator, None) | (Topic::Members, _) => {}
-        }
-    }
-
-    fn take_operator(
-        &mut self,
-        key: &str,
-        value: &[u8],
-        offset: u64,
-        decoder: &impl RecordDecoder,
-    ) {
-        match decoder.operator_record(key, value) {
-            Ok(OperatorRecord::Catalog(catalog)) => {
-                LogLine::new(Event::CatalogAdopted)
-                    .number("version", catalog.version)
-                    .number("offset", offset)
-                    .write();
-                self.catalog = Some(Rc::from(catalog));
-            }
-            Ok(OperatorRecord::Weights { model, version }) => self.declare(model, version, offset),
-            Ok(OperatorRecord::Other) => {}
-            Err(error) => reject_record(Topic::Operator, key, offset, &error),
-        }
-    }
-
-    fn declare(&mut self, model: String, version: u64, offset: u64) {
-        let record = DeclaredRecord {
-            model,
-            version,
-            offset,
-            is_fresh: self.ledger(Topic::Operator).is_known(),
-        };
-        let now_ms = self.now_ms() as i64;
-        let apply_ms = self.settings.weights_apply_ms as i64;
-        if self.weights.declare(record, now_ms, apply_ms) {
-            self.weights_notice.notify_one();
-        }
-    }
-
-    fn take_replica(&mut self, key: &str, value: &[u8], offset: u64, decoder: &impl RecordDecoder) {
-        let now_ms = self.now_ms();
-        match decoder.replica_record(key, value) {
-            Ok(record) => {
-                let is_leaving = record.state == ReplicaState::Leaving;
-                let line = LogLine::new(if is_leaving {
-                    Event::ReplicaLeaving
-                } else {
-                    Event::ReplicaSeen
-                })
-                .text("replica", &record.id)
-                .text("service", &record.service)
-                .text("address", record.address.to_string())
-                .number("offset", offset);
-                let was_leaving = self.replicas.listed().any(|(_, known)| {
-                    known.record.id == record.id && known.record.state == ReplicaState::Leaving
-                });
-                let (_, is_news) = self.replicas.register(record, now_ms);
-                if is_news || (is_leaving && !was_leaving) {
-                    line.write();
-                }
-            }
-            Err(error) => {
-                reject_record(Topic::Replicas, key, offset, &error);
-                self.remove_replica(key);
-            }
-        }
-    }
-
-    fn remove_replica(&mut self, id: &str) {
-        if self.replicas.remove(id) {
-            LogLine::new(Event::ReplicaGone).text("replica", id).write();
-        }
-    }
-
     /// Budget of resends to `service`.
     pub fn budget(&mut self, service: &str) -> &mut RetryWindow {
         let at = match self
@@ -517,53 +387,3 @@
             .max()
     }
 }
-
-impl TopicSink for GatewayState {
-    fn ledger(&self, topic: Topic) -> &Ledger {
-        &self.ledgers[topic as usize]
-    }
-
-    fn take_listing(
-        &mut self,
-        topic: Topic,
-        records: Vec<LedgerRecord>,
-        end_offset: u64,
-        decoder: &impl RecordDecoder,
-    ) {
-        let changed = self.ledgers[topic as usize].apply_listing(records, end_offset);
-        for key in changed {
-            self.take_change(topic, &key, decoder);
-        }
-        self.ledgers[topic as usize].set_known();
-    }
-
-    fn take_records(
-        &mut self,
-        topic: Topic,
-        records: Vec<LedgerRecord>,
-        next_offset: u64,
-        decoder: &impl RecordDecoder,
-    ) {
-        let mut changed = Vec::new();
-        for record in records {
-            let key = record.key.clone();
-            if self.ledgers[topic as usize].apply(record) && !changed.contains(&key) {
-                changed.push(key);
-            }
-        }
-        self.ledgers[topic as usize].advance(next_offset);
-        for key in changed {
-            self.take_change(topic, &key, decoder);
-        }
-    }
-}
-
-/// Logs a record that can't be read.
-pub fn reject_record(topic: Topic, key: &str, offset: u64, error: &dyn std::error::Error) {
-    LogLine::new(Event::RecordRejected)
-        .text("topic", topic.label())
-        .text("key", key)
-        .number("offset", offset)
-        .text("error", error.to_string())
-        .write();
-}
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -7,6 +7,7 @@
 
 mod goal;
 mod keeper;
+mod manifest;
 mod near_entry;
 mod pieces;
 mod ports;
@@ -16,6 +17,7 @@
 mod settings;
 mod stage;
 mod state;
+mod swarm_reads;
 mod transfer;
 
 pub use goal::Gathering;
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -6,8 +6,6 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::fleet::rotation_slot;
-use crate::gateway::MANIFEST_PATH;
 use crate::gateway::PIECE_PATH;
 use crate::http1::Ask;
 use crate::http1::Client;
@@ -18,54 +16,21 @@
 use crate::staging::EnginePort;
 use crate::staging::StagingState;
 use crate::staging::entry_for;
-use crate::weights::Digest;
-use crate::weights::Fetch;
 use crate::weights::HaveMap;
-use crate::weights::Homes;
-use crate::weights::Neighbour;
 use crate::weights::OriginPort;
-use crate::weights::PeerKey;
 use crate::weights::PieceManifest;
-use crate::weights::PlanInput;
-use crate::weights::PlanSettings;
 use crate::weights::ReadFault;
 use crate::weights::Source;
-use crate::weights::SwarmHost;
-use crate::weights::agreed_manifest;
-use crate::weights::next_fetches;
 
 /// Longest time between two looks at the plan.
 const PLAN_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Silence after which a host is not counted on, in ms: several notes.
-const HOLDER_SILENT_MS: u64 = 900;
-
-/// Time in which a host that was never heard from is counted on, in ms.
-const HOLDER_AWAITED_MS: u64 = 1_200;
-
 /// Pause before a failed source is asked again, in ms.
 const SOURCE_PAUSE_MS: u64 = 250;
 
 /// Time for one piece from another host: several pieces share its link.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time for a manifest from another host.
-const MANIFEST_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Time that each further host waits before it asks the origin for a manifest.
-const MANIFEST_STAGGER: Duration = Duration::from_millis(120);
-
-/// Pause before the origin is asked for a manifest again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
-
-/// Reads in progress at a time.
-const PLAN: PlanSettings = PlanSettings {
-    max_fetches: 3,
-    max_per_peer: 2,
-    max_duties: 3,
-    takeover_wait_ms: 500,
-};
-
 /// Reads from entries in progress at a time: what is under way delays the
 /// requests to the replica, whose link it shares.
 const MAX_ENTRY_READS: usize = 2;
@@ -79,7 +44,7 @@
 
 /// Where a piece is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Place {
+pub(super) enum Place {
     /// From an entry that it passes through.
     Entry(SocketAddr),
     /// From another host or the origin.
@@ -98,9 +63,9 @@
 
 /// One read of a piece.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Read {
-    chunk: u32,
-    place: Place,
+pub(super) struct Read {
+    pub(super) chunk: u32,
+    pub(super) place: Place,
 }
 
 /// Gathers the pieces of one version into the staging area.
@@ -120,13 +85,6 @@
     pub version: u64,
 }
 
-/// The hosts that take part, in one order for all of them.
-struct Swarm {
-    addresses: Vec<SocketAddr>,
-    homes: Homes,
-    me: PeerKey,
-}
-
 impl<E: EnginePort, O: OriginPort> Transfer<'_, E, O> {
     /// Gathers until the version is complete or no longer wanted.
     pub async fn run(&self) {
@@ -143,103 +101,14 @@
         self.fetch_missing(&manifest).await;
     }
 
-    fn is_wanted(&self) -> bool {
+    pub(super) fn is_wanted(&self) -> bool {
         self.state.borrow().to_gather(self.model) == Some(self.version)
     }
 
-    fn have(&self) -> HaveMap {
+    pub(super) fn have(&self) -> HaveMap {
         self.state.borrow_mut().stage(self.model).have(self.version)
     }
 
-    /// Reads the manifest from a host that has it, or from the origin.
-    async fn manifest(&self) -> Option<PieceManifest> {
-        if let Some(known) = self.known_manifest() {
-            return Some(self.keep_manifest(known));
-        }
-        let slot = {
-            let state = self.state.borrow();
-            let names: Vec<String> = state
-                .replicas
-                .iter()
-                .map(|r| r.address.to_string())
-                .collect();
-            let own = state.settings.replica.to_string();
-            rotation_slot(&own, names.iter().map(String::as_str), self.version)
-        };
-        let mut wait = MANIFEST_STAGGER * u32::try_from(slot).unwrap_or(u32::MAX).min(16);
-        loop {
-            if !self.is_wanted() {
-                return None;
-            }
-            for address in self.manifest_holders() {
-                if let Some(manifest) = self.manifest_from(address).await {
-                    return Some(self.keep_manifest(manifest));
-                }
-            }
-            if wait.is_zero() {
-                if self.state.borrow().near_entries().is_empty()
-                    && let Some(manifest) = self.manifest_from_origin().await
-                {
-                    return Some(self.keep_manifest(manifest));
-                }
-                tokio::time::sleep(MANIFEST_PAUSE).await;
-            } else {
-                let step = wait.min(MANIFEST_STAGGER);
-                tokio::time::sleep(step).await;
-                wait -= step;
-            }
-        }
-    }
-
-    fn known_manifest(&self) -> Option<PieceManifest> {
-        let mut state = self.state.borrow_mut();
-        let copy = state.stage(self.model).copy(self.version);
-        copy.map(|copy| copy.manifest.clone())
-    }
-
-    fn keep_manifest(&self, manifest: PieceManifest) -> PieceManifest {
-        let mut state = self.state.borrow_mut();
-        let now_ms = state.now_ms() as i64;
-        state.stage(self.model).begin(manifest.clone(), now_ms);
-        manifest
-    }
-
-    /// Hosts that have the manifest, and an entry that can get it.
-    fn manifest_holders(&self) -> Vec<SocketAddr> {
-        let state = self.state.borrow();
-        let holders = state
-            .holders
-            .iter()
-            .filter(|h| h.model == self.model && h.version == self.version);
-        let hosts = holders.map(|holder| holder.address).take(1);
-        let entry = entry_for(0, &state.near_entries());
-        hosts.chain(entry.map(|entry| entry.address)).collect()
-    }
-
-    async fn manifest_from(&self, address: SocketAddr) -> Option<PieceManifest> {
-        let target = format!("{MANIFEST_PATH}{}/{}", self.model, self.version);
-        let mut client = Client::new(address, Duration::ZERO);
-        match client.ask(&Ask::get(&target, MANIFEST_TIMEOUT)).await {
-            Ok(reply) if reply.status == 200 => rmp_serde::from_slice(&reply.body).ok(),
-            Ok(_) => None,
-            Err(error) => {
-                log::debug!("{address} gave no manifest: {error}");
-                None
-            }
-        }
-    }
-
-    async fn manifest_from_origin(&self) -> Option<PieceManifest> {
-        let origin = self.state.borrow().origin()?.address;
-        match agreed_manifest(self.origin, origin, self.model, self.version).await {
-            Ok(manifest) => Some(manifest),
-            Err(error) => {
-                log::debug!("the origin gave no manifest: {error}");
-                None
-            }
-        }
-    }
-
     /// Checks the staged pieces whose version is not known.
     async fn take_inventory(&self, manifest: &PieceManifest) {
         let mut engine = self.engine.clone();
@@ -396,140 +265,6 @@
         )
     }
 
-    /// Endpoint processes of the replicas of the service, ascending.
-    fn hosts(&self) -> Vec<SocketAddr> {
-        let state = self.state.borrow();
-        let port = state.settings.internal.port();
-        let mut hosts: Vec<SocketAddr> = state
-            .replicas
-            .iter()
-            .map(|replica| SocketAddr::new(replica.address.ip(), port))
-            .collect();
-        hosts.push(state.settings.internal);
-        hosts.sort_unstable();
-        hosts.dedup();
-        hosts
-    }
-
-    fn swarm(&self, manifest: &PieceManifest) -> Swarm {
-        let addresses = self.hosts();
-        let state = self.state.borrow();
-        let settings = &state.settings;
-        let domain_of = |address: &SocketAddr| {
-            state
-                .replicas
-                .iter()
-                .find(|replica| replica.address.ip() == address.ip())
-                .map_or(settings.failure_domain.as_str(), |replica| {
-                    replica.failure_domain.as_str()
-                })
-        };
-        let hosts: Vec<SwarmHost> = addresses
-            .iter()
-            .map(|address| SwarmHost {
-                name: address.to_string(),
-                region: settings.region(domain_of(address)).to_owned(),
-                present: true,
-            })
-            .collect();
-        let origin_region = state.origin().map_or_else(String::new, |origin| {
-            settings.region(&origin.failure_domain).to_owned()
-        });
-        let digest = Digest::of(manifest.digests.as_flattened());
-        let homes = Homes::new(digest, manifest.chunks(), &hosts, &origin_region);
-        let me = addresses
-            .iter()
-            .position(|address| *address == settings.internal)
-            .expect("the own address is among the hosts");
-        Swarm {
-            addresses,
-            homes,
-            me: PeerKey(u32::try_from(me).unwrap_or(u32::MAX)),
-        }
-    }
-
-    /// Reads from the swarm to start now.
-    fn swarm_reads(
-        &self,
-        swarm: &Swarm,
-        have: &HaveMap,
-        in_flight: &[Read],
-        blocked: &[(Place, u64)],
-        (started_ms, progress_ms): (u64, u64),
-        seed: u64,
-    ) -> Vec<Read> {
-        // What comes through an entry need not be planned.
-        let mut held = have.clone();
-        let mut planned = Vec::new();
-        for read in in_flight {
-            match read.place {
-                Place::Entry(_) => {
-                    held.insert(read.chunk);
-                }
-                Place::Swarm(source) => planned.push(Fetch {
-                    chunk: read.chunk,
-                    source,
-                }),
-            }
-        }
-        let state = self.state.borrow();
-        let now_ms = state.now_ms();
-        let blocked_until = |source: Source| {
-            let mine = blocked
-                .iter()
-                .filter(|block| block.0 == Place::Swarm(source));
-            mine.map(|block| block.1).max().unwrap_or(0)
-        };
-        let neighbours: Vec<Neighbour> = (0u32..)
-            .zip(&swarm.addresses)
-            .map(|(index, address)| {
-                let key = PeerKey(index);
-                let note = state.holders.iter().find(|holder| {
-                    holder.address == *address
-                        && holder.model == self.model
-                        && holder.version == self.version
-                });
-                let is_lost = match note {
-                    Some(note) => now_ms.saturating_sub(note.heard_ms) >= HOLDER_SILENT_MS,
-                    None => now_ms.saturating_sub(started_ms) >= HOLDER_AWAITED_MS,
-                };
-                Neighbour {
-                    key,
-                    have: note
-                        .filter(|note| note.have.len() == have.len())
-                        .map_or_else(|| HaveMap::empty(have.len()), |note| note.have.clone()),
-                    queue: 0,
-                    blocked_until_ms: blocked_until(Source::Peer(key)),
-                    lost: is_lost && key != swarm.me,
-                }
-            })
-            .collect();
-        let fetches = next_fetches(&PlanInput {
-            now_ms,
-            progress_ms,
-            me: swarm.me,
-            homes: &swarm.homes,
-            have: &held,
-            in_flight: &planned,
-            neighbours: &neighbours,
-            // While entries live, they alone read the origin.
-            origin_blocked_until_ms: if state.near_entries().is_empty() {
-                blocked_until(Source::Origin)
-            } else {
-                u64::MAX
-            },
-            settings: &PLAN,
-            seed,
-        });
-        fetches
-            .into_iter()
-            .map(|fetch| Read {
-                chunk: fetch.chunk,
-                place: Place::Swarm(fetch.source),
-            })
-            .collect()
-    }
-
     /// Reads one piece from another host, or from the origin.
     async fn read(&self, index: u32, address: Option<SocketAddr>) -> Result<Vec<u8>, ReadFault> {
         let Some(address) = address else {
