Take settings that change while a process runs; hold clients to a limit

Settings files change with a signal or without one; both were only logged. The adapter reads the file again on SIGHUP and every 2 s; bounds, resend limits and the store's address are taken over, names and addresses need a restart, and a file that can't be used leaves what was read before (event 108). Settings that nothing used are gone (heartbeat of an entry; link and grace of an endpoint process).

--- a/src/fleet/retry_window.rs
+++ b/src/fleet/retry_window.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Changes the limits; what was counted stays.
+    pub fn set_limits(&mut self, ratio: f64, extra: f64) {
+        self.ratio = ratio;
+        self.extra = extra;
+    }
+
     /// Tells how many entries there are; the most within a window counts.
     pub fn set_entries(&mut self, entries: u32, now_ms: u64) {
         let window_ms = self.step_ms * STEPS as u64;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -61,6 +61,7 @@
 
 /// Accepts clients until the process leaves.
 pub async fn serve_clients<D: Dialect + 'static>(listener: TcpListener, gateway: Gateway<D>) {
+    let open = Rc::new(());
     let left = left(&gateway);
     let mut left = std::pin::pin!(left);
     loop {
@@ -70,10 +71,15 @@
             () = &mut left => return,
         };
         match accepted {
+            // One holder of `open` is this loop itself.
+            Ok(_) if Rc::strong_count(&open) > gateway.state.borrow().settings.max_clients => {
+                gateway.metrics.refused("connection");
+            }
             Ok((stream, _)) => {
-                let gateway = gateway.clone();
+                let (gateway, open) = (gateway.clone(), open.clone());
                 actix_rt::spawn(async move {
                     serve_client(Connection::new(stream), &gateway).await;
+                    drop(open);
                 });
             }
             Err(error) => {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -23,6 +23,8 @@
 use crate::gateway::forward::Gateway;
 use crate::gateway::front::serve_clients;
 use crate::gateway::piece_cache::PieceCache;
+use crate::gateway::reload::adopt_settings;
+use crate::gateway::reload::changed_settings;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -45,13 +47,15 @@
 
 /// Runs an entry process until a stop signal.
 ///
-/// `source` opens one connection to the platform's store for each use.
+/// `source` opens one connection to the platform's store for each use; `changed`
+/// gives the settings when they are others than before.
 pub async fn run<S: RecordSource + 'static>(
     settings: GatewaySettings,
     dialect: Rc<impl Dialect + 'static>,
     decoder: Rc<impl RecordDecoder + 'static>,
     origin: impl OriginPort,
     source: impl Fn() -> S,
+    mut changed: impl FnMut() -> Option<GatewaySettings>,
 ) -> io::Result<()> {
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
@@ -87,10 +91,11 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => LogLine::new(Event::SettingsReloaded).write(),
+            new = changed_settings(&mut hang_up, &mut changed) => adopt_settings(&state, &new),
         }
     }
-    stop(&state, Duration::from_millis(settings.grace_ms)).await;
+    let grace_ms = state.borrow().settings.grace_ms;
+    stop(&state, Duration::from_millis(grace_ms)).await;
     Ok(())
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -19,8 +19,6 @@
     pub internal: SocketAddr,
     /// Address on which metrics are read.
     pub metrics: SocketAddr,
-    /// Interval of the replicas' heartbeats.
-    pub heartbeat_ms: u64,
     /// Time between a stop signal and the kill.
     pub grace_ms: u64,
     /// Time that clients keep a directory answer.
@@ -35,6 +33,6 @@
     pub weights_apply_ms: u64,
     /// Bandwidth of the host's link.
     pub link_mbps: f64,
-    /// Connections that may be open at once.
-    pub max_connections: usize,
+    /// Connections of clients that may be open at once.
+    pub max_clients: usize,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -94,7 +94,7 @@
     /// Wakes the task that tells others what is new.
     pub news_notice: Rc<Notify>,
     pub(super) ledgers: [Ledger; 3],
-    budgets: Vec<(String, RetryWindow)>,
+    pub(super) budgets: Vec<(String, RetryWindow)>,
     demands: Vec<(String, RateMeter)>,
     longest_deadlines_ms: Vec<(String, u64)>,
     pub(super) lost_topics: [bool; 3],
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -48,6 +48,7 @@
     105 LinesDropped Warn "Log lines were dropped because their reader was slow.";
     106 DependencyLost Warn "A dependency stopped answering.";
     107 DependencyRegained Info "A dependency answers again.";
+    108 SettingsRejected Warn "The settings file can't be used; what was read before stays in force.";
     201 ConfigAdvanced Info "A later configuration offset is in force on this process.";
     202 LogUnavailable Warn "The platform's log did not answer.";
     203 RecordSkipped Warn "A record of the log is not one of ours and is skipped by every process.";
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -14,6 +14,7 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::TopicSink;
+use crate::gateway::changed_settings;
 use crate::gateway::for_each_datagram;
 use crate::gateway::pull_records;
 use crate::gateway::read_listing;
@@ -70,6 +71,7 @@
     origin: impl OriginPort,
     decoder: Rc<impl RecordDecoder + 'static>,
     source: impl Fn() -> S,
+    mut changed: impl FnMut() -> Option<StagingSettings>,
 ) -> io::Result<()> {
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
@@ -103,7 +105,12 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => LogLine::new(Event::SettingsReloaded).write(),
+            new = changed_settings(&mut hang_up, &mut changed) => {
+                state.borrow_mut().settings.weights_apply_ms = new.weights_apply_ms;
+                LogLine::new(Event::SettingsReloaded)
+                    .number("weights_apply_ms", new.weights_apply_ms)
+                    .write();
+            }
         }
     }
     LogLine::new(Event::ProcessStopping).write();
--- a/src/staging/settings.rs
+++ b/src/staging/settings.rs
@@ -17,10 +17,6 @@
     pub internal: SocketAddr,
     /// Address on which metrics are read.
     pub metrics: SocketAddr,
-    /// Bandwidth of the host's link.
-    pub link_mbps: f64,
-    /// Time between a stop signal and the kill.
-    pub grace_ms: u64,
     /// Time within which new weights must answer every request.
     pub weights_apply_ms: u64,
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -95,7 +95,6 @@
         directory: None,
         internal: any,
         metrics: any,
-        heartbeat_ms: 1_000,
         grace_ms: 1_000,
         directory_keep_s: 1,
         resend_ratio: 0.1,
@@ -103,7 +102,7 @@
         resend_window_ms: 1_000,
         weights_apply_ms: 8_000,
         link_mbps: 100.0,
-        max_connections: 10,
+        max_clients: 10,
     }
 }
 
