Give all records to those that need changes from before a listing

Two replicas were dropped at 27.9 s while entries were added. An added entry listed the replicas after the drops and knew nothing of them; entries that read from it moved their end past the drops without hearing of them (front-mb-brandon-1 from 334 to 367) and sent to those replicas until the end.

Change: a ledger knows from which offset on it has every change; who asks from before that gets all records, and drops what they lack.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -48,6 +48,7 @@
     // Ascending by key.
     records: Vec<LedgerRecord>,
     end_offset: u64,
+    complete_from: u64,
     is_known: bool,
 }
 
@@ -57,6 +58,12 @@
         self.end_offset
     }
 
+    /// Offset from which on every change is known. A listing tells nothing of the
+    /// keys that were dropped before it.
+    pub fn complete_from(&self) -> u64 {
+        self.complete_from
+    }
+
     /// Whether the topic was ever read as a whole.
     pub fn is_known(&self) -> bool {
         self.is_known
@@ -97,13 +104,11 @@
             let is_listed = listed.binary_search(&record.key).is_ok();
             if !is_listed && record.offset < end_offset && record.value.is_some() {
                 record.value = None;
-                // Later than its last record and before the listing, so that
-                // those that read from this process learn of it.
-                record.offset = end_offset - 1;
                 changed.push(record.key.clone());
             }
         }
         self.end_offset = self.end_offset.max(end_offset);
+        self.complete_from = self.complete_from.max(end_offset);
         changed
     }
 
@@ -126,6 +131,11 @@
         Some(&self.records[at])
     }
 
+    /// Newest records of the keys that are not dropped.
+    pub fn listing(&self) -> impl Iterator<Item = &LedgerRecord> {
+        self.records.iter().filter(|r| r.value.is_some())
+    }
+
     /// Records at or after `offset`.
     pub fn since(&self, offset: u64) -> impl Iterator<Item = &LedgerRecord> {
         self.records.iter().filter(move |r| r.offset >= offset)
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -115,7 +115,7 @@
             packed.topic == topic && packed.offset == offset && packed.end_offset == end_offset
         });
         if !is_same {
-            let bytes = RecordsReply::from(ledger.since(offset), end_offset).pack();
+            let bytes = RecordsReply::since(ledger, offset).pack();
             *last = Some(PackedRecords {
                 topic,
                 offset,
--- a/src/gateway/pull.rs
+++ b/src/gateway/pull.rs
@@ -49,6 +49,7 @@
         }
     };
     let end_offset = reply.end_offset;
+    let is_listing = reply.is_listing || !is_known;
     let records = reply.into_records();
     LogLine::new(Event::RecordsPulled)
         .text("topic", topic.label())
@@ -57,9 +58,9 @@
         .number("end_offset", end_offset)
         .write();
     let mut state = state.borrow_mut();
-    if is_known {
-        state.take_records(topic, records, end_offset, decoder);
-    } else {
+    if is_listing {
         state.take_listing(topic, records, end_offset, decoder);
+    } else {
+        state.take_records(topic, records, end_offset, decoder);
     }
 }
--- a/src/gateway/records_reply.rs
+++ b/src/gateway/records_reply.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::Ledger;
 use crate::fleet::LedgerRecord;
 
 /// Largest answer that is unpacked, in bytes.
@@ -16,6 +17,8 @@
     records: Vec<(String, u64, Option<Vec<u8>>)>,
     /// Offset up to which the topic is covered.
     pub end_offset: u64,
+    /// Whether these are all records, so that what they lack is dropped.
+    pub is_listing: bool,
 }
 
 /// Why an answer with records can't be used.
@@ -42,13 +45,19 @@
 impl std::error::Error for BadRecordsReply {}
 
 impl RecordsReply {
-    /// An answer with `records`, which covers the topic up to `end_offset`.
-    pub fn from<'a>(records: impl Iterator<Item = &'a LedgerRecord>, end_offset: u64) -> Self {
+    /// What a process lacks that knows the topic up to `offset`: the changes since,
+    /// or all records where `ledger` does not know every change.
+    pub fn since(ledger: &Ledger, offset: u64) -> Self {
+        let copy = |r: &LedgerRecord| (r.key.clone(), r.offset, r.value.clone());
+        let is_listing = offset < ledger.complete_from();
         Self {
-            records: records
-                .map(|r| (r.key.clone(), r.offset, r.value.clone()))
-                .collect(),
-            end_offset,
+            records: if is_listing {
+                ledger.listing().map(copy).collect()
+            } else {
+                ledger.since(offset).map(copy).collect()
+            },
+            end_offset: ledger.end_offset(),
+            is_listing,
         }
     }
 
--- a/tests/fleet/beliefs.rs
+++ b/tests/fleet/beliefs.rs
@@ -135,26 +135,6 @@
     assert!(ledger.get("a").unwrap().value.is_none());
 }
 
-/// What a listing lacks is told to those that read from this process.
-#[test]
-fn ledger_apply_listing_tells_others_what_it_lacks() {
-    let mut giver = Ledger::default();
-    let mut reader = Ledger::default();
-    for ledger in [&mut giver, &mut reader] {
-        ledger.apply(change("gone", 1, Some("x")));
-        ledger.advance(4);
-    }
-    giver.apply_listing(vec![change("a", 7, Some("z"))], 9);
-    for record in giver
-        .since(reader.end_offset())
-        .cloned()
-        .collect::<Vec<_>>()
-    {
-        reader.apply(record);
-    }
-    assert!(reader.get("gone").unwrap().value.is_none());
-}
-
 #[test]
 fn replica_leaving_gets_no_work() {
     let (mut table, keys) = table(0, &[1]);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bergamotfork::fleet::EntryBeat;
+use bergamotfork::fleet::Ledger;
 use bergamotfork::fleet::LedgerRecord;
 use bergamotfork::fleet::PeerTable;
 use bergamotfork::fleet::ReplicaRecord;
@@ -206,16 +207,39 @@
 
 #[test]
 fn records_reply_unpacks_what_was_packed() {
-    let records = [record(3, Some("127.0.0.1:9")), record(7, None)];
-    let packed = RecordsReply::from(records.iter(), 9).pack();
+    let mut ledger = Ledger::default();
+    ledger.apply(record(7, None));
+    ledger.advance(9);
+    let packed = RecordsReply::since(&ledger, 3).pack();
     let reply = RecordsReply::unpack(&packed).unwrap();
-    assert_eq!(reply.end_offset, 9);
-    assert_eq!(reply.into_records(), records);
+    assert_eq!((reply.end_offset, reply.is_listing), (9, false));
+    assert_eq!(reply.into_records(), [record(7, None)]);
+}
+
+/// An entry that has just started listed the replicas after one was dropped. It
+/// never heard of that one, and still tells others that it is gone.
+#[test]
+fn records_reply_tells_of_drops_before_a_listing() {
+    let mut fresh = Ledger::default();
+    fresh.apply_listing(Vec::new(), 6);
+    let mut reader = Ledger::default();
+    reader.apply(record(2, Some("127.0.0.1:9")));
+    reader.advance(4);
+    let reply = RecordsReply::since(&fresh, reader.end_offset());
+    assert!(reply.is_listing);
+    let end_offset = reply.end_offset;
+    let changed = reader.apply_listing(reply.into_records(), end_offset);
+    assert_eq!(changed, ["i-1"]);
+    assert!(reader.get("i-1").unwrap().value.is_none());
+    // From then on, changes are enough.
+    assert!(!RecordsReply::since(&fresh, 6).is_listing);
 }
 
 #[test]
 fn records_reply_bad_bytes_are_refused() {
-    let packed = RecordsReply::from([record(3, Some("x"))].iter(), 9).pack();
+    let mut ledger = Ledger::default();
+    ledger.apply(record(3, Some("x")));
+    let packed = RecordsReply::since(&ledger, 0).pack();
     assert!(matches!(
         RecordsReply::unpack(&packed[..2]),
         Err(BadRecordsReply::Size(2))
