--- a/src/staging/keeper.rs
+++ b/src/staging/keeper.rs
@@ -18,6 +18,10 @@
 /// stop sending in it.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(150);
 
+/// Time before its turn at which an engine's pieces are staged and checked, in ms:
+/// two calls to the engine a piece. A check is good for some seconds.
+const STAGE_LEAD_MS: i64 = 700;
+
 /// Time in which an order shows in the engine's report.
 const ORDER_SEEN: Duration = Duration::from_millis(600);
 
@@ -57,22 +61,25 @@
 }
 
 /// Orders the engine to load, if its turn has come and it is not busy.
+///
+/// The pieces are staged and checked before, while the engine still serves.
 async fn order<E: EnginePort, O: OriginPort>(transfer: &Transfer<'_, E, O>, goal: Goal) {
     let state = transfer.state;
+    if !is_due(&state.borrow(), transfer.model, goal, STAGE_LEAD_MS)
+        || !transfer.stage_pieces().await
     {
-        let state = state.borrow();
-        let is_turn = state.now_ms() as i64 >= goal.not_before_ms;
-        let is_free = state.report.as_ref().is_some_and(|report| !report.is_busy);
-        if !is_turn || !is_free || !state.is_whole(transfer.model, goal.version) {
-            return;
-        }
+        return;
     }
-    state.borrow_mut().is_ordering = true;
-    tokio::time::sleep(ANNOUNCE_TIME).await;
-    if !transfer.stage_pieces().await {
-        state.borrow_mut().is_ordering = false;
+    let left_ms = goal.not_before_ms - state.borrow().now_ms() as i64;
+    tokio::time::sleep(Duration::from_millis(u64::try_from(left_ms).unwrap_or(0))).await;
+    let now_wanted = state.borrow().goal(transfer.model);
+    if now_wanted.is_none_or(|wanted| wanted.version != goal.version)
+        || !is_due(&state.borrow(), transfer.model, goal, 0)
+    {
         return;
     }
+    state.borrow_mut().is_ordering = true;
+    tokio::time::sleep(ANNOUNCE_TIME).await;
     let mut engine = transfer.engine.clone();
     let line = match engine.load(transfer.model, transfer.version).await {
         Ok(()) => {
@@ -101,6 +108,13 @@
     state.borrow_mut().is_ordering = false;
 }
 
+/// Whether an order for `goal` may be given in `ahead_ms`.
+fn is_due(state: &StagingState, model: &str, goal: Goal, ahead_ms: i64) -> bool {
+    let is_turn = state.now_ms() as i64 + ahead_ms >= goal.not_before_ms;
+    let is_free = state.report.as_ref().is_some_and(|report| !report.is_busy);
+    is_turn && is_free && state.is_whole(model, goal.version)
+}
+
 impl StagingState {
     /// Forgets an order that the engine has carried out, or no longer knows.
     fn settle_order(&mut self, model: &str) {
--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -6,7 +6,7 @@
 use crate::http1::Ask;
 use crate::http1::Client;
 use crate::staging::EnginePort;
-use crate::staging::entry_for;
+use crate::staging::entries_for;
 use crate::staging::transfer::Transfer;
 use crate::weights::OriginPort;
 use crate::weights::PieceManifest;
@@ -83,7 +83,7 @@
             .iter()
             .filter(|h| h.model == self.model && h.version == self.version);
         let hosts = holders.map(|holder| holder.address).take(1);
-        let entry = entry_for(0, &state.near_entries());
+        let entry = entries_for(1, &state.near_entries()).first().copied();
         hosts.chain(entry.map(|entry| entry.address)).collect()
     }
 
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -25,7 +25,7 @@
 pub use goal::GoalInput;
 pub use goal::next_goal;
 pub use near_entry::NearEntry;
-pub use near_entry::entry_for;
+pub use near_entry::entries_for;
 pub use ports::EnginePort;
 pub use ports::EngineReport;
 pub use process::run;
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -19,7 +19,11 @@
 
 /// Reports for each one that also goes to entries of other regions, whose links
 /// are thin.
-const REPORTS_PER_FAR_REPORT: u64 = 2;
+const REPORTS_PER_FAR_REPORT: u64 = 4;
+
+/// Reports for each one that also tells the ages of declarations, which only
+/// processes that have just started lack.
+const REPORTS_PER_AGES: u64 = 8;
 
 /// Reads the engine's state and tells the entries, again and again.
 pub async fn report_load(
@@ -31,6 +35,7 @@
     loop {
         count += 1;
         let to_far = count.is_multiple_of(REPORTS_PER_FAR_REPORT);
+        let with_ages = count.is_multiple_of(REPORTS_PER_AGES);
         let report = match engine.report().await {
             Ok(report) => Some(report),
             Err(error) => {
@@ -38,7 +43,7 @@
                 None
             }
         };
-        tell_entries(&state, report, &socket, to_far);
+        tell_entries(&state, report, &socket, to_far, with_ages);
         tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
@@ -49,11 +54,12 @@
     report: Option<EngineReport>,
     socket: &UdpSocket,
     to_far: bool,
+    with_ages: bool,
 ) {
     let mut state = state.borrow_mut();
     log_change(state.report.as_ref(), report.as_ref());
     state.report = report;
-    let bytes = Datagram::Load(load_report(&state)).encode();
+    let bytes = Datagram::Load(load_report(&state, with_ages)).encode();
     let near = state.near_entries();
     let is_near = |address: &SocketAddr| near.iter().any(|entry| entry.address == *address);
     let targets = state.entries().filter(|e| to_far || is_near(e));
@@ -65,10 +71,14 @@
     }
 }
 
-fn load_report(state: &StagingState) -> LoadReport {
+fn load_report(state: &StagingState, with_ages: bool) -> LoadReport {
     let port = state.settings.replica.port();
     let models = state.models();
-    let declared = state.declared.notes(state.now_ms() as i64);
+    let declared = if with_ages {
+        state.declared.notes(state.now_ms() as i64)
+    } else {
+        Vec::new()
+    };
     let Some(report) = &state.report else {
         return LoadReport {
             port,
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -15,7 +15,7 @@
 use crate::observe::Tally;
 use crate::staging::EnginePort;
 use crate::staging::StagingState;
-use crate::staging::entry_for;
+use crate::staging::entries_for;
 use crate::weights::HaveMap;
 use crate::weights::OriginPort;
 use crate::weights::PieceManifest;
@@ -182,9 +182,6 @@
         let mut is_slow = false;
         let mut seed = started_ms;
         loop {
-            if !self.is_wanted() {
-                return;
-            }
             let have = self.have();
             if have.is_complete() {
                 LogLine::new(Event::WeightsStaged)
@@ -194,6 +191,9 @@
                     .write();
                 return;
             }
+            if !self.is_wanted() {
+                return;
+            }
             if self.hosts() != swarm.addresses && in_flight.is_empty() {
                 swarm = self.swarm(manifest);
             }
@@ -251,6 +251,7 @@
         }
         let most = if is_slow { 1 } else { MAX_ENTRY_READS };
         let room = most.saturating_sub(in_flight.len());
+        let carriers = entries_for(have.len(), &entries);
         let is_free = |chunk: &u32| {
             !have.contains(*chunk) && in_flight.iter().all(|read| read.chunk != *chunk)
         };
@@ -258,7 +259,7 @@
         Some(
             reads
                 .filter_map(|chunk| {
-                    let place = Place::Entry(entry_for(chunk, &entries)?.address);
+                    let place = Place::Entry(carriers.get(chunk as usize)?.address);
                     Some(Read { chunk, place })
                 })
                 .collect(),
--- a/tests/staging/piece_spread.rs
+++ b/tests/staging/piece_spread.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use bergamotfork::staging::NearEntry;
-use bergamotfork::staging::entry_for;
+use bergamotfork::staging::entries_for;
 
 const PIECES: u32 = 48;
 const PIECE_BITS: f64 = 49_152.0 * 8.0;
@@ -38,6 +38,7 @@
 /// origin one after the other, each host with two reads under way.
 fn spread_ms(hosts: usize) -> f64 {
     let entries = entries();
+    let carriers = entries_for(PIECES, &entries);
     let mut queues: Vec<VecDeque<(usize, u32)>> = vec![VecDeque::new(); entries.len()];
     let mut link_free_ms = vec![0.0f64; entries.len()];
     let mut hosts: Vec<Host> = (0..hosts)
@@ -62,7 +63,7 @@
         for (index, host) in hosts.iter_mut().enumerate() {
             while host.in_flight < 2 && host.asked < PIECES {
                 let piece = host.asked;
-                let entry = entry_for(piece, &entries).unwrap();
+                let entry = carriers[piece as usize];
                 let at = entries.iter().position(|e| *e == entry).unwrap();
                 queues[at].push_back((index, piece));
                 host.asked += 1;
@@ -91,7 +92,27 @@
 /// Engines must answer from new weights 9.7 s after their declaration, and load
 /// them in turns before that: half of the time is for the pieces.
 #[test]
-fn entry_for_many_hosts_get_pieces_in_time() {
+fn entries_for_many_hosts_get_pieces_in_time() {
     let took_ms = spread_ms(25);
     assert!(took_ms < 9_700.0 / 2.0, "{took_ms} ms");
 }
+
+/// Links carry pieces by their width, and few pieces move when an entry leaves.
+#[test]
+fn entries_for_shares_pieces_by_links() {
+    let all = entries();
+    let chosen = entries_for(PIECES, &all);
+    assert_eq!(chosen.len(), PIECES as usize);
+    let all_mbps: f64 = all.iter().map(|entry| entry.link_mbps).sum();
+    for entry in &all {
+        let carried = chosen.iter().filter(|other| *other == entry).count() as f64;
+        let share = f64::from(PIECES) * entry.link_mbps / all_mbps;
+        assert!(carried <= (share * 1.1).ceil(), "{carried} of {share}");
+    }
+    let fewer = entries_for(PIECES, &all[..11]);
+    let moved = chosen
+        .iter()
+        .zip(&fewer)
+        .filter(|(before, after)| before != after && **before != all[11]);
+    assert!(moved.count() <= PIECES as usize / 4);
+}
