Read bodies in one place

Four loops read a body from a connection: the internal client and server, the entry from clients, and the entry from replicas. Connection::read_body serves all; each gives its limit and the time of its waits. Where a request ends early, finish() gives the same error as before, as requests have no unframed bodies. The limits before a configuration is known were worked out twice in front.rs.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -119,7 +119,8 @@
             decoder,
         }));
     }
-    match read_body(&mut connection, decoder, request.until).await {
+    let read = connection.read_body(decoder, MAX_ANSWER_BYTES, || request.until);
+    match read.await {
         Ok(body) => Sent::Answer(Answer { head, body }),
         Err(error) => Sent::Broken(error.label()),
     }
@@ -172,27 +173,6 @@
     }
 }
 
-async fn read_body(
-    connection: &mut Connection,
-    mut decoder: BodyDecoder,
-    until: Instant,
-) -> Result<Vec<u8>, Http1Error> {
-    let mut body = Vec::new();
-    loop {
-        decoder.decode(&mut connection.inbox, &mut body)?;
-        if body.len() > MAX_ANSWER_BYTES {
-            return Err(Http1Error::BodyTooLarge);
-        }
-        if decoder.is_done() {
-            return Ok(body);
-        }
-        if connection.fill_until(until).await? == 0 {
-            decoder.finish()?;
-            return Ok(body);
-        }
-    }
-}
-
 fn request_bytes(dialect: &impl Dialect, request: &Request, facts: &SendFacts<'_>) -> Vec<u8> {
     let head = &request.head;
     let mut bytes = Vec::with_capacity(1024 + request.body.len());
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -6,7 +6,6 @@
 
 use crate::calls::fingerprint;
 use crate::fleet::Catalog;
-use crate::fleet::Limits;
 use crate::fleet::Route;
 use crate::gateway::Credential;
 use crate::gateway::Dialect;
@@ -133,11 +132,11 @@
 ) -> Result<RequestHead, Http1Error> {
     let (limits, stop_notice, is_stopping) = {
         let state = gateway.state.borrow();
-        let limits = state
-            .catalog
-            .as_ref()
-            .map_or_else(Limits::default, |catalog| catalog.limits);
-        (limits, state.stop_notice.clone(), state.stopping.is_some())
+        (
+            state.limits(),
+            state.stop_notice.clone(),
+            state.stopping.is_some(),
+        )
     };
     let head_time = Duration::from_millis(limits.head_timeout_ms);
     let idle = Duration::from_millis(limits.idle_timeout_ms);
@@ -157,19 +156,12 @@
     gateway: &Gateway<D>,
     head: &RequestHead,
 ) -> Result<Vec<u8>, Http1Error> {
-    let limits = {
-        let state = gateway.state.borrow();
-        state
-            .catalog
-            .as_ref()
-            .map_or_else(Limits::default, |catalog| catalog.limits)
-    };
+    let limits = gateway.state.borrow().limits();
     let framing = head.framing()?;
     if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
         return Err(Http1Error::BodyTooLarge);
     }
-    let mut decoder = BodyDecoder::new(framing);
-    let mut body = Vec::new();
+    let decoder = BodyDecoder::new(framing);
     if !decoder.is_done() && head.headers.has_token("expect", "100-continue") {
         client
             .write_until(
@@ -178,19 +170,10 @@
             )
             .await?;
     }
-    loop {
-        decoder.decode(&mut client.inbox, &mut body)?;
-        if body.len() > limits.max_body_bytes {
-            return Err(Http1Error::BodyTooLarge);
-        }
-        if decoder.is_done() {
-            return Ok(body);
-        }
-        let until = Instant::now() + Duration::from_millis(limits.idle_timeout_ms);
-        if client.fill_until(until).await? == 0 {
-            return Err(Http1Error::BrokenOff);
-        }
-    }
+    let idle = Duration::from_millis(limits.idle_timeout_ms);
+    client
+        .read_body(decoder, limits.max_body_bytes, || Instant::now() + idle)
+        .await
 }
 
 /// Finds the route and the caller of a request.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Catalog;
 use crate::fleet::Declarations;
 use crate::fleet::Ledger;
+use crate::fleet::Limits;
 use crate::fleet::PeerTable;
 use crate::fleet::RateMeter;
 use crate::fleet::ReplicaTable;
@@ -149,6 +150,13 @@
         self.rng.random()
     }
 
+    /// What clients may send; the usual limits before a configuration is known.
+    pub fn limits(&self) -> Limits {
+        self.catalog
+            .as_ref()
+            .map_or_else(Limits::default, |catalog| catalog.limits)
+    }
+
     /// Whether new clients are welcome.
     pub fn is_ready(&self) -> bool {
         self.stopping.is_none()
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -134,22 +134,11 @@
             return Err(Http1Error::BrokenOff);
         }
     };
-    let mut decoder = BodyDecoder::new(head.framing(method)?);
+    let decoder = BodyDecoder::new(head.framing(method)?);
     let ends_with_close = decoder == BodyDecoder::UntilClose;
-    let mut body = Vec::new();
-    loop {
-        decoder.decode(&mut connection.inbox, &mut body)?;
-        if body.len() > MAX_BODY_BYTES {
-            return Err(Http1Error::BodyTooLarge);
-        }
-        if decoder.is_done() {
-            break;
-        }
-        if connection.fill_until(until).await? == 0 {
-            decoder.finish()?;
-            break;
-        }
-    }
+    let body = connection
+        .read_body(decoder, MAX_BODY_BYTES, || until)
+        .await?;
     let reusable = !ends_with_close
         && connection.inbox.is_empty()
         && !head.headers.has_token("connection", "close");
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::http1::BodyDecoder;
 use crate::http1::Http1Error;
 
 /// Bytes read from a connection at once.
@@ -66,6 +67,33 @@
         }
     }
 
+    /// Reads a body of at most `max_bytes`; `until` gives the time of each wait.
+    ///
+    /// # Errors
+    ///
+    /// When it is too long, not well-formed, cut off or late.
+    pub async fn read_body(
+        &mut self,
+        mut decoder: BodyDecoder,
+        max_bytes: usize,
+        until: impl Fn() -> Instant,
+    ) -> Result<Vec<u8>, Http1Error> {
+        let mut body = Vec::new();
+        loop {
+            decoder.decode(&mut self.inbox, &mut body)?;
+            if body.len() > max_bytes {
+                return Err(Http1Error::BodyTooLarge);
+            }
+            if decoder.is_done() {
+                return Ok(body);
+            }
+            if self.fill_until(until()).await? == 0 {
+                decoder.finish()?;
+                return Ok(body);
+            }
+        }
+    }
+
     /// Writes all of `bytes`, no later than `until`.
     pub async fn write_until(&self, bytes: &[u8], until: Instant) -> Result<(), Http1Error> {
         match timeout_at(until, self.write(bytes)).await {
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -138,20 +138,10 @@
             Err(error) => return Err(error),
         };
         let until = Instant::now() + MESSAGE_TIMEOUT;
-        let mut decoder = BodyDecoder::new(head.framing()?);
-        let mut body = Vec::new();
-        loop {
-            decoder.decode(&mut connection.inbox, &mut body)?;
-            if body.len() > MAX_BODY_BYTES {
-                return Err(Http1Error::BodyTooLarge);
-            }
-            if decoder.is_done() {
-                break;
-            }
-            if connection.fill_until(until).await? == 0 {
-                return Err(Http1Error::BrokenOff);
-            }
-        }
+        let decoder = BodyDecoder::new(head.framing()?);
+        let body = connection
+            .read_body(decoder, MAX_BODY_BYTES, || until)
+            .await?;
         let close = head.wants_close();
         let reply = handler.handle(InternalRequest { head, body }).await;
         let mut bytes = format!(
