Take listings by one method of both roles

Entries and endpoint processes applied a listing in the same steps. The trait does it now; take_records stays apart, as an entry looks at each key of a batch once and an endpoint process at each record. A line on a replica is put together only when it is written.

--- a/src/gateway/adopt.rs
+++ b/src/gateway/adopt.rs
@@ -22,18 +22,28 @@
         &self.ledgers[topic as usize]
     }
 
-    fn take_listing(
-        &mut self,
-        topic: Topic,
-        records: Vec<LedgerRecord>,
-        end_offset: u64,
-        decoder: &impl RecordDecoder,
-    ) {
-        let changed = self.ledgers[topic as usize].apply_listing(records, end_offset);
-        for key in changed {
-            self.take_change(topic, &key, decoder);
+    fn ledger_mut(&mut self, topic: Topic) -> &mut Ledger {
+        &mut self.ledgers[topic as usize]
+    }
+
+    fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder) {
+        let Some(record) = self.ledger(topic).get(key) else {
+            return;
+        };
+        let value = record.value.clone();
+        let offset = record.offset;
+        match (topic, value) {
+            (Topic::Operator, Some(value)) => {
+                self.take_operator(key, &value, offset, decoder);
+                self.news_notice.notify_one();
+            }
+            (Topic::Replicas, Some(value)) => self.take_replica(key, &value, offset, decoder),
+            (Topic::Replicas, None) if self.is_lapse_excused() => {
+                self.lapsed.push(key.to_owned());
+            }
+            (Topic::Replicas, None) => self.remove_replica(key),
+            (Topic::Operator, None) | (Topic::Members, _) => {}
         }
-        self.ledgers[topic as usize].set_known();
     }
 
     fn take_records(
@@ -88,26 +98,6 @@
             .is_some_and(|away_ms| now_ms < away_ms + LAPSE_GRACE_MS)
     }
 
-    fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder) {
-        let Some(record) = self.ledger(topic).get(key) else {
-            return;
-        };
-        let value = record.value.clone();
-        let offset = record.offset;
-        match (topic, value) {
-            (Topic::Operator, Some(value)) => {
-                self.take_operator(key, &value, offset, decoder);
-                self.news_notice.notify_one();
-            }
-            (Topic::Replicas, Some(value)) => self.take_replica(key, &value, offset, decoder),
-            (Topic::Replicas, None) if self.is_lapse_excused() => {
-                self.lapsed.push(key.to_owned());
-            }
-            (Topic::Replicas, None) => self.remove_replica(key),
-            (Topic::Operator, None) | (Topic::Members, _) => {}
-        }
-    }
-
     fn take_operator(
         &mut self,
         key: &str,
@@ -148,21 +138,23 @@
         match decoder.replica_record(key, value) {
             Ok(record) => {
                 let is_leaving = record.state == ReplicaState::Leaving;
-                let line = LogLine::new(if is_leaving {
-                    Event::ReplicaLeaving
-                } else {
-                    Event::ReplicaSeen
-                })
-                .text("replica", &record.id)
-                .text("service", &record.service)
-                .text("address", record.address.to_string())
-                .number("offset", offset);
                 let was_leaving = self.replicas.listed().any(|(_, known)| {
                     known.record.id == record.id && known.record.state == ReplicaState::Leaving
                 });
-                let (_, is_news) = self.replicas.register(record, now_ms);
+                let (key, is_news) = self.replicas.register(record, now_ms);
                 if is_news || (is_leaving && !was_leaving) {
-                    line.write();
+                    let record = &self.replicas.get(key).record;
+                    let event = if is_leaving {
+                        Event::ReplicaLeaving
+                    } else {
+                        Event::ReplicaSeen
+                    };
+                    LogLine::new(event)
+                        .text("replica", &record.id)
+                        .text("service", &record.service)
+                        .text("address", record.address.to_string())
+                        .number("offset", offset)
+                        .write();
                 }
             }
             Err(error) => {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,6 +17,10 @@
 pub trait TopicSink {
     /// Newest records of a topic.
     fn ledger(&self, topic: Topic) -> &Ledger;
+    /// The same, to change.
+    fn ledger_mut(&mut self, topic: Topic) -> &mut Ledger;
+    /// Learns from the newest record of a key that changed.
+    fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder);
     /// Takes the newest record of each key of a topic.
     fn take_listing(
         &mut self,
@@ -24,7 +28,12 @@
         records: Vec<LedgerRecord>,
         end_offset: u64,
         decoder: &impl RecordDecoder,
-    );
+    ) {
+        for key in self.ledger_mut(topic).apply_listing(records, end_offset) {
+            self.take_change(topic, &key, decoder);
+        }
+        self.ledger_mut(topic).set_known();
+    }
     /// Takes records that followed; `next_offset` is where to go on.
     fn take_records(
         &mut self,
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -319,6 +319,28 @@
         }
     }
 
+    fn declare(&mut self, model: String, version: u64, offset: u64) {
+        let record = DeclaredRecord {
+            model,
+            version,
+            offset,
+            is_fresh: self.ledger(Topic::Operator).is_known(),
+        };
+        let now_ms = self.now_ms() as i64;
+        let apply_ms = self.settings.weights_apply_ms as i64;
+        self.declared.declare(record, now_ms, apply_ms);
+    }
+}
+
+impl TopicSink for StagingState {
+    fn ledger(&self, topic: Topic) -> &Ledger {
+        &self.ledgers[topic as usize]
+    }
+
+    fn ledger_mut(&mut self, topic: Topic) -> &mut Ledger {
+        &mut self.ledgers[topic as usize]
+    }
+
     fn take_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder) {
         let Some(record) = self.ledgers[topic as usize].get(key) else {
             return;
@@ -349,37 +371,6 @@
         }
     }
 
-    fn declare(&mut self, model: String, version: u64, offset: u64) {
-        let record = DeclaredRecord {
-            model,
-            version,
-            offset,
-            is_fresh: self.ledger(Topic::Operator).is_known(),
-        };
-        let now_ms = self.now_ms() as i64;
-        let apply_ms = self.settings.weights_apply_ms as i64;
-        self.declared.declare(record, now_ms, apply_ms);
-    }
-}
-
-impl TopicSink for StagingState {
-    fn ledger(&self, topic: Topic) -> &Ledger {
-        &self.ledgers[topic as usize]
-    }
-
-    fn take_listing(
-        &mut self,
-        topic: Topic,
-        records: Vec<LedgerRecord>,
-        end_offset: u64,
-        decoder: &impl RecordDecoder,
-    ) {
-        for key in self.ledgers[topic as usize].apply_listing(records, end_offset) {
-            self.take_change(topic, &key, decoder);
-        }
-        self.ledgers[topic as usize].set_known();
-    }
-
     fn take_records(
         &mut self,
         topic: Topic,
