Set reading ahead apart from the piece cache, and find versions in one place

Three searches for a version are one; the order of sources of a piece reads as it runs: home, earlier homes, origin, or at the home itself origin first.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod ports;
 mod process;
 mod pull;
+mod read_ahead;
 mod records_reply;
 mod relay;
 mod reload;
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -52,9 +52,6 @@
 /// Bytes of pieces that may go out at once.
 const LINK_BURST_BYTES: u64 = 128 * 1024;
 
-/// Pause before reading ahead goes on after a failure.
-const AHEAD_PAUSE: Duration = Duration::from_millis(300);
-
 /// Time without a reader after which a version is dropped.
 const KEEP_TIME: Duration = Duration::from_secs(15);
 
@@ -66,11 +63,11 @@
 
 /// One version of weights in memory.
 #[derive(Debug)]
-struct CachedVersion {
-    model: String,
-    version: u64,
+pub(super) struct CachedVersion {
+    pub(super) model: String,
+    pub(super) version: u64,
     manifest: OnceCell<Rc<PieceManifest>>,
-    pieces: RefCell<Vec<PieceCell>>,
+    pub(super) pieces: RefCell<Vec<PieceCell>>,
     used: RefCell<Instant>,
 }
 
@@ -82,7 +79,7 @@
 /// link between regions carries one.
 #[derive(Debug)]
 pub struct PieceCache<O> {
-    state: Rc<RefCell<GatewayState>>,
+    pub(super) state: Rc<RefCell<GatewayState>>,
     origin: O,
     metrics: Rc<Metrics>,
     versions: RefCell<Vec<Rc<CachedVersion>>>,
@@ -153,14 +150,18 @@
         tokio::time::sleep(Duration::from_micros(wait_us)).await;
     }
 
-    fn version(&self, model: &str, version: u64) -> Rc<CachedVersion> {
-        let mut versions = self.versions.borrow_mut();
-        let known = versions
-            .iter()
-            .find(|v| v.model == model && v.version == version);
-        if let Some(known) = known {
+    /// A version that is in memory, in whole or in part.
+    pub(super) fn known(&self, model: &str, version: u64) -> Option<Rc<CachedVersion>> {
+        let versions = self.versions.borrow();
+        let is_same = |known: &&Rc<CachedVersion>| known.model == model && known.version == version;
+        versions.iter().find(is_same).cloned()
+    }
+
+    /// The version in memory, which counts as used; an empty one if it is new.
+    pub(super) fn version(&self, model: &str, version: u64) -> Rc<CachedVersion> {
+        if let Some(known) = self.known(model, version) {
             *known.used.borrow_mut() = Instant::now();
-            return known.clone();
+            return known;
         }
         let cached = Rc::new(CachedVersion {
             model: model.to_owned(),
@@ -169,7 +170,7 @@
             pieces: RefCell::default(),
             used: RefCell::new(Instant::now()),
         });
-        versions.push(cached.clone());
+        self.versions.borrow_mut().push(cached.clone());
         cached
     }
 
@@ -183,7 +184,10 @@
             .ok_or_else(|| ReadFault::Unreachable("no origin is configured".to_owned()))
     }
 
-    async fn manifest(&self, cached: &CachedVersion) -> Result<Rc<PieceManifest>, ReadFault> {
+    pub(super) async fn manifest(
+        &self,
+        cached: &CachedVersion,
+    ) -> Result<Rc<PieceManifest>, ReadFault> {
         let read = async || {
             let origin = self.origin_address()?;
             agreed_manifest(&self.origin, origin, &cached.model, cached.version)
@@ -194,7 +198,7 @@
     }
 
     /// A piece from memory, from its home, or from the origin.
-    async fn piece(
+    pub(super) async fn piece(
         &self,
         cached: &CachedVersion,
         index: u32,
@@ -210,45 +214,45 @@
             }
         };
         let read = async || {
-            let homes = self.homes(index);
-            if as_home || homes.first() == Some(&None) {
-                return match self.read_origin(cached, &manifest, index).await {
-                    Ok(bytes) => Ok(Rc::new(bytes)),
-                    Err(fault) => self
-                        .read_held(cached, &manifest, index, &homes)
-                        .await
-                        .map(Rc::new)
-                        .ok_or(fault),
-                };
-            }
-            let home = homes.first().copied().flatten();
-            let mut bytes = match home {
-                Some(home) => {
-                    self.read_entry(HOME_PIECE_PATH, cached, &manifest, index, home)
-                        .await
-                }
-                None => None,
-            };
-            if bytes.is_none() {
-                bytes = self.read_held(cached, &manifest, index, &homes).await;
-            }
-            match bytes {
-                Some(bytes) => Ok(Rc::new(bytes)),
-                None => self
-                    .read_origin(cached, &manifest, index)
-                    .await
-                    .map(Rc::new),
-            }
+            self.read(cached, &manifest, index, as_home)
+                .await
+                .map(Rc::new)
         };
         cell.get_or_try_init(read).await.cloned()
     }
 
+    /// Reads a piece that is not at hand.
+    async fn read(
+        &self,
+        cached: &CachedVersion,
+        manifest: &PieceManifest,
+        index: u32,
+        as_home: bool,
+    ) -> Result<Vec<u8>, ReadFault> {
+        let homes = self.homes(index);
+        let home = homes.first().copied().flatten().filter(|_| !as_home);
+        let Some(home) = home else {
+            return match self.read_origin(cached, manifest, index).await {
+                Ok(bytes) => Ok(bytes),
+                Err(fault) => self
+                    .read_held(cached, manifest, index, &homes)
+                    .await
+                    .ok_or(fault),
+            };
+        };
+        let read = self.read_entry(HOME_PIECE_PATH, cached, manifest, index, home);
+        if let Some(bytes) = read.await {
+            return Ok(bytes);
+        }
+        match self.read_held(cached, manifest, index, &homes).await {
+            Some(bytes) => Ok(bytes),
+            None => self.read_origin(cached, manifest, index).await,
+        }
+    }
+
     /// A piece that is at hand.
     fn held(&self, model: &str, version: u64, index: u32) -> Option<Rc<Vec<u8>>> {
-        let versions = self.versions.borrow();
-        let known = versions
-            .iter()
-            .find(|v| v.model == model && v.version == version)?;
+        let known = self.known(model, version)?;
         let pieces = known.pieces.borrow();
         pieces.get(index as usize)?.get().cloned()
     }
@@ -272,7 +276,7 @@
 
     /// Entries in the order in which they are home to a piece: the first of them
     /// reads it from the origin. None stands for this entry.
-    fn homes(&self, index: u32) -> Vec<Option<SocketAddr>> {
+    pub(super) fn homes(&self, index: u32) -> Vec<Option<SocketAddr>> {
         let state = self.state.borrow();
         let own = (state.settings.name.as_str(), None);
         let others = state
@@ -350,74 +354,6 @@
         Err(fault)
     }
 
-    /// Reads the pieces of newly declared versions whose home is here, before
-    /// anybody asks for them.
-    pub async fn read_ahead(self: Rc<Self>) {
-        let news = self.state.borrow().weights_notice.clone();
-        loop {
-            let declared = self.state.borrow().weights.latest().cloned();
-            if let Some(declared) = declared
-                && !self.is_at_hand(&declared.model, declared.version)
-            {
-                let cached = self.version(&declared.model, declared.version);
-                if let Err(error) = self.read_home_pieces(&cached).await {
-                    log::debug!("cannot read version {} ahead: {error}", declared.version);
-                    tokio::time::sleep(AHEAD_PAUSE).await;
-                    continue;
-                }
-                LogLine::new(Event::WeightsStaged)
-                    .text("model", &declared.model)
-                    .number("version", declared.version)
-                    .write();
-            }
-            news.notified().await;
-        }
-    }
-
-    fn is_at_hand(&self, model: &str, version: u64) -> bool {
-        let versions = self.versions.borrow();
-        let known = versions
-            .iter()
-            .find(|v| v.model == model && v.version == version);
-        known.is_some_and(|v| {
-            let pieces = v.pieces.borrow();
-            !pieces.is_empty() && pieces.iter().all(|piece| piece.initialized())
-        })
-    }
-
-    /// Reads the pieces whose home is here, each when its turn on the origin's
-    /// link comes, so that they arrive in the order in which hosts ask.
-    async fn read_home_pieces(&self, cached: &CachedVersion) -> Result<(), ReadFault> {
-        let manifest = self.manifest(cached).await?;
-        let began = Instant::now();
-        let turn = self.origin_turn();
-        for index in 0..manifest.chunks() {
-            if self.homes(index).first() == Some(&None) {
-                tokio::time::sleep_until(began + turn * index).await;
-                self.piece(cached, index, true).await?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Time that one piece takes on the origin's link.
-    fn origin_turn(&self) -> Duration {
-        let state = self.state.borrow();
-        let services = || state.catalog.iter().flat_map(|catalog| catalog.services());
-        let chunk_bytes = services()
-            .filter_map(|service| service.engine.as_ref())
-            .map(|engine| f64::from(engine.chunk_bytes))
-            .fold(0.0, f64::max);
-        let link_mbps = services()
-            .filter_map(|service| service.origin.as_ref())
-            .map(|origin| origin.link_mbps)
-            .fold(0.0, f64::max);
-        if link_mbps <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(chunk_bytes * 8.0 / (link_mbps * 1_000_000.0))
-    }
-
     /// Drops versions that nobody reads any more.
     pub async fn evict_unused(self: Rc<Self>) {
         loop {
