--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -30,6 +30,7 @@
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::observe::flush_log;
+use crate::observe::flush_log_every;
 use crate::weights::OriginPort;
 
 /// Interval at which log lines are handed to their writer.
@@ -77,12 +78,7 @@
     actix_rt::spawn(register(state.clone(), source()));
     actix_rt::spawn(send_beats(state.clone(), socket.clone()));
     actix_rt::spawn(receive_datagrams(state.clone(), socket, decoder));
-    actix_rt::spawn(async {
-        loop {
-            tokio::time::sleep(LOG_INTERVAL).await;
-            flush_log();
-        }
-    });
+    actix_rt::spawn(flush_log_every(LOG_INTERVAL));
     LogLine::new(Event::ProcessStarted)
         .text("role", "entry")
         .text("host", &settings.name)
--- a/src/observe/log_line.rs
+++ b/src/observe/log_line.rs
@@ -3,6 +3,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -99,6 +100,14 @@
     PENDING.with_borrow_mut(|pending| pending.writer = Some(sender));
 }
 
+/// Hands the queued lines to the writer again and again.
+pub async fn flush_log_every(interval: Duration) {
+    loop {
+        tokio::time::sleep(interval).await;
+        flush_log();
+    }
+}
+
 /// Hands the queued lines to the writer; drops and counts them when it is stuck.
 pub fn flush_log() {
     PENDING.with_borrow_mut(|pending| {
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -9,6 +9,7 @@
 pub use event::emit;
 pub use log_line::LogLine;
 pub use log_line::flush_log;
+pub use log_line::flush_log_every;
 pub use log_line::start_log_writer;
 pub use logging::init_logging;
 pub use metrics::Metrics;
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -23,6 +23,7 @@
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::observe::flush_log;
+use crate::observe::flush_log_every;
 use crate::staging::EnginePort;
 use crate::staging::StagingSettings;
 use crate::staging::StagingState;
@@ -91,12 +92,7 @@
     actix_rt::spawn(report_load(state.clone(), engine.clone(), socket.clone()));
     actix_rt::spawn(send_notes(state.clone(), socket));
     actix_rt::spawn(keep_weights(state.clone(), engine, origin, metrics));
-    actix_rt::spawn(async {
-        loop {
-            tokio::time::sleep(LOG_INTERVAL).await;
-            flush_log();
-        }
-    });
+    actix_rt::spawn(flush_log_every(LOG_INTERVAL));
     LogLine::new(Event::ProcessStarted)
         .text("role", "endpoint")
         .text("host", &settings.name)
--- a/src/staging/transfer.rs
+++ b/src/staging/transfer.rs
@@ -251,6 +251,9 @@
         }
         let most = if is_slow { 1 } else { MAX_ENTRY_READS };
         let room = most.saturating_sub(in_flight.len());
+        if room == 0 {
+            return Some(Vec::new());
+        }
         let carriers = entries_for(have.len(), &entries);
         let is_free = |chunk: &u32| {
             !have.contains(*chunk) && in_flight.iter().all(|read| read.chunk != *chunk)
