--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -2,6 +2,7 @@
 use crate::fixture::table;
 use bergamotfork::fleet::Admission;
 use bergamotfork::fleet::AdmissionInput;
+use bergamotfork::fleet::EngineProfile;
 use bergamotfork::fleet::RefusalCause;
 use bergamotfork::fleet::Replica;
 use bergamotfork::fleet::ReplicaKey;
@@ -11,28 +12,49 @@
 
 const TARGET_MS: u64 = 400;
 
-fn decide(table: &ReplicaTable, now_ms: u64, seed: u64, is_return: bool) -> Admission {
-    let replicas: Vec<(ReplicaKey, &Replica)> = table
-        .listed()
-        .filter(|(_, replica)| replica.is_usable(now_ms))
-        .collect();
-    admit(&AdmissionInput {
+/// A usual request that has just arrived.
+fn arrival<'a>(
+    replicas: &'a [(ReplicaKey, &'a Replica)],
+    engine: &'a EngineProfile,
+    now_ms: u64,
+) -> AdmissionInput<'a> {
+    AdmissionInput {
         now_ms,
-        replicas: &replicas,
-        engine: Some(&engine()),
+        replicas,
+        engine: Some(engine),
         failure_domain: "a",
         entries: 6,
         others_per_ms: 0.0,
         prompt_tokens: 800,
         waited_ms: 0,
-        is_return,
+        is_return: false,
         has_begun: false,
         target_ms: TARGET_MS,
         left_ms: 6_000,
+        seed: 1,
+    }
+}
+
+fn decide(table: &ReplicaTable, now_ms: u64, seed: u64, is_return: bool) -> Admission {
+    let replicas: Vec<(ReplicaKey, &Replica)> = table
+        .listed()
+        .filter(|(_, replica)| replica.is_usable(now_ms))
+        .collect();
+    admit(&AdmissionInput {
+        is_return,
         seed,
+        ..arrival(&replicas, &engine(), now_ms)
     })
 }
 
+/// Replica that a request goes to.
+fn sent_to(admission: Admission) -> ReplicaKey {
+    match admission {
+        Admission::Send { replica, .. } => replica,
+        refusal => panic!("{refusal:?}"),
+    }
+}
+
 #[test]
 fn predicted_first_event_grows_with_load_and_prompt() {
     let engine = engine();
@@ -46,12 +68,9 @@
 fn admit_goes_to_the_least_loaded() {
     let (table, keys) = table(0, &[14, 18, 3, 15]);
     for seed in 0..50 {
-        match decide(&table, 10, seed, false) {
-            // A difference within the spread may go either way; 3 and 14 differ
-            // by less than a request's reading, 18 waits for slots.
-            Admission::Send { replica, .. } => assert_ne!(replica, keys[1]),
-            refusal => panic!("{refusal:?}"),
-        }
+        // A difference within the spread may go either way; 3 and 14 differ
+        // by less than a request's reading, 18 waits for slots.
+        assert_ne!(sent_to(decide(&table, 10, seed, false)), keys[1]);
     }
 }
 
@@ -125,10 +144,7 @@
     let (mut table, keys) = table(1_000, &[0, 6]);
     table.started(keys[0], 100.0, 100);
     for seed in 0..20 {
-        match decide(&table, 1_020, seed, false) {
-            Admission::Send { replica, .. } => assert_eq!(replica, keys[1]),
-            refusal => panic!("{refusal:?}"),
-        }
+        assert_eq!(sent_to(decide(&table, 1_020, seed, false)), keys[1]);
     }
 }
 
@@ -141,19 +157,8 @@
     let replicas: Vec<(ReplicaKey, &Replica)> = table.listed().collect();
     let at = |now_ms| {
         admit(&AdmissionInput {
-            now_ms,
-            replicas: &replicas,
-            engine: Some(&engine()),
-            failure_domain: "a",
-            entries: 6,
             others_per_ms,
-            prompt_tokens: 800,
-            waited_ms: 0,
-            is_return: false,
-            has_begun: false,
-            target_ms: TARGET_MS,
-            left_ms: 6_000,
-            seed: 1,
+            ..arrival(&replicas, &engine(), now_ms)
         })
     };
     assert!(matches!(at(5), Admission::Send { .. }));
@@ -168,19 +173,10 @@
         let (table, _) = table(0, &[requests]);
         let replicas: Vec<(ReplicaKey, &Replica)> = table.listed().collect();
         admit(&AdmissionInput {
-            now_ms: 10,
-            replicas: &replicas,
-            engine: Some(&engine()),
-            failure_domain: "a",
-            entries: 6,
-            others_per_ms: 0.0,
-            prompt_tokens: 800,
             waited_ms: 1_500,
-            is_return: false,
             has_begun: true,
-            target_ms: TARGET_MS,
             left_ms: 4_000,
-            seed: 1,
+            ..arrival(&replicas, &engine(), 10)
         })
     };
     assert!(matches!(decide(15), Admission::Send { .. }));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,8 @@
 //! Streams are cut into whole events; records change what an entry believes.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bergamotfork::fleet::EntryBeat;
 use bergamotfork::fleet::Ledger;
@@ -133,6 +135,16 @@
     }
 }
 
+/// An entry that has listed one replica.
+fn with_one_replica() -> Rc<RefCell<GatewayState>> {
+    let state = GatewayState::new(settings());
+    let records = vec![record(0, Some("127.0.0.1:9"))];
+    state
+        .borrow_mut()
+        .take_listing(Topic::Replicas, records, 1, &Addresses);
+    state
+}
+
 fn listed(state: &GatewayState) -> usize {
     state.replicas.listed().count()
 }
@@ -141,14 +153,8 @@
 /// a replica that has left is gone at once.
 #[actix_rt::test]
 async fn take_records_replica_gone_while_another_entry_reads() {
-    let state = GatewayState::new(settings());
+    let state = with_one_replica();
     let mut state = state.borrow_mut();
-    state.take_listing(
-        Topic::Replicas,
-        vec![record(0, Some("127.0.0.1:9"))],
-        1,
-        &Addresses,
-    );
     for index in 0..8 {
         let now_ms = state.now_ms();
         state.peers.heard(beat(format!("entry-{index}")), now_ms);
@@ -170,14 +176,8 @@
 /// While the store is away for all, a record that lapsed is waited for.
 #[actix_rt::test]
 async fn take_records_lapsed_record_while_the_store_is_away() {
-    let state = GatewayState::new(settings());
+    let state = with_one_replica();
     let mut state = state.borrow_mut();
-    state.take_listing(
-        Topic::Replicas,
-        vec![record(0, Some("127.0.0.1:9"))],
-        1,
-        &Addresses,
-    );
     let lost = SourceError::Refused(503);
     state.note_source(Topic::Replicas, Some(&lost));
     state.take_records(Topic::Replicas, vec![record(2, None)], 3, &Addresses);
