--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewaySettings;
 use crate::gateway::GatewayState;
+use crate::gateway::MeasuredSource;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::client_listener::serve_clients;
@@ -68,6 +69,7 @@
     let metrics = Rc::new(Metrics::new());
     let state = GatewayState::new(settings.clone());
     let pieces = PieceCache::new(state.clone(), origin, metrics.clone());
+    let new_source = || MeasuredSource::new(new_source(), metrics.clone());
     start_listeners(&settings, &state, &dialect, &metrics, &pieces).await?;
     actix_rt::spawn(pieces.clone().read_ahead());
     actix_rt::spawn(pieces.evict_unused());
@@ -83,7 +85,7 @@
     actix_rt::spawn(register_entry(state.clone(), new_source()));
     actix_rt::spawn(send_heartbeats(state.clone(), socket.clone()));
     actix_rt::spawn(receive_datagrams(state.clone(), socket, decoder));
-    actix_rt::spawn(flush_log_every(LOG_FLUSH_INTERVAL));
+    actix_rt::spawn(flush_log_every(LOG_FLUSH_INTERVAL, metrics.clone()));
     LogLine::new(Event::ProcessStarted)
         .text("role", "entry")
         .text("host", &settings.name)
--- a/src/observe/log_line.rs
+++ b/src/observe/log_line.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::io::Write;
+use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
@@ -7,7 +8,10 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use tokio::time::Instant;
+
 use crate::observe::Event;
+use crate::observe::Metrics;
 
 /// Bytes of lines kept between two flushes; further lines are dropped and counted.
 const MAX_PENDING_BYTES: usize = 64 * 1024;
@@ -106,9 +110,13 @@
 }
 
 /// Calls `flush_log` at this interval, without end.
-pub async fn flush_log_every(interval: Duration) {
+///
+/// Also records how late its timer fires, which shows when the process was stalled.
+pub async fn flush_log_every(interval: Duration, metrics: Rc<Metrics>) {
     loop {
-        tokio::time::sleep(interval).await;
+        let due = Instant::now() + interval;
+        tokio::time::sleep_until(due).await;
+        metrics.record_timer_late(due.elapsed().as_secs_f64() * 1_000.0);
         flush_log();
     }
 }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -66,8 +66,15 @@
     counters: Vec<Counter<u64>>,
     /// Time from a request to its answer or first event, by `outcome`.
     answer_ms: Histogram<f64>,
+    /// Time of a call to the platform's store, by `call` and `outcome`.
+    store_call_ms: Histogram<f64>,
+    /// Time by which a timer of the process fired late.
+    timer_late_ms: Histogram<f64>,
 }
 
+/// Upper bounds of the buckets for the lateness of timers, in ms.
+const TIMER_LATE_BUCKETS_MS: [f64; 6] = [5.0, 20.0, 100.0, 300.0, 1_000.0, 3_000.0];
+
 /// Upper bounds of the buckets for answer times, in ms; dense around the latency targets
 /// of routes.
 const ANSWER_TIME_BUCKETS_MS: [f64; 12] = [
@@ -92,11 +99,21 @@
             .f64_histogram("bergamotfork_answer_ms")
             .with_boundaries(ANSWER_TIME_BUCKETS_MS.to_vec())
             .build();
+        let store_call_ms = meter
+            .f64_histogram("bergamotfork_store_call_ms")
+            .with_boundaries(ANSWER_TIME_BUCKETS_MS.to_vec())
+            .build();
+        let timer_late_ms = meter
+            .f64_histogram("bergamotfork_timer_late_ms")
+            .with_boundaries(TIMER_LATE_BUCKETS_MS.to_vec())
+            .build();
         Self {
             registry,
             _provider: provider,
             counters,
             answer_ms,
+            store_call_ms,
+            timer_late_ms,
         }
     }
 
@@ -123,6 +140,20 @@
         self.answer_ms.record(answer_ms, &labels);
     }
 
+    /// Records the time of a call to the platform's store, in milliseconds.
+    pub fn record_store_call(&self, call: &'static str, outcome: &'static str, took_ms: f64) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_call_ms.record(took_ms, &labels);
+    }
+
+    /// Records by how many milliseconds a timer of the process fired late.
+    pub fn record_timer_late(&self, late_ms: f64) {
+        self.timer_late_ms.record(late_ms, &[]);
+    }
+
     /// All metrics in the Prometheus text format; empty if they can't be encoded.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Topic;
 use crate::gateway::Datagram;
 use crate::gateway::HeldPieces;
+use crate::gateway::MeasuredSource;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::TopicSink;
@@ -98,7 +99,7 @@
     let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     actix_rt::spawn(read_store_without_entries(
         state.clone(),
-        new_source(),
+        MeasuredSource::new(new_source(), metrics.clone()),
         decoder.clone(),
     ));
     actix_rt::spawn(receive_datagrams(state.clone(), socket.clone(), decoder));
@@ -108,8 +109,13 @@
         socket.clone(),
     ));
     actix_rt::spawn(send_have_messages(state.clone(), socket));
-    actix_rt::spawn(manage_weights(state.clone(), engine, origin, metrics));
-    actix_rt::spawn(flush_log_every(LOG_INTERVAL));
+    actix_rt::spawn(manage_weights(
+        state.clone(),
+        engine,
+        origin,
+        metrics.clone(),
+    ));
+    actix_rt::spawn(flush_log_every(LOG_INTERVAL, metrics));
     LogLine::new(Event::ProcessStarted)
         .text("role", "endpoint")
         .text("host", &settings.name)
