--- a/src/gateway/fetch.rs
+++ b/src/gateway/fetch.rs
@@ -12,8 +12,12 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
-/// Timeout of fetching records from another process.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time without a byte of the records that are fetched from another process.
+const FETCH_STALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest time of fetching records that keep arriving; less than the time within which
+/// a configuration must be in force, so that another process can be asked.
+const MAX_FETCH_TIME: Duration = Duration::from_millis(2_000);
 
 /// Fetches the records of `topic` that this process lacks from the entry at `peer`.
 ///
@@ -33,7 +37,7 @@
     let target = format!("{RECORDS_PATH}/{}/{from}", topic.label());
     let mut client = Http1Client::new(peer, Duration::ZERO);
     let reply = match client
-        .send(&ClientRequest::get(&target, FETCH_TIMEOUT))
+        .send(&ClientRequest::get(&target, FETCH_STALL_TIMEOUT).until_stalled(MAX_FETCH_TIME))
         .await
     {
         Ok(reply) if reply.status == 200 => reply,
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -31,6 +31,8 @@
     pub body: &'a [u8],
     /// Time from opening the connection to the end of the response.
     pub timeout: Duration,
+    /// Longest time without a further byte of the response; also bounded by `timeout`.
+    pub stall_timeout: Duration,
 }
 
 impl<'a> ClientRequest<'a> {
@@ -42,8 +44,15 @@
             content_type: "",
             body: &[],
             timeout,
+            stall_timeout: timeout,
         }
     }
+
+    /// Allows a response that keeps arriving to take up to `timeout`, and fails once
+    /// nothing has arrived for the timeout given to the constructor.
+    pub fn until_stalled(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
 }
 
 /// A response with its complete body.
@@ -93,19 +102,21 @@
         request: &ClientRequest<'_>,
     ) -> Result<ClientResponse, Http1Error> {
         let deadline = Instant::now() + request.timeout;
+        let next_deadline = || deadline.min(Instant::now() + request.stall_timeout);
         let mut connection = match self.idle_connection.take() {
             Some((connection, since)) if since.elapsed() < self.max_idle => connection,
             _ => {
                 let connect_timeout = request
-                    .timeout
+                    .stall_timeout
                     .min(Duration::from_millis(CONNECT_TIMEOUT_MS));
                 Connection::connect(self.address, connect_timeout).await?
             }
         };
         connection
-            .write_with_deadline(&encode_request(self.address, request), deadline)
+            .write_with_deadline(&encode_request(self.address, request), next_deadline())
             .await?;
-        let (response, reusable) = read_response(&mut connection, request.method, deadline).await?;
+        let (response, reusable) =
+            read_response(&mut connection, request.method, next_deadline).await?;
         if reusable {
             self.idle_connection = Some((connection, Instant::now()));
         }
@@ -131,24 +142,25 @@
     bytes
 }
 
-/// Reads a response to `method`, and whether its connection can be reused.
+/// Reads a response to `method`, and whether its connection can be reused; `deadline` is
+/// evaluated before each read.
 async fn read_response(
     connection: &mut Connection,
     method: &str,
-    deadline: Instant,
+    deadline: impl Fn() -> Instant,
 ) -> Result<(ClientResponse, bool), Http1Error> {
     let head = loop {
         if let Some(head) = ResponseHead::parse_from(&mut connection.read_buffer, MAX_HEAD_BYTES)? {
             break head;
         }
-        if connection.fill_buffer_with_deadline(deadline).await? == 0 {
+        if connection.fill_buffer_with_deadline(deadline()).await? == 0 {
             return Err(Http1Error::IncompleteMessage);
         }
     };
     let decoder = BodyDecoder::new(head.framing(method)?);
     let ends_with_close = decoder == BodyDecoder::UntilClose;
     let body = connection
-        .read_body(decoder, MAX_BODY_BYTES, || deadline)
+        .read_body(decoder, MAX_BODY_BYTES, deadline)
         .await?;
     let reusable = !ends_with_close
         && connection.read_buffer.is_empty()
