Count a listing that another entry has sent

Callers saw: requests that waited seconds on links between regions, long after a restart of all hosts was over.

Cause (one of several): an entry read the listing of a topic from the store until that succeeded, also when it had the listing from another entry.

Change: an entry lists a topic only while it has no listing at all, from whichever source, or when records were trimmed.

Measured: start_listing_from_other_entry_not_read_again failed before (4 more listings in 2.8 s) and passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -82,9 +82,11 @@
     mut source: impl RecordSource,
     decoder: Rc<impl RecordDecoder>,
 ) {
-    let mut must_list = true;
+    let mut is_trimmed = false;
     let mut failures = 0u32;
     loop {
+        // A listing that another entry has sent counts as well.
+        let must_list = is_trimmed || !state.borrow().topic_table(topic).has_listing();
         if !must_list && state.borrow().has_other_reader() {
             if !state.borrow().is_topic_unavailable(topic) {
                 tokio::time::sleep(READER_CHECK_INTERVAL).await;
@@ -100,8 +102,8 @@
             read_changes(&state, topic, &mut source, &*decoder).await
         };
         match result {
-            Ok(is_trimmed) => {
-                must_list = is_trimmed;
+            Ok(has_trimmed_records) => {
+                is_trimmed = has_trimmed_records;
                 failures = 0;
                 let pause = {
                     let mut state = state.borrow_mut();
