Let one entry of each failure domain list the store after a restart

Cause: every entry listed every topic from the store as soon as it started, all at once. With a large configuration that is 300 KB each over one link into a region, 3 s for all, and requests wait in the same queue.

Change: the small topic of members is listed by all, and shows the entries to each other within 0.4 s. The other topics are listed by the first by rank of each failure domain; the others get the records from it, and list themselves only after pauses that double from rank to rank. An entry without a listing refuses to send records, since its reply would pass for a listing.

--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -170,6 +170,26 @@
         rank > 0 && age_ms < fallback_age_ms
     }
 
+    /// Rank of the entry `own` among the live entries of `failure_domain` that may read
+    /// the listing of a topic; those that can't reach the store come last.
+    pub fn listing_rank(
+        &self,
+        own: &str,
+        own_has_store: bool,
+        failure_domain: &str,
+        now_ms: u64,
+    ) -> usize {
+        let in_domain = || {
+            self.live_entries(now_ms)
+                .filter(|peer| peer.failure_domain == failure_domain)
+        };
+        let equals = in_domain()
+            .filter(|peer| peer.has_store == own_has_store)
+            .map(|peer| peer.name.as_str());
+        let preferred = in_domain().filter(|peer| peer.has_store && !own_has_store);
+        preferred.count() + rendezvous_rank(own, equals, READER_RANK_SEED)
+    }
+
     /// Last heartbeats of all entries ever received, timed out or not, so that an entry
     /// that recovers is sent heartbeats again.
     pub fn all_entries(&self) -> impl Iterator<Item = &EntryHeartbeat> {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use crate::fleet::ListingTurn;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
 use crate::fleet::TopicTable;
@@ -64,6 +65,10 @@
 /// Interval at which an entry checks whether another one still reads on its behalf.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which an entry without a listing checks whether it has come from another
+/// entry, or is to be read from the store.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Pause between attempts to reach an unavailable store while another entry reads it.
 const UNAVAILABLE_STORE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -82,11 +87,20 @@
     mut source: impl RecordSource,
     decoder: Rc<impl RecordDecoder>,
 ) {
-    let mut is_trimmed = false;
+    let mut trimmed_at = None;
+    let mut turn = ListingTurn::at_start();
     let mut failures = 0u32;
     loop {
-        // A listing that another entry has sent counts as well.
-        let must_list = is_trimmed || !state.borrow().topic_table(topic).has_listing();
+        // A listing or records that another entry has sent count as well.
+        let must_list = {
+            let state = state.borrow();
+            let table = state.topic_table(topic);
+            !table.has_listing() || trimmed_at == Some(table.end_offset())
+        };
+        if must_list && !has_listing_turn(&state.borrow(), topic, turn) {
+            tokio::time::sleep(TURN_CHECK_INTERVAL).await;
+            continue;
+        }
         if !must_list && state.borrow().has_other_reader() {
             if !state.borrow().is_topic_unavailable(topic) {
                 tokio::time::sleep(READER_CHECK_INTERVAL).await;
@@ -95,18 +109,25 @@
             tokio::time::sleep(UNAVAILABLE_STORE_PAUSE).await;
         }
         let result = if must_list {
-            read_listing(&state, topic, &mut source, &*decoder)
-                .await
-                .map(|()| false)
+            tokio::select! {
+                listed = read_listing(&state, topic, &mut source, &*decoder) => {
+                    listed.map(|()| false)
+                }
+                () = wait_for_listing(&state, topic) => continue,
+            }
         } else {
             read_changes(&state, topic, &mut source, &*decoder).await
         };
         match result {
             Ok(has_trimmed_records) => {
-                is_trimmed = has_trimmed_records;
                 failures = 0;
                 let pause = {
                     let mut state = state.borrow_mut();
+                    trimmed_at = has_trimmed_records.then(|| state.topic_table(topic).end_offset());
+                    turn = ListingTurn::since(state.now_ms());
+                    if must_list && topic == Topic::Members {
+                        state.update_notice.notify_one();
+                    }
                     state.record_store_result(topic, None);
                     if topic == Topic::Replicas {
                         state.confirm_replicas(0);
@@ -118,14 +139,38 @@
                 tokio::time::sleep(pause).await;
             }
             Err(error) => {
-                state.borrow_mut().record_store_result(topic, Some(&error));
                 failures += 1;
-                tokio::time::sleep(retry_pause(failures)).await;
+                let pause = retry_pause(failures);
+                {
+                    let mut state = state.borrow_mut();
+                    state.record_store_result(topic, Some(&error));
+                    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                    turn = ListingTurn::since(state.now_ms() + pause_ms);
+                }
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
+/// Whether this entry reads the listing of `topic` now.
+///
+/// The members' topic is small, and shows the entries to each other: each reads it at
+/// once.
+fn has_listing_turn(state: &GatewayState, topic: Topic, turn: ListingTurn) -> bool {
+    topic == Topic::Members || turn.has_come(state.listing_rank(), state.now_ms())
+}
+
+/// Waits until the listing of a topic has arrived, unless this entry has one already.
+async fn wait_for_listing(state: &RefCell<GatewayState>, topic: Topic) {
+    if state.borrow().topic_table(topic).has_listing() {
+        std::future::pending::<()>().await;
+    }
+    while !state.borrow().topic_table(topic).has_listing() {
+        tokio::time::sleep(TURN_CHECK_INTERVAL).await;
+    }
+}
+
 /// Reads the newest record of each key of a topic, and applies them.
 pub async fn read_listing(
     state: &RefCell<impl TopicSink>,
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -106,13 +106,17 @@
 impl<O: OriginPort> InternalCallHandler<O> {
     /// Reply with the records at or after an offset; `path_rest` is `TOPIC/OFFSET`.
     ///
-    /// None when that is not a topic and an offset.
+    /// Status 503 while this entry lacks the listing of the topic; None when `path_rest` is
+    /// not a topic and an offset.
     fn records_reply(&self, path_rest: &str) -> Option<InternalResponse> {
         let (label, offset) = path_rest.split_once('/')?;
         let topic = Topic::from_label(label)?;
         let offset = offset.parse().ok()?;
         let state = self.state.borrow();
         let table = state.topic_table(topic);
+        if !table.has_listing() {
+            return Some(InternalResponse::without_body(503));
+        }
         let end_offset = table.end_offset();
         let mut last = self.last_records.borrow_mut();
         let is_same = last.as_ref().is_some_and(|packed| {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -225,6 +225,18 @@
         )
     }
 
+    /// Rank of this entry among those of its failure domain that may read a listing.
+    pub fn listing_rank(&self) -> usize {
+        let settings = &self.settings;
+        let now_ms = self.now_ms();
+        self.peers.listing_rank(
+            &settings.name,
+            self.has_store(),
+            &settings.failure_domain,
+            now_ms,
+        )
+    }
+
     /// Whether `topic` is also fetched from entries of other failure domains: the
     /// replicas' records once they are old, the other topics always.
     pub fn fetches_across_domains(&self, topic: Topic) -> bool {
--- a/tests/fleet/fixture.rs
+++ b/tests/fleet/fixture.rs
@@ -1,5 +1,8 @@
+use std::net::SocketAddr;
+
 use bergamotfork::fleet::EngineLoad;
 use bergamotfork::fleet::EngineProfile;
+use bergamotfork::fleet::EntryHeartbeat;
 use bergamotfork::fleet::ReplicaKey;
 use bergamotfork::fleet::ReplicaRecord;
 use bergamotfork::fleet::ReplicaState;
@@ -66,3 +69,22 @@
     }
     (table, keys)
 }
+
+/// A heartbeat of an entry in failure domain `z` that reaches the store.
+pub fn heartbeat(name: &str) -> EntryHeartbeat {
+    let any: SocketAddr = "127.0.0.1:2".parse().unwrap();
+    EntryHeartbeat {
+        name: name.to_owned(),
+        incarnation: 1,
+        internal: any,
+        front: any,
+        failure_domain: "z".to_owned(),
+        link_mbps: 100.0,
+        is_ready: true,
+        has_store: true,
+        ends: [0; 3],
+        replicas_age_ms: 0,
+        declared: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,4 +3,5 @@
 mod admission;
 mod fixture;
 mod fleet_view;
+mod listing_turn;
 mod retries;
