Let endpoint processes get their records from entries

Cause: an endpoint process listed both topics from the store at its start, and again after a failure of either, all of them after the same pauses of 0.7, 1.4 and 2.8 s. While no entry sent heartbeats all of them read the whole listings every 2.8 s.

Change: a new process finds the entries by their small topic and asks one of them, after a random delay; pauses are random too. The store is read only after 2.5 s without a heartbeat, and then for changes only, once a listing is known.

Measured: start_endpoints_records_from_entries (16 processes) failed before: they asked no entry, and each listed the store; it passes now, with no listing of theirs.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -116,7 +116,12 @@
                 () = wait_for_listing(&state, topic) => continue,
             }
         } else {
-            read_changes(&state, topic, &mut source, &*decoder).await
+            let wait = if topic == Topic::Replicas {
+                MAX_REPLICAS_READ_WAIT
+            } else {
+                MAX_READ_WAIT
+            };
+            read_changes(&state, topic, &mut source, &*decoder, wait).await
         };
         match result {
             Ok(has_trimmed_records) => {
@@ -184,20 +189,16 @@
     Ok(())
 }
 
-/// Reads the records after those already applied, and applies them; returns whether
-/// the store has trimmed some of them.
-async fn read_changes(
-    state: &RefCell<GatewayState>,
+/// Reads the records after those already applied, and applies them; waits up to `wait` if
+/// there are none. Returns whether the store has trimmed some of them.
+pub async fn read_changes(
+    state: &RefCell<impl TopicSink>,
     topic: Topic,
     source: &mut impl RecordSource,
     decoder: &impl RecordDecoder,
+    wait: Duration,
 ) -> Result<bool, SourceError> {
     let from = state.borrow().topic_table(topic).end_offset();
-    let wait = if topic == Topic::Replicas {
-        MAX_REPLICAS_READ_WAIT
-    } else {
-        MAX_READ_WAIT
-    };
     match source.read(topic, from, wait).await? {
         TopicRead::Trimmed => Ok(true),
         TopicRead::Next {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -12,6 +12,7 @@
 use crate::fleet::EntryRegistration;
 use crate::fleet::LoadReport;
 use crate::fleet::Topic;
+use crate::fleet::TopicTable;
 use crate::gateway::GatewayState;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
@@ -117,16 +118,20 @@
     }
 }
 
-/// Addresses of the entries that are registered in the store or sent a heartbeat.
-fn entry_targets(state: &GatewayState) -> Vec<SocketAddr> {
-    let own = state.settings.internal;
-    let registered = state
-        .topic_table(Topic::Members)
+/// Addresses for internal calls of the entries that are registered in the store.
+pub fn registered_entries(members: &TopicTable) -> impl Iterator<Item = SocketAddr> {
+    members
         .records_since(0)
         .filter_map(|record| {
             rmp_serde::from_slice::<EntryRegistration>(record.value.as_deref()?).ok()
         })
-        .map(|registration| registration.internal);
+        .map(|registration| registration.internal)
+}
+
+/// Addresses of the entries that are registered in the store or sent a heartbeat.
+fn entry_targets(state: &GatewayState) -> Vec<SocketAddr> {
+    let own = state.settings.internal;
+    let registered = registered_entries(state.topic_table(Topic::Members));
     let received = state.peers.all_entries().map(|peer| peer.internal);
     registered
         .chain(received)
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -7,6 +7,7 @@
 //! piece once. The traits in `ports` hide the protocol of the platform.
 
 mod fetch_schedule;
+mod follow_records;
 mod manifest;
 mod next_load;
 mod piece_handler;
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -17,7 +17,6 @@
 use crate::gateway::TopicSink;
 use crate::gateway::fetch_records;
 use crate::gateway::for_each_datagram;
-use crate::gateway::read_listing;
 use crate::gateway::wait_for_changed_settings;
 use crate::http1::serve_internal;
 use crate::observe::Event;
@@ -29,6 +28,8 @@
 use crate::staging::StagingSettings;
 use crate::staging::StagingState;
 use crate::staging::fetch_schedule::FetchSchedule;
+use crate::staging::follow_records::TOPICS;
+use crate::staging::follow_records::follow_records;
 use crate::staging::piece_handler::PieceHandler;
 use crate::staging::reporter::send_load_reports;
 use crate::staging::state::PeerPieces;
@@ -50,15 +51,6 @@
 /// rounded up, so that the rate of messages that a host sends stays bounded.
 const HOSTS_PER_HAVE_INTERVAL: u32 = 20;
 
-/// Time without a heartbeat of any entry after which the store is read, in ms.
-const ENTRIES_TIMEOUT_MS: u64 = 2_500;
-
-/// Shortest and longest pause before the store is read again. The pause doubles
-/// from read to read: entries take some seconds to find a host that has just
-/// started.
-const STORE_READ_PAUSES: (Duration, Duration) =
-    (Duration::from_millis(700), Duration::from_millis(2_800));
-
 /// Time for which pieces are still served after a stop signal.
 const STOP_DELAY: Duration = Duration::from_millis(300);
 
@@ -66,9 +58,6 @@
 /// the time within which a configuration must be in force.
 const MAX_FETCH_DELAY_MS: u64 = 1_500;
 
-/// Topics that an endpoint process follows.
-const TOPICS: [Topic; 2] = [Topic::Operator, Topic::Replicas];
-
 /// Runs an endpoint process until a stop signal.
 ///
 /// `changed` returns the settings when their file has changed since the last call.
@@ -97,7 +86,7 @@
         actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, handler));
     }
     let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
-    actix_rt::spawn(read_store_without_entries(
+    actix_rt::spawn(follow_records(
         state.clone(),
         MeasuredSource::new(new_source(), metrics.clone()),
         decoder.clone(),
@@ -140,41 +129,6 @@
     Ok(())
 }
 
-/// Reads the topics from the store at the start, and while no entry sends heartbeats.
-async fn read_store_without_entries(
-    state: Rc<RefCell<StagingState>>,
-    mut source: impl RecordSource,
-    decoder: Rc<impl RecordDecoder>,
-) {
-    let (shortest, longest) = STORE_READ_PAUSES;
-    let mut pause = shortest;
-    loop {
-        let must_read = {
-            let state = state.borrow();
-            let has_listings = TOPICS
-                .iter()
-                .all(|topic| state.topic_table(*topic).has_listing());
-            let now_ms = state.now_ms();
-            let is_without_entries = state.last_heartbeat_ms().is_none_or(|last_received_ms| {
-                now_ms.saturating_sub(last_received_ms) >= ENTRIES_TIMEOUT_MS
-            });
-            !has_listings || is_without_entries
-        };
-        if must_read {
-            for topic in TOPICS {
-                if let Err(error) = read_listing(&state, topic, &mut source, &*decoder).await {
-                    log::debug!("cannot read topic {topic:?} from the store: {error}");
-                }
-            }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(longest);
-        } else {
-            pause = shortest;
-            tokio::time::sleep(pause).await;
-        }
-    }
-}
-
 /// Receives heartbeats of entries and have messages of other hosts.
 async fn receive_datagrams(
     state: Rc<RefCell<StagingState>>,
@@ -193,9 +147,11 @@
             for topic in TOPICS {
                 let (is_behind, now_ms) = {
                     let state = state.borrow();
-                    let is_behind = heartbeat.ends[topic as usize]
-                        > state.topic_table(topic).end_offset()
-                        && (topic == Topic::Operator || state.has_missing_pieces());
+                    let table = state.topic_table(topic);
+                    let is_behind = heartbeat.ends[topic as usize] > table.end_offset()
+                        && (topic == Topic::Operator
+                            || !table.has_listing()
+                            || state.has_missing_pieces());
                     (is_behind, state.now_ms())
                 };
                 let delay_ms = rand::rng().random_range(0..MAX_FETCH_DELAY_MS);
