Register an entry only when the store does not know it

Cause: an entry appended its registration at each start, and again 0.5 s after each append that had no answer.

Change: the entry waits for the listing of the topic, at most 1.5 s, and appends nothing if its registration is there; after a failure it looks again first, after pauses that double up to 4 s.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -15,6 +15,7 @@
 use crate::gateway::MeasuredSource;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
+use crate::gateway::TopicSink;
 use crate::gateway::client_listener::serve_clients;
 use crate::gateway::follow::follow_topic;
 use crate::gateway::forward::Gateway;
@@ -41,6 +42,17 @@
 /// learn of it and connect to other entries.
 pub const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 
+/// Longest time for which an entry waits for the registrations before it registers.
+const MEMBERS_LISTING_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Interval at which a starting entry checks whether the registrations have arrived.
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Shortest and longest pause after a failed registration. It doubles from one to the
+/// next, as a registration whose reply was lost is in force.
+const MIN_REGISTRATION_PAUSE: Duration = Duration::from_millis(500);
+const MAX_REGISTRATION_PAUSE: Duration = Duration::from_secs(4);
+
 /// Time before the end of the grace period, when the platform kills the process, at which
 /// it exits even if requests are still active.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
@@ -153,7 +165,21 @@
         }
     };
     let value = rmp_serde::to_vec(&registration).expect("a registration holds only plain data");
+    let mut pause = MIN_REGISTRATION_PAUSE;
+    // The listing shows a registration of an earlier run, or one whose reply was lost.
+    let listed_by = Instant::now() + MEMBERS_LISTING_WAIT;
+    while !state.borrow().topic_table(Topic::Members).has_listing() && Instant::now() < listed_by {
+        tokio::time::sleep(REGISTRATION_CHECK_INTERVAL).await;
+    }
     loop {
+        let is_registered = state
+            .borrow()
+            .topic_table(Topic::Members)
+            .get(&registration.name)
+            .is_some_and(|record| record.value.as_ref() == Some(&value));
+        if is_registered {
+            return;
+        }
         match source
             .publish(Topic::Members, &registration.name, &value)
             .await
@@ -161,7 +187,8 @@
             Ok(()) => return,
             Err(error) => log::debug!("cannot register this entry: {error}"),
         }
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_REGISTRATION_PAUSE);
     }
 }
 
