Keep what is in force when the store comes back from an older copy

The store may come back from a copy that lacks what it acknowledged last. Offsets are then given out again, a read past its end gets 410, and each answer names an era that rises with each return.

Records were merged by offset alone: after a return a change written at a reused offset was dropped, a replica that did not come back stayed, and an entry whose registration was lost was not found by new ones.

Positions are ordered by era, then by offset, packed into the number that processes exchange already. Across eras the version that a record states of itself decides, so that an older copy replaces nothing; what the operator writes again does, at whatever offset. Entries register again, and tell each other of a configuration that the store has lost. Answers of an earlier era are discarded.

--- a/src/fleet/declarations.rs
+++ b/src/fleet/declarations.rs
@@ -1,4 +1,5 @@
 use crate::fleet::DeclarationAge;
+use crate::fleet::LogPosition;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
@@ -31,7 +32,7 @@
     pub model: String,
     /// Version of the weights.
     pub version: u64,
-    /// Offset of the record in the log.
+    /// Packed position of the record in the log.
     pub offset: u64,
     /// Whether the record arrived after the first listing, so that it was written
     /// just now.
@@ -72,7 +73,7 @@
         let line = LogLine::new(Event::WeightsDeclared)
             .text("model", &record.model)
             .number("version", record.version)
-            .number("offset", record.offset)
+            .number("offset", LogPosition::unpack(record.offset).offset)
             .flag("age_known", record.is_after_listing);
         let learned_ms = if record.is_after_listing {
             now_ms
--- a/src/fleet/topic_table.rs
+++ b/src/fleet/topic_table.rs
@@ -1,3 +1,5 @@
+use crate::fleet::LogPosition;
+
 /// A topic of the platform's log whose records have keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
@@ -28,37 +30,95 @@
     }
 }
 
+/// Version that a record states of itself, independent of its position in the log:
+/// incarnation of its writer, then number of the version.
+pub type RecordVersion = (u64, u64);
+
 /// The newest record of one key of a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TopicRecord {
     /// Key of the record within its topic.
     pub key: String,
-    /// Offset of the record in the log.
+    /// Packed [`LogPosition`] of the record.
     pub offset: u64,
     /// Value; None when the key was deleted.
     pub value: Option<Vec<u8>>,
 }
 
-/// The newest record of each key of a topic, merged by offset.
+impl TopicRecord {
+    fn era(&self) -> u64 {
+        LogPosition::unpack(self.offset).era
+    }
+}
+
+/// A record with what is needed to compare it across eras.
+#[derive(Debug)]
+struct KnownRecord {
+    record: TopicRecord,
+    /// Version of the last value, if the key was deleted.
+    deleted_version: Option<RecordVersion>,
+}
+
+impl KnownRecord {
+    /// Whether `other` replaces this record.
+    ///
+    /// Within an era the higher offset does. A record of a later era does unless it states
+    /// an older version: then it comes from the copy to which the store went back.
+    fn is_replaced_by(
+        &self,
+        other: &TopicRecord,
+        version_of: &impl Fn(&TopicRecord) -> Option<RecordVersion>,
+    ) -> bool {
+        if self.record.era() == other.era() {
+            return other.offset > self.record.offset;
+        }
+        let known_version = self.deleted_version.or_else(|| version_of(&self.record));
+        match (known_version, version_of(other)) {
+            (Some(known), Some(new)) if known != new => new > known,
+            // A key that was deleted with this version does not come back with it.
+            (Some(_), Some(_)) if self.record.value.is_none() => false,
+            _ => other.offset > self.record.offset,
+        }
+    }
+
+    /// Deletes the key at `offset`.
+    fn delete(&mut self, offset: u64, version_of: &impl Fn(&TopicRecord) -> Option<RecordVersion>) {
+        self.deleted_version = version_of(&self.record);
+        self.record.value = None;
+        self.record.offset = offset;
+    }
+}
+
+/// Result of applying a listing.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct ListingChanges {
+    /// Keys whose newest record changed.
+    pub changed: Vec<String>,
+    /// Number of records kept although the listing, of a later era, holds an older version
+    /// of them or none.
+    pub kept: usize,
+}
+
+/// The newest record of each key of a topic, merged by position and version.
 ///
-/// Records may arrive in any order, from the log or from other entries. The record
-/// with the higher offset is kept, so that a key never goes back to an older value.
+/// Records may arrive in any order, from the log or from other entries. A key never goes
+/// back to an older value.
 #[derive(Debug, Default)]
 pub struct TopicTable {
     // Sorted by key.
-    records: Vec<TopicRecord>,
+    records: Vec<KnownRecord>,
     end_offset: u64,
     complete_from_offset: u64,
     has_listing: bool,
 }
 
 impl TopicTable {
-    /// Offset up to which every record was read.
+    /// Packed position up to which every record was read.
     pub fn end_offset(&self) -> u64 {
         self.end_offset
     }
 
-    /// Offset from which on every change is known, deletions included. A listing
+    /// Packed position from which on every change is known, deletions included. A listing
     /// does not contain the keys that were deleted before it.
     pub fn complete_from_offset(&self) -> u64 {
         self.complete_from_offset
@@ -69,19 +129,41 @@
         self.has_listing
     }
 
-    /// Applies one record; returns whether it is newer than the known one.
+    /// Applies one record; returns whether it is newer than the known one. `version_of`
+    /// tells the version that a record states, if any.
     ///
-    /// The end offset stays, since records before this one may be missing; see
+    /// The end stays, since records before this one may be missing; see
     /// [`TopicTable::advance_end_offset`].
-    pub fn apply_record(&mut self, record: TopicRecord) -> bool {
-        match self.records.binary_search_by(|r| r.key.cmp(&record.key)) {
-            Ok(at) if self.records[at].offset >= record.offset => false,
+    pub fn apply_record(
+        &mut self,
+        record: TopicRecord,
+        version_of: impl Fn(&TopicRecord) -> Option<RecordVersion>,
+    ) -> bool {
+        match self
+            .records
+            .binary_search_by(|known| known.record.key.cmp(&record.key))
+        {
             Ok(at) => {
-                self.records[at] = record;
+                let known = &mut self.records[at];
+                if !known.is_replaced_by(&record, &version_of) {
+                    return false;
+                }
+                if record.value.is_none() {
+                    known.delete(record.offset, &version_of);
+                } else {
+                    *known = KnownRecord {
+                        record,
+                        deleted_version: None,
+                    };
+                }
                 true
             }
             Err(at) => {
-                self.records.insert(at, record);
+                let known = KnownRecord {
+                    record,
+                    deleted_version: None,
+                };
+                self.records.insert(at, known);
                 true
             }
         }
@@ -89,28 +171,53 @@
 
     /// Applies a listing, which holds the newest record of every key as of `end_offset`.
     ///
-    /// Returns the keys that changed. Keys that the listing lacks are deleted, unless
-    /// their known record is at or after `end_offset`.
-    pub fn apply_listing(&mut self, listing: Vec<TopicRecord>, end_offset: u64) -> Vec<String> {
-        let mut changed = Vec::new();
+    /// Keys that the listing lacks are deleted, unless their known record is at or after
+    /// `end_offset`, or is of an earlier era and states a version: the store has lost it,
+    /// and its writer writes it again. `keeps_lost_records` is false for topics whose
+    /// records last only while their writers write them again and again.
+    pub fn apply_listing(
+        &mut self,
+        listing: Vec<TopicRecord>,
+        end_offset: u64,
+        keeps_lost_records: bool,
+        version_of: impl Fn(&TopicRecord) -> Option<RecordVersion>,
+    ) -> ListingChanges {
+        let mut changes = ListingChanges::default();
         let mut listed: Vec<String> = listing.iter().map(|record| record.key.clone()).collect();
         listed.sort_unstable();
+        let era = LogPosition::unpack(end_offset).era;
         for record in listing {
             let key = record.key.clone();
-            if self.apply_record(record) {
-                changed.push(key);
+            let is_newer_era = self
+                .get(&key)
+                .is_some_and(|known| known.era() < record.era());
+            if self.apply_record(record, &version_of) {
+                changes.changed.push(key);
+            } else if is_newer_era {
+                changes.kept += 1;
             }
         }
-        for record in &mut self.records {
+        for known in &mut self.records {
+            let record = &known.record;
             let is_listed = listed.binary_search(&record.key).is_ok();
-            if !is_listed && record.offset < end_offset && record.value.is_some() {
-                record.value = None;
-                changed.push(record.key.clone());
+            if is_listed || record.offset >= end_offset || record.value.is_none() {
+                continue;
+            }
+            if keeps_lost_records && record.era() < era && version_of(record).is_some() {
+                changes.kept += 1;
+                continue;
+            }
+            changes.changed.push(record.key.clone());
+            let is_lost = record.era() < era;
+            known.delete(record.offset, &version_of);
+            if is_lost {
+                // The store has only lost it, and may get it back as it was.
+                known.deleted_version = None;
             }
         }
         self.end_offset = self.end_offset.max(end_offset);
         self.complete_from_offset = self.complete_from_offset.max(end_offset);
-        changed
+        changes
     }
 
     /// Marks that a complete listing was applied.
@@ -118,7 +225,7 @@
         self.has_listing = true;
     }
 
-    /// Raises the end offset after a read that returned every record before `offset`.
+    /// Raises the end after a read that returned every record before `offset`.
     pub fn advance_end_offset(&mut self, offset: u64) {
         self.end_offset = self.end_offset.max(offset);
     }
@@ -127,18 +234,30 @@
     pub fn get(&self, key: &str) -> Option<&TopicRecord> {
         let at = self
             .records
-            .binary_search_by(|r| r.key.as_str().cmp(key))
+            .binary_search_by(|known| known.record.key.as_str().cmp(key))
             .ok()?;
-        Some(&self.records[at])
+        Some(&self.records[at].record)
     }
 
     /// Newest records of the keys that are not deleted.
     pub fn live_records(&self) -> impl Iterator<Item = &TopicRecord> {
-        self.records.iter().filter(|r| r.value.is_some())
+        self.records
+            .iter()
+            .map(|known| &known.record)
+            .filter(|record| record.value.is_some())
+    }
+
+    /// Whether a record is known that the store has lost, or has an older version of.
+    pub fn has_kept_records(&self) -> bool {
+        let era = LogPosition::unpack(self.end_offset).era;
+        self.live_records().any(|record| record.era() < era)
     }
 
-    /// Newest records with an offset of at least `offset`, deletions included.
+    /// Newest records at or after the packed position `offset`, deletions included.
     pub fn records_since(&self, offset: u64) -> impl Iterator<Item = &TopicRecord> {
-        self.records.iter().filter(move |r| r.offset >= offset)
+        self.records
+            .iter()
+            .map(|known| &known.record)
+            .filter(move |record| record.offset >= offset)
     }
 }
--- a/src/gateway/fetch.rs
+++ b/src/gateway/fetch.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::fleet::LogPosition;
 use crate::fleet::Topic;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
@@ -19,13 +20,23 @@
 /// a configuration must be in force, so that another process can be asked.
 const MAX_FETCH_TIME: Duration = Duration::from_millis(2_000);
 
-/// Fetches the records of `topic` that this process lacks from the entry at `peer`.
+/// Records that are fetched from another process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchRange {
+    /// Those that this process lacks by their positions.
+    Missing,
+    /// All of them: the other process may know some that the store has lost.
+    All,
+}
+
+/// Fetches records of `topic` from the entry at `peer`.
 ///
 /// A failure is only logged: the next heartbeat of an entry starts another fetch.
 pub async fn fetch_records(
     state: &RefCell<impl TopicSink>,
     topic: Topic,
     peer: SocketAddr,
+    range: FetchRange,
     decoder: &impl RecordDecoder,
 ) {
     let (from, has_listing) = {
@@ -33,7 +44,11 @@
         let table = state.topic_table(topic);
         (table.end_offset(), table.has_listing())
     };
-    let from = if has_listing { from } else { 0 };
+    let from = if has_listing && range == FetchRange::Missing {
+        from
+    } else {
+        0
+    };
     let target = format!("{RECORDS_PATH}/{}/{from}", topic.label());
     let mut client = Http1Client::new(peer, Duration::ZERO);
     let reply = match client
@@ -64,7 +79,8 @@
         .text("topic", topic.label())
         .text("from", peer.to_string())
         .number("records", records.len())
-        .number("end_offset", end_offset)
+        .number("era", LogPosition::unpack(end_offset).era)
+        .number("end_offset", LogPosition::unpack(end_offset).offset)
         .enqueue();
     let mut state = state.borrow_mut();
     if is_listing {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::fleet::ListingTurn;
+use crate::fleet::LogPosition;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
 use crate::fleet::TopicTable;
@@ -13,6 +14,8 @@
 use crate::gateway::RecordSource;
 use crate::gateway::SourceError;
 use crate::gateway::TopicRead;
+use crate::observe::Event;
+use crate::observe::LogLine;
 
 /// State of a process that is kept up to date from the records of the topics.
 pub trait TopicSink {
@@ -22,6 +25,9 @@
     fn topic_table_mut(&mut self, topic: Topic) -> &mut TopicTable;
     /// Updates the state after the newest record of `key` changed in its table.
     fn handle_change(&mut self, topic: Topic, key: &str, decoder: &impl RecordDecoder);
+    /// Updates the state before a listing is applied for which the store came back from an
+    /// older copy.
+    fn handle_rewind(&mut self, topic: Topic);
     /// Applies a listing: the newest record of each key of a topic.
     fn handle_listing(
         &mut self,
@@ -30,10 +36,32 @@
         end_offset: u64,
         decoder: &impl RecordDecoder,
     ) {
-        for key in self
-            .topic_table_mut(topic)
-            .apply_listing(records, end_offset)
-        {
+        let table = self.topic_table(topic);
+        let had_listing = table.has_listing();
+        let before = LogPosition::unpack(table.end_offset());
+        let end = LogPosition::unpack(end_offset);
+        let is_rewound = had_listing && end.era > before.era;
+        if is_rewound {
+            self.handle_rewind(topic);
+        }
+        let changes = self.topic_table_mut(topic).apply_listing(
+            records,
+            end_offset,
+            topic == Topic::Operator,
+            |record| decoder.record_version(topic, record),
+        );
+        if is_rewound {
+            LogLine::new(Event::TopicRewound)
+                .text("topic", topic.label())
+                .number("era_before", before.era)
+                .number("end_before", before.offset)
+                .number("era", end.era)
+                .number("end_offset", end.offset)
+                .number("changed", changes.changed.len())
+                .number("kept", changes.kept)
+                .enqueue();
+        }
+        for key in changes.changed {
             self.handle_change(topic, &key, decoder);
         }
         self.topic_table_mut(topic).mark_listed();
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -13,6 +13,7 @@
 use crate::fleet::LoadReport;
 use crate::fleet::Topic;
 use crate::fleet::TopicTable;
+use crate::gateway::FetchRange;
 use crate::gateway::GatewayState;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
@@ -47,6 +48,16 @@
     pub have: ChunkBitmap,
 }
 
+/// Notice of an entry that it knows a later configuration than the store, which has come
+/// back from an older copy.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KeptConfig {
+    /// Address of the entry for internal calls.
+    pub internal: SocketAddr,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
 /// A UDP message between entry and endpoint processes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Datagram {
@@ -56,6 +67,8 @@
     Load(LoadReport),
     /// Pieces of weights that a host holds, sent between endpoint processes.
     Have(HeldPieces),
+    /// Configuration that the store has lost, sent between entries.
+    Kept(KeptConfig),
 }
 
 impl Datagram {
@@ -73,18 +86,25 @@
     let mut has_update = false;
     let notice = state.borrow().update_notice.clone();
     loop {
-        let (bytes, targets) = {
+        let (bytes, kept_config, entries, targets) = {
             let mut state = state.borrow_mut();
             state.remove_expired_replicas();
             let heartbeat = Datagram::Beat(own_heartbeat(&state));
-            let mut targets = entry_targets(&state);
+            let entries = entry_targets(&state);
+            let mut targets = entries.clone();
             if has_update || heartbeat_count.is_multiple_of(HEARTBEATS_PER_ENDPOINT_HEARTBEAT) {
                 targets.extend(endpoint_targets(&state));
             }
             targets.sort_unstable();
             targets.dedup();
-            (heartbeat.encode(), targets)
+            (heartbeat.encode(), kept_config(&state), entries, targets)
         };
+        for target in entries {
+            let Some(kept) = &kept_config else { break };
+            if let Err(error) = socket.try_send_to(kept, target) {
+                log::debug!("cannot send a notice of the configuration to {target}: {error}");
+            }
+        }
         for target in targets {
             // A lost heartbeat is not sent again: the next one replaces it.
             if let Err(error) = socket.try_send_to(&bytes, target) {
@@ -98,6 +118,19 @@
     }
 }
 
+/// Encoded notice of a configuration that the store has lost; None if it has lost none.
+fn kept_config(state: &GatewayState) -> Option<Vec<u8>> {
+    let version = state.catalog.as_ref()?.version;
+    let has_kept_records = state.topic_table(Topic::Operator).has_kept_records();
+    has_kept_records.then(|| {
+        Datagram::Kept(KeptConfig {
+            internal: state.settings.internal,
+            version,
+        })
+        .encode()
+    })
+}
+
 /// Heartbeat with the present state of this entry.
 fn own_heartbeat(state: &GatewayState) -> EntryHeartbeat {
     let mut suspects = state.suspects.export_records(state.now_ms());
@@ -188,6 +221,7 @@
         Datagram::Load(report) => apply_load_report(&state, &report, from),
         // Only endpoint processes use the reports of held pieces.
         Datagram::Have(_) => {}
+        Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
     })
     .await;
 }
@@ -212,6 +246,43 @@
     }
 }
 
+/// Fetches all records of the operator from an entry that knows a later configuration.
+fn apply_kept_config(
+    state: &Rc<RefCell<GatewayState>>,
+    kept: &KeptConfig,
+    decoder: &Rc<impl RecordDecoder + 'static>,
+) {
+    let mut current = state.borrow_mut();
+    let own_version = current
+        .catalog
+        .as_ref()
+        .map_or(0, |catalog| catalog.version);
+    if own_version < kept.version && current.try_begin_fetch(Topic::Operator) {
+        spawn_fetch(
+            state,
+            Topic::Operator,
+            kept.internal,
+            FetchRange::All,
+            decoder,
+        );
+    }
+}
+
+/// Fetches records of `topic` from the entry at `peer` in a task of its own.
+fn spawn_fetch(
+    state: &Rc<RefCell<GatewayState>>,
+    topic: Topic,
+    peer: SocketAddr,
+    range: FetchRange,
+    decoder: &Rc<impl RecordDecoder + 'static>,
+) {
+    let (state, decoder) = (state.clone(), decoder.clone());
+    actix_rt::spawn(async move {
+        fetch_records(&state, topic, peer, range, &*decoder).await;
+        state.borrow_mut().end_fetch(topic);
+    });
+}
+
 /// Applies a heartbeat, and fetches the records that its sender has and this entry
 /// lacks.
 fn apply_heartbeat(
@@ -253,12 +324,7 @@
         let is_behind = (lacks_listing || ends[topic as usize] > own_end_offsets[topic as usize])
             && (is_same_domain || current.fetches_across_domains(topic));
         if is_behind && current.try_begin_fetch(topic) {
-            let state = state.clone();
-            let decoder = decoder.clone();
-            actix_rt::spawn(async move {
-                fetch_records(&state, topic, internal, &*decoder).await;
-                state.borrow_mut().end_fetch(topic);
-            });
+            spawn_fetch(state, topic, internal, FetchRange::Missing, decoder);
         }
     }
 }
--- a/src/gateway/measured_source.rs
+++ b/src/gateway/measured_source.rs
@@ -3,6 +3,7 @@
 
 use tokio::time::Instant;
 
+use crate::fleet::LogPosition;
 use crate::fleet::Topic;
 use crate::gateway::Listing;
 use crate::gateway::RecordSource;
@@ -33,7 +34,17 @@
         result: &Result<T, SourceError>,
     ) -> u64 {
         let took = began.elapsed();
-        let outcome = if result.is_ok() { "ok" } else { "failed" };
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(SourceError::Outdated(era)) => {
+                LogLine::new(Event::ReplyDiscarded)
+                    .text("call", call)
+                    .number("era", *era)
+                    .enqueue();
+                "outdated"
+            }
+            Err(_) => "failed",
+        };
         self.metrics
             .record_store_call(call, outcome, took.as_secs_f64() * 1_000.0);
         u64::try_from(took.as_millis()).unwrap_or(u64::MAX)
@@ -54,7 +65,8 @@
                 line.text("outcome", "ok")
                     .number("records", listing.records.len())
                     .number("value_bytes", values.map(Vec::len).sum::<usize>())
-                    .number("end_offset", listing.end_offset)
+                    .number("era", LogPosition::unpack(listing.end_offset).era)
+                    .number("end_offset", LogPosition::unpack(listing.end_offset).offset)
                     .enqueue();
             }
             Err(error) => line
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 
 pub use event_splitter::EventSplitter;
 pub use event_splitter::StreamEvent;
+pub use fetch::FetchRange;
 pub use fetch::fetch_records;
 pub use follow::TopicSink;
 pub use follow::follow_topic;
@@ -39,6 +40,7 @@
 pub use follow::read_listing;
 pub use heartbeats::Datagram;
 pub use heartbeats::HeldPieces;
+pub use heartbeats::KeptConfig;
 pub use heartbeats::for_each_datagram;
 pub use heartbeats::registered_entries;
 pub use measured_source::MeasuredSource;
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::fleet::Catalog;
+use crate::fleet::RecordVersion;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
@@ -108,6 +109,8 @@
     Unreachable(String),
     /// The store responded with this HTTP status.
     Refused(u16),
+    /// The response is from before the store came back from an older copy, in this era.
+    Outdated(u64),
 }
 
 impl fmt::Display for SourceError {
@@ -115,6 +118,9 @@
         match self {
             Self::Unreachable(reason) => write!(f, "the call to the store failed: {reason}"),
             Self::Refused(status) => write!(f, "the store refused the call with status {status}"),
+            Self::Outdated(era) => {
+                write!(f, "the response of the store is from its earlier era {era}")
+            }
         }
     }
 }
@@ -126,7 +132,7 @@
 pub struct Listing {
     /// One record for each key.
     pub records: Vec<TopicRecord>,
-    /// Offset after the last record that the listing covers.
+    /// Packed position after the last record that the listing covers.
     pub end_offset: u64,
 }
 
@@ -137,10 +143,11 @@
     Next {
         /// Records, oldest first; those without a key are left out.
         records: Vec<TopicRecord>,
-        /// Offset at which the next read starts.
+        /// Packed position at which the next read starts.
         next_offset: u64,
     },
-    /// The store has trimmed some of the records: the listing must be read instead.
+    /// The store no longer has all of the records, or has come back from an older copy:
+    /// the listing must be read instead.
     Trimmed,
 }
 
@@ -148,7 +155,8 @@
 pub trait RecordSource {
     /// Reads the newest record of each key of a topic.
     fn listing(&mut self, topic: Topic) -> impl Future<Output = Result<Listing, SourceError>>;
-    /// Reads the records from `offset` on, and waits up to `wait` if there are none.
+    /// Reads the records from the packed position `offset` on, and waits up to `wait` if
+    /// there are none.
     fn read(
         &mut self,
         topic: Topic,
@@ -199,6 +207,8 @@
 pub trait RecordDecoder {
     /// Decodes a record of the operator.
     fn operator_record(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, InvalidRecord>;
+    /// Version that a record states of itself; None if it states none or can't be decoded.
+    fn record_version(&self, topic: Topic, record: &TopicRecord) -> Option<RecordVersion>;
     /// Decodes the record with which a replica registers.
     fn replica_record(&self, key: &str, value: &[u8]) -> Result<ReplicaRecord, InvalidRecord>;
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use crate::fleet::EntryRegistration;
+use crate::fleet::LogPosition;
 use crate::fleet::Topic;
 use crate::gateway::Dialect;
 use crate::gateway::GatewaySettings;
@@ -48,6 +50,9 @@
 /// Interval at which a starting entry checks whether the registrations have arrived.
 const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Mean interval at which an entry checks whether the store still has its registration.
+const REGISTRATION_WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Shortest and longest pause after a failed registration. It doubles from one to the
 /// next, as a registration whose reply was lost is in force.
 const MIN_REGISTRATION_PAUSE: Duration = Duration::from_millis(500);
@@ -155,7 +160,8 @@
     Ok(())
 }
 
-/// Registers this entry in the store, so that the others can discover it.
+/// Registers this entry in the store, so that the others can discover it, and again if the
+/// store has lost the registration.
 async fn register_entry(state: Rc<RefCell<GatewayState>>, mut source: impl RecordSource) {
     let registration = {
         let settings = &state.borrow().settings;
@@ -166,29 +172,43 @@
     };
     let value = rmp_serde::to_vec(&registration).expect("a registration holds only plain data");
     let mut pause = MIN_REGISTRATION_PAUSE;
+    // Era of the store in which the registration was last appended.
+    let mut appended_in = None;
     // The listing shows a registration of an earlier run, or one whose reply was lost.
     let listed_by = Instant::now() + MEMBERS_LISTING_WAIT;
     while !state.borrow().topic_table(Topic::Members).has_listing() && Instant::now() < listed_by {
         tokio::time::sleep(REGISTRATION_CHECK_INTERVAL).await;
     }
     loop {
-        let is_registered = state
-            .borrow()
-            .topic_table(Topic::Members)
-            .get(&registration.name)
-            .is_some_and(|record| record.value.as_ref() == Some(&value));
-        if is_registered {
-            return;
+        let (is_registered, era) = {
+            let state = state.borrow();
+            let table = state.topic_table(Topic::Members);
+            let known = table.get(&registration.name);
+            (
+                known.is_some_and(|record| record.value.as_ref() == Some(&value)),
+                LogPosition::unpack(table.end_offset()).era,
+            )
+        };
+        if is_registered || appended_in == Some(era) {
+            // Entries that find their registrations lost do not all append at once.
+            let jitter = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(REGISTRATION_WATCH_INTERVAL.mul_f64(jitter)).await;
+            continue;
         }
         match source
             .publish(Topic::Members, &registration.name, &value)
             .await
         {
-            Ok(()) => return,
-            Err(error) => log::debug!("cannot register this entry: {error}"),
+            Ok(()) => {
+                appended_in = Some(era);
+                pause = MIN_REGISTRATION_PAUSE;
+            }
+            Err(error) => {
+                log::debug!("cannot register this entry: {error}");
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_REGISTRATION_PAUSE);
+            }
         }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(MAX_REGISTRATION_PAUSE);
     }
 }
 
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use crate::fleet::DeclarationRecord;
+use crate::fleet::LogPosition;
 use crate::fleet::ReplicaState;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
@@ -48,6 +49,13 @@
         }
     }
 
+    fn handle_rewind(&mut self, topic: Topic) {
+        // Replicas that registered after the copy was made register again.
+        if topic == Topic::Replicas {
+            self.store_unavailable_ms = Some(self.now_ms());
+        }
+    }
+
     fn handle_records(
         &mut self,
         topic: Topic,
@@ -58,7 +66,9 @@
         let mut changed = Vec::new();
         for record in records {
             let key = record.key.clone();
-            if self.topic_tables[topic as usize].apply_record(record) && !changed.contains(&key) {
+            let is_newer = self.topic_tables[topic as usize]
+                .apply_record(record, |record| decoder.record_version(topic, record));
+            if is_newer && !changed.contains(&key) {
                 changed.push(key);
             }
         }
@@ -113,7 +123,7 @@
             Ok(OperatorRecord::Catalog(catalog)) => {
                 LogLine::new(Event::CatalogAdopted)
                     .number("version", catalog.version)
-                    .number("offset", offset)
+                    .number("offset", LogPosition::unpack(offset).offset)
                     .enqueue();
                 self.catalog = Some(Rc::from(catalog));
             }
@@ -167,7 +177,7 @@
                         .text("replica", &record.id)
                         .text("service", &record.service)
                         .text("address", record.address.to_string())
-                        .number("offset", offset)
+                        .number("offset", LogPosition::unpack(offset).offset)
                         .enqueue();
                 }
             }
@@ -193,7 +203,7 @@
     LogLine::new(Event::RecordRejected)
         .text("topic", topic.label())
         .text("key", key)
-        .number("offset", offset)
+        .number("offset", LogPosition::unpack(offset).offset)
         .text("error", error.to_string())
         .enqueue();
 }
--- a/src/staging/follow_records.rs
+++ b/src/staging/follow_records.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::fleet::Topic;
+use crate::gateway::FetchRange;
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::SourceError;
@@ -97,7 +98,7 @@
     };
     for topic in TOPICS {
         if !state.borrow().topic_table(topic).has_listing() {
-            fetch_records(state, topic, *entry, decoder).await;
+            fetch_records(state, topic, *entry, FetchRange::Missing, decoder).await;
         }
     }
 }
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::Topic;
 use crate::gateway::Datagram;
+use crate::gateway::FetchRange;
 use crate::gateway::HeldPieces;
 use crate::gateway::MeasuredSource;
 use crate::gateway::RecordDecoder;
@@ -159,7 +160,8 @@
                     let (state, decoder, schedules) =
                         (state.clone(), decoder.clone(), schedules.clone());
                     actix_rt::spawn(async move {
-                        fetch_records(&state, topic, heartbeat.internal, &*decoder).await;
+                        let range = FetchRange::Missing;
+                        fetch_records(&state, topic, heartbeat.internal, range, &*decoder).await;
                         schedules.borrow_mut()[topic as usize].finish();
                     });
                 }
@@ -176,8 +178,8 @@
                 last_received_ms,
             });
         }
-        // Load reports are sent to entries only.
-        Datagram::Load(_) => {}
+        // These are sent to entries only.
+        Datagram::Load(_) | Datagram::Kept(_) => {}
     })
     .await;
 }
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -399,6 +399,8 @@
         }
     }
 
+    fn handle_rewind(&mut self, _topic: Topic) {}
+
     fn handle_records(
         &mut self,
         topic: Topic,
@@ -408,7 +410,9 @@
     ) {
         for record in records {
             let key = record.key.clone();
-            if self.topic_tables[topic as usize].apply_record(record) {
+            let is_newer = self.topic_tables[topic as usize]
+                .apply_record(record, |record| decoder.record_version(topic, record));
+            if is_newer {
                 self.handle_change(topic, &key, decoder);
             }
         }
--- a/tests/fleet/fleet_view.rs
+++ b/tests/fleet/fleet_view.rs
@@ -6,6 +6,7 @@
 use bergamotfork::fleet::Declaration;
 use bergamotfork::fleet::DeclarationAge;
 use bergamotfork::fleet::Declarations;
+use bergamotfork::fleet::RecordVersion;
 use bergamotfork::fleet::ReplicaState;
 use bergamotfork::fleet::Route;
 use bergamotfork::fleet::RouteKind;
@@ -72,12 +73,17 @@
     assert_eq!(catalog.workspace("k3"), None);
 }
 
+/// Records that state no version, so that only their positions count.
+fn no_version(_record: &TopicRecord) -> Option<RecordVersion> {
+    None
+}
+
 #[test]
 fn topic_table_apply_record_older_offset_is_ignored() {
     let mut table = TopicTable::default();
-    assert!(table.apply_record(change("a", 5, Some("new"))));
-    assert!(!table.apply_record(change("a", 3, Some("old"))));
-    assert!(!table.apply_record(change("a", 5, Some("same"))));
+    assert!(table.apply_record(change("a", 5, Some("new")), no_version));
+    assert!(!table.apply_record(change("a", 3, Some("old")), no_version));
+    assert!(!table.apply_record(change("a", 5, Some("same")), no_version));
     assert_eq!(
         table.get("a").unwrap().value.as_deref(),
         Some(b"new".as_slice())
@@ -100,7 +106,7 @@
     let end = |order: &[usize]| {
         let mut table = TopicTable::default();
         for at in order {
-            table.apply_record(records[*at].clone());
+            table.apply_record(records[*at].clone(), no_version);
         }
         (table.get("a").cloned(), table.get("b").cloned())
     };
@@ -112,9 +118,10 @@
 #[test]
 fn topic_table_apply_listing_deletes_missing_keys() {
     let mut table = TopicTable::default();
-    table.apply_record(change("gone", 1, Some("x")));
-    table.apply_record(change("later", 9, Some("y")));
-    let changed = table.apply_listing(vec![change("a", 4, Some("z"))], 6);
+    table.apply_record(change("gone", 1, Some("x")), no_version);
+    table.apply_record(change("later", 9, Some("y")), no_version);
+    let changes = table.apply_listing(vec![change("a", 4, Some("z"))], 6, true, no_version);
+    let changed = changes.changed;
     assert!(changed.contains(&"gone".to_owned()));
     assert!(changed.contains(&"a".to_owned()));
     assert!(table.get("gone").unwrap().value.is_none());
@@ -129,9 +136,9 @@
 fn topic_table_apply_listing_end_offset_excludes_later_records() {
     let mut table = TopicTable::default();
     let listing = vec![change("a", 98, Some("old")), change("m", 102, Some("new"))];
-    table.apply_listing(listing, 100);
+    table.apply_listing(listing, 100, true, no_version);
     assert_eq!(table.end_offset(), 100, "record 101 is not in the listing");
-    table.apply_record(change("a", 101, None));
+    table.apply_record(change("a", 101, None), no_version);
     table.advance_end_offset(103);
     assert!(table.get("a").unwrap().value.is_none());
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,3 +5,4 @@
 mod fleet_view;
 mod listing_turn;
 mod retries;
+mod rewind;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 
 use bergamotfork::fleet::EntryHeartbeat;
 use bergamotfork::fleet::PeerTable;
+use bergamotfork::fleet::RecordVersion;
 use bergamotfork::fleet::ReplicaRecord;
 use bergamotfork::fleet::ReplicaState;
 use bergamotfork::fleet::Topic;
@@ -72,6 +73,10 @@
         Ok(OperatorRecord::Other)
     }
 
+    fn record_version(&self, _topic: Topic, _record: &TopicRecord) -> Option<RecordVersion> {
+        None
+    }
+
     fn replica_record(&self, key: &str, value: &[u8]) -> Result<ReplicaRecord, InvalidRecord> {
         Ok(ReplicaRecord {
             id: key.to_owned(),
@@ -212,7 +217,7 @@
 #[test]
 fn records_reply_round_trip() {
     let mut table = TopicTable::default();
-    table.apply_record(record(7, None));
+    table.apply_record(record(7, None), |_| None);
     table.advance_end_offset(9);
     let packed = RecordsReply::since(&table, 3).pack();
     let reply = RecordsReply::unpack(&packed).unwrap();
@@ -226,15 +231,15 @@
 #[test]
 fn records_reply_deletion_before_listing() {
     let mut fresh = TopicTable::default();
-    fresh.apply_listing(Vec::new(), 6);
+    fresh.apply_listing(Vec::new(), 6, false, |_| None);
     let mut reader = TopicTable::default();
-    reader.apply_record(record(2, Some("127.0.0.1:9")));
+    reader.apply_record(record(2, Some("127.0.0.1:9")), |_| None);
     reader.advance_end_offset(4);
     let reply = RecordsReply::since(&fresh, reader.end_offset());
     assert!(reply.is_listing);
     let end_offset = reply.end_offset;
-    let changed = reader.apply_listing(reply.into_records(), end_offset);
-    assert_eq!(changed, ["i-1"]);
+    let changes = reader.apply_listing(reply.into_records(), end_offset, false, |_| None);
+    assert_eq!(changes.changed, ["i-1"]);
     assert!(reader.get("i-1").unwrap().value.is_none());
     // From the end of the listing on, the reply holds only changes.
     assert!(!RecordsReply::since(&fresh, 6).is_listing);
@@ -243,7 +248,7 @@
 #[test]
 fn records_reply_invalid_bytes() {
     let mut table = TopicTable::default();
-    table.apply_record(record(3, Some("x")));
+    table.apply_record(record(3, Some("x")), |_| None);
     let packed = RecordsReply::since(&table, 0).pack();
     assert!(matches!(
         RecordsReply::unpack(&packed[..2]),
