Keep the age of a confirmation from before the start of a process

Operators saw: an entry that was replaced in an outage of the log, together with another one, sometimes counted its configuration as confirmed, by one remaining entry alone. A stale entry could have brought an old document back that way.

Cause: the time of the last confirmation was clamped to the start of the process. One that started 206 ms ago and learned of a confirmation 410 ms old passed it on as 206 ms old; to a third process, started a little earlier, it then lay after its start.

Change: the time is signed. apply_peer_answer_confirmation_before_start_keeps_its_age failed before (206 instead of 410).

--- a/src/document/follow/follower.rs
+++ b/src/document/follow/follower.rs
@@ -27,7 +27,8 @@
     // Time of the start, or of the end of the last pause if there was one; answers to earlier
     // requests may be out of date.
     resumed_ms: u64,
-    last_confirmed_ms: Option<u64>,
+    // Negative if that was before this process started.
+    last_confirmed_ms: Option<i64>,
     checkpoint_observed_ms: u64,
 }
 
@@ -70,7 +71,8 @@
 
     /// Time since the head was known to be the end of the log, in ms.
     pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
-        Some(now_ms.saturating_sub(self.last_confirmed_ms?))
+        let age_ms = signed_ms(now_ms) - self.last_confirmed_ms?;
+        Some(u64::try_from(age_ms).unwrap_or(0))
     }
 
     /// Time since a matching checkpoint was observed in the log, or since the start, in ms.
@@ -109,7 +111,7 @@
         self.search = None;
         let notices = self.apply_records(requested_ms, &page.records);
         if self.fold.head() == page.next {
-            self.record_confirmation(requested_ms);
+            self.record_confirmation(signed_ms(requested_ms));
             if requested_ms >= self.resumed_ms {
                 self.readiness.confirm();
             }
@@ -188,10 +190,10 @@
         status: &ConfigStatus,
     ) {
         if let Some(age_ms) = status.confirmed_age_ms {
-            let at_ms = requested_ms.saturating_sub(age_ms);
+            let at_ms = signed_ms(requested_ms) - signed_ms(age_ms);
             self.record_confirmation(at_ms);
             // The peer's head was the end of the log after the start or the last pause.
-            if at_ms > self.resumed_ms {
+            if at_ms > signed_ms(self.resumed_ms) {
                 self.readiness.confirm();
             }
         }
@@ -272,7 +274,7 @@
     }
 
     /// Records that the head was the end of the log at `at_ms`.
-    fn record_confirmation(&mut self, at_ms: u64) {
+    fn record_confirmation(&mut self, at_ms: i64) {
         self.last_confirmed_ms = self.last_confirmed_ms.max(Some(at_ms));
     }
 
@@ -295,3 +297,9 @@
         _ => None,
     }
 }
+
+/// A time or an age as a signed number: a time of another process may lie before the start
+/// of this one.
+fn signed_ms(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX / 2)
+}
--- a/tests/document/follow.rs
+++ b/tests/document/follow.rs
@@ -218,3 +218,20 @@
     assert!(schedule(7).publishes_checkpoint(RETENTION_MS / 4));
     assert!(!schedule(8).publishes_checkpoint(RETENTION_MS));
 }
+
+/// Guards against a configuration that is confirmed by two replaced entries and one that
+/// remains: the remaining one last read the log before they started, and what it says must
+/// not seem newer to one of them because it came through the other.
+#[test]
+fn apply_peer_answer_confirmation_before_start_keeps_its_age() {
+    let remaining = follower_of(1_000, 1);
+    let mut first = Follower::new(0);
+    // Its clock started 206 ms ago, and the log was read 410 ms ago.
+    first.apply_peer_answer(206, 206, "remaining", 3, &remaining.answer_peer(1_410, 0));
+    assert_eq!(first.confirmed_age_ms(206), Some(410));
+    assert_eq!(first.confirmed_age_ms(306), Some(510));
+    let mut second = Follower::new(0);
+    second.apply_peer_answer(209, 209, "first", 3, &first.answer_peer(206, 0));
+    assert!(!second.admits(209));
+    assert_eq!(second.confirmed_age_ms(209), Some(410));
+}
