Kill both entries before either starts again in the outage test

The test replaced one entry after the other. The first, restarted, could get the answer of the second before that was killed: with the remaining one a majority, which is allowed. The assertions are the same; both entries are gone before either starts, as the name says.

--- a/tests/config_faults/outage.rs
+++ b/tests/config_faults/outage.rs
@@ -83,8 +83,14 @@
     cluster
         .set_faults(&cluster.log_url(), &json!({"down": true}))
         .await;
-    replace_entry(&mut cluster, "entry-0");
-    replace_entry(&mut cluster, "entry-1");
+    // Both are gone before either starts: an old one still running would confirm the
+    // document together with the remaining entry.
+    for name in ["entry-0", "entry-1"] {
+        cluster.process(name).kill();
+    }
+    for name in ["entry-0", "entry-1"] {
+        cluster.restart("entry", name);
+    }
     // The replaced entries get the document from the remaining one, but it stays unconfirmed and
     // they do not become ready.
     for entry in &entries[..2] {
