--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -154,38 +154,39 @@
         match result {
             Ok(has_trimmed_records) => {
                 failures = 0;
-                let pause = {
-                    let mut state = state.borrow_mut();
+                {
+                    let state = state.borrow();
                     trimmed_at = has_trimmed_records.then(|| state.topic_table(topic).end_offset());
                     turn = ListingTurn::since(state.now_ms());
                     if must_list && topic == Topic::Members {
+                        // The others learn at once that this entry has started.
                         state.update_notice.notify_one();
                     }
-                    state.record_store_result(topic, None);
-                    if topic == Topic::Replicas {
-                        state.confirm_replicas(0);
-                        REPLICAS_READ_PAUSE
-                    } else {
-                        READ_PAUSE
-                    }
-                };
+                }
+                let pause = record_read(&mut state.borrow_mut(), topic);
                 tokio::time::sleep(pause).await;
             }
             Err(error) => {
                 failures += 1;
-                let pause = retry_pause(failures);
-                {
-                    let mut state = state.borrow_mut();
-                    state.record_store_result(topic, Some(&error));
-                    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-                    turn = ListingTurn::since(state.now_ms() + pause_ms);
-                }
-                tokio::time::sleep(pause).await;
+                state.borrow_mut().record_store_result(topic, Some(&error));
+                tokio::time::sleep(retry_pause(failures)).await;
+                turn = ListingTurn::since(state.borrow().now_ms());
             }
         }
     }
 }
 
+/// Records that the store answered a read of `topic`; returns the pause before the next.
+fn record_read(state: &mut GatewayState, topic: Topic) -> Duration {
+    state.record_store_result(topic, None);
+    if topic == Topic::Replicas {
+        state.confirm_replicas(0);
+        REPLICAS_READ_PAUSE
+    } else {
+        READ_PAUSE
+    }
+}
+
 /// Whether this entry reads the listing of `topic` now.
 ///
 /// The members' topic is small, and shows the entries to each other: each reads it at
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -86,7 +86,7 @@
     let mut has_update = false;
     let notice = state.borrow().update_notice.clone();
     loop {
-        let (bytes, kept_config, entries, targets) = {
+        let (heartbeat, kept_config, entries, targets) = {
             let mut state = state.borrow_mut();
             state.remove_expired_replicas();
             let heartbeat = Datagram::Beat(own_heartbeat(&state));
@@ -99,17 +99,9 @@
             targets.dedup();
             (heartbeat.encode(), kept_config(&state), entries, targets)
         };
-        for target in entries {
-            let Some(kept) = &kept_config else { break };
-            if let Err(error) = socket.try_send_to(kept, target) {
-                log::debug!("cannot send a notice of the configuration to {target}: {error}");
-            }
-        }
-        for target in targets {
-            // A lost heartbeat is not sent again: the next one replaces it.
-            if let Err(error) = socket.try_send_to(&bytes, target) {
-                log::debug!("cannot send a heartbeat to {target}: {error}");
-            }
+        send_to_all(&socket, &heartbeat, &targets);
+        if let Some(notice) = kept_config {
+            send_to_all(&socket, &notice, &entries);
         }
         heartbeat_count += 1;
         has_update = tokio::time::timeout(HEARTBEAT_INTERVAL, notice.notified())
@@ -118,6 +110,15 @@
     }
 }
 
+/// Sends a datagram to each target. A lost one is not sent again: the next replaces it.
+fn send_to_all(socket: &UdpSocket, datagram: &[u8], targets: &[SocketAddr]) {
+    for target in targets {
+        if let Err(error) = socket.try_send_to(datagram, *target) {
+            log::debug!("cannot send a datagram to {target}: {error}");
+        }
+    }
+}
+
 /// Encoded notice of a configuration that the store has lost; None if it has lost none.
 fn kept_config(state: &GatewayState) -> Option<Vec<u8>> {
     let version = state.catalog.as_ref()?.version;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -55,8 +55,8 @@
 
 /// Shortest and longest pause after a failed registration. It doubles from one to the
 /// next, as a registration whose reply was lost is in force.
-const MIN_REGISTRATION_PAUSE: Duration = Duration::from_millis(500);
-const MAX_REGISTRATION_PAUSE: Duration = Duration::from_secs(4);
+const REGISTRATION_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(500), Duration::from_secs(4));
 
 /// Time before the end of the grace period, when the platform kills the process, at which
 /// it exits even if requests are still active.
@@ -171,7 +171,8 @@
         }
     };
     let value = rmp_serde::to_vec(&registration).expect("a registration holds only plain data");
-    let mut pause = MIN_REGISTRATION_PAUSE;
+    let (shortest, longest) = REGISTRATION_PAUSES;
+    let mut pause = shortest;
     // Era of the store in which the registration was last appended.
     let mut appended_in = None;
     // The listing shows a registration of an earlier run, or one whose reply was lost.
@@ -201,12 +202,12 @@
         {
             Ok(()) => {
                 appended_in = Some(era);
-                pause = MIN_REGISTRATION_PAUSE;
+                pause = shortest;
             }
             Err(error) => {
                 log::debug!("cannot register this entry: {error}");
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(MAX_REGISTRATION_PAUSE);
+                pause = (pause * 2).min(longest);
             }
         }
     }
