Keep the age of what confirms the replicas' records across a start

Seen in reading, after the same fault in the follower of the log: an entry clamped the time of a confirmation to its own start, and before any confirmation reported its uptime as the age of the records. Others took that for a confirmation, so that a start of an entry could delay their own reads of the store while its reader was cut off.

--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -146,7 +146,7 @@
         is_ready: state.is_ready(),
         has_store: state.has_store(),
         ends: state.end_offsets(),
-        replicas_age_ms: state.replicas_age_ms(),
+        replicas_age_ms: state.reported_replicas_age_ms(),
         declared: state.weights.recent_ages(state.now_ms() as i64),
         suspects,
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -60,6 +60,10 @@
 /// declarations before it is ready, in ms: two heartbeats of the other entries.
 const DECLARATION_AGE_WAIT_MS: u64 = 600;
 
+/// Age of the replicas' records that an entry reports before they were confirmed, in ms:
+/// a day, so that it confirms nothing.
+const UNCONFIRMED_AGE_MS: u64 = 24 * 3_600 * 1_000;
+
 /// Largest number of broken connections that are kept.
 const MAX_BROKEN_CONNECTIONS: usize = 256;
 
@@ -117,8 +121,9 @@
     broken_connections: Vec<BrokenConnection>,
     /// For each topic, whether it is being fetched from another process.
     fetching: [bool; 3],
-    /// Time at which the store last confirmed the replicas' records.
-    replicas_confirmed_ms: u64,
+    /// Time at which the store last confirmed the replicas' records; negative when that
+    /// was before this process started.
+    replicas_confirmed_ms: Option<i64>,
     rng: Pcg64Mcg,
     started: Instant,
 }
@@ -149,7 +154,7 @@
             expired_replicas: Vec::new(),
             broken_connections: Vec::new(),
             fetching: [false; 3],
-            replicas_confirmed_ms: 0,
+            replicas_confirmed_ms: None,
             rng,
             started: Instant::now(),
         }))
@@ -201,15 +206,28 @@
     }
 
     /// Time since the store confirmed the replicas' records, to this entry or to one
-    /// that reported it in a heartbeat, in ms.
+    /// that reported it in a heartbeat, in ms; time since the start if it has not yet.
     pub fn replicas_age_ms(&self) -> u64 {
-        self.now_ms().saturating_sub(self.replicas_confirmed_ms)
+        self.age_ms(self.replicas_confirmed_ms.unwrap_or(0))
+    }
+
+    /// The same time as other entries are told; without a confirmation, a time that
+    /// confirms nothing.
+    pub fn reported_replicas_age_ms(&self) -> u64 {
+        self.replicas_confirmed_ms
+            .map_or(UNCONFIRMED_AGE_MS, |at_ms| self.age_ms(at_ms))
+    }
+
+    /// Time since `at_ms`, in ms.
+    fn age_ms(&self, at_ms: i64) -> u64 {
+        u64::try_from(self.now_ms() as i64 - at_ms).unwrap_or(0)
     }
 
     /// Records that the store confirmed the replicas' records `age_ms` ago.
     pub fn confirm_replicas(&mut self, age_ms: u64) {
-        let confirmed_ms = self.now_ms().saturating_sub(age_ms);
-        self.replicas_confirmed_ms = self.replicas_confirmed_ms.max(confirmed_ms);
+        let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+        let confirmed_ms = (self.now_ms() as i64).saturating_sub(age_ms);
+        self.replicas_confirmed_ms = self.replicas_confirmed_ms.max(Some(confirmed_ms));
     }
 
     /// Whether another entry of the failure domain reads the store on behalf of this
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -268,3 +268,19 @@
         Err(RecordsReplyError::Encoding(_))
     ));
 }
+
+/// Guards against records of replicas that seem confirmed because an entry has just
+/// started: what it has heard of keeps its age, and before that it vouches for nothing.
+#[actix_rt::test]
+async fn confirm_replicas_before_start_keeps_its_age() {
+    let state = GatewayState::new(settings());
+    let mut state = state.borrow_mut();
+    assert!(state.reported_replicas_age_ms() > 60_000);
+    state.confirm_replicas(5_000);
+    assert!((5_000..6_000).contains(&state.replicas_age_ms()));
+    assert!((5_000..6_000).contains(&state.reported_replicas_age_ms()));
+    // An entry that knows nothing changes nothing.
+    let unknown = GatewayState::new(settings());
+    state.confirm_replicas(unknown.borrow().reported_replicas_age_ms());
+    assert!(state.replicas_age_ms() < 6_000);
+}
