--- a/tests/docs/invariants.rs
+++ b/tests/docs/invariants.rs
@@ -2,7 +2,10 @@
 use std::path::Path;
 
 const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/INVARIANTS.md");
-const TESTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests");
+const TESTS: [&str; 2] = [
+    concat!(env!("CARGO_MANIFEST_DIR"), "/tests"),
+    concat!(env!("CARGO_MANIFEST_DIR"), "/platform/tests"),
+];
 
 /// Concatenated Rust sources of `folder` and its subfolders.
 fn read_sources(folder: &Path) -> String {
@@ -21,7 +24,7 @@
 #[test]
 fn invariants_name_tests_that_exist() {
     let page = fs::read_to_string(PAGE).expect("the page can be read");
-    let sources = read_sources(Path::new(TESTS));
+    let sources = TESTS.map(|folder| read_sources(Path::new(folder))).concat();
     // Only table rows name tests; the text below the tables names what no test checks.
     let names: Vec<&str> = page
         .lines()
