--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -43,10 +43,9 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
-    /// Removes and returns the bytes of the incomplete event.
-    pub fn take_remainder(&mut self) -> Vec<u8> {
-        self.scanned = 0;
-        std::mem::take(&mut self.buffer)
+    /// Bytes of the incomplete event.
+    pub fn remainder(&self) -> &[u8] {
+        &self.buffer
     }
 
     /// Length of the first complete event; lines end with LF or CRLF.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
+use crate::http1::Framing;
 use crate::http1::Headers;
 use crate::http1::Http1Error;
 use crate::http1::ResponseHead;
@@ -44,6 +45,8 @@
 pub struct ReplicaResponse {
     /// Status and headers.
     pub head: ResponseHead,
+    /// How the replica marked the end of the body.
+    pub framing: Framing,
     /// Complete body.
     pub body: Vec<u8>,
 }
@@ -55,6 +58,8 @@
     pub head: ResponseHead,
     /// Connection to the replica.
     pub connection: Connection,
+    /// How the replica marks the end of the body.
+    pub framing: Framing,
     /// Decoder of the body's framing, with the state of its progress.
     pub decoder: BodyDecoder,
 }
@@ -123,12 +128,17 @@
         return SendOutcome::Stream(Box::new(EventStream {
             head,
             connection,
+            framing,
             decoder,
         }));
     }
     let read = connection.read_body(decoder, MAX_RESPONSE_BYTES, || request.deadline);
     match read.await {
-        Ok(body) => SendOutcome::Response(ReplicaResponse { head, body }),
+        Ok(body) => SendOutcome::Response(ReplicaResponse {
+            head,
+            framing,
+            body,
+        }),
         Err(error) => SendOutcome::Broken(error.label()),
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::SendOutcome;
 use crate::gateway::placement::ChosenReplica;
+use crate::gateway::relay::AnswerPart;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::request_outcome::RequestOutcome;
@@ -79,6 +80,8 @@
     pub(super) last_cause: &'static str,
     /// Id of the replica that was chosen last.
     pub(super) replica: String,
+    /// What was received of the last answer that had a valid head.
+    pub(super) last_part: Option<AnswerPart>,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -121,6 +124,14 @@
                 None => drop(in_flight),
                 Some(SendOutcome::Response(response)) => {
                     drop(in_flight);
+                    self.metrics.record_replica_answer(
+                        response.framing.label(),
+                        StreamEnd::Complete.label(),
+                    );
+                    history.last_part = Some(AnswerPart {
+                        framing: response.framing,
+                        rest_bytes: 0,
+                    });
                     return self
                         .send_replica_response(client, &request, &history, response)
                         .await;
@@ -129,6 +140,11 @@
                     let close = self.closes_connection(&request);
                     let end = relay.relay_part(client, stream, close, &in_flight).await;
                     drop(in_flight);
+                    history.last_part = relay.last_part();
+                    if let Some(part) = relay.last_part() {
+                        self.metrics
+                            .record_replica_answer(part.framing.label(), end.label());
+                    }
                     if let Some(reuse) =
                         self.finish_stream(&request, &chosen, &relay, end, &mut history)
                     {
@@ -282,7 +298,7 @@
         };
         drop(state);
         history.last_cause = cause;
-        log_failed_attempt(request, chosen, cause);
+        log_failed_attempt(request, chosen, cause, None);
         if let SendOutcome::Response(response) = send_outcome {
             history.fallback_response = Some(response);
         }
@@ -369,19 +385,30 @@
                     state.record_broken_connection(request.fingerprint, &chosen.id);
                 }
                 drop(state);
-                log_failed_attempt(request, chosen, cause);
+                log_failed_attempt(request, chosen, cause, history.last_part);
                 None
             }
         }
     }
 }
 
-/// Logs a send that failed or that the replica refused.
-fn log_failed_attempt(request: &RoutedRequest, chosen: &ChosenReplica, cause: &str) {
-    LogLine::new(Event::AttemptFailed)
+/// Logs a send that failed or that the replica refused; `part` is what was received of a
+/// stream.
+fn log_failed_attempt(
+    request: &RoutedRequest,
+    chosen: &ChosenReplica,
+    cause: &str,
+    part: Option<AnswerPart>,
+) {
+    let mut line = LogLine::new(Event::AttemptFailed)
         .text("id", &request.facts.attempt_id)
         .text("replica", &chosen.id)
         .text("cause", cause)
-        .number("sends", request.sends)
-        .enqueue();
+        .number("sends", request.sends);
+    if let Some(part) = part {
+        line = line
+            .text("framing", part.framing.label())
+            .number("rest_bytes", part.rest_bytes);
+    }
+    line.enqueue();
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use crate::gateway::exchange::is_hop_by_hop_header;
 use crate::gateway::exchange::write_header;
 use crate::http1::Connection;
+use crate::http1::Framing;
 use crate::http1::ResponseHead;
 
 /// Interval at which the observer of a silent stream is queried whether its replica has
@@ -26,6 +27,18 @@
     TimedOut,
 }
 
+impl StreamEnd {
+    /// Name of the end in metrics; part of the interface.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::ClientDisconnected => "client_left",
+            Self::Broken(cause) => cause,
+            Self::TimedOut => "timeout",
+        }
+    }
+}
+
 /// Observer of the part of a stream that one replica sends.
 pub trait StreamObserver {
     /// Records that events were sent to the client; only the first call has an effect.
@@ -34,6 +47,15 @@
     fn has_replica_failed(&self, silence: Duration) -> bool;
 }
 
+/// What is known of the answer of one replica, or of its part of a stream, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPart {
+    /// How the replica marks the end of the body.
+    pub framing: Framing,
+    /// Number of bytes received of an event that is not complete.
+    pub rest_bytes: usize,
+}
+
 /// Relay of a stream of events to one client, from one replica after another.
 #[derive(Debug)]
 pub struct StreamRelay {
@@ -42,6 +64,7 @@
     last_id: Option<u64>,
     events: u64,
     first_event_at: Option<Instant>,
+    last_part: Option<AnswerPart>,
     deadline: Instant,
 }
 
@@ -54,6 +77,7 @@
             last_id,
             events: 0,
             first_event_at: None,
+            last_part: None,
             deadline,
         }
     }
@@ -78,28 +102,54 @@
         self.first_event_at
     }
 
+    /// The part that was received last.
+    pub fn last_part(&self) -> Option<AnswerPart> {
+        self.last_part
+    }
+
     /// Sends one replica's part of the stream to the client until it ends.
     ///
     /// `observer` is notified of events, and decides whether a silent replica has
     /// failed. `close` states whether the client's connection is closed afterwards.
     pub async fn relay_part(
+        &mut self,
+        client: &mut Connection,
+        stream: Box<EventStream>,
+        close: bool,
+        observer: &impl StreamObserver,
+    ) -> StreamEnd {
+        let framing = stream.framing;
+        let mut splitter = EventSplitter::default();
+        let end = self
+            .relay_events(client, stream, &mut splitter, close, observer)
+            .await;
+        self.last_part = Some(AnswerPart {
+            framing,
+            rest_bytes: splitter.remainder().len(),
+        });
+        end
+    }
+
+    /// Sends the complete events of one replica to the client until its part ends; what is
+    /// left of an incomplete event stays in `splitter`.
+    async fn relay_events(
         &mut self,
         client: &mut Connection,
         mut stream: Box<EventStream>,
+        splitter: &mut EventSplitter,
         close: bool,
         observer: &impl StreamObserver,
     ) -> StreamEnd {
         if self.head.is_none() {
             self.head = Some(chunked_head(&stream.head, close));
         }
-        let mut splitter = EventSplitter::default();
         let mut last_received = Instant::now();
         loop {
             let decoded = stream
                 .decoder
                 .decode(&mut stream.connection.read_buffer, splitter.buffer());
             let events = self.events;
-            if let Some(end) = self.forward_events(client, &mut splitter).await {
+            if let Some(end) = self.forward_events(client, splitter).await {
                 return end;
             }
             if events < self.events {
@@ -109,7 +159,7 @@
                 return StreamEnd::Broken(error.label());
             }
             if stream.decoder.is_done() {
-                return self.finish(client, &mut splitter).await;
+                return self.finish(client, splitter).await;
             }
             if splitter.is_too_large() {
                 return StreamEnd::Broken("event_too_large");
@@ -119,7 +169,7 @@
                 biased;
                 read = stream.connection.fill_buffer() => match read {
                     Ok(0) => match stream.decoder.finish_at_close() {
-                        Ok(()) => return self.finish(client, &mut splitter).await,
+                        Ok(()) => return self.finish(client, splitter).await,
                         Err(error) => return StreamEnd::Broken(error.label()),
                     },
                     Ok(_) => last_received = Instant::now(),
@@ -173,9 +223,8 @@
     }
 
     /// Sends the rest of the stream and the last chunk.
-    async fn finish(&mut self, client: &Connection, splitter: &mut EventSplitter) -> StreamEnd {
-        let rest = splitter.take_remainder();
-        self.write_chunk(client, &rest, true)
+    async fn finish(&mut self, client: &Connection, splitter: &EventSplitter) -> StreamEnd {
+        self.write_chunk(client, splitter.remainder(), true)
             .await
             .unwrap_or(StreamEnd::Complete)
     }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -184,6 +184,11 @@
         if let Some(retry_after_ms) = outcome.retry_after_ms {
             line = line.number("retry_after_ms", retry_after_ms);
         }
+        if let Some(part) = history.last_part {
+            line = line
+                .text("framing", part.framing.label())
+                .number("rest_bytes", part.rest_bytes);
+        }
         if let Some((first_event_ms, events)) = stream {
             line = line
                 .number("first_event_ms", first_event_ms as i64)
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -73,6 +73,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Name of the framing in logs and metrics; part of the interface.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Request line and headers of a request.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -26,11 +26,13 @@
     PlatformCalls,
     /// Requests admitted long after the configuration was last confirmed, by `policy`.
     CutOffAdmissions,
+    /// Answers of replicas, by the `framing` of the body and how it `end`ed.
+    ReplicaAnswers,
 }
 
 impl CounterKind {
     /// All counters, in order of declaration.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -39,6 +41,7 @@
         Self::ControlBytes,
         Self::PlatformCalls,
         Self::CutOffAdmissions,
+        Self::ReplicaAnswers,
     ];
 
     /// Name of the counter; the exported text appends `_total` to it.
@@ -52,6 +55,7 @@
             Self::ControlBytes => "bergamotfork_control_bytes",
             Self::PlatformCalls => "bergamotfork_platform_calls",
             Self::CutOffAdmissions => "bergamotfork_cut_off_admissions",
+            Self::ReplicaAnswers => "bergamotfork_replica_answers",
         }
     }
 }
@@ -140,6 +144,12 @@
         self.answer_ms.record(answer_ms, &labels);
     }
 
+    /// Counts an answer of a replica by the framing of its body and how it ended.
+    pub fn record_replica_answer(&self, framing: &'static str, end: &'static str) {
+        let labels = [KeyValue::new("framing", framing), KeyValue::new("end", end)];
+        self.counters[CounterKind::ReplicaAnswers as usize].add(1, &labels);
+    }
+
     /// Records the time of a call to the platform's store, in milliseconds.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str, took_ms: f64) {
         let labels = [
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,7 +34,7 @@
             events.push(event);
         }
     }
-    (events, splitter.take_remainder())
+    (events, splitter.remainder().to_vec())
 }
 
 #[test]
@@ -59,7 +59,7 @@
 }
 
 #[test]
-fn take_remainder_incomplete_event() {
+fn remainder_incomplete_event() {
     let (events, remainder) = split(&["id: 1\ndata: a\n\nid: 2\nda"]);
     assert_eq!(events.len(), 1);
     assert_eq!(remainder, b"id: 2\nda");
