Treat a stream that ends inside an event as broken off

Cause: the relay took the end of a replica's body for the end of the stream, wrote what was left of an incomplete event and then the last chunk. The end of a body without length or chunks is any orderly close of the connection, and a body with them can end validly inside an event too.

The end of a stream is now judged by its events, not by its framing alone: one that ends inside an event is broken off (cause inside_event). It is resumed at another replica where the route allows it, and otherwise reaches the client without its end. Comments and blank lines after the last event belong to none. Lines may also end with CR, which was not taken for a line end before: such a stream would have been one endless event.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -48,33 +48,59 @@
         &self.buffer
     }
 
-    /// Length of the first complete event; lines end with LF or CRLF.
+    /// Whether a stream that ends after the events taken so far ends inside another one.
+    ///
+    /// Comments and blank lines between events belong to none.
+    pub fn is_inside_event(&self) -> bool {
+        let rest = self.buffer.as_slice();
+        // A line that CR LF ends was cut between the two.
+        if rest.ends_with(b"\n\r") {
+            return true;
+        }
+        let mut lines: Vec<&[u8]> = rest.split(|byte| is_line_end(*byte)).collect();
+        let unfinished_line = lines.pop().unwrap_or_default();
+        let has_field = lines
+            .iter()
+            .any(|line| !line.is_empty() && !line.starts_with(b":"));
+        !unfinished_line.is_empty() || has_field
+    }
+
+    /// Length of the first complete event; lines end with LF, CR LF or CR.
     fn find_event_end(&mut self) -> Option<usize> {
         let mut at = self.scanned;
-        while let Some(offset) = self.buffer[at..].iter().position(|byte| *byte == b'\n') {
+        while let Some(offset) = self.buffer[at..].iter().position(|b| is_line_end(*b)) {
             let line_end = at + offset;
-            let rest = &self.buffer[line_end + 1..];
-            if rest.starts_with(b"\n") {
-                return Some(line_end + 2);
-            }
-            if rest.starts_with(b"\r\n") {
-                return Some(line_end + 3);
-            }
-            if rest.len() < 2 {
-                self.scanned = line_end;
-                return None;
+            let next_line = match &self.buffer[line_end..] {
+                [b'\r', b'\n', ..] => line_end + 2,
+                [b'\r'] => return self.scan_again_from(line_end),
+                _ => line_end + 1,
+            };
+            match (&self.buffer[line_end..next_line], &self.buffer[next_line..]) {
+                (_, [b'\n', ..]) | (b"\r", [b'\r', ..]) => return Some(next_line + 1),
+                (_, [b'\r', b'\n', ..]) => return Some(next_line + 2),
+                (_, [] | [b'\r']) => return self.scan_again_from(line_end),
+                _ => at = next_line,
             }
-            at = line_end + 1;
         }
-        self.scanned = at;
+        self.scan_again_from(self.buffer.len())
+    }
+
+    /// Records that no event ends before the line end at `index`, or before the end.
+    fn scan_again_from(&mut self, index: usize) -> Option<usize> {
+        self.scanned = index;
         None
     }
 }
 
+/// Whether a byte ends a line or is a part of such an end.
+fn is_line_end(byte: u8) -> bool {
+    byte == b'\n' || byte == b'\r'
+}
+
 /// Value of the first `id:` line, if it is a number.
 fn parse_event_id(event: &[u8]) -> Option<u64> {
     event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| is_line_end(*byte))
         .find_map(|line| line.strip_prefix(b"id:"))
         .and_then(|value| std::str::from_utf8(value).ok())
         .and_then(|text| text.trim().parse().ok())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -222,8 +222,12 @@
         has_gap.then_some(StreamEnd::Broken("event_gap"))
     }
 
-    /// Sends the rest of the stream and the last chunk.
+    /// Sends the rest of the stream and the last chunk, unless the stream ends inside an
+    /// event: however its body is framed, it has then been broken off.
     async fn finish(&mut self, client: &Connection, splitter: &EventSplitter) -> StreamEnd {
+        if splitter.is_inside_event() {
+            return StreamEnd::Broken("inside_event");
+        }
         self.write_chunk(client, splitter.remainder(), true)
             .await
             .unwrap_or(StreamEnd::Complete)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -65,6 +65,55 @@
     assert_eq!(remainder, b"id: 2\nda");
 }
 
+#[test]
+fn next_event_each_line_end() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = format!("id: 1{end}data: a{end}{end}id: 2{end}data: b{end}{end}: c{end}");
+        let (events, remainder) = split(&[&text]);
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2)], "{end:?}");
+        assert_eq!(remainder, format!(": c{end}").as_bytes(), "{end:?}");
+        let bytes: Vec<&str> = (0..text.len()).map(|at| &text[at..=at]).collect();
+        let (by_bytes, _) = split(&bytes);
+        assert_eq!(by_bytes.len(), 2, "{end:?}");
+    }
+}
+
+/// Whether a stream of these bytes ends inside an event.
+fn ends_inside_event(text: &str) -> bool {
+    let mut splitter = EventSplitter::default();
+    splitter.buffer().extend_from_slice(text.as_bytes());
+    while splitter.next_event().is_some() {}
+    splitter.is_inside_event()
+}
+
+#[test]
+fn is_inside_event_cut_at_any_byte() {
+    for end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 1{end}data: a{end}{end}");
+        for at in 1..event.len() {
+            assert!(ends_inside_event(&event[..at]), "{:?}", &event[..at]);
+            let second = format!("{event}{}", &event[..at]);
+            assert!(ends_inside_event(&second), "{second:?}");
+        }
+        assert!(!ends_inside_event(&event), "{event:?}");
+    }
+}
+
+#[test]
+fn is_inside_event_between_events() {
+    for text in [
+        "",
+        "\n",
+        ": comment\n",
+        "id: 1\n\n: comment\n\n",
+        "id: 1\r\r\n",
+    ] {
+        assert!(!ends_inside_event(text), "{text:?}");
+    }
+    assert!(ends_inside_event("id: 1\n\n: comm"));
+}
+
 /// Decodes records whose value is the address of a replica.
 struct AddressDecoder;
 
