Treat a stream without events that ends with its connection as broken off

A stream that a replica frames by the end of its connection, and that ends before its first event, reached the client as a complete, empty stream: the end of such a body says nothing of a crash. Found by cutting answers after each of their bytes (cut_stream_whole_or_not_complete, 560 cuts over three framings, connection closed or reset): it failed at the first cut behind the head of an answer without length or chunks.

Such a part has now been broken off (cause no_events) and is tried at another replica.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -143,6 +143,7 @@
         if self.head.is_none() {
             self.head = Some(chunked_head(&stream.head, close));
         }
+        let events_before = self.events;
         let mut last_received = Instant::now();
         loop {
             let decoded = stream
@@ -169,6 +170,11 @@
                 biased;
                 read = stream.connection.fill_buffer() => match read {
                     Ok(0) => match stream.decoder.finish_at_close() {
+                        // A replica that crashes before its first event ends such a body in
+                        // the same way.
+                        Ok(()) if self.events == events_before => {
+                            return StreamEnd::Broken("no_events");
+                        }
                         Ok(()) => return self.finish(client, splitter).await,
                         Err(error) => return StreamEnd::Broken(error.label()),
                     },
