Give other tasks their turn while a peer sends without a pause

A replica whose bytes come without an end, in a head, a body or a stream, stalled the whole entry: reading found bytes each time, so the task never waited, and neither its deadline nor the client's close was noticed. Requests with a deadline of 2.5 s ended after 6 s, when the replica stopped by itself, and other requests of the entry took 5.9 s meanwhile.

A connection now lets other tasks run after four reads in a row that found bytes at once; timers fire then, and the deadline that was set before is kept.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -18,12 +18,17 @@
 /// socket, where TCP slows the sender down.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
+/// Reads that find bytes at once before other tasks get their turn: a peer that sends
+/// without a pause would otherwise stall the process, and no timer would fire.
+const MAX_READS_IN_A_ROW: u32 = 4;
+
 /// TCP connection with a buffer of the bytes that were read but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     /// Bytes that were read but not yet parsed.
     pub read_buffer: BytesMut,
+    reads_in_a_row: u32,
 }
 
 impl Connection {
@@ -35,6 +40,7 @@
         Self {
             stream,
             read_buffer: BytesMut::new(),
+            reads_in_a_row: 0,
         }
     }
 
@@ -54,13 +60,21 @@
     /// Waits for bytes, appends them to `read_buffer` and returns their number; 0 when
     /// the peer has closed the connection.
     pub async fn fill_buffer(&mut self) -> io::Result<usize> {
+        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            tokio::task::yield_now().await;
+        }
         loop {
             self.read_buffer.reserve(READ_CHUNK_BYTES);
             match self.stream.try_read_buf(&mut self.read_buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.reads_in_a_row = 0;
                     self.stream.readable().await?;
                 }
-                result => return result,
+                result => {
+                    self.reads_in_a_row += 1;
+                    return result;
+                }
             }
         }
     }
