Bound the trailer of a chunked body

A replica that sends trailer lines without an end held a request, and its slot, until the deadline: each line was bounded, their number was not.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -7,6 +7,9 @@
 /// Longest chunk size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 256;
 
+/// Longest trailer of a chunked body, all its lines together, in bytes.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
 /// Decodes the body of a message from the bytes of a connection as they arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyDecoder {
@@ -18,8 +21,8 @@
     ChunkData(u64),
     /// Chunked body, before the line break that ends a chunk.
     ChunkEnd,
-    /// Chunked body, in the trailer lines after the last chunk.
-    Trailer,
+    /// Chunked body, in the trailer lines after the last chunk; holds their bytes so far.
+    Trailer(usize),
     /// Body that extends to the end of the connection.
     UntilClose,
     /// The body is complete.
@@ -78,7 +81,7 @@
                 }
                 Self::ChunkSize => match split_line(read_buffer)? {
                     Some(line) => match parse_chunk_size(&line)? {
-                        0 => Self::Trailer,
+                        0 => Self::Trailer(0),
                         size => Self::ChunkData(size),
                     },
                     None => return Ok(()),
@@ -88,9 +91,12 @@
                     Some(_) => return Err(Http1Error::Malformed("end of a chunk")),
                     None => return Ok(()),
                 },
-                Self::Trailer => match split_line(read_buffer)? {
+                Self::Trailer(bytes) => match split_line(read_buffer)? {
                     Some(line) if line.is_empty() => Self::Done,
-                    Some(_) => Self::Trailer,
+                    Some(line) if bytes + line.len() <= MAX_TRAILER_BYTES => {
+                        Self::Trailer(bytes + line.len())
+                    }
+                    Some(_) => return Err(Http1Error::Malformed("trailer of a chunked body")),
                     None => return Ok(()),
                 },
             };
--- a/tests/http1/main.rs
+++ b/tests/http1/main.rs
@@ -129,6 +129,18 @@
     assert_eq!((body.as_slice(), done), (b"abcde".as_slice(), true));
 }
 
+#[test]
+fn decode_trailer_too_long() {
+    let line = format!("T: {}\r\n", "t".repeat(100));
+    let text = format!("0\r\n{}\r\n", line.repeat(10));
+    assert!(decode(Framing::Chunked, &[&text]).unwrap().1);
+    let text = format!("0\r\n{}", line.repeat(100));
+    assert!(matches!(
+        decode(Framing::Chunked, &[&text]),
+        Err(Http1Error::Malformed(_))
+    ));
+}
+
 #[test]
 fn decode_malformed_chunks() {
     for text in ["\r\n", "xyz\r\n", "-1\r\n", "3\r\nabcd\r\n", "3\nabc\r\n"] {
