--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -91,6 +91,13 @@
         self.address
     }
 
+    /// The idle connection, if it has not been idle for too long and is still unused.
+    fn reusable_connection(&mut self) -> Option<Connection> {
+        let (mut connection, since) = self.idle_connection.take()?;
+        let is_reusable = since.elapsed() < self.max_idle && !connection.has_surplus();
+        is_reusable.then_some(connection)
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// # Errors
@@ -102,9 +109,9 @@
     ) -> Result<ClientResponse, Http1Error> {
         let deadline = Instant::now() + request.timeout;
         let next_deadline = || deadline.min(Instant::now() + request.stall_timeout);
-        let mut connection = match self.idle_connection.take() {
-            Some((connection, since)) if since.elapsed() < self.max_idle => connection,
-            _ => {
+        let mut connection = match self.reusable_connection() {
+            Some(connection) => connection,
+            None => {
                 let connect_timeout = request
                     .stall_timeout
                     .min(Duration::from_millis(CONNECT_TIMEOUT_MS));
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -202,6 +202,12 @@
         Ok(sent)
     }
 
+    /// Whether the peer has sent anything, or closed the connection, since the last message
+    /// that was read; what it sent belongs to no request.
+    pub fn has_surplus(&mut self) -> bool {
+        !self.read_buffer.is_empty() || !matches!(self.try_fill_buffer(), Ok(0))
+    }
+
     /// Appends the bytes that have arrived to `read_buffer` without waiting and returns
     /// their number; the end of the connection is an error.
     fn try_fill_buffer(&mut self) -> Result<usize, Http1Error> {
--- a/tests/http1/client.rs
+++ b/tests/http1/client.rs
@@ -79,3 +79,46 @@
     let bodies = send_requests(address, 1).await;
     assert!(matches!(bodies[0], Err(Http1Error::HeadTooLarge)));
 }
+
+/// Guards against taking a surplus response for the response to the next request.
+#[actix_rt::test]
+async fn client_surplus_response_discarded() {
+    let address = serve_late_surplus();
+    let bodies = send_requests(address, 2).await;
+    let bodies: Vec<&str> = bodies
+        .iter()
+        .map(|one| one.as_ref().unwrap().as_str())
+        .collect();
+    assert_eq!(bodies, ["one", "two"]);
+}
+
+/// Starts a server whose first connection sends a surplus response shortly after the first
+/// response, and whose second connection responds "two".
+fn serve_late_surplus() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the server listens");
+    let address = listener.local_addr().expect("it has an address");
+    std::thread::spawn(move || {
+        let mut request = [0; 4096];
+        let (mut first, _) = listener.accept().expect("a connection is accepted");
+        let _ = first.read(&mut request);
+        let _ = first.write_all(&response("one"));
+        std::thread::sleep(Duration::from_millis(10));
+        let _ = first.write_all(&response("surplus"));
+        let (mut second, _) = listener.accept().expect("a connection is accepted");
+        let _ = second.read(&mut request);
+        let _ = second.write_all(&response("two"));
+    });
+    address
+}
+
+/// Guards against a request that fails because the peer closed the idle connection.
+#[actix_rt::test]
+async fn client_idle_connection_closed_by_peer() {
+    let address = serve(vec![vec![response("one")], vec![response("two")]]);
+    let bodies = send_requests(address, 2).await;
+    let bodies: Vec<&str> = bodies
+        .iter()
+        .map(|one| one.as_ref().unwrap().as_str())
+        .collect();
+    assert_eq!(bodies, ["one", "two"]);
+}
