Do not forward bytes of a stream that are no events

Bytes that are no text, and events without an id in a stream whose other events have one, reached clients as pieces of the answer when they held blank lines, without an end if the replica sent without one. Event streams are UTF-8, and ids are what a stream is checked and resumed by: both now break the part off (causes malformed, event_without_id). Comments and settings need no id.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -10,6 +10,30 @@
     pub bytes: Vec<u8>,
 }
 
+impl StreamEvent {
+    /// Why the event can't follow the event `last_id`; None if it can.
+    ///
+    /// Bytes that are no events may hold blank lines too, and all events of a stream have
+    /// an id if one has.
+    pub fn fault_after(&self, last_id: Option<u64>) -> Option<&'static str> {
+        if std::str::from_utf8(&self.bytes).is_err() {
+            return Some("malformed");
+        }
+        match (self.id, last_id) {
+            (Some(id), Some(last)) if id > last + 1 => Some("event_gap"),
+            (None, Some(_)) if self.has_data() => Some("event_without_id"),
+            _ => None,
+        }
+    }
+
+    /// Whether the event has a piece of the answer, and is not only a comment or a setting.
+    fn has_data(&self) -> bool {
+        self.bytes
+            .split(|byte| is_line_end(*byte))
+            .any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Splits the bytes of a stream into complete events.
 ///
 /// Only complete events are sent to the client, so that a stream that breaks off
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -196,22 +196,22 @@
 
     /// Sends the complete events that have arrived to the client.
     ///
-    /// Events that an earlier replica has sent are skipped; a gap in the ids ends this
-    /// part, so that the stream is resumed without a gap at another replica.
+    /// Events that an earlier replica has sent are skipped; an event that can't follow the
+    /// last one ends this part, so that the stream is resumed at another replica.
     async fn forward_events(
         &mut self,
         client: &Connection,
         splitter: &mut EventSplitter,
     ) -> Option<StreamEnd> {
         let mut data = Vec::new();
-        let mut has_gap = false;
+        let mut fault = None;
         while let Some(event) = splitter.next_event() {
+            fault = event.fault_after(self.last_id);
+            if fault.is_some() {
+                break;
+            }
             match (event.id, self.last_id) {
                 (Some(id), Some(last)) if id <= last => continue,
-                (Some(id), Some(last)) if id > last + 1 => {
-                    has_gap = true;
-                    break;
-                }
                 (Some(id), _) => self.last_id = Some(id),
                 (None, _) => {}
             }
@@ -225,7 +225,7 @@
                 return sent;
             }
         }
-        has_gap.then_some(StreamEnd::Broken("event_gap"))
+        fault.map(StreamEnd::Broken)
     }
 
     /// Sends the rest of the stream and the last chunk, unless the stream ends inside an
