Do not write a replica's failure into a stream that has begun

When a stream broke off and the replica that was to resume it answered with anything but a stream (500, 400, 204), that whole answer, head included, was written into the middle of the chunked stream: the client got bytes that are no answer (MIXED). Found while going through all places that write to a client whose stream has begun.

Such an answer now counts as a failed attempt (cause replica_error): the stream is resumed elsewhere or ends without its last chunk. stream_resumed_by_failing_replica_not_complete failed before with a malformed chunk at the client.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,6 +122,12 @@
             let accepted = self.record_outcome(&mut request, &chosen, send_outcome, &mut history);
             match accepted {
                 None => drop(in_flight),
+                // The client has the head of the stream: only events can follow it.
+                Some(SendOutcome::Response(_)) if relay.has_begun() => {
+                    drop(in_flight);
+                    history.last_cause = "replica_error";
+                    log_failed_attempt(&request, &chosen, history.last_cause, None);
+                }
                 Some(SendOutcome::Response(response)) => {
                     drop(in_flight);
                     self.metrics.record_replica_answer(
