Send a stream with the head of the replica whose events it has

When a stream broke off before its first event, the next replica's events reached the client under the head, and so the signature, of the first replica, which had sent none of them. The head is now taken from the replica whose events come first; a resumed stream keeps it.

stream_begun_by_second_replica_has_its_head failed before.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -59,7 +59,8 @@
 /// Relay of a stream of events to one client, from one replica after another.
 #[derive(Debug)]
 pub struct StreamRelay {
-    head: Option<Vec<u8>>,
+    /// Head for the client, of the replica whose events come first.
+    head: Vec<u8>,
     is_head_sent: bool,
     last_id: Option<u64>,
     events: u64,
@@ -72,7 +73,7 @@
     /// Relay of a stream that starts after the event `last_id`, or at the beginning.
     pub fn new(last_id: Option<u64>, deadline: Instant) -> Self {
         Self {
-            head: None,
+            head: Vec::new(),
             is_head_sent: false,
             last_id,
             events: 0,
@@ -140,8 +141,8 @@
         close: bool,
         observer: &impl StreamObserver,
     ) -> StreamEnd {
-        if self.head.is_none() {
-            self.head = Some(chunked_head(&stream.head, close));
+        if !self.is_head_sent {
+            self.head = chunked_head(&stream.head, close);
         }
         let events_before = self.events;
         let mut last_received = Instant::now();
@@ -248,7 +249,7 @@
     ) -> Option<StreamEnd> {
         let mut bytes = Vec::with_capacity(data.len() + 64);
         if !self.is_head_sent {
-            bytes.extend_from_slice(self.head.as_deref().unwrap_or_default());
+            bytes.extend_from_slice(&self.head);
             self.is_head_sent = true;
         }
         if !data.is_empty() {
