Frame answers that have no body as such for clients

The answer to a HEAD request on a streaming route reached the client with a last chunk, five bytes that belong to no answer; a plain one got length 0 instead of the length that its replica states; answers with status 204 and 304 got a length.

answer_to_head_request_without_body and answer_without_body_by_status_without_length failed before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -128,7 +128,7 @@
         Err(error) => return SendOutcome::Broken(error.label()),
     };
     let decoder = BodyDecoder::new(framing);
-    if request.route.kind.is_streaming() && head.status == 200 {
+    if request.route.kind.is_streaming() && head.status == 200 && framing != Framing::None {
         return SendOutcome::Stream(Box::new(EventStream {
             head,
             connection,
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::Dialect;
 use crate::gateway::exchange::ReplicaResponse;
+use crate::gateway::exchange::write_header;
 use crate::gateway::forward::AttemptHistory;
 use crate::gateway::forward::ConnectionReuse;
 use crate::gateway::forward::Gateway;
@@ -13,6 +14,7 @@
 use crate::gateway::relay::response_head;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::Connection;
+use crate::http1::Framing;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
@@ -113,9 +115,8 @@
     ) -> ConnectionReuse {
         let close = self.closes_connection(request);
         let mut bytes = response_head(&response.head, close);
-        bytes.extend_from_slice(
-            format!("Content-Length: {}\r\n\r\n", response.body.len()).as_bytes(),
-        );
+        write_length(&response, &mut bytes);
+        bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&response.body);
         let written = client.write_with_deadline(&bytes, request.deadline).await;
         let outcome = RequestOutcome {
@@ -197,3 +198,19 @@
         line.enqueue();
     }
 }
+
+/// Appends the header with the length of the body; a response without a body states the
+/// length that the replica stated, if any, as the answer to a HEAD request may.
+fn write_length(response: &ReplicaResponse, out: &mut Vec<u8>) {
+    match response.framing {
+        Framing::None => {
+            for length in response.head.headers.values("content-length") {
+                write_header("Content-Length", length, out);
+            }
+        }
+        Framing::Length(_) | Framing::Chunked | Framing::UntilClose => {
+            let length = response.body.len().to_string();
+            write_header("Content-Length", length.as_bytes(), out);
+        }
+    }
+}
