Send streams to HTTP/1.0 clients without chunks

A client of HTTP/1.0, which knows no chunks, got their sizes as a part of the stream. It now gets the events alone; the end of the connection is the end of the stream, and the connection is reset when the stream was broken off, so that it does not end like a complete one.

stream_to_http10_client_without_chunks failed before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -91,7 +91,12 @@
         client: &mut Connection,
         mut request: RoutedRequest,
     ) -> ConnectionReuse {
-        let mut relay = StreamRelay::new(request.facts.last_event_id, request.deadline);
+        let client_framing = request.client_framing();
+        let mut relay = StreamRelay::new(
+            request.facts.last_event_id,
+            client_framing,
+            request.deadline,
+        );
         let mut history = AttemptHistory::default();
         if self.is_refused_as_suspect(&request) {
             let outcome = RequestOutcome {
@@ -152,7 +157,7 @@
                             .record_replica_answer(part.framing.label(), end.label());
                     }
                     if let Some(reuse) =
-                        self.finish_stream(&request, &chosen, &relay, end, &mut history)
+                        self.finish_stream(client, &request, &chosen, &relay, end, &mut history)
                     {
                         return reuse;
                     }
@@ -340,6 +345,7 @@
     /// resume the stream.
     fn finish_stream(
         &self,
+        client: &Connection,
         request: &RoutedRequest,
         chosen: &ChosenReplica,
         relay: &StreamRelay,
@@ -375,7 +381,7 @@
             }
             StreamEnd::ClientDisconnected => Some(self.client_disconnected(request, history)),
             StreamEnd::TimedOut if relay.has_begun() => {
-                Some(self.abort_stream(request, history, "timeout"))
+                Some(self.abort_stream(client, request, history, "timeout"))
             }
             StreamEnd::TimedOut => {
                 history.may_have_run = true;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -56,6 +56,16 @@
     pub rest_bytes: usize,
 }
 
+/// How the end of a stream is marked for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientFraming {
+    /// By the last chunk.
+    Chunked,
+    /// By an orderly end of the connection, for HTTP/1.0 clients, which know no chunks; the
+    /// connection is reset after a stream that was broken off.
+    UntilClose,
+}
+
 /// Relay of a stream of events to one client, from one replica after another.
 #[derive(Debug)]
 pub struct StreamRelay {
@@ -66,12 +76,13 @@
     events: u64,
     first_event_at: Option<Instant>,
     last_part: Option<AnswerPart>,
+    client_framing: ClientFraming,
     deadline: Instant,
 }
 
 impl StreamRelay {
     /// Relay of a stream that starts after the event `last_id`, or at the beginning.
-    pub fn new(last_id: Option<u64>, deadline: Instant) -> Self {
+    pub fn new(last_id: Option<u64>, client_framing: ClientFraming, deadline: Instant) -> Self {
         Self {
             head: Vec::new(),
             is_head_sent: false,
@@ -79,6 +90,7 @@
             events: 0,
             first_event_at: None,
             last_part: None,
+            client_framing,
             deadline,
         }
     }
@@ -142,7 +154,11 @@
         observer: &impl StreamObserver,
     ) -> StreamEnd {
         if !self.is_head_sent {
-            self.head = chunked_head(&stream.head, close);
+            self.head = response_head(&stream.head, close);
+            if self.client_framing == ClientFraming::Chunked {
+                write_header("Transfer-Encoding", b"chunked", &mut self.head);
+            }
+            self.head.extend_from_slice(b"\r\n");
         }
         let events_before = self.events;
         let mut last_received = Instant::now();
@@ -221,7 +237,7 @@
         }
         if !data.is_empty() {
             self.first_event_at.get_or_insert_with(Instant::now);
-            let sent = self.write_chunk(client, &data, false).await;
+            let sent = self.write_part(client, &data, false).await;
             if sent.is_some() {
                 return sent;
             }
@@ -229,19 +245,19 @@
         fault.map(StreamEnd::Broken)
     }
 
-    /// Sends the rest of the stream and the last chunk, unless the stream ends inside an
+    /// Sends the rest of the stream and its end, unless the stream ends inside an
     /// event: however its body is framed, it has then been broken off.
     async fn finish(&mut self, client: &Connection, splitter: &EventSplitter) -> StreamEnd {
         if splitter.is_inside_event() {
             return StreamEnd::Broken("inside_event");
         }
-        self.write_chunk(client, splitter.remainder(), true)
+        self.write_part(client, splitter.remainder(), true)
             .await
             .unwrap_or(StreamEnd::Complete)
     }
 
-    /// Sends `data` as one chunk, with the head before the first chunk.
-    async fn write_chunk(
+    /// Sends `data`, with the head before the first part and, after the last one, the end.
+    async fn write_part(
         &mut self,
         client: &Connection,
         data: &[u8],
@@ -252,13 +268,9 @@
             bytes.extend_from_slice(&self.head);
             self.is_head_sent = true;
         }
-        if !data.is_empty() {
-            bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
-            bytes.extend_from_slice(data);
-            bytes.extend_from_slice(b"\r\n");
-        }
-        if is_last {
-            bytes.extend_from_slice(b"0\r\n\r\n");
+        match self.client_framing {
+            ClientFraming::Chunked => append_chunk(data, is_last, &mut bytes),
+            ClientFraming::UntilClose => bytes.extend_from_slice(data),
         }
         match client.write_with_deadline(&bytes, self.deadline).await {
             Ok(()) => None,
@@ -268,6 +280,18 @@
     }
 }
 
+/// Appends `data` as one chunk, and the last chunk after the last data.
+fn append_chunk(data: &[u8], is_last: bool, out: &mut Vec<u8>) {
+    if !data.is_empty() {
+        out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        out.extend_from_slice(data);
+        out.extend_from_slice(b"\r\n");
+    }
+    if is_last {
+        out.extend_from_slice(b"0\r\n\r\n");
+    }
+}
+
 /// Head of a response to the client, without the headers of the body's framing and
 /// the empty line.
 pub fn response_head(head: &ResponseHead, close: bool) -> Vec<u8> {
@@ -282,10 +306,3 @@
     }
     bytes
 }
-
-/// Complete head of a response in chunked encoding.
-fn chunked_head(head: &ResponseHead, close: bool) -> Vec<u8> {
-    let mut bytes = response_head(head, close);
-    bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
-    bytes
-}
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -10,6 +10,7 @@
 use crate::gateway::forward::Gateway;
 use crate::gateway::local_response::local_response;
 use crate::gateway::local_response::outcome_label;
+use crate::gateway::relay::ClientFraming;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::response_head;
 use crate::gateway::routed_request::RoutedRequest;
@@ -43,7 +44,7 @@
         retry_after_ms: u64,
     ) -> ConnectionReuse {
         if relay.has_begun() {
-            return self.abort_stream(request, &history, cause);
+            return self.abort_stream(client, request, &history, cause);
         }
         if let Some(response) = history.fallback_response.take() {
             return self
@@ -73,10 +74,11 @@
             .await
     }
 
-    /// Ends a stream that has begun; closing the connection without the last chunk
-    /// shows the client that it is incomplete.
+    /// Ends a stream that has begun, so that the client sees that it is incomplete: the
+    /// connection is closed without the last chunk, or reset where there are no chunks.
     pub(super) fn abort_stream(
         &self,
+        client: &Connection,
         request: &RoutedRequest,
         history: &AttemptHistory,
         cause: &str,
@@ -87,6 +89,9 @@
             retry_after_ms: None,
         };
         self.log_request_end(request, history, &outcome, None);
+        if request.client_framing() == ClientFraming::UntilClose {
+            client.reset_on_drop();
+        }
         ConnectionReuse::Close
     }
 
@@ -155,7 +160,9 @@
 
     /// Whether the client's connection is closed after the response to `request`.
     pub(super) fn closes_connection(&self, request: &RoutedRequest) -> bool {
-        request.head.wants_close() || self.state.borrow().stopping_since.is_some()
+        request.head.wants_close()
+            || self.state.borrow().stopping_since.is_some()
+            || request.client_framing() == ClientFraming::UntilClose
     }
 
     /// Logs and counts a request that has ended; `stream` holds the time to the first
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -6,6 +6,7 @@
 use crate::fleet::ReplicaKey;
 use crate::fleet::Route;
 use crate::gateway::RequestFacts;
+use crate::gateway::relay::ClientFraming;
 use crate::http1::RequestHead;
 use crate::weights::Digest;
 
@@ -55,6 +56,15 @@
         u64::try_from(self.received_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// How the end of a stream is marked for this client.
+    pub fn client_framing(&self) -> ClientFraming {
+        if self.head.is_http10 && self.route.kind.is_streaming() {
+            ClientFraming::UntilClose
+        } else {
+            ClientFraming::Chunked
+        }
+    }
+
     /// Whether the route allows one more attempt.
     pub fn has_attempts_left(&self) -> bool {
         self.sends < self.route.max_attempts
