Notice answers that are cut within their length on our own interface

awc ends a body without an error when its connection does, so every reader of our own interface took a body that was cut within its Content-Length for a whole one: "" cut anywhere was Ok. What decodes it found most of these, as malformed: a service that crashed in the middle of its answer was then not checked for a crash, and its request not suspected.

One function reads bodies now and compares their length; JSON that ends early, as in chunks that awc does not check either, is a cut answer (Broken) and not a malformed one. The streams of our own interface have an end record and needed no change.

--- a/src/cli/admin_client.rs
+++ b/src/cli/admin_client.rs
@@ -7,6 +7,7 @@
 use super::OperatorArgs;
 use crate::links::HttpClient;
 use crate::links::LinkError;
+use crate::links::decode_json;
 
 /// Time an entry has to answer, in addition to a requested wait.
 const ANSWER_TIMEOUT_MS: u64 = 20_000;
@@ -54,7 +55,7 @@
             None => Vec::new(),
         };
         let answer = HttpClient::send_and_read(request, bytes, wait_ms + ANSWER_TIMEOUT_MS).await?;
-        serde_json::from_slice(&answer).map_err(malformed)
+        decode_json(&answer)
     }
 
     /// Sends a GET request for `path`; see [`AdminClient::send`].
--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -138,8 +138,7 @@
             .send()
             .await
             .map_err(|e| EngineError::Unreachable(e.to_string()))?;
-        let body = response
-            .body()
+        let body = HttpClient::read_body(&mut response)
             .await
             .map_err(|e| EngineError::Unreachable(e.to_string()))?;
         decode_response(response.status(), &body)
@@ -160,8 +159,7 @@
             .await
             .map_err(|e| classify_send_error(&e))?;
         if response.status() != StatusCode::OK {
-            let body = response
-                .body()
+            let body = HttpClient::read_body(&mut response)
                 .await
                 .map_err(|e| EngineError::Unreachable(e.to_string()))?;
             return Err(refusal_error(response.status(), &body));
@@ -188,8 +186,7 @@
             .send_json(body)
             .await
             .map_err(|e| classify_send_error(&e))?;
-        let body = response
-            .body()
+        let body = HttpClient::read_body(&mut response)
             .await
             .map_err(|e| EngineError::Unreachable(e.to_string()))?;
         decode_response(response.status(), &body)
--- a/src/clients/log_client.rs
+++ b/src/clients/log_client.rs
@@ -6,6 +6,7 @@
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::links::SimulatedPartition;
+use crate::links::decode_json;
 
 /// Timeout of an append.
 const APPEND_TIMEOUT_MS: u64 = 5000;
@@ -94,9 +95,7 @@
             .http
             .post_bytes(&self.url, body, APPEND_TIMEOUT_MS)
             .await?;
-        serde_json::from_slice::<AppendResponse>(&answer)
-            .map(|response| response.offset)
-            .map_err(|error| LinkError::Malformed(error.to_string()))
+        decode_json::<AppendResponse>(&answer).map(|response| response.offset)
     }
 
     /// Reads up to `max` records from offset `from` on; the log waits up to `wait_ms` for
--- a/src/clients/service_client.rs
+++ b/src/clients/service_client.rs
@@ -8,6 +8,7 @@
 use crate::calls::StoredAnswer;
 use crate::links::HttpClient;
 use crate::links::LinkError;
+use crate::links::decode_json;
 
 /// Header with the idempotency key: a service that keeps keys runs each only once.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -97,8 +98,7 @@
 
 /// Returns the answer if it contains `request_id`, and an error otherwise.
 fn check_request_id(answer: StoredAnswer, request_id: &str) -> Result<StoredAnswer, LinkError> {
-    let echoed = serde_json::from_slice::<EchoedRequestId>(&answer.body)
-        .map_err(|error| LinkError::Malformed(error.to_string()))?;
+    let echoed: EchoedRequestId = decode_json(&answer.body)?;
     if echoed.request_id == request_id {
         return Ok(answer);
     }
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -3,7 +3,10 @@
 
 use actix_rt::time::sleep;
 use actix_rt::time::timeout;
+use actix_web::error::PayloadError;
 use actix_web::http::Method;
+use actix_web::http::StatusCode;
+use actix_web::http::header::CONTENT_LENGTH;
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::http::header::RETRY_AFTER;
 use awc::Client;
@@ -13,6 +16,7 @@
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use bytes::Bytes;
+use futures_util::Stream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -150,11 +154,7 @@
                 .and_then(|value| value.to_str().ok())
                 .and_then(|seconds| seconds.parse::<f64>().ok())
                 .map(|seconds| (seconds * 1000.0) as u64);
-            let bytes = response
-                .body()
-                .limit(MAX_BODY_BYTES)
-                .await
-                .map_err(|error| LinkError::Broken(error.to_string()))?;
+            let bytes = Self::read_body(&mut response).await?;
             if status.is_success() {
                 return Ok(bytes);
             }
@@ -169,6 +169,43 @@
             .unwrap_or(Err(LinkError::Timeout { timeout_ms }))
     }
 
+    /// Reads the complete body of a response.
+    ///
+    /// `awc` reports no error when the connection ends within a body, so its length is
+    /// checked here. A body in chunks or without a length may be cut all the same: what
+    /// decodes it has to find that out.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Broken`] when the body is too large or was cut.
+    pub async fn read_body<S>(response: &mut ClientResponse<S>) -> Result<Bytes, LinkError>
+    where
+        S: Stream<Item = Result<Bytes, PayloadError>>,
+    {
+        let has_no_body = matches!(
+            response.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        let expected_length = response
+            .headers()
+            .get(CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|length| length.parse::<usize>().ok())
+            .filter(|_| !has_no_body);
+        let bytes = response
+            .body()
+            .limit(MAX_BODY_BYTES)
+            .await
+            .map_err(|error| LinkError::Broken(error.to_string()))?;
+        match expected_length {
+            Some(length) if length != bytes.len() => Err(LinkError::Broken(format!(
+                "the body was cut after {} of {length} bytes",
+                bytes.len()
+            ))),
+            _ => Ok(bytes),
+        }
+    }
+
     /// Posts `request` as MessagePack and decodes the response, also MessagePack.
     ///
     /// # Errors
@@ -231,7 +268,7 @@
         self.fail_if_partitioned(url, timeout_ms).await?;
         let response =
             Self::send_and_read(self.request(Method::GET, url), Bytes::new(), timeout_ms).await?;
-        serde_json::from_slice(&response).map_err(malformed)
+        decode_json(&response)
     }
 
     /// Sends `request` as JSON and decodes the response, also JSON.
@@ -252,10 +289,26 @@
             .request(method, url)
             .insert_header((CONTENT_TYPE, "application/json"));
         let response = Self::send_and_read(request, body, timeout_ms).await?;
-        serde_json::from_slice(&response).map_err(malformed)
+        decode_json(&response)
     }
 }
 
+/// Decodes a JSON body.
+///
+/// # Errors
+///
+/// [`LinkError::Broken`] when the body ends before the JSON does, and
+/// [`LinkError::Malformed`] when it is invalid otherwise.
+pub fn decode_json<A: DeserializeOwned>(body: &[u8]) -> Result<A, LinkError> {
+    serde_json::from_slice(body).map_err(|error| {
+        if error.is_eof() {
+            LinkError::Broken(error.to_string())
+        } else {
+            malformed(error)
+        }
+    })
+}
+
 /// Error of a message that could not be encoded or decoded.
 fn malformed(error: impl std::fmt::Display) -> LinkError {
     LinkError::Malformed(error.to_string())
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -17,6 +17,7 @@
 pub use errors::LinkError;
 pub use http_client::HttpClient;
 pub use http_client::SHARED_KEY_HEADER;
+pub use http_client::decode_json;
 pub use http_server::ServeOptions;
 pub use http_server::decode_call;
 pub use http_server::decode_rmp;
