Refuse chunks in answers of HTTP/1.0

What speaks HTTP/1.0 knows no chunks, so whatever stands before it may have taken the end of a connection for the end of the body: such a framing is ambiguous, in answers as it already was in requests.

response_framing_chunks_of_http10 failed before.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -179,6 +179,8 @@
     pub status: u16,
     /// Reason phrase; may be empty.
     pub reason: String,
+    /// Whether the response is of HTTP/1.0 and not HTTP/1.1.
+    pub is_http10: bool,
     /// Header lines, in the order of arrival.
     pub headers: Headers,
 }
@@ -210,6 +212,7 @@
         let head = Self {
             status: parsed.code.unwrap_or_default(),
             reason: parsed.reason.unwrap_or_default().to_owned(),
+            is_http10: parsed.version == Some(0),
             headers: Headers::from_httparse(parsed.headers),
         };
         read_buffer.advance(len);
@@ -235,6 +238,9 @@
             (true, Some(_)) => Err(Http1Error::Malformed(
                 "both Content-Length and Transfer-Encoding",
             )),
+            (true, None) if self.is_http10 => {
+                Err(Http1Error::Malformed("Transfer-Encoding in HTTP/1.0"))
+            }
             (true, None) => Ok(Framing::Chunked),
             (false, Some(length)) => Ok(Framing::Length(length)),
             (false, None) => Ok(Framing::UntilClose),
--- a/tests/http1/main.rs
+++ b/tests/http1/main.rs
@@ -118,6 +118,40 @@
     }
 }
 
+/// Framing of the response to a GET request with this status line and header lines.
+fn response_framing(status_line: &str, lines: &str) -> Result<Framing, Http1Error> {
+    let mut read_buffer = BytesMut::from(format!("{status_line}\r\n{lines}\r\n").as_str());
+    ResponseHead::parse_from(&mut read_buffer, MAX_HEAD_BYTES)?
+        .expect("the head is complete")
+        .framing("GET")
+}
+
+#[test]
+fn response_framing_each_kind() {
+    let ok = "HTTP/1.1 200 OK";
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    for (status_line, lines, expected) in [
+        (ok, "Content-Length: 0\r\n", Framing::Length(0)),
+        (ok, "Content-Length: 7\r\n", Framing::Length(7)),
+        (ok, chunked, Framing::Chunked),
+        (ok, "", Framing::UntilClose),
+        ("HTTP/1.0 200 OK", "", Framing::UntilClose),
+        ("HTTP/1.1 204 .", "", Framing::None),
+        ("HTTP/1.1 304 .", "Content-Length: 7\r\n", Framing::None),
+    ] {
+        let framing = response_framing(status_line, lines).unwrap();
+        assert_eq!(framing, expected, "{status_line} {lines}");
+    }
+}
+
+/// Guards against chunks of a peer that knows none: another process before it may have
+/// taken the end of the connection for the end of the body.
+#[test]
+fn response_framing_chunks_of_http10() {
+    let framing = response_framing("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n");
+    assert!(matches!(framing, Err(Http1Error::Malformed(_))));
+}
+
 #[test]
 fn decode_length_in_parts() {
     let (body, done) = decode(Framing::Length(5), &["ab", "cde"]).unwrap();
