Bound the memory that answers take before they are passed on

Each answer was bounded (8 MiB), all of them together were not: 300 answers of 5 MiB that stop after 4 MiB took an entry to 1.29 GB, five times what its host has, so that replicas which never end their answers would end the process.

Answers that are not complete share 64 MiB now, beyond 16 KiB of each that need no room: a large answer that finds none fails (cause no_memory, which counts against no replica), small ones are never refused for it.

--- /dev/null
+++ b/src/gateway/answer_memory.rs
@@ -0,0 +1,67 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use crate::http1::BodyLimit;
+use crate::http1::Http1Error;
+
+/// Bytes of each answer that are held without asking for room, so that large answers do
+/// not keep small ones from being read.
+const FREE_BYTES: usize = 16 * 1024;
+
+/// Bytes of all answers together that are held beyond their free bytes: a quarter of the
+/// memory of an entry's host, as a buffer that grows may be twice as large as its content.
+const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
+
+/// Memory of a process for answers of replicas that it can't pass on yet: plain answers
+/// until they are complete, and events of streams.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerMemory {
+    held_bytes: Rc<Cell<usize>>,
+}
+
+impl AnswerMemory {
+    /// Bytes held now, without the free bytes of each answer.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.get()
+    }
+
+    /// Room for one answer of at most `max_bytes`, which is empty at first.
+    pub fn hold_answer(&self, max_bytes: usize) -> HeldAnswer {
+        HeldAnswer {
+            memory: self.clone(),
+            counted_bytes: 0,
+            max_bytes,
+        }
+    }
+}
+
+/// Room that one answer takes; dropping it returns the room.
+#[derive(Debug)]
+pub struct HeldAnswer {
+    memory: AnswerMemory,
+    counted_bytes: usize,
+    max_bytes: usize,
+}
+
+impl BodyLimit for HeldAnswer {
+    fn admit(&mut self, bytes: usize) -> Result<(), Http1Error> {
+        if bytes > self.max_bytes {
+            return Err(Http1Error::BodyTooLarge);
+        }
+        let counted_bytes = bytes.saturating_sub(FREE_BYTES);
+        let others_bytes = self.memory.held_bytes.get() - self.counted_bytes;
+        if counted_bytes > self.counted_bytes && others_bytes + counted_bytes > MAX_HELD_BYTES {
+            return Err(Http1Error::NoMemory);
+        }
+        self.memory.held_bytes.set(others_bytes + counted_bytes);
+        self.counted_bytes = counted_bytes;
+        Ok(())
+    }
+}
+
+impl Drop for HeldAnswer {
+    fn drop(&mut self) {
+        let held_bytes = self.memory.held_bytes.get() - self.counted_bytes;
+        self.memory.held_bytes.set(held_bytes);
+    }
+}
--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -350,6 +350,7 @@
         Http1Error::Malformed(_) => 400,
         Http1Error::HeadTooLarge => 431,
         Http1Error::BodyTooLarge => 413,
+        Http1Error::NoMemory => 503,
         Http1Error::TimedOut => 408,
     };
     LogLine::new(Event::RequestEnded)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
+use crate::gateway::answer_memory::HeldAnswer;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -23,7 +24,7 @@
 
 /// Largest body of a response that is not streamed, in bytes: it is buffered in
 /// memory.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Headers that apply to one connection only, or that the gateway sets itself because
 /// they describe the framing of the body.
@@ -49,6 +50,8 @@
     pub framing: Framing,
     /// Complete body.
     pub body: Vec<u8>,
+    /// Room that the body takes; returned when the response is dropped.
+    pub _held: HeldAnswer,
 }
 
 /// A response of a replica that is a stream of events, of which the head was read.
@@ -62,6 +65,8 @@
     pub framing: Framing,
     /// Decoder of the body's framing, with the state of its progress.
     pub decoder: BodyDecoder,
+    /// Room for the event that is not complete.
+    pub held: HeldAnswer,
 }
 
 /// Result of sending a request to one replica.
@@ -96,6 +101,7 @@
     address: SocketAddr,
     facts: &SendFacts<'_>,
     head_deadline: Instant,
+    mut held: HeldAnswer,
 ) -> SendOutcome {
     let mut connection = match Connection::connect(address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
@@ -134,14 +140,16 @@
             connection,
             framing,
             decoder,
+            held,
         }));
     }
-    let read = connection.read_body(decoder, MAX_RESPONSE_BYTES, || request.deadline);
+    let read = connection.read_body(decoder, &mut held, || request.deadline);
     match read.await {
         Ok(body) => SendOutcome::Response(ReplicaResponse {
             head,
             framing,
             body,
+            _held: held,
         }),
         Err(error) => SendOutcome::Broken(error.label()),
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use crate::gateway::request_outcome::RequestOutcome;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::Connection;
+use crate::http1::Http1Error;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
@@ -224,12 +225,14 @@
             Some(within_ms) => head_deadline.min(Instant::now() + Duration::from_millis(within_ms)),
             None => head_deadline,
         };
+        let held = (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES);
         let work = exchange::send_to_replica(
             &*self.dialect,
             request,
             chosen.address,
             &facts,
             head_deadline,
+            held,
         );
         client.run_unless_closed(work).await
     }
@@ -278,10 +281,7 @@
             SendOutcome::Broken(cause) => {
                 request.sends += 1;
                 history.may_have_run = true;
-                state.replicas.record_incomplete_answer(chosen.key, now_ms);
-                if *cause != "silent" {
-                    state.record_broken_connection(request.fingerprint, &chosen.id);
-                }
+                record_broken_answer(&mut state, request, chosen, cause);
                 cause
             }
             SendOutcome::Response(response) => {
@@ -391,12 +391,7 @@
             StreamEnd::Broken(cause) => {
                 history.may_have_run = true;
                 history.last_cause = cause;
-                let mut state = self.state.borrow_mut();
-                state.replicas.record_incomplete_answer(chosen.key, now_ms);
-                if cause != "silent" {
-                    state.record_broken_connection(request.fingerprint, &chosen.id);
-                }
-                drop(state);
+                record_broken_answer(&mut self.state.borrow_mut(), request, chosen, cause);
                 log_failed_attempt(request, chosen, cause, history.last_part);
                 None
             }
@@ -404,6 +399,24 @@
     }
 }
 
+/// Records that the answer of a replica was not complete, unless the cause is in this
+/// process.
+fn record_broken_answer(
+    state: &mut GatewayState,
+    request: &RoutedRequest,
+    chosen: &ChosenReplica,
+    cause: &str,
+) {
+    if cause == Http1Error::NoMemory.label() {
+        return;
+    }
+    let now_ms = state.now_ms();
+    state.replicas.record_incomplete_answer(chosen.key, now_ms);
+    if cause != "silent" {
+        state.record_broken_connection(request.fingerprint, &chosen.id);
+    }
+}
+
 /// Logs a send that failed or that the replica refused; `part` is what was received of a
 /// stream.
 fn log_failed_attempt(
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -144,6 +144,8 @@
     async fn handle(&self, request: InternalRequest) -> InternalResponse {
         let path = request.head.path();
         if path == METRICS_PATH {
+            let held_bytes = self.state.borrow().answer_memory.held_bytes();
+            self.metrics.record_answer_bytes(held_bytes as u64);
             return InternalResponse::metrics(self.metrics.render());
         }
         if let Some(reply) = self.pieces.reply_to(path).await {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use crate::gateway::exchange::EventStream;
 use crate::gateway::exchange::is_hop_by_hop_header;
 use crate::gateway::exchange::write_header;
+use crate::http1::BodyLimit;
 use crate::http1::Connection;
 use crate::http1::Framing;
 use crate::http1::ResponseHead;
@@ -182,6 +183,9 @@
             if splitter.is_too_large() {
                 return StreamEnd::Broken("event_too_large");
             }
+            if let Err(error) = stream.held.admit(splitter.remainder().len()) {
+                return StreamEnd::Broken(error.label());
+            }
             let wait_until = (Instant::now() + SILENCE_CHECK_INTERVAL).min(self.deadline);
             tokio::select! {
                 biased;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::fleet::TopicTable;
 use crate::gateway::GatewaySettings;
 use crate::gateway::TopicSink;
+use crate::gateway::answer_memory::AnswerMemory;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
@@ -87,6 +88,8 @@
     pub weights: Declarations,
     /// Replicas of all services.
     pub replicas: ReplicaTable,
+    /// Memory for answers that are not passed on yet.
+    pub answer_memory: AnswerMemory,
     /// The other entries.
     pub peers: PeerTable,
     /// Requests that are suspected of crashing replicas.
@@ -137,6 +140,7 @@
             catalog: None,
             weights: Declarations::default(),
             replicas: ReplicaTable::default(),
+            answer_memory: AnswerMemory::default(),
             peers: PeerTable::default(),
             suspects: SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS),
             incarnation: rng.random(),
--- /dev/null
+++ b/src/http1/body_limit.rs
@@ -0,0 +1,26 @@
+use crate::http1::Http1Error;
+
+/// Decides whether a body that is being read may grow.
+pub trait BodyLimit {
+    /// Admits a body of which `bytes` have arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`Http1Error::BodyTooLarge`] or [`Http1Error::NoMemory`].
+    fn admit(&mut self, bytes: usize) -> Result<(), Http1Error>;
+}
+
+impl BodyLimit for usize {
+    fn admit(&mut self, bytes: usize) -> Result<(), Http1Error> {
+        if bytes > *self {
+            return Err(Http1Error::BodyTooLarge);
+        }
+        Ok(())
+    }
+}
+
+impl<L: BodyLimit> BodyLimit for &mut L {
+    fn admit(&mut self, bytes: usize) -> Result<(), Http1Error> {
+        (**self).admit(bytes)
+    }
+}
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout_at;
 
 use crate::http1::BodyDecoder;
+use crate::http1::BodyLimit;
 use crate::http1::Http1Error;
 use crate::http1::ResponseHead;
 
@@ -119,7 +120,7 @@
         }
     }
 
-    /// Reads a body of at most `max_bytes`; `deadline` is evaluated before each read.
+    /// Reads a body within `limit`; `deadline` is evaluated before each read.
     ///
     /// # Errors
     ///
@@ -127,15 +128,13 @@
     pub async fn read_body(
         &mut self,
         mut decoder: BodyDecoder,
-        max_bytes: usize,
+        mut limit: impl BodyLimit,
         deadline: impl Fn() -> Instant,
     ) -> Result<Vec<u8>, Http1Error> {
         let mut body = Vec::new();
         loop {
             decoder.decode(&mut self.read_buffer, &mut body)?;
-            if body.len() > max_bytes {
-                return Err(Http1Error::BodyTooLarge);
-            }
+            limit.admit(body.len())?;
             if decoder.is_done() {
                 return Ok(body);
             }
--- a/src/http1/errors.rs
+++ b/src/http1/errors.rs
@@ -14,6 +14,8 @@
     HeadTooLarge,
     /// The body exceeds its limit of bytes.
     BodyTooLarge,
+    /// The process holds too many bytes of other messages.
+    NoMemory,
     /// The message was not read or written by its deadline.
     TimedOut,
     /// The connection could not be opened.
@@ -31,6 +33,7 @@
             Self::Malformed(_) => "malformed",
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
+            Self::NoMemory => "no_memory",
             Self::TimedOut => "timed_out",
             Self::NotConnected(_) => "not_connected",
             Self::Io(_) => "io",
@@ -48,6 +51,7 @@
             Self::Malformed(part) => write!(f, "not a valid HTTP/1.1 message: {part}"),
             Self::HeadTooLarge => f.write_str("the head of the message exceeds the limit"),
             Self::BodyTooLarge => f.write_str("the body of the message exceeds the limit"),
+            Self::NoMemory => f.write_str("the process has no memory left for the message"),
             Self::TimedOut => f.write_str("the message was not read or written in time"),
             Self::NotConnected(error) => write!(f, "cannot connect: {error}"),
             Self::Io(error) => write!(f, "connection failed: {error}"),
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -7,6 +7,7 @@
 //! Ambiguous framing is rejected, which prevents request smuggling.
 
 mod body;
+mod body_limit;
 mod client;
 mod connection;
 mod errors;
@@ -14,6 +15,7 @@
 mod server;
 
 pub use body::BodyDecoder;
+pub use body_limit::BodyLimit;
 pub use client::ClientRequest;
 pub use client::ClientResponse;
 pub use client::Http1Client;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -1,5 +1,6 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -74,6 +75,8 @@
     store_call_ms: Histogram<f64>,
     /// Time by which a timer of the process fired late.
     timer_late_ms: Histogram<f64>,
+    /// Bytes of answers that are not passed on yet.
+    answer_bytes: Gauge<u64>,
 }
 
 /// Upper bounds of the buckets for the lateness of timers, in ms.
@@ -111,6 +114,7 @@
             .f64_histogram("bergamotfork_timer_late_ms")
             .with_boundaries(TIMER_LATE_BUCKETS_MS.to_vec())
             .build();
+        let answer_bytes = meter.u64_gauge("bergamotfork_answer_bytes").build();
         Self {
             registry,
             _provider: provider,
@@ -118,6 +122,7 @@
             answer_ms,
             store_call_ms,
             timer_late_ms,
+            answer_bytes,
         }
     }
 
@@ -164,6 +169,11 @@
         self.timer_late_ms.record(late_ms, &[]);
     }
 
+    /// Records how many bytes of answers are not passed on yet.
+    pub fn record_answer_bytes(&self, bytes: u64) {
+        self.answer_bytes.record(bytes, &[]);
+    }
+
     /// All metrics in the Prometheus text format; empty if they can't be encoded.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
