Heed what replicas say of themselves: that they leave, that they want a pause

The adapter decodes both from every answer, also one that is thrown away then, unless it is another replica's that has taken over the address. Leaving is kept by id and start: no record, listing or return of a record takes it back, and only a newer incarnation ends it. A pause is kept by incarnation on the steady clock; an answer sets it anew, one to an earlier request only extends it; a replica that wants one has not failed. Both exclude the replica where replicas are chosen, which first sends, second sends and resumed streams share. When all replicas pause, a request is refused at once, with Retry-After from the first end of a pause. Events 717 and 718.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -1,6 +1,8 @@
+use std::collections::VecDeque;
 use std::net::IpAddr;
 
 use crate::fleet::EngineLoad;
+use crate::fleet::ReplicaNotice;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
 
@@ -37,6 +39,10 @@
 /// about the error of a prediction.
 const MIN_EXCESS_DELAY_MS: f64 = 150.0;
 
+/// Most incarnations kept that have said that they are leaving; more than leave before
+/// their records are gone.
+const MAX_LEAVING: usize = 1_024;
+
 /// A request that was sent to a replica and whose answer has not begun.
 #[derive(Debug)]
 struct PendingRequest {
@@ -69,6 +75,12 @@
     ended_since_load: u32,
     // Time until which it gets no requests.
     excluded_until_ms: u64,
+    // Whether its answers have said that this incarnation is leaving.
+    is_leaving: bool,
+    // Time until which it wants nothing from this process, and when the request was sent
+    // whose answer said so.
+    paused_until_ms: u64,
+    pause_sent_ms: u64,
     // Pause after the next failed connection.
     backoff_ms: u64,
     // Exponentially weighted, as of `failure_ratio_updated_ms`.
@@ -92,6 +104,9 @@
             sent_since_load_ms: Vec::new(),
             ended_since_load: 0,
             excluded_until_ms: 0,
+            is_leaving: false,
+            paused_until_ms: 0,
+            pause_sent_ms: 0,
             backoff_ms: MIN_BACKOFF_MS,
             failure_ratio: 0.0,
             failure_ratio_updated_ms: now_ms,
@@ -106,12 +121,27 @@
     pub fn is_usable(&self, now_ms: u64) -> bool {
         !self.is_removed
             && self.record.state == ReplicaState::Ready
+            && !self.is_leaving
             && now_ms >= self.excluded_until_ms
+            && !self.is_paused(now_ms)
             && self
                 .recent_load(now_ms)
                 .is_none_or(|load| load.is_up && !load.is_loading)
     }
 
+    /// Whether it wants nothing from this process now.
+    pub fn is_paused(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms
+    }
+
+    /// Time until which it wants nothing from this process; 0 without a pause. None if it
+    /// takes no requests after that either.
+    pub fn pause_end_ms(&self) -> Option<u64> {
+        let takes_requests =
+            !self.is_removed && self.record.state == ReplicaState::Ready && !self.is_leaving;
+        takes_requests.then_some(self.paused_until_ms)
+    }
+
     /// Last load report, if it is recent enough to rely on.
     pub fn recent_load(&self, now_ms: u64) -> Option<&EngineLoad> {
         self.load
@@ -225,23 +255,54 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     replicas: Vec<Replica>,
+    // Incarnations whose answers have said that they are leaving, oldest first. Kept apart
+    // from the replicas, as a record may be removed and come back.
+    leaving: VecDeque<Incarnation>,
     last_send_id: u64,
 }
 
+/// Id and start of a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Incarnation {
+    id: String,
+    born_unix_ms: Option<u64>,
+}
+
+impl Incarnation {
+    fn of(record: &ReplicaRecord) -> Self {
+        Self {
+            id: record.id.clone(),
+            born_unix_ms: record.born_unix_ms,
+        }
+    }
+}
+
 impl ReplicaTable {
     /// Applies a replica's latest registration; returns its key and whether it is a new
     /// replica or a new incarnation. What was observed of an earlier incarnation is
     /// discarded.
     pub fn register(&mut self, record: ReplicaRecord, now_ms: u64) -> (ReplicaKey, bool) {
+        let is_leaving = self.leaving.contains(&Incarnation::of(&record));
+        let (key, is_new) = self.insert_or_update(record, now_ms);
+        self.replicas[key.0 as usize].is_leaving = is_leaving;
+        (key, is_new)
+    }
+
+    fn insert_or_update(&mut self, record: ReplicaRecord, now_ms: u64) -> (ReplicaKey, bool) {
         if let Some(key) = self.find(&record.id) {
             let replica = &mut self.replicas[key.0 as usize];
             let is_new_incarnation = replica.is_removed
                 || replica.record.born_unix_ms != record.born_unix_ms
                 || replica.record.address != record.address;
             if is_new_incarnation {
-                let in_flight = replica.in_flight;
-                *replica = Replica::new(record, now_ms);
-                replica.in_flight = in_flight;
+                let mut newer = Replica::new(record, now_ms);
+                newer.in_flight = replica.in_flight;
+                // A record that was removed and comes back ends no pause.
+                if newer.record.born_unix_ms == replica.record.born_unix_ms {
+                    newer.paused_until_ms = replica.paused_until_ms;
+                    newer.pause_sent_ms = replica.pause_sent_ms;
+                }
+                *replica = newer;
             } else {
                 replica.record = record;
                 replica.last_heartbeat_ms = now_ms;
@@ -368,6 +429,44 @@
         self.replicas[key.0 as usize].excluded_until_ms = now_ms + MAX_BACKOFF_MS;
     }
 
+    /// Records what an answer to the incarnation `born_unix_ms` said of the replica; the
+    /// request was sent at `sent_ms`. Returns whether it is the first answer that says that
+    /// the incarnation is leaving.
+    ///
+    /// An answer sets the pause anew, unless one to a later request has set it: then it may
+    /// only extend it.
+    pub fn record_notice(
+        &mut self,
+        key: ReplicaKey,
+        born_unix_ms: Option<u64>,
+        notice: ReplicaNotice,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let replica = &mut self.replicas[key.0 as usize];
+        if replica.record.born_unix_ms != born_unix_ms {
+            return false;
+        }
+        if let Some(pause_ms) = notice.pause_ms {
+            let until_ms = now_ms + pause_ms;
+            if sent_ms >= replica.pause_sent_ms {
+                replica.pause_sent_ms = sent_ms;
+                replica.paused_until_ms = until_ms;
+            } else {
+                replica.paused_until_ms = replica.paused_until_ms.max(until_ms);
+            }
+        }
+        if !notice.is_leaving || replica.is_leaving {
+            return false;
+        }
+        replica.is_leaving = true;
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.pop_front();
+        }
+        self.leaving.push_back(Incarnation::of(&replica.record));
+        true
+    }
+
     /// Records that the replica refused to run a request. It gets no requests for a short
     /// pause.
     pub fn record_refusal(&mut self, key: ReplicaKey, now_ms: u64) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,8 +1,10 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::fleet::ReplicaNotice;
 use crate::gateway::Dialect;
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
@@ -102,6 +104,7 @@
     facts: &SendFacts<'_>,
     head_deadline: Instant,
     mut held: HeldAnswer,
+    notice: &Cell<ReplicaNotice>,
 ) -> SendOutcome {
     let mut connection = match Connection::connect(address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
@@ -126,6 +129,10 @@
         Err(error) => return SendOutcome::Broken(error.label()),
     };
     let response = dialect.response_facts(&head);
+    // Another replica that has taken over the address speaks of itself.
+    if !response.is_misdirected || response.replica_id.as_deref() == Some(facts.replica_id) {
+        notice.set(response.notice);
+    }
     if let Some(outcome) = reject_response(&response, &head, request, facts) {
         return outcome;
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -5,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::calls::SuspectStatus;
+use crate::fleet::ReplicaNotice;
 use crate::fleet::RouteKind;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
@@ -226,6 +228,7 @@
             None => head_deadline,
         };
         let held = (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES);
+        let notice = Cell::new(ReplicaNotice::default());
         let work = exchange::send_to_replica(
             &*self.dialect,
             request,
@@ -233,8 +236,44 @@
             &facts,
             head_deadline,
             held,
+            &notice,
         );
-        client.run_unless_closed(work).await
+        let outcome = client.run_unless_closed(work).await;
+        self.record_notice(request, chosen, notice.get());
+        outcome
+    }
+
+    /// Records and logs what an answer said of its replica.
+    fn record_notice(
+        &self,
+        request: &RoutedRequest,
+        chosen: &ChosenReplica,
+        notice: ReplicaNotice,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        let is_first_of_leaving = state.replicas.record_notice(
+            chosen.key,
+            chosen.born_unix_ms,
+            notice,
+            chosen.sent_ms,
+            now_ms,
+        );
+        drop(state);
+        if is_first_of_leaving {
+            LogLine::new(Event::ReplicaAnnouncesLeaving)
+                .text("replica", &chosen.id)
+                .text("id", &request.facts.attempt_id)
+                .enqueue();
+        }
+        if let Some(pause_ms) = notice.pause_ms {
+            LogLine::new(Event::ReplicaPaused)
+                .text("replica", &chosen.id)
+                .text("id", &request.facts.attempt_id)
+                .number("pause_ms", pause_ms)
+                .number("sent_ms_ago", now_ms.saturating_sub(chosen.sent_ms))
+                .enqueue();
+        }
     }
 
     /// Whether the retry budget of the request's service allows one more send.
@@ -288,9 +327,14 @@
                 request.sends += 1;
                 let failed = response.head.status >= 500;
                 let latency_ms = request.received_at.elapsed().as_secs_f64() * 1_000.0;
-                state
-                    .replicas
-                    .record_answer(chosen.key, latency_ms, failed, now_ms);
+                // A replica that wants a pause has not failed.
+                let asks_for_pause =
+                    response.head.status == 503 && state.replicas.get(chosen.key).is_paused(now_ms);
+                if !asks_for_pause {
+                    state
+                        .replicas
+                        .record_answer(chosen.key, latency_ms, failed, now_ms);
+                }
                 let is_retryable = failed
                     && request.route.kind == RouteKind::Idempotent
                     && request.has_attempts_left()
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::AdmissionDecision;
 use crate::fleet::AdmissionInput;
+use crate::fleet::RefusalCause;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::admit_request;
@@ -29,6 +30,10 @@
     pub(super) key: ReplicaKey,
     /// Identifier that the replica must confirm.
     pub(super) id: String,
+    /// Start of its incarnation.
+    pub(super) born_unix_ms: Option<u64>,
+    /// Time at which it was chosen and the request is sent.
+    pub(super) sent_ms: u64,
     /// Address for requests.
     pub(super) address: SocketAddr,
     /// Predicted time to the first event or the response, in ms.
@@ -153,6 +158,8 @@
                 Ok(ChosenReplica {
                     key,
                     id: replica.record.id.clone(),
+                    born_unix_ms: replica.record.born_unix_ms,
+                    sent_ms: now_ms,
                     address: replica.record.address,
                     predicted_ms,
                     weights_version: required
@@ -166,6 +173,14 @@
                         .map(|load| now_ms - load.received_ms),
                 })
             }
+            AdmissionDecision::Refuse {
+                cause: RefusalCause::NoReplica,
+                retry_after_ms,
+            } => {
+                let pause_ms = time_to_first_pause_end(&state, &request.service, now_ms);
+                let retry_after_ms = (pause_ms + retry_after_ms).min(request.left_ms() / 3);
+                Err((RefusalCause::NoReplica.label(), retry_after_ms))
+            }
             AdmissionDecision::Refuse {
                 cause,
                 retry_after_ms,
@@ -206,3 +221,15 @@
         }
     }
 }
+
+/// Time until the first replica of `service` that pauses takes requests again, in ms; 0 if
+/// none pauses.
+fn time_to_first_pause_end(state: &GatewayState, service: &str, now_ms: u64) -> u64 {
+    let replicas = state.replicas.listed();
+    replicas
+        .filter(|(_, replica)| replica.record.service == service)
+        .filter_map(|(_, replica)| replica.pause_end_ms())
+        .filter(|end_ms| *end_ms > now_ms)
+        .min()
+        .map_or(0, |end_ms| end_ms - now_ms)
+}
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::Catalog;
 use crate::fleet::RecordVersion;
+use crate::fleet::ReplicaNotice;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
@@ -73,6 +74,8 @@
     pub replica_id: Option<String>,
     /// Whether the body has a content encoding, which a replica never sets.
     pub is_encoded: bool,
+    /// What the replica says of itself besides.
+    pub notice: ReplicaNotice,
 }
 
 /// A client's query for the addresses of entries.
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -85,6 +85,8 @@
     714 TopicListed Info "A listing of a topic was read from the platform's store, or the read failed.";
     715 TopicRewound Warn "The platform's store came back from an older copy, and a topic was listed anew.";
     716 ReplyDiscarded Info "A reply of the platform's store was discarded, since the store has come back from an older copy after it.";
+    717 ReplicaAnnouncesLeaving Info "An answer of a replica said for the first time that it is leaving; it gets no new work.";
+    718 ReplicaPaused Info "A replica turned a request away and wants nothing from this process for a time.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,5 +4,6 @@
 mod fixture;
 mod fleet_view;
 mod listing_turn;
+mod notices;
 mod retries;
 mod rewind;
--- /dev/null
+++ b/tests/fleet/notices.rs
@@ -0,0 +1,89 @@
+use crate::fixture::record;
+use crate::fixture::table;
+use bergamotfork::fleet::ReplicaNotice;
+use bergamotfork::fleet::ReplicaState;
+
+fn pause(pause_ms: u64) -> ReplicaNotice {
+    ReplicaNotice {
+        is_leaving: false,
+        pause_ms: Some(pause_ms),
+    }
+}
+
+const LEAVING: ReplicaNotice = ReplicaNotice {
+    is_leaving: true,
+    pause_ms: None,
+};
+
+#[test]
+fn record_notice_pause_ends() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(300), 990, 1_000);
+    assert!(!table.get(keys[0]).is_usable(1_299));
+    assert!(table.get(keys[0]).is_usable(1_300));
+}
+
+/// A later answer sets the pause anew, one to an earlier request only extends it.
+#[test]
+fn record_notice_pause_of_later_and_earlier_request() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(500), 990, 1_000);
+    table.record_notice(keys[0], Some(1), pause(100), 980, 1_000);
+    assert!(!table.get(keys[0]).is_usable(1_400));
+    table.record_notice(keys[0], Some(1), pause(600), 985, 1_000);
+    assert!(!table.get(keys[0]).is_usable(1_550));
+    table.record_notice(keys[0], Some(1), pause(0), 995, 1_050);
+    assert!(table.get(keys[0]).is_usable(1_050));
+}
+
+#[test]
+fn record_notice_pause_ends_with_newer_incarnation() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(9_000), 990, 1_000);
+    let mut newer = record("r1", 1);
+    newer.born_unix_ms = Some(2);
+    let (key, _) = table.register(newer, 1_010);
+    assert!(table.get(key).is_usable(1_010));
+    // An answer of the earlier incarnation that comes late.
+    table.record_notice(key, Some(1), pause(9_000), 1_005, 1_020);
+    assert!(!table.record_notice(key, Some(1), LEAVING, 1_005, 1_020));
+    assert!(table.get(key).is_usable(1_020));
+}
+
+/// A record, also one that was removed and comes back, takes back nothing.
+#[test]
+fn record_notice_leaving_is_kept() {
+    let (mut table, keys) = table(1_000, &[0]);
+    assert!(table.record_notice(keys[0], Some(1), LEAVING, 990, 1_000));
+    assert!(!table.record_notice(keys[0], Some(1), LEAVING, 995, 1_001));
+    for _ in 0..2 {
+        let (key, _) = table.register(record("r1", 1), 1_010);
+        assert!(!table.get(key).is_usable(1_010));
+        table.remove("r1");
+        // Another replica takes its place in the table.
+        table.register(record("r2", 2), 1_020);
+    }
+    let mut newer = record("r1", 1);
+    newer.born_unix_ms = Some(2);
+    let (key, _) = table.register(newer, 1_030);
+    assert_eq!(table.get(key).record.state, ReplicaState::Ready);
+    assert!(table.get(key).is_usable(1_030));
+}
+
+/// Another replica at the same address is not touched by it.
+#[test]
+fn record_notice_leaving_same_address() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), LEAVING, 990, 1_000);
+    let (other, _) = table.register(record("r9", 1), 1_010);
+    assert!(table.get(other).is_usable(1_010));
+}
+
+#[test]
+fn record_notice_pause_outlasts_removal() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(9_000), 990, 1_000);
+    table.remove("r1");
+    let (key, _) = table.register(record("r1", 1), 1_010);
+    assert!(!table.get(key).is_usable(1_010));
+}
