Log how an order to the engine ended and how old its checks are

Of an engine that makes tokens with wrong weights, logs could not tell three causes apart: an order without an answer that is carried out later, pieces that changed between check and order, and a late write of a piece.

804 and 805 now give the number of orders that the engine counted and the age of the oldest check, 805 whether there was an answer, and a write that fails is event 807. No logic is changed.

--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -93,6 +93,7 @@
     804 OrderGiven Info "The engine was ordered to load a version.";
     805 OrderFailed Warn "An order to the engine was refused or got no answer.";
     806 EngineChanged Info "The engine restarted, or its version or state changed.";
+    807 PieceWriteFailed Warn "A write of a piece into the staging area was refused or got no answer.";
 }
 
 /// Logs `event` with `fields` as one line of text.
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -174,7 +174,13 @@
         match engine.write_piece(self.model, index, bytes).await {
             Ok(()) => true,
             Err(error) => {
-                log::debug!("cannot write piece {index} to the staging area: {error}");
+                LogLine::new(Event::PieceWriteFailed)
+                    .text("error", error.to_string())
+                    .flag("answered", error.is_answer())
+                    .text("model", self.model)
+                    .number("version", self.version)
+                    .number("piece", index)
+                    .enqueue();
                 false
             }
         }
@@ -187,6 +193,7 @@
         manifest: &PieceManifest,
         index: u32,
     ) -> bool {
+        let started_ms = self.state.borrow().now_ms() as i64;
         let is_valid = match engine.read_piece(self.model, index).await {
             Ok(Some(bytes)) => manifest.matches(index, &bytes),
             Ok(None) => false,
@@ -197,9 +204,9 @@
         };
         let staged_version = if is_valid { self.version } else { 0 };
         let mut state = self.state.borrow_mut();
-        state
-            .staged_model(self.model)
-            .set_staged_version(index, staged_version);
+        let staged_model = state.staged_model(self.model);
+        staged_model.set_staged_version(index, staged_version);
+        staged_model.record_check(index, started_ms);
         is_valid
     }
 
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -85,6 +85,13 @@
     }
     state.borrow_mut().is_load_announced = true;
     tokio::time::sleep(ANNOUNCE_DELAY).await;
+    let (known_orders, checked_ms_ago) = {
+        let mut state = state.borrow_mut();
+        let orders = state.engine_report.as_ref().map_or(0, |r| r.orders);
+        let now_ms = state.now_ms() as i64;
+        let oldest_check_ms = state.staged_model(download.model).oldest_check_ms();
+        (orders, now_ms - oldest_check_ms)
+    };
     let mut engine = download.engine.clone();
     let line = match engine.order_load(download.model, download.version).await {
         Ok(()) => {
@@ -96,10 +103,14 @@
                 .free_buffers(download.version);
             LogLine::new(Event::OrderGiven)
         }
-        Err(error) => LogLine::new(Event::OrderFailed).text("error", error.to_string()),
+        Err(error) => LogLine::new(Event::OrderFailed)
+            .text("error", error.to_string())
+            .flag("answered", error.is_answer()),
     };
     line.text("model", download.model)
         .number("version", download.version)
+        .number("orders", known_orders)
+        .number("checked_ms_ago", checked_ms_ago)
         .enqueue();
     let deadline = tokio::time::Instant::now() + ORDER_REPORT_TIMEOUT;
     while tokio::time::Instant::now() < deadline {
--- a/src/weights/piece_origin.rs
+++ b/src/weights/piece_origin.rs
@@ -18,6 +18,14 @@
     Corrupt,
 }
 
+impl ExternalCallError {
+    /// Returns whether the callee answered. Without an answer, it may still carry out the
+    /// call.
+    pub fn is_answer(&self) -> bool {
+        !matches!(self, Self::Unreachable(_))
+    }
+}
+
 impl fmt::Display for ExternalCallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
