Keep an order without an answer open until it can't take effect

Cause: an order to load weights that got no answer was taken for one that was not given. The engine accepted it up to twelve seconds later, and took what was staged by then: pieces of later versions.

An order now names the number of orders that the engine must have accepted before it, so that of several sent with one number at most one is accepted. While one without an answer is open, pieces of other versions are kept in memory and not staged, and the order is sent again before any newer version, until the engine's count has risen, the engine has restarted, or 30 s have passed. Event 808 and a counter of orders by outcome show it.

--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -94,6 +94,7 @@
     805 OrderFailed Warn "An order to the engine was refused or got no answer.";
     806 EngineChanged Info "The engine restarted, or its version or state changed.";
     807 PieceWriteFailed Warn "A write of a piece into the staging area was refused or got no answer.";
+    808 OrderSettled Info "An order to the engine that got no answer can no longer take effect.";
 }
 
 /// Logs `event` with `fields` as one line of text.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -29,11 +29,13 @@
     CutOffAdmissions,
     /// Answers of replicas, by the `framing` of the body and how it `end`ed.
     ReplicaAnswers,
+    /// Orders to the engine to load weights, by `outcome`.
+    LoadOrders,
 }
 
 impl CounterKind {
     /// All counters, in order of declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -43,6 +45,7 @@
         Self::PlatformCalls,
         Self::CutOffAdmissions,
         Self::ReplicaAnswers,
+        Self::LoadOrders,
     ];
 
     /// Name of the counter; the exported text appends `_total` to it.
@@ -57,6 +60,7 @@
             Self::PlatformCalls => "bergamotfork_platform_calls",
             Self::CutOffAdmissions => "bergamotfork_cut_off_admissions",
             Self::ReplicaAnswers => "bergamotfork_replica_answers",
+            Self::LoadOrders => "bergamotfork_load_orders",
         }
     }
 }
--- /dev/null
+++ b/src/staging/load_order.rs
@@ -0,0 +1,35 @@
+use crate::weights::ExternalCallError;
+
+/// An order to the engine to load the staged pieces of a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadOrder {
+    /// Name of the model.
+    pub model: String,
+    /// Version to load.
+    pub version: u64,
+    /// Number of orders that the engine must have accepted so far; it refuses this one
+    /// otherwise.
+    pub expected_orders: u64,
+}
+
+/// How the engine answered an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It takes the staged pieces, or has loaded the version already.
+    Accepted,
+    /// It does not carry the order out; holds the error for the log.
+    Refused(ExternalCallError),
+    /// There was no answer: it may have accepted the order, or may accept it later.
+    Unanswered(ExternalCallError),
+}
+
+impl OrderOutcome {
+    /// Returns the name of the outcome in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused(_) => "refused",
+            Self::Unanswered(_) => "unanswered",
+        }
+    }
+}
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -8,8 +8,10 @@
 
 mod fetch_schedule;
 mod follow_records;
+mod load_order;
 mod manifest;
 mod next_load;
+mod order_ledger;
 mod piece_handler;
 mod ports;
 mod process;
@@ -23,10 +25,15 @@
 mod weights_manager;
 
 pub use fetch_schedule::FetchSchedule;
+pub use load_order::LoadOrder;
+pub use load_order::OrderOutcome;
 pub use next_load::DownloadProgress;
 pub use next_load::NextLoad;
 pub use next_load::NextLoadInput;
 pub use next_load::next_load;
+pub use order_ledger::OpenOrder;
+pub use order_ledger::OrderEnd;
+pub use order_ledger::OrderLedger;
 pub use ports::EnginePort;
 pub use ports::EngineReport;
 pub use process::run_endpoint_process;
--- a/src/staging/ports.rs
+++ b/src/staging/ports.rs
@@ -1,5 +1,7 @@
 use std::future::Future;
 
+use crate::staging::LoadOrder;
+use crate::staging::OrderOutcome;
 use crate::weights::ExternalCallError;
 
 /// State of an engine as the engine itself reports it.
@@ -52,10 +54,7 @@
         index: u32,
         bytes: &[u8],
     ) -> impl Future<Output = Result<(), ExternalCallError>>;
-    /// Orders the engine to load the staged version once its running requests have ended.
-    fn order_load(
-        &mut self,
-        model: &str,
-        version: u64,
-    ) -> impl Future<Output = Result<(), ExternalCallError>>;
+    /// Orders the engine to load the pieces that are staged when it accepts the order, once
+    /// its running requests have ended.
+    fn order_load(&mut self, order: &LoadOrder) -> impl Future<Output = OrderOutcome>;
 }
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -58,7 +58,7 @@
 ) {
     let mut state = state.borrow_mut();
     log_engine_change(state.engine_report.as_ref(), report.as_ref());
-    state.engine_report = report;
+    state.record_engine_report(report);
     let bytes = Datagram::Load(load_report(&state, with_declarations)).encode();
     let relay_entries = state.relay_entries();
     let is_relay_entry =
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -19,7 +19,12 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
 use crate::gateway::log_rejected_record;
+use crate::observe::Event;
+use crate::observe::LogLine;
 use crate::staging::EngineReport;
+use crate::staging::OpenOrder;
+use crate::staging::OrderEnd;
+use crate::staging::OrderLedger;
 use crate::staging::RelayEntry;
 use crate::staging::StagedModel;
 use crate::staging::StagingSettings;
@@ -97,6 +102,8 @@
     entries: Vec<KnownEntry>,
     /// Model and version of the load order that the engine has not carried out yet.
     pub pending_order: Option<(String, u64)>,
+    /// Orders to the engine that got no answer.
+    pub orders: OrderLedger,
     /// Declared versions of weights.
     pub declared: Declarations,
     topic_tables: [TopicTable; 3],
@@ -116,6 +123,7 @@
             peer_pieces: Vec::new(),
             entries: Vec::new(),
             pending_order: None,
+            orders: OrderLedger::default(),
             declared: Declarations::default(),
             topic_tables: Default::default(),
             started_at: Instant::now(),
@@ -220,7 +228,15 @@
 
     /// Returns the version of `model` to load next; `None` when no newer version is
     /// declared.
+    ///
+    /// An order that may still take effect comes before newer versions.
     pub fn next_load(&self, model: &str) -> Option<NextLoad> {
+        if let Some(version) = self.orders.open_version(model) {
+            return Some(NextLoad {
+                version,
+                not_before_ms: self.now_ms() as i64,
+            });
+        }
         let mut declared: Vec<Declaration> = self.declared.for_model(model).cloned().collect();
         if declared.is_empty() {
             declared.push(Declaration {
@@ -298,7 +314,8 @@
     }
 
     /// Returns whether pieces of `version` may be written to the staging area right
-    /// away: no complete earlier version waits to be loaded.
+    /// away: no complete earlier version waits to be loaded, and no order for another one
+    /// may still take effect.
     pub fn can_overwrite_staged(&self, model: &str, version: u64) -> bool {
         let engine_version = self.engine_version(model);
         let has_waiting = |staged: &StagedModel| {
@@ -307,10 +324,11 @@
                 other > engine_version && other < version && staged.is_complete(other)
             })
         };
-        !self
+        let is_waiting = self
             .staged_models
             .iter()
-            .any(|staged| staged.model == model && has_waiting(staged))
+            .any(|staged| staged.model == model && has_waiting(staged));
+        !is_waiting && self.orders.may_write(model, version)
     }
 
     /// Returns the weights of `model` on this host, created when missing.
@@ -329,6 +347,15 @@
         &mut self.staged_models[at]
     }
 
+    /// Stores what the engine reported, or that it did not answer.
+    pub fn record_engine_report(&mut self, report: Option<EngineReport>) {
+        let now_ms = self.now_ms() as i64;
+        if let Some(report) = &report {
+            log_settled_orders(&self.orders.settle(report, now_ms), now_ms);
+        }
+        self.engine_report = report;
+    }
+
     /// Records which pieces another host holds and drops outdated reports.
     pub fn record_peer_pieces(&mut self, reported: PeerPieces) {
         let is_same = |known: &&mut PeerPieces| {
@@ -360,6 +387,19 @@
     }
 }
 
+/// Logs orders that can no longer take effect.
+pub(super) fn log_settled_orders(settled: &[(OpenOrder, OrderEnd)], now_ms: i64) {
+    for (open, end) in settled {
+        LogLine::new(Event::OrderSettled)
+            .text("model", &open.order.model)
+            .number("version", open.order.version)
+            .text("end", end.name())
+            .number("orders", open.order.expected_orders)
+            .number("took_ms", now_ms - open.first_sent_ms)
+            .enqueue();
+    }
+}
+
 impl TopicSink for StagingState {
     fn topic_table(&self, topic: Topic) -> &TopicTable {
         &self.topic_tables[topic as usize]
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -2,12 +2,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::observe::CounterKind;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
 use crate::staging::EnginePort;
+use crate::staging::LoadOrder;
 use crate::staging::NextLoad;
+use crate::staging::OrderOutcome;
 use crate::staging::StagingState;
+use crate::staging::state::log_settled_orders;
 use crate::staging::weights_download::WeightsDownload;
 use crate::weights::OriginPort;
 
@@ -85,33 +89,7 @@
     }
     state.borrow_mut().is_load_announced = true;
     tokio::time::sleep(ANNOUNCE_DELAY).await;
-    let (known_orders, checked_ms_ago) = {
-        let mut state = state.borrow_mut();
-        let orders = state.engine_report.as_ref().map_or(0, |r| r.orders);
-        let now_ms = state.now_ms() as i64;
-        let oldest_check_ms = state.staged_model(download.model).oldest_check_ms();
-        (orders, now_ms - oldest_check_ms)
-    };
-    let mut engine = download.engine.clone();
-    let line = match engine.order_load(download.model, download.version).await {
-        Ok(()) => {
-            let order = (download.model.to_owned(), download.version);
-            let mut state = state.borrow_mut();
-            state.pending_order = Some(order);
-            state
-                .staged_model(download.model)
-                .free_buffers(download.version);
-            LogLine::new(Event::OrderGiven)
-        }
-        Err(error) => LogLine::new(Event::OrderFailed)
-            .text("error", error.to_string())
-            .flag("answered", error.is_answer()),
-    };
-    line.text("model", download.model)
-        .number("version", download.version)
-        .number("orders", known_orders)
-        .number("checked_ms_ago", checked_ms_ago)
-        .enqueue();
+    send_order(download).await;
     let deadline = tokio::time::Instant::now() + ORDER_REPORT_TIMEOUT;
     while tokio::time::Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -126,6 +104,56 @@
     state.borrow_mut().is_load_announced = false;
 }
 
+/// Orders the engine to load the staged version and records the outcome.
+async fn send_order<E: EnginePort, O: OriginPort>(download: &WeightsDownload<'_, E, O>) {
+    let (order, born_unix_ms, sent_ms, oldest_check_ms) = {
+        let mut state = download.state.borrow_mut();
+        let Some(report) = &state.engine_report else {
+            return;
+        };
+        let order = LoadOrder {
+            model: download.model.to_owned(),
+            version: download.version,
+            expected_orders: report.orders,
+        };
+        let born_unix_ms = report.born_unix_ms;
+        let sent_ms = state.now_ms() as i64;
+        let oldest_check_ms = state.staged_model(download.model).oldest_check_ms();
+        (order, born_unix_ms, sent_ms, oldest_check_ms)
+    };
+    let outcome = download.engine.clone().order_load(&order).await;
+    let metrics = download.metrics;
+    metrics.add(CounterKind::LoadOrders, 1, "outcome", outcome.name());
+    let line = match &outcome {
+        OrderOutcome::Accepted => LogLine::new(Event::OrderGiven),
+        OrderOutcome::Refused(error) | OrderOutcome::Unanswered(error) => {
+            LogLine::new(Event::OrderFailed)
+                .text("error", error.to_string())
+                .flag("answered", matches!(outcome, OrderOutcome::Refused(_)))
+        }
+    };
+    line.text("model", &order.model)
+        .number("version", order.version)
+        .number("orders", order.expected_orders)
+        .number("checked_ms_ago", sent_ms - oldest_check_ms)
+        .enqueue();
+    let mut state = download.state.borrow_mut();
+    match outcome {
+        OrderOutcome::Accepted => {
+            let now_ms = state.now_ms() as i64;
+            log_settled_orders(&state.orders.record_accepted(), now_ms);
+            state.pending_order = Some((order.model, order.version));
+            state
+                .staged_model(download.model)
+                .free_buffers(download.version);
+        }
+        OrderOutcome::Refused(_) => {}
+        OrderOutcome::Unanswered(_) => {
+            state.orders.record_unanswered(order, born_unix_ms, sent_ms);
+        }
+    }
+}
+
 /// Returns whether the load of `next` may be ordered `lead_ms` from now.
 fn is_due(state: &StagingState, model: &str, next: NextLoad, lead_ms: i64) -> bool {
     let is_slot_due = state.now_ms() as i64 + lead_ms >= next.not_before_ms;
