Order the engine to load only pieces that were checked just before

Callers would get tokens of weights of which a piece was spoilt or missing.

Cause: the order relied on checks made before a pause. A process that was frozen after the last check, and an engine that had restarted without its staged pieces since, got the order all the same.

A pass over the staging area now yields what it was made for: the incarnation of the engine, its count of orders, and when the first piece was read.

--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -6,6 +6,7 @@
 //! about one copy leaves the origin, and each link between regions carries each
 //! piece once. The traits in `ports` hide the protocol of the platform.
 
+mod checked_pieces;
 mod fetch_schedule;
 mod follow_records;
 mod load_order;
@@ -24,6 +25,7 @@
 mod weights_download;
 mod weights_manager;
 
+pub use checked_pieces::CheckedPieces;
 pub use fetch_schedule::FetchSchedule;
 pub use load_order::LoadOrder;
 pub use load_order::OrderOutcome;
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -31,8 +31,6 @@
     pub model: String,
     // Verified version of each staged piece; 0 when unknown.
     staged_versions: Vec<u64>,
-    // Monotonic time of the last check of each staged piece, in ms.
-    last_checked_ms: Vec<i64>,
     // In ascending order of versions.
     downloads: Vec<VersionDownload>,
 }
@@ -43,7 +41,6 @@
         Self {
             model: model.to_owned(),
             staged_versions: Vec::new(),
-            last_checked_ms: Vec::new(),
             downloads: Vec::new(),
         }
     }
@@ -53,7 +50,6 @@
     /// Drops the lowest version when more than `MAX_VERSIONS` would be kept.
     pub fn start_download(&mut self, manifest: PieceManifest, now_ms: i64) {
         self.staged_versions.resize(manifest.digests.len(), 0);
-        self.last_checked_ms.resize(manifest.digests.len(), 0);
         let found = self
             .downloads
             .binary_search_by_key(&manifest.version, |download| download.manifest.version);
@@ -106,19 +102,6 @@
         }
     }
 
-    /// Records that the staged piece `index` was read at `started_ms` and compared with its
-    /// digest.
-    pub fn record_check(&mut self, index: u32, started_ms: i64) {
-        if let Some(checked_ms) = self.last_checked_ms.get_mut(index as usize) {
-            *checked_ms = started_ms;
-        }
-    }
-
-    /// Returns the monotonic time, in ms, since which every staged piece was checked.
-    pub fn oldest_check_ms(&self) -> i64 {
-        self.last_checked_ms.iter().min().copied().unwrap_or(0)
-    }
-
     /// Returns a piece of `version` that is buffered in memory.
     pub fn buffered_piece(&self, version: u64, index: u32) -> Option<Rc<Vec<u8>>> {
         self.version_download(version)?
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -13,6 +13,7 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
+use crate::staging::CheckedPieces;
 use crate::staging::EnginePort;
 use crate::staging::StagingState;
 use crate::staging::assign_pieces;
@@ -134,10 +135,13 @@
     }
 
     /// Writes every piece of this version to the staging area and verifies it there;
-    /// returns whether all pieces are valid.
-    pub async fn stage_pieces(&self) -> bool {
-        let Some(manifest) = self.known_manifest() else {
-            return false;
+    /// `None` unless all pieces are valid.
+    pub async fn stage_pieces(&self) -> Option<CheckedPieces> {
+        let manifest = self.known_manifest()?;
+        let (born_unix_ms, orders, started_ms) = {
+            let state = self.state.borrow();
+            let report = state.engine_report.as_ref()?;
+            (report.born_unix_ms, report.orders, state.now_ms() as i64)
         };
         let mut engine = self.engine.clone();
         let mut all_staged = true;
@@ -166,7 +170,12 @@
                     .verify_staged_piece(&mut engine, &manifest, index)
                     .await;
         }
-        all_staged
+        all_staged.then_some(CheckedPieces {
+            born_unix_ms,
+            orders,
+            started_ms,
+            ended_ms: self.state.borrow().now_ms() as i64,
+        })
     }
 
     /// Writes a piece to the staging area; returns whether it succeeded.
@@ -193,7 +202,6 @@
         manifest: &PieceManifest,
         index: u32,
     ) -> bool {
-        let started_ms = self.state.borrow().now_ms() as i64;
         let is_valid = match engine.read_piece(self.model, index).await {
             Ok(Some(bytes)) => manifest.matches(index, &bytes),
             Ok(None) => false,
@@ -204,9 +212,9 @@
         };
         let staged_version = if is_valid { self.version } else { 0 };
         let mut state = self.state.borrow_mut();
-        let staged_model = state.staged_model(self.model);
-        staged_model.set_staged_version(index, staged_version);
-        staged_model.record_check(index, started_ms);
+        state
+            .staged_model(self.model)
+            .set_staged_version(index, staged_version);
         is_valid
     }
 
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -6,7 +6,9 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
+use crate::staging::CheckedPieces;
 use crate::staging::EnginePort;
+use crate::staging::EngineReport;
 use crate::staging::LoadOrder;
 use crate::staging::NextLoad;
 use crate::staging::OrderOutcome;
@@ -27,6 +29,9 @@
 /// valid for some seconds.
 const STAGE_LEAD_MS: i64 = 700;
 
+/// Number of times that the pieces are checked again when their check is outdated.
+const MAX_CHECKS: u32 = 3;
+
 /// Longest time until a load order shows in the report of the engine.
 const ORDER_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -74,11 +79,12 @@
     next: NextLoad,
 ) {
     let state = download.state;
-    if !is_due(&state.borrow(), download.model, next, STAGE_LEAD_MS)
-        || !download.stage_pieces().await
-    {
+    if !is_due(&state.borrow(), download.model, next, STAGE_LEAD_MS) {
         return;
     }
+    let Some(checked) = download.stage_pieces().await else {
+        return;
+    };
     let left_ms = next.not_before_ms - state.borrow().now_ms() as i64;
     tokio::time::sleep(Duration::from_millis(u64::try_from(left_ms).unwrap_or(0))).await;
     let current = state.borrow().next_load(download.model);
@@ -89,11 +95,19 @@
     }
     state.borrow_mut().is_load_announced = true;
     tokio::time::sleep(ANNOUNCE_DELAY).await;
-    send_order(download).await;
+    if let Some(checked) = renew_check(download, checked).await {
+        send_order(download, checked).await;
+        wait_for_report(download).await;
+    }
+    state.borrow_mut().is_load_announced = false;
+}
+
+/// Waits until the engine reports the order, for a bounded time.
+async fn wait_for_report<E: EnginePort, O: OriginPort>(download: &WeightsDownload<'_, E, O>) {
     let deadline = tokio::time::Instant::now() + ORDER_REPORT_TIMEOUT;
     while tokio::time::Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
-        let state = state.borrow();
+        let state = download.state.borrow();
         let is_reported = state.engine_report.as_ref().is_none_or(|report| {
             report.is_busy || report.version(download.model) == download.version
         });
@@ -101,26 +115,56 @@
             break;
         }
     }
-    state.borrow_mut().is_load_announced = false;
+}
+
+/// Reads the state of the engine and repeats the check of the pieces where it is outdated;
+/// `None` when they are not valid any more.
+async fn renew_check<E: EnginePort, O: OriginPort>(
+    download: &WeightsDownload<'_, E, O>,
+    mut checked: CheckedPieces,
+) -> Option<CheckedPieces> {
+    for _ in 0..MAX_CHECKS {
+        if is_check_valid(download, |report, now_ms| {
+            checked.is_current(report, now_ms)
+        })
+        .await
+        {
+            return Some(checked);
+        }
+        checked = download.stage_pieces().await?;
+    }
+    // The pieces can't be read any faster.
+    is_check_valid(download, |report, now_ms| {
+        checked.has_just_ended(report, now_ms)
+    })
+    .await
+    .then_some(checked)
+}
+
+/// Returns whether a check holds by what the engine reports now.
+async fn is_check_valid<E: EnginePort, O: OriginPort>(
+    download: &WeightsDownload<'_, E, O>,
+    holds: impl Fn(&EngineReport, i64) -> bool,
+) -> bool {
+    let report = download.engine.clone().report().await.ok();
+    let mut state = download.state.borrow_mut();
+    state.record_engine_report(report);
+    let now_ms = state.now_ms() as i64;
+    let report = state.engine_report.as_ref();
+    report.is_some_and(|report| !report.is_busy && holds(report, now_ms))
 }
 
 /// Orders the engine to load the staged version and records the outcome.
-async fn send_order<E: EnginePort, O: OriginPort>(download: &WeightsDownload<'_, E, O>) {
-    let (order, born_unix_ms, sent_ms, oldest_check_ms) = {
-        let mut state = download.state.borrow_mut();
-        let Some(report) = &state.engine_report else {
-            return;
-        };
-        let order = LoadOrder {
-            model: download.model.to_owned(),
-            version: download.version,
-            expected_orders: report.orders,
-        };
-        let born_unix_ms = report.born_unix_ms;
-        let sent_ms = state.now_ms() as i64;
-        let oldest_check_ms = state.staged_model(download.model).oldest_check_ms();
-        (order, born_unix_ms, sent_ms, oldest_check_ms)
+async fn send_order<E: EnginePort, O: OriginPort>(
+    download: &WeightsDownload<'_, E, O>,
+    checked: CheckedPieces,
+) {
+    let order = LoadOrder {
+        model: download.model.to_owned(),
+        version: download.version,
+        expected_orders: checked.orders,
     };
+    let sent_ms = download.state.borrow().now_ms() as i64;
     let outcome = download.engine.clone().order_load(&order).await;
     let metrics = download.metrics;
     metrics.add(CounterKind::LoadOrders, 1, "outcome", outcome.name());
@@ -135,7 +179,7 @@
     line.text("model", &order.model)
         .number("version", order.version)
         .number("orders", order.expected_orders)
-        .number("checked_ms_ago", sent_ms - oldest_check_ms)
+        .number("checked_ms_ago", sent_ms - checked.started_ms)
         .enqueue();
     let mut state = download.state.borrow_mut();
     match outcome {
@@ -149,6 +193,7 @@
         }
         OrderOutcome::Refused(_) => {}
         OrderOutcome::Unanswered(_) => {
+            let born_unix_ms = checked.born_unix_ms;
             state.orders.record_unanswered(order, born_unix_ms, sent_ms);
         }
     }
