Name the incarnation of the engine in each order

Callers would get tokens of missing weights from an engine that restarted, and lost its staged pieces, in the moment between the last report and the order: the new incarnation counts no orders either, and accepted it.

The order names the id by which the replica is registered, where the record of the incarnation that was checked is known; another one refuses it. A restart under the same id within that moment is not covered by it.

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -26,6 +26,8 @@
     pub target: &'a str,
     /// Value of Content-Type; the header is not sent when empty.
     pub content_type: &'a str,
+    /// Further headers, as pairs of name and value.
+    pub headers: &'a [(&'a str, &'a str)],
     /// Complete body; may be empty.
     pub body: &'a [u8],
     /// Time from opening the connection to the end of the response.
@@ -41,6 +43,7 @@
             method: "GET",
             target,
             content_type: "",
+            headers: &[],
             body: &[],
             timeout,
             stall_timeout: timeout,
@@ -139,6 +142,9 @@
     if !request.content_type.is_empty() {
         bytes.push_str(&format!("Content-Type: {}\r\n", request.content_type));
     }
+    for (name, value) in request.headers {
+        bytes.push_str(&format!("{name}: {value}\r\n"));
+    }
     if !request.body.is_empty() || request.method != "GET" {
         bytes.push_str(&format!("Content-Length: {}\r\n", request.body.len()));
     }
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -206,6 +206,15 @@
         })
     }
 
+    /// Returns the id of the incarnation of the engine that started at `born_unix_ms`, if
+    /// its record is known.
+    pub fn incarnation(&self, born_unix_ms: Option<u64>) -> Option<String> {
+        let record = self.replicas.iter().find(|replica| {
+            replica.address == self.settings.replica && replica.born_unix_ms == born_unix_ms
+        })?;
+        record.born_unix_ms.map(|_| record.id.clone())
+    }
+
     /// Returns the origin of weights, if one is configured.
     pub fn origin(&self) -> Option<OriginProfile> {
         self.catalog
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -163,6 +163,7 @@
         model: download.model.to_owned(),
         version: download.version,
         expected_orders: checked.orders,
+        incarnation: download.state.borrow().incarnation(checked.born_unix_ms),
     };
     let sent_ms = download.state.borrow().now_ms() as i64;
     let outcome = download.engine.clone().order_load(&order).await;
