Wait for writes without an answer before another version is ordered

Callers would get tokens of weights of which a piece was of another version.

Cause: a write of a piece that gets no answer may be carried out later, over a piece of the next version that has been checked and is about to be ordered.

Such a write stays open. While one of another version is open, the version is not ordered, and its pieces are checked every 0.5 s. The write is settled when its piece is found in the staging area, when the engine restarts, or after 30 s.

--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -1,9 +1,10 @@
 use crate::staging::EngineReport;
 use crate::staging::LoadOrder;
 
-/// Time after its last send from which an unanswered order counts as lost, in ms. Platforms
-/// state no bound; orders that took effect twelve seconds late have been seen.
-const OPEN_ORDER_EXPIRY_MS: i64 = 30_000;
+/// Time after its last send from which a call to the engine that got no answer counts as
+/// lost, in ms. Platforms state no bound; orders that took effect twelve seconds late have
+/// been seen.
+pub(super) const UNANSWERED_CALL_EXPIRY_MS: i64 = 30_000;
 
 /// An order that may still take effect.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -116,7 +117,7 @@
             Some(OrderEnd::Restarted)
         } else if report.orders > self.order.expected_orders {
             Some(OrderEnd::Counted)
-        } else if now_ms - self.last_sent_ms >= OPEN_ORDER_EXPIRY_MS {
+        } else if now_ms - self.last_sent_ms >= UNANSWERED_CALL_EXPIRY_MS {
             Some(OrderEnd::Expired)
         } else {
             None
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use crate::staging::DownloadProgress;
+use crate::staging::order_ledger::UNANSWERED_CALL_EXPIRY_MS;
 use crate::weights::ChunkBitmap;
 use crate::weights::PieceManifest;
 
@@ -20,6 +21,14 @@
     buffered: Vec<Option<Rc<Vec<u8>>>>,
 }
 
+/// A write of a piece that got no answer and may be carried out later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct OpenWrite {
+    index: u32,
+    version: u64,
+    sent_ms: i64,
+}
+
 /// Weights of one model on this host: the pieces in the engine's staging area and
 /// those buffered in memory.
 ///
@@ -31,6 +40,8 @@
     pub model: String,
     // Verified version of each staged piece; 0 when unknown.
     staged_versions: Vec<u64>,
+    // Writes that may still be carried out.
+    open_writes: Vec<OpenWrite>,
     // In ascending order of versions.
     downloads: Vec<VersionDownload>,
 }
@@ -41,6 +52,7 @@
         Self {
             model: model.to_owned(),
             staged_versions: Vec::new(),
+            open_writes: Vec::new(),
             downloads: Vec::new(),
         }
     }
@@ -102,6 +114,43 @@
         }
     }
 
+    /// Records a write of piece `index` of `version` that was sent at `now_ms` and got no
+    /// answer.
+    pub fn record_open_write(&mut self, index: u32, version: u64, now_ms: i64) {
+        self.open_writes.push(OpenWrite {
+            index,
+            version,
+            sent_ms: now_ms,
+        });
+    }
+
+    /// Returns whether a piece of another version may still be written over one of
+    /// `version`.
+    pub fn has_open_write_of_other(&self, version: u64, now_ms: i64) -> bool {
+        self.open_writes.iter().any(|write| {
+            write.version != version && now_ms - write.sent_ms < UNANSWERED_CALL_EXPIRY_MS
+        })
+    }
+
+    /// Forgets the open write whose piece was found in the staging area, as `bytes` at
+    /// `index`: it has been carried out.
+    pub fn settle_write(&mut self, index: u32, bytes: &[u8]) {
+        let found = self.open_writes.iter().position(|write| {
+            write.index == index
+                && self
+                    .version_download(write.version)
+                    .is_some_and(|download| download.manifest.matches(index, bytes))
+        });
+        if let Some(found) = found {
+            self.open_writes.remove(found);
+        }
+    }
+
+    /// Forgets the writes that an earlier incarnation of the engine did not answer.
+    pub fn clear_open_writes(&mut self) {
+        self.open_writes.clear();
+    }
+
     /// Returns a piece of `version` that is buffered in memory.
     pub fn buffered_piece(&self, version: u64, index: u32) -> Option<Rc<Vec<u8>>> {
         self.version_download(version)?
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -102,6 +102,8 @@
     entries: Vec<KnownEntry>,
     /// Model and version of the load order that the engine has not carried out yet.
     pub pending_order: Option<(String, u64)>,
+    // Start of the last incarnation of the engine that has reported.
+    engine_born_unix_ms: Option<Option<u64>>,
     /// Orders to the engine that got no answer.
     pub orders: OrderLedger,
     /// Declared versions of weights.
@@ -123,6 +125,7 @@
             peer_pieces: Vec::new(),
             entries: Vec::new(),
             pending_order: None,
+            engine_born_unix_ms: None,
             orders: OrderLedger::default(),
             declared: Declarations::default(),
             topic_tables: Default::default(),
@@ -322,6 +325,15 @@
             .any(|staged| staged.model == model && staged.is_complete(version))
     }
 
+    /// Returns whether a piece of another version may still be written over one of
+    /// `version`, by a write that got no answer.
+    pub fn has_open_write_of_other(&self, model: &str, version: u64) -> bool {
+        let now_ms = self.now_ms() as i64;
+        self.staged_models
+            .iter()
+            .any(|staged| staged.model == model && staged.has_open_write_of_other(version, now_ms))
+    }
+
     /// Returns whether pieces of `version` may be written to the staging area right
     /// away: no complete earlier version waits to be loaded, and no order for another one
     /// may still take effect.
@@ -361,6 +373,12 @@
         let now_ms = self.now_ms() as i64;
         if let Some(report) = &report {
             log_settled_orders(&self.orders.settle(report, now_ms), now_ms);
+            let known = self.engine_born_unix_ms.replace(report.born_unix_ms);
+            if known.is_some_and(|born_unix_ms| born_unix_ms != report.born_unix_ms) {
+                self.staged_models
+                    .iter_mut()
+                    .for_each(StagedModel::clear_open_writes);
+            }
         }
         self.engine_report = report;
     }
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -162,7 +162,10 @@
                 continue;
             }
             let is_written = match bytes {
-                Some(bytes) => self.write_piece(&mut engine, index, &bytes).await,
+                Some(bytes) => {
+                    self.write_piece(&mut engine, &manifest, index, &bytes)
+                        .await
+                }
                 None => false,
             };
             all_staged &= is_written
@@ -179,7 +182,16 @@
     }
 
     /// Writes a piece to the staging area; returns whether it succeeded.
-    async fn write_piece(&self, engine: &mut E, index: u32, bytes: &[u8]) -> bool {
+    ///
+    /// A write without an answer may be carried out later, over a piece of another version,
+    /// unless the piece proves to be there already.
+    async fn write_piece(
+        &self,
+        engine: &mut E,
+        manifest: &PieceManifest,
+        index: u32,
+        bytes: &[u8],
+    ) -> bool {
         match engine.write_piece(self.model, index, bytes).await {
             Ok(()) => true,
             Err(error) => {
@@ -190,7 +202,15 @@
                     .number("version", self.version)
                     .number("piece", index)
                     .enqueue();
-                false
+                let is_carried_out = self.verify_staged_piece(engine, manifest, index).await;
+                if !is_carried_out && !error.is_answer() {
+                    let mut state = self.state.borrow_mut();
+                    let now_ms = state.now_ms() as i64;
+                    state
+                        .staged_model(self.model)
+                        .record_open_write(index, self.version, now_ms);
+                }
+                is_carried_out
             }
         }
     }
@@ -203,7 +223,14 @@
         index: u32,
     ) -> bool {
         let is_valid = match engine.read_piece(self.model, index).await {
-            Ok(Some(bytes)) => manifest.matches(index, &bytes),
+            Ok(Some(bytes)) => {
+                let is_valid = manifest.matches(index, &bytes);
+                if !is_valid {
+                    let mut state = self.state.borrow_mut();
+                    state.staged_model(self.model).settle_write(index, &bytes);
+                }
+                is_valid
+            }
             Ok(None) => false,
             Err(error) => {
                 log::debug!("cannot read piece {index} from the staging area: {error}");
@@ -398,7 +425,10 @@
             .state
             .borrow()
             .can_overwrite_staged(self.model, self.version);
-        let is_staged = can_stage && self.write_piece(engine, fetch.index, &bytes).await;
+        let is_staged = can_stage
+            && self
+                .write_piece(engine, manifest, fetch.index, &bytes)
+                .await;
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms() as i64;
         let staged_model = state.staged_model(self.model);
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -29,6 +29,10 @@
 /// valid for some seconds.
 const STAGE_LEAD_MS: i64 = 700;
 
+/// Interval at which the pieces are checked while one of another version may still be
+/// written over them.
+const OPEN_WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Number of times that the pieces are checked again when their check is outdated.
 const MAX_CHECKS: u32 = 3;
 
@@ -85,6 +89,13 @@
     let Some(checked) = download.stage_pieces().await else {
         return;
     };
+    if state
+        .borrow()
+        .has_open_write_of_other(download.model, next.version)
+    {
+        tokio::time::sleep(OPEN_WRITE_CHECK_INTERVAL).await;
+        return;
+    }
     let left_ms = next.not_before_ms - state.borrow().now_ms() as i64;
     tokio::time::sleep(Duration::from_millis(u64::try_from(left_ms).unwrap_or(0))).await;
     let current = state.borrow().next_load(download.model);
