Settle the orders of an earlier process before staging another version

Callers would get tokens of wrong weights after a restart of an endpoint process: the process that was killed had given an order without an answer, and the new one, which knew nothing of it, wrote the next version over the ordered pieces.

An order may be outstanding only if all pieces were of its version when it was sent. Before it writes the first piece, a process that has started compares the staging area with the manifests of the loaded, the wanted and the known versions in between. Missing pieces, pieces of several versions, or those of the loaded version show that nothing is outstanding; a later version counts as ordered, and is loaded first. Event 809 says what was found.

--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -95,6 +95,7 @@
     806 EngineChanged Info "The engine restarted, or its version or state changed.";
     807 PieceWriteFailed Warn "A write of a piece into the staging area was refused or got no answer.";
     808 OrderSettled Info "An order to the engine that got no answer can no longer take effect.";
+    809 StagingAreaExamined Info "A process that has started found out which version an earlier one left staged.";
 }
 
 /// Logs `event` with `fields` as one line of text.
--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -47,17 +47,10 @@
             if !self.is_wanted() {
                 return None;
             }
-            for address in self.manifest_sources() {
-                if let Some(manifest) = self.fetch_manifest_from_host(address).await {
-                    return Some(self.store_manifest(manifest));
-                }
+            if let Some(manifest) = self.search_manifest(delay.is_zero()).await {
+                return Some(self.store_manifest(manifest));
             }
             if delay.is_zero() {
-                if self.state.borrow().relay_entries().is_empty()
-                    && let Some(manifest) = self.fetch_manifest_from_origin().await
-                {
-                    return Some(self.store_manifest(manifest));
-                }
                 tokio::time::sleep(MANIFEST_RETRY_DELAY).await;
             } else {
                 let step = delay.min(MANIFEST_RANK_DELAY);
@@ -67,6 +60,28 @@
         }
     }
 
+    /// Returns the manifest, and fetches it where it is not known; `None` if that fails.
+    pub(super) async fn find_manifest(&self) -> Option<PieceManifest> {
+        match self.known_manifest() {
+            Some(known) => Some(known),
+            None => self.search_manifest(true).await,
+        }
+    }
+
+    /// Asks each source for the manifest once: hosts and entries, and with `may_ask_origin`
+    /// the origin while no entry is available.
+    async fn search_manifest(&self, may_ask_origin: bool) -> Option<PieceManifest> {
+        for address in self.manifest_sources() {
+            if let Some(manifest) = self.fetch_manifest_from_host(address).await {
+                return Some(manifest);
+            }
+        }
+        if may_ask_origin && self.state.borrow().relay_entries().is_empty() {
+            return self.fetch_manifest_from_origin().await;
+        }
+        None
+    }
+
     /// Returns the manifest if it was fetched before.
     pub(super) fn known_manifest(&self) -> Option<PieceManifest> {
         let mut state = self.state.borrow_mut();
--- a/src/staging/mod.rs
+++ b/src/staging/mod.rs
@@ -7,6 +7,7 @@
 //! piece once. The traits in `ports` hide the protocol of the platform.
 
 mod checked_pieces;
+mod earlier_orders;
 mod fetch_schedule;
 mod follow_records;
 mod load_order;
@@ -19,6 +20,7 @@
 mod relay_entry;
 mod reporter;
 mod settings;
+mod staged_content;
 mod staged_model;
 mod state;
 mod swarm_fetches;
@@ -42,6 +44,7 @@
 pub use relay_entry::RelayEntry;
 pub use relay_entry::assign_pieces;
 pub use settings::StagingSettings;
+pub use staged_content::StagedContent;
 pub use staged_model::StagedModel;
 pub use staged_model::VersionDownload;
 pub use state::StagingState;
--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -1,5 +1,6 @@
 use crate::staging::EngineReport;
 use crate::staging::LoadOrder;
+use crate::staging::StagedContent;
 
 /// Time after its last send from which a call to the engine that got no answer counts as
 /// lost, in ms. Platforms state no bound; orders that took effect twelve seconds late have
@@ -41,7 +42,30 @@
     }
 }
 
-/// Orders to the engine that got no answer, at most one for each model.
+/// Whether an earlier process on this host may have left an order that can still take
+/// effect.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+enum EarlierOrders {
+    /// The engine has not reported yet.
+    #[default]
+    Unreported,
+    /// They may take effect, except for the models that are ruled out.
+    Possible {
+        /// Start of the incarnation of the engine, in Unix ms.
+        born_unix_ms: Option<u64>,
+        /// Orders that it had accepted by its first report.
+        orders: u64,
+        /// Monotonic time of the first report, in ms.
+        since_ms: i64,
+        /// Models whose staged pieces show that nothing was ordered.
+        ruled_out: Vec<String>,
+    },
+    /// None can take effect.
+    Settled,
+}
+
+/// Orders to the engine that got no answer, at most one for each model, and those that an
+/// earlier process on this host may have left.
 ///
 /// Such an order may be accepted at any time, and the engine then takes whatever is staged.
 /// Each order names the number of orders that the engine must have accepted before. So the
@@ -50,6 +74,7 @@
 #[derive(Debug, Default)]
 pub struct OrderLedger {
     open: Vec<OpenOrder>,
+    earlier: EarlierOrders,
 }
 
 impl OrderLedger {
@@ -61,7 +86,56 @@
 
     /// Returns whether pieces of `version` may be written to the staging area of `model`.
     pub fn may_write(&self, model: &str, version: u64) -> bool {
-        self.open_version(model).is_none_or(|open| open == version)
+        !self.may_have_earlier(model) && self.open_version(model).is_none_or(|open| open == version)
+    }
+
+    /// Returns whether an order for `model` that an earlier process on this host has given
+    /// may still take effect.
+    pub fn may_have_earlier(&self, model: &str) -> bool {
+        match &self.earlier {
+            EarlierOrders::Unreported => true,
+            EarlierOrders::Possible { ruled_out, .. } => !ruled_out.iter().any(|m| m == model),
+            EarlierOrders::Settled => false,
+        }
+    }
+
+    /// Records what an earlier process has left in the staging area of `model`, of which the
+    /// engine has loaded `loaded_version`.
+    ///
+    /// A later version that is staged may have been ordered: it counts as an open order. Once
+    /// a later one was accepted, the engine refuses an order for an earlier one.
+    pub fn record_staged_content(
+        &mut self,
+        model: &str,
+        content: StagedContent,
+        loaded_version: u64,
+    ) {
+        let EarlierOrders::Possible {
+            born_unix_ms,
+            orders,
+            since_ms,
+            ruled_out,
+        } = &mut self.earlier
+        else {
+            return;
+        };
+        let (born_unix_ms, expected_orders, since_ms) = (*born_unix_ms, *orders, *since_ms);
+        if content == StagedContent::Unknown {
+            return;
+        }
+        ruled_out.push(model.to_owned());
+        if let StagedContent::Version(version) = content
+            && version > loaded_version
+        {
+            let order = LoadOrder {
+                model: model.to_owned(),
+                version,
+                expected_orders,
+                incarnation: None,
+            };
+            self.open
+                .push(OpenOrder::new(order, born_unix_ms, since_ms));
+        }
     }
 
     /// Records an order that was sent at `now_ms` to the incarnation `born_unix_ms` and got
@@ -82,6 +156,7 @@
 
     /// Records that the engine has accepted an order, which rules out all open ones.
     pub fn record_accepted(&mut self) -> Vec<(OpenOrder, OrderEnd)> {
+        self.earlier = EarlierOrders::Settled;
         let open = std::mem::take(&mut self.open);
         open.into_iter()
             .map(|open| (open, OrderEnd::Counted))
@@ -91,6 +166,7 @@
     /// Compares the open orders with a report of the engine, and returns those that can no
     /// longer take effect.
     pub fn settle(&mut self, report: &EngineReport, now_ms: i64) -> Vec<(OpenOrder, OrderEnd)> {
+        self.settle_earlier(report, now_ms);
         let mut ended = Vec::new();
         self.open.retain(|open| {
             let end = open.end(report, now_ms);
@@ -99,6 +175,32 @@
         });
         ended
     }
+
+    /// Compares the possible orders of an earlier process with a report of the engine.
+    fn settle_earlier(&mut self, report: &EngineReport, now_ms: i64) {
+        match &self.earlier {
+            EarlierOrders::Unreported => {
+                self.earlier = EarlierOrders::Possible {
+                    born_unix_ms: report.born_unix_ms,
+                    orders: report.orders,
+                    since_ms: now_ms,
+                    ruled_out: Vec::new(),
+                };
+            }
+            EarlierOrders::Possible {
+                born_unix_ms,
+                orders,
+                since_ms,
+                ..
+            } => {
+                let has_changed = report.born_unix_ms != *born_unix_ms || report.orders != *orders;
+                if has_changed || now_ms - since_ms >= UNANSWERED_CALL_EXPIRY_MS {
+                    self.earlier = EarlierOrders::Settled;
+                }
+            }
+            EarlierOrders::Settled => {}
+        }
+    }
 }
 
 impl OpenOrder {
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -138,6 +138,10 @@
     /// `None` unless all pieces are valid.
     pub async fn stage_pieces(&self) -> Option<CheckedPieces> {
         let manifest = self.known_manifest()?;
+        let may_write = {
+            let state = self.state.borrow();
+            state.orders.may_write(self.model, self.version)
+        };
         let (born_unix_ms, orders, started_ms) = {
             let state = self.state.borrow();
             let report = state.engine_report.as_ref()?;
@@ -162,11 +166,11 @@
                 continue;
             }
             let is_written = match bytes {
-                Some(bytes) => {
+                Some(bytes) if may_write => {
                     self.write_piece(&mut engine, &manifest, index, &bytes)
                         .await
                 }
-                None => false,
+                _ => false,
             };
             all_staged &= is_written
                 && self
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -2,6 +2,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::observe::CounterKind;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -33,6 +35,10 @@
 /// written over them.
 const OPEN_WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the staging area is examined while it is not known whether an earlier
+/// process has given an order that may still take effect.
+const EXAMINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of times that the pieces are checked again when their check is outdated.
 const MAX_CHECKS: u32 = 3;
 
@@ -47,6 +53,7 @@
     origin: impl OriginPort,
     metrics: Rc<Metrics>,
 ) {
+    let mut last_examined = None;
     loop {
         let models = state.borrow().models();
         for model in models {
@@ -62,6 +69,14 @@
                 model: &model,
                 version,
             };
+            let wanted = state.borrow().next_load(&model).map(|next| next.version);
+            if let Some(version) = wanted
+                && state.borrow().orders.may_have_earlier(&model)
+                && last_examined.is_none_or(|at: Instant| at.elapsed() >= EXAMINE_INTERVAL)
+            {
+                last_examined = Some(Instant::now());
+                download(version).examine_staging_area().await;
+            }
             let version_to_fetch = state.borrow().version_to_fetch(&model);
             if let Some(version) = version_to_fetch {
                 download(version).fetch_version().await;
@@ -115,8 +130,8 @@
 
 /// Waits until the engine reports the order, for a bounded time.
 async fn wait_for_report<E: EnginePort, O: OriginPort>(download: &WeightsDownload<'_, E, O>) {
-    let deadline = tokio::time::Instant::now() + ORDER_REPORT_TIMEOUT;
-    while tokio::time::Instant::now() < deadline {
+    let deadline = Instant::now() + ORDER_REPORT_TIMEOUT;
+    while Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
         let state = download.state.borrow();
         let is_reported = state.engine_report.as_ref().is_none_or(|report| {
