Reject manifests with another number of pieces than configured

Callers got tokens of weights that were partly or wholly those of the version before: a manifest without digests, or with too few, counted as one of a version without those pieces. All that it listed was held, so the version was complete, and the engine was ordered to load it with whatever lay in the staging area. A manifest with too many digests lists a piece that no engine has, and its version was never complete.

Two reads that agree confirm a manifest only if its number of digests is the number of pieces that the configuration gives a version of that model. Entries and endpoints reject any other as event 808 and read it again.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -220,6 +220,17 @@
         &self.services
     }
 
+    /// Number of pieces of one version of the weights of `model`; 0 when no service has
+    /// engines that serve it.
+    pub fn piece_count(&self, model: &str) -> u32 {
+        let engines = self.services.iter().filter_map(|s| s.engine.as_ref());
+        engines
+            .filter(|engine| engine.models.iter().any(|m| m.name == model))
+            .map(|engine| engine.chunks)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Whether any workspace is configured, so that requests need an API key.
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -191,15 +191,29 @@
         &self,
         cached: &CachedVersion,
     ) -> Result<Rc<PieceManifest>, ExternalCallError> {
-        let read = async || {
-            let origin = self.origin_address()?;
-            fetch_confirmed_manifest(&self.origin, origin, &cached.model, cached.version)
-                .await
-                .map(Rc::new)
-        };
+        let read = async || self.read_manifest(cached).await;
         cached.manifest.get_or_try_init(read).await.cloned()
     }
 
+    /// Reads the manifest from the origin.
+    async fn read_manifest(
+        &self,
+        cached: &CachedVersion,
+    ) -> Result<Rc<PieceManifest>, ExternalCallError> {
+        let origin = self.origin_address()?;
+        let (model, version) = (&cached.model, cached.version);
+        let pieces = {
+            let state = self.state.borrow();
+            let catalog = state.catalog.as_ref();
+            catalog.map_or(0, |catalog| catalog.piece_count(model))
+        };
+        let read = fetch_confirmed_manifest(&self.origin, origin, model, version, pieces).await;
+        if read == Err(ExternalCallError::UnconfirmedManifest) {
+            log_rejected_manifest(cached);
+        }
+        read.map(Rc::new)
+    }
+
     /// A piece from the cache, or read from another entry or the origin; with
     /// `as_primary`, this entry reads it from the origin whatever its rank.
     pub(super) async fn piece(
@@ -374,6 +388,15 @@
     }
 }
 
+/// Logs that a manifest from the origin was rejected.
+fn log_rejected_manifest(cached: &CachedVersion) {
+    LogLine::new(Event::ManifestRejected)
+        .text("model", &cached.model)
+        .number("version", cached.version)
+        .text("from", "origin")
+        .enqueue();
+}
+
 /// Reply to a call for weights that could not be read.
 fn unavailable_reply(error: &ExternalCallError) -> InternalResponse {
     log::debug!("cannot provide weights: {error}");
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -94,6 +94,7 @@
     805 OrderFailed Warn "An order to the engine was refused or got no answer.";
     806 EngineChanged Info "The engine restarted, or its version or state changed.";
     807 PieceWriteFailed Warn "A write of a piece into the staging area was refused or got no answer.";
+    808 ManifestRejected Warn "A manifest did not fit its version or its pieces, or could not be confirmed, and is read again.";
 }
 
 /// Logs `event` with `fields` as one line of text.
--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -5,9 +5,12 @@
 use crate::gateway::MANIFEST_PATH;
 use crate::http1::ClientRequest;
 use crate::http1::Http1Client;
+use crate::observe::Event;
+use crate::observe::LogLine;
 use crate::staging::EnginePort;
 use crate::staging::assign_pieces;
 use crate::staging::weights_download::WeightsDownload;
+use crate::weights::ExternalCallError;
 use crate::weights::OriginPort;
 use crate::weights::PieceManifest;
 use crate::weights::fetch_confirmed_manifest;
@@ -119,12 +122,33 @@
     /// Fetches the manifest from the origin.
     async fn fetch_manifest_from_origin(&self) -> Option<PieceManifest> {
         let origin = self.state.borrow().origin()?.address;
-        match fetch_confirmed_manifest(self.origin, origin, self.model, self.version).await {
+        let pieces = self.piece_count();
+        let read = fetch_confirmed_manifest(self.origin, origin, self.model, self.version, pieces);
+        match read.await {
             Ok(manifest) => Some(manifest),
             Err(error) => {
+                if error == ExternalCallError::UnconfirmedManifest {
+                    self.log_rejected_manifest("origin");
+                }
                 log::debug!("cannot fetch a manifest from the origin: {error}");
                 None
             }
         }
     }
+
+    /// Returns the number of pieces that the configuration gives a version; 0 for none.
+    fn piece_count(&self) -> u32 {
+        let state = self.state.borrow();
+        let catalog = state.catalog.as_ref();
+        catalog.map_or(0, |catalog| catalog.piece_count(self.model))
+    }
+
+    /// Logs that a manifest from `from` was rejected.
+    fn log_rejected_manifest(&self, from: &str) {
+        LogLine::new(Event::ManifestRejected)
+            .text("model", self.model)
+            .number("version", self.version)
+            .text("from", from)
+            .enqueue();
+    }
 }
--- a/src/weights/piece_origin.rs
+++ b/src/weights/piece_origin.rs
@@ -16,6 +16,9 @@
     Refused(u16),
     /// The received bytes do not match their digest.
     Corrupt,
+    /// No two reads of a manifest gave the same one that fits its version and the
+    /// configuration.
+    UnconfirmedManifest,
 }
 
 impl ExternalCallError {
@@ -32,6 +35,9 @@
             Self::Unreachable(cause) => write!(f, "no answer: {cause}"),
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Corrupt => f.write_str("the bytes do not match their digest"),
+            Self::UnconfirmedManifest => {
+                f.write_str("no two reads gave the same manifest that fits the configuration")
+            }
         }
     }
 }
@@ -55,6 +61,13 @@
             .is_some_and(|digest| Sha256::digest(bytes).as_slice() == digest)
     }
 
+    /// Whether this is a manifest of `version` that lists `piece_count` pieces.
+    ///
+    /// A version without pieces has no manifest.
+    pub fn describes(&self, version: u64, piece_count: u32) -> bool {
+        piece_count > 0 && self.version == version && self.piece_count() == piece_count
+    }
+
     /// Number of pieces in the version.
     pub fn piece_count(&self) -> u32 {
         u32::try_from(self.digests.len()).unwrap_or(u32::MAX)
@@ -80,31 +93,39 @@
     ) -> impl Future<Output = Result<Vec<u8>, ExternalCallError>>;
 }
 
-/// Largest number of reads of a manifest, of which two consecutive ones have to be equal.
+/// Largest number of reads of a manifest, of which two have to give the same one.
 const MAX_MANIFEST_READS: u32 = 4;
 
-/// Fetches a manifest repeatedly until two consecutive responses are equal.
+/// Fetches a manifest of `piece_count` pieces repeatedly until two consecutive responses
+/// that fit are equal.
 ///
 /// A response may be corrupted in transit, and no other check would reveal a
-/// wrong digest in it.
+/// wrong digest in it before the pieces are read.
 ///
 /// # Errors
 ///
-/// Returns the error of a failed read, and [`ExternalCallError::Corrupt`] when no
-/// two consecutive reads were equal.
+/// Returns the error of a failed read, and [`ExternalCallError::UnconfirmedManifest`] when
+/// no two consecutive responses were equal and of this version and number of pieces.
 pub async fn fetch_confirmed_manifest(
     port: &impl OriginPort,
     origin: SocketAddr,
     model: &str,
     version: u64,
+    piece_count: u32,
 ) -> Result<PieceManifest, ExternalCallError> {
+    if piece_count == 0 {
+        return Err(ExternalCallError::UnconfirmedManifest);
+    }
     let mut last: Option<PieceManifest> = None;
     for _ in 0..MAX_MANIFEST_READS {
         let manifest = port.manifest(origin, model, version).await?;
+        if !manifest.describes(version, piece_count) {
+            continue;
+        }
         if last.as_ref() == Some(&manifest) {
             return Ok(manifest);
         }
         last = Some(manifest);
     }
-    Err(ExternalCallError::Corrupt)
+    Err(ExternalCallError::UnconfirmedManifest)
 }
