Reject a manifest of another version from a host or an entry

Callers kept getting tokens of the version before: an endpoint took whatever manifest a host or an entry sent in answer to its request. One of another version was stored under that version, its pieces were recorded as verified ones of the requested version, and the requested version was never ordered. The next search for the manifest asked the same host again.

The endpoint checks the version and the number of pieces, as of a manifest from the origin, and goes on to the next source.

Measured with a real endpoint and entry process beside a host that sends the manifest of version 1 for version 2 (`manifest_of_other_version_from_host`): before, version 2 was not loaded within 10 s; now it is, with right pieces only.

--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -110,7 +110,14 @@
             .send(&ClientRequest::get(&target, MANIFEST_TIMEOUT))
             .await
         {
-            Ok(reply) if reply.status == 200 => rmp_serde::from_slice(&reply.body).ok(),
+            Ok(reply) if reply.status == 200 => {
+                let manifest: Option<PieceManifest> = rmp_serde::from_slice(&reply.body).ok();
+                let fitting = manifest.filter(|m| m.describes(self.version, self.piece_count()));
+                if fitting.is_none() {
+                    self.log_rejected_manifest(&address.to_string());
+                }
+                fitting
+            }
             Ok(_) => None,
             Err(error) => {
                 log::debug!("cannot fetch a manifest from {address}: {error}");
