Read a manifest again when no piece from the origin matches it

Callers kept getting tokens of the version before: two reads that agree confirm a manifest, so one that is spoilt alike in both, as from a stale copy on the way, is accepted. The entry kept it for as long as hosts requested the version, rejected the right piece each time, and answered 503.

After the reads of a piece from the origin have failed on its digest, the entry confirms the manifest anew. If it differs, it replaces the known one, and only the cached pieces whose digests have changed are dropped. A manifest that cannot be confirmed leaves the known one in use.

Measured with a real entry process and an origin that spoils a digest in its first two manifests (`piece_of_manifest_spoilt_twice`): before, the piece could not be read within 10 s; now every piece is read with its right content.

--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -67,7 +67,7 @@
 pub(super) struct CachedVersion {
     pub(super) model: String,
     pub(super) version: u64,
-    manifest: OnceCell<Rc<PieceManifest>>,
+    manifest: OnceCell<RefCell<Rc<PieceManifest>>>,
     pub(super) pieces: RefCell<Vec<PieceCell>>,
     last_used: RefCell<Instant>,
 }
@@ -191,8 +191,9 @@
         &self,
         cached: &CachedVersion,
     ) -> Result<Rc<PieceManifest>, ExternalCallError> {
-        let read = async || self.read_manifest(cached).await;
-        cached.manifest.get_or_try_init(read).await.cloned()
+        let read = async || self.read_manifest(cached).await.map(RefCell::new);
+        let manifest = cached.manifest.get_or_try_init(read).await?;
+        Ok(manifest.borrow().clone())
     }
 
     /// Reads the manifest from the origin.
@@ -214,6 +215,26 @@
         read.map(Rc::new)
     }
 
+    /// Reads the manifest again after the origin sent no piece that matches its digest, and
+    /// drops the pieces whose digests have changed.
+    async fn reread_manifest(&self, cached: &CachedVersion) {
+        let (Some(known), Ok(read)) = (cached.manifest.get(), self.read_manifest(cached).await)
+        else {
+            return;
+        };
+        let rejected = known.replace(read.clone());
+        if rejected == read {
+            return;
+        }
+        log_rejected_manifest(cached);
+        let digests = rejected.digests.iter().zip(&read.digests);
+        for (cell, (before, after)) in cached.pieces.borrow_mut().iter_mut().zip(digests) {
+            if before != after {
+                *cell = Rc::default();
+            }
+        }
+    }
+
     /// A piece from the cache, or read from another entry or the origin; with
     /// `as_primary`, this entry reads it from the origin whatever its rank.
     pub(super) async fn piece(
@@ -374,6 +395,10 @@
                 Err(error) => fault = error,
             }
         }
+        // A manifest that was spoilt alike in two reads is confirmed, but no piece matches.
+        if fault == ExternalCallError::Corrupt {
+            self.reread_manifest(cached).await;
+        }
         Err(fault)
     }
 
