Bound the number of chunks in a bitmap that is received

A have message names the number of chunks of a version, and its receiver believed any: five bytes could make it insert 4,294,967,295 chunks. No process sends such a message; a damaged or foreign datagram could stop an endpoint for seconds, in which it neither checks pieces nor reports the state of its engine.

A bitmap of more chunks than a manifest may have is malformed.

--- a/src/weights/chunk_bitmap.rs
+++ b/src/weights/chunk_bitmap.rs
@@ -6,6 +6,8 @@
 use serde::Serializer;
 use serde::de;
 
+use crate::weights::manifest::MAX_CHUNKS;
+
 /// Bits in one word of the bitmap.
 const WORD_BITS: u32 = 64;
 
@@ -122,10 +124,14 @@
         bytes
     }
 
-    /// Decodes what [`ChunkBitmap::encode`] wrote; None when it is malformed.
+    /// Decodes what [`ChunkBitmap::encode`] wrote; None when it is malformed or has more
+    /// chunks than a version may have.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (chunk_count, rest) = bytes.split_first_chunk::<LEN_BYTES>()?;
         let chunk_count = u32::from_le_bytes(*chunk_count);
+        if u64::from(chunk_count) > MAX_CHUNKS {
+            return None;
+        }
         match rest.split_first() {
             None => Some(Self::empty(chunk_count)),
             Some((1, [])) => Some(Self::complete(chunk_count)),
--- a/src/weights/manifest.rs
+++ b/src/weights/manifest.rs
@@ -6,7 +6,7 @@
 use crate::weights::Digest;
 
 /// Largest number of chunks that a version may have.
-const MAX_CHUNKS: u64 = 65_536;
+pub(super) const MAX_CHUNKS: u64 = 65_536;
 
 /// Prefix hashed before a manifest, so that its digest never equals that of any content.
 const DIGEST_CONTEXT: &[u8] = b"bergamotfork manifest 1\0";
--- a/tests/weights/chunks.rs
+++ b/tests/weights/chunks.rs
@@ -69,6 +69,18 @@
     });
 }
 
+/// Guards against a message of five bytes that makes its receiver list billions of chunks,
+/// for which it stood still.
+#[test]
+fn chunk_bitmap_decode_too_many_chunks() {
+    let decode_full = |count: u32| ChunkBitmap::decode(&[&count.to_le_bytes()[..], &[1]].concat());
+    assert!(decode_full(65_536).is_some());
+    for count in [65_537, u32::MAX] {
+        assert!(ChunkBitmap::decode(&count.to_le_bytes()).is_none());
+        assert!(decode_full(count).is_none());
+    }
+}
+
 #[test]
 fn chunk_bitmap_decode_any_bytes() {
     arbtest(|u| {
