Merge the checks of manifests

A configuration that states no number of pieces accepts manifests of any number but none: describes() takes 0 for a number that is not known.

--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -67,7 +67,7 @@
 pub(super) struct CachedVersion {
     pub(super) model: String,
     pub(super) version: u64,
-    manifest: OnceCell<Rc<PieceManifest>>,
+    manifest: OnceCell<RefCell<Rc<PieceManifest>>>,
     pub(super) pieces: RefCell<Vec<PieceCell>>,
     last_used: RefCell<Instant>,
 }
@@ -191,13 +191,48 @@
         &self,
         cached: &CachedVersion,
     ) -> Result<Rc<PieceManifest>, ExternalCallError> {
-        let read = async || {
-            let origin = self.origin_address()?;
-            fetch_confirmed_manifest(&self.origin, origin, &cached.model, cached.version)
-                .await
-                .map(Rc::new)
+        let read = async || self.read_manifest(cached).await.map(RefCell::new);
+        let manifest = cached.manifest.get_or_try_init(read).await?;
+        Ok(manifest.borrow().clone())
+    }
+
+    /// Reads the manifest from the origin.
+    async fn read_manifest(
+        &self,
+        cached: &CachedVersion,
+    ) -> Result<Rc<PieceManifest>, ExternalCallError> {
+        let origin = self.origin_address()?;
+        let (model, version) = (&cached.model, cached.version);
+        let pieces = {
+            let state = self.state.borrow();
+            let catalog = state.catalog.as_ref();
+            catalog.map_or(0, |catalog| catalog.piece_count(model))
         };
-        cached.manifest.get_or_try_init(read).await.cloned()
+        let read = fetch_confirmed_manifest(&self.origin, origin, model, version, pieces).await;
+        if read == Err(ExternalCallError::UnconfirmedManifest) {
+            log_rejected_manifest(cached);
+        }
+        read.map(Rc::new)
+    }
+
+    /// Reads the manifest again after the origin sent no piece that matches its digest, and
+    /// drops the pieces whose digests have changed.
+    async fn reread_manifest(&self, cached: &CachedVersion) {
+        let (Some(known), Ok(read)) = (cached.manifest.get(), self.read_manifest(cached).await)
+        else {
+            return;
+        };
+        let rejected = known.replace(read.clone());
+        if rejected == read {
+            return;
+        }
+        log_rejected_manifest(cached);
+        let digests = rejected.digests.iter().zip(&read.digests);
+        for (cell, (before, after)) in cached.pieces.borrow_mut().iter_mut().zip(digests) {
+            if before != after {
+                *cell = Rc::default();
+            }
+        }
     }
 
     /// A piece from the cache, or read from another entry or the origin; with
@@ -360,6 +395,10 @@
                 Err(error) => fault = error,
             }
         }
+        // A manifest that was spoilt alike in two reads is confirmed, but no piece matches.
+        if fault == ExternalCallError::Corrupt {
+            self.reread_manifest(cached).await;
+        }
         Err(fault)
     }
 
@@ -374,6 +413,15 @@
     }
 }
 
+/// Logs that a manifest from the origin was rejected.
+fn log_rejected_manifest(cached: &CachedVersion) {
+    LogLine::new(Event::ManifestRejected)
+        .text("model", &cached.model)
+        .number("version", cached.version)
+        .text("from", "origin")
+        .enqueue();
+}
+
 /// Reply to a call for weights that could not be read.
 fn unavailable_reply(error: &ExternalCallError) -> InternalResponse {
     log::debug!("cannot provide weights: {error}");
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -96,6 +96,7 @@
     807 PieceWriteFailed Warn "A write of a piece into the staging area was refused or got no answer.";
     808 OrderSettled Info "An order to the engine that got no answer can no longer take effect.";
     809 StagingAreaExamined Info "A process that has started found out which version an earlier one left staged.";
+    810 ManifestRejected Warn "A manifest did not fit its version or its pieces, or could not be confirmed, and is read again.";
 }
 
 /// Logs `event` with `fields` as one line of text.
