Read a manifest again when fetched pieces do not match it

A version could stay unloaded for as long as an endpoint process ran: it kept a manifest of which the origin, or another host, had spoilt a digest alike in two reads, and rejected the right piece each time.

After two rejected pieces the manifest is read again from an entry, or from the origin where there is none; hosts may have the same wrong one. Pieces whose digests have changed are dropped.

--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -94,6 +94,28 @@
         download.map(|download| download.manifest.clone())
     }
 
+    /// Reads the manifest again after pieces did not match it, and replaces the known one;
+    /// returns whether it has changed.
+    ///
+    /// Hosts are not asked: they may have the same one.
+    pub(super) async fn reread_manifest(&self) -> bool {
+        let entry = assign_pieces(1, &self.state.borrow().relay_entries())
+            .first()
+            .copied();
+        let read = match entry {
+            Some(entry) => self.fetch_manifest_from_host(entry.address).await,
+            None => self.fetch_manifest_from_origin().await,
+        };
+        let mut state = self.state.borrow_mut();
+        let staged_model = state.staged_model(self.model);
+        let has_changed = read.is_some_and(|read| staged_model.replace_manifest(read));
+        drop(state);
+        if has_changed {
+            self.log_rejected_manifest("pieces");
+        }
+        has_changed
+    }
+
     /// Stores the manifest, which starts the download of its version.
     fn store_manifest(&self, manifest: PieceManifest) -> PieceManifest {
         let mut state = self.state.borrow_mut();
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -85,6 +85,31 @@
         }
     }
 
+    /// Replaces the manifest of a download and drops the pieces whose digests have changed;
+    /// returns whether any has.
+    pub fn replace_manifest(&mut self, manifest: PieceManifest) -> bool {
+        let version = manifest.version;
+        let known = self
+            .downloads
+            .iter_mut()
+            .find(|download| download.manifest.version == version);
+        let Some(download) = known.filter(|known| known.manifest != manifest) else {
+            return false;
+        };
+        let digests = download.manifest.digests.iter().zip(&manifest.digests);
+        let staged = self.staged_versions.iter_mut().zip(&mut download.buffered);
+        for ((before, after), (staged_version, buffered)) in digests.zip(staged) {
+            if before != after {
+                *buffered = None;
+                if *staged_version == version {
+                    *staged_version = 0;
+                }
+            }
+        }
+        download.manifest = manifest;
+        true
+    }
+
     /// Returns the download of `version`, if there is one.
     pub fn version_download(&self, version: u64) -> Option<&VersionDownload> {
         let at = self
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -45,6 +45,9 @@
 /// it may be unavailable.
 const ENTRY_RETRY_DELAY_MS: u64 = 1_000;
 
+/// Number of fetched pieces that do not match the manifest after which it is read again.
+const MAX_REJECTED_PIECES: u32 = 2;
+
 /// Where a piece is fetched from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PieceSource {
@@ -73,6 +76,17 @@
     pub(super) source: PieceSource,
 }
 
+/// How the fetch of a piece ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FetchOutcome {
+    /// The piece is valid and held.
+    Held,
+    /// No piece arrived.
+    Failed,
+    /// The piece does not match its digest.
+    Rejected,
+}
+
 /// Downloads the pieces of one version to this host and stages them.
 #[derive(Debug)]
 pub struct WeightsDownload<'a, E, O> {
@@ -260,6 +274,7 @@
         let started_ms = self.state.borrow().now_ms();
         let mut progress_ms = started_ms;
         let mut is_slow = false;
+        let mut rejected_pieces = 0;
         let mut seed = started_ms;
         loop {
             let have = self.held_pieces();
@@ -304,10 +319,20 @@
                     in_flight.retain(|other| *other != fetch);
                     let now_ms = self.state.borrow().now_ms();
                     is_slow = now_ms.saturating_sub(fetch_started_ms) >= SLOW_FETCH_MS;
-                    if self.accept_piece(manifest, fetch, result, &mut engine).await {
+                    let outcome = self.accept_piece(manifest, fetch, result, &mut engine).await;
+                    if outcome == FetchOutcome::Held {
                         progress_ms = now_ms;
-                    } else {
-                        blocked.push((fetch.source, now_ms + fetch.source.retry_delay_ms()));
+                        continue;
+                    }
+                    blocked.push((fetch.source, now_ms + fetch.source.retry_delay_ms()));
+                    if outcome == FetchOutcome::Rejected {
+                        rejected_pieces += 1;
+                    }
+                    if rejected_pieces >= MAX_REJECTED_PIECES {
+                        rejected_pieces = 0;
+                        if self.reread_manifest().await {
+                            return;
+                        }
                     }
                 }
                 () = tokio::time::sleep(MAX_PLAN_INTERVAL) => {}
@@ -390,19 +415,19 @@
     }
 
     /// Verifies a fetched piece and stores it in the staging area or in memory; returns
-    /// whether the piece was valid.
+    /// how that ended.
     async fn accept_piece(
         &self,
         manifest: &PieceManifest,
         fetch: PieceFetch,
         result: Result<Vec<u8>, ExternalCallError>,
         engine: &mut E,
-    ) -> bool {
+    ) -> FetchOutcome {
         let bytes = match result {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::debug!("cannot fetch piece {}: {error}", fetch.index);
-                return false;
+                return FetchOutcome::Failed;
             }
         };
         let from = match fetch.source {
@@ -423,7 +448,7 @@
                 .number("piece", fetch.index)
                 .text("from", from)
                 .enqueue();
-            return false;
+            return FetchOutcome::Rejected;
         }
         let can_stage = self
             .state
@@ -442,6 +467,6 @@
         } else {
             staged_model.buffer_piece(self.version, fetch.index, bytes, now_ms);
         }
-        true
+        FetchOutcome::Held
     }
 }
