Don't run a call whose deadline passed while its endpoint connected

The endpoint compared the deadline with its clock before it connected to the service, and not again. A process that was frozen while it connected went on with the request when it woke. The body of the request now compares the deadline when the head has been sent and the body is about to be; a service can't run a request without its body, so the call ends as "not run", for `deadline_passed`.

The moment that this no longer reaches has a test of its own, service_call_paused_while_connecting_not_sent, which stands still between the first and the second poll of the call; it fails without the check.

--- a/src/clients/service_client.rs
+++ b/src/clients/service_client.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use actix_web::http::Method;
 use actix_web::http::header::CONTENT_TYPE;
 use bytes::Bytes;
@@ -6,6 +8,7 @@
 use serde_json::Value;
 
 use crate::calls::StoredAnswer;
+use crate::links::DeadlineBody;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::links::decode_json;
@@ -44,6 +47,8 @@
     pub key: Option<String>,
     /// JSON body.
     pub body: Bytes,
+    /// Time from which the request is no longer sent.
+    pub deadline: Instant,
     /// Time for the complete response, in milliseconds.
     pub timeout_ms: u64,
 }
@@ -69,8 +74,8 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] when nothing was sent; after any other error the call may
-    /// have run.
+    /// [`LinkError::NotSent`] when no complete request was sent, as after its deadline; after
+    /// any other error the call may have run.
     pub async fn call(&self, call: ServiceRequest) -> Result<StoredAnswer, LinkError> {
         let url = format!("{}/{}", self.url, call.path);
         let mut request = self
@@ -81,7 +86,8 @@
         if let Some(key) = &call.key {
             request = request.insert_header((IDEMPOTENCY_KEY_HEADER, key.as_str()));
         }
-        let answer = match HttpClient::send_and_read(request, call.body, call.timeout_ms).await {
+        let body = DeadlineBody::new(call.body, call.deadline);
+        let answer = match HttpClient::send_and_read(request, body, call.timeout_ms).await {
             Ok(body) => StoredAnswer {
                 status: 200,
                 body: body.to_vec(),
--- a/src/endpoint/call_run.rs
+++ b/src/endpoint/call_run.rs
@@ -62,6 +62,7 @@
             request_id: call.request_id,
             key: nonce.map(|nonce| nonce.to_string()),
             body: call.body.into(),
+            deadline: self.deadline,
             // A call with a permit continues after its caller's deadline, so that
             // a retry with the same permit gets its answer.
             timeout_ms: nonce.map_or(left_ms.min(timeout_ms), |_| timeout_ms),
@@ -72,6 +73,9 @@
                 self.record_answered();
                 CallOutcome::Answer(answer)
             }
+            Err(LinkError::NotSent(_)) if Instant::now() >= self.deadline => {
+                CallOutcome::not_run(RefusalReason::DeadlinePassed)
+            }
             Err(LinkError::NotSent(_)) => CallOutcome::not_run(RefusalReason::Unreachable),
             Err(error) => {
                 if matches!(error, LinkError::Broken(_)) {
--- a/src/links/errors.rs
+++ b/src/links/errors.rs
@@ -3,7 +3,8 @@
 /// Why a request to another process got no usable response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LinkError {
-    /// The request was not sent, as no connection was made or its URL is invalid.
+    /// The request was not sent completely, as no connection was made, its URL is invalid
+    /// or its deadline has passed.
     NotSent(String),
     /// The connection failed after the request may have been sent.
     Broken(String),
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -3,6 +3,7 @@
 
 use actix_rt::time::sleep;
 use actix_rt::time::timeout;
+use actix_web::body::MessageBody;
 use actix_web::error::PayloadError;
 use actix_web::http::Method;
 use actix_web::http::StatusCode;
@@ -139,14 +140,11 @@
     /// [`LinkError`] when no response came or its status is not a success.
     pub async fn send_and_read(
         request: ClientRequest,
-        body: impl Into<Bytes>,
+        body: impl MessageBody + 'static,
         timeout_ms: u64,
     ) -> Result<Bytes, LinkError> {
         let sending = async {
-            let mut response = request
-                .send_body(body.into())
-                .await
-                .map_err(classify_send_error)?;
+            let mut response = request.send_body(body).await.map_err(classify_send_error)?;
             let status = response.status();
             let retry_after_ms = response
                 .headers()
@@ -234,7 +232,7 @@
         timeout_ms: u64,
     ) -> Result<Bytes, LinkError> {
         self.fail_if_partitioned(url, timeout_ms).await?;
-        Self::send_and_read(self.request(Method::POST, url), body, timeout_ms).await
+        Self::send_and_read(self.request(Method::POST, url), body.into(), timeout_ms).await
     }
 
     /// Posts a body that is encoded as MessagePack and returns the body of the response.
@@ -252,7 +250,7 @@
         let request = self
             .request(Method::POST, url)
             .insert_header((CONTENT_TYPE, "application/msgpack"));
-        Self::send_and_read(request, body, timeout_ms).await
+        Self::send_and_read(request, body.into(), timeout_ms).await
     }
 
     /// Gets a JSON document and decodes it.
@@ -324,6 +322,8 @@
         }
         SendRequestError::Connect(cause) => LinkError::NotSent(cause.to_string()),
         SendRequestError::Url(cause) => LinkError::NotSent(cause.to_string()),
+        // The only body that fails is one past its deadline, before its first byte.
+        SendRequestError::Body(cause) => LinkError::NotSent(cause.to_string()),
         other => LinkError::Broken(other.to_string()),
     }
 }
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -7,6 +7,7 @@
 
 mod body_timeout;
 mod call_rejection;
+mod deadline_body;
 mod errors;
 mod http_client;
 mod http_server;
@@ -14,6 +15,7 @@
 mod token_bucket;
 
 pub use call_rejection::CallRejection;
+pub use deadline_body::DeadlineBody;
 pub use errors::LinkError;
 pub use http_client::HttpClient;
 pub use http_client::SHARED_KEY_HEADER;
--- a/tests/links/main.rs
+++ b/tests/links/main.rs
@@ -4,10 +4,13 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::pin::pin;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_web::http::Method;
 use bytes::Bytes;
+use futures_util::poll;
 
 use bergamotfork::clients::EngineClient;
 use bergamotfork::clients::GenerateOrder;
@@ -84,6 +87,7 @@
                 request_id: "r-1".to_owned(),
                 key: None,
                 body: Bytes::from_static(b"{}"),
+                deadline: Instant::now() + Duration::from_millis(TIMEOUT_MS),
                 timeout_ms: TIMEOUT_MS,
             };
             let client = ServiceClient::new(&format!("http://{address}"));
@@ -96,6 +100,35 @@
     }
 }
 
+/// Guards against a call that runs after its deadline because the process was paused while
+/// it connected to the service.
+#[actix_rt::test]
+async fn service_call_paused_while_connecting_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the server listens");
+    let address = listener.local_addr().expect("it has an address");
+    let call = ServiceRequest {
+        path: "x".to_owned(),
+        request_id: "r-1".to_owned(),
+        key: Some("k-1".to_owned()),
+        body: Bytes::from_static(b"{}"),
+        deadline: Instant::now() + Duration::from_millis(200),
+        timeout_ms: TIMEOUT_MS,
+    };
+    let client = ServiceClient::new(&format!("http://{address}"));
+    let mut sending = pin!(client.call(call));
+    // The first poll starts to connect; the thread that would go on with it then stands still.
+    assert!(poll!(&mut sending).is_pending());
+    std::thread::sleep(Duration::from_millis(300));
+    let answer = sending.await;
+    assert!(matches!(answer, Err(LinkError::NotSent(_))), "{answer:?}");
+    let mut received = Vec::new();
+    let (mut stream, _) = listener.accept().expect("the client has connected");
+    stream
+        .read_to_end(&mut received)
+        .expect("the client has closed the connection");
+    assert!(!received.ends_with(b"{}"), "the body was sent");
+}
+
 /// Guards against a stream of tokens that its reader cuts after the time that an order may
 /// take.
 #[actix_rt::test]
