Order an engine to load again when it holds other content

Found by reading, not reported. Callers would see no replica of a version on a host, for good: the status would say that the engine reports another digest, and nothing would change that.

Cause: an engine that reads weights while its endpoint process is killed may take the cut read for the whole version; the stand-in does. The next process found the manifest among the loaded ones, took that for an order that had taken effect, compared the content, held the version, and did the same at each retry.

The order is now left out only when the engine reports the content of the verified manifest. What the engine reports after the order is compared as before.

Test: rollout_engine_holds_other_content, with real processes and a source that breaks off.

--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -51,7 +51,7 @@
         self.client.fetch_state().await
     }
 
-    /// Orders the engine to load a verified version, unless it has loaded it.
+    /// Orders the engine to load a verified version, unless it has loaded its content.
     ///
     /// The engine's state is read before the order and, if the answer is lost, after
     /// it: an order that took effect is not sent twice, and an engine that does not
@@ -62,11 +62,16 @@
         tracked: &TrackedVersion,
     ) -> LoadOutcome {
         let manifest = tracked.digest();
+        let Some(verified) = tracked.version.manifest() else {
+            return LoadOutcome::Unknown;
+        };
         match self.engine_state().await {
             Err(_) => return LoadOutcome::Unknown,
             Ok(engine_state) => {
-                if let Some(content_digest) = loaded_content_digest(&engine_state, manifest) {
-                    return LoadOutcome::Loaded(content_digest);
+                // An earlier order whose read was cut leaves other content.
+                let found = loaded_content_digest(&engine_state, manifest);
+                if found == Some(verified.whole) {
+                    return LoadOutcome::Loaded(verified.whole);
                 }
             }
         }
--- a/tests/weights_rollout/main.rs
+++ b/tests/weights_rollout/main.rs
@@ -6,5 +6,6 @@
 
 mod holds;
 mod load_slots;
+mod other_content;
 mod proxy;
 mod site;
--- a/tests/weights_rollout/site.rs
+++ b/tests/weights_rollout/site.rs
@@ -6,6 +6,7 @@
 use crate::support::TOKEN;
 use crate::support::until;
 use bergamotfork::clients::EngineState;
+use bergamotfork::clients::LoadedWeights;
 use bergamotfork::entry::StatusView;
 use bergamotfork::links::HttpClient;
 use bergamotfork::weights::Digest;
@@ -70,11 +71,28 @@
         offset + 1
     }
 
-    /// Manifests loaded by the engine at `backend`; None while it doesn't respond.
-    pub async fn loaded_manifests(&self, backend: &str) -> Option<Vec<Digest>> {
+    /// Starts an engine without an endpoint and returns its address once it listens.
+    pub async fn start_engine(&mut self, name: &str) -> String {
+        let backend = self.cluster.unused_address();
+        self.cluster.start_bare_engine(name, &backend);
+        until("the engine listens", LIMIT_S, async || {
+            self.loaded_weights(&backend).await
+        })
+        .await;
+        backend
+    }
+
+    /// Weights loaded by the engine at `backend`; None while it doesn't respond.
+    pub async fn loaded_weights(&self, backend: &str) -> Option<Vec<LoadedWeights>> {
         let url = format!("http://{backend}/v1/state");
         let state: EngineState = HttpClient::to_platform().get_json(&url, 2000).await.ok()?;
-        Some(state.loaded.iter().map(|loaded| loaded.manifest).collect())
+        Some(state.loaded)
+    }
+
+    /// Manifests loaded by the engine at `backend`; None while it doesn't respond.
+    pub async fn loaded_manifests(&self, backend: &str) -> Option<Vec<Digest>> {
+        let loaded = self.loaded_weights(backend).await?;
+        Some(loaded.iter().map(|loaded| loaded.manifest).collect())
     }
 
     /// Waits until every engine has loaded exactly `manifests`.
@@ -105,6 +123,16 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Waits until the status shows a serving replica of `model`.
+    pub async fn wait_serving(&self, model: &str) {
+        until(&format!("{model} is served"), LIMIT_S, async || {
+            let status = self.status().await?;
+            let view = status.models.into_iter().find(|view| view.name == model)?;
+            (view.serving == 1).then_some(())
+        })
+        .await;
+    }
+
     /// Waits until `model` is held on a host for a cause that contains `text`.
     pub async fn wait_held(&self, model: &str, text: &str) {
         until(&format!("{model} is held: {text}"), LIMIT_S, async || {
