Load again what an engine replaced while serving it

Found by reading, not reported. Callers would get whole streams of tokens made with other content, each of which ends as a wrong answer, until the process or the engine is restarted.

Cause: every 2 s the process compared only the manifests that the engine lists with those that it serves. A late order whose read was cut puts other content under the same manifest of an engine that ignores order numbers, and that was not noticed.

The check now compares the content that the engine reports with that of the manifest. A version that is gone or differs is loaded again as before, and event 305 says so. Streams within the 2 s are still sent before their end shows the content.

Test: rollout_serving_engine_takes_other_content, with real processes.

--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -106,7 +106,10 @@
 }
 
 /// Content digest that the engine reports for `manifest`; `None` if it is not loaded.
-fn loaded_content_digest(engine_state: &EngineState, manifest: Digest) -> Option<Digest> {
+pub(super) fn loaded_content_digest(
+    engine_state: &EngineState,
+    manifest: Digest,
+) -> Option<Digest> {
     let found = engine_state
         .loaded
         .iter()
--- a/src/endpoint/weights_manager.rs
+++ b/src/endpoint/weights_manager.rs
@@ -20,6 +20,7 @@
 use crate::endpoint::EndpointState;
 use crate::endpoint::weights_engine::EngineOrderSender;
 use crate::endpoint::weights_engine::LoadOutcome;
+use crate::endpoint::weights_engine::loaded_content_digest;
 use crate::endpoint::weights_tracked::TrackedVersion;
 use crate::hosts::HostRole;
 use crate::observe::Event;
@@ -377,7 +378,8 @@
         }
     }
 
-    /// Checks that the engine still has the serving versions; those it lost are loaded again.
+    /// Checks that the engine still has the serving versions with their content; the others
+    /// are loaded again.
     async fn check_engine(&mut self) {
         let now_ms = self.state.node.now_ms();
         let is_any_serving = self.tracked.iter().any(TrackedVersion::is_serving);
@@ -388,13 +390,22 @@
         let Ok(engine_state) = self.order_sender.engine_state().await else {
             return;
         };
-        for tracked in &mut self.tracked {
-            let is_loaded = engine_state
-                .loaded
-                .iter()
-                .any(|loaded| loaded.manifest == tracked.digest());
-            if tracked.is_serving() && tracked.retired_ms.is_none() && !is_loaded {
+        for tracked in &self.tracked {
+            let Some(expected) = tracked.version.serving_content_digest() else {
+                continue;
+            };
+            let found = loaded_content_digest(&engine_state, tracked.digest());
+            if tracked.retired_ms.is_none() && found != Some(expected) {
                 tracked.version.require_reload();
+                let found = found.map_or_else(String::new, |found| found.short_hex());
+                emit_event(
+                    Event::WeightsLost,
+                    &[
+                        ("manifest", &tracked.digest().short_hex()),
+                        ("expected", &expected.short_hex()),
+                        ("found", &found),
+                    ],
+                );
             }
         }
     }
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -64,6 +64,7 @@
     302 ChunkRejected Warn "A chunk had the wrong digest or length and was dropped.";
     303 WeightsServing Info "The engine serves a version.";
     304 WeightsHeld Warn "A version can't be loaded on this host for the stated cause.";
+    305 WeightsLost Warn "The engine lost a version that it served, or has other content of it, and loads it again.";
     401 CallRefused Info "A call was refused with a final answer.";
     402 CallRetried Info "An idempotent call was sent again.";
     501 HostJoined Info "A host or a new incarnation of it was registered.";
--- a/tests/weights_rollout/other_content.rs
+++ b/tests/weights_rollout/other_content.rs
@@ -82,3 +82,18 @@
     wait_content_right(&site, &backend, first).await;
     site.wait_serving("chat").await;
 }
+
+// A late order may replace content that is served; it was served on, as only the manifest
+// was compared.
+#[actix_rt::test]
+async fn rollout_serving_engine_takes_other_content() {
+    let site = Site::new(1, &[]).await;
+    let backend = site.engines[0].clone();
+    let first = site.publish("chat", "v1", None).await;
+    site.edit_model("chat", 0, "v1", first, "replicas = 1")
+        .await;
+    site.wait_serving("chat").await;
+    load_cut_content(&backend, first).await;
+    wait_content_right(&site, &backend, first).await;
+    site.wait_serving("chat").await;
+}
