Make an open order to unload stale before its version is served again

Found by reading, not reported. After a rollout is taken back, callers would be told that the version is not loaded, for up to 2 s, although the status shows it as serving.

Cause: an order to unload that had no answer was taken for one that was not given. When the version was wanted again, its replica counted as serving at once and no order followed, so that the engine could carry out the unloading seconds later, with the highest order number of all.

A version that was ordered to be unloaded is now loaded again before it is served, and while an order to unload is open, that is, has no answer and the engine shows no later number, the order to load is given though the version is listed. Engines that check numbers then refuse the late order; for others the check every 2 s stays.

Test: rollout_unanswered_unload_accepted_later, with a real endpoint process and a proxy that keeps the order back.

--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -46,6 +46,14 @@
     Malformed(String),
 }
 
+impl EngineError {
+    /// Whether the request was refused or never sent. Otherwise the engine may still carry
+    /// it out.
+    pub fn is_not_carried_out(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Refused(_))
+    }
+}
+
 impl fmt::Display for EngineError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -26,6 +26,8 @@
 pub(super) struct EngineOrderSender {
     client: EngineClient,
     sequence: u64,
+    /// Latest order to unload that the engine may still carry out.
+    open_unload: Option<FencingNumber>,
 }
 
 impl EngineOrderSender {
@@ -33,6 +35,7 @@
         Self {
             client,
             sequence: 0,
+            open_unload: None,
         }
     }
 
@@ -55,7 +58,8 @@
     ///
     /// The engine's state is read before the order and, if the answer is lost, after
     /// it: an order that took effect is not sent twice, and an engine that does not
-    /// check order numbers is still verified to have loaded the version.
+    /// check order numbers is still verified to have loaded the version. While an order to
+    /// unload may still come, a loaded version is ordered again, which makes that one stale.
     pub(super) async fn load_version(
         &mut self,
         state: &EndpointState,
@@ -70,7 +74,7 @@
             Ok(engine_state) => {
                 // An earlier order whose read was cut leaves other content.
                 let found = loaded_content_digest(&engine_state, manifest);
-                if found == Some(verified.whole) {
+                if found == Some(verified.whole) && !self.may_unload(&engine_state) {
                     return LoadOutcome::Loaded(verified.whole);
                 }
             }
@@ -87,13 +91,22 @@
             Ok(answer) => LoadOutcome::Loaded(answer.whole),
             Err(EngineError::Refused(code)) => LoadOutcome::Refused(hold_reason(code, tracked)),
             Err(_) => match self.engine_state().await {
-                Ok(engine_state) => loaded_content_digest(&engine_state, manifest)
-                    .map_or(LoadOutcome::Unknown, LoadOutcome::Loaded),
-                Err(_) => LoadOutcome::Unknown,
+                Ok(engine_state) if !self.may_unload(&engine_state) => {
+                    loaded_content_digest(&engine_state, manifest)
+                        .map_or(LoadOutcome::Unknown, LoadOutcome::Loaded)
+                }
+                Ok(_) | Err(_) => LoadOutcome::Unknown,
             },
         }
     }
 
+    /// Whether an order to unload without an answer may still be carried out: the engine has
+    /// received no later order.
+    fn may_unload(&self, engine_state: &EngineState) -> bool {
+        self.open_unload
+            .is_some_and(|order| engine_state.highest_order <= Some(order))
+    }
+
     /// Orders the engine to unload a version.
     pub(super) async fn unload_version(
         &mut self,
@@ -101,7 +114,14 @@
         manifest: Digest,
     ) -> Result<(), EngineError> {
         let order = self.next_order_no(state);
-        self.client.unload(&UnloadOrder { order, manifest }).await
+        let outcome = self.client.unload(&UnloadOrder { order, manifest }).await;
+        if outcome
+            .as_ref()
+            .is_err_and(|error| !error.is_not_carried_out())
+        {
+            self.open_unload = Some(order);
+        }
+        outcome
     }
 }
 
--- a/src/endpoint/weights_manager.rs
+++ b/src/endpoint/weights_manager.rs
@@ -217,7 +217,7 @@
                 .iter_mut()
                 .find(|tracked| tracked.digest() == digest)
             {
-                Some(tracked) => tracked.retired_ms = None,
+                Some(tracked) => tracked.want_again(),
                 None => {
                     let version = self.state.weights.ensure_version(digest);
                     self.tracked
--- a/src/endpoint/weights_rollout.rs
+++ b/src/endpoint/weights_rollout.rs
@@ -104,6 +104,7 @@
             match tracked.retired_ms {
                 None if self.is_replaced(at).await => self.tracked[at].retired_ms = Some(now_ms),
                 Some(retired_ms) if now_ms >= retired_ms + UNLOAD_DELAY_MS => {
+                    self.tracked[at].unload_ordered = true;
                     to_unload.push(digest)
                 }
                 _ => {}
--- a/src/endpoint/weights_tracked.rs
+++ b/src/endpoint/weights_tracked.rs
@@ -38,6 +38,8 @@
     /// Time from which the version is left out of the reports, in milliseconds; the engine
     /// unloads it some time later.
     pub(super) retired_ms: Option<u64>,
+    /// Whether the engine was ordered to unload the version, with or without an answer.
+    pub(super) unload_ordered: bool,
     /// Number of consecutive failures.
     failures: u32,
     /// Earliest time of the next attempt, in milliseconds.
@@ -54,6 +56,7 @@
             base: None,
             temporary_hold: None,
             retired_ms: None,
+            unload_ordered: false,
             failures: 0,
             next_attempt_ms: 0,
         }
@@ -69,6 +72,15 @@
         self.version.stage_kind() == VersionStageKind::Serving
     }
 
+    /// Ends the retirement of a version that is wanted again; it is loaded again if the
+    /// engine may have unloaded it.
+    pub(super) fn want_again(&mut self) {
+        self.retired_ms = None;
+        if std::mem::take(&mut self.unload_ordered) {
+            self.version.require_reload();
+        }
+    }
+
     /// Whether the backoff after the last failure is over.
     pub(super) fn is_retry_due(&self, now_ms: u64) -> bool {
         now_ms >= self.next_attempt_ms
--- a/tests/weights_rollout/main.rs
+++ b/tests/weights_rollout/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod holds;
+mod late_orders;
 mod load_slots;
 mod other_content;
 mod proxy;
--- a/tests/weights_rollout/site.rs
+++ b/tests/weights_rollout/site.rs
@@ -133,6 +133,16 @@
         .await;
     }
 
+    /// Waits until the status shows a serving replica of version `manifest` of `model`.
+    pub async fn wait_version_serving(&self, model: &str, manifest: Digest) {
+        until(&format!("{manifest} is served"), LIMIT_S, async || {
+            let status = self.status().await?;
+            let view = status.models.into_iter().find(|view| view.name == model)?;
+            (view.manifest == manifest && view.serving == 1).then_some(())
+        })
+        .await;
+    }
+
     /// Waits until `model` is held on a host for a cause that contains `text`.
     pub async fn wait_held(&self, model: &str, text: &str) {
         until(&format!("{model} is held: {text}"), LIMIT_S, async || {
