Name the content in an order to load, for the engine to compare

Found by reading, not reported. Callers would get tokens made with a part of a version: streams of up to 2 s, until the check of the engine's state finds it.

Cause: an order to load named a manifest and a source, and the engine took whatever it read. Only the endpoint compared the digest, after the engine had taken the content, and had no part in an order that was carried out late. A read that is cut, as when the process is killed, ends without an error for the stand-in's client.

An order now carries the digest of the complete content. The engine compares it before it takes what it has read, and refuses other content with `wrong_content`; what was loaded before stays. An engine that ignores the field is checked as before, by its answer and its state.

Test: load_cut_source_keeps_content: a late order whose read is cut, at an engine that does not check order numbers. The two tests of other content now name the cut content in their order, to stand for an engine that does not compare; what they require is unchanged.

--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -184,6 +184,7 @@
             model: MODEL.to_owned(),
             version: "1".to_owned(),
             manifest: manifest_digest(),
+            whole: weights_digest(),
             base: None,
             source_url: source.url(),
         };
--- a/src/clients/engine_api.rs
+++ b/src/clients/engine_api.rs
@@ -15,6 +15,9 @@
     pub version: String,
     /// Digest of the version's manifest.
     pub manifest: Digest,
+    /// Digest of all bytes of the weights. An engine that compares it before it takes what it
+    /// read never replaces loaded weights by a cut read.
+    pub whole: Digest,
     /// Digest of the base model's manifest, when the weights are an adapter.
     pub base: Option<Digest>,
     /// URL that the engine reads the weights from.
@@ -139,6 +142,8 @@
     BaseNotLoaded,
     /// The weights could not be read from their source.
     SourceFailed,
+    /// The bytes read from the source do not have the digest of the order.
+    WrongContent,
     /// The stream was cancelled.
     Cancelled,
     /// The deadline passed.
@@ -156,6 +161,7 @@
             Self::NotLoaded => "not_loaded",
             Self::BaseNotLoaded => "base_not_loaded",
             Self::SourceFailed => "source_failed",
+            Self::WrongContent => "wrong_content",
             Self::Cancelled => "cancelled",
             Self::DeadlinePassed => "deadline_passed",
             Self::Other => "other",
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -314,6 +314,7 @@
         EngineErrorCode::DeadlinePassed => StreamFault::DeadlinePassed,
         EngineErrorCode::StaleOrder
         | EngineErrorCode::SourceFailed
+        | EngineErrorCode::WrongContent
         | EngineErrorCode::Cancelled
         | EngineErrorCode::Other => StreamFault::EngineFailed,
     }
--- a/src/endpoint/weights_engine.rs
+++ b/src/endpoint/weights_engine.rs
@@ -84,6 +84,7 @@
             model: tracked.model.name.clone(),
             version: tracked.model.version.clone(),
             manifest,
+            whole: verified.whole,
             base: tracked.base,
             source_url: format!("http://{}/x/local/{manifest}", state.node.process().listen),
         };
--- a/src/standin/engine/handlers.rs
+++ b/src/standin/engine/handlers.rs
@@ -51,6 +51,9 @@
         return HttpResponse::build(StatusCode::BAD_GATEWAY)
             .json(refusal_with(EngineErrorCode::SourceFailed));
     };
+    if whole != order.whole {
+        return conflict(refusal_with(EngineErrorCode::WrongContent));
+    }
     // An order with a higher number may have arrived while the source was read.
     if let Err(refusal) = engine.accept_order(order.order) {
         return conflict(refusal);
--- a/tests/generate_engine/fixture.rs
+++ b/tests/generate_engine/fixture.rs
@@ -78,6 +78,15 @@
 
     /// Orders the engine to load the weights, with an order of configuration offset `offset`.
     pub async fn load(&self, offset: u64) -> Result<LoadAnswer, EngineError> {
+        self.load_from(self.source_url.clone(), offset).await
+    }
+
+    /// Orders the engine to load the weights from `source_url`.
+    pub async fn load_from(
+        &self,
+        source_url: String,
+        offset: u64,
+    ) -> Result<LoadAnswer, EngineError> {
         let order = LoadOrder {
             order: FencingNumber {
                 offset,
@@ -87,8 +96,9 @@
             model: "huts".to_owned(),
             version: "1".to_owned(),
             manifest: self.manifest(),
+            whole: self.content_digest(),
             base: None,
-            source_url: self.source_url.clone(),
+            source_url,
         };
         self.engine.load(&order).await
     }
--- a/tests/generate_engine/main.rs
+++ b/tests/generate_engine/main.rs
@@ -1,7 +1,11 @@
 //! Tests of the engine stand-in through the engine client.
 
+#[path = "../support/cut_source.rs"]
+mod cut_source;
+
 mod fixture;
 
+use crate::cut_source::start_cut_source;
 use crate::fixture::Fixture;
 use bergamotfork::clients::EngineError;
 use bergamotfork::clients::EngineErrorCode;
@@ -32,6 +36,18 @@
     fixture.load(4).await.expect("orders are not checked");
 }
 
+// A late order whose read was cut replaced content that was loaded whole.
+#[actix_rt::test]
+async fn load_cut_source_keeps_content() {
+    let fixture = Fixture::start(|options| options.checks_orders = false).await;
+    fixture.load(5).await.expect("the order is fresh");
+    let source_url = format!("http://{}/", start_cut_source());
+    let late = fixture.load_from(source_url, 4).await;
+    let state = fixture.engine.fetch_state().await.expect("the engine runs");
+    assert_eq!(state.loaded[0].whole, fixture.content_digest());
+    late.expect_err("the content is not the one ordered");
+}
+
 #[actix_rt::test]
 async fn generate_complete_answer() {
     let fixture = Fixture::start(|_| {}).await;
--- a/tests/weights_rollout/main.rs
+++ b/tests/weights_rollout/main.rs
@@ -1,6 +1,8 @@
 //! Tests of rollouts with separate processes: load slots, held versions, lost replies,
 //! paused and restarted processes.
 
+#[path = "../support/cut_source.rs"]
+mod cut_source;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/tests/weights_rollout/other_content.rs
+++ b/tests/weights_rollout/other_content.rs
@@ -1,9 +1,5 @@
-use std::io::Read;
-use std::io::Write;
-use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::thread;
-
+use crate::cut_source::CUT_CONTENT;
+use crate::cut_source::start_cut_source;
 use crate::site::LIMIT_S;
 use crate::site::Site;
 use crate::support::until;
@@ -12,30 +8,6 @@
 use bergamotfork::clients::LoadOrder;
 use bergamotfork::weights::Digest;
 
-/// Content that a source sends before it breaks off.
-const CUT_CONTENT: &[u8] = b"the first bytes of a version";
-
-/// Starts a source of weights that breaks off within a body of unknown length.
-fn start_cut_source() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("the address is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    thread::spawn(move || {
-        for connection in listener.incoming() {
-            let mut connection = connection.expect("a connection is accepted");
-            let _ = connection.read(&mut [0; 4096]);
-            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-            let body = [
-                format!("{head}{:x}\r\n", CUT_CONTENT.len()).as_bytes(),
-                CUT_CONTENT,
-                b"\r\n",
-            ]
-            .concat();
-            connection.write_all(&body).expect("the body is sent");
-        }
-    });
-    address
-}
-
 /// Has the engine at `backend` carry out an order for `manifest` whose source breaks off, as
 /// when the process that gave it was killed.
 async fn load_cut_content(backend: &str, manifest: Digest) {
@@ -49,6 +21,8 @@
         model: "chat".to_owned(),
         version: "v1".to_owned(),
         manifest,
+        // The stand-in takes what the order names; an engine may not compare at all.
+        whole: Digest::of_bytes(CUT_CONTENT),
         base: None,
         source_url: format!("http://{}/", start_cut_source()),
     };
