Do not unload a version that was wanted again during a load

Found by reading, not reported. Callers would find no replica of a version that the configuration went back to while another model was loading, until the host has fetched and loaded all of it again.

Cause: a pass of the endpoint reads what is wanted once, then waits for its loads, each up to 120 s, and unloads replaced versions at its end by what it had read.

What is wanted is now looked up again before a version is retired and before each order to unload.

Test: rollout_wanted_again_during_other_load, with a real endpoint process and a proxy that lets an order to load wait.

--- a/src/endpoint/weights_manager.rs
+++ b/src/endpoint/weights_manager.rs
@@ -151,7 +151,7 @@
     }
 
     /// Models whose placement includes this host.
-    fn wanted_models(&self) -> Vec<WantedModel> {
+    pub(super) fn wanted_models(&self) -> Vec<WantedModel> {
         let node = &self.state.node;
         let members = self.swarm_members();
         let mut wanted = Vec::new();
--- a/src/endpoint/weights_rollout.rs
+++ b/src/endpoint/weights_rollout.rs
@@ -88,29 +88,40 @@
 
     /// Retires versions that are served but not wanted once they are replaced, and unloads
     /// them `UNLOAD_DELAY_MS` later.
+    ///
+    /// `wanted` is from before the loads of this pass, which may have taken long; what is not
+    /// in it is looked up again.
     pub(super) async fn retire_versions(&mut self, wanted: &[WantedModel]) {
         let now_ms = self.state.node.now_ms();
         let mut to_unload = Vec::new();
         for at in 0..self.tracked.len() {
             let tracked = &self.tracked[at];
             let digest = tracked.digest();
-            if !tracked.is_serving()
-                || wanted
-                    .iter()
-                    .any(|wanted_model| wanted_model.model.manifest == digest)
-            {
+            let was_wanted = wanted
+                .iter()
+                .any(|wanted_model| wanted_model.model.manifest == digest);
+            if !tracked.is_serving() || was_wanted || self.is_wanted(digest) {
                 continue;
             }
             match tracked.retired_ms {
                 None if self.is_replaced(at).await => self.tracked[at].retired_ms = Some(now_ms),
                 Some(retired_ms) if now_ms >= retired_ms + UNLOAD_DELAY_MS => {
-                    self.tracked[at].unload_ordered = true;
                     to_unload.push(digest)
                 }
                 _ => {}
             }
         }
         for digest in to_unload {
+            if self.is_wanted(digest) {
+                continue;
+            }
+            if let Some(tracked) = self
+                .tracked
+                .iter_mut()
+                .find(|tracked| tracked.digest() == digest)
+            {
+                tracked.unload_ordered = true;
+            }
             if self
                 .order_sender
                 .unload_version(&self.state, digest)
@@ -123,6 +134,13 @@
         }
     }
 
+    /// Whether the current configuration wants the version on this host.
+    fn is_wanted(&self, manifest: Digest) -> bool {
+        self.wanted_models()
+            .iter()
+            .any(|wanted_model| wanted_model.model.manifest == manifest)
+    }
+
     /// Whether the tracked version at `index` is no longer needed: the model was removed, or
     /// its new version is served here or, if it is not tracked here, on every host that should
     /// serve it.
--- a/tests/weights_rollout/proxy.rs
+++ b/tests/weights_rollout/proxy.rs
@@ -9,6 +9,7 @@
 use actix_web::HttpResponse;
 use actix_web::http::Method;
 use actix_web::web;
+use tokio::sync::RwLock;
 
 use bergamotfork::links::HttpClient;
 use bergamotfork::links::LinkError;
@@ -24,6 +25,10 @@
 pub struct EngineProxy {
     engine: String,
     replies_to_drop: AtomicU32,
+    /// Orders to load that came in.
+    pub loads_received: AtomicU32,
+    /// Orders to load wait here while a test holds the lock for writing.
+    pub load_gate: RwLock<()>,
     /// Orders to load that were forwarded.
     pub loads: AtomicU32,
     /// Whether orders to unload are kept back and not answered.
@@ -58,6 +63,8 @@
     let proxy = Arc::new(EngineProxy {
         engine: engine.to_owned(),
         replies_to_drop: AtomicU32::new(replies_to_drop),
+        loads_received: AtomicU32::new(0),
+        load_gate: RwLock::default(),
         loads: AtomicU32::new(0),
         keeps_unloads: AtomicBool::new(false),
         kept_unloads: Mutex::default(),
@@ -85,6 +92,10 @@
             .push(body);
         return HttpResponse::GatewayTimeout().finish();
     }
+    if request.path() == "/v1/load" {
+        proxy.loads_received.fetch_add(1, Ordering::SeqCst);
+        drop(proxy.load_gate.read().await);
+    }
     let url = format!("http://{}{}", proxy.engine, request.path());
     let method = Method::from_bytes(request.method().as_str().as_bytes()).expect("a method");
     let forwarded = HttpClient::to_platform()
--- a/tests/weights_rollout/site.rs
+++ b/tests/weights_rollout/site.rs
@@ -133,6 +133,16 @@
         .await;
     }
 
+    /// Waits until the configuration of the host `name` is at `offset` or later.
+    pub async fn wait_config_offset(&self, name: &str, offset: u64) {
+        until(&format!("{name} is at {offset}"), LIMIT_S, async || {
+            let status = self.status().await?;
+            let host = status.hosts.into_iter().find(|host| host.name == name)?;
+            (host.config_offset? >= offset).then_some(())
+        })
+        .await;
+    }
+
     /// Waits until the status shows a serving replica of version `manifest` of `model`.
     pub async fn wait_version_serving(&self, model: &str, manifest: Digest) {
         until(&format!("{manifest} is served"), LIMIT_S, async || {
