Do not unload by the configuration from before a freeze

Found by reading, not reported. Callers would find no replica of a version that the configuration went back to while an endpoint process was frozen, until the host has fetched and loaded all of it again.

Cause: whether the configuration is confirmed was asked at the start of a pass only. A process that was frozen within a pass, as while an engine loads, woke with the replaced version due to be unloaded and gave the order by its old document.

The order to unload now needs a configuration that is confirmed at that time, as every pass does at its start. A freeze between this check and the order is not excluded; the version is then loaded again before it is served.

--- a/src/endpoint/weights_rollout.rs
+++ b/src/endpoint/weights_rollout.rs
@@ -112,7 +112,8 @@
             }
         }
         for digest in to_unload {
-            if self.is_wanted(digest) {
+            // After a pause within this pass the document may be out of date.
+            if !self.state.node.admission().admits() || self.is_wanted(digest) {
                 continue;
             }
             if let Some(tracked) = self
