Load the newest version where the one before can't be had either

Engines stayed behind, or without weights, until another version was declared: a host whose engine had lost its staging area asked for the manifest of an earlier version, which the origin had no longer. That version never counted as stalled, as its download had not begun; the newest did, as nobody fetched it.

A search for a manifest counts as a download without progress, for 5 s, and of two versions that are stalled the newest is fetched. A download that starts beside three of later versions is kept; it was dropped at once, so that its host started it again and again.

--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -36,7 +36,11 @@
             return Some(self.store_manifest(known));
         }
         let rank = {
-            let state = self.state.borrow();
+            let mut state = self.state.borrow_mut();
+            let now_ms = state.now_ms() as i64;
+            state
+                .staged_model(self.model)
+                .start_search(self.version, now_ms);
             let names: Vec<String> = state
                 .replicas
                 .iter()
--- a/src/staging/next_load.rs
+++ b/src/staging/next_load.rs
@@ -121,7 +121,8 @@
     };
     if input.engine_version == 0 {
         let is_cached = input.now_ms >= newest.learned_ms + EMPTY_ENGINE_MIN_AGE_MS;
-        return if is_cached && !is_stalled(newest.version) {
+        let has_alternative = is_stalled(newest.version) && !is_stalled(first.version);
+        return if is_cached && !has_alternative {
             newest
         } else {
             first
@@ -132,10 +133,14 @@
         Some(download) => (download.started_ms + DOWNLOAD_MS).max(input.now_ms),
         None => input.now_ms + DOWNLOAD_MS,
     };
+    // When neither makes progress, the newest is the one that the origin still has.
+    if is_stalled(first.version) {
+        return newest;
+    }
     if is_stalled(newest.version) {
         return first;
     }
-    if is_stalled(first.version) || newest_ready_ms <= due_ms || input.now_ms >= due_ms {
+    if newest_ready_ms <= due_ms || input.now_ms >= due_ms {
         return newest;
     }
     first
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -8,6 +8,10 @@
 /// Versions kept of one model: the loaded one and the next two.
 const MAX_VERSIONS: usize = 3;
 
+/// Time for which a version whose manifest could not be found counts as stalled, in ms.
+/// After that it is searched for again.
+const SEARCH_RETRY_MS: i64 = 5_000;
+
 /// The download of one version of weights, in progress or complete.
 #[derive(Debug)]
 pub struct VersionDownload {
@@ -40,6 +44,8 @@
     pub model: String,
     // Verified version of each staged piece; 0 when unknown.
     staged_versions: Vec<u64>,
+    // Versions whose manifest is searched for, with the monotonic time of the start, in ms.
+    searches: Vec<(u64, i64)>,
     // Writes that may still be carried out.
     open_writes: Vec<OpenWrite>,
     // In ascending order of versions.
@@ -52,6 +58,7 @@
         Self {
             model: model.to_owned(),
             staged_versions: Vec::new(),
+            searches: Vec::new(),
             open_writes: Vec::new(),
             downloads: Vec::new(),
         }
@@ -61,6 +68,7 @@
     ///
     /// Drops the lowest version when more than `MAX_VERSIONS` would be kept.
     pub fn start_download(&mut self, manifest: PieceManifest, now_ms: i64) {
+        self.searches.retain(|search| search.0 != manifest.version);
         self.staged_versions.resize(manifest.digests.len(), 0);
         let found = self
             .downloads
@@ -79,7 +87,8 @@
                     },
                 );
                 if self.downloads.len() > MAX_VERSIONS {
-                    self.downloads.remove(0);
+                    // The version that was asked for stays, even if it is the lowest.
+                    self.downloads.remove(usize::from(at == 0));
                 }
             }
         }
@@ -224,8 +233,27 @@
         self.version_download(version).is_some() && self.held_pieces(version).is_complete()
     }
 
-    /// Returns the progress of each download.
-    pub fn download_progress(&self) -> Vec<DownloadProgress> {
+    /// Records that the manifest of `version` is searched for since `now_ms`.
+    pub fn start_search(&mut self, version: u64, now_ms: i64) {
+        self.searches
+            .retain(|search| search.0 != version || now_ms - search.1 < SEARCH_RETRY_MS);
+        if self.searches.iter().all(|search| search.0 != version) {
+            self.searches.push((version, now_ms));
+        }
+    }
+
+    /// Returns the progress of each download, and of each search for a manifest.
+    pub fn download_progress(&self, now_ms: i64) -> Vec<DownloadProgress> {
+        let searches = self
+            .searches
+            .iter()
+            .filter(|search| now_ms - search.1 < SEARCH_RETRY_MS)
+            .map(|(version, started_ms)| DownloadProgress {
+                version: *version,
+                started_ms: *started_ms,
+                last_progress_ms: *started_ms,
+                is_complete: false,
+            });
         self.downloads
             .iter()
             .map(|download| DownloadProgress {
@@ -234,6 +262,7 @@
                 last_progress_ms: download.last_progress_ms,
                 is_complete: self.is_complete(download.manifest.version),
             })
+            .chain(searches)
             .collect()
     }
 
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -262,7 +262,7 @@
             .staged_models
             .iter()
             .filter(|staged| staged.model == model)
-            .flat_map(StagedModel::download_progress)
+            .flat_map(|staged| staged.download_progress(self.now_ms() as i64))
             .collect();
         next_load(&NextLoadInput {
             now_ms: self.now_ms() as i64,
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -233,3 +233,56 @@
     schedule.finish();
     assert!(!schedule.try_start(5_000, 400));
 }
+
+/// Guards against an engine that waits for a version which the origin has no longer, while
+/// nobody fetches the newest one.
+#[test]
+fn next_load_both_stalled_newest() {
+    let stalled = [
+        progress(2, 4_000, 4_000, false),
+        progress(3, 3_000, 3_500, false),
+    ];
+    for engine_version in [0, 1] {
+        let next = load_with(
+            6_000,
+            engine_version,
+            &[(2, 3_000), (3, 3_500)],
+            &stalled,
+            0.0,
+        );
+        assert_eq!(next.map(|next| next.version), Some(3));
+    }
+}
+
+/// Guards against a download that is dropped as soon as it starts, since later versions are
+/// held.
+#[test]
+fn start_download_lowest_version_kept() {
+    let mut staged = StagedModel::new("m");
+    for version in [5, 6, 7, 4] {
+        let manifest = PieceManifest {
+            version,
+            digests: vec![[0; 32]; 2],
+        };
+        staged.start_download(manifest, 0);
+    }
+    assert!(staged.version_download(4).is_some());
+}
+
+/// Guards against a version without a manifest that never counts as stalled, and against one
+/// that is never searched for again.
+#[test]
+fn download_progress_lists_search_for_a_time() {
+    let mut staged = StagedModel::new("m");
+    staged.start_search(2, 1_000);
+    assert_eq!(
+        staged.download_progress(2_000),
+        [progress(2, 1_000, 1_000, false)]
+    );
+    assert_eq!(staged.download_progress(6_000), []);
+    staged.start_search(2, 6_100);
+    assert_eq!(
+        staged.download_progress(6_200),
+        [progress(2, 6_100, 6_100, false)]
+    );
+}
