Do not send a request whose deadline has passed while it connected

A process that was frozen while it connected to the engine sent the order when it woke, however old the check of the pieces was by then: the write was tried before its deadline was looked at.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -151,6 +151,10 @@
         bytes: &[u8],
         deadline: Instant,
     ) -> Result<(), Http1Error> {
+        // The process may have stood still since the caller set the deadline.
+        if Instant::now() >= deadline {
+            return Err(Http1Error::TimedOut);
+        }
         match timeout_at(deadline, self.write(bytes)).await {
             Ok(result) => result.map_err(Http1Error::Io),
             Err(_) => Err(Http1Error::TimedOut),
