Keep orders and writes without an answer open across restarts of the engine

Callers would get tokens of wrong weights where a call to the engine outlives an incarnation, or is repeated.

- An order without an answer counted as gone when the engine had restarted.
One that has restarted under the same id counts no orders again, and accepts it.
It now stays open unless the new incarnation is known to have another id.
- A write without an answer counted as carried out once its piece was found in the staging area, though another write may have put it there.
It now stays open for its time, also across a restart.
- The time after which a call counts as lost is 15 s instead of 30 s.

--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -5,15 +5,13 @@
 /// Time after its last send from which a call to the engine that got no answer counts as
 /// lost, in ms. Platforms state no bound; orders that took effect twelve seconds late have
 /// been seen.
-pub(super) const UNANSWERED_CALL_EXPIRY_MS: i64 = 30_000;
+pub(super) const UNANSWERED_CALL_EXPIRY_MS: i64 = 15_000;
 
 /// An order that may still take effect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenOrder {
     /// The order as it was sent.
     pub order: LoadOrder,
-    /// Start of the incarnation of the engine that it was sent to, in Unix ms.
-    pub born_unix_ms: Option<u64>,
     /// Monotonic time at which it was first sent, in ms.
     pub first_sent_ms: i64,
     /// Monotonic time at which it was last sent, in ms.
@@ -25,7 +23,7 @@
 pub enum OrderEnd {
     /// The engine has accepted it, or another order with the same expected count.
     Counted,
-    /// The engine has restarted.
+    /// The engine has restarted under another id than the one that the order names.
     Restarted,
     /// It has not taken effect for a long time.
     Expired,
@@ -51,9 +49,7 @@
     Unreported,
     /// They may take effect, except for the models that are ruled out.
     Possible {
-        /// Start of the incarnation of the engine, in Unix ms.
-        born_unix_ms: Option<u64>,
-        /// Orders that it had accepted by its first report.
+        /// Orders that the engine had accepted by its first report.
         orders: u64,
         /// Monotonic time of the first report, in ms.
         since_ms: i64,
@@ -102,8 +98,8 @@
     /// Records what an earlier process has left in the staging area of `model`, of which the
     /// engine has loaded `loaded_version`.
     ///
-    /// A later version that is staged may have been ordered: it counts as an open order. Once
-    /// a later one was accepted, the engine refuses an order for an earlier one.
+    /// A later version that is staged may have been ordered: it counts as an open order. The
+    /// loaded version and those before it are not ordered again.
     pub fn record_staged_content(
         &mut self,
         model: &str,
@@ -111,7 +107,6 @@
         loaded_version: u64,
     ) {
         let EarlierOrders::Possible {
-            born_unix_ms,
             orders,
             since_ms,
             ruled_out,
@@ -119,7 +114,6 @@
         else {
             return;
         };
-        let (born_unix_ms, expected_orders, since_ms) = (*born_unix_ms, *orders, *since_ms);
         if content == StagedContent::Unknown {
             return;
         }
@@ -130,46 +124,55 @@
             let order = LoadOrder {
                 model: model.to_owned(),
                 version,
-                expected_orders,
+                expected_orders: *orders,
                 incarnation: None,
             };
-            self.open
-                .push(OpenOrder::new(order, born_unix_ms, since_ms));
+            self.open.push(OpenOrder::new(order, *since_ms));
         }
     }
 
-    /// Records an order that was sent at `now_ms` to the incarnation `born_unix_ms` and got
-    /// no answer.
-    pub fn record_unanswered(&mut self, order: LoadOrder, born_unix_ms: Option<u64>, now_ms: i64) {
+    /// Records an order that was sent at `now_ms` and got no answer.
+    pub fn record_unanswered(&mut self, order: LoadOrder, now_ms: i64) {
         let known = self
             .open
             .iter_mut()
             .find(|open| open.order.model == order.model);
         match known {
-            Some(open) if open.order == order && open.born_unix_ms == born_unix_ms => {
+            // Of several sends, the one that can take effect for the longest time counts.
+            Some(open) => {
+                let known = &mut open.order;
+                known.expected_orders = known.expected_orders.max(order.expected_orders);
+                if known.incarnation != order.incarnation {
+                    known.incarnation = None;
+                }
                 open.last_sent_ms = now_ms;
             }
-            Some(open) => *open = OpenOrder::new(order, born_unix_ms, now_ms),
-            None => self.open.push(OpenOrder::new(order, born_unix_ms, now_ms)),
+            None => self.open.push(OpenOrder::new(order, now_ms)),
         }
     }
 
-    /// Records that the engine has accepted an order, which rules out all open ones.
-    pub fn record_accepted(&mut self) -> Vec<(OpenOrder, OrderEnd)> {
-        self.earlier = EarlierOrders::Settled;
-        let open = std::mem::take(&mut self.open);
-        open.into_iter()
+    /// Records that the engine has accepted `order`, which rules out the open ones that expect
+    /// no higher count.
+    pub fn record_accepted(&mut self, order: &LoadOrder) -> Vec<(OpenOrder, OrderEnd)> {
+        let is_counted = |open: &mut OpenOrder| open.order.expected_orders <= order.expected_orders;
+        self.open
+            .extract_if(.., is_counted)
             .map(|open| (open, OrderEnd::Counted))
             .collect()
     }
 
-    /// Compares the open orders with a report of the engine, and returns those that can no
-    /// longer take effect.
-    pub fn settle(&mut self, report: &EngineReport, now_ms: i64) -> Vec<(OpenOrder, OrderEnd)> {
+    /// Compares the open orders with a report of the engine, whose incarnation has the id
+    /// `incarnation` if that is known, and returns those that can no longer take effect.
+    pub fn settle(
+        &mut self,
+        report: &EngineReport,
+        incarnation: Option<&str>,
+        now_ms: i64,
+    ) -> Vec<(OpenOrder, OrderEnd)> {
         self.settle_earlier(report, now_ms);
         let mut ended = Vec::new();
         self.open.retain(|open| {
-            let end = open.end(report, now_ms);
+            let end = open.end(report, incarnation, now_ms);
             ended.extend(end.map(|end| (open.clone(), end)));
             end.is_none()
         });
@@ -181,20 +184,15 @@
         match &self.earlier {
             EarlierOrders::Unreported => {
                 self.earlier = EarlierOrders::Possible {
-                    born_unix_ms: report.born_unix_ms,
                     orders: report.orders,
                     since_ms: now_ms,
                     ruled_out: Vec::new(),
                 };
             }
             EarlierOrders::Possible {
-                born_unix_ms,
-                orders,
-                since_ms,
-                ..
+                orders, since_ms, ..
             } => {
-                let has_changed = report.born_unix_ms != *born_unix_ms || report.orders != *orders;
-                if has_changed || now_ms - since_ms >= UNANSWERED_CALL_EXPIRY_MS {
+                if report.orders > *orders || now_ms - since_ms >= UNANSWERED_CALL_EXPIRY_MS {
                     self.earlier = EarlierOrders::Settled;
                 }
             }
@@ -204,18 +202,25 @@
 }
 
 impl OpenOrder {
-    fn new(order: LoadOrder, born_unix_ms: Option<u64>, now_ms: i64) -> Self {
+    fn new(order: LoadOrder, now_ms: i64) -> Self {
         Self {
             order,
-            born_unix_ms,
             first_sent_ms: now_ms,
             last_sent_ms: now_ms,
         }
     }
 
     /// Returns why the order can no longer take effect; `None` if it can.
-    fn end(&self, report: &EngineReport, now_ms: i64) -> Option<OrderEnd> {
-        if report.born_unix_ms != self.born_unix_ms {
+    ///
+    /// An engine that has restarted under the same id counts anew, and may still accept it.
+    fn end(
+        &self,
+        report: &EngineReport,
+        incarnation: Option<&str>,
+        now_ms: i64,
+    ) -> Option<OrderEnd> {
+        let named = self.order.incarnation.as_deref();
+        if named.is_some() && incarnation.is_some() && named != incarnation {
             Some(OrderEnd::Restarted)
         } else if report.orders > self.order.expected_orders {
             Some(OrderEnd::Counted)
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -28,7 +28,6 @@
 /// A write of a piece that got no answer and may be carried out later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct OpenWrite {
-    index: u32,
     version: u64,
     sent_ms: i64,
 }
@@ -42,6 +41,8 @@
 pub struct StagedModel {
     /// Name of the model.
     pub model: String,
+    /// Monotonic time at which what an earlier process has staged was last examined, in ms.
+    pub examined_ms: Option<i64>,
     // Verified version of each staged piece; 0 when unknown.
     staged_versions: Vec<u64>,
     // Versions whose manifest is searched for, with the monotonic time of the start, in ms.
@@ -57,6 +58,7 @@
     pub fn new(model: &str) -> Self {
         Self {
             model: model.to_owned(),
+            examined_ms: None,
             staged_versions: Vec::new(),
             searches: Vec::new(),
             open_writes: Vec::new(),
@@ -148,11 +150,14 @@
         }
     }
 
-    /// Records a write of piece `index` of `version` that was sent at `now_ms` and got no
-    /// answer.
-    pub fn record_open_write(&mut self, index: u32, version: u64, now_ms: i64) {
+    /// Records a write of a piece of `version` that was sent at `now_ms` and got no answer.
+    ///
+    /// It stays open for its time: that the piece is found in the staging area does not show
+    /// which write has put it there, and the area survives a crash of the engine.
+    pub fn record_open_write(&mut self, version: u64, now_ms: i64) {
+        self.open_writes
+            .retain(|write| now_ms - write.sent_ms < UNANSWERED_CALL_EXPIRY_MS);
         self.open_writes.push(OpenWrite {
-            index,
             version,
             sent_ms: now_ms,
         });
@@ -166,25 +171,6 @@
         })
     }
 
-    /// Forgets the open write whose piece was found in the staging area, as `bytes` at
-    /// `index`: it has been carried out.
-    pub fn settle_write(&mut self, index: u32, bytes: &[u8]) {
-        let found = self.open_writes.iter().position(|write| {
-            write.index == index
-                && self
-                    .version_download(write.version)
-                    .is_some_and(|download| download.manifest.matches(index, bytes))
-        });
-        if let Some(found) = found {
-            self.open_writes.remove(found);
-        }
-    }
-
-    /// Forgets the writes that an earlier incarnation of the engine did not answer.
-    pub fn clear_open_writes(&mut self) {
-        self.open_writes.clear();
-    }
-
     /// Returns a piece of `version` that is buffered in memory.
     pub fn buffered_piece(&self, version: u64, index: u32) -> Option<Rc<Vec<u8>>> {
         self.version_download(version)?
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -102,8 +102,6 @@
     entries: Vec<KnownEntry>,
     /// Model and version of the load order that the engine has not carried out yet.
     pub pending_order: Option<(String, u64)>,
-    // Start of the last incarnation of the engine that has reported.
-    engine_born_unix_ms: Option<Option<u64>>,
     /// Orders to the engine that got no answer.
     pub orders: OrderLedger,
     /// Declared versions of weights.
@@ -125,7 +123,6 @@
             peer_pieces: Vec::new(),
             entries: Vec::new(),
             pending_order: None,
-            engine_born_unix_ms: None,
             orders: OrderLedger::default(),
             declared: Declarations::default(),
             topic_tables: Default::default(),
@@ -372,13 +369,9 @@
     pub fn record_engine_report(&mut self, report: Option<EngineReport>) {
         let now_ms = self.now_ms() as i64;
         if let Some(report) = &report {
-            log_settled_orders(&self.orders.settle(report, now_ms), now_ms);
-            let known = self.engine_born_unix_ms.replace(report.born_unix_ms);
-            if known.is_some_and(|born_unix_ms| born_unix_ms != report.born_unix_ms) {
-                self.staged_models
-                    .iter_mut()
-                    .for_each(StagedModel::clear_open_writes);
-            }
+            let incarnation = self.incarnation(report.born_unix_ms);
+            let settled = self.orders.settle(report, incarnation.as_deref(), now_ms);
+            log_settled_orders(&settled, now_ms);
         }
         self.engine_report = report;
     }
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -201,8 +201,7 @@
 
     /// Writes a piece to the staging area; returns whether it succeeded.
     ///
-    /// A write without an answer may be carried out later, over a piece of another version,
-    /// unless the piece proves to be there already.
+    /// A write without an answer may be carried out later, over a piece of another version.
     async fn write_piece(
         &self,
         engine: &mut E,
@@ -220,15 +219,14 @@
                     .number("version", self.version)
                     .number("piece", index)
                     .enqueue();
-                let is_carried_out = self.verify_staged_piece(engine, manifest, index).await;
-                if !is_carried_out && !error.is_answer() {
+                if !error.is_answer() {
                     let mut state = self.state.borrow_mut();
                     let now_ms = state.now_ms() as i64;
                     state
                         .staged_model(self.model)
-                        .record_open_write(index, self.version, now_ms);
+                        .record_open_write(self.version, now_ms);
                 }
-                is_carried_out
+                self.verify_staged_piece(engine, manifest, index).await
             }
         }
     }
@@ -241,14 +239,7 @@
         index: u32,
     ) -> bool {
         let is_valid = match engine.read_piece(self.model, index).await {
-            Ok(Some(bytes)) => {
-                let is_valid = manifest.matches(index, &bytes);
-                if !is_valid {
-                    let mut state = self.state.borrow_mut();
-                    state.staged_model(self.model).settle_write(index, &bytes);
-                }
-                is_valid
-            }
+            Ok(Some(bytes)) => manifest.matches(index, &bytes),
             Ok(None) => false,
             Err(error) => {
                 log::debug!("cannot read piece {index} from the staging area: {error}");
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -35,10 +35,6 @@
 /// written over them.
 const OPEN_WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which the staging area is examined while it is not known whether an earlier
-/// process has given an order that may still take effect.
-const EXAMINE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Number of times that the pieces are checked again when their check is outdated.
 const MAX_CHECKS: u32 = 3;
 
@@ -53,7 +49,6 @@
     origin: impl OriginPort,
     metrics: Rc<Metrics>,
 ) {
-    let mut last_examined = None;
     loop {
         let models = state.borrow().models();
         for model in models {
@@ -72,9 +67,8 @@
             let wanted = state.borrow().next_load(&model).map(|next| next.version);
             if let Some(version) = wanted
                 && state.borrow().orders.may_have_earlier(&model)
-                && last_examined.is_none_or(|at: Instant| at.elapsed() >= EXAMINE_INTERVAL)
+                && state.borrow_mut().start_examination(&model)
             {
-                last_examined = Some(Instant::now());
                 download(version).examine_staging_area().await;
             }
             let version_to_fetch = state.borrow().version_to_fetch(&model);
@@ -212,7 +206,7 @@
     match outcome {
         OrderOutcome::Accepted => {
             let now_ms = state.now_ms() as i64;
-            log_settled_orders(&state.orders.record_accepted(), now_ms);
+            log_settled_orders(&state.orders.record_accepted(&order), now_ms);
             state.pending_order = Some((order.model, order.version));
             state
                 .staged_model(download.model)
@@ -220,8 +214,7 @@
         }
         OrderOutcome::Refused(_) => {}
         OrderOutcome::Unanswered(_) => {
-            let born_unix_ms = checked.born_unix_ms;
-            state.orders.record_unanswered(order, born_unix_ms, sent_ms);
+            state.orders.record_unanswered(order, sent_ms);
         }
     }
 }
