Model of load orders that get lost or take effect late

Random orders that are answered, lost, late or carried out without an answer, restarts of the engine under the same or another id, with or without its staging area, and processes that are killed: an order is accepted only with all pieces of its version staged, versions never go back, and once calls have expired the newest version is loaded. Late orders end with a loss of power.

Besides, an open order whose version the engine has loaded is not sent again.

--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -241,7 +241,12 @@
     /// An order that may still take effect comes before newer versions.
     pub fn next_load(&self, model: &str) -> Option<NextLoad> {
         if let Some(version) = self.orders.open_version(model) {
-            return Some(NextLoad {
+            // Where the engine has the version, another order for it would change nothing.
+            let is_loaded = self
+                .engine_report
+                .as_ref()
+                .is_some_and(|report| report.version(model) == version);
+            return (!is_loaded).then(|| NextLoad {
                 version,
                 not_before_ms: self.now_ms() as i64,
             });
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the choice of the next version to load, of the pieces that a host
 //! holds, and of the distribution of pieces to many hosts.
 
+mod orders;
 mod piece_distribution;
 
 use bergamotfork::fleet::Declaration;
