Say in the ledger of orders what a restart under the same id leaves open

The comment claimed that a risen count rules an order out for good, which the listed test contradicts. Comment only; formatter, linter and names were run.

--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -65,8 +65,10 @@
 ///
 /// Such an order may be accepted at any time, and the engine then takes whatever is staged.
 /// Each order names the number of orders that the engine must have accepted before. So the
-/// engine accepts at most one of those sent with the same number, and none once its count
-/// has risen. Until then the pieces of an open order stay staged, and it is sent again.
+/// engine accepts at most one of those sent with the same number, and none while its count
+/// is higher. Until then the pieces of an open order stay staged, and it is sent again. An
+/// engine that restarts under the same id counts anew; that is not covered once an order has
+/// been ruled out.
 #[derive(Debug, Default)]
 pub struct OrderLedger {
     open: Vec<OpenOrder>,
