Revert "Keep the pieces of a counted order staged until no send of it is left"

The hold passes the model, but delays the next version by up to 15 s after each order that was sent twice: unanswered_order_accepted_after_next_version, ..._after_restart_under_same_id and ..._at_any_time timed out (3 of 24 tests of platform/tests/loads).

--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -16,11 +16,6 @@
     pub first_sent_ms: i64,
     /// Monotonic time at which it was last sent, in ms.
     pub last_sent_ms: i64,
-    /// Whether it was sent more than once, so that one send may remain when another was
-    /// accepted.
-    pub was_repeated: bool,
-    /// Whether an earlier process on this host may have sent it.
-    pub is_of_earlier_process: bool,
 }
 
 /// Why an open order can no longer take effect.
@@ -71,16 +66,12 @@
 /// Such an order may be accepted at any time, and the engine then takes whatever is staged.
 /// Each order names the number of orders that the engine must have accepted before. So the
 /// engine accepts at most one of those sent with the same number, and none while its count
-/// is higher. Until then the pieces of an open order stay staged, and it is sent again.
-///
-/// An engine that restarts under the same id counts anew, and may accept an order that its
-/// count had ruled out. So the pieces of such an order stay staged as well, until it has
-/// expired. That does not cover what an earlier process on this host has sent.
+/// is higher. Until then the pieces of an open order stay staged, and it is sent again. An
+/// engine that restarts under the same id counts anew; that is not covered once an order has
+/// been ruled out.
 #[derive(Debug, Default)]
 pub struct OrderLedger {
     open: Vec<OpenOrder>,
-    // Ruled out by the count of the engine, but not expired.
-    counted: Vec<OpenOrder>,
     earlier: EarlierOrders,
 }
 
@@ -93,9 +84,7 @@
 
     /// Returns whether pieces of `version` may be written to the staging area of `model`.
     pub fn may_write(&self, model: &str, version: u64) -> bool {
-        let mut unsettled = self.open.iter().chain(&self.counted);
-        !self.may_have_earlier(model)
-            && unsettled.all(|open| open.order.model != model || open.order.version == version)
+        !self.may_have_earlier(model) && self.open_version(model).is_none_or(|open| open == version)
     }
 
     /// Returns whether an order for `model` that an earlier process on this host has given
@@ -140,16 +129,12 @@
                 expected_orders: *orders,
                 incarnation: None,
             };
-            self.open.push(OpenOrder {
-                is_of_earlier_process: true,
-                ..OpenOrder::new(order, *since_ms)
-            });
+            self.open.push(OpenOrder::new(order, *since_ms));
         }
     }
 
     /// Records an order that was sent at `now_ms` and got no answer.
     pub fn record_unanswered(&mut self, order: LoadOrder, now_ms: i64) {
-        self.record_repetition(&order);
         let known = self
             .open
             .iter_mut()
@@ -163,8 +148,6 @@
                     known.incarnation = None;
                 }
                 open.last_sent_ms = now_ms;
-                open.was_repeated = true;
-                open.is_of_earlier_process = false;
             }
             None => self.open.push(OpenOrder::new(order, now_ms)),
         }
@@ -174,24 +157,12 @@
     /// no higher count.
     pub fn record_accepted(&mut self, order: &LoadOrder) -> Vec<(OpenOrder, OrderEnd)> {
         let is_counted = |open: &mut OpenOrder| open.order.expected_orders <= order.expected_orders;
-        let counted: Vec<OpenOrder> = self.open.extract_if(.., is_counted).collect();
-        self.keep_counted(counted.iter().cloned());
-        self.record_repetition(order);
-        counted
-            .into_iter()
+        self.open
+            .extract_if(.., is_counted)
             .map(|open| (open, OrderEnd::Counted))
             .collect()
     }
 
-    /// Records that `order` was sent: that its version is loaded no longer shows that one of
-    /// the sends before it has been carried out.
-    fn record_repetition(&mut self, order: &LoadOrder) {
-        let earlier = self.counted.iter_mut();
-        for counted in earlier.filter(|counted| counted.order.model == order.model) {
-            counted.was_repeated = true;
-        }
-    }
-
     /// Compares the open orders with a report of the engine, whose incarnation has the id
     /// `incarnation` if that is known, and returns those that can no longer take effect.
     pub fn settle(
@@ -201,46 +172,15 @@
         now_ms: i64,
     ) -> Vec<(OpenOrder, OrderEnd)> {
         self.settle_earlier(report, now_ms);
-        self.settle_counted(report, incarnation, now_ms);
         let mut ended = Vec::new();
         self.open.retain(|open| {
             let end = open.end(report, incarnation, now_ms);
             ended.extend(end.map(|end| (open.clone(), end)));
             end.is_none()
         });
-        let remaining = ended
-            .iter()
-            .filter(|(open, end)| *end == OrderEnd::Counted && !open.has_taken_effect(report))
-            .map(|(open, _)| open.clone());
-        self.keep_counted(remaining);
         ended
     }
 
-    /// Keeps orders that the count has ruled out. Those of an earlier process are dropped:
-    /// whether there are any is not known, and to wait for them after each restart of the
-    /// process would delay the next version more often than it protects one.
-    fn keep_counted(&mut self, counted: impl Iterator<Item = OpenOrder>) {
-        self.counted
-            .extend(counted.filter(|open| !open.is_of_earlier_process));
-    }
-
-    /// Drops the orders ruled out by the count that can't take effect any more. Those that an
-    /// engine may accept since it has restarted are open again.
-    fn settle_counted(&mut self, report: &EngineReport, incarnation: Option<&str>, now_ms: i64) {
-        for counted in std::mem::take(&mut self.counted) {
-            if counted.has_taken_effect(report) {
-                continue;
-            }
-            match counted.end(report, incarnation, now_ms) {
-                None if self.open_version(&counted.order.model).is_none() => {
-                    self.open.push(counted);
-                }
-                None | Some(OrderEnd::Counted) => self.counted.push(counted),
-                Some(OrderEnd::Restarted | OrderEnd::Expired) => {}
-            }
-        }
-    }
-
     /// Compares the possible orders of an earlier process with a report of the engine.
     fn settle_earlier(&mut self, report: &EngineReport, now_ms: i64) {
         match &self.earlier {
@@ -269,16 +209,9 @@
             order,
             first_sent_ms: now_ms,
             last_sent_ms: now_ms,
-            was_repeated: false,
-            is_of_earlier_process: false,
         }
     }
 
-    /// Returns whether the engine has carried out the only send of the order.
-    fn has_taken_effect(&self, report: &EngineReport) -> bool {
-        !self.was_repeated && report.version(&self.order.model) == self.order.version
-    }
-
     /// Returns why the order can no longer take effect; `None` if it can.
     ///
     /// An engine that has restarted under the same id counts anew, and may still accept it.
@@ -291,10 +224,10 @@
         let named = self.order.incarnation.as_deref();
         if named.is_some() && incarnation.is_some() && named != incarnation {
             Some(OrderEnd::Restarted)
-        } else if now_ms - self.last_sent_ms >= UNANSWERED_CALL_EXPIRY_MS {
-            Some(OrderEnd::Expired)
         } else if report.orders > self.order.expected_orders {
             Some(OrderEnd::Counted)
+        } else if now_ms - self.last_sent_ms >= UNANSWERED_CALL_EXPIRY_MS {
+            Some(OrderEnd::Expired)
         } else {
             None
         }
