Tell clients of entries near them, and space out heartbeats to other regions

Cause: an answer of the directory held the first 64 addresses in text order.

Change: an entry answers with those of the client's failure domain or region, and one elsewhere for each four; the same answer as long as the same entries accept clients. Heartbeats to other regions are sent once in up to four beats by the number of receivers; the time after which a silent process counts as failed follows from the gaps that were seen. A host that starts reports to the registered entries, which answer with a heartbeat, and downloads weights while its engine starts. A download that is half done is finished before that of a newer version; of two stalled versions the one that was asked for longer ago is tried.

The effect of the heartbeats was not measured apart.

--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -4,12 +4,23 @@
 use serde::Serialize;
 
 use crate::calls::SuspectRecord;
+use crate::fleet::HeartbeatGaps;
 use crate::fleet::rendezvous_rank;
 
-/// Time without a heartbeat after which an entry counts as failed, in ms: several
+/// Shortest time without a heartbeat after which an entry counts as failed, in ms: several
 /// heartbeat intervals.
 const ENTRY_TIMEOUT_MS: u64 = 900;
 
+/// Longest gap between two heartbeats of an entry that runs, in ms: several intervals, as
+/// heartbeats to other regions are sent less often.
+const MAX_ENTRY_GAP_MS: u64 = 1_000;
+
+/// Gap that is assumed of an entry that was just heard of, in ms: one heartbeat interval.
+const FIRST_ENTRY_GAP_MS: u64 = 250;
+
+/// Longest gaps for which an entry has to be silent to count as failed.
+const ENTRY_MISSED_GAPS: f64 = 3.6;
+
 /// Seed of the rendezvous rank by which entries of a failure domain read the store.
 const READER_RANK_SEED: u64 = 1;
 
@@ -101,7 +112,14 @@
 #[derive(Debug, Clone)]
 struct Peer {
     heartbeat: EntryHeartbeat,
-    last_received_ms: u64,
+    gaps: HeartbeatGaps,
+}
+
+impl Peer {
+    fn is_live(&self, now_ms: u64) -> bool {
+        self.gaps
+            .is_live(now_ms, ENTRY_MISSED_GAPS, ENTRY_TIMEOUT_MS)
+    }
 }
 
 /// The other entries, known by their heartbeats.
@@ -120,11 +138,10 @@
         {
             Ok(at) => {
                 let peer = &mut self.peers[at];
-                let has_reappeared = now_ms.saturating_sub(peer.last_received_ms)
-                    >= ENTRY_TIMEOUT_MS
-                    || peer.heartbeat.incarnation != heartbeat.incarnation;
+                let has_reappeared =
+                    !peer.is_live(now_ms) || peer.heartbeat.incarnation != heartbeat.incarnation;
                 peer.heartbeat = heartbeat;
-                peer.last_received_ms = now_ms;
+                peer.gaps.record(now_ms, MAX_ENTRY_GAP_MS);
                 has_reappeared
             }
             Err(at) => {
@@ -132,7 +149,7 @@
                     at,
                     Peer {
                         heartbeat,
-                        last_received_ms: now_ms,
+                        gaps: HeartbeatGaps::new(now_ms, FIRST_ENTRY_GAP_MS),
                     },
                 );
                 true
@@ -144,7 +161,7 @@
     pub fn live_entries(&self, now_ms: u64) -> impl Iterator<Item = &EntryHeartbeat> {
         self.peers
             .iter()
-            .filter(move |peer| now_ms.saturating_sub(peer.last_received_ms) < ENTRY_TIMEOUT_MS)
+            .filter(move |peer| peer.is_live(now_ms))
             .map(|peer| &peer.heartbeat)
     }
 
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -1,7 +1,9 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use crate::fleet::ListedEntry;
 use crate::fleet::Topic;
+use crate::fleet::choose_entries;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::TopicSink;
@@ -28,25 +30,37 @@
 
 impl<D: Dialect + 'static> InternalHandler for DirectoryHandler<D> {
     async fn handle(&self, request: InternalRequest) -> InternalResponse {
-        if self.dialect.directory_query(&request.head).is_none() {
+        let Some(query) = self.dialect.directory_query(&request.head) else {
             return InternalResponse::without_body(404);
-        }
+        };
         let state = self.state.borrow();
-        let mut addresses: Vec<String> = state
-            .peers
-            .live_entries(state.now_ms())
+        let settings = &state.settings;
+        let listed = |front, failure_domain| ListedEntry {
+            front,
+            failure_domain,
+            region: settings.region(failure_domain),
+        };
+        let peers = state.peers.live_entries(state.now_ms());
+        let own = state
+            .is_ready()
+            .then(|| listed(settings.front, settings.failure_domain.as_str()));
+        let entries: Vec<ListedEntry<'_>> = peers
             .filter(|peer| peer.is_ready)
-            .map(|peer| peer.front.to_string())
+            .map(|peer| listed(peer.front, peer.failure_domain.as_str()))
+            .chain(own)
             .collect();
-        if state.is_ready() {
-            addresses.push(state.settings.front.to_string());
-        }
-        if addresses.is_empty() {
+        if entries.is_empty() {
             return InternalResponse::without_body(503);
         }
-        addresses.sort_unstable();
-        addresses.truncate(MAX_ADDRESSES);
-        let ttl_s = state.settings.directory_ttl_s;
+        let chosen = choose_entries(
+            &entries,
+            &query.failure_domain,
+            &query.region,
+            MAX_ADDRESSES,
+            &settings.name,
+        );
+        let addresses: Vec<String> = chosen.iter().map(ToString::to_string).collect();
+        let ttl_s = settings.directory_ttl_s;
         InternalResponse {
             status: 200,
             content_type: "application/json",
@@ -103,7 +117,7 @@
     bytes: Vec<u8>,
 }
 
-impl<O: OriginPort> InternalCallHandler<O> {
+impl<O: OriginPort + 'static> InternalCallHandler<O> {
     /// Reply with the records at or after an offset; `path_rest` is `TOPIC/OFFSET`.
     ///
     /// Status 503 while this entry lacks the listing of the topic; None when `path_rest` is
@@ -140,7 +154,7 @@
     }
 }
 
-impl<O: OriginPort> InternalHandler for InternalCallHandler<O> {
+impl<O: OriginPort + 'static> InternalHandler for InternalCallHandler<O> {
     async fn handle(&self, request: InternalRequest) -> InternalResponse {
         let path = request.head.path();
         if path == METRICS_PATH {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -13,6 +13,7 @@
 use crate::fleet::LoadReport;
 use crate::fleet::Topic;
 use crate::fleet::TopicTable;
+use crate::fleet::remote_beats;
 use crate::gateway::FetchRange;
 use crate::gateway::GatewayState;
 use crate::gateway::RecordDecoder;
@@ -78,7 +79,8 @@
     }
 }
 
-/// Sends heartbeats to the other entries and, less often, to the endpoint processes.
+/// Sends heartbeats to the other entries and, less often, to the endpoint processes; to
+/// those of other regions still less often, the more there are.
 ///
 /// After an update notice, the next heartbeat goes to all of them without delay.
 pub async fn send_heartbeats(state: Rc<RefCell<GatewayState>>, socket: Rc<UdpSocket>) {
@@ -90,13 +92,28 @@
             let mut state = state.borrow_mut();
             state.remove_expired_replicas();
             let heartbeat = Datagram::Beat(own_heartbeat(&state));
-            let entries = entry_targets(&state);
-            let mut targets = entries.clone();
-            if has_update || heartbeat_count.is_multiple_of(HEARTBEATS_PER_ENDPOINT_HEARTBEAT) {
-                targets.extend(endpoint_targets(&state));
-            }
+            let (entries, endpoints) = (entry_targets(&state), endpoint_targets(&state));
+            let remote = entries.iter().chain(&endpoints).filter(|t| t.is_remote);
+            let remote_beats = remote_beats(remote.count());
+            let is_due = |target: &Target, beats: u64| {
+                let beats = if target.is_remote {
+                    beats * remote_beats
+                } else {
+                    beats
+                };
+                has_update || heartbeat_count.is_multiple_of(beats)
+            };
+            let due_entries = entries.iter().filter(|t| is_due(t, 1));
+            let due_endpoints = endpoints
+                .iter()
+                .filter(|t| is_due(t, HEARTBEATS_PER_ENDPOINT_HEARTBEAT));
+            let mut targets: Vec<SocketAddr> = due_entries
+                .chain(due_endpoints)
+                .map(|target| target.address)
+                .collect();
             targets.sort_unstable();
             targets.dedup();
+            let entries: Vec<SocketAddr> = entries.iter().map(|target| target.address).collect();
             (heartbeat.encode(), kept_config(&state), entries, targets)
         };
         send_to_all(&socket, &heartbeat, &targets);
@@ -162,20 +179,45 @@
         .map(|registration| registration.internal)
 }
 
-/// Addresses of the entries that are registered in the store or sent a heartbeat.
-fn entry_targets(state: &GatewayState) -> Vec<SocketAddr> {
+/// A receiver of heartbeats.
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    address: SocketAddr,
+    /// Whether it is known to be in another region.
+    is_remote: bool,
+}
+
+/// The entries that are registered in the store or sent a heartbeat.
+fn entry_targets(state: &GatewayState) -> Vec<Target> {
     let own = state.settings.internal;
+    let mut targets: Vec<Target> = state
+        .peers
+        .all_entries()
+        .map(|peer| Target {
+            address: peer.internal,
+            is_remote: is_remote(state, &peer.failure_domain),
+        })
+        .collect();
+    let is_known = |address: &SocketAddr| targets.iter().any(|known| known.address == *address);
     let registered = registered_entries(state.topic_table(Topic::Members));
-    let received = state.peers.all_entries().map(|peer| peer.internal);
-    registered
-        .chain(received)
-        .filter(|address| *address != own)
-        .collect()
+    let unknown: Vec<SocketAddr> = registered.filter(|address| !is_known(address)).collect();
+    targets.extend(unknown.into_iter().map(|address| Target {
+        address,
+        is_remote: false,
+    }));
+    targets.retain(|target| target.address != own);
+    targets
+}
+
+/// Whether a failure domain is in another region than this entry.
+fn is_remote(state: &GatewayState, failure_domain: &str) -> bool {
+    let settings = &state.settings;
+    settings.region(failure_domain) != settings.region(&settings.failure_domain)
 }
 
-/// Addresses of the endpoint processes: each runs on the host of its replica and
-/// listens on the same internal port as entries.
-fn endpoint_targets(state: &GatewayState) -> Vec<SocketAddr> {
+/// The endpoint processes: each runs on the host of its replica and listens on the same
+/// internal port as entries.
+fn endpoint_targets(state: &GatewayState) -> Vec<Target> {
     let port = state.settings.internal.port();
     let Some(catalog) = &state.catalog else {
         return Vec::new();
@@ -188,10 +230,20 @@
                 .service(&replica.record.service)
                 .is_some_and(|service| service.engine.is_some())
         })
-        .map(|(_, replica)| SocketAddr::new(replica.record.address.ip(), port))
+        .map(|(_, replica)| Target {
+            address: SocketAddr::new(replica.record.address.ip(), port),
+            is_remote: is_remote(state, &replica.record.failure_domain),
+        })
         .collect()
 }
 
+/// Whether this entry sends heartbeats to the endpoint process at `address`: the replica
+/// on its host is listed.
+fn is_known_endpoint(state: &GatewayState, address: SocketAddr) -> bool {
+    let mut replicas = state.replicas.listed();
+    replicas.any(|(_, replica)| replica.record.address.ip() == address.ip())
+}
+
 /// Calls `handle` for each datagram that can be decoded, with the sender's address.
 pub async fn for_each_datagram(socket: &UdpSocket, mut handle: impl FnMut(Datagram, SocketAddr)) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -219,7 +271,13 @@
 ) {
     for_each_datagram(&socket, |datagram, from| match datagram {
         Datagram::Beat(heartbeat) => apply_heartbeat(&state, heartbeat, &decoder),
-        Datagram::Load(report) => apply_load_report(&state, &report, from),
+        Datagram::Load(report) => {
+            apply_load_report(&state, &report, from);
+            if !is_known_endpoint(&state.borrow(), from) {
+                let heartbeat = Datagram::Beat(own_heartbeat(&state.borrow())).encode();
+                send_to_all(&socket, &heartbeat, &[from]);
+            }
+        }
         // Only endpoint processes use the reports of held pieces.
         Datagram::Have(_) => {}
         Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,3 +37,13 @@
     /// Largest number of connections of clients that may be open at once.
     pub max_client_connections: usize,
 }
+
+impl GatewaySettings {
+    /// Region of a failure domain, or its own name when it is not listed.
+    pub fn region<'a>(&'a self, failure_domain: &'a str) -> &'a str {
+        self.regions
+            .iter()
+            .find(|pair| pair.0 == failure_domain)
+            .map_or(failure_domain, |pair| pair.1.as_str())
+    }
+}
--- a/src/staging/follow_records.rs
+++ b/src/staging/follow_records.rs
@@ -49,9 +49,13 @@
     tokio::time::sleep(Duration::from_millis(start_delay_ms)).await;
     let (shortest, longest) = RETRY_PAUSES;
     let mut pause = shortest;
+    let mut attempts = 0u32;
     loop {
         if has_missing_listing(&state) {
-            ask_registered_entry(&state, &mut source, &*decoder).await;
+            // Every second attempt asks another one of the same entries.
+            let is_retry_of_known = attempts > 0 && attempts.is_multiple_of(2);
+            ask_registered_entry(&state, &mut source, &*decoder, is_retry_of_known).await;
+            attempts += 1;
         }
         if is_without_entries(&state) {
             for topic in TOPICS {
@@ -82,17 +86,25 @@
 }
 
 /// Fetches the listings that the process lacks from an entry that is registered in the
-/// store.
+/// store. The registrations are read unless some are known, and again with
+/// `is_retry_of_known`.
 async fn ask_registered_entry(
     state: &RefCell<StagingState>,
     source: &mut impl RecordSource,
     decoder: &impl RecordDecoder,
+    is_retry_of_known: bool,
 ) {
-    if let Err(error) = read_listing(state, Topic::Members, source, decoder).await {
+    let known_entries = || -> Vec<SocketAddr> {
+        registered_entries(state.borrow().topic_table(Topic::Members)).collect()
+    };
+    // The entry that was asked last may only have lacked the listings itself.
+    let may_be_outdated = is_retry_of_known || known_entries().is_empty();
+    if may_be_outdated
+        && let Err(error) = read_listing(state, Topic::Members, source, decoder).await
+    {
         log::debug!("cannot read the registrations of entries: {error}");
     }
-    let entries: Vec<SocketAddr> =
-        registered_entries(state.borrow().topic_table(Topic::Members)).collect();
+    let entries = known_entries();
     let Some(entry) = entries.choose(&mut rand::rng()) else {
         return;
     };
--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::fleet::assign_pieces;
 use crate::fleet::rendezvous_rank;
 use crate::gateway::MANIFEST_PATH;
 use crate::http1::ClientRequest;
@@ -8,7 +9,6 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::staging::EnginePort;
-use crate::staging::assign_pieces;
 use crate::staging::weights_download::WeightsDownload;
 use crate::weights::ExternalCallError;
 use crate::weights::OriginPort;
--- a/src/staging/next_load.rs
+++ b/src/staging/next_load.rs
@@ -15,12 +15,16 @@
 /// Time before a version is due at which the last engine gets its load order, in ms.
 const ORDER_MARGIN_MS: i64 = 300;
 
+/// Share of the pieces from which on a download is finished although a newer version is
+/// declared: the rest takes less time than the newer version has more.
+const MIN_SHARE_TO_FINISH: f64 = 0.5;
+
 /// Minimum age of the newest declaration for an empty engine to start with it,
 /// in ms: by then the entries have cached its pieces.
 const EMPTY_ENGINE_MIN_AGE_MS: i64 = 1_000;
 
 /// Progress of the download of one version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DownloadProgress {
     /// Version of the weights.
     pub version: u64,
@@ -28,7 +32,9 @@
     pub started_ms: i64,
     /// Monotonic time of the last new piece, in ms.
     pub last_progress_ms: i64,
-    /// Whether every piece is held, in the staging area or in memory.
+    /// Share of the pieces that is held, in the staging area or in memory, from 0 to 1.
+    pub held_share: f64,
+    /// Whether every piece is held.
     pub is_complete: bool,
 }
 
@@ -101,6 +107,25 @@
     })
 }
 
+/// Returns the version whose download is to be finished before that of a newer one starts:
+/// it makes progress and is half done.
+///
+/// The engine need not load it. But if the origin fails before the newer version is there,
+/// it is the only one that can be loaded in time.
+pub fn version_to_finish(
+    downloads: &[DownloadProgress],
+    engine_version: u64,
+    now_ms: i64,
+) -> Option<u64> {
+    let in_progress = downloads.iter().find(|download| {
+        download.version > engine_version
+            && !download.is_complete
+            && download.held_share >= MIN_SHARE_TO_FINISH
+            && now_ms < download.last_progress_ms + STALL_MS
+    });
+    in_progress.map(|download| download.version)
+}
+
 /// Chooses between the first version that the engine lacks and the newest one.
 fn choose_version<'a>(
     input: &NextLoadInput<'_>,
@@ -119,26 +144,27 @@
             !download.is_complete && input.now_ms >= download.last_progress_ms + STALL_MS
         })
     };
-    if input.engine_version == 0 {
+    if input.engine_version == 0 && !is_stalled(newest.version) {
         let is_cached = input.now_ms >= newest.learned_ms + EMPTY_ENGINE_MIN_AGE_MS;
-        let has_alternative = is_stalled(newest.version) && !is_stalled(first.version);
-        return if is_cached && !has_alternative {
-            newest
-        } else {
-            first
-        };
+        return if is_cached { newest } else { first };
     }
     let newest_ready_ms = match download_of(newest.version) {
         Some(download) if download.is_complete => input.now_ms,
         Some(download) => (download.started_ms + DOWNLOAD_MS).max(input.now_ms),
         None => input.now_ms + DOWNLOAD_MS,
     };
-    // When neither makes progress, the newest is the one that the origin still has.
-    if is_stalled(first.version) {
-        return newest;
-    }
-    if is_stalled(newest.version) {
-        return first;
+    match (is_stalled(first.version), is_stalled(newest.version)) {
+        (true, false) => return newest,
+        (false, true) => return first,
+        // Neither can be had from where it was asked for last. The one that was asked for
+        // longer ago may be there now: other hosts may hold an earlier version that the
+        // origin no longer gives, and the origin a later one.
+        (true, true) => {
+            let last_tried_ms = |version| download_of(version).map(|d| d.last_progress_ms);
+            let is_first_next = last_tried_ms(first.version) < last_tried_ms(newest.version);
+            return if is_first_next { first } else { newest };
+        }
+        (false, false) => {}
     }
     if newest_ready_ms <= due_ms || input.now_ms >= due_ms {
         return newest;
--- a/src/staging/reporter.rs
+++ b/src/staging/reporter.rs
@@ -63,10 +63,8 @@
     let relay_entries = state.relay_entries();
     let is_relay_entry =
         |address: &SocketAddr| relay_entries.iter().any(|entry| entry.address == *address);
-    let targets = state
-        .entry_addresses()
-        .filter(|e| to_other_regions || is_relay_entry(e));
-    for entry in targets {
+    let targets = state.entry_addresses().into_iter();
+    for entry in targets.filter(|e| to_other_regions || is_relay_entry(e)) {
         // The next report makes up for a lost one.
         if let Err(error) = socket.try_send_to(&bytes, entry) {
             log::debug!("cannot send a load report to {entry}: {error}");
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -8,8 +8,8 @@
 /// Versions kept of one model: the loaded one and the next two.
 const MAX_VERSIONS: usize = 3;
 
-/// Time for which a version whose manifest could not be found counts as stalled, in ms.
-/// After that it is searched for again.
+/// Time for which a version whose manifest could not be found counts as stalled, in ms,
+/// unless it is searched for again before.
 const SEARCH_RETRY_MS: i64 = 5_000;
 
 /// The download of one version of weights, in progress or complete.
@@ -221,11 +221,8 @@
 
     /// Records that the manifest of `version` is searched for since `now_ms`.
     pub fn start_search(&mut self, version: u64, now_ms: i64) {
-        self.searches
-            .retain(|search| search.0 != version || now_ms - search.1 < SEARCH_RETRY_MS);
-        if self.searches.iter().all(|search| search.0 != version) {
-            self.searches.push((version, now_ms));
-        }
+        self.searches.retain(|search| search.0 != version);
+        self.searches.push((version, now_ms));
     }
 
     /// Returns the progress of each download, and of each search for a manifest.
@@ -238,15 +235,21 @@
                 version: *version,
                 started_ms: *started_ms,
                 last_progress_ms: *started_ms,
+                held_share: 0.0,
                 is_complete: false,
             });
         self.downloads
             .iter()
-            .map(|download| DownloadProgress {
-                version: download.manifest.version,
-                started_ms: download.started_ms,
-                last_progress_ms: download.last_progress_ms,
-                is_complete: self.is_complete(download.manifest.version),
+            .map(|download| {
+                let version = download.manifest.version;
+                let held = self.held_pieces(version);
+                DownloadProgress {
+                    version,
+                    started_ms: download.started_ms,
+                    last_progress_ms: download.last_progress_ms,
+                    held_share: f64::from(held.held_count()) / f64::from(held.chunk_count().max(1)),
+                    is_complete: self.is_complete(version),
+                }
             })
             .chain(searches)
             .collect()
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -9,7 +9,9 @@
 use crate::fleet::DeclarationRecord;
 use crate::fleet::Declarations;
 use crate::fleet::EntryHeartbeat;
+use crate::fleet::HeartbeatGaps;
 use crate::fleet::OriginProfile;
+use crate::fleet::RelayEntry;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
@@ -19,19 +21,20 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
 use crate::gateway::log_rejected_record;
+use crate::gateway::registered_entries;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::staging::EngineReport;
 use crate::staging::OpenOrder;
 use crate::staging::OrderEnd;
 use crate::staging::OrderLedger;
-use crate::staging::RelayEntry;
 use crate::staging::StagedModel;
 use crate::staging::StagingSettings;
 use crate::staging::next_load::DownloadProgress;
 use crate::staging::next_load::NextLoad;
 use crate::staging::next_load::NextLoadInput;
 use crate::staging::next_load::next_load;
+use crate::staging::next_load::version_to_finish;
 use crate::weights::ChunkBitmap;
 
 /// Version to load while no version has been declared.
@@ -41,23 +44,42 @@
 /// in ms: longer than a restart, so that a restarted entry soon knows every load.
 const ENTRY_RETENTION_MS: u64 = 60_000;
 
-/// Time without a heartbeat after which no weights are fetched from an entry, in
+/// Shortest time without a heartbeat after which no weights are fetched from an entry, in
 /// ms: several heartbeat intervals.
 const ENTRY_TIMEOUT_MS: u64 = 1_600;
 
+/// Longest gap between two heartbeats of an entry that runs, in ms; entries of other regions
+/// send them less often.
+const MAX_ENTRY_GAP_MS: u64 = 2_000;
+
+/// Gap that is assumed of an entry that was just heard of, in ms: two heartbeat intervals.
+const FIRST_ENTRY_GAP_MS: u64 = 500;
+
+/// Longest gaps for which an entry has to be silent to count as failed.
+const ENTRY_MISSED_GAPS: f64 = 3.2;
+
 /// Time for which the report of another host on its pieces is kept, in ms.
 const PEER_PIECES_RETENTION_MS: u64 = 10_000;
 
+/// Time after the start of the process by which an engine that runs has answered, in ms:
+/// two intervals of its reports.
+const ENGINE_ANSWER_WAIT_MS: u64 = 200;
+
 /// An entry that sent a heartbeat.
 #[derive(Debug)]
 struct KnownEntry {
     address: SocketAddr,
     failure_domain: String,
     link_mbps: f64,
-    last_received_ms: u64,
+    gaps: HeartbeatGaps,
 }
 
 impl KnownEntry {
+    fn is_live(&self, now_ms: u64) -> bool {
+        self.gaps
+            .is_live(now_ms, ENTRY_MISSED_GAPS, ENTRY_TIMEOUT_MS)
+    }
+
     fn to_relay_entry(&self) -> RelayEntry {
         RelayEntry {
             address: self.address,
@@ -107,6 +129,7 @@
     /// Declared versions of weights.
     pub declared: Declarations,
     topic_tables: [TopicTable; 3],
+    has_engine_answered: bool,
     started_at: Instant,
 }
 
@@ -126,6 +149,7 @@
             orders: OrderLedger::default(),
             declared: Declarations::default(),
             topic_tables: Default::default(),
+            has_engine_answered: false,
             started_at: Instant::now(),
         }))
     }
@@ -140,24 +164,29 @@
         let address = heartbeat.internal;
         let now_ms = self.now_ms();
         self.entries
-            .retain(|entry| now_ms.saturating_sub(entry.last_received_ms) < ENTRY_RETENTION_MS);
+            .retain(|entry| entry.gaps.silent_ms(now_ms) < ENTRY_RETENTION_MS);
         match self.entries.binary_search_by(|e| e.address.cmp(&address)) {
-            Ok(at) => self.entries[at].last_received_ms = now_ms,
+            Ok(at) => self.entries[at].gaps.record(now_ms, MAX_ENTRY_GAP_MS),
             Err(at) => self.entries.insert(
                 at,
                 KnownEntry {
                     address,
                     failure_domain: heartbeat.failure_domain.clone(),
                     link_mbps: heartbeat.link_mbps,
-                    last_received_ms: now_ms,
+                    gaps: HeartbeatGaps::new(now_ms, FIRST_ENTRY_GAP_MS),
                 },
             ),
         }
     }
 
-    /// Returns the addresses of the entries that get load reports.
-    pub fn entry_addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.entries.iter().map(|entry| entry.address)
+    /// Returns the addresses of the entries that get load reports: those that have sent
+    /// heartbeats, or while none has, those that are registered in the store. An entry
+    /// answers the report of a host that it does not know yet with a heartbeat.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        if self.entries.is_empty() {
+            return registered_entries(self.topic_table(Topic::Members)).collect();
+        }
+        self.entries.iter().map(|entry| entry.address).collect()
     }
 
     /// Returns the entries with a recent heartbeat: those of the region of this host,
@@ -167,7 +196,7 @@
         let available: Vec<&KnownEntry> = self
             .entries
             .iter()
-            .filter(|entry| now_ms.saturating_sub(entry.last_received_ms) < ENTRY_TIMEOUT_MS)
+            .filter(|entry| entry.is_live(now_ms))
             .collect();
         let region = self.settings.region(&self.settings.failure_domain);
         let is_in_region =
@@ -190,7 +219,7 @@
     pub fn last_heartbeat_ms(&self) -> Option<u64> {
         self.entries
             .iter()
-            .map(|entry| entry.last_received_ms)
+            .map(|entry| entry.gaps.last_received_ms())
             .max()
     }
 
@@ -260,12 +289,7 @@
                 is_time_exact: false,
             });
         }
-        let downloads: Vec<DownloadProgress> = self
-            .staged_models
-            .iter()
-            .filter(|staged| staged.model == model)
-            .flat_map(|staged| staged.download_progress(self.now_ms() as i64))
-            .collect();
+        let downloads = self.download_progress(model);
         next_load(&NextLoadInput {
             now_ms: self.now_ms() as i64,
             engine_version: self.engine_version(model),
@@ -276,6 +300,15 @@
         })
     }
 
+    /// Returns the progress of the downloads of `model`.
+    fn download_progress(&self, model: &str) -> Vec<DownloadProgress> {
+        self.staged_models
+            .iter()
+            .filter(|staged| staged.model == model)
+            .flat_map(|staged| staged.download_progress(self.now_ms() as i64))
+            .collect()
+    }
+
     /// Returns the version of `model` to fetch now; `None` when no piece is missing.
     ///
     /// While a complete version waits for its load slot, the latest declared version
@@ -283,6 +316,12 @@
     pub fn version_to_fetch(&self, model: &str) -> Option<u64> {
         let next = self.next_load(model);
         if let Some(next) = next {
+            let engine_version = self.engine_version(model);
+            let downloads = self.download_progress(model);
+            let to_finish = version_to_finish(&downloads, engine_version, self.now_ms() as i64);
+            if to_finish.is_some_and(|version| version < next.version) {
+                return to_finish;
+            }
             if !self.is_complete(model, next.version) {
                 return Some(next.version);
             }
@@ -370,9 +409,16 @@
         &mut self.staged_models[at]
     }
 
+    /// Whether the engine has never answered this process: it is still starting, and holds
+    /// no weights.
+    pub fn is_engine_starting(&self) -> bool {
+        !self.has_engine_answered && self.now_ms() >= ENGINE_ANSWER_WAIT_MS
+    }
+
     /// Stores what the engine reported, or that it did not answer.
     pub fn record_engine_report(&mut self, report: Option<EngineReport>) {
         let now_ms = self.now_ms() as i64;
+        self.has_engine_answered |= report.is_some();
         if let Some(report) = &report {
             let incarnation = self.incarnation(report.born_unix_ms);
             let settled = self.orders.settle(report, incarnation.as_deref(), now_ms);
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
+use crate::fleet::assign_pieces;
 use crate::gateway::PIECE_PATH;
 use crate::http1::ClientRequest;
 use crate::http1::Http1Client;
@@ -16,7 +17,6 @@
 use crate::staging::CheckedPieces;
 use crate::staging::EnginePort;
 use crate::staging::StagingState;
-use crate::staging::assign_pieces;
 use crate::weights::ChunkBitmap;
 use crate::weights::ChunkSource;
 use crate::weights::ExternalCallError;
@@ -135,6 +135,9 @@
 
     /// Verifies the staged pieces whose version is unknown, as after a restart.
     async fn verify_unknown_pieces(&self, manifest: &PieceManifest) {
+        if self.state.borrow().engine_report.is_none() {
+            return;
+        }
         let mut engine = self.engine.clone();
         for index in 0..manifest.piece_count() {
             let staged_version = self
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -52,10 +52,10 @@
     loop {
         let models = state.borrow().models();
         for model in models {
-            if state.borrow().engine_report.is_none() {
+            let has_report = state.borrow().engine_report.is_some();
+            if !has_report && !state.borrow().is_engine_starting() {
                 continue;
             }
-            state.borrow_mut().clear_finished_order(&model);
             let download = |version| WeightsDownload {
                 state: &state,
                 engine: &engine,
@@ -64,6 +64,15 @@
                 model: &model,
                 version,
             };
+            if !has_report {
+                // The pieces are kept in memory until the engine has started.
+                let version_to_fetch = state.borrow().version_to_fetch(&model);
+                if let Some(version) = version_to_fetch {
+                    download(version).fetch_version().await;
+                }
+                continue;
+            }
+            state.borrow_mut().clear_finished_order(&model);
             let wanted = state.borrow().next_load(&model).map(|next| next.version);
             if let Some(version) = wanted
                 && state.borrow().orders.may_have_earlier(&model)
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,8 +1,10 @@
 //! The fleet module: the view of the fleet, admission of requests, and the retry budget.
 
 mod admission;
+mod directory;
 mod fixture;
 mod fleet_view;
+mod heartbeats;
 mod listing_turn;
 mod notices;
 mod retries;
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -11,6 +11,7 @@
 use bergamotfork::staging::NextLoadInput;
 use bergamotfork::staging::StagedModel;
 use bergamotfork::staging::next_load;
+use bergamotfork::staging::version_to_finish;
 use bergamotfork::weights::PieceManifest;
 
 const APPLY_MS: i64 = 8_000;
@@ -37,6 +38,7 @@
         version,
         started_ms,
         last_progress_ms,
+        held_share: f64::from(u8::from(is_complete)),
         is_complete,
     }
 }
@@ -255,6 +257,39 @@
     }
 }
 
+/// Guards against hosts that keep asking for a version which cannot be had since the origin
+/// is away, while entries hold most of the version before it.
+#[test]
+fn next_load_both_stalled_least_recently_tried() {
+    let versions = [(2, 0), (3, 3_000)];
+    let downloads = [
+        progress(2, 100, 3_000, false),
+        progress(3, 3_100, 3_100, false),
+    ];
+    for engine_version in [0, 1] {
+        let next = load_with(4_100, engine_version, &versions, &downloads, 0.0);
+        assert_eq!(next.map(|next| next.version), Some(2));
+    }
+}
+
+/// Guards against a download that is abandoned shortly before its end, when the origin fails
+/// right after a newer version is declared.
+#[test]
+fn version_to_finish_half_done() {
+    let half_done = DownloadProgress {
+        held_share: 0.5,
+        ..progress(2, 100, 3_000, false)
+    };
+    let begun = DownloadProgress {
+        held_share: 0.4,
+        ..half_done
+    };
+    assert_eq!(version_to_finish(&[half_done], 1, 3_100), Some(2));
+    assert_eq!(version_to_finish(&[half_done], 1, 3_900), None);
+    assert_eq!(version_to_finish(&[half_done], 2, 3_100), None);
+    assert_eq!(version_to_finish(&[begun], 1, 3_100), None);
+}
+
 /// Guards against a download that is dropped as soon as it starts, since later versions are
 /// held.
 #[test]
--- a/tests/staging/piece_distribution.rs
+++ b/tests/staging/piece_distribution.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
-use bergamotfork::staging::RelayEntry;
-use bergamotfork::staging::assign_pieces;
+use bergamotfork::fleet::RelayEntry;
+use bergamotfork::fleet::assign_pieces;
 
 const PIECES: u32 = 48;
 const PIECE_BITS: f64 = 49_152.0 * 8.0;
