Read a declared version ahead in each region, and registrations less often

Hosts had 22 of 48 pieces when the origin failed 2.5 s after the declaration, though entries held all of them; the hosts then waited for a newer version. New hosts took 4.1 s for pieces that their links carry in 2.1 s. Each registration of 99 entries that start together woke the reads of all others: 2,616 calls to the store up to second 5.

Registrations are read without waiting. Event 811 for each read of a piece from the origin.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -100,9 +100,19 @@
 /// Pause between attempts to reach an unavailable store while another entry reads it.
 const UNAVAILABLE_STORE_PAUSE: Duration = Duration::from_secs(2);
 
-/// Pause between reads of the other topics.
+/// Pause between reads of the operator's records.
 const READ_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pauses between reads of the registrations of entries, each with the time since the start
+/// of the process until which it holds, in ms. Entries that start at the same moment find
+/// each other's registrations by the first; later an entry that starts sends heartbeats to
+/// the others, and the reads find only registrations that were sent again.
+const MEMBERS_READ_PAUSES: [(u64, Duration); 3] = [
+    (400, Duration::from_millis(120)),
+    (5_000, Duration::from_secs(1)),
+    (u64::MAX, Duration::from_secs(5)),
+];
+
 /// Shortest and longest pause after a failed read.
 const RETRY_PAUSE_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(600));
@@ -144,10 +154,10 @@
                 () = wait_for_listing(&state, topic) => continue,
             }
         } else {
-            let wait = if topic == Topic::Replicas {
-                MAX_REPLICAS_READ_WAIT
-            } else {
-                MAX_READ_WAIT
+            let wait = match topic {
+                Topic::Replicas => MAX_REPLICAS_READ_WAIT,
+                Topic::Members => Duration::ZERO,
+                Topic::Operator => MAX_READ_WAIT,
             };
             read_changes(&state, topic, &mut source, &*decoder, wait).await
         };
@@ -158,8 +168,8 @@
                     let state = state.borrow();
                     trimmed_at = has_trimmed_records.then(|| state.topic_table(topic).end_offset());
                     turn = ListingTurn::since(state.now_ms());
-                    if must_list && topic == Topic::Members {
-                        // The others learn at once that this entry has started.
+                    if topic == Topic::Members {
+                        // Entries that this one has just found learn of it at once.
                         state.update_notice.notify_one();
                     }
                 }
@@ -179,11 +189,19 @@
 /// Records that the store answered a read of `topic`; returns the pause before the next.
 fn record_read(state: &mut GatewayState, topic: Topic) -> Duration {
     state.record_store_result(topic, None);
-    if topic == Topic::Replicas {
-        state.confirm_replicas(0);
-        REPLICAS_READ_PAUSE
-    } else {
-        READ_PAUSE
+    match topic {
+        Topic::Replicas => {
+            state.confirm_replicas(0);
+            REPLICAS_READ_PAUSE
+        }
+        Topic::Members => {
+            let now_ms = state.now_ms();
+            let mut pauses = MEMBERS_READ_PAUSES.iter();
+            pauses
+                .find(|pause| now_ms < pause.0)
+                .map_or(READ_PAUSE, |pause| pause.1)
+        }
+        Topic::Operator => READ_PAUSE,
     }
 }
 
--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -1,8 +1,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::time::Instant;
 
+use crate::fleet::RelayEntry;
+use crate::fleet::assign_pieces;
+use crate::gateway::GatewayState;
 use crate::gateway::piece_cache::CachedVersion;
 use crate::gateway::piece_cache::PieceCache;
 use crate::observe::Event;
@@ -13,57 +17,109 @@
 /// Pause after a failure before reading ahead is retried.
 const READ_AHEAD_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-impl<O: OriginPort> PieceCache<O> {
-    /// Reads the pieces of newly declared versions of which this entry is the primary
-    /// holder, before hosts request them.
+/// Time without a request of another process after which a version is no longer read ahead
+/// once a later one is declared.
+const SUPERSEDED_TTL: Duration = Duration::from_secs(1);
+
+/// A piece that an entry reads ahead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SharePiece {
+    index: u32,
+    /// Whether this entry reads it from the origin.
+    is_primary: bool,
+}
+
+impl<O: OriginPort + 'static> PieceCache<O> {
+    /// Reads newly declared versions ahead, before hosts request them.
     pub async fn read_ahead(self: Rc<Self>) {
         let notice = self.state.borrow().weights_notice.clone();
         loop {
             let declared = self.state.borrow().weights.latest().cloned();
-            if let Some(declared) = declared
-                && !self.is_cached(&declared.model, declared.version)
-            {
+            if let Some(declared) = declared {
                 let cached = self.find_or_add_version(&declared.model, declared.version);
-                if let Err(error) = self.read_primary_pieces(&cached).await {
-                    log::debug!("cannot read version {} ahead: {error}", declared.version);
-                    tokio::time::sleep(READ_AHEAD_RETRY_PAUSE).await;
-                    continue;
-                }
-                LogLine::new(Event::WeightsStaged)
-                    .text("model", &declared.model)
-                    .number("version", declared.version)
-                    .enqueue();
+                self.start_read_ahead(&cached);
             }
             notice.notified().await;
         }
     }
 
-    /// Whether all pieces of the version are cached.
-    fn is_cached(&self, model: &str, version: u64) -> bool {
-        self.find_version(model, version).is_some_and(|known| {
-            let pieces = known.pieces.borrow();
-            !pieces.is_empty() && pieces.iter().all(|piece| piece.initialized())
-        })
+    /// Starts a task that reads the share of this entry, unless one runs already or there is
+    /// nothing to read.
+    pub(super) fn start_read_ahead(self: &Rc<Self>, cached: &Rc<CachedVersion>) {
+        if cached.is_read_ahead.replace(true) {
+            return;
+        }
+        let (pieces, cached) = (self.clone(), cached.clone());
+        actix_rt::spawn(async move {
+            while let Err(error) = pieces.read_share(&cached).await {
+                log::debug!("cannot read version {} ahead: {error}", cached.version);
+                tokio::time::sleep(READ_AHEAD_RETRY_PAUSE).await;
+                if pieces.is_superseded(&cached) {
+                    break;
+                }
+            }
+            cached.is_read_ahead.set(false);
+        });
+    }
+
+    /// Whether a later version is declared and no other process asks for this one.
+    fn is_superseded(&self, cached: &CachedVersion) -> bool {
+        let state = self.state.borrow();
+        let latest = state.weights.for_model(&cached.model).last();
+        latest.is_some_and(|latest| latest.version > cached.version)
+            && cached.unused_for() >= SUPERSEDED_TTL
     }
 
-    /// Reads the pieces of which this entry is the primary holder.
+    /// Reads the share of this entry: the pieces of which it is the primary holder, and
+    /// those that hosts of its region will fetch from it. So each region soon holds every
+    /// piece, also when the origin fails a moment later.
     ///
     /// Each read starts at the time at which the origin's link, shared by all entries,
     /// is expected to reach that index, so that pieces arrive in the order in which
     /// hosts request them.
-    async fn read_primary_pieces(&self, cached: &CachedVersion) -> Result<(), ExternalCallError> {
-        let manifest = self.manifest(cached).await?;
+    async fn read_share(&self, cached: &CachedVersion) -> Result<(), ExternalCallError> {
+        let manifest = self.manifest(cached, false).await?;
+        let share = self.missing_share(cached, manifest.piece_count());
+        if share.is_empty() {
+            return Ok(());
+        }
         let began = Instant::now();
         let piece_time = self.origin_piece_time();
-        for index in 0..manifest.piece_count() {
-            if self.ranked_holders(index).first() == Some(&None) {
-                tokio::time::sleep_until(began + piece_time * index).await;
-                self.piece(cached, index, true).await?;
-            }
-        }
+        let reads = share.iter().map(|piece| async move {
+            tokio::time::sleep_until(began + piece_time * piece.index).await;
+            self.piece(cached, piece.index, piece.is_primary).await
+        });
+        let results = join_all(reads).await;
+        results.into_iter().collect::<Result<Vec<_>, _>>()?;
+        LogLine::new(Event::WeightsStaged)
+            .text("model", &cached.model)
+            .number("version", cached.version)
+            .number("pieces", share.len())
+            .enqueue();
         Ok(())
     }
 
+    /// The share of this entry in a version, without the pieces that it has.
+    fn missing_share(&self, cached: &CachedVersion, piece_count: u32) -> Vec<SharePiece> {
+        let assigned = {
+            let state = self.state.borrow();
+            let relays = region_relays(&state);
+            assign_pieces(piece_count, &relays)
+        };
+        let own = self.state.borrow().settings.internal;
+        (0..piece_count)
+            .filter(|index| !cached.has_piece(*index))
+            .filter_map(|index| {
+                let holders = self.ranked_holders(u64::from(index));
+                let is_primary = holders.first() == Some(&None);
+                let is_relay = assigned
+                    .get(index as usize)
+                    .is_some_and(|entry| entry.address == own);
+                (is_primary || is_relay).then_some(SharePiece { index, is_primary })
+            })
+            .collect()
+    }
+
     /// Time for which one piece occupies the origin's link; zero if its bandwidth is
     /// not configured.
     fn origin_piece_time(&self) -> Duration {
@@ -83,3 +139,34 @@
         Duration::from_secs_f64(chunk_bytes * 8.0 / (link_mbps * 1_000_000.0))
     }
 }
+
+/// The entries that relay pieces to the hosts of this entry's region, as these hosts know
+/// them; none if the region has no host with an engine.
+fn region_relays(state: &GatewayState) -> Vec<RelayEntry> {
+    let settings = &state.settings;
+    let region = settings.region(&settings.failure_domain);
+    let has_engine = |service: &str| {
+        let service = state.catalog.as_ref().and_then(|c| c.service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let has_hosts = state.replicas.listed().any(|(_, replica)| {
+        settings.region(&replica.record.failure_domain) == region
+            && has_engine(&replica.record.service)
+    });
+    if !has_hosts {
+        return Vec::new();
+    }
+    let own = RelayEntry {
+        address: settings.internal,
+        link_mbps: settings.link_mbps,
+    };
+    let peers = state.peers.live_entries(state.now_ms());
+    peers
+        .filter(|peer| settings.region(&peer.failure_domain) == region)
+        .map(|peer| RelayEntry {
+            address: peer.internal,
+            link_mbps: peer.link_mbps,
+        })
+        .chain(std::iter::once(own))
+        .collect()
+}
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -98,6 +98,7 @@
     808 OrderSettled Info "An order to the engine that got no answer can no longer take effect.";
     809 StagingAreaExamined Info "A process that has started found out which version an earlier one left staged.";
     810 ManifestRejected Warn "A manifest did not fit its version or its pieces, or could not be confirmed, and is read again.";
+    811 OriginRead Info "An entry read a piece of weights from the origin, or failed to.";
 }
 
 /// Logs `event` with `fields` as one line of text.
