Place requests by what an engine has still to read, and use old weights to the deadline

From 3 s before the deadline of a version, engines without it got requests only while half empty, and none from 1.3 s before. Two versions declared at the same moment, as after a return of the store, were read from the origin together, so that neither was there in time.

Change: the prompts that an engine has still to read count in the choice, not in the refusal. An engine with old weights gets a request as long as it is predicted to begin before the deadline, with a reserve. A version is not read ahead once a later one is declared, unless half of it is there.

Tests: admit_request_spreads_simultaneous_prompts, admit_request_old_weights_until_deadline, begins_in_time_late_prediction.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -36,6 +36,11 @@
 /// more requests.
 const MAX_LOAD_PER_SLOT: f64 = 2.0;
 
+/// Factor by which few requests begin later than predicted, and the time to add, in ms: 95 in
+/// 100 begin up to 440 ms late where 200 ms are predicted.
+const PREDICTION_ERROR_FACTOR: f64 = 2.0;
+const BEGIN_RESERVE_MS: f64 = 240.0;
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -92,6 +97,9 @@
     pub entry_count: u32,
     /// Estimated requests per ms that the other entries together send to one replica.
     pub peer_requests_per_ms: f64,
+    /// For each of the replicas, the time within which it must begin the request, in ms;
+    /// None for no limit.
+    pub begin_within_ms: &'a [Option<u64>],
     /// Number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// Time since the request arrived, in ms.
@@ -124,6 +132,10 @@
         let Some(predicted_ms) = predicted_answer_ms(input, replica) else {
             continue;
         };
+        let begin_within_ms = input.begin_within_ms.get(index).copied().flatten();
+        if !begins_in_time(begin_within_ms, predicted_ms) {
+            continue;
+        }
         let mut cost_ms = predicted_ms + MAX_JITTER_MS * unit_random(input.seed, index);
         if replica.record.failure_domain == input.failure_domain {
             cost_ms -= SAME_DOMAIN_BONUS_MS;
@@ -142,6 +154,18 @@
     }
 }
 
+/// Whether a request that is predicted to begin after `predicted_ms` begins within the time
+/// that its replica may still use its weights.
+///
+/// Load pattern: a version is declared under full load, and the replicas load it one after
+/// the other. Those whose turn comes last serve until shortly before the deadline; if they
+/// were spared from a fixed time before it, the fleet would lose them all at once.
+pub fn begins_in_time(begin_within_ms: Option<u64>, predicted_ms: f64) -> bool {
+    begin_within_ms.is_none_or(|within_ms| {
+        predicted_ms * PREDICTION_ERROR_FACTOR + BEGIN_RESERVE_MS <= within_ms as f64
+    })
+}
+
 /// Predicted time to the first event or the answer at `replica`, in ms; None when it
 /// lacks the capacity for the request.
 fn predicted_answer_ms(input: &AdmissionInput<'_>, replica: &Replica) -> Option<f64> {
@@ -155,8 +179,10 @@
         .estimated_requests(input.peer_requests_per_ms, input.now_ms)
         .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entry_count));
     let excess_delay_ms = replica.excess_delay_ms(input.now_ms);
+    let unread = replica.unstarted_requests(input.now_ms);
     let predicted_ms =
         pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
+    let unread_ms = pace * unread_prompts_ms(engine, requests, unread);
     let time_budget_ms = input.target_latency_ms as f64 * MAX_TARGET_SHARE - input.waited_ms as f64;
     let has_capacity = if excess_delay_ms >= MAX_EXCESS_DELAY_MS {
         false
@@ -167,7 +193,8 @@
     } else {
         f64::from(requests) < f64::from(engine.slots) * MAX_LATE_SLOT_SHARE
     };
-    has_capacity.then_some(predicted_ms + excess_delay_ms)
+    // Slots that are free are used, even if the prompts before are read first.
+    has_capacity.then_some(predicted_ms + unread_ms + excess_delay_ms)
 }
 
 /// Predicted time to the answer at `replica` of a service without an engine, in ms, from
@@ -208,6 +235,18 @@
     pass_ms + 1.5 * prompt_ms + waiting * request_ms / slots
 }
 
+/// Time in which an engine reads the prompts of `unread` of its `requests`, which it reads
+/// before that of one more, in ms; those that wait for a slot are left out, as
+/// [`predicted_first_event_ms`] counts them.
+///
+/// Load pattern: requests arrive in clumps while slots are free everywhere. Placed on one
+/// engine, each is read only after the others.
+fn unread_prompts_ms(engine: &EngineProfile, requests: u32, unread: u32) -> f64 {
+    let waiting = requests.saturating_sub(engine.slots);
+    let mean_prompt_ms = engine.mean_prompt_tokens / engine.prompt_tokens_per_ms.max(0.001);
+    f64::from(unread.saturating_sub(waiting)) * mean_prompt_ms
+}
+
 /// Refusal with a random retry time, of at most a third of the remaining time.
 fn refuse(cause: RefusalCause, input: &AdmissionInput<'_>) -> AdmissionDecision {
     let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub use admission::AdmissionInput;
 pub use admission::RefusalCause;
 pub use admission::admit_request;
+pub use admission::begins_in_time;
 pub use admission::predicted_first_event_ms;
 pub use catalog::Catalog;
 pub use catalog::ClientLimits;
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -164,6 +164,17 @@
         )
     }
 
+    /// Estimated requests at the replica whose first event is still to come: those of this
+    /// process, or if that is more, those that waited by a recent load report and what this
+    /// process has sent since.
+    pub fn unstarted_requests(&self, now_ms: u64) -> u32 {
+        let own = u32::try_from(self.pending.len()).unwrap_or(u32::MAX);
+        let reported = self.recent_load(now_ms).map_or(0, |load| {
+            load.queued + u32::try_from(self.sent_since_load_ms.len()).unwrap_or(u32::MAX)
+        });
+        own.max(reported.saturating_sub(self.ended_since_load))
+    }
+
     /// Whether less than half of the slots are in use, so that a request begins at once;
     /// false without a recent report.
     pub fn has_free_slots(&self, peer_requests_per_ms: f64, now_ms: u64) -> bool {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,6 +8,7 @@
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::admit_request;
+use crate::fleet::begins_in_time;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::forward::Gateway;
@@ -98,27 +99,26 @@
         let now_ms = state.now_ms();
         let model = request.facts.model.as_deref();
         let required = model.and_then(|model| state.required_version(model));
-        let upcoming = model.and_then(|model| state.upcoming_version(model));
         let service = request.catalog.service(&request.service);
-        let mut usable: Vec<(ReplicaKey, &Replica)> = state
+        let begin_within_ms = |replica: &Replica| {
+            let version = model.map(|model| (model, replica.weights_version(model, now_ms)))?;
+            state.begin_within_ms(version.0, version.1)
+        };
+        let usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
             .listed()
             .filter(|(key, replica)| {
                 replica.record.service == request.service
                     && replica.is_usable(now_ms)
                     && !request.tried_replicas.contains(key)
-                    && model.is_none_or(|model| {
-                        let version = replica.weights_version(model, now_ms);
-                        version > 0 && version >= required.unwrap_or(0)
-                    })
+                    && model.is_none_or(|model| replica.weights_version(model, now_ms) > 0)
+                    && begins_in_time(begin_within_ms(replica), 0.0)
             })
             .collect();
-        if let (Some(model), Some(upcoming)) = (model, upcoming) {
-            usable.retain(|(_, replica)| {
-                replica.weights_version(model, now_ms) >= upcoming
-                    || replica.has_free_slots(0.0, now_ms)
-            });
-        }
+        let begin_limits_ms: Vec<Option<u64>> = usable
+            .iter()
+            .map(|(_, replica)| begin_within_ms(replica))
+            .collect();
         // The requests of the other entries are assumed to go to the replicas with free
         // slots, or to all usable ones if none has any.
         let free_replicas = usable.iter().filter(|(_, r)| r.has_free_slots(0.0, now_ms));
@@ -128,12 +128,6 @@
         };
         let peer_requests_per_replica_ms =
             state.peer_requests_per_ms(&request.service) / candidate_count as f64;
-        if let (Some(model), Some(upcoming)) = (model, upcoming) {
-            usable.retain(|(_, replica)| {
-                replica.weights_version(model, now_ms) >= upcoming
-                    || replica.has_free_slots(peer_requests_per_replica_ms, now_ms)
-            });
-        }
         let admission = admit_request(&AdmissionInput {
             now_ms,
             replicas: &usable,
@@ -141,6 +135,7 @@
             failure_domain: &state.settings.failure_domain,
             entry_count: state.entry_count(),
             peer_requests_per_ms: peer_requests_per_replica_ms,
+            begin_within_ms: &begin_limits_ms,
             prompt_tokens: request.facts.prompt_tokens,
             waited_ms: request.waited_ms(),
             was_refused_before: request.waited_before_ms > 0,
@@ -163,11 +158,11 @@
                     address: replica.record.address,
                     predicted_ms,
                     weights_version: required
-                        .and(model)
-                        .map(|model| replica.weights_version(model, now_ms)),
-                    begin_within_ms: model.and_then(|model| {
-                        state.begin_within_ms(model, replica.weights_version(model, now_ms))
-                    }),
+                        .zip(model)
+                        .map(|(required, model)| (required, replica.weights_version(model, now_ms)))
+                        .filter(|(required, version)| version >= required)
+                        .map(|(_, version)| version),
+                    begin_within_ms: begin_within_ms(replica),
                     load_age_ms: replica
                         .recent_load(now_ms)
                         .map(|load| now_ms - load.received_ms),
--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -17,10 +17,6 @@
 /// Pause after a failure before reading ahead is retried.
 const READ_AHEAD_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time without a request of another process after which a version is no longer read ahead
-/// once a later one is declared.
-const SUPERSEDED_TTL: Duration = Duration::from_secs(1);
-
 /// A piece that an entry reads ahead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct SharePiece {
@@ -43,31 +39,32 @@
         }
     }
 
-    /// Starts a task that reads the share of this entry, unless one runs already or there is
-    /// nothing to read.
+    /// Starts a task that reads the share of this entry, unless one runs already or a later
+    /// version is declared: the link of the origin carries one of them in time, not two.
     pub(super) fn start_read_ahead(self: &Rc<Self>, cached: &Rc<CachedVersion>) {
-        if cached.is_read_ahead.replace(true) {
+        if self.later_declared_ms(cached).is_some() || cached.is_read_ahead.replace(true) {
             return;
         }
         let (pieces, cached) = (self.clone(), cached.clone());
         actix_rt::spawn(async move {
             while let Err(error) = pieces.read_share(&cached).await {
                 log::debug!("cannot read version {} ahead: {error}", cached.version);
-                tokio::time::sleep(READ_AHEAD_RETRY_PAUSE).await;
-                if pieces.is_superseded(&cached) {
+                if pieces.later_declared_ms(&cached).is_some() {
                     break;
                 }
+                tokio::time::sleep(READ_AHEAD_RETRY_PAUSE).await;
             }
             cached.is_read_ahead.set(false);
         });
     }
 
-    /// Whether a later version is declared and no other process asks for this one.
-    fn is_superseded(&self, cached: &CachedVersion) -> bool {
+    /// Monotonic time at which a later version was declared, in ms; None if none is.
+    fn later_declared_ms(&self, cached: &CachedVersion) -> Option<i64> {
         let state = self.state.borrow();
-        let latest = state.weights.for_model(&cached.model).last();
-        latest.is_some_and(|latest| latest.version > cached.version)
-            && cached.unused_for() >= SUPERSEDED_TTL
+        let mut later = state.weights.for_model(&cached.model);
+        later
+            .find(|declaration| declaration.version > cached.version)
+            .map(|declaration| declaration.learned_ms)
     }
 
     /// Reads the share of this entry: the pieces of which it is the primary holder, and
@@ -84,9 +81,23 @@
             return Ok(());
         }
         let began = Instant::now();
+        let began_ms = self.state.borrow().now_ms() as i64;
         let piece_time = self.origin_piece_time();
+        let first = share.first().map_or(0, |piece| piece.index);
+        let half_time = piece_time * manifest.piece_count() / 2;
+        let half_ms = began_ms + i64::try_from(half_time.as_millis()).unwrap_or(i64::MAX);
         let reads = share.iter().map(|piece| async move {
-            tokio::time::sleep_until(began + piece_time * piece.index).await;
+            tokio::time::sleep_until(began + piece_time * (piece.index - first)).await;
+            // A version that is half read is of use if the origin fails before the later one
+            // is read.
+            if self
+                .later_declared_ms(cached)
+                .is_some_and(|ms| ms < half_ms)
+            {
+                return Err(ExternalCallError::Unreachable(
+                    "a later version is declared".to_owned(),
+                ));
+            }
             self.piece(cached, piece.index, piece.is_primary).await
         });
         let results = join_all(reads).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -40,19 +40,14 @@
 const DEADLINE_SPREAD: f64 = 0.17;
 
 /// Time before the deadline of new weights, `weights_apply_ms` after their declaration,
-/// from which requests are sent only to replicas that have them, in ms. A request may
-/// wait at a replica, and this process learns of a declaration late.
+/// from which a request names the version to a replica that has them, in ms: the replica
+/// may come back with older ones.
 const WEIGHTS_REQUIRED_MARGIN_MS: u64 = 1_300;
 
 /// Time before that deadline at which a request that still waits at an engine with old
 /// weights is cancelled, in ms. This process learns of a declaration late.
 const WEIGHTS_CANCEL_MARGIN_MS: u64 = 400;
 
-/// Time before that deadline from which engines without the new weights get only
-/// requests that can begin at once, in ms: `WEIGHTS_REQUIRED_MARGIN_MS` and the
-/// longest wait at an engine.
-const WEIGHTS_UPCOMING_MARGIN_MS: u64 = 3_000;
-
 /// Age of the replicas' records from which they are fetched also from entries of
 /// other failure domains, in ms.
 const REPLICAS_OUTDATED_MS: u64 = 1_000;
@@ -415,7 +410,7 @@
         }
     }
 
-    /// Oldest version of `model` that may serve a request now; None for any.
+    /// Oldest version of `model` that will soon be required; None for any.
     pub fn required_version(&self, model: &str) -> Option<u64> {
         self.version_due_in(model, WEIGHTS_REQUIRED_MARGIN_MS)
     }
@@ -433,12 +428,6 @@
             .map(|left_ms| u64::try_from(left_ms).unwrap_or(0))
     }
 
-    /// Version of `model` that will soon be required: engines without it get only
-    /// requests that can begin at once.
-    pub fn upcoming_version(&self, model: &str) -> Option<u64> {
-        self.version_due_in(model, WEIGHTS_UPCOMING_MARGIN_MS)
-    }
-
     /// Newest version of `model` whose deadline is within `ahead_ms`, or has passed.
     fn version_due_in(&self, model: &str, ahead_ms: u64) -> Option<u64> {
         let now_ms = self.now_ms() as i64;
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -8,6 +8,7 @@
 use bergamotfork::fleet::ReplicaKey;
 use bergamotfork::fleet::ReplicaTable;
 use bergamotfork::fleet::admit_request;
+use bergamotfork::fleet::begins_in_time;
 use bergamotfork::fleet::predicted_first_event_ms;
 
 const TARGET_MS: u64 = 400;
@@ -25,6 +26,7 @@
         failure_domain: "a",
         entry_count: 6,
         peer_requests_per_ms: 0.0,
+        begin_within_ms: &[],
         prompt_tokens: 800,
         waited_ms: 0,
         was_refused_before: false,
@@ -191,3 +193,57 @@
     assert!(matches!(decide(15), AdmissionDecision::Send { .. }));
     assert!(matches!(decide(20), AdmissionDecision::Refuse { .. }));
 }
+
+/// Replays the end of a change of weights under full load: replicas with the old weights
+/// get requests as long as these begin before the deadline, and none after that.
+#[test]
+fn admit_request_old_weights_until_deadline() {
+    let (table, keys) = table(0, &[12, 4]);
+    let replicas: Vec<(ReplicaKey, &Replica)> = table.listed().collect();
+    let engine = engine();
+    let decide = |left_ms: u64| {
+        // The first replica has the new weights, the second one the old ones.
+        let limits = [None, Some(left_ms)];
+        let decisions = (0..50).map(|seed| {
+            admit_request(&AdmissionInput {
+                begin_within_ms: &limits,
+                seed,
+                ..new_request(&replicas, &engine, 10)
+            })
+        });
+        decisions
+            .map(chosen_replica)
+            .filter(|key| *key == keys[1])
+            .count()
+    };
+    let predicted_ms = predicted_first_event_ms(&engine, 4, 800.0);
+    assert!(begins_in_time(Some(1_000), predicted_ms));
+    assert!(decide(1_000) > 0, "old weights serve until shortly before");
+    assert_eq!(decide(400), 0, "nothing is sent that begins too late");
+}
+
+#[test]
+fn begins_in_time_late_prediction() {
+    assert!(begins_in_time(None, 10_000.0));
+    assert!(begins_in_time(Some(640), 200.0));
+    assert!(!begins_in_time(Some(639), 200.0));
+    assert!(!begins_in_time(Some(0), 0.0));
+}
+
+/// Replays requests that arrive in one moment while all replicas are nearly idle. Guards
+/// against a replica that gets several and reads their prompts one after the other, while
+/// others have nothing to read.
+#[test]
+fn admit_request_spreads_simultaneous_prompts() {
+    for first_seed in 0..50 {
+        let (mut table, keys) = table(0, &[2, 3, 4]);
+        let mut chosen = Vec::new();
+        for seed in first_seed..first_seed + 3 {
+            let key = chosen_replica(decide(&table, 5, seed, false));
+            table.record_send(key, 100.0, 5);
+            chosen.push(key);
+        }
+        chosen.sort_unstable();
+        assert_eq!(chosen, keys, "each replica gets one request");
+    }
+}
