Send nothing new to hosts that stand still while others can take it

Cause: a replica whose reports stayed away counted as loaded with the own requests alone, and got more while its host was frozen; the clients had left when it ran them.

Change: a replica is silent when neither a report nor an event or answer has come for 700 ms, unless its record is newer than its reports (then only the endpoint process is away). It gets no new requests while another replica can take them. An entry to which most reports stay away suspects none. Events 719 and 720. Hosts that start ask again for records after 0.25 s, not 0.7 s.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -13,6 +13,11 @@
 /// Age from which a load report is ignored, in ms: several times the report interval.
 const LOAD_STALE_MS: u64 = 700;
 
+/// Time by which the record of a replica has to be newer than its last load report to show
+/// that it runs without its endpoint process, in ms, and age up to which the record shows
+/// that: about two intervals at which records are written, and their way.
+const RECORD_NEWER_MS: u64 = 2_500;
+
 /// First pause after a failed connection, in ms; each further failure doubles it.
 const MIN_BACKOFF_MS: u64 = 250;
 
@@ -73,6 +78,10 @@
     sent_since_load_ms: Vec<u64>,
     // Requests of this process that have ended since the last load report.
     ended_since_load: u32,
+    // Time at which an event or an answer last arrived from it.
+    last_answer_ms: u64,
+    // Whether it was silent when that was last checked.
+    was_silent: bool,
     // Time until which it gets no requests.
     excluded_until_ms: u64,
     // Whether its answers have said that this incarnation is leaving.
@@ -103,6 +112,8 @@
             load: None,
             sent_since_load_ms: Vec::new(),
             ended_since_load: 0,
+            last_answer_ms: 0,
+            was_silent: false,
             excluded_until_ms: 0,
             is_leaving: false,
             paused_until_ms: 0,
@@ -129,6 +140,27 @@
                 .is_none_or(|load| load.is_up && !load.is_loading)
     }
 
+    /// Whether its host seems to stand still: its reports stay away, and no event or answer
+    /// has come from it since.
+    ///
+    /// A record that is newer than the last report shows that only the endpoint process is
+    /// away.
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        let Some(load) = &self.load else {
+            return false;
+        };
+        let last_heard_ms = load.received_ms.max(self.last_answer_ms);
+        let has_newer_record = self.last_heartbeat_ms >= load.received_ms + RECORD_NEWER_MS
+            && now_ms.saturating_sub(self.last_heartbeat_ms) < RECORD_NEWER_MS;
+        now_ms.saturating_sub(last_heard_ms) >= LOAD_STALE_MS && !has_newer_record
+    }
+
+    /// Time since its last load report, in ms; None if there was none.
+    pub fn report_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let load = self.load.as_ref()?;
+        Some(now_ms.saturating_sub(load.received_ms))
+    }
+
     /// Whether it wants nothing from this process now.
     pub fn is_paused(&self, now_ms: u64) -> bool {
         now_ms < self.paused_until_ms
@@ -366,6 +398,31 @@
             .map(|(at, replica)| (replica_key(at), replica))
     }
 
+    /// Whether most replicas of `service` that ever reported their load still do. Otherwise
+    /// the link of this process fails, or the process itself stood still, and the silence of
+    /// a replica says nothing of it.
+    pub fn has_reports(&self, service: &str, now_ms: u64) -> bool {
+        let of_service = self.listed().filter(|(_, r)| r.record.service == service);
+        let (mut known, mut recent) = (0u32, 0u32);
+        for (_, replica) in of_service {
+            known += u32::from(replica.load.is_some());
+            recent += u32::from(replica.recent_load(now_ms).is_some());
+        }
+        recent * 2 >= known
+    }
+
+    /// Replicas that have become silent, or are no longer, since the last call.
+    pub fn silence_changes(&mut self, now_ms: u64) -> Vec<ReplicaKey> {
+        let mut changed = Vec::new();
+        for (at, replica) in self.replicas.iter_mut().enumerate() {
+            let is_silent = !replica.is_removed && replica.is_silent(now_ms);
+            if std::mem::replace(&mut replica.was_silent, is_silent) != is_silent {
+                changed.push(replica_key(at));
+            }
+        }
+        changed
+    }
+
     /// Records a load report of the endpoint process at `ip` for the replica at `port`.
     pub fn record_load(&mut self, ip: IpAddr, port: u16, load: EngineLoad) {
         for replica in &mut self.replicas {
@@ -392,7 +449,9 @@
 
     /// Records that the answer to a send has begun.
     pub fn record_answer_start(&mut self, key: ReplicaKey, send_id: u64, now_ms: u64) {
-        self.replicas[key.0 as usize].record_delay(send_id, now_ms);
+        let replica = &mut self.replicas[key.0 as usize];
+        replica.record_delay(send_id, now_ms);
+        replica.last_answer_ms = now_ms;
     }
 
     /// Records that a send has ended, with an answer or without.
@@ -407,6 +466,7 @@
     /// latency.
     pub fn record_answer(&mut self, key: ReplicaKey, latency_ms: f64, failed: bool, now_ms: u64) {
         let replica = &mut self.replicas[key.0 as usize];
+        replica.last_answer_ms = now_ms;
         replica.record_outcome(failed, now_ms);
         replica.backoff_ms = MIN_BACKOFF_MS;
         if failed {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -91,6 +91,7 @@
         let (heartbeat, kept_config, entries, targets) = {
             let mut state = state.borrow_mut();
             state.remove_expired_replicas();
+            state.log_silence_changes();
             let heartbeat = Datagram::Beat(own_heartbeat(&state));
             let (entries, endpoints) = (entry_targets(&state), endpoint_targets(&state));
             let remote = entries.iter().chain(&endpoints).filter(|t| t.is_remote);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -104,7 +104,7 @@
             let version = model.map(|model| (model, replica.weights_version(model, now_ms)))?;
             state.begin_within_ms(version.0, version.1)
         };
-        let usable: Vec<(ReplicaKey, &Replica)> = state
+        let mut usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
             .listed()
             .filter(|(key, replica)| {
@@ -115,6 +115,11 @@
                     && begins_in_time(begin_within_ms(replica), 0.0)
             })
             .collect();
+        // What is sent to a host that stands still runs when it goes on, for nobody.
+        let is_heard = |usable: &(ReplicaKey, &Replica)| !usable.1.is_silent(now_ms);
+        if state.replicas.has_reports(&request.service, now_ms) && usable.iter().any(is_heard) {
+            usable.retain(is_heard);
+        }
         let begin_limits_ms: Vec<Option<u64>> = usable
             .iter()
             .map(|(_, replica)| begin_within_ms(replica))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -384,6 +384,32 @@
         });
     }
 
+    /// Logs which replicas have fallen silent, and which are heard again.
+    pub fn log_silence_changes(&mut self) {
+        let now_ms = self.now_ms();
+        for key in self.replicas.silence_changes(now_ms) {
+            let replica = self.replicas.get(key);
+            let event = if replica.is_silent(now_ms) {
+                Event::ReplicaSilent
+            } else {
+                Event::ReplicaHeard
+            };
+            LogLine::new(event)
+                .text("replica", &replica.record.id)
+                .number("report_age_ms", replica.report_age_ms(now_ms).unwrap_or(0))
+                .number(
+                    "record_age_ms",
+                    now_ms.saturating_sub(replica.last_heartbeat_ms),
+                )
+                .number("in_flight", replica.in_flight)
+                .flag(
+                    "others_report",
+                    self.replicas.has_reports(&replica.record.service, now_ms),
+                )
+                .enqueue();
+        }
+    }
+
     /// Adds the requests whose connections to `replica` broke shortly before it became
     /// unreachable to the crash suspects.
     pub fn suspect_broken_connections(&mut self, replica: &str) {
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -88,6 +88,8 @@
     716 ReplyDiscarded Info "A reply of the platform's store was discarded, since the store has come back from an older copy after it.";
     717 ReplicaAnnouncesLeaving Info "An answer of a replica said for the first time that it is leaving; it gets no new work.";
     718 ReplicaPaused Info "A replica turned a request away and wants nothing from this process for a time.";
+    719 ReplicaSilent Warn "Reports and answers of a replica stay away; it gets no new requests while others can take them.";
+    720 ReplicaHeard Info "A replica that was silent is heard again, or is no longer listed.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- a/src/staging/follow_records.rs
+++ b/src/staging/follow_records.rs
@@ -31,7 +31,7 @@
 /// Shortest and longest pause before records are asked for again. The pause doubles each
 /// time, and is drawn at random between its half and its full length.
 const RETRY_PAUSES: (Duration, Duration) =
-    (Duration::from_millis(700), Duration::from_millis(2_800));
+    (Duration::from_millis(250), Duration::from_millis(2_800));
 
 /// Gets the records of the topics at the start, and while no entry sends heartbeats.
 ///
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,3 +9,4 @@
 mod notices;
 mod retries;
 mod rewind;
+mod silence;
