Tell the other processes of a replica that leaves, and send one request after a pause

Cause: an entry learned that a replica leaves only from an answer of its own, and at the end of a pause everything that waited went to the replica at once.

Change: the first answer that says so is told to all entries and to the endpoint process of that replica, three times, as datagrams may be lost; the endpoint process orders no further load for that incarnation. After a pause one request goes first; the others follow when it was answered or has ended.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -90,6 +90,10 @@
     // whose answer said so.
     paused_until_ms: u64,
     pause_sent_ms: u64,
+    // Whether the first request after a pause has not been answered yet, and its send, if it
+    // was sent.
+    awaits_probe: bool,
+    probe_send_id: Option<u64>,
     // Pause after the next failed connection.
     backoff_ms: u64,
     // Exponentially weighted, as of `failure_ratio_updated_ms`.
@@ -118,6 +122,8 @@
             is_leaving: false,
             paused_until_ms: 0,
             pause_sent_ms: 0,
+            awaits_probe: false,
+            probe_send_id: None,
             backoff_ms: MIN_BACKOFF_MS,
             failure_ratio: 0.0,
             failure_ratio_updated_ms: now_ms,
@@ -135,6 +141,7 @@
             && !self.is_leaving
             && now_ms >= self.excluded_until_ms
             && !self.is_paused(now_ms)
+            && self.probe_send_id.is_none()
             && self
                 .recent_load(now_ms)
                 .is_none_or(|load| load.is_up && !load.is_loading)
@@ -285,6 +292,15 @@
         self.load = Some(load);
     }
 
+    /// Records that the first request after a pause was answered or has ended; the others
+    /// follow unless the replica wants another pause.
+    fn record_probe_end(&mut self, send_id: u64, now_ms: u64) {
+        if self.probe_send_id == Some(send_id) {
+            self.probe_send_id = None;
+            self.awaits_probe = self.is_paused(now_ms);
+        }
+    }
+
     /// Updates the failure ratio with the outcome of one request.
     fn record_outcome(&mut self, failed: bool, now_ms: u64) {
         let past = self.failure_ratio(now_ms);
@@ -344,6 +360,7 @@
                 if newer.record.born_unix_ms == replica.record.born_unix_ms {
                     newer.paused_until_ms = replica.paused_until_ms;
                     newer.pause_sent_ms = replica.pause_sent_ms;
+                    newer.awaits_probe = replica.awaits_probe;
                 }
                 *replica = newer;
             } else {
@@ -438,6 +455,9 @@
         self.last_send_id += 1;
         let replica = &mut self.replicas[key.0 as usize];
         replica.in_flight += 1;
+        if replica.awaits_probe {
+            replica.probe_send_id = Some(self.last_send_id);
+        }
         replica.sent_since_load_ms.push(now_ms);
         replica.pending.push(PendingRequest {
             send_id: self.last_send_id,
@@ -451,6 +471,7 @@
     pub fn record_answer_start(&mut self, key: ReplicaKey, send_id: u64, now_ms: u64) {
         let replica = &mut self.replicas[key.0 as usize];
         replica.record_delay(send_id, now_ms);
+        replica.record_probe_end(send_id, now_ms);
         replica.last_answer_ms = now_ms;
     }
 
@@ -458,6 +479,7 @@
     pub fn record_end(&mut self, key: ReplicaKey, send_id: u64, now_ms: u64) {
         let replica = &mut self.replicas[key.0 as usize];
         replica.record_delay(send_id, now_ms);
+        replica.record_probe_end(send_id, now_ms);
         replica.in_flight = replica.in_flight.saturating_sub(1);
         replica.ended_since_load += 1;
     }
@@ -520,6 +542,7 @@
         }
         if let Some(pause_ms) = notice.pause_ms {
             let until_ms = now_ms + pause_ms;
+            replica.awaits_probe |= pause_ms > 0;
             if sent_ms >= replica.pause_sent_ms {
                 replica.pause_sent_ms = sent_ms;
                 replica.paused_until_ms = until_ms;
@@ -530,11 +553,28 @@
         if !notice.is_leaving || replica.is_leaving {
             return false;
         }
-        replica.is_leaving = true;
+        let leaving = Incarnation::of(&replica.record);
+        self.record_leaving(&leaving.id, leaving.born_unix_ms)
+    }
+
+    /// Records that an incarnation is leaving, as one of its answers said to this process or
+    /// to another; returns whether that is new.
+    pub fn record_leaving(&mut self, id: &str, born_unix_ms: Option<u64>) -> bool {
+        let incarnation = Incarnation {
+            id: id.to_owned(),
+            born_unix_ms,
+        };
+        if self.leaving.contains(&incarnation) {
+            return false;
+        }
+        let mut replicas = self.replicas.iter_mut();
+        if let Some(known) = replicas.find(|r| Incarnation::of(&r.record) == incarnation) {
+            known.is_leaving = true;
+        }
         if self.leaving.len() >= MAX_LEAVING {
             self.leaving.pop_front();
         }
-        self.leaving.push_back(Incarnation::of(&replica.record));
+        self.leaving.push_back(incarnation);
         true
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -259,6 +259,9 @@
             chosen.sent_ms,
             now_ms,
         );
+        if is_first_of_leaving {
+            state.tell_leaving(&chosen.id, chosen.born_unix_ms);
+        }
         drop(state);
         if is_first_of_leaving {
             LogLine::new(Event::ReplicaAnnouncesLeaving)
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -59,6 +59,15 @@
     pub version: u64,
 }
 
+/// Notice that a replica has said in an answer that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReplica {
+    /// Identifier of the replica.
+    pub id: String,
+    /// Start of its incarnation, in Unix ms.
+    pub born_unix_ms: Option<u64>,
+}
+
 /// A UDP message between entry and endpoint processes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Datagram {
@@ -70,6 +79,8 @@
     Have(HeldPieces),
     /// Configuration that the store has lost, sent between entries.
     Kept(KeptConfig),
+    /// Replica that is leaving, sent between entries and to its endpoint process.
+    Leaving(LeavingReplica),
 }
 
 impl Datagram {
@@ -121,6 +132,10 @@
         if let Some(notice) = kept_config {
             send_to_all(&socket, &notice, &entries);
         }
+        for (notice, host) in state.borrow_mut().take_leaving_notices() {
+            let receivers: Vec<SocketAddr> = entries.iter().copied().chain(host).collect();
+            send_to_all(&socket, &Datagram::Leaving(notice).encode(), &receivers);
+        }
         heartbeat_count += 1;
         has_update = tokio::time::timeout(HEARTBEAT_INTERVAL, notice.notified())
             .await
@@ -282,6 +297,7 @@
         // Only endpoint processes use the reports of held pieces.
         Datagram::Have(_) => {}
         Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
+        Datagram::Leaving(leaving) => apply_leaving(&state, &leaving),
     })
     .await;
 }
@@ -328,6 +344,18 @@
     }
 }
 
+/// Records that a replica is leaving, as another entry has learned from an answer of it.
+fn apply_leaving(state: &RefCell<GatewayState>, leaving: &LeavingReplica) {
+    let mut state = state.borrow_mut();
+    let replicas = &mut state.replicas;
+    if replicas.record_leaving(&leaving.id, leaving.born_unix_ms) {
+        LogLine::new(Event::ReplicaAnnouncesLeaving)
+            .text("replica", &leaving.id)
+            .text("from", "entry")
+            .enqueue();
+    }
+}
+
 /// Fetches records of `topic` from the entry at `peer` in a task of its own.
 fn spawn_fetch(
     state: &Rc<RefCell<GatewayState>>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub use heartbeats::Datagram;
 pub use heartbeats::HeldPieces;
 pub use heartbeats::KeptConfig;
+pub use heartbeats::LeavingReplica;
 pub use heartbeats::for_each_datagram;
 pub use heartbeats::registered_entries;
 pub use measured_source::MeasuredSource;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::Rng;
@@ -19,6 +20,7 @@
 use crate::fleet::Topic;
 use crate::fleet::TopicTable;
 use crate::gateway::GatewaySettings;
+use crate::gateway::LeavingReplica;
 use crate::gateway::TopicSink;
 use crate::gateway::answer_memory::AnswerMemory;
 use crate::observe::Event;
@@ -60,6 +62,9 @@
 /// a day, so that it confirms nothing.
 const UNCONFIRMED_AGE_MS: u64 = 24 * 3_600 * 1_000;
 
+/// Number of times that the other processes are told that a replica is leaving.
+const LEAVING_NOTICES: u32 = 3;
+
 /// Largest number of broken connections that are kept.
 const MAX_BROKEN_CONNECTIONS: usize = 256;
 
@@ -117,6 +122,9 @@
     /// Ids of replicas that stay in use although their records expired.
     pub(super) expired_replicas: Vec<String>,
     broken_connections: Vec<BrokenConnection>,
+    // Replicas that are leaving, each with the number of times that the other processes are
+    // still told.
+    leaving_notices: Vec<(LeavingReplica, u32)>,
     /// For each topic, whether it is being fetched from another process.
     fetching: [bool; 3],
     /// Time at which the store last confirmed the replicas' records; negative when that
@@ -152,6 +160,7 @@
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
             broken_connections: Vec::new(),
+            leaving_notices: Vec::new(),
             fetching: [false; 3],
             replicas_confirmed_ms: None,
             rng,
@@ -384,6 +393,36 @@
         });
     }
 
+    /// Has the other processes told that a replica is leaving, at once and again with the
+    /// next heartbeats, as a datagram may be lost.
+    pub fn tell_leaving(&mut self, id: &str, born_unix_ms: Option<u64>) {
+        let leaving = LeavingReplica {
+            id: id.to_owned(),
+            born_unix_ms,
+        };
+        self.leaving_notices.push((leaving, LEAVING_NOTICES));
+        self.update_notice.notify_one();
+    }
+
+    /// Returns the replicas of whose leaving the other processes are told now, each with the
+    /// endpoint process on its host.
+    pub fn take_leaving_notices(&mut self) -> Vec<(LeavingReplica, Option<SocketAddr>)> {
+        let port = self.settings.internal.port();
+        let host_of = |leaving: &LeavingReplica| {
+            let mut replicas = self.replicas.listed();
+            let replica = replicas.find(|(_, known)| known.record.id == leaving.id)?;
+            Some(SocketAddr::new(replica.1.record.address.ip(), port))
+        };
+        let notices = self.leaving_notices.iter();
+        let notices = notices.map(|(leaving, _)| (leaving.clone(), host_of(leaving)));
+        let notices: Vec<_> = notices.collect();
+        self.leaving_notices.retain_mut(|notice| {
+            notice.1 -= 1;
+            notice.1 > 0
+        });
+        notices
+    }
+
     /// Logs which replicas have fallen silent, and which are heard again.
     pub fn log_silence_changes(&mut self) {
         let now_ms = self.now_ms();
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -178,6 +178,10 @@
                 last_received_ms,
             });
         }
+        Datagram::Leaving(leaving) => {
+            let mut state = state.borrow_mut();
+            state.leaving = Some((leaving.id, leaving.born_unix_ms));
+        }
         // These are sent to entries only.
         Datagram::Load(_) | Datagram::Kept(_) => {}
     })
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -128,6 +128,8 @@
     pub orders: OrderLedger,
     /// Declared versions of weights.
     pub declared: Declarations,
+    /// Id and start of the incarnation of the engine that is leaving, as it has told entries.
+    pub leaving: Option<(String, Option<u64>)>,
     topic_tables: [TopicTable; 3],
     has_engine_answered: bool,
     started_at: Instant,
@@ -148,6 +150,7 @@
             pending_order: None,
             orders: OrderLedger::default(),
             declared: Declarations::default(),
+            leaving: None,
             topic_tables: Default::default(),
             has_engine_answered: false,
             started_at: Instant::now(),
@@ -267,8 +270,12 @@
     /// Returns the version of `model` to load next; `None` when no newer version is
     /// declared.
     ///
-    /// An order that may still take effect comes before newer versions.
+    /// An order that may still take effect comes before newer versions. An engine that is
+    /// leaving gets no new loads.
     pub fn next_load(&self, model: &str) -> Option<NextLoad> {
+        if self.is_engine_leaving() {
+            return None;
+        }
         if let Some(version) = self.orders.open_version(model) {
             // Where the engine has the version, another order for it would change nothing.
             let is_loaded = self
@@ -300,6 +307,15 @@
         })
     }
 
+    /// Returns whether the present incarnation of the engine is leaving.
+    fn is_engine_leaving(&self) -> bool {
+        let report = self.engine_report.as_ref();
+        let born_unix_ms = report.and_then(|report| report.born_unix_ms);
+        self.leaving.as_ref().is_some_and(|(id, born)| {
+            *born == born_unix_ms && self.incarnation(born_unix_ms).as_ref() == Some(id)
+        })
+    }
+
     /// Returns the progress of the downloads of `model`.
     fn download_progress(&self, model: &str) -> Vec<DownloadProgress> {
         self.staged_models
--- a/tests/fleet/notices.rs
+++ b/tests/fleet/notices.rs
@@ -87,3 +87,70 @@
     let (key, _) = table.register(record("r1", 1), 1_010);
     assert!(!table.get(key).is_usable(1_010));
 }
+
+/// Guards against all waiting requests going to a replica at the end of its pause.
+#[test]
+fn pause_end_one_request_first() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(300), 990, 1_000);
+    let probe = table.record_send(keys[0], 100.0, 1_310);
+    assert!(!table.get(keys[0]).is_usable(1_320));
+    table.record_answer_start(keys[0], probe, 1_400);
+    assert!(table.get(keys[0]).is_usable(1_400));
+}
+
+/// Guards against a replica that is forgotten since the first request after its pause got
+/// no answer.
+#[test]
+fn pause_end_first_request_unanswered() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(300), 990, 1_000);
+    let probe = table.record_send(keys[0], 100.0, 1_310);
+    table.record_end(keys[0], probe, 1_500);
+    assert!(table.get(keys[0]).is_usable(1_500));
+}
+
+#[test]
+fn pause_end_turned_away_again() {
+    let (mut table, keys) = table(1_000, &[0]);
+    table.record_notice(keys[0], Some(1), pause(300), 990, 1_000);
+    let probe = table.record_send(keys[0], 100.0, 1_310);
+    table.record_notice(keys[0], Some(1), pause(200), 1_310, 1_350);
+    table.record_end(keys[0], probe, 1_350);
+    assert!(!table.get(keys[0]).is_usable(1_500));
+    table.record_send(keys[0], 100.0, 1_560);
+    assert!(
+        !table.get(keys[0]).is_usable(1_570),
+        "one request first again"
+    );
+}
+
+/// Guards against an earlier answer that counts as that to the first request.
+#[test]
+fn pause_end_earlier_answer() {
+    let (mut table, keys) = table(1_000, &[0]);
+    let earlier = table.record_send(keys[0], 100.0, 900);
+    table.record_notice(keys[0], Some(1), pause(300), 990, 1_000);
+    table.record_send(keys[0], 100.0, 1_310);
+    table.record_answer_start(keys[0], earlier, 1_320);
+    assert!(!table.get(keys[0]).is_usable(1_330));
+}
+
+/// What another entry tells is known also before the record of the replica arrives, and is
+/// about that incarnation alone.
+#[test]
+fn record_leaving_before_record() {
+    let (mut table, keys) = table(1_000, &[0, 0]);
+    assert!(table.record_leaving("r1", Some(1)));
+    assert!(!table.record_leaving("r1", Some(1)));
+    assert!(!table.get(keys[0]).is_usable(1_010));
+    assert!(table.record_leaving("r9", Some(4)));
+    let mut late = record("r9", 9);
+    late.born_unix_ms = Some(4);
+    let (key, _) = table.register(late, 1_020);
+    assert!(!table.get(key).is_usable(1_030));
+    let mut newer = record("r9", 9);
+    newer.born_unix_ms = Some(5);
+    let (key, _) = table.register(newer, 1_040);
+    assert!(table.get(key).is_usable(1_050));
+}
