--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -41,6 +41,11 @@
 /// expected, and only one fetch from entries is in progress at a time.
 const SLOW_FETCH_MS: u64 = 300;
 
+/// Longest pause after a slow fetch, in ms. On a narrow link the requests of clients that
+/// wait behind a piece get their turn; a source that was slow for another reason has the
+/// next piece by then.
+const MAX_SLOW_PAUSE_MS: u64 = 300;
+
 /// Delay before the next fetch from an entry that failed, in ms: the origin behind
 /// it may be unavailable.
 const ENTRY_RETRY_DELAY_MS: u64 = 1_000;
@@ -268,6 +273,7 @@
         let started_ms = self.state.borrow().now_ms();
         let mut progress_ms = started_ms;
         let mut is_slow = false;
+        let mut resume_ms = 0;
         let mut rejected_pieces = 0;
         let mut seed = started_ms;
         loop {
@@ -289,8 +295,9 @@
             seed = seed.wrapping_add(1);
             let now_ms = self.state.borrow().now_ms();
             blocked.retain(|block| block.1 > now_ms);
-            let planned = self
-                .entry_fetches(&have, &in_flight, &blocked, is_slow)
+            let planned = (now_ms < resume_ms)
+                .then(Vec::new)
+                .or_else(|| self.entry_fetches(&have, &in_flight, &blocked, is_slow))
                 .unwrap_or_else(|| {
                     let times = (started_ms, progress_ms);
                     self.swarm_fetches(&swarm, &have, &in_flight, &blocked, times, seed)
@@ -312,7 +319,11 @@
                 Some((fetch, fetch_started_ms, result)) = fetches.next() => {
                     in_flight.retain(|other| *other != fetch);
                     let now_ms = self.state.borrow().now_ms();
-                    is_slow = now_ms.saturating_sub(fetch_started_ms) >= SLOW_FETCH_MS;
+                    let took_ms = now_ms.saturating_sub(fetch_started_ms);
+                    is_slow = took_ms >= SLOW_FETCH_MS;
+                    if is_slow {
+                        resume_ms = now_ms + took_ms.min(MAX_SLOW_PAUSE_MS);
+                    }
                     let outcome = self.accept_piece(manifest, fetch, result, &mut engine).await;
                     if outcome == FetchOutcome::Held {
                         progress_ms = now_ms;
