Count whole events as the progress of a stream, not single bytes

Cause: any byte of a stream restarted the time after which its replica counts as silent, and the check ran only when nothing arrived for 300 ms. A stalled stream that sends a byte now and then held its client until the deadline; one of the faults that operators of similar systems report.

Change: a stream makes progress with a whole event or 256 bytes; the check runs while bytes arrive too.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,6 +11,10 @@
 use crate::http1::Framing;
 use crate::http1::ResponseHead;
 
+/// Bytes of a stream without a whole event from which it makes progress: more than a stalled
+/// one sends, and less than a large event brings in the same time over a narrow link.
+const MIN_PROGRESS_BYTES: usize = 256;
+
 /// Interval at which the observer of a silent stream is queried whether its replica has
 /// failed.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -162,7 +166,8 @@
             self.head.extend_from_slice(b"\r\n");
         }
         let events_before = self.events;
-        let mut last_received = Instant::now();
+        let mut last_progress = Instant::now();
+        let mut bytes_since_progress = 0;
         loop {
             let decoded = stream
                 .decoder
@@ -174,6 +179,10 @@
             if events < self.events {
                 observer.record_events_sent();
             }
+            if events < self.events || bytes_since_progress >= MIN_PROGRESS_BYTES {
+                last_progress = Instant::now();
+                bytes_since_progress = 0;
+            }
             if let Err(error) = decoded {
                 return StreamEnd::Broken(error.label());
             }
@@ -186,6 +195,13 @@
             if let Err(error) = stream.held.admit(splitter.remainder().len()) {
                 return StreamEnd::Broken(error.label());
             }
+            // Also while bytes arrive: a stalled stream may send one now and then.
+            if Instant::now() >= self.deadline {
+                return StreamEnd::TimedOut;
+            }
+            if observer.has_replica_failed(last_progress.elapsed()) {
+                return StreamEnd::Broken("silent");
+            }
             let wait_until = (Instant::now() + SILENCE_CHECK_INTERVAL).min(self.deadline);
             tokio::select! {
                 biased;
@@ -199,18 +215,11 @@
                         Ok(()) => return self.finish(client, splitter).await,
                         Err(error) => return StreamEnd::Broken(error.label()),
                     },
-                    Ok(_) => last_received = Instant::now(),
+                    Ok(received) => bytes_since_progress += received,
                     Err(_) => return StreamEnd::Broken("reset"),
                 },
                 () = client.wait_closed() => return StreamEnd::ClientDisconnected,
-                () = tokio::time::sleep_until(wait_until) => {
-                    if Instant::now() >= self.deadline {
-                        return StreamEnd::TimedOut;
-                    }
-                    if observer.has_replica_failed(last_received.elapsed()) {
-                        return StreamEnd::Broken("silent");
-                    }
-                }
+                () = tokio::time::sleep_until(wait_until) => {}
             }
         }
     }
