Log which request an entry suspects of which crash, and what it learned from others

Change: 703 and the refusal in 701 name the fingerprint; 713 has the count of crashes and the age of the broken connection; 721 is a crash learned from another entry; a gauge has the number of pairs kept. No decision changes.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -175,19 +175,29 @@
         Digest::from(hasher.finalize())
     }
 
-    /// Merges the suspicions that another process exported.
-    pub fn merge_records(&mut self, records: impl IntoIterator<Item = SuspectRecord>, now_ms: u64) {
+    /// Merges the suspicions that another process exported; returns the requests of those
+    /// that were not known and not cleared.
+    pub fn merge_records(
+        &mut self,
+        records: impl IntoIterator<Item = SuspectRecord>,
+        now_ms: u64,
+    ) -> Vec<Digest> {
+        let mut learned = Vec::new();
         for record in records {
             if record.age_ms >= self.window_ms {
                 continue;
             }
-            self.merge_suspicion(Suspicion {
+            let is_new = self.merge_suspicion(Suspicion {
                 fingerprint: record.fingerprint,
                 crash: record.death,
                 observed_ms: now_ms.saturating_sub(record.age_ms),
                 cleared: record.cleared,
             });
+            if is_new && !record.cleared {
+                learned.push(record.fingerprint);
+            }
         }
+        learned
     }
 
     /// Number of suspicions remembered.
@@ -204,7 +214,8 @@
         now_ms.saturating_sub(suspicion.observed_ms) >= self.window_ms
     }
 
-    fn merge_suspicion(&mut self, suspicion: Suspicion) {
+    /// Adds a suspicion or merges it with the one known; returns whether it is new.
+    fn merge_suspicion(&mut self, suspicion: Suspicion) -> bool {
         let found = self
             .suspicions
             .binary_search_by(|known| known.key().cmp(&suspicion.key()));
@@ -213,10 +224,12 @@
                 let known = &mut self.suspicions[at];
                 known.cleared |= suspicion.cleared;
                 known.observed_ms = known.observed_ms.min(suspicion.observed_ms);
+                false
             }
             Err(at) => {
                 self.suspicions.insert(at, suspicion);
                 self.drop_oldest();
+                true
             }
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,6 +18,7 @@
 use crate::gateway::relay::AnswerPart;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
+use crate::gateway::request_outcome::CRASH_SUSPECT;
 use crate::gateway::request_outcome::RequestOutcome;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::Connection;
@@ -104,7 +105,7 @@
         if self.is_refused_as_suspect(&request) {
             let outcome = RequestOutcome {
                 status: 503,
-                cause: "crash_suspect",
+                cause: CRASH_SUSPECT,
                 retry_after_ms: Some(request.left_ms() / 3),
             };
             return self
@@ -476,6 +477,7 @@
         .text("id", &request.facts.attempt_id)
         .text("replica", &chosen.id)
         .text("cause", cause)
+        .text("fingerprint", request.fingerprint.short_hex())
         .number("sends", request.sends);
     if let Some(part) = part {
         line = line
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -160,6 +160,8 @@
         if path == METRICS_PATH {
             let held_bytes = self.state.borrow().answer_memory.held_bytes();
             self.metrics.record_answer_bytes(held_bytes as u64);
+            let suspects = self.state.borrow().suspects.len();
+            self.metrics.record_crash_suspects(suspects as u64);
             return InternalResponse::metrics(self.metrics.render());
         }
         if let Some(reply) = self.pieces.reply_to(path).await {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -371,6 +371,19 @@
     });
 }
 
+/// Merges and logs the crash suspects that another entry reports.
+fn merge_suspects(state: &mut GatewayState, heartbeat: &EntryHeartbeat) {
+    let now_ms = state.now_ms();
+    let records = heartbeat.suspects.iter().cloned();
+    for fingerprint in state.suspects.merge_records(records, now_ms) {
+        LogLine::new(Event::SuspectLearned)
+            .text("entry", &heartbeat.name)
+            .text("fingerprint", fingerprint.short_hex())
+            .number("crashes", state.suspects.crash_count(fingerprint, now_ms))
+            .enqueue();
+    }
+}
+
 /// Applies a heartbeat, and fetches the records that its sender has and this entry
 /// lacks.
 fn apply_heartbeat(
@@ -383,9 +396,7 @@
         return;
     }
     let now_ms = current.now_ms();
-    current
-        .suspects
-        .merge_records(heartbeat.suspects.iter().cloned(), now_ms);
+    merge_suspects(&mut current, &heartbeat);
     if current
         .weights
         .merge_ages(&heartbeat.declared, now_ms as i64)
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -19,6 +19,9 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
+/// Cause of the refusal of a request that is suspected of several crashes.
+pub(super) const CRASH_SUSPECT: &str = "crash_suspect";
+
 /// How a request ended, for its log line and the metrics; status 0 is a response that
 /// was not completed.
 #[derive(Debug)]
@@ -189,6 +192,9 @@
             .number("config", request.catalog.version)
             .number("took_ms", took_ms as i64)
             .number("waited_before_ms", request.waited_before_ms);
+        if outcome.cause == CRASH_SUSPECT {
+            line = line.text("fingerprint", request.fingerprint.short_hex());
+        }
         if let Some(retry_after_ms) = outcome.retry_after_ms {
             line = line.number("retry_after_ms", retry_after_ms);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -462,16 +462,21 @@
                 self.broken_connections.push(broken);
                 continue;
             }
-            LogLine::new(Event::CrashSuspected)
-                .text("replica", replica)
-                .text("fingerprint", broken.fingerprint.to_string())
-                .enqueue();
             let crash = CrashId {
                 endpoint: broken.replica,
                 incarnation: broken.incarnation,
                 crash_no: CrashId::PROCESS_CRASH,
             };
             self.suspects.add_crash(broken.fingerprint, crash, now_ms);
+            LogLine::new(Event::CrashSuspected)
+                .text("replica", replica)
+                .text("fingerprint", broken.fingerprint.short_hex())
+                .number(
+                    "crashes",
+                    self.suspects.crash_count(broken.fingerprint, now_ms),
+                )
+                .number("broken_ms_ago", now_ms.saturating_sub(broken.at_ms))
+                .enqueue();
         }
     }
 
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -90,6 +90,7 @@
     718 ReplicaPaused Info "A replica turned a request away and wants nothing from this process for a time.";
     719 ReplicaSilent Warn "Reports and answers of a replica stay away; it gets no new requests while others can take them.";
     720 ReplicaHeard Info "A replica that was silent is heard again, or is no longer listed.";
+    721 SuspectLearned Info "Another entry told of a crash during which a request was running.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -81,6 +81,8 @@
     timer_late_ms: Histogram<f64>,
     /// Bytes of answers that are not passed on yet.
     answer_bytes: Gauge<u64>,
+    /// Pairs of a request and a crash during which it was running.
+    crash_suspects: Gauge<u64>,
 }
 
 /// Upper bounds of the buckets for the lateness of timers, in ms.
@@ -119,6 +121,7 @@
             .with_boundaries(TIMER_LATE_BUCKETS_MS.to_vec())
             .build();
         let answer_bytes = meter.u64_gauge("bergamotfork_answer_bytes").build();
+        let crash_suspects = meter.u64_gauge("bergamotfork_crash_suspects").build();
         Self {
             registry,
             _provider: provider,
@@ -127,6 +130,7 @@
             store_call_ms,
             timer_late_ms,
             answer_bytes,
+            crash_suspects,
         }
     }
 
@@ -178,6 +182,11 @@
         self.answer_bytes.record(bytes, &[]);
     }
 
+    /// Records how many pairs of a request and a crash during which it was running are known.
+    pub fn record_crash_suspects(&self, pairs: u64) {
+        self.crash_suspects.record(pairs, &[]);
+    }
+
     /// All metrics in the Prometheus text format; empty if they can't be encoded.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
