Count a crash by every sign of it, not only by the next failed send

Cause: a crash was counted only where one entry had the broken connection and then failed to connect to the same replica for another request within 2.5 s. An entry does not choose a replica that its host reports down, that has left the list or that is back, so it never failed there.

Change: a run that ends without an answer is kept until a sign shows that its replica has ended: a connection that the entry opens at once is refused, the host reports that the engine does not answer, a later incarnation is registered at the address, or another entry knows of the crash. A connection that fails for another reason, an answer that is wrong, and the end of a replica that leaves are no signs.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -10,6 +10,7 @@
 //! it is reported. An entry reports "not run" only where `determine_outcome`
 //! allows it.
 
+mod broken_runs;
 mod call_outcome;
 mod candidate;
 mod dispatch_ledger;
@@ -32,6 +33,10 @@
 mod suspect_table;
 mod unknown_reason;
 
+pub use broken_runs::BrokenRun;
+pub use broken_runs::BrokenRunKind;
+pub use broken_runs::BrokenRuns;
+pub use broken_runs::CrashSign;
 pub use call_outcome::CallOutcome;
 pub use candidate::Candidate;
 pub use candidate::stable_hash;
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -138,6 +138,12 @@
             .count()
     }
 
+    /// Whether a request is suspected of this crash.
+    pub fn has_crash(&self, crash: &CrashId) -> bool {
+        let mut suspicions = self.suspicions.iter();
+        suspicions.any(|suspicion| suspicion.crash == *crash)
+    }
+
     /// Drops the suspicions older than the window.
     pub fn drop_expired(&mut self, now_ms: u64) {
         let window_ms = self.window_ms;
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -162,6 +162,11 @@
         now_ms.saturating_sub(last_heard_ms) >= LOAD_STALE_MS && !has_newer_record
     }
 
+    /// Whether an answer has said that this incarnation is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Time since its last load report, in ms; None if there was none.
     pub fn report_age_ms(&self, now_ms: u64) -> Option<u64> {
         let load = self.load.as_ref()?;
--- /dev/null
+++ b/src/gateway/crash_signs.rs
@@ -0,0 +1,167 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::calls::BrokenRun;
+use crate::calls::BrokenRunKind;
+use crate::calls::CrashId;
+use crate::calls::CrashSign;
+use crate::fleet::ReplicaRecord;
+use crate::fleet::ReplicaState;
+use crate::gateway::GatewayState;
+use crate::gateway::exchange;
+use crate::gateway::placement::ChosenReplica;
+use crate::http1::Connection;
+use crate::http1::Http1Error;
+use crate::observe::Event;
+use crate::observe::LogLine;
+use crate::weights::Digest;
+
+/// Kind of a broken run that ended for this cause; `None` when the replica has answered or
+/// the cause is in this process.
+fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
+    match cause {
+        "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event" => {
+            Some(BrokenRunKind::ConnectionEnded)
+        }
+        "silent" | "timed_out" | "timeout" => Some(BrokenRunKind::Silent),
+        _ => None,
+    }
+}
+
+/// Whether a connection attempt failed because no process listens on the address.
+pub fn is_refused(error: &Http1Error) -> bool {
+    match error {
+        Http1Error::NotConnected(error) => matches!(
+            error.kind(),
+            std::io::ErrorKind::ConnectionRefused | std::io::ErrorKind::ConnectionReset
+        ),
+        _ => false,
+    }
+}
+
+impl GatewayState {
+    /// Records a run that ended for `cause` without an answer, in case its replica has
+    /// crashed; returns whether that is to be checked by a connection.
+    pub(super) fn record_broken_run(
+        &mut self,
+        fingerprint: Digest,
+        chosen: &ChosenReplica,
+        cause: &str,
+    ) -> bool {
+        let Some(kind) = broken_run_kind(cause) else {
+            return false;
+        };
+        let replica = self.replicas.get(chosen.key);
+        let is_same =
+            replica.record.id == chosen.id && replica.record.born_unix_ms == chosen.born_unix_ms;
+        // The connections of a replica that leaves end without a crash.
+        if is_same && (replica.is_leaving() || replica.record.state == ReplicaState::Leaving) {
+            return false;
+        }
+        let now_ms = self.now_ms();
+        let is_down = is_same && replica.recent_load(now_ms).is_some_and(|load| !load.is_up);
+        let crash = CrashId {
+            endpoint: chosen.id.clone(),
+            incarnation: chosen.born_unix_ms.unwrap_or(0),
+            crash_no: CrashId::PROCESS_CRASH,
+        };
+        let is_told = self.suspects.has_crash(&crash);
+        self.broken_runs.add(BrokenRun {
+            fingerprint,
+            crash,
+            address: chosen.address,
+            kind,
+            at_ms: now_ms,
+        });
+        // The sign may have come before the end of the run was noticed.
+        if is_down {
+            self.record_down_sign(chosen.address, CrashSign::ReportedDown);
+        } else if is_told {
+            self.record_told_crashes();
+        } else {
+            self.record_next_incarnation(chosen.address);
+        }
+        self.broken_runs.contains(chosen.address)
+    }
+
+    /// Records a sign that no incarnation runs at `address`.
+    pub(super) fn record_down_sign(&mut self, address: SocketAddr, sign: CrashSign) {
+        let now_ms = self.now_ms();
+        let crashed = self
+            .broken_runs
+            .take_crashed(sign, now_ms, |run| run.address == address);
+        self.suspect_crashed_runs(crashed, sign);
+    }
+
+    /// Records the crashes of all earlier incarnations at the address of a listed replica.
+    pub(super) fn record_next_incarnation(&mut self, address: SocketAddr) {
+        let now_ms = self.now_ms();
+        let listed = self.replicas.listed().map(|(_, replica)| &replica.record);
+        let at_address: Vec<&ReplicaRecord> =
+            listed.filter(|record| record.address == address).collect();
+        let is_replaced = |run: &BrokenRun| {
+            let is_of = |record: &&ReplicaRecord| {
+                record.id == run.crash.endpoint
+                    && record.born_unix_ms.unwrap_or(0) == run.crash.incarnation
+            };
+            run.address == address
+                && at_address
+                    .iter()
+                    .any(|record| record.state == ReplicaState::Ready && !is_of(record))
+        };
+        let sign = CrashSign::NextIncarnation;
+        let crashed = self.broken_runs.take_crashed(sign, now_ms, is_replaced);
+        self.suspect_crashed_runs(crashed, sign);
+    }
+
+    /// Records the crashes that other entries know of for the own broken runs.
+    pub(super) fn record_told_crashes(&mut self) {
+        let now_ms = self.now_ms();
+        let suspects = &self.suspects;
+        let sign = CrashSign::ToldByPeer;
+        let crashed = self
+            .broken_runs
+            .take_crashed(sign, now_ms, |run| suspects.has_crash(&run.crash));
+        self.suspect_crashed_runs(crashed, sign);
+    }
+
+    /// Adds the requests of runs that ended by crashes to the suspects.
+    fn suspect_crashed_runs(&mut self, crashed: Vec<BrokenRun>, sign: CrashSign) {
+        let now_ms = self.now_ms();
+        for run in crashed {
+            let replica = run.crash.endpoint.clone();
+            self.suspects.add_crash(run.fingerprint, run.crash, now_ms);
+            LogLine::new(Event::CrashSuspected)
+                .text("replica", replica)
+                .text("fingerprint", run.fingerprint.short_hex())
+                .text("sign", sign.label())
+                .number(
+                    "crashes",
+                    self.suspects.crash_count(run.fingerprint, now_ms),
+                )
+                .number("broken_ms_ago", now_ms.saturating_sub(run.at_ms))
+                .enqueue();
+        }
+    }
+}
+
+/// Checks by one connection whether a process still listens at the address of a replica
+/// whose connection broke, unless such a check is under way.
+pub async fn check_replica(state: Rc<RefCell<GatewayState>>, address: SocketAddr) {
+    {
+        let checked_addresses = &mut state.borrow_mut().checked_addresses;
+        match checked_addresses.binary_search(&address) {
+            Ok(_) => return,
+            Err(at) => checked_addresses.insert(at, address),
+        }
+    }
+    let connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
+    let mut state = state.borrow_mut();
+    state
+        .checked_addresses
+        .retain(|checked| *checked != address);
+    if connected.is_err_and(|error| is_refused(&error)) {
+        state.record_down_sign(address, CrashSign::ConnectionRefused);
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,7 @@
 
 /// Timeout of opening a connection to a replica: many round trips between regions,
 /// and well below any latency target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Largest head of a replica's response, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,12 +5,15 @@
 
 use tokio::time::Instant;
 
+use crate::calls::CrashSign;
 use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaNotice;
 use crate::fleet::RouteKind;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::SendFacts;
+use crate::gateway::crash_signs::check_replica;
+use crate::gateway::crash_signs::is_refused;
 use crate::gateway::exchange;
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::SendOutcome;
@@ -303,7 +306,9 @@
                 log::debug!("cannot connect to replica {}: {error}", chosen.id);
                 history.failed_connections += 1;
                 state.replicas.record_connect_failure(chosen.key, now_ms);
-                state.suspect_broken_connections(&chosen.id);
+                if is_refused(error) {
+                    state.record_down_sign(chosen.address, CrashSign::ConnectionRefused);
+                }
                 "unreachable"
             }
             SendOutcome::NotRun => {
@@ -324,7 +329,7 @@
             SendOutcome::Broken(cause) => {
                 request.sends += 1;
                 history.may_have_run = true;
-                record_broken_answer(&mut state, request, chosen, cause);
+                self.record_broken_answer(&mut state, request, chosen, cause);
                 cause
             }
             SendOutcome::Response(response) => {
@@ -434,34 +439,40 @@
             StreamEnd::TimedOut => {
                 history.may_have_run = true;
                 history.last_cause = "timeout";
+                let mut state = self.state.borrow_mut();
+                state.record_broken_run(request.fingerprint, chosen, history.last_cause);
+                drop(state);
                 None
             }
             StreamEnd::Broken(cause) => {
                 history.may_have_run = true;
                 history.last_cause = cause;
-                record_broken_answer(&mut self.state.borrow_mut(), request, chosen, cause);
+                let mut state = self.state.borrow_mut();
+                self.record_broken_answer(&mut state, request, chosen, cause);
+                drop(state);
                 log_failed_attempt(request, chosen, cause, history.last_part);
                 None
             }
         }
     }
-}
 
-/// Records that the answer of a replica was not complete, unless the cause is in this
-/// process.
-fn record_broken_answer(
-    state: &mut GatewayState,
-    request: &RoutedRequest,
-    chosen: &ChosenReplica,
-    cause: &str,
-) {
-    if cause == Http1Error::NoMemory.label() {
-        return;
-    }
-    let now_ms = state.now_ms();
-    state.replicas.record_incomplete_answer(chosen.key, now_ms);
-    if cause != "silent" {
-        state.record_broken_connection(request.fingerprint, &chosen.id);
+    /// Records that the answer of a replica was not complete, unless the cause is in this
+    /// process, and checks whether the replica has crashed.
+    fn record_broken_answer(
+        &self,
+        state: &mut GatewayState,
+        request: &RoutedRequest,
+        chosen: &ChosenReplica,
+        cause: &str,
+    ) {
+        if cause == Http1Error::NoMemory.label() {
+            return;
+        }
+        let now_ms = state.now_ms();
+        state.replicas.record_incomplete_answer(chosen.key, now_ms);
+        if state.record_broken_run(request.fingerprint, chosen, cause) {
+            actix_rt::spawn(check_replica(self.state.clone(), chosen.address));
+        }
     }
 }
 
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
+use crate::calls::CrashSign;
 use crate::fleet::EngineLoad;
 use crate::fleet::EntryHeartbeat;
 use crate::fleet::EntryRegistration;
@@ -316,6 +317,10 @@
         pace: f64::from(report.pace),
     };
     state.replicas.record_load(from.ip(), report.port, load);
+    if !report.is_up {
+        let address = SocketAddr::new(from.ip(), report.port);
+        state.record_down_sign(address, CrashSign::ReportedDown);
+    }
     let now_ms = state.now_ms() as i64;
     if state.weights.merge_ages(&report.declared, now_ms) {
         state.weights_notice.notify_one();
@@ -382,6 +387,7 @@
             .number("crashes", state.suspects.crash_count(fingerprint, now_ms))
             .enqueue();
     }
+    state.record_told_crashes();
 }
 
 /// Applies a heartbeat, and fetches the records that its sender has and this entry
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer_memory;
 mod client_listener;
+mod crash_signs;
 mod event_splitter;
 mod exchange;
 mod fetch;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::calls::CrashId;
+use crate::calls::BrokenRuns;
 use crate::calls::SuspectTable;
 use crate::fleet::Catalog;
 use crate::fleet::ClientLimits;
@@ -25,7 +25,6 @@
 use crate::gateway::answer_memory::AnswerMemory;
 use crate::observe::Event;
 use crate::observe::LogLine;
-use crate::weights::Digest;
 
 /// Time for which a request remains suspected after a crash, in ms.
 const SUSPECT_WINDOW_MS: u64 = 120_000;
@@ -33,10 +32,6 @@
 /// Largest number of pairs of a suspected request and a crash that are kept.
 const MAX_SUSPECTS: usize = 64;
 
-/// Longest time between a broken connection and a failed connection attempt that
-/// together indicate a crash of the replica, in ms.
-const BROKEN_CONNECTION_WINDOW_MS: u64 = 2_500;
-
 /// Share by which the deadlines of first requests may differ; a request with less
 /// time left counts as a retry.
 const DEADLINE_SPREAD: f64 = 0.17;
@@ -65,18 +60,6 @@
 /// Number of times that the other processes are told that a replica is leaving.
 const LEAVING_NOTICES: u32 = 3;
 
-/// Largest number of broken connections that are kept.
-const MAX_BROKEN_CONNECTIONS: usize = 256;
-
-/// A request whose connection to a replica broke, kept in case the replica crashed.
-#[derive(Debug)]
-struct BrokenConnection {
-    fingerprint: Digest,
-    replica: String,
-    incarnation: u64,
-    at_ms: u64,
-}
-
 /// State of an entry process, shared by its tasks.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -121,7 +104,11 @@
     pub(super) store_unavailable_ms: Option<u64>,
     /// Ids of replicas that stay in use although their records expired.
     pub(super) expired_replicas: Vec<String>,
-    broken_connections: Vec<BrokenConnection>,
+    /// Runs that ended without an answer, whose replicas may have crashed.
+    pub(super) broken_runs: BrokenRuns,
+    /// Addresses to which a connection is being opened, to see whether a replica is there.
+    // Ascending.
+    pub(super) checked_addresses: Vec<SocketAddr>,
     // Replicas that are leaving, each with the number of times that the other processes are
     // still told.
     leaving_notices: Vec<(LeavingReplica, u32)>,
@@ -159,7 +146,8 @@
             unavailable_topics: [false; 3],
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
-            broken_connections: Vec::new(),
+            broken_runs: BrokenRuns::default(),
+            checked_addresses: Vec::new(),
             leaving_notices: Vec::new(),
             fetching: [false; 3],
             replicas_confirmed_ms: None,
@@ -371,28 +359,6 @@
         first_request_ms.saturating_sub(deadline_ms)
     }
 
-    /// Records a request whose connection to `replica` broke, in case the replica
-    /// crashed.
-    pub fn record_broken_connection(&mut self, fingerprint: Digest, replica: &str) {
-        let now_ms = self.now_ms();
-        self.broken_connections
-            .retain(|broken| now_ms.saturating_sub(broken.at_ms) < BROKEN_CONNECTION_WINDOW_MS);
-        if self.broken_connections.len() >= MAX_BROKEN_CONNECTIONS {
-            self.broken_connections.remove(0);
-        }
-        let born_unix_ms = self
-            .replicas
-            .listed()
-            .find(|(_, known)| known.record.id == replica)
-            .and_then(|(_, known)| known.record.born_unix_ms);
-        self.broken_connections.push(BrokenConnection {
-            fingerprint,
-            replica: replica.to_owned(),
-            incarnation: born_unix_ms.unwrap_or(0),
-            at_ms: now_ms,
-        });
-    }
-
     /// Has the other processes told that a replica is leaving, at once and again with the
     /// next heartbeats, as a datagram may be lost.
     pub fn tell_leaving(&mut self, id: &str, born_unix_ms: Option<u64>) {
@@ -449,37 +415,6 @@
         }
     }
 
-    /// Adds the requests whose connections to `replica` broke shortly before it became
-    /// unreachable to the crash suspects.
-    pub fn suspect_broken_connections(&mut self, replica: &str) {
-        let now_ms = self.now_ms();
-        let broken_connections = std::mem::take(&mut self.broken_connections);
-        for broken in broken_connections {
-            if now_ms.saturating_sub(broken.at_ms) >= BROKEN_CONNECTION_WINDOW_MS {
-                continue;
-            }
-            if broken.replica != replica {
-                self.broken_connections.push(broken);
-                continue;
-            }
-            let crash = CrashId {
-                endpoint: broken.replica,
-                incarnation: broken.incarnation,
-                crash_no: CrashId::PROCESS_CRASH,
-            };
-            self.suspects.add_crash(broken.fingerprint, crash, now_ms);
-            LogLine::new(Event::CrashSuspected)
-                .text("replica", replica)
-                .text("fingerprint", broken.fingerprint.short_hex())
-                .number(
-                    "crashes",
-                    self.suspects.crash_count(broken.fingerprint, now_ms),
-                )
-                .number("broken_ms_ago", now_ms.saturating_sub(broken.at_ms))
-                .enqueue();
-        }
-    }
-
     /// Oldest version of `model` that will soon be required; None for any.
     pub fn required_version(&self, model: &str) -> Option<u64> {
         self.version_due_in(model, WEIGHTS_REQUIRED_MARGIN_MS)
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -180,6 +180,10 @@
                         .number("offset", LogPosition::unpack(offset).offset)
                         .enqueue();
                 }
+                if is_new_incarnation {
+                    let address = self.replicas.get(key).record.address;
+                    self.record_next_incarnation(address);
+                }
             }
             Err(error) => {
                 log_rejected_record(Topic::Replicas, key, offset, &error);
