Clear a suspected request when it runs to an end

What callers saw: a request that many callers send, with no fault of its own, was refused by every entry for two minutes once it had been beside three crashes: 0 of 790 served.

Cause: on the platform's path nothing ever cleared a suspect.

Evidence: popular_request_beside_culprit_served failed before (0 of 790), passes now.

A request that ends every replica never gets there.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -104,17 +104,21 @@
         });
     }
 
-    /// Clears a request that ran as the only suspect on an endpoint without a crash.
-    pub fn clear_request(&mut self, fingerprint: Digest) {
+    /// Clears a request that ran to an end, so that no crash before was its doing; returns
+    /// whether it was suspected of one.
+    pub fn clear_request(&mut self, fingerprint: Digest) -> bool {
         let first = self
             .suspicions
             .partition_point(|suspicion| suspicion.fingerprint < fingerprint);
+        let mut was_suspected = false;
         for suspicion in &mut self.suspicions[first..] {
             if suspicion.fingerprint != fingerprint {
                 break;
             }
+            was_suspected |= !suspicion.cleared;
             suspicion.cleared = true;
         }
+        was_suspected
     }
 
     /// How a request is to be treated.
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -126,6 +126,17 @@
         self.suspect_crashed_runs(crashed, sign);
     }
 
+    /// Records a run that came to an end, which shows that the request was only beside the
+    /// cause of earlier crashes.
+    pub(super) fn record_completed_run(&mut self, fingerprint: Digest) {
+        self.broken_runs.remove_request(fingerprint);
+        if self.suspects.clear_request(fingerprint) {
+            LogLine::new(Event::SuspectCleared)
+                .text("fingerprint", fingerprint.short_hex())
+                .enqueue();
+        }
+    }
+
     /// Adds the requests of runs that ended by crashes to the suspects.
     fn suspect_crashed_runs(&mut self, crashed: Vec<BrokenRun>, sign: CrashSign) {
         let now_ms = self.now_ms();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -339,6 +339,9 @@
                 // A replica that wants a pause has not failed.
                 let asks_for_pause =
                     response.head.status == 503 && state.replicas.get(chosen.key).is_paused(now_ms);
+                if !matches!(response.head.status, 503 | 504) {
+                    state.record_completed_run(request.fingerprint);
+                }
                 if !asks_for_pause {
                     state
                         .replicas
@@ -415,6 +418,7 @@
                 state
                     .replicas
                     .record_answer(chosen.key, latency_ms, false, now_ms);
+                state.record_completed_run(request.fingerprint);
                 drop(state);
                 self.log_request_end(
                     request,
