Tell all entries of a crash at once, and keep and send the most suspected requests

Cause: a heartbeat carried the first 16 suspicions in the order of fingerprints, and the table kept 64 and dropped the oldest. A crash of a full replica adds 16 to 48, so what counted was left out or dropped by chance.

Change: each change of a request's suspicions goes to every entry at once, three times, in a datagram of its own; heartbeats carry the requests at two crashes or more, the most suspected first, and all of these go to an entry that has started. The table keeps 1,024 pairs and drops cleared ones first, then those of requests with the fewest crashes.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -70,6 +70,15 @@
     fn key(&self) -> (Digest, &CrashId) {
         (self.fingerprint, &self.crash)
     }
+
+    fn to_record(&self, now_ms: u64) -> SuspectRecord {
+        SuspectRecord {
+            fingerprint: self.fingerprint,
+            death: self.crash.clone(),
+            age_ms: now_ms.saturating_sub(self.observed_ms),
+            cleared: self.cleared,
+        }
+    }
 }
 
 /// Requests that were running when endpoints crashed, within a time window.
@@ -96,12 +105,15 @@
 
     /// Records a request that was running when an endpoint crashed.
     pub fn add_crash(&mut self, fingerprint: Digest, crash: CrashId, now_ms: u64) {
-        self.merge_suspicion(Suspicion {
-            fingerprint,
-            crash,
-            observed_ms: now_ms,
-            cleared: false,
-        });
+        self.merge_suspicion(
+            Suspicion {
+                fingerprint,
+                crash,
+                observed_ms: now_ms,
+                cleared: false,
+            },
+            now_ms,
+        );
     }
 
     /// Clears a request that ran to an end, so that no crash before was its doing; returns
@@ -135,11 +147,24 @@
         let first = self
             .suspicions
             .partition_point(|suspicion| suspicion.fingerprint < fingerprint);
-        self.suspicions[first..]
-            .iter()
-            .take_while(|suspicion| suspicion.fingerprint == fingerprint)
-            .filter(|suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms))
-            .count()
+        let of_request = self.suspicions[first..]
+            .chunk_by(|one, next| one.fingerprint == next.fingerprint)
+            .next()
+            .filter(|of_request| of_request[0].fingerprint == fingerprint);
+        of_request.map_or(0, |of_request| self.count_crashes(of_request, now_ms))
+    }
+
+    /// Suspicions by request.
+    fn requests(&self) -> impl Iterator<Item = &[Suspicion]> {
+        self.suspicions
+            .chunk_by(|one, next| one.fingerprint == next.fingerprint)
+    }
+
+    /// Number of crashes that count among the suspicions of one request.
+    fn count_crashes(&self, of_request: &[Suspicion], now_ms: u64) -> usize {
+        let counts =
+            |suspicion: &&Suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms);
+        of_request.iter().filter(counts).count()
     }
 
     /// Whether a request is suspected of this crash.
@@ -160,12 +185,35 @@
         self.suspicions
             .iter()
             .filter(|suspicion| !self.is_expired(suspicion, now_ms))
-            .map(|suspicion| SuspectRecord {
-                fingerprint: suspicion.fingerprint,
-                death: suspicion.crash.clone(),
-                age_ms: now_ms.saturating_sub(suspicion.observed_ms),
-                cleared: suspicion.cleared,
-            })
+            .map(|suspicion| suspicion.to_record(now_ms))
+            .collect()
+    }
+
+    /// Suspicions of a request within the window, for other processes.
+    pub fn request_records(&self, fingerprint: Digest, now_ms: u64) -> Vec<SuspectRecord> {
+        let of_request = self.suspicions.iter();
+        of_request
+            .skip_while(|suspicion| suspicion.fingerprint < fingerprint)
+            .take_while(|suspicion| suspicion.fingerprint == fingerprint)
+            .filter(|suspicion| !self.is_expired(suspicion, now_ms))
+            .map(|suspicion| suspicion.to_record(now_ms))
+            .collect()
+    }
+
+    /// At most `max` suspicions of requests that one more crash leaves refused or that are
+    /// refused already, those with the most crashes first.
+    pub fn most_suspected(&self, max: usize, now_ms: u64) -> Vec<SuspectRecord> {
+        let mut requests: Vec<(usize, &[Suspicion])> = self
+            .requests()
+            .map(|of_request| (self.count_crashes(of_request, now_ms), of_request))
+            .filter(|request| request.0 + 1 >= REFUSED_AT_CRASHES)
+            .collect();
+        requests.sort_by_key(|request| std::cmp::Reverse(request.0));
+        let suspicions = requests.into_iter().flat_map(|request| request.1);
+        suspicions
+            .filter(|suspicion| !self.is_expired(suspicion, now_ms))
+            .take(max)
+            .map(|suspicion| suspicion.to_record(now_ms))
             .collect()
     }
 
@@ -197,12 +245,15 @@
             if record.age_ms >= self.window_ms {
                 continue;
             }
-            let is_new = self.merge_suspicion(Suspicion {
-                fingerprint: record.fingerprint,
-                crash: record.death,
-                observed_ms: now_ms.saturating_sub(record.age_ms),
-                cleared: record.cleared,
-            });
+            let is_new = self.merge_suspicion(
+                Suspicion {
+                    fingerprint: record.fingerprint,
+                    crash: record.death,
+                    observed_ms: now_ms.saturating_sub(record.age_ms),
+                    cleared: record.cleared,
+                },
+                now_ms,
+            );
             if is_new && !record.cleared {
                 learned.push(record.fingerprint);
             }
@@ -225,7 +276,7 @@
     }
 
     /// Adds a suspicion or merges it with the one known; returns whether it is new.
-    fn merge_suspicion(&mut self, suspicion: Suspicion) -> bool {
+    fn merge_suspicion(&mut self, suspicion: Suspicion, now_ms: u64) -> bool {
         let found = self
             .suspicions
             .binary_search_by(|known| known.key().cmp(&suspicion.key()));
@@ -238,19 +289,28 @@
             }
             Err(at) => {
                 self.suspicions.insert(at, suspicion);
-                self.drop_oldest();
+                self.drop_least(now_ms);
                 true
             }
         }
     }
 
-    /// Drops the oldest suspicion if there are too many.
-    fn drop_oldest(&mut self) {
+    /// Drops a suspicion if there are too many: one that was cleared, or else one of a request
+    /// with the fewest crashes; the oldest of these.
+    fn drop_least(&mut self, now_ms: u64) {
         if self.suspicions.len() <= self.max_suspicions {
             return;
         }
-        let oldest = (0..self.suspicions.len()).min_by_key(|&at| self.suspicions[at].observed_ms);
-        if let Some(at) = oldest {
+        let ranks = self.requests().flat_map(|of_request| {
+            let crashes = self.count_crashes(of_request, now_ms);
+            let rank = move |suspicion: &Suspicion| match suspicion.cleared {
+                true => (0, suspicion.observed_ms),
+                false => (crashes, suspicion.observed_ms),
+            };
+            of_request.iter().map(rank)
+        });
+        let least = ranks.enumerate().min_by_key(|rank| rank.1);
+        if let Some((at, _)) = least {
             self.suspicions.remove(at);
         }
     }
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -17,6 +17,9 @@
 use crate::observe::LogLine;
 use crate::weights::Digest;
 
+/// Largest number of records of which an entry that has started is told.
+const MAX_TOLD_SUSPECTS: usize = 48;
+
 /// Kind of a broken run that ended for this cause; `None` when the replica has answered or
 /// the cause is in this process.
 fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
@@ -131,6 +134,7 @@
     pub(super) fn record_completed_run(&mut self, fingerprint: Digest) {
         self.broken_runs.remove_request(fingerprint);
         if self.suspects.clear_request(fingerprint) {
+            self.tell_suspect(fingerprint);
             LogLine::new(Event::SuspectCleared)
                 .text("fingerprint", fingerprint.short_hex())
                 .enqueue();
@@ -153,6 +157,22 @@
                 )
                 .number("broken_ms_ago", now_ms.saturating_sub(run.at_ms))
                 .enqueue();
+            self.tell_suspect(run.fingerprint);
+        }
+    }
+
+    /// Has the other entries told that the suspicions of a request have changed.
+    fn tell_suspect(&mut self, fingerprint: Digest) {
+        let now_ms = self.now_ms();
+        self.changed_suspects.add(fingerprint, now_ms);
+        self.suspects_notice.notify_waiters();
+    }
+
+    /// Has the other entries told of all requests near the limit or beyond it.
+    pub(super) fn tell_all_suspects(&mut self) {
+        let now_ms = self.now_ms();
+        for record in self.suspects.most_suspected(MAX_TOLD_SUSPECTS, now_ms) {
+            self.tell_suspect(record.fingerprint);
         }
     }
 }
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -20,6 +20,8 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
 use crate::gateway::fetch_records;
+use crate::gateway::suspect_notices::SuspectNotice;
+use crate::gateway::suspect_notices::merge_suspects;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::ChunkBitmap;
@@ -82,6 +84,8 @@
     Kept(KeptConfig),
     /// Replica that is leaving, sent between entries and to its endpoint process.
     Leaving(LeavingReplica),
+    /// Requests that are suspected of crashes, sent between entries.
+    Suspects(SuspectNotice),
 }
 
 impl Datagram {
@@ -145,7 +149,7 @@
 }
 
 /// Sends a datagram to each target. A lost one is not sent again: the next replaces it.
-fn send_to_all(socket: &UdpSocket, datagram: &[u8], targets: &[SocketAddr]) {
+pub(super) fn send_to_all(socket: &UdpSocket, datagram: &[u8], targets: &[SocketAddr]) {
     for target in targets {
         if let Err(error) = socket.try_send_to(datagram, *target) {
             log::debug!("cannot send a datagram to {target}: {error}");
@@ -168,8 +172,8 @@
 
 /// Heartbeat with the present state of this entry.
 fn own_heartbeat(state: &GatewayState) -> EntryHeartbeat {
-    let mut suspects = state.suspects.export_records(state.now_ms());
-    suspects.truncate(MAX_SENT_SUSPECTS);
+    let now_ms = state.now_ms();
+    let suspects = state.suspects.most_suspected(MAX_SENT_SUSPECTS, now_ms);
     EntryHeartbeat {
         name: state.settings.name.clone(),
         incarnation: state.incarnation,
@@ -181,7 +185,7 @@
         has_store: state.has_store(),
         ends: state.end_offsets(),
         replicas_age_ms: state.reported_replicas_age_ms(),
-        declared: state.weights.recent_ages(state.now_ms() as i64),
+        declared: state.weights.recent_ages(now_ms as i64),
         suspects,
     }
 }
@@ -198,14 +202,14 @@
 
 /// A receiver of heartbeats.
 #[derive(Debug, Clone, Copy)]
-struct Target {
-    address: SocketAddr,
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
     /// Whether it is known to be in another region.
     is_remote: bool,
 }
 
 /// The entries that are registered in the store or sent a heartbeat.
-fn entry_targets(state: &GatewayState) -> Vec<Target> {
+pub(super) fn entry_targets(state: &GatewayState) -> Vec<Target> {
     let own = state.settings.internal;
     let mut targets: Vec<Target> = state
         .peers
@@ -299,6 +303,9 @@
         Datagram::Have(_) => {}
         Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
         Datagram::Leaving(leaving) => apply_leaving(&state, &leaving),
+        Datagram::Suspects(notice) => {
+            merge_suspects(&mut state.borrow_mut(), &notice.name, &notice.records);
+        }
     })
     .await;
 }
@@ -376,20 +383,6 @@
     });
 }
 
-/// Merges and logs the crash suspects that another entry reports.
-fn merge_suspects(state: &mut GatewayState, heartbeat: &EntryHeartbeat) {
-    let now_ms = state.now_ms();
-    let records = heartbeat.suspects.iter().cloned();
-    for fingerprint in state.suspects.merge_records(records, now_ms) {
-        LogLine::new(Event::SuspectLearned)
-            .text("entry", &heartbeat.name)
-            .text("fingerprint", fingerprint.short_hex())
-            .number("crashes", state.suspects.crash_count(fingerprint, now_ms))
-            .enqueue();
-    }
-    state.record_told_crashes();
-}
-
 /// Applies a heartbeat, and fetches the records that its sender has and this entry
 /// lacks.
 fn apply_heartbeat(
@@ -402,7 +395,7 @@
         return;
     }
     let now_ms = current.now_ms();
-    merge_suspects(&mut current, &heartbeat);
+    merge_suspects(&mut current, &heartbeat.name, &heartbeat.suspects);
     if current
         .weights
         .merge_ages(&heartbeat.declared, now_ms as i64)
@@ -422,6 +415,8 @@
     }
     if current.peers.record_heartbeat(heartbeat, now_ms) {
         line.enqueue();
+        // An entry that has started does not know the suspects.
+        current.tell_all_suspects();
     }
     for topic in Topic::ALL {
         // The listing of a topic without records ends at 0. An entry that is ready has it.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod routed_request;
 mod settings;
 mod state;
+mod suspect_notices;
 mod topic_records;
 
 pub use event_splitter::EventSplitter;
@@ -68,4 +69,5 @@
 pub use reload::wait_for_changed_settings;
 pub use settings::GatewaySettings;
 pub use state::GatewayState;
+pub use suspect_notices::SuspectNotice;
 pub use topic_records::log_rejected_record;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -29,6 +29,7 @@
 use crate::gateway::piece_cache::PieceCache;
 use crate::gateway::reload::apply_settings;
 use crate::gateway::reload::wait_for_changed_settings;
+use crate::gateway::suspect_notices::send_suspect_notices;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -101,6 +102,7 @@
     }
     actix_rt::spawn(register_entry(state.clone(), new_source()));
     actix_rt::spawn(send_heartbeats(state.clone(), socket.clone()));
+    actix_rt::spawn(send_suspect_notices(state.clone(), socket.clone()));
     actix_rt::spawn(receive_datagrams(state.clone(), socket, decoder));
     actix_rt::spawn(flush_log_every(LOG_FLUSH_INTERVAL, metrics.clone()));
     LogLine::new(Event::ProcessStarted)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,14 +23,16 @@
 use crate::gateway::LeavingReplica;
 use crate::gateway::TopicSink;
 use crate::gateway::answer_memory::AnswerMemory;
+use crate::gateway::suspect_notices::ChangedSuspects;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
 /// Time for which a request remains suspected after a crash, in ms.
 const SUSPECT_WINDOW_MS: u64 = 120_000;
 
-/// Largest number of pairs of a suspected request and a crash that are kept.
-const MAX_SUSPECTS: usize = 64;
+/// Largest number of pairs of a suspected request and a crash that are kept: a crash adds
+/// one for each request that the replica held.
+const MAX_SUSPECTS: usize = 1_024;
 
 /// Share by which the deadlines of first requests may differ; a request with less
 /// time left counts as a retry.
@@ -109,6 +111,10 @@
     /// Addresses to which a connection is being opened, to see whether a replica is there.
     // Ascending.
     pub(super) checked_addresses: Vec<SocketAddr>,
+    /// Requests whose suspicions the other entries are told.
+    pub(super) changed_suspects: ChangedSuspects,
+    /// Wakes the tasks that wait for a change of the suspects.
+    pub(super) suspects_notice: Rc<Notify>,
     // Replicas that are leaving, each with the number of times that the other processes are
     // still told.
     leaving_notices: Vec<(LeavingReplica, u32)>,
@@ -148,6 +154,8 @@
             expired_replicas: Vec::new(),
             broken_runs: BrokenRuns::default(),
             checked_addresses: Vec::new(),
+            changed_suspects: ChangedSuspects::default(),
+            suspects_notice: Rc::new(Notify::new()),
             leaving_notices: Vec::new(),
             fetching: [false; 3],
             replicas_confirmed_ms: None,
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -183,7 +183,7 @@
             state.leaving = Some((leaving.id, leaving.born_unix_ms));
         }
         // These are sent to entries only.
-        Datagram::Load(_) | Datagram::Kept(_) => {}
+        Datagram::Load(_) | Datagram::Kept(_) | Datagram::Suspects(_) => {}
     })
     .await;
 }
--- a/tests/calls/suspects.rs
+++ b/tests/calls/suspects.rs
@@ -75,6 +75,68 @@
     .budget_ms(1000);
 }
 
+#[test]
+fn add_crash_full_table_keeps_most_suspected() {
+    let mut table = SuspectTable::new(WINDOW_MS, 8);
+    let culprit = request(0);
+    table.add_crash(culprit, crash(0), 0);
+    table.add_crash(culprit, crash(1), 0);
+    for bystander in 1..100 {
+        table.add_crash(request(bystander), crash(1), 1);
+    }
+    table.add_crash(culprit, crash(2), 2);
+    assert_eq!(table.request_status(culprit, 2), SuspectStatus::Refused);
+}
+
+#[test]
+fn add_crash_full_table_drops_cleared_first() {
+    let mut table = SuspectTable::new(WINDOW_MS, 2);
+    table.add_crash(request(1), crash(0), 1);
+    table.clear_request(request(1));
+    table.add_crash(request(2), crash(0), 0);
+    table.add_crash(request(3), crash(0), 2);
+    assert_eq!(table.crash_count(request(2), 2), 1);
+    assert_eq!(table.crash_count(request(3), 2), 1);
+}
+
+#[test]
+fn most_suspected_refused_first() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    for number in 0..20 {
+        let crashes = if number == 13 { 3 } else { 2 };
+        for at in 0..crashes {
+            table.add_crash(request(number), crash(at), 0);
+        }
+    }
+    table.add_crash(request(99), crash(0), 0);
+    let records = table.most_suspected(5, 0);
+    assert_eq!(records.len(), 5);
+    assert!(records[..3].iter().all(|r| r.fingerprint == request(13)));
+    assert!(records.iter().all(|r| r.fingerprint != request(99)));
+}
+
+#[test]
+fn request_records_of_one_request() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    for number in 0..5 {
+        table.add_crash(request(number), crash(0), 0);
+    }
+    table.add_crash(request(2), crash(1), 10);
+    let records = table.request_records(request(2), 20);
+    let ages: Vec<u64> = records.iter().map(|record| record.age_ms).collect();
+    assert_eq!(ages, [20, 10]);
+    assert!(table.request_records(request(7), 20).is_empty());
+}
+
+#[test]
+fn clear_request_returns_whether_suspected() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    assert!(!table.clear_request(request(1)));
+    table.add_crash(request(1), crash(0), 0);
+    assert!(table.clear_request(request(1)));
+    assert!(!table.clear_request(request(1)));
+}
+
 #[test]
 fn try_acquire_one_suspect_at_a_time() {
     let mut slot = SuspectSlot::default();
