Ask before each send whether a request is suspected, and withdraw one that waits

A refused caller was told to come back.

Cause: the table was asked once, before the first send of a request.

Change: it is asked before each send; where one more crash leaves the request refused, the replica of the broken run is checked first. A send that waits for the head of an answer is given up when the request becomes refused (502, as it may have run). The refusal of a request that has not run is a 503 without Retry-After, as coming back does not help.

--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -177,9 +177,8 @@
     }
 }
 
-/// Checks by one connection whether a process still listens at the address of a replica
-/// whose connection broke, unless such a check is under way.
-pub async fn check_replica(state: Rc<RefCell<GatewayState>>, address: SocketAddr) {
+/// Checks the address of a replica whose connection broke, unless that is under way.
+pub async fn check_replica_once(state: Rc<RefCell<GatewayState>>, address: SocketAddr) {
     {
         let checked_addresses = &mut state.borrow_mut().checked_addresses;
         match checked_addresses.binary_search(&address) {
@@ -187,12 +186,17 @@
             Err(at) => checked_addresses.insert(at, address),
         }
     }
+    check_replica(&state, address).await;
+    let checked_addresses = &mut state.borrow_mut().checked_addresses;
+    checked_addresses.retain(|checked| *checked != address);
+}
+
+/// Checks by one connection whether a process still listens at the address of a replica whose
+/// connection broke.
+pub async fn check_replica(state: &RefCell<GatewayState>, address: SocketAddr) {
     let connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
-    let mut state = state.borrow_mut();
-    state
-        .checked_addresses
-        .retain(|checked| *checked != address);
     if connected.is_err_and(|error| is_refused(&error)) {
+        let mut state = state.borrow_mut();
         state.record_down_sign(address, CrashSign::ConnectionRefused);
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,11 +1,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::calls::CrashSign;
+use crate::calls::REFUSED_AT_CRASHES;
 use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaNotice;
 use crate::fleet::RouteKind;
@@ -13,6 +15,7 @@
 use crate::gateway::GatewayState;
 use crate::gateway::SendFacts;
 use crate::gateway::crash_signs::check_replica;
+use crate::gateway::crash_signs::check_replica_once;
 use crate::gateway::crash_signs::is_refused;
 use crate::gateway::exchange;
 use crate::gateway::exchange::ReplicaResponse;
@@ -87,6 +90,8 @@
     pub(super) last_cause: &'static str,
     /// Id of the replica that was chosen last.
     pub(super) replica: String,
+    /// Address of a replica that must be checked for a crash before the next send.
+    unchecked_address: Option<SocketAddr>,
     /// What was received of the last answer that had a valid head.
     pub(super) last_part: Option<AnswerPart>,
 }
@@ -105,22 +110,28 @@
             request.deadline,
         );
         let mut history = AttemptHistory::default();
-        if self.is_refused_as_suspect(&request) {
-            let outcome = RequestOutcome {
-                status: 503,
-                cause: CRASH_SUSPECT,
-                retry_after_ms: Some(request.left_ms() / 3),
-            };
-            return self
-                .send_local_response(client, &request, &history, outcome)
-                .await;
-        }
         loop {
+            if let Some(address) = history.unchecked_address.take() {
+                check_replica(&self.state, address).await;
+            }
+            // Asked before each send: the one before may have been the third crash.
+            if self.is_refused_as_suspect(&request) {
+                return self
+                    .end_attempts(client, &request, &relay, history, CRASH_SUSPECT, None)
+                    .await;
+            }
             let chosen = match self.choose_replica(&request, relay.has_begun()) {
                 Ok(chosen) => chosen,
                 Err((cause, retry_after_ms)) => {
                     return self
-                        .end_attempts(client, &request, &relay, history, cause, retry_after_ms)
+                        .end_attempts(
+                            client,
+                            &request,
+                            &relay,
+                            history,
+                            cause,
+                            Some(retry_after_ms),
+                        )
                         .await;
                 }
             };
@@ -180,7 +191,7 @@
                         &relay,
                         history,
                         cause,
-                        RETRY_AFTER_FAILURE_MS,
+                        Some(RETRY_AFTER_FAILURE_MS),
                     )
                     .await;
             }
@@ -196,6 +207,18 @@
             == SuspectStatus::Refused
     }
 
+    /// Waits until the request is refused because it is suspected of several crashes.
+    async fn wait_until_refused(&self, request: &RoutedRequest) {
+        let notice = self.state.borrow().suspects_notice.clone();
+        loop {
+            let changed = notice.notified();
+            if self.is_refused_as_suspect(request) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Sends the request to the chosen replica; None if the client disconnected before
     /// the response.
     async fn send(
@@ -233,7 +256,7 @@
         };
         let held = (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES);
         let notice = Cell::new(ReplicaNotice::default());
-        let work = exchange::send_to_replica(
+        let exchange = exchange::send_to_replica(
             &*self.dialect,
             request,
             chosen.address,
@@ -242,6 +265,13 @@
             held,
             &notice,
         );
+        let work = async {
+            tokio::select! {
+                biased;
+                outcome = exchange => outcome,
+                () = self.wait_until_refused(request) => SendOutcome::Broken(CRASH_SUSPECT),
+            }
+        };
         let outcome = client.run_unless_closed(work).await;
         self.record_notice(request, chosen, notice.get());
         outcome
@@ -329,7 +359,7 @@
             SendOutcome::Broken(cause) => {
                 request.sends += 1;
                 history.may_have_run = true;
-                self.record_broken_answer(&mut state, request, chosen, cause);
+                self.record_broken_answer(&mut state, request, chosen, cause, history);
                 cause
             }
             SendOutcome::Response(response) => {
@@ -452,7 +482,7 @@
                 history.may_have_run = true;
                 history.last_cause = cause;
                 let mut state = self.state.borrow_mut();
-                self.record_broken_answer(&mut state, request, chosen, cause);
+                self.record_broken_answer(&mut state, request, chosen, cause, history);
                 drop(state);
                 log_failed_attempt(request, chosen, cause, history.last_part);
                 None
@@ -468,14 +498,20 @@
         request: &RoutedRequest,
         chosen: &ChosenReplica,
         cause: &str,
+        history: &mut AttemptHistory,
     ) {
         if cause == Http1Error::NoMemory.label() {
             return;
         }
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
-        if state.record_broken_run(request.fingerprint, chosen, cause) {
-            actix_rt::spawn(check_replica(self.state.clone(), chosen.address));
+        if !state.record_broken_run(request.fingerprint, chosen, cause) {
+            return;
+        }
+        actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
+        // One more crash leaves the request refused: that is known before its next send.
+        if state.suspects.crash_count(request.fingerprint, now_ms) + 1 >= REFUSED_AT_CRASHES {
+            history.unchecked_address = Some(chosen.address);
         }
     }
 }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -44,7 +44,7 @@
         relay: &StreamRelay,
         mut history: AttemptHistory,
         cause: &'static str,
-        retry_after_ms: u64,
+        retry_after_ms: Option<u64>,
     ) -> ConnectionReuse {
         if relay.has_begun() {
             return self.abort_stream(client, request, &history, cause);
@@ -58,7 +58,7 @@
             RequestOutcome {
                 status: 503,
                 cause,
-                retry_after_ms: Some(retry_after_ms.min(request.left_ms() / 3)),
+                retry_after_ms: retry_after_ms.map(|ms| ms.min(request.left_ms() / 3)),
             }
         } else if request.left_ms() == 0 {
             RequestOutcome {
@@ -69,7 +69,11 @@
         } else {
             RequestOutcome {
                 status: 502,
-                cause: history.last_cause,
+                cause: if cause == CRASH_SUSPECT {
+                    cause
+                } else {
+                    history.last_cause
+                },
                 retry_after_ms: None,
             }
         };
