Remember crashes after a request is tried again

What callers saw: nothing yet. Found by reading: each crash was forgotten 120 s after it, one by one, so a request that ends every replica that runs it ended three more every two minutes.

Change: the crashes of a request count until 120 s after the last of them, and are remembered for 16 minutes: a request that is tried again and ends another replica is refused at once. On the own interface a request that runs to an end is cleared also when it is not suspected now.

Measured: request_status_tried_again_refused_after_next_crash; the other tests of the table pass unchanged.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -6,6 +6,9 @@
 /// Number of crashes from which on a request is refused.
 pub const REFUSED_AT_CRASHES: usize = 3;
 
+/// Number of windows for which a crash is remembered.
+const MEMORY_WINDOWS: u64 = 8;
+
 /// Digest of the target and body of a request, which identifies it in the suspect table.
 pub fn fingerprint(target: &str, body: &[u8]) -> Digest {
     let mut hasher = blake3::Hasher::new();
@@ -81,7 +84,7 @@
     }
 }
 
-/// Requests that were running when endpoints crashed, within a time window.
+/// Requests that were running when endpoints crashed.
 ///
 /// A suspicion is a pair of request and crash. Merging takes the union, in which
 /// "cleared" wins, so the order and repetition of merges do not matter.
@@ -142,7 +145,8 @@
         }
     }
 
-    /// Number of crashes within the window of which a request has not been cleared.
+    /// Number of crashes of which a request has not been cleared; 0 once the last of them is
+    /// longer ago than the window.
     pub fn crash_count(&self, fingerprint: Digest, now_ms: u64) -> usize {
         let first = self
             .suspicions
@@ -160,11 +164,20 @@
             .chunk_by(|one, next| one.fingerprint == next.fingerprint)
     }
 
-    /// Number of crashes that count among the suspicions of one request.
+    /// Number of crashes that count among the suspicions of one request; none when the last is
+    /// longer ago than the window.
     fn count_crashes(&self, of_request: &[Suspicion], now_ms: u64) -> usize {
-        let counts =
-            |suspicion: &&Suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms);
-        of_request.iter().filter(counts).count()
+        let age_ms = |suspicion: &Suspicion| now_ms.saturating_sub(suspicion.observed_ms);
+        let counted = of_request
+            .iter()
+            .filter(|suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms));
+        if counted
+            .clone()
+            .all(|suspicion| age_ms(suspicion) >= self.window_ms)
+        {
+            return 0;
+        }
+        counted.count()
     }
 
     /// Whether a request is suspected of this crash.
@@ -173,14 +186,14 @@
         suspicions.any(|suspicion| suspicion.crash == *crash)
     }
 
-    /// Drops the suspicions older than the window.
+    /// Drops the crashes that are no longer remembered.
     pub fn drop_expired(&mut self, now_ms: u64) {
-        let window_ms = self.window_ms;
+        let memory_ms = self.memory_ms();
         self.suspicions
-            .retain(|suspicion| now_ms.saturating_sub(suspicion.observed_ms) < window_ms);
+            .retain(|suspicion| now_ms.saturating_sub(suspicion.observed_ms) < memory_ms);
     }
 
-    /// Suspicions within the window, for other processes.
+    /// Suspicions that are remembered, for other processes.
     pub fn export_records(&self, now_ms: u64) -> Vec<SuspectRecord> {
         self.suspicions
             .iter()
@@ -189,7 +202,7 @@
             .collect()
     }
 
-    /// Suspicions of a request within the window, for other processes.
+    /// Suspicions of a request that are remembered, for other processes.
     pub fn request_records(&self, fingerprint: Digest, now_ms: u64) -> Vec<SuspectRecord> {
         let of_request = self.suspicions.iter();
         of_request
@@ -217,7 +230,7 @@
             .collect()
     }
 
-    /// Digest of the suspicions within the window; equal in processes that hold the same ones.
+    /// Digest of the suspicions that are remembered; equal in processes that hold the same ones.
     pub fn digest(&self, now_ms: u64) -> Digest {
         let mut hasher = blake3::Hasher::new();
         for suspicion in &self.suspicions {
@@ -242,7 +255,7 @@
     ) -> Vec<Digest> {
         let mut learned = Vec::new();
         for record in records {
-            if record.age_ms >= self.window_ms {
+            if record.age_ms >= self.memory_ms() {
                 continue;
             }
             let is_new = self.merge_suspicion(
@@ -272,7 +285,14 @@
     }
 
     fn is_expired(&self, suspicion: &Suspicion, now_ms: u64) -> bool {
-        now_ms.saturating_sub(suspicion.observed_ms) >= self.window_ms
+        now_ms.saturating_sub(suspicion.observed_ms) >= self.memory_ms()
+    }
+
+    /// Time for which a crash is remembered. One that is older than the window counts only
+    /// together with a later one, so that a request which is tried again and ends another
+    /// replica is refused at once.
+    fn memory_ms(&self) -> u64 {
+        self.window_ms.saturating_mul(MEMORY_WINDOWS)
     }
 
     /// Adds a suspicion or merges it with the one known; returns whether it is new.
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -273,10 +273,8 @@
                     return RelayStep::Retry(RetryReason::WrongAnswer);
                 }
                 attempt.outcome = AttemptOutcome::Complete;
-                if self.call.is_suspect {
-                    let request = self.call.fingerprint();
-                    self.state.node.suspects().clear_request(request);
-                }
+                let request = self.call.fingerprint();
+                self.state.node.suspects().clear_request(request);
                 RelayStep::Finish(GenerateEvent::End {
                     request_id,
                     tokens,
--- a/tests/calls/suspects.rs
+++ b/tests/calls/suspects.rs
@@ -128,6 +128,25 @@
     assert!(table.request_records(request(7), 20).is_empty());
 }
 
+#[test]
+fn request_status_tried_again_refused_after_next_crash() {
+    let mut table = SuspectTable::new(WINDOW_MS, 64);
+    let suspect = request(0);
+    for number in 0..3 {
+        table.add_crash(suspect, crash(number), 0);
+    }
+    table.drop_expired(WINDOW_MS);
+    assert_eq!(
+        table.request_status(suspect, WINDOW_MS),
+        SuspectStatus::Clear
+    );
+    table.add_crash(suspect, crash(3), WINDOW_MS);
+    assert_eq!(
+        table.request_status(suspect, WINDOW_MS + 1),
+        SuspectStatus::Refused
+    );
+}
+
 #[test]
 fn clear_request_returns_whether_suspected() {
     let mut table = SuspectTable::new(WINDOW_MS, 64);
