Take a later incarnation for a sign only if it is later, and leaving for none

Found by reading the signs again. The record of an earlier incarnation may be listed beside that of its successor: a run that broke at the successor counted as ended by a crash. A replica that leaves without saying so removes its record and ends its connections: no crash. An answer 421 of another replica at the address was not used as a sign, nor a run whose client left shortly before its replica ended. A connection that is reset while it opens, as by a replica with too many, is no refusal.

--- a/src/calls/broken_runs.rs
+++ b/src/calls/broken_runs.rs
@@ -11,6 +11,10 @@
 /// replica, in ms: a restart and the registration.
 const RESTART_SIGN_WINDOW_MS: u64 = 15_000;
 
+/// The same for a run whose replica was silent, or whose client left, in ms: the replica may
+/// have gone on for a while.
+const SILENT_RESTART_SIGN_WINDOW_MS: u64 = 5_000;
+
 /// Largest number of broken runs that are kept.
 const MAX_RUNS: usize = 512;
 
@@ -47,12 +51,13 @@
         }
     }
 
-    /// Longest time after the end of a run for which the sign says that it ended by the
-    /// crash, in ms.
-    fn window_ms(self) -> u64 {
-        match self {
-            Self::ConnectionRefused | Self::ReportedDown | Self::ToldByPeer => DOWN_SIGN_WINDOW_MS,
-            Self::NextIncarnation => RESTART_SIGN_WINDOW_MS,
+    /// Longest time after the end of a run for which the sign says that the crash ended it, in
+    /// ms.
+    fn window_ms(self, kind: BrokenRunKind) -> u64 {
+        match (self, kind) {
+            (Self::NextIncarnation, BrokenRunKind::ConnectionEnded) => RESTART_SIGN_WINDOW_MS,
+            (Self::NextIncarnation, BrokenRunKind::Silent) => SILENT_RESTART_SIGN_WINDOW_MS,
+            _ => DOWN_SIGN_WINDOW_MS,
         }
     }
 }
@@ -101,7 +106,7 @@
         is_ended: impl Fn(&BrokenRun) -> bool,
     ) -> Vec<BrokenRun> {
         let is_crashed = |run: &mut BrokenRun| {
-            now_ms.saturating_sub(run.at_ms) < sign.window_ms() && is_ended(run)
+            now_ms.saturating_sub(run.at_ms) < sign.window_ms(run.kind) && is_ended(run)
         };
         self.runs.extract_if(.., is_crashed).collect()
     }
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -11,6 +11,7 @@
 use crate::gateway::GatewayState;
 use crate::gateway::exchange;
 use crate::gateway::placement::ChosenReplica;
+use crate::gateway::request_outcome::CLIENT_LEFT;
 use crate::http1::Connection;
 use crate::http1::Http1Error;
 use crate::observe::Event;
@@ -27,7 +28,7 @@
         "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event" => {
             Some(BrokenRunKind::ConnectionEnded)
         }
-        "silent" | "timed_out" | "timeout" => Some(BrokenRunKind::Silent),
+        "silent" | "timed_out" | "timeout" | CLIENT_LEFT => Some(BrokenRunKind::Silent),
         _ => None,
     }
 }
@@ -35,10 +36,7 @@
 /// Whether a connection attempt failed because no process listens on the address.
 pub fn is_refused(error: &Http1Error) -> bool {
     match error {
-        Http1Error::NotConnected(error) => matches!(
-            error.kind(),
-            std::io::ErrorKind::ConnectionRefused | std::io::ErrorKind::ConnectionReset
-        ),
+        Http1Error::NotConnected(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
         _ => false,
     }
 }
@@ -58,8 +56,12 @@
         let replica = self.replicas.get(chosen.key);
         let is_same =
             replica.record.id == chosen.id && replica.record.born_unix_ms == chosen.born_unix_ms;
-        // The connections of a replica that leaves end without a crash.
-        if is_same && (replica.is_leaving() || replica.record.state == ReplicaState::Leaving) {
+        // The connections of a replica that leaves end without a crash; some that leave only
+        // remove their record.
+        let is_leaving = replica.is_removed
+            || replica.is_leaving()
+            || replica.record.state == ReplicaState::Leaving;
+        if is_same && is_leaving {
             return false;
         }
         let now_ms = self.now_ms();
@@ -85,7 +87,7 @@
         } else {
             self.record_next_incarnation(chosen.address);
         }
-        self.broken_runs.contains(chosen.address)
+        cause != CLIENT_LEFT && self.broken_runs.contains(chosen.address)
     }
 
     /// Records a sign that no incarnation runs at `address`.
@@ -101,23 +103,33 @@
     pub(super) fn record_next_incarnation(&mut self, address: SocketAddr) {
         let now_ms = self.now_ms();
         let listed = self.replicas.listed().map(|(_, replica)| &replica.record);
-        let at_address: Vec<&ReplicaRecord> =
-            listed.filter(|record| record.address == address).collect();
+        let records: Vec<&ReplicaRecord> = listed.collect();
+        // The record of an earlier incarnation may be listed beside that of a later one.
         let is_replaced = |run: &BrokenRun| {
-            let is_of = |record: &&ReplicaRecord| {
-                record.id == run.crash.endpoint
-                    && record.born_unix_ms.unwrap_or(0) == run.crash.incarnation
+            let is_known = |id: &str| records.iter().any(|record| record.id == id);
+            let is_later = |record: &&&ReplicaRecord| match record.born_unix_ms {
+                Some(born_unix_ms) if run.crash.incarnation > 0 => {
+                    born_unix_ms > run.crash.incarnation
+                }
+                _ => !is_known(&run.crash.endpoint),
             };
-            run.address == address
-                && at_address
-                    .iter()
-                    .any(|record| record.state == ReplicaState::Ready && !is_of(record))
+            let mut at_address = records.iter().filter(|record| record.address == address);
+            run.address == address && at_address.any(|record| is_later(&record))
         };
         let sign = CrashSign::NextIncarnation;
         let crashed = self.broken_runs.take_crashed(sign, now_ms, is_replaced);
         self.suspect_crashed_runs(crashed, sign);
     }
 
+    /// Records that another replica than `id` answered at `address`.
+    pub(super) fn record_other_replica(&mut self, address: SocketAddr, id: &str) {
+        let now_ms = self.now_ms();
+        let sign = CrashSign::NextIncarnation;
+        let is_replaced = |run: &BrokenRun| run.address == address && run.crash.endpoint == id;
+        let crashed = self.broken_runs.take_crashed(sign, now_ms, is_replaced);
+        self.suspect_crashed_runs(crashed, sign);
+    }
+
     /// Records the crashes that other entries know of for the own broken runs.
     pub(super) fn record_told_crashes(&mut self) {
         let now_ms = self.now_ms();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -140,7 +140,7 @@
             let send_outcome = self.send(client, &request, &relay, &chosen).await;
             let Some(send_outcome) = send_outcome else {
                 drop(in_flight);
-                return self.client_disconnected(&request, &history);
+                return self.client_disconnected(&request, &chosen, &history);
             };
             let accepted = self.record_outcome(&mut request, &chosen, send_outcome, &mut history);
             match accepted {
@@ -354,6 +354,7 @@
             SendOutcome::WrongReplica => {
                 request.sends += 1;
                 state.replicas.record_wrong_replica(chosen.key, now_ms);
+                state.record_other_replica(chosen.address, &chosen.id);
                 "misplaced"
             }
             SendOutcome::Broken(cause) => {
@@ -466,7 +467,9 @@
                     ConnectionReuse::Keep
                 })
             }
-            StreamEnd::ClientDisconnected => Some(self.client_disconnected(request, history)),
+            StreamEnd::ClientDisconnected => {
+                Some(self.client_disconnected(request, chosen, history))
+            }
             StreamEnd::TimedOut if relay.has_begun() => {
                 Some(self.abort_stream(client, request, history, "timeout"))
             }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -10,6 +10,7 @@
 use crate::gateway::forward::Gateway;
 use crate::gateway::local_response::local_response;
 use crate::gateway::local_response::outcome_label;
+use crate::gateway::placement::ChosenReplica;
 use crate::gateway::relay::ClientFraming;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::response_head;
@@ -22,6 +23,9 @@
 /// Cause of the refusal of a request that is suspected of several crashes.
 pub(super) const CRASH_SUSPECT: &str = "crash_suspect";
 
+/// Cause of the end of a request whose client closed its connection.
+pub(super) const CLIENT_LEFT: &str = "client_left";
+
 /// How a request ended, for its log line and the metrics; status 0 is a response that
 /// was not completed.
 #[derive(Debug)]
@@ -102,15 +106,19 @@
         ConnectionReuse::Close
     }
 
-    /// Ends a request whose client closed its connection.
+    /// Ends a request whose client closed its connection while it was at a replica.
     pub(super) fn client_disconnected(
         &self,
         request: &RoutedRequest,
+        chosen: &ChosenReplica,
         history: &AttemptHistory,
     ) -> ConnectionReuse {
+        let mut state = self.state.borrow_mut();
+        state.record_broken_run(request.fingerprint, chosen, CLIENT_LEFT);
+        drop(state);
         let outcome = RequestOutcome {
             status: 0,
-            cause: "client_left",
+            cause: CLIENT_LEFT,
             retry_after_ms: None,
         };
         self.log_request_end(request, history, &outcome, None);
