Try a refused request again, soon where its crashes came together

What callers saw: a popular request was refused by every entry, for two minutes, once four replicas had failed at the same moment while each was running it: 0 of 1,176 served.

Cause: crashes at one moment, as when a rack fails, counted like three crashes one after the other, and a refused request never ran again, so that nothing could clear it.

Change: one entry, by rendezvous rank, tries a refused request, one run at a time: 15 s after its last crash and then four times as long each time; after 0.3 s if all of its crashes lie within 25 ms, or within 500 ms for a request that had run to an end in the 10 s before. A crash is timed by the end of the run. A run that waits is withdrawn only 250 ms after its request became refused, as runs elsewhere may clear it.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -13,6 +13,7 @@
 mod broken_runs;
 mod call_outcome;
 mod candidate;
+mod completed_runs;
 mod dispatch_ledger;
 mod endpoint_stats;
 mod epoch_counter;
@@ -40,6 +41,7 @@
 pub use call_outcome::CallOutcome;
 pub use candidate::Candidate;
 pub use candidate::stable_hash;
+pub use completed_runs::CompletedRuns;
 pub use dispatch_ledger::DispatchDecision;
 pub use dispatch_ledger::DispatchLedger;
 pub use epoch_counter::EpochCounter;
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -9,6 +9,26 @@
 /// Number of windows for which a crash is remembered.
 const MEMORY_WINDOWS: u64 = 8;
 
+/// Longest time between crashes that count as one failure of several endpoints, in ms.
+const SAME_MOMENT_MS: u64 = 25;
+
+/// The same for a request that had run to an end shortly before, in ms: it is more likely that
+/// no request has caused them.
+const SAME_FAILURE_MS: u64 = 500;
+
+/// Longest time between that end and the first crash, in ms.
+const ENDED_BEFORE_MS: u64 = 10_000;
+
+/// Time after such crashes until a refused request is tried again, in ms: within it, runs
+/// elsewhere come to an end and clear it.
+const SAME_FAILURE_TRIAL_MS: u64 = 300;
+
+/// Time after the last crash until a refused request is tried again, in ms.
+const FIRST_TRIAL_MS: u64 = 15_000;
+
+/// Factor by which that time grows with each crash after a trial.
+const TRIAL_FACTOR: u64 = 4;
+
 /// Digest of the target and body of a request, which identifies it in the suspect table.
 pub fn fingerprint(target: &str, body: &[u8]) -> Digest {
     let mut hasher = blake3::Hasher::new();
@@ -158,6 +178,36 @@
         of_request.map_or(0, |of_request| self.count_crashes(of_request, now_ms))
     }
 
+    /// Whether a refused request, which last ran to an end at `last_end_ms`, may be tried once:
+    /// a while after its last crash, or soon if its crashes came together, as in a failure of
+    /// several endpoints that no request has caused.
+    pub fn is_trial_due(&self, fingerprint: Digest, last_end_ms: Option<u64>, now_ms: u64) -> bool {
+        let counted = self.requests().flatten().filter(|suspicion| {
+            suspicion.fingerprint == fingerprint
+                && !suspicion.cleared
+                && !self.is_expired(suspicion, now_ms)
+        });
+        let times_ms: Vec<u64> = counted.map(|suspicion| suspicion.observed_ms).collect();
+        let (Some(first_ms), Some(last_ms)) = (times_ms.iter().min(), times_ms.iter().max()) else {
+            return true;
+        };
+        let trials = times_ms.len().saturating_sub(REFUSED_AT_CRASHES);
+        let has_ended_before =
+            last_end_ms.is_some_and(|end_ms| end_ms + ENDED_BEFORE_MS >= *first_ms);
+        let same_failure_ms = if has_ended_before {
+            SAME_FAILURE_MS
+        } else {
+            SAME_MOMENT_MS
+        };
+        let pause_ms = if last_ms - first_ms < same_failure_ms {
+            SAME_FAILURE_TRIAL_MS
+        } else {
+            let factor = TRIAL_FACTOR.saturating_pow(u32::try_from(trials).unwrap_or(u32::MAX));
+            FIRST_TRIAL_MS.saturating_mul(factor)
+        };
+        now_ms.saturating_sub(*last_ms) >= pause_ms
+    }
+
     /// Suspicions by request.
     fn requests(&self) -> impl Iterator<Item = &[Suspicion]> {
         self.suspicions
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::calls::BrokenRun;
 use crate::calls::BrokenRunKind;
@@ -8,6 +9,7 @@
 use crate::calls::CrashSign;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
+use crate::fleet::rendezvous_rank;
 use crate::gateway::GatewayState;
 use crate::gateway::exchange;
 use crate::gateway::placement::ChosenReplica;
@@ -18,6 +20,9 @@
 use crate::observe::LogLine;
 use crate::weights::Digest;
 
+/// Time for which a connection that checks a replica is watched.
+const CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// Largest number of records of which an entry that has started is told.
 const MAX_TOLD_SUSPECTS: usize = 48;
 
@@ -144,6 +149,8 @@
     /// Records a run that came to an end, which shows that the request was only beside the
     /// cause of earlier crashes.
     pub(super) fn record_completed_run(&mut self, fingerprint: Digest) {
+        let now_ms = self.now_ms();
+        self.completed_runs.record(fingerprint, now_ms);
         self.broken_runs.remove_request(fingerprint);
         if self.suspects.clear_request(fingerprint) {
             self.tell_suspect(fingerprint);
@@ -153,12 +160,25 @@
         }
     }
 
+    /// Whether this entry may try a refused request now: of all entries only one does, one
+    /// run at a time.
+    fn may_try(&self, fingerprint: Digest) -> bool {
+        let now_ms = self.now_ms();
+        let entries = self.peers.live_entries(now_ms);
+        let names = entries.map(|entry| entry.name.as_str());
+        let last_end_ms = self.completed_runs.last_end_ms(fingerprint);
+        self.suspects.is_trial_due(fingerprint, last_end_ms, now_ms)
+            && !self.suspect_trials.contains(&fingerprint)
+            && rendezvous_rank(&self.settings.name, names, fingerprint.seed()) == 0
+    }
+
     /// Adds the requests of runs that ended by crashes to the suspects.
     fn suspect_crashed_runs(&mut self, crashed: Vec<BrokenRun>, sign: CrashSign) {
         let now_ms = self.now_ms();
         for run in crashed {
             let replica = run.crash.endpoint.clone();
-            self.suspects.add_crash(run.fingerprint, run.crash, now_ms);
+            self.suspects
+                .add_crash(run.fingerprint, run.crash, run.at_ms);
             LogLine::new(Event::CrashSuspected)
                 .text("replica", replica)
                 .text("fingerprint", run.fingerprint.short_hex())
@@ -189,6 +209,39 @@
     }
 }
 
+/// The one run by which a refused request is tried, until it is dropped.
+#[derive(Debug)]
+pub struct SuspectTrial<'a> {
+    state: &'a RefCell<GatewayState>,
+    fingerprint: Digest,
+}
+
+impl<'a> SuspectTrial<'a> {
+    /// Begins the trial of a refused request; `None` if it may not be tried here and now.
+    pub fn begin(state: &'a RefCell<GatewayState>, fingerprint: Digest) -> Option<Self> {
+        if !state.borrow().may_try(fingerprint) {
+            return None;
+        }
+        state.borrow_mut().suspect_trials.push(fingerprint);
+        Some(Self { state, fingerprint })
+    }
+
+    /// Logs that the run is sent to `replica`.
+    pub fn log_send(&self, replica: &str) {
+        LogLine::new(Event::SuspectTried)
+            .text("fingerprint", self.fingerprint.short_hex())
+            .text("replica", replica)
+            .enqueue();
+    }
+}
+
+impl Drop for SuspectTrial<'_> {
+    fn drop(&mut self) {
+        let trials = &mut self.state.borrow_mut().suspect_trials;
+        trials.retain(|tried| *tried != self.fingerprint);
+    }
+}
+
 /// Checks the address of a replica whose connection broke, unless that is under way.
 pub async fn check_replica_once(state: Rc<RefCell<GatewayState>>, address: SocketAddr) {
     {
@@ -203,10 +256,17 @@
     checked_addresses.retain(|checked| *checked != address);
 }
 
-/// Checks by one connection whether a process still listens at the address of a replica whose
+/// Checks by a connection whether a process still listens at the address of a replica whose
 /// connection broke.
 pub async fn check_replica(state: &RefCell<GatewayState>, address: SocketAddr) {
-    let connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
+    let mut connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
+    if let Ok(connection) = &mut connected {
+        // A process that is ending may close its listener after its connections.
+        let closed = tokio::time::timeout(CHECK_TIME, connection.fill_buffer()).await;
+        if matches!(closed, Ok(Ok(0) | Err(_))) {
+            connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
+        }
+    }
     if connected.is_err_and(|error| is_refused(&error)) {
         let mut state = state.borrow_mut();
         state.record_down_sign(address, CrashSign::ConnectionRefused);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::SendFacts;
+use crate::gateway::crash_signs::SuspectTrial;
 use crate::gateway::crash_signs::check_replica;
 use crate::gateway::crash_signs::check_replica_once;
 use crate::gateway::crash_signs::is_refused;
@@ -44,6 +45,10 @@
 /// another replica instead.
 const PLAIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time for which a run that waits is kept after its request has become refused: other runs
+/// that come to an end clear it.
+const CLEARING_TIME: Duration = Duration::from_millis(250);
+
 /// Retry-After of a refusal after the attempts at replicas have failed, in ms.
 const RETRY_AFTER_FAILURE_MS: u64 = 500;
 
@@ -115,7 +120,11 @@
                 check_replica(&self.state, address).await;
             }
             // Asked before each send: the one before may have been the third crash.
-            if self.is_refused_as_suspect(&request) {
+            let is_refused = self.is_refused_as_suspect(&request);
+            let trial = is_refused
+                .then(|| SuspectTrial::begin(&self.state, request.fingerprint))
+                .flatten();
+            if is_refused && trial.is_none() {
                 return self
                     .end_attempts(client, &request, &relay, history, CRASH_SUSPECT, None)
                     .await;
@@ -135,9 +144,13 @@
                         .await;
                 }
             };
+            if let Some(trial) = &trial {
+                trial.log_send(&chosen.id);
+            }
             history.replica.clone_from(&chosen.id);
             let in_flight = self.register_send(&mut request, &chosen);
-            let send_outcome = self.send(client, &request, &relay, &chosen).await;
+            let is_trial = trial.is_some();
+            let send_outcome = self.send(client, &request, &relay, &chosen, is_trial).await;
             let Some(send_outcome) = send_outcome else {
                 drop(in_flight);
                 return self.client_disconnected(&request, &chosen, &history);
@@ -207,13 +220,18 @@
             == SuspectStatus::Refused
     }
 
-    /// Waits until the request is refused because it is suspected of several crashes.
+    /// Waits until the request is refused because it is suspected of several crashes, and no
+    /// run elsewhere has cleared it since.
     async fn wait_until_refused(&self, request: &RoutedRequest) {
         let notice = self.state.borrow().suspects_notice.clone();
         loop {
             let changed = notice.notified();
             if self.is_refused_as_suspect(request) {
-                return;
+                tokio::time::sleep(CLEARING_TIME).await;
+                if self.is_refused_as_suspect(request) {
+                    return;
+                }
+                continue;
             }
             changed.await;
         }
@@ -227,6 +245,7 @@
         request: &RoutedRequest,
         relay: &StreamRelay,
         chosen: &ChosenReplica,
+        is_trial: bool,
     ) -> Option<SendOutcome> {
         let is_streaming = request.route.kind.is_streaming();
         let facts = SendFacts {
@@ -269,7 +288,7 @@
             tokio::select! {
                 biased;
                 outcome = exchange => outcome,
-                () = self.wait_until_refused(request) => SendOutcome::Broken(CRASH_SUSPECT),
+                () = self.wait_until_refused(request), if !is_trial => SendOutcome::Broken(CRASH_SUSPECT),
             }
         };
         let outcome = client.run_unless_closed(work).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::calls::BrokenRuns;
+use crate::calls::CompletedRuns;
 use crate::calls::SuspectTable;
 use crate::fleet::Catalog;
 use crate::fleet::ClientLimits;
@@ -26,9 +27,10 @@
 use crate::gateway::suspect_notices::ChangedSuspects;
 use crate::observe::Event;
 use crate::observe::LogLine;
+use crate::weights::Digest;
 
 /// Time for which a request remains suspected after a crash, in ms.
-const SUSPECT_WINDOW_MS: u64 = 120_000;
+const SUSPECT_WINDOW_MS: u64 = 600_000;
 
 /// Largest number of pairs of a suspected request and a crash that are kept: a crash adds
 /// one for each request that the replica held.
@@ -108,9 +110,13 @@
     pub(super) expired_replicas: Vec<String>,
     /// Runs that ended without an answer, whose replicas may have crashed.
     pub(super) broken_runs: BrokenRuns,
+    /// Requests that have run to an end.
+    pub(super) completed_runs: CompletedRuns,
     /// Addresses to which a connection is being opened, to see whether a replica is there.
     // Ascending.
     pub(super) checked_addresses: Vec<SocketAddr>,
+    /// Refused requests that this entry tries at present.
+    pub(super) suspect_trials: Vec<Digest>,
     /// Requests whose suspicions the other entries are told.
     pub(super) changed_suspects: ChangedSuspects,
     /// Wakes the tasks that wait for a change of the suspects.
@@ -153,7 +159,9 @@
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
             broken_runs: BrokenRuns::default(),
+            completed_runs: CompletedRuns::default(),
             checked_addresses: Vec::new(),
+            suspect_trials: Vec::new(),
             changed_suspects: ChangedSuspects::default(),
             suspects_notice: Rc::new(Notify::new()),
             leaving_notices: Vec::new(),
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -92,6 +92,7 @@
     720 ReplicaHeard Info "A replica that was silent is heard again, or is no longer listed.";
     721 SuspectLearned Info "Another entry told of a crash during which a request was running.";
     722 SuspectCleared Info "A request that was running during a crash has run to an end and is no suspect any more.";
+    723 SuspectTried Info "A request that is refused as a crash suspect is tried once by this entry.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- a/src/weights/digest.rs
+++ b/src/weights/digest.rs
@@ -31,6 +31,15 @@
         &self.0
     }
 
+    /// Returns the first eight bytes, as a seed.
+    pub fn seed(&self) -> u64 {
+        let first = self
+            .0
+            .first_chunk()
+            .expect("a digest is longer than a seed");
+        u64::from_be_bytes(*first)
+    }
+
     /// Returns the leading hexadecimal digits, for logs and messages.
     pub fn short_hex(&self) -> String {
         self.to_string()[..SHORT_DIGITS].to_owned()
--- a/tests/calls/suspects.rs
+++ b/tests/calls/suspects.rs
@@ -1,5 +1,6 @@
 use arbtest::arbtest;
 
+use bergamotfork::calls::CompletedRuns;
 use bergamotfork::calls::CrashId;
 use bergamotfork::calls::SuspectSlot;
 use bergamotfork::calls::SuspectStatus;
@@ -147,6 +148,61 @@
     );
 }
 
+#[test]
+fn is_trial_due_after_crashes_at_one_moment() {
+    let mut table = SuspectTable::new(600_000, 64);
+    for number in 0..4 {
+        table.add_crash(request(0), crash(number), 1_000 + u64::from(number));
+    }
+    assert_eq!(
+        table.request_status(request(0), 1_100),
+        SuspectStatus::Refused
+    );
+    assert!(!table.is_trial_due(request(0), None, 1_100));
+    assert!(table.is_trial_due(request(0), None, 1_400));
+    // The trial has ended another endpoint: no failure of several at once.
+    table.add_crash(request(0), crash(9), 1_450);
+    assert!(!table.is_trial_due(request(0), None, 10_000));
+}
+
+#[test]
+fn is_trial_due_soon_after_end_before_crashes() {
+    let mut table = SuspectTable::new(600_000, 64);
+    for number in 0..3 {
+        table.add_crash(request(0), crash(number), 20_000 + 100 * u64::from(number));
+    }
+    assert!(table.is_trial_due(request(0), Some(19_000), 20_500));
+    assert!(!table.is_trial_due(request(0), Some(9_000), 20_500));
+    assert!(!table.is_trial_due(request(0), None, 20_500));
+    table.add_crash(request(0), crash(3), 20_550);
+    assert!(!table.is_trial_due(request(0), Some(19_000), 30_000));
+}
+
+#[test]
+fn last_end_ms_forgets_oldest() {
+    let mut completed = CompletedRuns::default();
+    for number in 0..4_200 {
+        completed.record(request(number), number);
+    }
+    completed.record(request(4_000), 9_000);
+    assert_eq!(completed.last_end_ms(request(0)), None);
+    assert_eq!(completed.last_end_ms(request(4_000)), Some(9_000));
+    assert_eq!(completed.last_end_ms(request(4_199)), Some(4_199));
+}
+
+#[test]
+fn is_trial_due_pause_grows() {
+    let mut table = SuspectTable::new(600_000, 64);
+    for number in 0..3 {
+        table.add_crash(request(0), crash(number), 1_000 * u64::from(number));
+    }
+    assert!(!table.is_trial_due(request(0), None, 16_999));
+    assert!(table.is_trial_due(request(0), None, 17_000));
+    table.add_crash(request(0), crash(3), 17_000);
+    assert!(!table.is_trial_due(request(0), None, 76_999));
+    assert!(table.is_trial_due(request(0), None, 77_000));
+}
+
 #[test]
 fn clear_request_returns_whether_suspected() {
     let mut table = SuspectTable::new(WINDOW_MS, 64);
