Judge a crash suspect by service

What callers saw: on a route whose traffic is split, a request that ends each replica of one service and is served by the other ended 13 in 60 arrivals, as each answer of the other cleared it; then both refused it.

Cause: the fingerprint of a request did not name the service.

Measured: culprit_of_split_route_contained failed before, passes now.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -239,13 +239,10 @@
     let deadline = received_at + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random_bits());
     state.count_request(&service);
-    let target = format!(
-        "{}{}{}",
-        host,
-        head.target,
-        workspace.as_deref().unwrap_or("")
-    );
-    let fingerprint = fingerprint(&target, &body);
+    // By service: what one service of a split route runs to an end may crash the other.
+    let caller = workspace.as_deref().unwrap_or_default();
+    let run = format!("{service} {host}{} {caller}", head.target);
+    let fingerprint = fingerprint(&run, &body);
     let is_late = waited_before_ms > 0;
     Ok(Box::new(RoutedRequest {
         fingerprint,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -36,7 +36,7 @@
     /// Least time that the client had already waited, estimated from its deadline, in
     /// ms.
     pub waited_before_ms: u64,
-    /// Digest of target and body, equal for every retry of the request.
+    /// Digest of service, path, caller and body, equal for every retry of the request.
     pub fingerprint: Digest,
     /// Replicas that were chosen for it so far.
     pub tried_replicas: Vec<ReplicaKey>,
