Model of a fleet that a request crashes, over the product's tables

2 to 99 entries, replicas back after 0 to 1.5 s, lost, late, doubled and reordered notices, restarts of entries, failures of a third of the replicas at once, volleys of the culprit, a popular request and bystanders. Held: at most three runs of the culprit begin later than a heartbeat after its third crash is known, at entries up for two heartbeats; the popular one is refused for a heartbeat, a run and a trial's pause at most; no crash stays unnoticed once its replica is back. Without clearing, notices, or the signs beside the own check it fails.

--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Permits, the permit table, the dispatch ledger, pauses and crash suspects.
 
+mod crash_model;
 mod pauses;
 mod permits;
 mod suspects;
