Log what was known of a replica whose answer is given up, and the age of the configuration

A line 703 says how long ago the request was sent, and whether the replica's record was removed or its host reported the engine down; 701 says how long the configuration had been in force and whether the process was stopping. No decision changes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -162,7 +162,7 @@
                 Some(SendOutcome::Response(_)) if relay.has_begun() => {
                     drop(in_flight);
                     history.last_cause = "replica_error";
-                    log_failed_attempt(&request, &chosen, history.last_cause, None);
+                    self.log_failed_attempt(&request, &chosen, history.last_cause, None);
                 }
                 Some(SendOutcome::Response(response)) => {
                     drop(in_flight);
@@ -415,7 +415,7 @@
         };
         drop(state);
         history.last_cause = cause;
-        log_failed_attempt(request, chosen, cause, None);
+        self.log_failed_attempt(request, chosen, cause, None);
         if let SendOutcome::Response(response) = send_outcome {
             history.fallback_response = Some(response);
         }
@@ -506,7 +506,7 @@
                 let mut state = self.state.borrow_mut();
                 self.record_broken_answer(&mut state, request, chosen, cause, history);
                 drop(state);
-                log_failed_attempt(request, chosen, cause, history.last_part);
+                self.log_failed_attempt(request, chosen, cause, history.last_part);
                 None
             }
         }
@@ -536,26 +536,34 @@
             history.unchecked_address = Some(chosen.address);
         }
     }
-}
 
-/// Logs a send that failed or that the replica refused; `part` is what was received of a
-/// stream.
-fn log_failed_attempt(
-    request: &RoutedRequest,
-    chosen: &ChosenReplica,
-    cause: &str,
-    part: Option<AnswerPart>,
-) {
-    let mut line = LogLine::new(Event::AttemptFailed)
-        .text("id", &request.facts.attempt_id)
-        .text("replica", &chosen.id)
-        .text("cause", cause)
-        .text("fingerprint", request.fingerprint.short_hex())
-        .number("sends", request.sends);
-    if let Some(part) = part {
-        line = line
-            .text("framing", part.framing.label())
-            .number("rest_bytes", part.rest_bytes);
+    /// Logs a send that failed or that the replica refused; `part` is what was received of a
+    /// stream.
+    fn log_failed_attempt(
+        &self,
+        request: &RoutedRequest,
+        chosen: &ChosenReplica,
+        cause: &str,
+        part: Option<AnswerPart>,
+    ) {
+        let state = self.state.borrow();
+        let now_ms = state.now_ms();
+        let replica = state.replicas.get(chosen.key);
+        let is_reported_down = replica.recent_load(now_ms).is_some_and(|load| !load.is_up);
+        let mut line = LogLine::new(Event::AttemptFailed)
+            .text("id", &request.facts.attempt_id)
+            .text("replica", &chosen.id)
+            .text("cause", cause)
+            .text("fingerprint", request.fingerprint.short_hex())
+            .number("sends", request.sends)
+            .number("sent_ms_ago", now_ms.saturating_sub(chosen.sent_ms))
+            .flag("removed", replica.is_removed)
+            .flag("reported_down", is_reported_down);
+        if let Some(part) = part {
+            line = line
+                .text("framing", part.framing.label())
+                .number("rest_bytes", part.rest_bytes);
+        }
+        line.enqueue();
     }
-    line.enqueue();
 }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -193,6 +193,11 @@
         let answer_ms = stream.map_or(took_ms, |stream| stream.0);
         self.metrics
             .record_answer(outcome_label(outcome.status), answer_ms);
+        let (config_age_ms, is_stopping) = {
+            let state = self.state.borrow();
+            let config_age_ms = state.now_ms().saturating_sub(state.catalog_adopted_ms);
+            (config_age_ms, state.stopping_since.is_some())
+        };
         let mut line = LogLine::new(Event::RequestEnded)
             .text("id", &request.facts.attempt_id)
             .text("route", &request.route.name)
@@ -202,6 +207,8 @@
             .text("replica", &history.replica)
             .number("sends", request.sends)
             .number("config", request.catalog.version)
+            .number("config_age_ms", config_age_ms)
+            .flag("stopping", is_stopping)
             .number("took_ms", took_ms as i64)
             .number("waited_before_ms", request.waited_before_ms);
         if outcome.cause == CRASH_SUSPECT {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -71,6 +71,8 @@
     pub settings: GatewaySettings,
     /// Configuration in force; None until one was read.
     pub catalog: Option<Rc<Catalog>>,
+    /// Time at which it came into force on this process, in ms.
+    pub catalog_adopted_ms: u64,
     /// Declared versions of weights.
     pub weights: Declarations,
     /// Replicas of all services.
@@ -140,6 +142,7 @@
         Rc::new(RefCell::new(Self {
             settings,
             catalog: None,
+            catalog_adopted_ms: 0,
             weights: Declarations::default(),
             replicas: ReplicaTable::default(),
             answer_memory: AnswerMemory::default(),
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -126,6 +126,7 @@
                     .number("offset", LogPosition::unpack(offset).offset)
                     .enqueue();
                 self.catalog = Some(Rc::from(catalog));
+                self.catalog_adopted_ms = self.now_ms();
             }
             Ok(OperatorRecord::Weights { model, version }) => {
                 self.apply_declaration(model, version, offset)
