--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -10,6 +10,7 @@
 //! it is reported. An entry reports "not run" only where `determine_outcome`
 //! allows it.
 
+mod answer_under_way;
 mod broken_runs;
 mod call_outcome;
 mod candidate;
@@ -34,6 +35,10 @@
 mod suspect_table;
 mod unknown_reason;
 
+pub use answer_under_way::AnswerDecision;
+pub use answer_under_way::AnswerStage;
+pub use answer_under_way::AnswerUnderWay;
+pub use answer_under_way::ReplicaSign;
 pub use broken_runs::BrokenRun;
 pub use broken_runs::BrokenRunKind;
 pub use broken_runs::BrokenRuns;
--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -100,7 +100,7 @@
 }
 
 /// Serves the requests of one connection, one after the other.
-async fn serve_client<D: Dialect>(mut client: Connection, gateway: &Gateway<D>) {
+async fn serve_client<D: Dialect + 'static>(mut client: Connection, gateway: &Gateway<D>) {
     loop {
         let head = match read_next_head(&mut client, gateway).await {
             Ok(head) => head,
--- /dev/null
+++ b/src/gateway/event_stream.rs
@@ -0,0 +1,160 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::gateway::answer_memory::HeldAnswer;
+use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::event_splitter::StreamEvent;
+use crate::http1::BodyDecoder;
+use crate::http1::BodyLimit;
+use crate::http1::Connection;
+use crate::http1::Framing;
+use crate::http1::ResponseHead;
+
+/// Bytes of a stream without a whole event from which it makes progress: more than a stalled
+/// one sends, and less than a large event brings in the same time over a narrow link.
+const MIN_PROGRESS_BYTES: usize = 256;
+
+/// What comes next of one replica's part of a stream.
+#[derive(Debug)]
+pub enum StreamPart {
+    /// Complete events.
+    Events(Vec<StreamEvent>),
+    /// The end of a stream that ends after a whole event.
+    End,
+    /// The part broke off, for this cause.
+    Broken(&'static str),
+}
+
+/// What is known of the answer of one replica, or of its part of a stream, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPart {
+    /// How the replica marks the end of the body.
+    pub framing: Framing,
+    /// Number of bytes received of an event that is not complete.
+    pub rest_bytes: usize,
+}
+
+/// A response of a replica that is a stream of events, of which the head was read.
+#[derive(Debug)]
+pub struct EventStream {
+    /// Status and headers.
+    pub head: ResponseHead,
+    connection: Connection,
+    framing: Framing,
+    decoder: BodyDecoder,
+    // Room for the event that is not complete.
+    held: HeldAnswer,
+    splitter: EventSplitter,
+    // Why the framing of the body is invalid.
+    fault: Option<&'static str>,
+    has_events: bool,
+    last_progress: Instant,
+    bytes_since_progress: usize,
+}
+
+impl EventStream {
+    /// The stream whose head is `head`, and whose body follows on `connection`.
+    pub fn new(
+        head: ResponseHead,
+        connection: Connection,
+        framing: Framing,
+        held: HeldAnswer,
+    ) -> Self {
+        Self {
+            head,
+            connection,
+            framing,
+            decoder: BodyDecoder::new(framing),
+            held,
+            splitter: EventSplitter::default(),
+            fault: None,
+            has_events: false,
+            last_progress: Instant::now(),
+            bytes_since_progress: 0,
+        }
+    }
+
+    /// Time since the last progress: a whole event, or bytes of a large one.
+    pub fn silence(&self) -> Duration {
+        self.last_progress.elapsed()
+    }
+
+    /// What was received of the event that is not complete.
+    pub fn remainder(&self) -> &[u8] {
+        self.splitter.remainder()
+    }
+
+    /// What is known of this part, for logs.
+    pub fn part(&self) -> AnswerPart {
+        AnswerPart {
+            framing: self.framing,
+            rest_bytes: self.remainder().len(),
+        }
+    }
+
+    /// Waits for what comes next; nothing is lost when the wait is dropped.
+    pub async fn next_part(&mut self) -> StreamPart {
+        loop {
+            self.decode();
+            let events: Vec<StreamEvent> =
+                std::iter::from_fn(|| self.splitter.next_event()).collect();
+            if !events.is_empty() || self.bytes_since_progress >= MIN_PROGRESS_BYTES {
+                self.last_progress = Instant::now();
+                self.bytes_since_progress = 0;
+            }
+            if !events.is_empty() {
+                self.has_events = true;
+                return StreamPart::Events(events);
+            }
+            if let Some(cause) = self.fault {
+                return StreamPart::Broken(cause);
+            }
+            if self.decoder.is_done() {
+                return self.end();
+            }
+            if self.splitter.is_too_large() {
+                return StreamPart::Broken("event_too_large");
+            }
+            if let Err(error) = self.held.admit(self.splitter.remainder().len()) {
+                return StreamPart::Broken(error.label());
+            }
+            match self.connection.fill_buffer().await {
+                Ok(0) => return self.end_at_close(),
+                Ok(received) => self.bytes_since_progress += received,
+                Err(_) => return StreamPart::Broken("reset"),
+            }
+        }
+    }
+
+    /// Takes the received bytes out of the framing of the body.
+    fn decode(&mut self) {
+        if self.fault.is_some() || self.decoder.is_done() {
+            return;
+        }
+        let decoded = self
+            .decoder
+            .decode(&mut self.connection.read_buffer, self.splitter.buffer());
+        self.fault = decoded.err().map(|error| error.label());
+    }
+
+    /// The end of the body. However it is framed, a stream that ends inside an event was
+    /// broken off.
+    fn end(&self) -> StreamPart {
+        if self.splitter.is_inside_event() {
+            StreamPart::Broken("inside_event")
+        } else {
+            StreamPart::End
+        }
+    }
+
+    /// The end of the connection.
+    fn end_at_close(&mut self) -> StreamPart {
+        match self.decoder.finish_at_close() {
+            // A replica that crashes before its first event ends such a body in the same way.
+            Ok(()) if !self.has_events => StreamPart::Broken("no_events"),
+            Ok(()) => self.end(),
+            Err(error) => StreamPart::Broken(error.label()),
+        }
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -9,12 +10,13 @@
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
 use crate::gateway::answer_memory::HeldAnswer;
-use crate::gateway::routed_request::RoutedRequest;
+use crate::gateway::event_stream::EventStream;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
 use crate::http1::Framing;
 use crate::http1::Headers;
 use crate::http1::Http1Error;
+use crate::http1::RequestHead;
 use crate::http1::ResponseHead;
 
 /// Timeout of opening a connection to a replica: many round trips between regions,
@@ -56,21 +58,6 @@
     pub _held: HeldAnswer,
 }
 
-/// A response of a replica that is a stream of events, of which the head was read.
-#[derive(Debug)]
-pub struct EventStream {
-    /// Status and headers.
-    pub head: ResponseHead,
-    /// Connection to the replica.
-    pub connection: Connection,
-    /// How the replica marks the end of the body.
-    pub framing: Framing,
-    /// Decoder of the body's framing, with the state of its progress.
-    pub decoder: BodyDecoder,
-    /// Room for the event that is not complete.
-    pub held: HeldAnswer,
-}
-
 /// Result of sending a request to one replica.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -92,34 +79,50 @@
     Stream(Box<EventStream>),
 }
 
-/// Sends `request` to the replica at `address` and reads its response.
+/// A request as it is sent to one replica.
+#[derive(Debug)]
+pub struct ReplicaSend {
+    /// Address of the replica.
+    pub address: SocketAddr,
+    /// Id that the replica must confirm.
+    pub replica_id: String,
+    /// Id of the client's attempt, which the response must echo.
+    pub attempt_id: String,
+    /// Method of the request.
+    pub method: String,
+    /// Whether a response with status 200 is a stream of events.
+    pub is_streaming: bool,
+    /// Head and body, encoded.
+    pub bytes: Vec<u8>,
+    /// Time by which the head of the response must have arrived.
+    pub head_deadline: Instant,
+    /// Time at which the final response is due.
+    pub deadline: Instant,
+    /// Room for the answer.
+    pub held: HeldAnswer,
+    /// Where what the answer says of its replica is stored.
+    pub notice: Rc<Cell<ReplicaNotice>>,
+}
+
+/// Sends a request to a replica and reads its response.
 ///
-/// The head of the response must arrive before `head_deadline`. Each connection
-/// carries only one request, so that bytes that a replica sends late or after its
-/// response can't be taken for the response to another request.
-pub async fn send_to_replica(
-    dialect: &impl Dialect,
-    request: &RoutedRequest,
-    address: SocketAddr,
-    facts: &SendFacts<'_>,
-    head_deadline: Instant,
-    mut held: HeldAnswer,
-    notice: &Cell<ReplicaNotice>,
-) -> SendOutcome {
-    let mut connection = match Connection::connect(address, CONNECT_TIMEOUT).await {
+/// Each connection carries only one request, so that bytes that a replica sends late or
+/// after its response can't be taken for the response to another request. It is reset when
+/// the future is dropped.
+pub async fn send_to_replica(dialect: Rc<impl Dialect>, send: ReplicaSend) -> SendOutcome {
+    let mut connection = match Connection::connect(send.address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
         Err(error) => return SendOutcome::Unreachable(error),
     };
     connection.reset_on_drop();
-    let bytes = request_bytes(dialect, request, facts);
     match connection
-        .write_until_readable(&bytes, request.deadline)
+        .write_until_readable(&send.bytes, send.deadline)
         .await
     {
         Ok(_) => {}
         Err(error) => return SendOutcome::Broken(error.label()),
     }
-    let head_deadline = head_deadline.min(request.deadline);
+    let head_deadline = send.head_deadline.min(send.deadline);
     let head = match connection
         .read_response_head(MAX_HEAD_BYTES, || head_deadline)
         .await
@@ -130,27 +133,24 @@
     };
     let response = dialect.response_facts(&head);
     // Another replica that has taken over the address speaks of itself.
-    if !response.is_misdirected || response.replica_id.as_deref() == Some(facts.replica_id) {
-        notice.set(response.notice);
+    let is_expected_replica = response.replica_id.as_deref() == Some(&send.replica_id);
+    if !response.is_misdirected || is_expected_replica {
+        send.notice.set(response.notice);
     }
-    if let Some(outcome) = reject_response(&response, &head, request, facts) {
+    if let Some(outcome) = reject_response(&response, &head, &send) {
         return outcome;
     }
-    let framing = match head.framing(&request.head.method) {
+    let framing = match head.framing(&send.method) {
         Ok(framing) => framing,
         Err(error) => return SendOutcome::Broken(error.label()),
     };
-    let decoder = BodyDecoder::new(framing);
-    if request.route.kind.is_streaming() && head.status == 200 && framing != Framing::None {
-        return SendOutcome::Stream(Box::new(EventStream {
-            head,
-            connection,
-            framing,
-            decoder,
-            held,
-        }));
+    if send.is_streaming && head.status == 200 && framing != Framing::None {
+        let stream = EventStream::new(head, connection, framing, send.held);
+        return SendOutcome::Stream(Box::new(stream));
     }
-    let read = connection.read_body(decoder, &mut held, || request.deadline);
+    let decoder = BodyDecoder::new(framing);
+    let mut held = send.held;
+    let read = connection.read_body(decoder, &mut held, || send.deadline);
     match read.await {
         Ok(body) => SendOutcome::Response(ReplicaResponse {
             head,
@@ -167,18 +167,17 @@
 fn reject_response(
     response: &ResponseFacts,
     head: &ResponseHead,
-    request: &RoutedRequest,
-    facts: &SendFacts<'_>,
+    send: &ReplicaSend,
 ) -> Option<SendOutcome> {
     let is_other_attempt = response
         .attempt_id
         .as_ref()
-        .is_some_and(|id| *id != request.facts.attempt_id);
+        .is_some_and(|id| *id != send.attempt_id);
     if is_other_attempt {
         return Some(SendOutcome::Broken("other_answer"));
     }
     if response.is_misdirected {
-        let is_expected_replica = response.replica_id.as_deref() == Some(facts.replica_id);
+        let is_expected_replica = response.replica_id.as_deref() == Some(&send.replica_id);
         return Some(if is_expected_replica {
             SendOutcome::OtherWeights
         } else {
@@ -196,14 +195,14 @@
         .then_some(SendOutcome::Broken("encoded"))
 }
 
-/// Encodes the request with the headers for the replica.
-fn request_bytes(
+/// Encodes a request with the headers for its replica.
+pub fn request_bytes(
     dialect: &impl Dialect,
-    request: &RoutedRequest,
+    head: &RequestHead,
+    body: &[u8],
     facts: &SendFacts<'_>,
 ) -> Vec<u8> {
-    let head = &request.head;
-    let mut bytes = Vec::with_capacity(1024 + request.body.len());
+    let mut bytes = Vec::with_capacity(1024 + body.len());
     bytes.extend_from_slice(head.method.as_bytes());
     bytes.push(b' ');
     bytes.extend_from_slice(head.target.as_bytes());
@@ -219,11 +218,14 @@
     let has_length = head.headers.values("content-length").next().is_some()
         || head.headers.values("transfer-encoding").next().is_some();
     if has_length {
-        let length = request.body.len().to_string();
-        write_header("Content-Length", length.as_bytes(), &mut bytes);
+        write_header(
+            "Content-Length",
+            body.len().to_string().as_bytes(),
+            &mut bytes,
+        );
     }
     bytes.extend_from_slice(b"Connection: close\r\n\r\n");
-    bytes.extend_from_slice(&request.body);
+    bytes.extend_from_slice(body);
     bytes
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,8 @@
 
 use tokio::time::Instant;
 
+use crate::calls::AnswerDecision;
+use crate::calls::AnswerUnderWay;
 use crate::calls::CrashSign;
 use crate::calls::REFUSED_AT_CRASHES;
 use crate::calls::SuspectStatus;
@@ -18,16 +20,24 @@
 use crate::gateway::crash_signs::check_replica;
 use crate::gateway::crash_signs::check_replica_once;
 use crate::gateway::crash_signs::is_refused;
+use crate::gateway::event_stream::AnswerPart;
+use crate::gateway::event_stream::EventStream;
+use crate::gateway::event_stream::StreamPart;
 use crate::gateway::exchange;
 use crate::gateway::exchange::ReplicaResponse;
+use crate::gateway::exchange::ReplicaSend;
 use crate::gateway::exchange::SendOutcome;
+use crate::gateway::exchange::request_bytes;
 use crate::gateway::placement::ChosenReplica;
-use crate::gateway::relay::AnswerPart;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
+use crate::gateway::request_outcome::CLIENT_LEFT;
 use crate::gateway::request_outcome::CRASH_SUSPECT;
 use crate::gateway::request_outcome::RequestOutcome;
 use crate::gateway::routed_request::RoutedRequest;
+use crate::gateway::running_send::RunningSend;
+use crate::gateway::running_send::RunningSends;
+use crate::gateway::running_send::SendProgress;
 use crate::http1::Connection;
 use crate::http1::Http1Error;
 use crate::observe::Event;
@@ -37,14 +47,6 @@
 /// Failed connection attempts after which no further replica is tried.
 const MAX_FAILED_CONNECTIONS: u32 = 4;
 
-/// Longest wait for the head of a stream that may be sent to another replica
-/// instead: several latency targets, and less than the deadline of a client.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
-
-/// Longest wait for the head of a plain response to a request that may be sent to
-/// another replica instead.
-const PLAIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Time for which a run that waits is kept after its request has become refused: other runs
 /// that come to an end clear it.
 const CLEARING_TIME: Duration = Duration::from_millis(250);
@@ -101,116 +103,536 @@
     pub(super) last_part: Option<AnswerPart>,
 }
 
-impl<D: Dialect> Gateway<D> {
+/// What happened first while sends were under way.
+enum Step {
+    /// A send has brought something.
+    Progress(usize, SendProgress),
+    /// The client closed its connection.
+    ClientLeft,
+    /// The request has become refused because it is suspected of crashes.
+    Refused,
+    /// It is time to decide what becomes of this send.
+    CheckDue(usize),
+    /// The deadline of the request has passed.
+    TimedOut,
+}
+
+/// A request that is being forwarded, with what its client and its replicas have got so far.
+struct Forwarding<'a> {
+    request: RoutedRequest,
+    relay: StreamRelay,
+    history: AttemptHistory,
+    sends: RunningSends<'a>,
+}
+
+impl<D: Dialect + 'static> Gateway<D> {
     /// Sends one request to replicas until it ends, and responds to its client.
     pub async fn forward(
         &self,
         client: &mut Connection,
-        mut request: RoutedRequest,
+        request: RoutedRequest,
     ) -> ConnectionReuse {
-        let client_framing = request.client_framing();
-        let mut relay = StreamRelay::new(
+        let relay = StreamRelay::new(
             request.facts.last_event_id,
-            client_framing,
+            request.client_framing(),
             request.deadline,
         );
-        let mut history = AttemptHistory::default();
+        let mut forwarding = Forwarding {
+            request,
+            relay,
+            history: AttemptHistory::default(),
+            sends: RunningSends::new(),
+        };
         loop {
-            if let Some(address) = history.unchecked_address.take() {
-                check_replica(&self.state, address).await;
-            }
-            // Asked before each send: the one before may have been the third crash.
-            let is_refused = self.is_refused_as_suspect(&request);
-            let trial = is_refused
-                .then(|| SuspectTrial::begin(&self.state, request.fingerprint))
-                .flatten();
-            if is_refused && trial.is_none() {
+            if forwarding.sends.as_slice().is_empty()
+                && let Err((cause, retry_after_ms)) = self.begin_send(&mut forwarding).await
+            {
+                let Forwarding {
+                    request,
+                    relay,
+                    history,
+                    ..
+                } = forwarding;
                 return self
-                    .end_attempts(client, &request, &relay, history, CRASH_SUSPECT, None)
+                    .end_attempts(client, &request, &relay, history, cause, retry_after_ms)
                     .await;
             }
-            let chosen = match self.choose_replica(&request, relay.has_begun()) {
-                Ok(chosen) => chosen,
-                Err((cause, retry_after_ms)) => {
-                    return self
-                        .end_attempts(
-                            client,
-                            &request,
-                            &relay,
-                            history,
-                            cause,
-                            Some(retry_after_ms),
-                        )
-                        .await;
+            let reuse = match self.next_step(client, &mut forwarding).await {
+                Step::Progress(at, SendProgress::Outcome(outcome)) => {
+                    self.handle_outcome(client, &mut forwarding, at, outcome)
+                        .await
                 }
-            };
-            if let Some(trial) = &trial {
-                trial.log_send(&chosen.id);
-            }
-            history.replica.clone_from(&chosen.id);
-            let in_flight = self.register_send(&mut request, &chosen);
-            let is_trial = trial.is_some();
-            let send_outcome = self.send(client, &request, &relay, &chosen, is_trial).await;
-            let Some(send_outcome) = send_outcome else {
-                drop(in_flight);
-                return self.client_disconnected(&request, &chosen, &history);
-            };
-            let accepted = self.record_outcome(&mut request, &chosen, send_outcome, &mut history);
-            match accepted {
-                None => drop(in_flight),
-                // The client has the head of the stream: only events can follow it.
-                Some(SendOutcome::Response(_)) if relay.has_begun() => {
-                    drop(in_flight);
-                    history.last_cause = "replica_error";
-                    self.log_failed_attempt(&request, &chosen, history.last_cause, None);
+                Step::Progress(at, SendProgress::Part(part)) => {
+                    self.handle_part(client, &mut forwarding, at, part).await
                 }
-                Some(SendOutcome::Response(response)) => {
-                    drop(in_flight);
-                    self.metrics.record_replica_answer(
-                        response.framing.label(),
-                        StreamEnd::Complete.label(),
-                    );
-                    history.last_part = Some(AnswerPart {
-                        framing: response.framing,
-                        rest_bytes: 0,
-                    });
-                    return self
-                        .send_replica_response(client, &request, &history, response)
-                        .await;
+                Step::ClientLeft => Some(self.client_disconnected(&mut forwarding)),
+                Step::Refused => {
+                    self.withdraw_waiting(&mut forwarding);
+                    None
                 }
-                Some(SendOutcome::Stream(stream)) => {
-                    let close = self.closes_connection(&request);
-                    let end = relay.relay_part(client, stream, close, &in_flight).await;
-                    drop(in_flight);
-                    history.last_part = relay.last_part();
-                    if let Some(part) = relay.last_part() {
-                        self.metrics
-                            .record_replica_answer(part.framing.label(), end.label());
-                    }
-                    if let Some(reuse) =
-                        self.finish_stream(client, &request, &chosen, &relay, end, &mut history)
-                    {
-                        return reuse;
-                    }
+                Step::CheckDue(at) => {
+                    self.check_send(&mut forwarding, at);
+                    None
                 }
-                Some(_) => unreachable!("record_outcome returns only responses and streams"),
+                Step::TimedOut => self.time_out(client, &mut forwarding),
+            };
+            if let Some(reuse) = reuse {
+                return reuse;
             }
-            if !self.try_take_retry(&request, &history) {
+            let Forwarding {
+                request,
+                history,
+                sends,
+                ..
+            } = &forwarding;
+            if sends.as_slice().is_empty() && !self.try_take_retry(request, history) {
+                let Forwarding {
+                    request,
+                    relay,
+                    history,
+                    ..
+                } = forwarding;
                 let cause = history.last_cause;
+                let retry_after_ms = Some(RETRY_AFTER_FAILURE_MS);
                 return self
-                    .end_attempts(
-                        client,
-                        &request,
-                        &relay,
-                        history,
-                        cause,
-                        Some(RETRY_AFTER_FAILURE_MS),
-                    )
+                    .end_attempts(client, &request, &relay, history, cause, retry_after_ms)
                     .await;
             }
         }
     }
 
+    /// Waits for what happens next to a request whose sends are under way.
+    async fn next_step(&self, client: &mut Connection, forwarding: &mut Forwarding<'_>) -> Step {
+        let Forwarding { request, sends, .. } = forwarding;
+        // Also while bytes arrive: a stalled stream may send one now and then.
+        if Instant::now() >= request.deadline {
+            return Step::TimedOut;
+        }
+        let is_withdrawable = sends.as_slice().iter().any(RunningSend::is_withdrawable);
+        let check_at = sends.next_check_at().unwrap_or(request.deadline);
+        tokio::select! {
+            biased;
+            (at, progress) = sends.next_progress() => return Step::Progress(at, progress),
+            () = client.wait_closed() => return Step::ClientLeft,
+            () = self.wait_until_refused(request), if is_withdrawable => return Step::Refused,
+            () = tokio::time::sleep_until(check_at.min(request.deadline)) => {}
+        }
+        let now = Instant::now();
+        let due = sends
+            .as_slice()
+            .iter()
+            .position(|send| send.check_at <= now);
+        due.map_or(Step::TimedOut, Step::CheckDue)
+    }
+
+    /// Begins a send while none is under way; the error is the cause of a refusal and the
+    /// time after which the client should retry, in ms.
+    async fn begin_send<'a>(
+        &'a self,
+        forwarding: &mut Forwarding<'a>,
+    ) -> Result<(), (&'static str, Option<u64>)> {
+        let Forwarding {
+            request,
+            relay,
+            history,
+            sends,
+        } = forwarding;
+        if let Some(address) = history.unchecked_address.take() {
+            check_replica(&self.state, address).await;
+        }
+        // Asked before each send: the one before may have been the third crash.
+        let is_refused = self.is_refused_as_suspect(request);
+        let trial = is_refused
+            .then(|| SuspectTrial::begin(&self.state, request.fingerprint))
+            .flatten();
+        if is_refused && trial.is_none() {
+            return Err((CRASH_SUSPECT, None));
+        }
+        let chosen = self
+            .choose_replica(request, relay.has_begun())
+            .map_err(|(cause, retry_after_ms)| (cause, Some(retry_after_ms)))?;
+        if let Some(trial) = &trial {
+            trial.log_send(&chosen.id);
+        }
+        history.replica.clone_from(&chosen.id);
+        let send = self.start_send(request, relay, chosen, trial);
+        sends.push(send);
+        Ok(())
+    }
+
+    /// Starts a send to the chosen replica.
+    fn start_send<'a>(
+        &'a self,
+        request: &mut RoutedRequest,
+        relay: &StreamRelay,
+        chosen: ChosenReplica,
+        trial: Option<SuspectTrial<'a>>,
+    ) -> RunningSend<'a> {
+        let in_flight = self.register_send(request, &chosen);
+        let is_streaming = request.route.kind.is_streaming();
+        let facts = SendFacts {
+            replica_id: &chosen.id,
+            left_ms: request.left_ms(),
+            workspace: request.workspace.as_deref(),
+            last_event_id: relay.last_id().or(request.facts.last_event_id),
+            weights_version: chosen.weights_version,
+            urgency: is_streaming.then_some(request.urgency),
+        };
+        let begin_within = chosen.begin_within_ms.map(Duration::from_millis);
+        let begin_by = begin_within.map(|within| Instant::now() + within);
+        let notice = Rc::new(Cell::new(ReplicaNotice::default()));
+        let send = ReplicaSend {
+            address: chosen.address,
+            replica_id: chosen.id.clone(),
+            attempt_id: request.facts.attempt_id.clone(),
+            method: request.head.method.clone(),
+            is_streaming,
+            bytes: request_bytes(&*self.dialect, &request.head, &request.body, &facts),
+            head_deadline: begin_by.unwrap_or(request.deadline),
+            deadline: request.deadline,
+            held: (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES),
+            notice: notice.clone(),
+        };
+        let exchange = exchange::send_to_replica(self.dialect.clone(), send);
+        RunningSend::new(chosen, in_flight, notice, trial, exchange)
+    }
+
+    /// Decides what becomes of a send that has brought nothing for a while.
+    fn check_send<'a>(&'a self, forwarding: &mut Forwarding<'a>, at: usize) {
+        let may_send_second = self.may_send_second(forwarding);
+        let Forwarding {
+            request,
+            relay,
+            history,
+            sends,
+        } = forwarding;
+        let is_streaming = request.route.kind.is_streaming();
+        let send = sends.get_mut(at);
+        let under_way = AnswerUnderWay {
+            stage: send.stage(is_streaming),
+            silent_ms: send.silent_ms(),
+            sign: self.state.borrow().replica_sign(&send.chosen),
+            may_send_second,
+        };
+        if under_way.is_silent() && !send.is_silence_recorded {
+            send.is_silence_recorded = true;
+            self.record_silence(request, &send.chosen);
+        }
+        let recheck = Duration::from_millis(AnswerUnderWay::RECHECK_MS);
+        send.check_at = Instant::now() + recheck;
+        match under_way.decide() {
+            AnswerDecision::Wait(wait_ms) => {
+                send.check_at = Instant::now() + Duration::from_millis(wait_ms);
+            }
+            AnswerDecision::ReplicaEnded => self.fail_send(forwarding, at, "replica_ended"),
+            AnswerDecision::SendSecond => {
+                let Ok(chosen) = self.choose_replica(request, relay.has_begun()) else {
+                    return;
+                };
+                if !self.take_retry(request, "silent") {
+                    return;
+                }
+                LogLine::new(Event::SecondSend)
+                    .text("id", &request.facts.attempt_id)
+                    .text("replica", &send.chosen.id)
+                    .text("second", &chosen.id)
+                    .text("sign", under_way.sign.label())
+                    .number("silent_ms", under_way.silent_ms)
+                    .number("events", relay.events())
+                    .enqueue();
+                history.replica.clone_from(&chosen.id);
+                let second = self.start_send(request, relay, chosen, None);
+                sends.push(second);
+            }
+        }
+    }
+
+    /// Whether the request may run at another replica beside the one that has it.
+    fn may_send_second(&self, forwarding: &Forwarding<'_>) -> bool {
+        let Forwarding { request, sends, .. } = forwarding;
+        // A send that has brought the head of a stream is counted already.
+        let uncounted = sends.as_slice().iter().filter(|send| send.is_waiting());
+        let uncounted = u32::try_from(uncounted.count()).unwrap_or(u32::MAX);
+        let state = self.state.borrow();
+        let crashes = state
+            .suspects
+            .crash_count(request.fingerprint, state.now_ms());
+        sends.has_room()
+            && request.route.kind.is_repeatable()
+            && request.sends + uncounted < request.route.max_attempts
+            // The silence may be the crash after which the request is refused.
+            && crashes + 1 < REFUSED_AT_CRASHES
+            && !sends.as_slice().iter().any(RunningSend::is_trial)
+    }
+
+    /// Records that a replica is silent, and checks whether it has crashed; it may go on.
+    fn record_silence(&self, request: &RoutedRequest, chosen: &ChosenReplica) {
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state.replicas.record_incomplete_answer(chosen.key, now_ms);
+        if state.record_broken_run(request.fingerprint, chosen, "silent") {
+            actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
+        }
+    }
+
+    /// Ends the sends whose answer has not begun, as their request has become refused.
+    fn withdraw_waiting(&self, forwarding: &mut Forwarding<'_>) {
+        let is_withdrawable = RunningSend::is_withdrawable;
+        while let Some(at) = (forwarding.sends.as_slice().iter()).position(is_withdrawable) {
+            self.fail_send(forwarding, at, CRASH_SUSPECT);
+        }
+    }
+
+    /// Ends the sends beside the one at `at`, whose answer is passed on.
+    fn cancel_others(&self, forwarding: &mut Forwarding<'_>, at: usize) {
+        let Forwarding {
+            request,
+            history,
+            sends,
+            ..
+        } = forwarding;
+        if sends.as_slice().len() < 2 {
+            return;
+        }
+        for send in sends.remove_others(at) {
+            self.record_notice(request, &send.chosen, send.notice.get());
+            request.sends += u32::from(send.is_waiting());
+            history.may_have_run = true;
+            LogLine::new(Event::SendCancelled)
+                .text("id", &request.facts.attempt_id)
+                .text("replica", &send.chosen.id)
+                .text("answered_by", &sends.as_slice()[0].chosen.id)
+                .number("silent_ms", send.silent_ms())
+                .enqueue();
+        }
+        history.replica.clone_from(&sends.as_slice()[0].chosen.id);
+    }
+
+    /// Records that a send got no valid answer, for this cause, and ends it.
+    fn fail_send(&self, forwarding: &mut Forwarding<'_>, at: usize, cause: &'static str) {
+        let Forwarding {
+            request,
+            history,
+            sends,
+            ..
+        } = forwarding;
+        let send = sends.remove(at);
+        if let Some(stream) = send.stream() {
+            let part = stream.part();
+            self.metrics
+                .record_replica_answer(part.framing.label(), cause);
+            history.last_part = Some(part);
+        }
+        self.record_notice(request, &send.chosen, send.notice.get());
+        request.sends += u32::from(send.is_waiting());
+        history.may_have_run = true;
+        history.last_cause = cause;
+        let mut state = self.state.borrow_mut();
+        self.record_broken_answer(&mut state, request, &send.chosen, cause, history);
+        drop(state);
+        let part = send.stream().map(EventStream::part);
+        self.log_failed_attempt(request, &send.chosen, cause, part);
+    }
+
+    /// Handles an answer, the head of a stream or a failure; returns whether the client's
+    /// connection is kept, if the request has ended.
+    async fn handle_outcome(
+        &self,
+        client: &mut Connection,
+        forwarding: &mut Forwarding<'_>,
+        at: usize,
+        outcome: SendOutcome,
+    ) -> Option<ConnectionReuse> {
+        let is_only = forwarding.sends.as_slice().len() == 1;
+        let Forwarding {
+            request,
+            relay,
+            history,
+            sends,
+        } = forwarding;
+        let send = sends.get_mut(at);
+        self.record_notice(request, &send.chosen, send.notice.get());
+        let accepted = self.record_outcome(request, &send.chosen, outcome, history, is_only);
+        match accepted {
+            None => drop(sends.remove(at)),
+            // The client has the head of the stream: only events can follow it.
+            Some(SendOutcome::Response(_)) if relay.has_begun() => {
+                let send = sends.remove(at);
+                history.last_cause = "replica_error";
+                self.log_failed_attempt(request, &send.chosen, history.last_cause, None);
+            }
+            Some(SendOutcome::Response(response)) => {
+                self.cancel_others(forwarding, at);
+                let Forwarding {
+                    request,
+                    history,
+                    sends,
+                    ..
+                } = forwarding;
+                drop(sends.remove(0));
+                self.metrics
+                    .record_replica_answer(response.framing.label(), StreamEnd::Complete.label());
+                history.last_part = Some(AnswerPart {
+                    framing: response.framing,
+                    rest_bytes: 0,
+                });
+                let reuse = self
+                    .send_replica_response(client, request, history, response)
+                    .await;
+                return Some(reuse);
+            }
+            Some(SendOutcome::Stream(stream)) => send.begin_stream(stream),
+            Some(_) => unreachable!("record_outcome returns only responses and streams"),
+        }
+        None
+    }
+
+    /// Handles a part of a stream; returns whether the client's connection is kept, if the
+    /// request has ended.
+    async fn handle_part(
+        &self,
+        client: &mut Connection,
+        forwarding: &mut Forwarding<'_>,
+        at: usize,
+        part: StreamPart,
+    ) -> Option<ConnectionReuse> {
+        let close = self.closes_connection(&forwarding.request);
+        let Forwarding { relay, sends, .. } = &mut *forwarding;
+        let send = sends.get_mut(at);
+        let stream = send.stream().expect("only a stream has parts");
+        let end = match part {
+            StreamPart::Events(events) => {
+                let forwarded = relay
+                    .forward_events(client, &stream.head, close, events)
+                    .await;
+                send.record_progress();
+                if forwarded.count > 0 {
+                    send.in_flight.record_events_sent();
+                    self.cancel_others(forwarding, at);
+                }
+                forwarded.end?
+            }
+            StreamPart::End => {
+                let rest = stream.remainder();
+                relay.finish(client, &stream.head, close, rest).await
+            }
+            StreamPart::Broken(cause) => StreamEnd::Broken(cause),
+        };
+        // The others were cancelled if this one has sent events.
+        let at = at.min(forwarding.sends.as_slice().len() - 1);
+        match end {
+            StreamEnd::Complete => Some(self.complete_stream(forwarding, at)),
+            StreamEnd::ClientDisconnected => Some(self.client_disconnected(forwarding)),
+            StreamEnd::TimedOut => self.time_out(client, forwarding),
+            StreamEnd::Broken(cause) => {
+                self.fail_send(forwarding, at, cause);
+                None
+            }
+        }
+    }
+
+    /// Ends a request whose client has the whole stream.
+    fn complete_stream(&self, forwarding: &mut Forwarding<'_>, at: usize) -> ConnectionReuse {
+        self.cancel_others(forwarding, at);
+        let Forwarding {
+            request,
+            relay,
+            history,
+            sends,
+        } = forwarding;
+        let send = sends.remove(0);
+        history.last_part = send.stream().map(EventStream::part);
+        self.record_stream_end(history.last_part, StreamEnd::Complete);
+        let latency_ms = relay.first_event_at().map_or(0.0, |at| {
+            at.duration_since(request.received_at).as_secs_f64() * 1_000.0
+        });
+        let mut state = self.state.borrow_mut();
+        let now_ms = state.now_ms();
+        state
+            .replicas
+            .record_answer(send.chosen.key, latency_ms, false, now_ms);
+        state.record_completed_run(request.fingerprint);
+        drop(state);
+        let outcome = RequestOutcome {
+            status: 200,
+            cause: "complete",
+            retry_after_ms: None,
+        };
+        let stream = Some((latency_ms, relay.events()));
+        self.log_request_end(request, history, &outcome, stream);
+        if self.closes_connection(request) {
+            ConnectionReuse::Close
+        } else {
+            ConnectionReuse::Keep
+        }
+    }
+
+    /// Ends the sends of a request whose deadline has passed; returns whether the client's
+    /// connection is kept if a stream has begun, whose end its client then sees.
+    fn time_out(
+        &self,
+        client: &Connection,
+        forwarding: &mut Forwarding<'_>,
+    ) -> Option<ConnectionReuse> {
+        let Forwarding {
+            request,
+            relay,
+            history,
+            sends,
+        } = forwarding;
+        history.last_cause = StreamEnd::TimedOut.label();
+        while !sends.as_slice().is_empty() {
+            let send = sends.remove(0);
+            let part = send.stream().map(EventStream::part);
+            self.record_stream_end(part, StreamEnd::TimedOut);
+            history.last_part = part.or(history.last_part);
+            self.record_notice(request, &send.chosen, send.notice.get());
+            request.sends += u32::from(send.is_waiting());
+            history.may_have_run = true;
+            if !relay.has_begun() {
+                let mut state = self.state.borrow_mut();
+                state.record_broken_run(request.fingerprint, &send.chosen, history.last_cause);
+            }
+        }
+        relay
+            .has_begun()
+            .then(|| self.abort_stream(client, request, history, history.last_cause))
+    }
+
+    /// Ends a request whose client closed its connection while it was at replicas.
+    fn client_disconnected(&self, forwarding: &mut Forwarding<'_>) -> ConnectionReuse {
+        let Forwarding {
+            request,
+            history,
+            sends,
+            ..
+        } = forwarding;
+        while !sends.as_slice().is_empty() {
+            let send = sends.remove(0);
+            self.record_notice(request, &send.chosen, send.notice.get());
+            let part = send.stream().map(EventStream::part);
+            self.record_stream_end(part, StreamEnd::ClientDisconnected);
+            history.last_part = part.or(history.last_part);
+            let mut state = self.state.borrow_mut();
+            state.record_broken_run(request.fingerprint, &send.chosen, CLIENT_LEFT);
+        }
+        let outcome = RequestOutcome {
+            status: 0,
+            cause: CLIENT_LEFT,
+            retry_after_ms: None,
+        };
+        self.log_request_end(request, history, &outcome, None);
+        ConnectionReuse::Close
+    }
+
+    /// Counts the end of a replica's part of a stream, if it had a valid head.
+    fn record_stream_end(&self, part: Option<AnswerPart>, end: StreamEnd) {
+        if let Some(part) = part {
+            self.metrics
+                .record_replica_answer(part.framing.label(), end.label());
+        }
+    }
+
     /// Whether the request is refused because it is suspected of several crashes.
     fn is_refused_as_suspect(&self, request: &RoutedRequest) -> bool {
         let state = self.state.borrow();
@@ -237,65 +659,6 @@
         }
     }
 
-    /// Sends the request to the chosen replica; None if the client disconnected before
-    /// the response.
-    async fn send(
-        &self,
-        client: &mut Connection,
-        request: &RoutedRequest,
-        relay: &StreamRelay,
-        chosen: &ChosenReplica,
-        is_trial: bool,
-    ) -> Option<SendOutcome> {
-        let is_streaming = request.route.kind.is_streaming();
-        let facts = SendFacts {
-            replica_id: &chosen.id,
-            left_ms: request.left_ms(),
-            workspace: request.workspace.as_deref(),
-            last_event_id: relay.last_id().or(request.facts.last_event_id),
-            weights_version: chosen.weights_version,
-            urgency: is_streaming.then_some(request.urgency),
-        };
-        let head_timeout = if is_streaming {
-            FIRST_EVENT_TIMEOUT
-        } else {
-            PLAIN_RESPONSE_TIMEOUT
-        };
-        let may_retry = request.route.kind.is_repeatable()
-            && request.sends + 1 < request.route.max_attempts
-            && self.has_retry_budget(request);
-        let head_deadline = if may_retry {
-            Instant::now() + head_timeout
-        } else {
-            request.deadline
-        };
-        let head_deadline = match chosen.begin_within_ms {
-            Some(within_ms) => head_deadline.min(Instant::now() + Duration::from_millis(within_ms)),
-            None => head_deadline,
-        };
-        let held = (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES);
-        let notice = Cell::new(ReplicaNotice::default());
-        let exchange = exchange::send_to_replica(
-            &*self.dialect,
-            request,
-            chosen.address,
-            &facts,
-            head_deadline,
-            held,
-            &notice,
-        );
-        let work = async {
-            tokio::select! {
-                biased;
-                outcome = exchange => outcome,
-                () = self.wait_until_refused(request), if !is_trial => SendOutcome::Broken(CRASH_SUSPECT),
-            }
-        };
-        let outcome = client.run_unless_closed(work).await;
-        self.record_notice(request, chosen, notice.get());
-        outcome
-    }
-
     /// Records and logs what an answer said of its replica.
     fn record_notice(
         &self,
@@ -332,21 +695,16 @@
         }
     }
 
-    /// Whether the retry budget of the request's service allows one more send.
-    fn has_retry_budget(&self, request: &RoutedRequest) -> bool {
-        let mut state = self.state.borrow_mut();
-        let now_ms = state.now_ms();
-        state.retry_budget(&request.service).can_retry(now_ms)
-    }
-
     /// Records the outcome of a send; returns a response or stream that is to be sent
-    /// to the client, or None after a failed attempt.
+    /// to the client, or None after a failed attempt. `is_only` states whether no other send
+    /// is under way, whose answer may be better.
     fn record_outcome(
         &self,
         request: &mut RoutedRequest,
         chosen: &ChosenReplica,
         send_outcome: SendOutcome,
         history: &mut AttemptHistory,
+        is_only: bool,
     ) -> Option<SendOutcome> {
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
@@ -401,7 +759,7 @@
                     && request.route.kind == RouteKind::Idempotent
                     && request.has_attempts_left()
                     && request.left_ms() > request.route.target_latency_ms / 2;
-                if !is_retryable {
+                if !is_retryable && (is_only || !failed) {
                     drop(state);
                     return Some(send_outcome);
                 }
@@ -435,6 +793,12 @@
         if !is_safe || !request.has_attempts_left() {
             return false;
         }
+        self.take_retry(request, history.last_cause)
+    }
+
+    /// Takes one send out of the retry budget of the request's service, for this cause;
+    /// returns whether it allows one.
+    fn take_retry(&self, request: &RoutedRequest, cause: &'static str) -> bool {
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         let entries = state.entry_count();
@@ -442,76 +806,11 @@
         budget.set_entry_count(entries, now_ms);
         let allowed = budget.try_retry(now_ms);
         if allowed {
-            self.metrics.record_retry(history.last_cause);
+            self.metrics.record_retry(cause);
         }
         allowed
     }
 
-    /// Ends a request whose stream has ended, or returns None if another replica may
-    /// resume the stream.
-    fn finish_stream(
-        &self,
-        client: &Connection,
-        request: &RoutedRequest,
-        chosen: &ChosenReplica,
-        relay: &StreamRelay,
-        end: StreamEnd,
-        history: &mut AttemptHistory,
-    ) -> Option<ConnectionReuse> {
-        let now_ms = self.state.borrow().now_ms();
-        match end {
-            StreamEnd::Complete => {
-                let latency_ms = relay.first_event_at().map_or(0.0, |at| {
-                    at.duration_since(request.received_at).as_secs_f64() * 1_000.0
-                });
-                let mut state = self.state.borrow_mut();
-                state
-                    .replicas
-                    .record_answer(chosen.key, latency_ms, false, now_ms);
-                state.record_completed_run(request.fingerprint);
-                drop(state);
-                self.log_request_end(
-                    request,
-                    history,
-                    &RequestOutcome {
-                        status: 200,
-                        cause: "complete",
-                        retry_after_ms: None,
-                    },
-                    Some((latency_ms, relay.events())),
-                );
-                Some(if self.closes_connection(request) {
-                    ConnectionReuse::Close
-                } else {
-                    ConnectionReuse::Keep
-                })
-            }
-            StreamEnd::ClientDisconnected => {
-                Some(self.client_disconnected(request, chosen, history))
-            }
-            StreamEnd::TimedOut if relay.has_begun() => {
-                Some(self.abort_stream(client, request, history, "timeout"))
-            }
-            StreamEnd::TimedOut => {
-                history.may_have_run = true;
-                history.last_cause = "timeout";
-                let mut state = self.state.borrow_mut();
-                state.record_broken_run(request.fingerprint, chosen, history.last_cause);
-                drop(state);
-                None
-            }
-            StreamEnd::Broken(cause) => {
-                history.may_have_run = true;
-                history.last_cause = cause;
-                let mut state = self.state.borrow_mut();
-                self.record_broken_answer(&mut state, request, chosen, cause, history);
-                drop(state);
-                self.log_failed_attempt(request, chosen, cause, history.last_part);
-                None
-            }
-        }
-    }
-
     /// Records that the answer of a replica was not complete, unless the cause is in this
     /// process, and checks whether the replica has crashed.
     fn record_broken_answer(
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
 
+use crate::calls::ReplicaSign;
 use crate::fleet::AdmissionDecision;
 use crate::fleet::AdmissionInput;
 use crate::fleet::RefusalCause;
@@ -12,18 +12,10 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::forward::Gateway;
-use crate::gateway::relay::StreamObserver;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
-/// Silence within a stream after which its replica counts as failed if it was also
-/// removed from the list or its engine is reported down.
-const DOWN_REPLICA_SILENCE: Duration = Duration::from_millis(800);
-
-/// Silence within a stream after which its replica counts as failed in any case.
-const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1_500);
-
 /// The replica that a request is sent to, with what the choice was based on.
 #[derive(Debug)]
 pub(super) struct ChosenReplica {
@@ -54,27 +46,15 @@
     send_id: u64,
 }
 
-impl StreamObserver for InFlightGuard<'_> {
-    fn record_events_sent(&self) {
+impl InFlightGuard<'_> {
+    /// Records that events were sent to the client; only the first call has an effect.
+    pub(super) fn record_events_sent(&self) {
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         state
             .replicas
             .record_answer_start(self.key, self.send_id, now_ms);
     }
-
-    fn has_replica_failed(&self, silence: Duration) -> bool {
-        if silence >= MAX_STREAM_SILENCE {
-            return true;
-        }
-        let state = self.state.borrow();
-        let replica = state.replicas.get(self.key);
-        let is_down = replica.is_removed
-            || replica
-                .recent_load(state.now_ms())
-                .is_some_and(|load| !load.is_up);
-        silence >= DOWN_REPLICA_SILENCE && is_down
-    }
 }
 
 impl Drop for InFlightGuard<'_> {
@@ -85,6 +65,26 @@
     }
 }
 
+impl GatewayState {
+    /// What is known of the replica that a request was sent to, besides its connection.
+    pub(super) fn replica_sign(&self, chosen: &ChosenReplica) -> ReplicaSign {
+        let later = |replica: &Replica| replica.record.born_unix_ms > chosen.born_unix_ms;
+        let is_replaced = chosen.born_unix_ms.is_some()
+            && (self.replicas.listed())
+                .any(|(_, replica)| replica.record.address == chosen.address && later(replica));
+        if is_replaced {
+            return ReplicaSign::Ended;
+        }
+        let replica = self.replicas.get(chosen.key);
+        let load = replica.recent_load(self.now_ms());
+        if replica.is_removed || load.is_some_and(|load| !load.is_up) {
+            ReplicaSign::Away
+        } else {
+            ReplicaSign::None
+        }
+    }
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Chooses a replica; the error is the cause of a refusal and the time after which
     /// the client should retry, in ms. `has_begun` states whether a part of the response
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -10,7 +10,6 @@
 use crate::gateway::forward::Gateway;
 use crate::gateway::local_response::local_response;
 use crate::gateway::local_response::outcome_label;
-use crate::gateway::placement::ChosenReplica;
 use crate::gateway::relay::ClientFraming;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::response_head;
@@ -106,25 +105,6 @@
         ConnectionReuse::Close
     }
 
-    /// Ends a request whose client closed its connection while it was at a replica.
-    pub(super) fn client_disconnected(
-        &self,
-        request: &RoutedRequest,
-        chosen: &ChosenReplica,
-        history: &AttemptHistory,
-    ) -> ConnectionReuse {
-        let mut state = self.state.borrow_mut();
-        state.record_broken_run(request.fingerprint, chosen, CLIENT_LEFT);
-        drop(state);
-        let outcome = RequestOutcome {
-            status: 0,
-            cause: CLIENT_LEFT,
-            retry_after_ms: None,
-        };
-        self.log_request_end(request, history, &outcome, None);
-        ConnectionReuse::Close
-    }
-
     /// Sends the complete response of a replica to the client.
     pub(super) async fn send_replica_response(
         &self,
--- /dev/null
+++ b/src/gateway/running_send.rs
@@ -0,0 +1,199 @@
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::calls::AnswerStage;
+use crate::calls::AnswerUnderWay;
+use crate::fleet::ReplicaNotice;
+use crate::gateway::crash_signs::SuspectTrial;
+use crate::gateway::event_stream::EventStream;
+use crate::gateway::event_stream::StreamPart;
+use crate::gateway::exchange::SendOutcome;
+use crate::gateway::placement::ChosenReplica;
+use crate::gateway::placement::InFlightGuard;
+
+/// Most replicas at which a request runs at the same time.
+const MAX_SENDS_AT_ONCE: usize = 2;
+
+/// How far a send has come.
+enum SendState {
+    /// The answer, or the head of a stream, is waited for.
+    Waiting(Pin<Box<dyn Future<Output = SendOutcome>>>),
+    /// Events of a stream arrive.
+    Streaming(Box<EventStream>),
+}
+
+/// What a send has brought.
+#[derive(Debug)]
+pub(super) enum SendProgress {
+    /// An answer, the head of a stream, or a failure.
+    Outcome(SendOutcome),
+    /// A part of a stream.
+    Part(StreamPart),
+}
+
+/// A request that is under way to one replica. Its connection is reset when it is dropped.
+pub(super) struct RunningSend<'a> {
+    /// The replica.
+    pub(super) chosen: ChosenReplica,
+    /// Counts the request as in flight.
+    pub(super) in_flight: InFlightGuard<'a>,
+    /// What the answer has said of the replica.
+    pub(super) notice: Rc<Cell<ReplicaNotice>>,
+    /// Time at which it is next decided what becomes of it.
+    pub(super) check_at: Instant,
+    /// Whether its silence was recorded.
+    pub(super) is_silence_recorded: bool,
+    trial: Option<SuspectTrial<'a>>,
+    state: SendState,
+    sent_at: Instant,
+}
+
+impl<'a> RunningSend<'a> {
+    /// A send whose answer is the result of `exchange`; `trial` is held while it runs.
+    pub(super) fn new(
+        chosen: ChosenReplica,
+        in_flight: InFlightGuard<'a>,
+        notice: Rc<Cell<ReplicaNotice>>,
+        trial: Option<SuspectTrial<'a>>,
+        exchange: impl Future<Output = SendOutcome> + 'static,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            chosen,
+            in_flight,
+            notice,
+            check_at: now + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS),
+            is_silence_recorded: false,
+            trial,
+            state: SendState::Waiting(Box::pin(exchange)),
+            sent_at: now,
+        }
+    }
+
+    /// Waits for what the send brings next; nothing is lost when the wait is dropped.
+    async fn progress(&mut self) -> SendProgress {
+        match &mut self.state {
+            SendState::Waiting(exchange) => SendProgress::Outcome(exchange.as_mut().await),
+            SendState::Streaming(stream) => SendProgress::Part(stream.next_part().await),
+        }
+    }
+
+    /// Continues with the events of `stream`.
+    pub(super) fn begin_stream(&mut self, stream: Box<EventStream>) {
+        self.state = SendState::Streaming(stream);
+        self.record_progress();
+    }
+
+    /// Records that the send has brought something.
+    pub(super) fn record_progress(&mut self) {
+        self.check_at = Instant::now() + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS);
+        self.is_silence_recorded = false;
+    }
+
+    /// The stream, once its head has arrived.
+    pub(super) fn stream(&self) -> Option<&EventStream> {
+        match &self.state {
+            SendState::Waiting(_) => None,
+            SendState::Streaming(stream) => Some(stream),
+        }
+    }
+
+    /// Whether nothing of its answer has arrived.
+    pub(super) fn is_waiting(&self) -> bool {
+        matches!(self.state, SendState::Waiting(_))
+    }
+
+    /// Whether it is withdrawn when its request becomes refused.
+    pub(super) fn is_withdrawable(&self) -> bool {
+        self.trial.is_none() && self.is_waiting()
+    }
+
+    /// Whether it tries a request that is refused otherwise.
+    pub(super) fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Time without progress, in ms.
+    pub(super) fn silent_ms(&self) -> u64 {
+        let silence = match &self.state {
+            SendState::Waiting(_) => self.sent_at.elapsed(),
+            SendState::Streaming(stream) => stream.silence(),
+        };
+        u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// How far its answer has come.
+    pub(super) fn stage(&self, is_streaming_route: bool) -> AnswerStage {
+        match &self.state {
+            SendState::Streaming(_) => AnswerStage::Streaming,
+            SendState::Waiting(_) if is_streaming_route => AnswerStage::BeforeFirstEvent,
+            SendState::Waiting(_) => AnswerStage::Plain,
+        }
+    }
+}
+
+/// The sends of one request that are under way, oldest first.
+pub(super) struct RunningSends<'a>(Vec<RunningSend<'a>>);
+
+impl<'a> RunningSends<'a> {
+    /// No sends.
+    pub(super) fn new() -> Self {
+        Self(Vec::with_capacity(MAX_SENDS_AT_ONCE))
+    }
+
+    /// Adds a send.
+    pub(super) fn push(&mut self, send: RunningSend<'a>) {
+        debug_assert!(self.0.len() < MAX_SENDS_AT_ONCE);
+        self.0.push(send);
+    }
+
+    /// Whether one more may be added.
+    pub(super) fn has_room(&self) -> bool {
+        self.0.len() < MAX_SENDS_AT_ONCE
+    }
+
+    /// The sends.
+    pub(super) fn as_slice(&self) -> &[RunningSend<'a>] {
+        &self.0
+    }
+
+    /// The send at this index.
+    pub(super) fn get_mut(&mut self, at: usize) -> &mut RunningSend<'a> {
+        &mut self.0[at]
+    }
+
+    /// Removes the send at this index.
+    pub(super) fn remove(&mut self, at: usize) -> RunningSend<'a> {
+        self.0.remove(at)
+    }
+
+    /// Removes all sends but the one at this index, and returns them.
+    pub(super) fn remove_others(&mut self, at: usize) -> Vec<RunningSend<'a>> {
+        let kept = self.0.remove(at);
+        std::mem::replace(&mut self.0, vec![kept])
+    }
+
+    /// Waits for what a send brings next, and returns its index with that; without sends it
+    /// never ends.
+    pub(super) async fn next_progress(&mut self) -> (usize, SendProgress) {
+        match self.0.as_mut_slice() {
+            [] => std::future::pending().await,
+            [only] => (0, only.progress().await),
+            [first, second, ..] => tokio::select! {
+                biased;
+                progress = first.progress() => (0, progress),
+                progress = second.progress() => (1, progress),
+            },
+        }
+    }
+
+    /// Time at which it is next decided what becomes of one of them.
+    pub(super) fn next_check_at(&self) -> Option<Instant> {
+        self.0.iter().map(|send| send.check_at).min()
+    }
+}
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -93,6 +93,8 @@
     721 SuspectLearned Info "Another entry told of a crash during which a request was running.";
     722 SuspectCleared Info "A request that was running during a crash has run to an end and is no suspect any more.";
     723 SuspectTried Info "A request that is refused as a crash suspect is tried once by this entry.";
+    724 SecondSend Info "A request was sent to a second replica beside the first, which is silent.";
+    725 SendCancelled Info "A send was cancelled, as the answer of another replica is passed on.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- /dev/null
+++ b/tests/calls/answers_under_way.rs
@@ -0,0 +1,104 @@
+//! What becomes of an answer that is under way.
+
+use bergamotfork::calls::AnswerDecision;
+use bergamotfork::calls::AnswerStage;
+use bergamotfork::calls::AnswerUnderWay;
+use bergamotfork::calls::ReplicaSign;
+
+const STAGES: [AnswerStage; 3] = [
+    AnswerStage::Plain,
+    AnswerStage::BeforeFirstEvent,
+    AnswerStage::Streaming,
+];
+
+/// Gap between events that every client bears, in ms.
+const CLIENT_GAP_MS: u64 = 2_000;
+
+fn answer(stage: AnswerStage, silent_ms: u64, sign: ReplicaSign, second: bool) -> AnswerUnderWay {
+    AnswerUnderWay {
+        stage,
+        silent_ms,
+        sign,
+        may_send_second: second,
+    }
+}
+
+#[test]
+fn decide_only_replica_silent_waits() {
+    for stage in STAGES {
+        for sign in [ReplicaSign::None, ReplicaSign::Away] {
+            for silent_ms in 0..20_000 {
+                let decision = answer(stage, silent_ms, sign, false).decide();
+                assert!(
+                    matches!(decision, AnswerDecision::Wait(wait_ms) if wait_ms > 0),
+                    "{stage:?} {sign:?} {silent_ms}: {decision:?}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn decide_other_replica_second_send_before_client_gives_up() {
+    for stage in STAGES {
+        for sign in [ReplicaSign::None, ReplicaSign::Away] {
+            let decision = answer(stage, CLIENT_GAP_MS, sign, true).decide();
+            assert_eq!(decision, AnswerDecision::SendSecond, "{stage:?} {sign:?}");
+        }
+    }
+}
+
+#[test]
+fn decide_short_silence_waits() {
+    for stage in STAGES {
+        for sign in [ReplicaSign::None, ReplicaSign::Away, ReplicaSign::Ended] {
+            let decision = answer(stage, 700, sign, true).decide();
+            assert!(
+                matches!(decision, AnswerDecision::Wait(_)),
+                "{stage:?} {sign:?}: {decision:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn decide_replica_away_second_send_sooner() {
+    for stage in STAGES {
+        let sooner = answer(stage, 800, ReplicaSign::Away, true).decide();
+        assert_eq!(sooner, AnswerDecision::SendSecond, "{stage:?}");
+        let usual = answer(stage, 800, ReplicaSign::None, true).decide();
+        assert!(matches!(usual, AnswerDecision::Wait(_)), "{stage:?}");
+    }
+}
+
+#[test]
+fn decide_replica_ended_ends_answer() {
+    for stage in STAGES {
+        for second in [false, true] {
+            let decision = answer(stage, 800, ReplicaSign::Ended, second).decide();
+            assert_eq!(decision, AnswerDecision::ReplicaEnded, "{stage:?}");
+        }
+    }
+}
+
+/// The decision is due again no later than it may become another one.
+#[test]
+fn decide_wait_ends_before_next_decision() {
+    for stage in STAGES {
+        for sign in [ReplicaSign::None, ReplicaSign::Away] {
+            for silent_ms in 0..3_000 {
+                let now = answer(stage, silent_ms, sign, true);
+                let AnswerDecision::Wait(wait_ms) = now.decide() else {
+                    continue;
+                };
+                for later_ms in silent_ms..silent_ms + wait_ms {
+                    let later = answer(stage, later_ms, sign, true).decide();
+                    assert!(
+                        matches!(later, AnswerDecision::Wait(_)),
+                        "{stage:?} {sign:?} {silent_ms} {later_ms}"
+                    );
+                }
+            }
+        }
+    }
+}
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Permits, the permit table, the dispatch ledger, pauses and crash suspects.
 
+mod answers_under_way;
 mod crash_model;
 mod pauses;
 mod permits;
