Keep an idle connection for the longer of two idle timeouts

What callers saw: a kept connection was closed while its client, which goes by the newest idle timeout, sent a request on it: closed without an answer, beside a change of the configuration.

Cause: the timeout was read once, when the connection became idle. One that is raised later did not count for it.

Change: when the timeout ends, the one in force is looked at, and a longer one is waited for. A shorter one counts from the next request on, as a client may not know it yet.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -102,7 +102,11 @@
 /// Serves the requests of one connection, one after the other.
 async fn serve_client<D: Dialect + 'static>(mut client: Connection, gateway: &Gateway<D>) {
     loop {
-        let head = match read_next_head(&mut client, gateway).await {
+        if let Err(error) = wait_for_request(&mut client, gateway).await {
+            log::debug!("no further request on a client's connection: {error}");
+            return;
+        }
+        let head = match read_head(&mut client, gateway).await {
             Ok(head) => head,
             Err(error) => {
                 refuse_unreadable(&client, gateway, &error).await;
@@ -129,37 +133,69 @@
     }
 }
 
-/// Waits for the head of the next request; after a stop signal, with the shorter idle
+/// Waits for the first byte of the next request; after a stop signal, with the shorter idle
 /// timeout.
-async fn read_next_head<D: Dialect>(
+async fn wait_for_request<D: Dialect>(
     client: &mut Connection,
     gateway: &Gateway<D>,
-) -> Result<RequestHead, Http1Error> {
-    let (limits, stop_notice, is_stopping) = {
+) -> Result<(), Http1Error> {
+    let (stop_notice, is_stopping) = {
         let state = gateway.state.borrow();
-        (
-            state.limits(),
-            state.stop_notice.clone(),
-            state.stopping_since.is_some(),
-        )
+        (state.stop_notice.clone(), state.stopping_since.is_some())
     };
-    let head_time = Duration::from_millis(limits.head_timeout_ms);
-    let idle = Duration::from_millis(limits.idle_timeout_ms);
     if !is_stopping {
         let stopped = stop_notice.notified();
         tokio::select! {
             biased;
-            head = read_request_head(client, limits.max_head_bytes, idle, head_time) => return head,
+            arrived = wait_while_idle(client, gateway) => return arrived,
             () = stopped => {}
         }
     }
-    read_request_head(
-        client,
-        limits.max_head_bytes,
-        STOPPING_IDLE_TIMEOUT,
-        head_time,
-    )
-    .await
+    wait_for_first_byte(client, Instant::now() + STOPPING_IDLE_TIMEOUT).await
+}
+
+/// Waits for the first byte of the next request for as long as the idle timeout allows: the
+/// one in force when the connection became idle, or a longer one that came into force since,
+/// by which its client may go already.
+async fn wait_while_idle<D: Dialect>(
+    client: &mut Connection,
+    gateway: &Gateway<D>,
+) -> Result<(), Http1Error> {
+    let idle_since = Instant::now();
+    let mut idle_until = idle_since;
+    loop {
+        let idle_timeout_ms = gateway.state.borrow().limits().idle_timeout_ms;
+        let until = idle_since + Duration::from_millis(idle_timeout_ms);
+        if until <= idle_until {
+            return Err(Http1Error::Closed);
+        }
+        idle_until = until;
+        match wait_for_first_byte(client, idle_until).await {
+            Err(Http1Error::TimedOut) => {}
+            arrived => return arrived,
+        }
+    }
+}
+
+/// Waits until bytes of a request have arrived.
+async fn wait_for_first_byte(client: &mut Connection, until: Instant) -> Result<(), Http1Error> {
+    if !client.read_buffer.is_empty() {
+        return Ok(());
+    }
+    match client.fill_buffer_with_deadline(until).await? {
+        0 => Err(Http1Error::Closed),
+        _ => Ok(()),
+    }
+}
+
+/// Reads the head of a request whose first bytes have arrived.
+async fn read_head<D: Dialect>(
+    client: &mut Connection,
+    gateway: &Gateway<D>,
+) -> Result<RequestHead, Http1Error> {
+    let limits = gateway.state.borrow().limits();
+    let head_time = Duration::from_millis(limits.head_timeout_ms);
+    read_request_head(client, limits.max_head_bytes, head_time, head_time).await
 }
 
 /// Reads the body of a request within the configured limits.
