Answer what is under way when the grace period of a stop is over

What callers saw: a request whose body was still arriving 2.5 s after a stop signal, and requests at replicas when the grace period ended, were cut without an answer.

Cause: a request counted as active only once it had arrived whole, so that the process could end beside it, and the end of the grace period ended the process and nothing before that.

Change: a request is active from its first byte on. 0.7 s before the kill what is still active is ended: 502 for a request at a replica, 503 for one that has not arrived whole, a visible break for a stream; the process then waits up to 0.3 s until these are sent.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -9,10 +9,13 @@
 use crate::fleet::Route;
 use crate::gateway::Credential;
 use crate::gateway::Dialect;
+use crate::gateway::active_request::ActiveRequest;
+use crate::gateway::active_request::wait_until_ending;
 use crate::gateway::forward::ConnectionReuse;
 use crate::gateway::forward::Gateway;
 use crate::gateway::local_response::local_response;
 use crate::gateway::process::STOP_ACCEPT_TIME;
+use crate::gateway::request_outcome::STOPPING;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -106,27 +109,26 @@
             log::debug!("no further request on a client's connection: {error}");
             return;
         }
-        let head = match read_head(&mut client, gateway).await {
-            Ok(head) => head,
-            Err(error) => {
-                refuse_unreadable(&client, gateway, &error).await;
+        let _active = ActiveRequest::begin(&gateway.state);
+        let request = tokio::select! {
+            biased;
+            request = read_request(&mut client, gateway) => request,
+            () = wait_until_ending(&gateway.state) => {
+                refuse_unread(&client, gateway).await;
                 return;
             }
         };
-        let received_at = Instant::now();
-        let body = match read_body(&mut client, gateway, &head).await {
-            Ok(body) => body,
+        let (head, body, received_at) = match request {
+            Ok(request) => request,
             Err(error) => {
                 refuse_unreadable(&client, gateway, &error).await;
                 return;
             }
         };
-        gateway.state.borrow_mut().active_requests += 1;
         let reuse = match route_request(gateway, head, body, received_at) {
             Ok(request) => gateway.forward(&mut client, *request).await,
             Err((head, refusal)) => refuse(&client, gateway, &head, &refusal).await,
         };
-        gateway.state.borrow_mut().active_requests -= 1;
         if reuse == ConnectionReuse::Close {
             return;
         }
@@ -188,14 +190,18 @@
     }
 }
 
-/// Reads the head of a request whose first bytes have arrived.
-async fn read_head<D: Dialect>(
+/// Reads a request whose first bytes have arrived; returns its head, its body and the time at
+/// which the head was complete.
+async fn read_request<D: Dialect>(
     client: &mut Connection,
     gateway: &Gateway<D>,
-) -> Result<RequestHead, Http1Error> {
+) -> Result<(RequestHead, Vec<u8>, Instant), Http1Error> {
     let limits = gateway.state.borrow().limits();
     let head_time = Duration::from_millis(limits.head_timeout_ms);
-    read_request_head(client, limits.max_head_bytes, head_time, head_time).await
+    let head = read_request_head(client, limits.max_head_bytes, head_time, head_time).await?;
+    let received_at = Instant::now();
+    let body = read_body(client, gateway, &head).await?;
+    Ok((head, body, received_at))
 }
 
 /// Reads the body of a request within the configured limits.
@@ -239,7 +245,7 @@
     {
         let refusal = LocalRefusal {
             status: 503,
-            cause: "stopping",
+            cause: STOPPING,
             retry_after_ms: Some(RETRY_AFTER_STOP_MS),
         };
         return Err((head, refusal));
@@ -371,6 +377,21 @@
     }
 }
 
+/// Refuses a request that has not been read to its end when the grace period of a stop is
+/// over; the connection is then closed.
+async fn refuse_unread<D: Dialect>(client: &Connection, gateway: &Gateway<D>) {
+    LogLine::new(Event::RequestEnded)
+        .number("status", 503)
+        .text("cause", STOPPING)
+        .enqueue();
+    gateway.metrics.record_refusal(STOPPING);
+    let bytes = local_response(503, Some(RETRY_AFTER_STOP_MS), true);
+    let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
+    if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
+        log::debug!("cannot send a refusal to a client: {error}");
+    }
+}
+
 /// Responds to bytes that are no valid request; the connection is then closed.
 async fn refuse_unreadable<D: Dialect>(
     client: &Connection,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::SendFacts;
+use crate::gateway::active_request::wait_until_ending;
 use crate::gateway::crash_signs::SuspectTrial;
 use crate::gateway::crash_signs::check_replica;
 use crate::gateway::crash_signs::check_replica_once;
@@ -34,6 +35,7 @@
 use crate::gateway::request_outcome::CLIENT_LEFT;
 use crate::gateway::request_outcome::CRASH_SUSPECT;
 use crate::gateway::request_outcome::RequestOutcome;
+use crate::gateway::request_outcome::STOPPING;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::running_send::RunningSend;
 use crate::gateway::running_send::RunningSends;
@@ -116,6 +118,8 @@
     Refused,
     /// It is time to decide what becomes of this send.
     CheckDue(usize),
+    /// The grace period of a stop is over.
+    Ending,
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -180,7 +184,24 @@
                     self.check_send(&mut forwarding, at);
                     None
                 }
-                Step::TimedOut => self.time_out(client, &mut forwarding),
+                Step::Ending => {
+                    let reuse = self.end_sends(client, &mut forwarding, STOPPING);
+                    if reuse.is_none() {
+                        let Forwarding {
+                            request,
+                            relay,
+                            history,
+                            ..
+                        } = forwarding;
+                        return self
+                            .end_attempts(client, &request, &relay, history, STOPPING, None)
+                            .await;
+                    }
+                    reuse
+                }
+                Step::TimedOut => {
+                    self.end_sends(client, &mut forwarding, StreamEnd::TimedOut.label())
+                }
             };
             if let Some(reuse) = reuse {
                 return reuse;
@@ -224,12 +245,14 @@
             *late_steps += 1;
         }
         let is_withdrawable = sends.as_slice().iter().any(RunningSend::is_withdrawable);
+        let is_stopping = self.state.borrow().stopping_since.is_some();
         let check_at = sends.next_check_at().unwrap_or(request.deadline);
         tokio::select! {
             biased;
             (at, progress) = sends.next_progress() => return Step::Progress(at, progress),
             () = client.wait_closed() => return Step::ClientLeft,
             () = self.wait_until_refused(request), if is_withdrawable => return Step::Refused,
+            () = wait_until_ending(&self.state), if is_stopping => return Step::Ending,
             () = tokio::time::sleep_until(check_at.min(request.deadline)) => {}
         }
         let now = Instant::now();
@@ -541,7 +564,7 @@
         match end {
             StreamEnd::Complete => Some(self.complete_stream(forwarding, at)),
             StreamEnd::ClientDisconnected => Some(self.client_disconnected(forwarding)),
-            StreamEnd::TimedOut => self.time_out(client, forwarding),
+            StreamEnd::TimedOut => self.end_sends(client, forwarding, end.label()),
             StreamEnd::Broken(cause) => {
                 self.fail_send(forwarding, at, cause);
                 None
@@ -561,7 +584,7 @@
         } = forwarding;
         let send = sends.remove(0);
         history.last_part = send.stream().map(EventStream::part);
-        self.record_stream_end(history.last_part, StreamEnd::Complete);
+        self.record_part_end(history.last_part, StreamEnd::Complete.label());
         let latency_ms = relay.first_event_at().map_or(0.0, |at| {
             at.duration_since(request.received_at).as_secs_f64() * 1_000.0
         });
@@ -586,12 +609,14 @@
         }
     }
 
-    /// Ends the sends of a request whose deadline has passed; returns whether the client's
-    /// connection is kept if a stream has begun, whose end its client then sees.
-    fn time_out(
+    /// Ends the sends of a request for which there is no more time, for this cause; returns
+    /// whether the client's connection is kept if a stream has begun, whose end its client
+    /// then sees.
+    fn end_sends(
         &self,
         client: &Connection,
         forwarding: &mut Forwarding<'_>,
+        cause: &'static str,
     ) -> Option<ConnectionReuse> {
         let Forwarding {
             request,
@@ -600,23 +625,23 @@
             sends,
             ..
         } = forwarding;
-        history.last_cause = StreamEnd::TimedOut.label();
+        history.last_cause = cause;
         while !sends.as_slice().is_empty() {
             let send = sends.remove(0);
             let part = send.stream().map(EventStream::part);
-            self.record_stream_end(part, StreamEnd::TimedOut);
+            self.record_part_end(part, cause);
             history.last_part = part.or(history.last_part);
             self.record_notice(request, &send.chosen, send.notice.get());
             request.sends += u32::from(send.is_waiting());
             history.may_have_run = true;
             if !relay.has_begun() {
                 let mut state = self.state.borrow_mut();
-                state.record_broken_run(request.fingerprint, &send.chosen, history.last_cause);
+                state.record_broken_run(request.fingerprint, &send.chosen, cause);
             }
         }
         relay
             .has_begun()
-            .then(|| self.abort_stream(client, request, history, history.last_cause))
+            .then(|| self.abort_stream(client, request, history, cause))
     }
 
     /// Ends a request whose client closed its connection while it was at replicas.
@@ -631,7 +656,7 @@
             let send = sends.remove(0);
             self.record_notice(request, &send.chosen, send.notice.get());
             let part = send.stream().map(EventStream::part);
-            self.record_stream_end(part, StreamEnd::ClientDisconnected);
+            self.record_part_end(part, StreamEnd::ClientDisconnected.label());
             history.last_part = part.or(history.last_part);
             let mut state = self.state.borrow_mut();
             state.record_broken_run(request.fingerprint, &send.chosen, CLIENT_LEFT);
@@ -646,10 +671,10 @@
     }
 
     /// Counts the end of a replica's part of a stream, if it had a valid head.
-    fn record_stream_end(&self, part: Option<AnswerPart>, end: StreamEnd) {
+    fn record_part_end(&self, part: Option<AnswerPart>, end: &'static str) {
         if let Some(part) = part {
             self.metrics
-                .record_replica_answer(part.framing.label(), end.label());
+                .record_replica_answer(part.framing.label(), end);
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! names and record formats of the platform are behind the traits in `ports`,
 //! which an adapter implements.
 
+mod active_request;
 mod answer_memory;
 mod client_listener;
 mod crash_signs;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -60,9 +60,12 @@
     (Duration::from_millis(500), Duration::from_secs(4));
 
 /// Time before the end of the grace period, when the platform kills the process, at which
-/// it exits even if requests are still active.
+/// requests that are still active are ended.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
+/// Longest time for which a process waits until the clients of these have their answers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
+
 /// Interval at which a stopping process checks whether requests are still active.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -215,8 +218,8 @@
     }
 }
 
-/// Drains the active requests; returns when there are none, or [`KILL_MARGIN`] before the
-/// end of the grace period.
+/// Drains the active requests; returns when there are none. Those that are still active
+/// [`KILL_MARGIN`] before the end of the grace period are ended.
 async fn drain_and_stop(state: &RefCell<GatewayState>, grace: Duration) {
     let began = Instant::now();
     LogLine::new(Event::ProcessStopping)
@@ -228,8 +231,15 @@
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let waited = began.elapsed();
-        let is_idle = state.borrow().active_requests == 0 && waited >= STOP_ACCEPT_TIME;
-        if is_idle || waited + KILL_MARGIN >= grace {
+        let is_idle = state.borrow().active_requests == 0;
+        if waited + KILL_MARGIN >= grace && !state.borrow().is_ending {
+            state.borrow_mut().is_ending = true;
+            state.borrow().end_notice.notify_waiters();
+            continue;
+        }
+        if is_idle && waited >= STOP_ACCEPT_TIME.min(grace.saturating_sub(KILL_MARGIN))
+            || waited + KILL_MARGIN >= grace + LAST_ANSWERS_TIME
+        {
             break;
         }
     }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -21,6 +21,9 @@
 /// Cause of the refusal of a request that is suspected of several crashes.
 pub(super) const CRASH_SUSPECT: &str = "crash_suspect";
 
+/// Cause of the end of a request by a stop of the process.
+pub(super) const STOPPING: &str = "stopping";
+
 /// Cause of the end of a request whose client closed its connection.
 pub(super) const CLIENT_LEFT: &str = "client_left";
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -87,8 +87,12 @@
     pub incarnation: u64,
     /// Time of the stop signal.
     pub stopping_since: Option<Instant>,
-    /// Number of requests that are being served.
+    /// Number of requests of which a part has arrived and that have not ended.
     pub active_requests: usize,
+    /// Whether the grace period of the stop is over, and what is under way is ended.
+    pub is_ending: bool,
+    /// Wakes the tasks that wait for the end of the grace period.
+    pub end_notice: Rc<Notify>,
     /// Wakes the tasks that wait for a stop signal.
     pub stop_notice: Rc<Notify>,
     /// Wakes the task that reads new weights ahead.
@@ -151,6 +155,8 @@
             incarnation: rng.random(),
             stopping_since: None,
             active_requests: 0,
+            is_ending: false,
+            end_notice: Rc::new(Notify::new()),
             stop_notice: Rc::new(Notify::new()),
             weights_notice: Rc::new(Notify::new()),
             update_notice: Rc::new(Notify::new()),
