Look for what has arrived before a late timer ends a read

What callers saw: after the host of an entry had stood still until a deadline, an answer that lay in the socket was replaced by 504, and a request on an idle connection would have been closed unread.

Cause: the timers of a process that goes on run before its sockets are looked at, so a read with a deadline ended although bytes were there.

Change: a read whose timer fires more than 20 ms late tries once more after the sockets have been polled.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -24,6 +24,10 @@
 /// without a pause would otherwise stall the process, and no timer would fire.
 const MAX_READS_IN_A_ROW: u32 = 4;
 
+/// Lateness of a timer from which the process may have stood still: its timers then come before
+/// what has arrived meanwhile.
+pub const LATE_TIMER: Duration = Duration::from_millis(20);
+
 /// TCP connection with a buffer of the bytes that were read but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
@@ -86,9 +90,16 @@
         &mut self,
         deadline: Instant,
     ) -> Result<usize, Http1Error> {
-        match timeout_at(deadline, self.fill_buffer()).await {
-            Ok(result) => result.map_err(Http1Error::Io),
-            Err(_) => Err(Http1Error::TimedOut),
+        if let Ok(result) = timeout_at(deadline, self.fill_buffer()).await {
+            return result.map_err(Http1Error::Io);
+        }
+        if deadline.elapsed() < LATE_TIMER {
+            return Err(Http1Error::TimedOut);
+        }
+        tokio::task::yield_now().await;
+        match self.try_fill_buffer()? {
+            0 => Err(Http1Error::TimedOut),
+            received => Ok(received),
         }
     }
 
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -20,6 +20,7 @@
 pub use client::ClientResponse;
 pub use client::Http1Client;
 pub use connection::Connection;
+pub use connection::LATE_TIMER;
 pub use errors::Http1Error;
 pub use head::Framing;
 pub use head::Headers;
