End requests in the last seventh of a short grace period, and take none after that

With a grace period below 4.2 s requests were ended before its last sixth, and below 3.2 s new ones were still sent and then ended. Found by review.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -239,10 +239,8 @@
     received_at: Instant,
 ) -> Result<Box<RoutedRequest>, (RequestHead, LocalRefusal)> {
     let mut state = gateway.state.borrow_mut();
-    if state
-        .stopping_since
-        .is_some_and(|since| since.elapsed() >= STOP_ACCEPT_TIME)
-    {
+    let stopping_since = state.stopping_since;
+    if state.is_ending || stopping_since.is_some_and(|since| since.elapsed() >= STOP_ACCEPT_TIME) {
         let refusal = LocalRefusal {
             status: 503,
             cause: STOPPING,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -59,12 +59,12 @@
 const REGISTRATION_PAUSES: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
-/// Time before the end of the grace period, when the platform kills the process, at which
-/// requests that are still active are ended.
+/// Longest time before the end of the grace period, when the platform kills the process, at
+/// which requests that are still active are ended.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
-/// Longest time for which a process waits until the clients of these have their answers.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
+/// Share of a short grace period that this takes.
+const KILL_MARGIN_SHARE: u32 = 7;
 
 /// Interval at which a stopping process checks whether requests are still active.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -219,7 +219,7 @@
 }
 
 /// Drains the active requests; returns when there are none. Those that are still active
-/// [`KILL_MARGIN`] before the end of the grace period are ended.
+/// shortly before the end of the grace period are ended.
 async fn drain_and_stop(state: &RefCell<GatewayState>, grace: Duration) {
     let began = Instant::now();
     LogLine::new(Event::ProcessStopping)
@@ -228,18 +228,20 @@
     flush_log();
     state.borrow_mut().stopping_since = Some(began);
     state.borrow().stop_notice.notify_waiters();
+    let kill_margin = KILL_MARGIN.min(grace / KILL_MARGIN_SHARE);
+    let end_after = grace - kill_margin;
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let waited = began.elapsed();
         let is_idle = state.borrow().active_requests == 0;
-        if waited + KILL_MARGIN >= grace && !state.borrow().is_ending {
+        if waited >= end_after && !state.borrow().is_ending {
             state.borrow_mut().is_ending = true;
             state.borrow().end_notice.notify_waiters();
             continue;
         }
-        if is_idle && waited >= STOP_ACCEPT_TIME.min(grace.saturating_sub(KILL_MARGIN))
-            || waited + KILL_MARGIN >= grace + LAST_ANSWERS_TIME
-        {
+        // The clients of those that were ended get their answers.
+        let is_over = waited >= end_after + kill_margin / 2;
+        if is_over || is_idle && waited >= STOP_ACCEPT_TIME.min(end_after) {
             break;
         }
     }
