Charge silent replicas with no crash while their answer may come, and keep both sends honest

A silence is recorded only where a second send is made, or in a stream that has begun, and a send is not withdrawn from a replica that counts as crashed under it. - A plain answer that arrives steadily for over 0.9 s was asked for twice (plain_answer_arriving_slowly_sent_once). Bytes of the answer are progress. - A second replica whose events have a gap cancelled the sound first one (second_send_event_gap_first_goes_on). A part that ends takes no stream over. - Two waiting sends of a request that became refused were never withdrawn, as their checks restarted the time for clearing: 504 for 502 (two_silent_sends_withdrawn_when_refused). - A second send that reached no replica was paid for each time (second_send_unreachable_next_replica_asked). - Slow answers that may not be repeated cost a connection each: 6 for 3 (slow_answers_one_connection_each). - An answer that was ready when the entry went on after a freeze became 504 (answer_ready_after_freeze_delivered). What has arrived comes before late timers, and the silence of replicas counts anew. - replica_ended was no sign of a broken run, so a crash seen that way was never counted.

--- a/src/calls/answer_under_way.rs
+++ b/src/calls/answer_under_way.rs
@@ -4,9 +4,10 @@
 //! on, some stand still for good, and some have ended without a sign on their connections. From
 //! outside they look alike at first. Ending the answer is wrong for the first kind and helps
 //! nobody where no other replica can give it; waiting alone costs the client the time that
-//! another replica would need. So silence never ends an answer: it allows a second send beside
-//! the first, where the request may run again. Only the end of the replica's incarnation, or
-//! of the time that the client has, ends it sooner.
+//! another replica would need. So the silence of a replica never ends an answer: it allows a
+//! second send beside the first, where the request may run again. Only the end of the
+//! replica's incarnation, or of the time that the client has, ends it sooner; and where a whole
+//! host falls silent while others report, what its client may ask again is given up.
 
 /// Silence of a replica from which another may answer as well if a sign says that it is away,
 /// in ms: more than the pauses of a sound one under load.
@@ -42,6 +43,9 @@
     /// Its record was removed, or its host reports that the engine does not answer. It may go
     /// on all the same.
     Away,
+    /// Its whole host is silent, reports included, while others report: it stands still, has no
+    /// power or is cut off, and what waits there runs late or never.
+    HostSilent,
     /// A later incarnation has taken its place: nothing more comes.
     Ended,
 }
@@ -52,6 +56,7 @@
         match self {
             Self::None => "none",
             Self::Away => "away",
+            Self::HostSilent => "host_silent",
             Self::Ended => "ended",
         }
     }
@@ -66,6 +71,8 @@
     SendSecond,
     /// It is ended, as its replica has.
     ReplicaEnded,
+    /// It is given up, so that its client can ask again while there is time.
+    GiveUp,
 }
 
 /// An answer that is under way from one replica.
@@ -77,6 +84,8 @@
     pub silent_ms: u64,
     /// What is known of the replica besides.
     pub sign: ReplicaSign,
+    /// Whether the request may run more than once, so that its client asks again.
+    pub is_repeatable: bool,
     /// Whether the request may run at another replica beside this one.
     pub may_send_second: bool,
 }
@@ -104,10 +113,13 @@
             return AnswerDecision::Wait(wait_ms);
         }
         if self.may_send_second {
-            AnswerDecision::SendSecond
-        } else {
-            AnswerDecision::Wait(Self::RECHECK_MS)
+            return AnswerDecision::SendSecond;
         }
+        let is_usual_limit_over = self.silent_ms >= self.stage_silence_ms();
+        if self.sign == ReplicaSign::HostSilent && self.is_repeatable && is_usual_limit_over {
+            return AnswerDecision::GiveUp;
+        }
+        AnswerDecision::Wait(Self::RECHECK_MS)
     }
 
     /// Whether the replica has been silent for longer than a sound one usually is.
@@ -117,9 +129,14 @@
 
     /// Silence from which another replica may be asked as well, in ms.
     fn second_send_silence_ms(&self) -> u64 {
-        if self.sign != ReplicaSign::None {
-            return AWAY_SILENCE_MS;
+        match self.sign {
+            ReplicaSign::None => self.stage_silence_ms(),
+            ReplicaSign::Away | ReplicaSign::HostSilent | ReplicaSign::Ended => AWAY_SILENCE_MS,
         }
+    }
+
+    /// The same without a sign, in ms.
+    fn stage_silence_ms(&self) -> u64 {
         match self.stage {
             AnswerStage::Plain => PLAIN_SILENCE_MS,
             AnswerStage::BeforeFirstEvent => FIRST_EVENT_SILENCE_MS,
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -5,7 +5,6 @@
 
 use crate::calls::BrokenRun;
 use crate::calls::BrokenRunKind;
-use crate::calls::CrashId;
 use crate::calls::CrashSign;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
@@ -14,6 +13,8 @@
 use crate::gateway::exchange;
 use crate::gateway::placement::ChosenReplica;
 use crate::gateway::request_outcome::CLIENT_LEFT;
+use crate::gateway::request_outcome::HOST_SILENT;
+use crate::gateway::request_outcome::REPLICA_ENDED;
 use crate::http1::Connection;
 use crate::http1::Http1Error;
 use crate::observe::Event;
@@ -30,10 +31,12 @@
 /// the cause is in this process.
 fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
     match cause {
-        "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event" => {
+        "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event" | REPLICA_ENDED => {
             Some(BrokenRunKind::ConnectionEnded)
         }
-        "silent" | "timed_out" | "timeout" | CLIENT_LEFT => Some(BrokenRunKind::Silent),
+        "silent" | "timed_out" | "timeout" | HOST_SILENT | CLIENT_LEFT => {
+            Some(BrokenRunKind::Silent)
+        }
         _ => None,
     }
 }
@@ -71,11 +74,7 @@
         }
         let now_ms = self.now_ms();
         let is_down = is_same && replica.recent_load(now_ms).is_some_and(|load| !load.is_up);
-        let crash = CrashId {
-            endpoint: chosen.id.clone(),
-            incarnation: chosen.born_unix_ms.unwrap_or(0),
-            crash_no: CrashId::PROCESS_CRASH,
-        };
+        let crash = chosen.process_crash();
         let is_told = self.suspects.has_crash(&crash);
         self.broken_runs.add(BrokenRun {
             fingerprint,
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -48,7 +48,7 @@
     splitter: EventSplitter,
     // Why the framing of the body is invalid.
     fault: Option<&'static str>,
-    has_events: bool,
+    is_forwarded: bool,
     last_progress: Instant,
     bytes_since_progress: usize,
 }
@@ -69,7 +69,7 @@
             held,
             splitter: EventSplitter::default(),
             fault: None,
-            has_events: false,
+            is_forwarded: false,
             last_progress: Instant::now(),
             bytes_since_progress: 0,
         }
@@ -80,6 +80,11 @@
         self.last_progress.elapsed()
     }
 
+    /// Records that events of this part were sent to the client.
+    pub fn record_forwarded(&mut self) {
+        self.is_forwarded = true;
+    }
+
     /// What was received of the event that is not complete.
     pub fn remainder(&self) -> &[u8] {
         self.splitter.remainder()
@@ -104,7 +109,6 @@
                 self.bytes_since_progress = 0;
             }
             if !events.is_empty() {
-                self.has_events = true;
                 return StreamPart::Events(events);
             }
             if let Some(cause) = self.fault {
@@ -152,7 +156,7 @@
     fn end_at_close(&mut self) -> StreamPart {
         match self.decoder.finish_at_close() {
             // A replica that crashes before its first event ends such a body in the same way.
-            Ok(()) if !self.has_events => StreamPart::Broken("no_events"),
+            Ok(()) if !self.is_forwarded => StreamPart::Broken("no_events"),
             Ok(()) => self.end(),
             Err(error) => StreamPart::Broken(error.label()),
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -102,6 +102,8 @@
     pub held: HeldAnswer,
     /// Where what the answer says of its replica is stored.
     pub notice: Rc<Cell<ReplicaNotice>>,
+    /// Where the time is stored at which bytes of the answer last arrived.
+    pub progress_at: Rc<Cell<Instant>>,
 }
 
 /// Sends a request to a replica and reads its response.
@@ -150,7 +152,10 @@
     }
     let decoder = BodyDecoder::new(framing);
     let mut held = send.held;
-    let read = connection.read_body(decoder, &mut held, || send.deadline);
+    let read = connection.read_body(decoder, &mut held, || {
+        send.progress_at.set(Instant::now());
+        send.deadline
+    });
     match read.await {
         Ok(body) => SendOutcome::Response(ReplicaResponse {
             head,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::time::Instant;
 
 use crate::calls::AnswerDecision;
@@ -30,10 +31,13 @@
 use crate::gateway::exchange::SendOutcome;
 use crate::gateway::exchange::request_bytes;
 use crate::gateway::placement::ChosenReplica;
+use crate::gateway::relay::NextEvents;
 use crate::gateway::relay::StreamEnd;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::request_outcome::CLIENT_LEFT;
 use crate::gateway::request_outcome::CRASH_SUSPECT;
+use crate::gateway::request_outcome::HOST_SILENT;
+use crate::gateway::request_outcome::REPLICA_ENDED;
 use crate::gateway::request_outcome::RequestOutcome;
 use crate::gateway::request_outcome::STOPPING;
 use crate::gateway::routed_request::RoutedRequest;
@@ -42,6 +46,7 @@
 use crate::gateway::running_send::SendProgress;
 use crate::http1::Connection;
 use crate::http1::Http1Error;
+use crate::http1::LATE_TIMER;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
@@ -52,6 +57,9 @@
 /// Most steps that are taken with what arrived before the deadline passed.
 const MAX_LATE_STEPS: u32 = 3;
 
+/// Lateness of a timer from which the process itself was away, and not its replicas.
+const STALL_TIME: Duration = Duration::from_millis(200);
+
 /// Time for which a run that waits is kept after its request has become refused: other runs
 /// that come to an end clear it.
 const CLEARING_TIME: Duration = Duration::from_millis(250);
@@ -102,6 +110,8 @@
     pub(super) last_cause: &'static str,
     /// Id of the replica that was chosen last.
     pub(super) replica: String,
+    /// Whether a second send that was taken out of the retry budget has reached no replica.
+    has_unused_retry: bool,
     /// Address of a replica that must be checked for a crash before the next send.
     unchecked_address: Option<SocketAddr>,
     /// What was received of the last answer that had a valid head.
@@ -120,6 +130,8 @@
     CheckDue(usize),
     /// The grace period of a stop is over.
     Ending,
+    /// Nothing that changes the request.
+    Nothing,
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -132,6 +144,8 @@
     sends: RunningSends<'a>,
     // Steps taken since the deadline passed.
     late_steps: u32,
+    // Time until which other runs may clear the request, which has become refused.
+    refused_until: Option<Instant>,
 }
 
 impl<D: Dialect + 'static> Gateway<D> {
@@ -152,6 +166,7 @@
             history: AttemptHistory::default(),
             sends: RunningSends::new(),
             late_steps: 0,
+            refused_until: None,
         };
         loop {
             if forwarding.sends.as_slice().is_empty()
@@ -184,6 +199,7 @@
                     self.check_send(&mut forwarding, at);
                     None
                 }
+                Step::Nothing => None,
                 Step::Ending => {
                     let reuse = self.end_sends(client, &mut forwarding, STOPPING);
                     if reuse.is_none() {
@@ -234,6 +250,7 @@
             request,
             sends,
             late_steps,
+            refused_until,
             ..
         } = forwarding;
         // Also while bytes arrive: a stalled stream may send one now and then. What has
@@ -244,23 +261,51 @@
             }
             *late_steps += 1;
         }
-        let is_withdrawable = sends.as_slice().iter().any(RunningSend::is_withdrawable);
+        let is_withdrawable = sends
+            .as_slice()
+            .iter()
+            .any(|send| self.is_withdrawable(send));
         let is_stopping = self.state.borrow().stopping_since.is_some();
-        let check_at = sends.next_check_at().unwrap_or(request.deadline);
+        let mut wake_at = request.deadline;
+        wake_at = wake_at.min(sends.next_check_at().unwrap_or(wake_at));
+        wake_at = wake_at.min(refused_until.unwrap_or(wake_at));
         tokio::select! {
             biased;
             (at, progress) = sends.next_progress() => return Step::Progress(at, progress),
             () = client.wait_closed() => return Step::ClientLeft,
-            () = self.wait_until_refused(request), if is_withdrawable => return Step::Refused,
+            () = self.wait_until_refused(request), if is_withdrawable && refused_until.is_none() => {
+                *refused_until = Some(Instant::now() + CLEARING_TIME);
+                return Step::Nothing;
+            }
             () = wait_until_ending(&self.state), if is_stopping => return Step::Ending,
-            () = tokio::time::sleep_until(check_at.min(request.deadline)) => {}
+            () = tokio::time::sleep_until(wake_at) => {}
+        }
+        if wake_at.elapsed() >= STALL_TIME {
+            sends.restart_silence();
+        }
+        if wake_at.elapsed() >= LATE_TIMER {
+            for _ in 0..MAX_LATE_STEPS {
+                tokio::task::yield_now().await;
+                if let Some((at, progress)) = sends.next_progress().now_or_never() {
+                    return Step::Progress(at, progress);
+                }
+            }
         }
         let now = Instant::now();
-        let due = sends
-            .as_slice()
-            .iter()
-            .position(|send| send.check_at <= now);
-        due.map_or(Step::TimedOut, Step::CheckDue)
+        if refused_until.is_some_and(|until| until <= now) {
+            *refused_until = None;
+            return if self.is_refused_as_suspect(request) {
+                Step::Refused
+            } else {
+                Step::Nothing
+            };
+        }
+        let mut checks = sends.as_slice().iter().map(|send| send.check_at);
+        match checks.position(|check_at| check_at <= now) {
+            Some(at) => Step::CheckDue(at),
+            None if now >= request.deadline => Step::TimedOut,
+            None => Step::Nothing,
+        }
     }
 
     /// Begins a send while none is under way; the error is the cause of a refusal and the
@@ -320,6 +365,7 @@
         let begin_within = chosen.begin_within_ms.map(Duration::from_millis);
         let begin_by = begin_within.map(|within| Instant::now() + within);
         let notice = Rc::new(Cell::new(ReplicaNotice::default()));
+        let progress_at = Rc::new(Cell::new(Instant::now()));
         let send = ReplicaSend {
             address: chosen.address,
             replica_id: chosen.id.clone(),
@@ -331,9 +377,10 @@
             deadline: request.deadline,
             held: (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES),
             notice: notice.clone(),
+            progress_at: progress_at.clone(),
         };
         let exchange = exchange::send_to_replica(self.dialect.clone(), send);
-        RunningSend::new(chosen, in_flight, notice, trial, exchange)
+        RunningSend::new(chosen, in_flight, notice, progress_at, trial, exchange)
     }
 
     /// Decides what becomes of a send that has brought nothing for a while.
@@ -352,26 +399,17 @@
             stage: send.stage(is_streaming),
             silent_ms: send.silent_ms(),
             sign: self.state.borrow().replica_sign(&send.chosen),
+            is_repeatable: request.route.kind.is_repeatable(),
             may_send_second,
         };
-        if under_way.is_silent() && !send.is_silence_recorded {
-            send.is_silence_recorded = true;
-            self.record_silence(request, &send.chosen);
-        }
-        let recheck = Duration::from_millis(AnswerUnderWay::RECHECK_MS);
-        send.check_at = Instant::now() + recheck;
-        match under_way.decide() {
-            AnswerDecision::Wait(wait_ms) => {
-                send.check_at = Instant::now() + Duration::from_millis(wait_ms);
-            }
-            AnswerDecision::ReplicaEnded => self.fail_send(forwarding, at, "replica_ended"),
-            AnswerDecision::SendSecond => {
-                let Ok(chosen) = self.choose_replica(request, relay.has_begun()) else {
-                    return;
-                };
-                if !self.take_retry(request, "silent") {
-                    return;
-                }
+        // A stream that has begun: its replica may have ended without a sign on the connection.
+        if under_way.is_silent() && send.stream().is_some() {
+            self.record_silence(request, send);
+        }
+        let mut decision = under_way.decide();
+        if decision == AnswerDecision::SendSecond {
+            let second = self.choose_second(request, relay, history);
+            if let Some(chosen) = second {
                 LogLine::new(Event::SecondSend)
                     .text("id", &request.facts.attempt_id)
                     .text("replica", &send.chosen.id)
@@ -380,11 +418,42 @@
                     .number("silent_ms", under_way.silent_ms)
                     .number("events", relay.events())
                     .enqueue();
+                self.record_silence(request, send);
+                send.check_at = Instant::now() + Duration::from_millis(AnswerUnderWay::RECHECK_MS);
                 history.replica.clone_from(&chosen.id);
-                let second = self.start_send(request, relay, chosen, None);
+                let mut second = self.start_send(request, relay, chosen, None);
+                second.is_second = true;
                 sends.push(second);
+                return;
             }
+            decision = AnswerUnderWay {
+                may_send_second: false,
+                ..under_way
+            }
+            .decide();
+        }
+        let wait_ms = match decision {
+            AnswerDecision::Wait(wait_ms) => wait_ms,
+            AnswerDecision::SendSecond => AnswerUnderWay::RECHECK_MS,
+            AnswerDecision::ReplicaEnded => return self.fail_send(forwarding, at, REPLICA_ENDED),
+            AnswerDecision::GiveUp => return self.fail_send(forwarding, at, HOST_SILENT),
+        };
+        send.check_at = Instant::now() + Duration::from_millis(wait_ms);
+    }
+
+    /// Chooses the replica of a second send, and takes the send out of the retry budget.
+    fn choose_second(
+        &self,
+        request: &RoutedRequest,
+        relay: &StreamRelay,
+        history: &mut AttemptHistory,
+    ) -> Option<ChosenReplica> {
+        if history.failed_connections >= MAX_FAILED_CONNECTIONS {
+            return None;
         }
+        let chosen = self.choose_replica(request, relay.has_begun()).ok()?;
+        let is_paid = std::mem::take(&mut history.has_unused_retry);
+        (is_paid || self.take_retry(request, "silent")).then_some(chosen)
     }
 
     /// Whether the request may run at another replica beside the one that has it.
@@ -405,8 +474,13 @@
             && !sends.as_slice().iter().any(RunningSend::is_trial)
     }
 
-    /// Records that a replica is silent, and checks whether it has crashed; it may go on.
-    fn record_silence(&self, request: &RoutedRequest, chosen: &ChosenReplica) {
+    /// Records once that the replica of a send is silent, and checks whether it has crashed; it
+    /// may go on.
+    fn record_silence(&self, request: &RoutedRequest, send: &mut RunningSend<'_>) {
+        if std::mem::replace(&mut send.is_silence_recorded, true) {
+            return;
+        }
+        let chosen = &send.chosen;
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
@@ -417,12 +491,20 @@
 
     /// Ends the sends whose answer has not begun, as their request has become refused.
     fn withdraw_waiting(&self, forwarding: &mut Forwarding<'_>) {
-        let is_withdrawable = RunningSend::is_withdrawable;
+        let is_withdrawable = |send: &RunningSend<'_>| self.is_withdrawable(send);
         while let Some(at) = (forwarding.sends.as_slice().iter()).position(is_withdrawable) {
             self.fail_send(forwarding, at, CRASH_SUSPECT);
         }
     }
 
+    /// Whether a send is withdrawn when its request becomes refused: not from a replica that
+    /// counts as crashed under it, which has ended, or else goes on and clears the request.
+    fn is_withdrawable(&self, send: &RunningSend<'_>) -> bool {
+        send.is_waiting()
+            && !send.is_trial()
+            && !(self.state.borrow().suspects).has_crash(&send.chosen.process_crash())
+    }
+
     /// Ends the sends beside the one at `at`, whose answer is passed on.
     fn cancel_others(&self, forwarding: &mut Forwarding<'_>, at: usize) {
         let Forwarding {
@@ -493,6 +575,8 @@
         } = forwarding;
         let send = sends.get_mut(at);
         self.record_notice(request, &send.chosen, send.notice.get());
+        history.has_unused_retry |=
+            send.is_second && matches!(outcome, SendOutcome::Unreachable(_));
         let accepted = self.record_outcome(request, &send.chosen, outcome, history, is_only);
         match accepted {
             None => drop(sends.remove(at)),
@@ -543,15 +627,13 @@
         let stream = send.stream().expect("only a stream has parts");
         let end = match part {
             StreamPart::Events(events) => {
-                let forwarded = relay
-                    .forward_events(client, &stream.head, close, events)
-                    .await;
+                let next = relay.take_next(events);
                 send.record_progress();
-                if forwarded.count > 0 {
-                    send.in_flight.record_events_sent();
-                    self.cancel_others(forwarding, at);
+                if next.bytes.is_empty() {
+                    next.fault.map(StreamEnd::Broken)?
+                } else {
+                    return self.pass_on(client, forwarding, at, next, close).await;
                 }
-                forwarded.end?
             }
             StreamPart::End => {
                 let rest = stream.remainder();
@@ -559,8 +641,44 @@
             }
             StreamPart::Broken(cause) => StreamEnd::Broken(cause),
         };
-        // The others were cancelled if this one has sent events.
-        let at = at.min(forwarding.sends.as_slice().len() - 1);
+        self.end_part(client, forwarding, at, end)
+    }
+
+    /// Passes on the next events of a stream, from the send at `at`.
+    async fn pass_on(
+        &self,
+        client: &mut Connection,
+        forwarding: &mut Forwarding<'_>,
+        mut at: usize,
+        next: NextEvents,
+        close: bool,
+    ) -> Option<ConnectionReuse> {
+        // A replica whose part ends here does not take the stream over.
+        if next.has_pieces && next.fault.is_none() {
+            self.cancel_others(forwarding, at);
+            at = 0;
+        }
+        let Forwarding { relay, sends, .. } = &mut *forwarding;
+        let send = sends.get_mut(at);
+        send.in_flight.record_events_sent();
+        send.record_forwarded();
+        let stream = send.stream().expect("only a stream has parts");
+        let written = relay
+            .write_events(client, &stream.head, close, &next.bytes)
+            .await;
+        let end = written.or(next.fault.map(StreamEnd::Broken))?;
+        self.end_part(client, forwarding, at, end)
+    }
+
+    /// Ends the part of a stream from the send at `at`; returns whether the client's
+    /// connection is kept, if the request has ended.
+    fn end_part(
+        &self,
+        client: &Connection,
+        forwarding: &mut Forwarding<'_>,
+        at: usize,
+        end: StreamEnd,
+    ) -> Option<ConnectionReuse> {
         match end {
             StreamEnd::Complete => Some(self.complete_stream(forwarding, at)),
             StreamEnd::ClientDisconnected => Some(self.client_disconnected(forwarding)),
@@ -687,18 +805,13 @@
             == SuspectStatus::Refused
     }
 
-    /// Waits until the request is refused because it is suspected of several crashes, and no
-    /// run elsewhere has cleared it since.
+    /// Waits until the request is refused because it is suspected of several crashes.
     async fn wait_until_refused(&self, request: &RoutedRequest) {
         let notice = self.state.borrow().suspects_notice.clone();
         loop {
             let changed = notice.notified();
             if self.is_refused_as_suspect(request) {
-                tokio::time::sleep(CLEARING_TIME).await;
-                if self.is_refused_as_suspect(request) {
-                    return;
-                }
-                continue;
+                return;
             }
             changed.await;
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
+use crate::calls::CrashId;
 use crate::calls::ReplicaSign;
 use crate::fleet::AdmissionDecision;
 use crate::fleet::AdmissionInput;
@@ -39,6 +40,17 @@
     pub(super) begin_within_ms: Option<u64>,
 }
 
+impl ChosenReplica {
+    /// The crash that ends its incarnation.
+    pub(super) fn process_crash(&self) -> CrashId {
+        CrashId {
+            endpoint: self.id.clone(),
+            incarnation: self.born_unix_ms.unwrap_or(0),
+            crash_no: CrashId::PROCESS_CRASH,
+        }
+    }
+}
+
 /// Counts a request as in flight at a replica until it is dropped.
 pub(super) struct InFlightGuard<'a> {
     state: &'a RefCell<GatewayState>,
@@ -75,9 +87,12 @@
         if is_replaced {
             return ReplicaSign::Ended;
         }
+        let now_ms = self.now_ms();
         let replica = self.replicas.get(chosen.key);
-        let load = replica.recent_load(self.now_ms());
-        if replica.is_removed || load.is_some_and(|load| !load.is_up) {
+        let load = replica.recent_load(now_ms);
+        if replica.is_silent(now_ms) && self.replicas.has_reports(&replica.record.service, now_ms) {
+            ReplicaSign::HostSilent
+        } else if replica.is_removed || load.is_some_and(|load| !load.is_up) {
             ReplicaSign::Away
         } else {
             ReplicaSign::None
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -48,13 +48,15 @@
     UntilClose,
 }
 
-/// Events that were sent to the client, and how the part ended, if it did.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ForwardedEvents {
-    /// Number of events sent.
-    pub count: u64,
-    /// End of the part.
-    pub end: Option<StreamEnd>,
+/// Events of one replica that follow what the client has.
+#[derive(Debug)]
+pub struct NextEvents {
+    /// Their bytes.
+    pub bytes: Vec<u8>,
+    /// Whether they hold a piece of the answer, and not only comments.
+    pub has_pieces: bool,
+    /// Why the part of this replica ends after them, if it does.
+    pub fault: Option<&'static str>,
 }
 
 /// Relay of a stream of events to one client, from one replica after another.
@@ -101,24 +103,20 @@
         self.first_event_at
     }
 
-    /// Sends events of one replica to the client, after the head of the first replica whose
-    /// events come. `close` states whether the client's connection is closed afterwards.
+    /// Takes the events of one replica that follow what the client has; they are then to be
+    /// written.
     ///
     /// Events that another replica has sent are skipped; an event that can't follow the last
     /// one ends the part of this replica.
-    pub async fn forward_events(
-        &mut self,
-        client: &Connection,
-        head: &ResponseHead,
-        close: bool,
-        events: Vec<StreamEvent>,
-    ) -> ForwardedEvents {
-        let mut data = Vec::new();
-        let mut fault = None;
-        let mut count = 0;
+    pub fn take_next(&mut self, events: Vec<StreamEvent>) -> NextEvents {
+        let mut next = NextEvents {
+            bytes: Vec::new(),
+            has_pieces: false,
+            fault: None,
+        };
         for event in events {
-            fault = event.fault_after(self.last_id);
-            if fault.is_some() {
+            next.fault = event.fault_after(self.last_id);
+            if next.fault.is_some() {
                 break;
             }
             match (event.id, self.last_id) {
@@ -126,17 +124,24 @@
                 (Some(id), _) => self.last_id = Some(id),
                 (None, _) => {}
             }
-            count += 1;
-            data.extend_from_slice(&event.bytes);
-        }
-        self.events += count;
-        let mut end = fault.map(StreamEnd::Broken);
-        if !data.is_empty() {
-            self.first_event_at.get_or_insert_with(Instant::now);
-            let written = self.write_part(client, head, close, &data, false).await;
-            end = written.or(end);
+            next.has_pieces |= event.id.is_some() || !event.bytes.starts_with(b":");
+            next.bytes.extend_from_slice(&event.bytes);
+            self.events += 1;
         }
-        ForwardedEvents { count, end }
+        next
+    }
+
+    /// Sends `bytes` of events to the client, after the head of the first replica whose events
+    /// come. `close` states whether the client's connection is closed afterwards.
+    pub async fn write_events(
+        &mut self,
+        client: &Connection,
+        head: &ResponseHead,
+        close: bool,
+        bytes: &[u8],
+    ) -> Option<StreamEnd> {
+        self.first_event_at.get_or_insert_with(Instant::now);
+        self.write_part(client, head, close, bytes, false).await
     }
 
     /// Sends the rest of the stream and its end.
--- a/src/gateway/running_send.rs
+++ b/src/gateway/running_send.rs
@@ -48,9 +48,14 @@
     pub(super) check_at: Instant,
     /// Whether its silence was recorded.
     pub(super) is_silence_recorded: bool,
+    /// Whether it was sent beside another.
+    pub(super) is_second: bool,
     trial: Option<SuspectTrial<'a>>,
     state: SendState,
-    sent_at: Instant,
+    // Time at which it was sent, or bytes of a plain answer last arrived.
+    progress_at: Rc<Cell<Instant>>,
+    // Time at which this process went on after it had stood still.
+    resumed_at: Option<Instant>,
 }
 
 impl<'a> RunningSend<'a> {
@@ -59,6 +64,7 @@
         chosen: ChosenReplica,
         in_flight: InFlightGuard<'a>,
         notice: Rc<Cell<ReplicaNotice>>,
+        progress_at: Rc<Cell<Instant>>,
         trial: Option<SuspectTrial<'a>>,
         exchange: impl Future<Output = SendOutcome> + 'static,
     ) -> Self {
@@ -69,9 +75,11 @@
             notice,
             check_at: now + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS),
             is_silence_recorded: false,
+            is_second: false,
             trial,
             state: SendState::Waiting(Box::pin(exchange)),
-            sent_at: now,
+            progress_at,
+            resumed_at: None,
         }
     }
 
@@ -95,6 +103,13 @@
         self.is_silence_recorded = false;
     }
 
+    /// Records that its events are passed on.
+    pub(super) fn record_forwarded(&mut self) {
+        if let SendState::Streaming(stream) = &mut self.state {
+            stream.record_forwarded();
+        }
+    }
+
     /// The stream, once its head has arrived.
     pub(super) fn stream(&self) -> Option<&EventStream> {
         match &self.state {
@@ -108,11 +123,6 @@
         matches!(self.state, SendState::Waiting(_))
     }
 
-    /// Whether it is withdrawn when its request becomes refused.
-    pub(super) fn is_withdrawable(&self) -> bool {
-        self.trial.is_none() && self.is_waiting()
-    }
-
     /// Whether it tries a request that is refused otherwise.
     pub(super) fn is_trial(&self) -> bool {
         self.trial.is_some()
@@ -121,9 +131,12 @@
     /// Time without progress, in ms.
     pub(super) fn silent_ms(&self) -> u64 {
         let silence = match &self.state {
-            SendState::Waiting(_) => self.sent_at.elapsed(),
+            SendState::Waiting(_) => self.progress_at.get().elapsed(),
             SendState::Streaming(stream) => stream.silence(),
         };
+        let silence = self
+            .resumed_at
+            .map_or(silence, |at| silence.min(at.elapsed()));
         u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -192,6 +205,15 @@
         }
     }
 
+    /// Records that this process goes on after it has stood still: the silence of the replicas
+    /// counts from now on.
+    pub(super) fn restart_silence(&mut self) {
+        for send in &mut self.0 {
+            send.record_progress();
+            send.resumed_at = Some(Instant::now());
+        }
+    }
+
     /// Time at which it is next decided what becomes of one of them.
     pub(super) fn next_check_at(&self) -> Option<Instant> {
         self.0.iter().map(|send| send.check_at).min()
--- a/tests/calls/answers_under_way.rs
+++ b/tests/calls/answers_under_way.rs
@@ -19,6 +19,7 @@
         stage,
         silent_ms,
         sign,
+        is_repeatable: second,
         may_send_second: second,
     }
 }
@@ -71,6 +72,23 @@
     }
 }
 
+/// What its client may ask again is given up at a silent host, once nobody else can take it;
+/// what may run only once is waited for.
+#[test]
+fn decide_silent_host_given_up_if_repeatable() {
+    for stage in STAGES {
+        let mut waiting = answer(stage, CLIENT_GAP_MS, ReplicaSign::HostSilent, true);
+        assert_eq!(waiting.decide(), AnswerDecision::SendSecond, "{stage:?}");
+        waiting.may_send_second = false;
+        assert_eq!(waiting.decide(), AnswerDecision::GiveUp, "{stage:?}");
+        waiting.silent_ms = 800;
+        assert!(matches!(waiting.decide(), AnswerDecision::Wait(_)));
+        waiting.silent_ms = 20_000;
+        waiting.is_repeatable = false;
+        assert!(matches!(waiting.decide(), AnswerDecision::Wait(_)));
+    }
+}
+
 #[test]
 fn decide_replica_ended_ends_answer() {
     for stage in STAGES {
