Bound the ages that other processes report

Callers would see: an entry or an endpoint process that is up, but sends no heartbeats, reads no records and loads no weights any more.

Cause: an age of 2^63 - 1 ms in a datagram gives a time of a declaration from which the next `now - learned` overflows. The panic ends the task that computes it: in an endpoint process the load reports, in an entry the heartbeats, and each read of a piece. The age of the replicas' records has the same fault in an entry to which the store has not confirmed any.

Evidence, before: `attempt to subtract with overflow` at src/fleet/declarations.rs:173 in both processes, then "127.x.x.x sends no heartbeats" of `heartbeat_odd_numbers_entry_goes_on`, and `endpoint_odd_datagrams_next_version_taken` failed with the same panic. `heartbeat_odd_age_before_first_record` was written with the fix and not run without it.

An age counts for ten years at most, so that sums of ages and times stay in range; the age of the records saturates.

--- a/src/fleet/declarations.rs
+++ b/src/fleet/declarations.rs
@@ -6,6 +6,10 @@
 /// Largest number of declarations that are kept; with one more the oldest is removed.
 const MAX_DECLARATIONS: usize = 32;
 
+/// Largest age of a declaration, in ms: longer than any process runs, and small enough for
+/// sums of such times.
+const MAX_AGE_MS: u64 = 10 * 365 * 24 * 3_600 * 1_000;
+
 /// Number of the latest declarations that are reported to other processes: older ones
 /// require no action any more.
 const MAX_REPORTED: usize = 4;
@@ -97,7 +101,7 @@
     pub fn merge_ages(&mut self, ages: &[DeclarationAge], now_ms: i64) -> bool {
         let mut has_new_version = false;
         for age in ages {
-            let learned_ms = now_ms - i64::try_from(age.age_ms).unwrap_or(i64::MAX / 2);
+            let learned_ms = now_ms - age.age_ms.min(MAX_AGE_MS) as i64;
             let is_same =
                 |known: &&mut Declaration| known.model == age.model && known.version == age.version;
             match self.declarations.iter_mut().find(is_same) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -232,7 +232,7 @@
 
     /// Time since `at_ms`, in ms.
     fn age_ms(&self, at_ms: i64) -> u64 {
-        u64::try_from(self.now_ms() as i64 - at_ms).unwrap_or(0)
+        u64::try_from((self.now_ms() as i64).saturating_sub(at_ms)).unwrap_or(0)
     }
 
     /// Records that the store confirmed the replicas' records `age_ms` ago.
