Take bounds from settings only within their range

Callers would see: every request for a model ends with a closed connection, or no connection is served at all, after a change of the settings that the process accepted.

With `bounds.version_ms` below 400 the margin is subtracted from less, in each choice of a replica: `attempt to subtract with overflow` at src/gateway/state.rs:443.

The margin is subtracted with saturation.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -440,7 +440,8 @@
     /// ms; None while no later version is declared.
     pub fn begin_within_ms(&self, model: &str, version: u64) -> Option<u64> {
         let now_ms = self.now_ms() as i64;
-        let apply_ms = (self.settings.weights_apply_ms - WEIGHTS_CANCEL_MARGIN_MS) as i64;
+        let apply_ms = self.settings.weights_apply_ms;
+        let apply_ms = apply_ms.saturating_sub(WEIGHTS_CANCEL_MARGIN_MS) as i64;
         self.weights
             .for_model(model)
             .filter(|declaration| declaration.version > version)
