Count the requests of an engine whatever it reports

Callers would see: each request for the model ends with a closed connection while one engine reports more than 2^32 running and waiting requests together, or, where overflows wrap, that engine gets requests as if it were idle. After a report of a negative `pace` the engine gets no requests for a long time.

Causes: counts of an engine's report are added without a check, in the choice of a replica. A negative pace gives a prediction far in the past; the answer then counts as late by that time, whose mean halves only every 1.5 s.

Evidence, before: `attempt to add with overflow` at src/fleet/replica_table.rs:226 in `load_report_odd_numbers_every_request_answered`. With the sums mended alone, the same test timed out after 10 s waiting for the replica to be used again.

Sums saturate; a pace that no engine can have counts as the usual one.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -200,7 +200,9 @@
         let load = self.recent_load(now_ms)?;
         let sent = u32::try_from(self.sent_since_load_ms.len()).unwrap_or(u32::MAX);
         let others = peer_requests_per_ms * now_ms.saturating_sub(load.received_ms) as f64;
-        let total = load.running + load.queued + sent + others as u32;
+        // An engine may report any numbers.
+        let reported = load.running.saturating_add(load.queued);
+        let total = reported.saturating_add(sent).saturating_add(others as u32);
         Some(
             total
                 .saturating_sub(self.ended_since_load)
@@ -214,7 +216,8 @@
     pub fn unstarted_requests(&self, now_ms: u64) -> u32 {
         let own = u32::try_from(self.pending.len()).unwrap_or(u32::MAX);
         let reported = self.recent_load(now_ms).map_or(0, |load| {
-            load.queued + u32::try_from(self.sent_since_load_ms.len()).unwrap_or(u32::MAX)
+            let sent = u32::try_from(self.sent_since_load_ms.len()).unwrap_or(u32::MAX);
+            load.queued.saturating_add(sent)
         });
         own.max(reported.saturating_sub(self.ended_since_load))
     }
@@ -223,7 +226,7 @@
     /// false without a recent report.
     pub fn has_free_slots(&self, peer_requests_per_ms: f64, now_ms: u64) -> bool {
         self.estimated_requests(peer_requests_per_ms, now_ms)
-            .is_some_and(|requests| requests * 2 < self.record.slots)
+            .is_some_and(|requests| requests.saturating_mul(2) < self.record.slots)
     }
 
     /// Version of the loaded weights of `model`, from a recent load report or else from
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -321,7 +321,7 @@
         queued: report.queued,
         memory_used: f64::from(report.memory_used),
         version: report.version,
-        pace: f64::from(report.pace),
+        pace: usable_pace(report.pace),
     };
     state.replicas.record_load(from.ip(), report.port, load);
     if !report.is_up {
@@ -334,6 +334,16 @@
     }
 }
 
+/// Slowdown factor of an engine, which may report any number; the usual one in place of a
+/// factor that no engine can have.
+fn usable_pace(pace: f32) -> f64 {
+    if pace.is_finite() && pace > 0.0 {
+        f64::from(pace)
+    } else {
+        1.0
+    }
+}
+
 /// Fetches all records of the operator from an entry that knows a later configuration.
 fn apply_kept_config(
     state: &Rc<RefCell<GatewayState>>,
