Bound the pace at which weights are read ahead

Callers would see: an entry that reads no weights ahead any more after a configuration in which the origin's `link_mbps` is very small.

Cause: the time of a piece on such a link is no duration, and the conversion panics in the task that reads ahead, which stays marked as running for the version.

Evidence, before: `configuration_odd_link_of_origin_weights_arrive` failed with "cannot convert float seconds to Duration: value is either too big or NaN" in the entry.

A piece is assumed to take 10 s at most; hosts that ask for it get it at once as before.

--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -17,6 +17,10 @@
 /// Pause after a failure before reading ahead is retried.
 const READ_AHEAD_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest time for which one piece is assumed to occupy the origin's link, in s. A link that
+/// is configured to be slower than that is configured wrongly.
+const MAX_PIECE_TIME_S: f64 = 10.0;
+
 /// A piece that an entry reads ahead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct SharePiece {
@@ -147,7 +151,8 @@
         if link_mbps <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(chunk_bytes * 8.0 / (link_mbps * 1_000_000.0))
+        let piece_time_s = chunk_bytes * 8.0 / (link_mbps * 1_000_000.0);
+        Duration::from_secs_f64(piece_time_s.min(MAX_PIECE_TIME_S))
     }
 }
 
