Judge retries by the usual deadlines of a route

Callers saw: after one request with `Bergamotfork-Deadline-Ms:`, or with none, all others of the route are taken for retries, for as long as the process runs. They have the last ranks at the engines, and are refused once 80% of the slots are taken.

Cause: a request counts as a retry when it has much less time left than the longest deadline that any client of the route has ever stated; without a header 60 s count.

Evidence, before: `client_headers_long_deadline_ranks_others_the_same` saw rank 6 in place of 2 in the next request.

The reference is the longest of the last 64 deadlines of the route, apart from the longest eighth. So a few strays move nothing, retries are told apart as long as an eighth of the requests are first ones, and clients that change their deadlines are judged by the new ones.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Declarations;
 use crate::fleet::PeerTable;
 use crate::fleet::RateMeter;
+use crate::fleet::RecentDeadlines;
 use crate::fleet::ReplicaTable;
 use crate::fleet::SharedRetryBudget;
 use crate::fleet::Topic;
@@ -99,8 +100,8 @@
     pub(super) retry_budgets: Vec<(String, SharedRetryBudget)>,
     // Ascending by name of the service.
     request_rates: Vec<(String, RateMeter)>,
-    // Longest deadline that a client stated, ascending by name of the route.
-    longest_deadlines_ms: Vec<(String, u64)>,
+    // Ascending by name of the route.
+    recent_deadlines: Vec<(String, RecentDeadlines)>,
     /// For each topic, whether the last read from the store failed.
     pub(super) unavailable_topics: [bool; 3],
     /// Last time at which the store was found unavailable to this entry and to any
@@ -154,7 +155,7 @@
             topic_tables: Default::default(),
             retry_budgets: Vec::new(),
             request_rates: Vec::new(),
-            longest_deadlines_ms: Vec::new(),
+            recent_deadlines: Vec::new(),
             unavailable_topics: [false; 3],
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
@@ -357,20 +358,19 @@
 
     /// Least time that a client with `deadline_ms` left has already waited, in ms.
     ///
-    /// A client that retries after a refusal has less time left than any client of the
-    /// route that sends its first request.
+    /// A client that retries after a refusal has less time left than the clients of the
+    /// route that send their first request.
     pub fn waited_before_ms(&mut self, route: &str, deadline_ms: u64) -> u64 {
-        let longest = &mut self.longest_deadlines_ms;
-        let longest_ms = match longest.binary_search_by(|known| known.0.as_str().cmp(route)) {
-            Ok(at) => {
-                longest[at].1 = longest[at].1.max(deadline_ms);
-                longest[at].1
-            }
+        let recent = &mut self.recent_deadlines;
+        let at = match recent.binary_search_by(|known| known.0.as_str().cmp(route)) {
+            Ok(at) => at,
             Err(at) => {
-                longest.insert(at, (route.to_owned(), deadline_ms));
-                deadline_ms
+                recent.insert(at, (route.to_owned(), RecentDeadlines::default()));
+                at
             }
         };
+        recent[at].1.record(deadline_ms);
+        let longest_ms = recent[at].1.longest_usual_ms();
         let first_request_ms = longest_ms - (longest_ms as f64 * DEADLINE_SPREAD) as u64;
         first_request_ms.saturating_sub(deadline_ms)
     }
--- a/tests/fleet/retries.rs
+++ b/tests/fleet/retries.rs
@@ -1,4 +1,5 @@
 use bergamotfork::fleet::RateMeter;
+use bergamotfork::fleet::RecentDeadlines;
 use bergamotfork::fleet::SharedRetryBudget;
 
 const WINDOW_MS: u64 = 10_000;
@@ -56,3 +57,42 @@
     assert!((0.03..0.05).contains(&rate), "{rate}");
     assert!(meter.events_per_ms(15_000) < 0.001);
 }
+
+/// Deadlines in ms of the latest requests, of which each tenth states `stray_ms`.
+fn deadlines_with_strays(stray_ms: u64) -> RecentDeadlines {
+    let mut recent = RecentDeadlines::default();
+    for number in 0..200 {
+        recent.record(if number % 10 == 0 { stray_ms } else { 6_000 });
+    }
+    recent
+}
+
+#[test]
+fn recent_deadlines_longest_usual_ms_ignores_strays() {
+    for stray_ms in [u64::MAX, 60_000, 0] {
+        let recent = deadlines_with_strays(stray_ms);
+        assert_eq!(recent.longest_usual_ms(), 6_000, "{stray_ms}");
+    }
+}
+
+/// Under overload most requests are retries, whose clients have less time left.
+#[test]
+fn recent_deadlines_longest_usual_ms_among_retries() {
+    let mut recent = RecentDeadlines::default();
+    for number in 0..200 {
+        recent.record(if number % 5 == 0 { 6_000 } else { 2_000 });
+    }
+    assert_eq!(recent.longest_usual_ms(), 6_000);
+}
+
+/// Clients whose deadlines change are judged by the latest.
+#[test]
+fn recent_deadlines_longest_usual_ms_follows_change() {
+    let mut recent = RecentDeadlines::default();
+    assert_eq!(recent.longest_usual_ms(), 0);
+    recent.record(9_000);
+    assert_eq!(recent.longest_usual_ms(), 9_000);
+    (0..100).for_each(|_| recent.record(9_000));
+    (0..100).for_each(|_| recent.record(4_000));
+    assert_eq!(recent.longest_usual_ms(), 4_000);
+}
