Bound the deadline of a token stream

Callers saw: a closed connection after `POST /v1/generate` with a `deadline_ms` near 2^64.

Cause: the deadline is added to the clock without a check, in the entry and in the endpoint.

Evidence, before: `generate_odd_numbers_answered` failed at its first case, 2^64 - 1. It passes, also with other odd numbers. `input_odd_values_answered` sends odd numbers and nested values on the other paths; it passed at its first run, after the fix.

--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -59,7 +59,7 @@
 impl GenerateRun {
     /// Runs the request until its final frame is sent or the stream is closed.
     pub(super) async fn run(self) {
-        let deadline_ms = self.queue.now_ms() + self.call.deadline_ms;
+        let deadline_ms = self.queue.now_ms().saturating_add(self.call.deadline_ms);
         let Ok(_suspect_guard) = self.wait_for_suspect_slot(deadline_ms).await else {
             return;
         };
@@ -108,8 +108,9 @@
         mut pending: PendingDecision,
     ) -> Result<QueueDecision, StreamClosed> {
         loop {
-            let left_ms = pending.expiry_ms.saturating_sub(self.queue.now_ms()) + 1;
-            let wait = Duration::from_millis(left_ms.min(HEARTBEAT_INTERVAL_MS));
+            let left_ms = pending.expiry_ms.saturating_sub(self.queue.now_ms());
+            let wait_ms = left_ms.saturating_add(1).min(HEARTBEAT_INTERVAL_MS);
+            let wait = Duration::from_millis(wait_ms);
             match self
                 .unless_closed(timeout(wait, &mut pending.receiver))
                 .await?
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -19,6 +19,9 @@
 /// Deadline when the caller names none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// Longest deadline that a caller may name, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 600_000;
+
 /// Suggested wait before a retry when the entry is not ready, in milliseconds.
 const NOT_READY_RETRY_MS: u64 = 1000;
 
@@ -86,7 +89,10 @@
         seed: body.seed,
         priority: body.priority,
         resume_from: body.resume_from,
-        deadline_ms: body.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
+        deadline_ms: body
+            .deadline_ms
+            .unwrap_or(DEFAULT_DEADLINE_MS)
+            .min(MAX_DEADLINE_MS),
         is_suspect: false,
     };
     stream_response(GenerateRelay::new(state.into_inner(), call)).await
--- a/tests/api_input/main.rs
+++ b/tests/api_input/main.rs
@@ -360,3 +360,84 @@
         assert_healthy(address, path);
     }
 }
+
+/// Values that no caller means are answered, and the entry serves the next request.
+#[actix_rt::test]
+async fn input_odd_values_answered() {
+    let (_cluster, address) = start_entry().await;
+    let nested = "[".repeat(900) + &"]".repeat(900);
+    let numbers = [
+        "18446744073709551615",
+        "18446744073709551616",
+        "9223372036854775808",
+        "-1",
+        "1e400",
+        "1e30",
+        "0.5",
+        "null",
+        &nested,
+    ];
+    let call =
+        |field: &str| call_body("seaside", "bookdesk").replace("{}", &format!("{{}},{field}"));
+    let permit = |number: &str| {
+        format!(
+            r#""permit":{{"endpoint":"e","address":"127.0.0.1:9","incarnation":{number},
+               "epoch":{number},"nonce":"{}","branch":"seaside","service":"bookdesk",
+               "seal":"{}"}}"#,
+            "0".repeat(32),
+            Digest::of_bytes(b"no seal")
+        )
+    };
+    for number in numbers {
+        let generate = |field: &str| {
+            let valid = generate_body("seaside", "chat");
+            valid.replacen('{', &format!("{{\"{field}\":{number},"), 1)
+        };
+        let requests = [
+            ("POST", "/v1/generate", generate("deadline_ms")),
+            ("POST", "/v1/generate", generate("resume_from")),
+            ("POST", "/v1/generate", generate("seed")),
+            ("POST", "/v1/generate", generate("priority")),
+            ("POST", "/v1/generate", generate("other")),
+            (
+                "POST",
+                "/v1/call",
+                call(&format!("\"deadline_ms\":{number}")),
+            ),
+            ("POST", "/v1/call", call(&format!("\"send\":{number}"))),
+            ("POST", "/v1/call", call(&permit(number))),
+            (
+                "POST",
+                "/v1/call",
+                call_body("seaside", "bookdesk").replace("{}", number),
+            ),
+            (
+                "PUT",
+                SECTION,
+                format!(r#"{{"edit_id":"e","base_revision":{number},"body":"replicas = 1"}}"#),
+            ),
+            ("PUT", SECTION, edit_body(&format!("replicas = {number}"))),
+        ];
+        for (method, path, body) in requests {
+            let head = format!(
+                "{method} {path} HTTP/1.1\r\nauthorization: Bearer {TOKEN}\r\n\
+                 content-type: application/json\r\ncontent-length: {}\r\n",
+                body.len()
+            );
+            let answer = send_request(address, &head, &body);
+            let case = format!("{path} {body:.160}: {answer:?}");
+            assert!(answer.json()["code"].is_string(), "{case}");
+            assert_healthy(address, &case);
+        }
+        let path = format!("/v1/config/wait?revision={number}&wait_ms=0");
+        let answer = get(address, &path, TOKEN);
+        assert!(matches!(answer.status, 200 | 400), "{path}: {answer:?}");
+    }
+    let valid = post(
+        address,
+        "/v1/generate",
+        TOKEN,
+        &generate_body("seaside", "chat"),
+    );
+    assert_eq!(valid.json()["code"], "no_replica");
+}
--- a/tests/generate_path/generate_cluster.rs
+++ b/tests/generate_path/generate_cluster.rs
@@ -130,6 +130,15 @@
         send_generate(&self.entry, prompt, tokens).await
     }
 
+    /// Sends a request with these fields changed and waits for its answer.
+    pub async fn generate_with(&self, prompt: &str, changes: &Value) -> Result<Bytes, LinkError> {
+        let mut body = generate_body(prompt, 2);
+        for (key, value) in changes.as_object().expect("an object") {
+            body[key] = value.clone();
+        }
+        send_body(&self.entry, &body).await
+    }
+
     /// Sends a request in the background; its answer can be awaited later.
     pub fn spawn_generate(&self, prompt: &'static str, tokens: u32) -> JoinHandle<Bytes> {
         let entry = self.entry.clone();
@@ -187,9 +196,16 @@
 }
 
 async fn send_generate(entry: &str, prompt: &str, tokens: u32) -> Result<Bytes, LinkError> {
-    let body: Value = json!({
+    send_body(entry, &generate_body(prompt, tokens)).await
+}
+
+fn generate_body(prompt: &str, tokens: u32) -> Value {
+    json!({
         "branch": "seaside", "model": "chat", "prompt": prompt, "max_tokens": tokens, "seed": SEED,
-    });
+    })
+}
+
+async fn send_body(entry: &str, body: &Value) -> Result<Bytes, LinkError> {
     let request = HttpClient::to_platform()
         .request(Method::POST, &format!("{entry}/v1/generate"))
         .insert_header(("authorization", format!("Bearer {TOKEN}")))
--- a/tests/generate_path/main.rs
+++ b/tests/generate_path/main.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::generate_cluster::GenerateCluster;
 use bergamotfork::links::LinkError;
 
@@ -121,3 +124,28 @@
         .expect("engines are left");
     cluster.assert_answer(&answer, "rules?", 4);
 }
+
+/// Numbers that no caller means are answered, and the next request is served.
+#[actix_rt::test]
+async fn generate_odd_numbers_answered() {
+    let cluster = GenerateCluster::start(1).await;
+    let times_ms = [u64::MAX, u64::MAX / 2 + 1, u64::MAX / 2, 0];
+    let mut odd: Vec<Value> = times_ms.map(|ms| json!({ "deadline_ms": ms })).into();
+    odd.extend([
+        json!({"max_tokens": u32::MAX, "deadline_ms": 200}),
+        json!({"max_tokens": u32::MAX, "resume_from": u32::MAX}),
+        json!({"max_tokens": 0, "resume_from": u32::MAX}),
+        json!({"max_tokens": 0}),
+        json!({"seed": u64::MAX, "priority": u8::MAX}),
+        json!({"deadline_ms": -1}),
+        json!({"max_tokens": u64::MAX}),
+        json!({"priority": 256}),
+    ]);
+    for changes in odd {
+        let answer = cluster.generate_with("tides?", &changes).await;
+        let is_answered = matches!(&answer, Ok(_) | Err(LinkError::Status { .. }));
+        assert!(is_answered, "{changes}: {answer:?}");
+        let answer = cluster.generate("rules?", 2).await;
+        cluster.assert_answer(&answer.expect("it is served"), "rules?", 2);
+    }
+}
