Keep virtual times in range whatever requests cost

Callers would see: an endpoint that answers no token stream any more.

Cause: a request with `max_tokens` of 2^32 - 1 adds 2^52 to the virtual time of a branch of weight 1. After 4,096 of them without an idle moment the sum overflows while the queue is locked, and each later request finds the lock poisoned. Callers that leave are enough.

Evidence, before: `pop_largest_costs_branches_alternate` failed, overflow at src/contracts/fair_queue.rs:262. It passes with 10,000 such requests, shared out equally.

A branch is charged for 2^20 tokens of a request at most, and sums and estimates saturate.

--- a/src/contracts/fair_queue.rs
+++ b/src/contracts/fair_queue.rs
@@ -8,6 +8,10 @@
 /// Virtual time that one token adds to a branch of weight 1.
 const VIRTUAL_TIME_PER_TOKEN: u64 = 1 << 20;
 
+/// Most tokens for which a branch is charged at once: more than any engine generates for one
+/// request, and few enough that virtual times stay in range for 2^23 requests.
+const MAX_CHARGED_TOKENS: u64 = 1 << 20;
+
 /// Shortest time after which a refused caller should retry, in ms.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
@@ -256,10 +260,13 @@
         queue.waiting_tokens -= next.cost_tokens;
         queue.running += 1;
         let usage_permille = queue.usage.permille.or(self.usage.permille);
-        let charged_time = (next.cost_tokens * usage_permille.unwrap_or(1000)).max(1)
+        let charged_tokens = next.cost_tokens.min(MAX_CHARGED_TOKENS);
+        let charged_time = (charged_tokens * usage_permille.unwrap_or(1000)).max(1)
             * VIRTUAL_TIME_PER_TOKEN
             / 1000;
-        queue.virtual_time += charged_time / queue.weight();
+        queue.virtual_time = queue
+            .virtual_time
+            .saturating_add(charged_time / queue.weight());
         self.mean_charged_time =
             (self.mean_charged_time * (SMOOTHING_DIVISOR - 1) + charged_time) / SMOOTHING_DIVISOR;
         self.waiting -= 1;
--- a/src/contracts/wait_estimator.rs
+++ b/src/contracts/wait_estimator.rs
@@ -46,13 +46,13 @@
 
     /// Estimated time for which a request of `cost_tokens` holds a slot, in ms.
     pub fn service_ms(&self, cost_tokens: u64) -> u64 {
-        cost_tokens * self.us_per_token / 1000
+        cost_tokens.saturating_mul(self.us_per_token) / 1000
     }
 
     /// Estimated time until requests of `tokens_ahead` in total have run on
     /// `share_percent` of the slots, in ms.
     pub fn wait_ms(&self, tokens_ahead: u64, share_percent: u64) -> u64 {
         let slot_percent = self.slots * share_percent.clamp(1, 100);
-        tokens_ahead * self.us_per_token / 10 / slot_percent
+        tokens_ahead.saturating_mul(self.us_per_token) / 10 / slot_percent
     }
 }
--- a/tests/contracts/fair_queue.rs
+++ b/tests/contracts/fair_queue.rs
@@ -294,3 +294,23 @@
     assert_eq!(withdrawn.len(), 2);
     assert_eq!(queue.waiting(), 2);
 }
+
+/// Callers may ask for any number of tokens, and leave before they get them.
+#[test]
+fn pop_largest_costs_branches_alternate() {
+    let mut queue = queue(1);
+    let branches = [queue.ensure_branch("a"), queue.ensure_branch("b")];
+    let cost_tokens = u64::from(u32::MAX) + 4_096;
+    for branch in branches {
+        queue.push(request(branch, cost_tokens), 0);
+        queue.push(request(branch, cost_tokens), 0);
+    }
+    let mut runs = [0u32; 2];
+    for _ in 0..10_000 {
+        let running = pop_running(&mut queue).expect("the slot is free");
+        runs[usize::from(running.branch == branches[1])] += 1;
+        queue.push(request(running.branch, cost_tokens), 0);
+        finish(&mut queue, &running, None);
+    }
+    assert!(runs[0].abs_diff(runs[1]) <= 2, "{runs:?}");
+}
