Compare the loads of slow endpoints without an overflow

Callers would see: an entry that answers no token stream any more, after endpoints with long token intervals have reported very large loads: the overflow poisons the lock of the router.

Evidence, before: `pick_endpoint_largest_loads` failed at src/calls/router.rs:279. The product saturates.

--- a/src/calls/router.rs
+++ b/src/calls/router.rs
@@ -276,7 +276,8 @@
                 1
             };
             let slots = u64::from(it.load.slots.max(1));
-            (self.expected_load(it, now_ms) + 1) * per_token_us * 1000 / slots
+            let expected = self.expected_load(it, now_ms).saturating_add(1);
+            expected.saturating_mul(per_token_us).saturating_mul(1000) / slots
         };
         let chosen = if cost(a) <= cost(b) { a } else { b };
         Some(chosen.key)
--- a/tests/routing/router.rs
+++ b/tests/routing/router.rs
@@ -241,3 +241,26 @@
     let (least, most) = (reached.iter().min(), reached.iter().max());
     assert!(least >= Some(&1) && most <= Some(&36), "{least:?} {most:?}");
 }
+
+/// Endpoints may report any load, and be slow at the same time.
+#[test]
+fn pick_endpoint_largest_loads() {
+    let mut candidates = candidates(2);
+    let mut router = Router::new(1);
+    for candidate in &mut candidates {
+        router.record_token_interval(candidate.key, u64::MAX / 1_000_000);
+        candidate.load = Load {
+            running: u32::MAX,
+            queued: u32::MAX,
+            slots: 0,
+        };
+    }
+    for _ in 0..50 {
+        assert!(
+            router
+                .pick_endpoint(&route_request(&candidates), 0)
+                .is_some()
+        );
+        assert!(!router.has_free_slot(&route_request(&candidates), 0));
+    }
+}
