Ignore checkpoints that claim to cover later records

Operators would see: a process that started on a trimmed log and never follows it again.

Cause: a checkpoint of another writer with a valid digest and an offset beyond its own place was the latest usable one. The head then lies after the end of the log, each page counts as going back, and peers get the state.

Evidence, before: `apply_log_page_checkpoint_ahead_of_itself_ignored` found head 6 where 5 is due. It passes with offsets up to 2^64 - 1. `decode_odd_bytes` shows that nested records and wrong lengths are errors; it passed at its first run.

--- a/src/document/follow/checkpoint_search.rs
+++ b/src/document/follow/checkpoint_search.rs
@@ -26,10 +26,14 @@
     }
 
     /// Collects the checkpoints among `records` and advances the position.
+    ///
+    /// A checkpoint can cover only records before itself.
     pub fn add_records(&mut self, records: &[EncodedRecord]) {
         for record in records {
             self.position = self.position.max(record.offset + 1);
-            if let Ok(LogRecord::Checkpoint(checkpoint)) = LogRecord::decode(&record.bytes) {
+            if let Ok(LogRecord::Checkpoint(checkpoint)) = LogRecord::decode(&record.bytes)
+                && checkpoint.as_of <= record.offset
+            {
                 self.add(checkpoint);
             }
         }
--- a/tests/document/follow.rs
+++ b/tests/document/follow.rs
@@ -1,4 +1,5 @@
 use crate::support::edit;
+use bergamotfork::document::Checkpoint;
 use bergamotfork::document::LogRecord;
 use bergamotfork::document::follow::ConfigUpdate;
 use bergamotfork::document::follow::EncodedRecord;
@@ -235,3 +236,23 @@
     assert!(!second.admits(209));
     assert_eq!(second.confirmed_age_ms(209), Some(410));
 }
+
+/// A checkpoint of another writer that claims to cover records after itself.
+#[test]
+fn apply_log_page_checkpoint_ahead_of_itself_ignored() {
+    let entry = follower_of(0, 5);
+    let document = entry.fold().document();
+    for as_of in [6, 1 << 40, u64::MAX] {
+        let odd = EncodedRecord {
+            offset: 5,
+            bytes: LogRecord::Checkpoint(Checkpoint::new(as_of, document, &[])).encode(),
+        };
+        let mut fresh = Follower::new(0);
+        let kept = page(4, vec![record(4), odd, checkpoint_of(&entry, 6), record(7)]);
+        fresh.apply_log_page(0, 0, &kept);
+        assert_eq!(fresh.fold().head(), 5, "{as_of}");
+        fresh.apply_log_page(0, 0, &kept);
+        assert_eq!(fresh.fold().head(), 8, "{as_of}");
+        assert!(fresh.admits(0), "{as_of}");
+    }
+}
--- a/tests/document/records.rs
+++ b/tests/document/records.rs
@@ -48,3 +48,29 @@
     let altered = LogRecord::decode(&LogRecord::Checkpoint(checkpoint).encode());
     assert_eq!(altered, Err(DocumentError::CorruptCheckpoint { as_of: 1 }));
 }
+
+/// Records of another writer: nested very deeply, or with lengths that nothing follows.
+#[test]
+fn decode_odd_bytes() {
+    let lengths = [0xdd, 0xdf, 0xdb, 0xc6, 0xc9];
+    let mut odd: Vec<Vec<u8>> = lengths
+        .map(|kind| vec![kind, 0xff, 0xff, 0xff, 0xff])
+        .into();
+    for kind in [0x91, 0x81, 0xdc, 0xde] {
+        odd.push(vec![kind; 100_000]);
+    }
+    for name in ["Edit", "Checkpoint"] {
+        let head = [&[0x81, 0xa0 | name.len() as u8], name.as_bytes()].concat();
+        for tail in odd.clone() {
+            odd.push([head.clone(), tail].concat());
+        }
+    }
+    for bytes in odd {
+        let decoded = LogRecord::decode(&[&[1][..], &bytes].concat());
+        let head = &bytes[..bytes.len().min(16)];
+        assert!(
+            matches!(decoded, Err(DocumentError::Undecodable { .. })),
+            "{head:x?}"
+        );
+    }
+}
