Bound the age of a confirmation that a peer reports

Operators would see: a process whose configuration is never confirmed again.

Cause: an age of 2^63 - 1 ms gives a time from which the next age overflows.

Evidence, before: `apply_peer_answer_odd_confirmation_age` failed, overflow at src/document/follow/follower.rs:74. Times of other processes count for a quarter of the range at most.

--- a/src/document/follow/follower.rs
+++ b/src/document/follow/follower.rs
@@ -16,6 +16,9 @@
 /// Smallest time between two ticks that counts as a pause of the process, in ms.
 const PAUSE_MS: u64 = 5_000;
 
+/// Largest time or age of another process that counts, in ms: sums of such times are in range.
+const MAX_TIME_MS: u64 = i64::MAX as u64 / 4;
+
 /// Keeps the configuration of one process up to date from log pages and answers of peers.
 #[derive(Debug, Clone)]
 pub struct Follower {
@@ -301,5 +304,5 @@
 /// A time or an age as a signed number: a time of another process may lie before the start
 /// of this one.
 fn signed_ms(ms: u64) -> i64 {
-    i64::try_from(ms).unwrap_or(i64::MAX / 2)
+    ms.min(MAX_TIME_MS) as i64
 }
--- a/tests/document/follow.rs
+++ b/tests/document/follow.rs
@@ -256,3 +256,17 @@
         assert!(fresh.admits(0), "{as_of}");
     }
 }
+
+#[test]
+fn apply_peer_answer_odd_confirmation_age() {
+    let entry = follower_of(0, 5);
+    for age_ms in [u64::MAX, u64::MAX / 2 + 1, u64::MAX / 2, u64::MAX / 2 - 1] {
+        let mut answer = entry.answer_peer(0, 0);
+        answer.mark.confirmed_age_ms = Some(age_ms);
+        let mut fresh = Follower::new(0);
+        fresh.apply_peer_answer(0, 0, "entry", 1, &answer);
+        assert_eq!(fresh.fold().head(), 5);
+        let age_later_ms = fresh.confirmed_age_ms(10_000);
+        assert!(age_later_ms.is_some_and(|later_ms| later_ms > u64::MAX / 16));
+    }
+}
