Leave out the records of the host list that name no host

Operators would see: processes that no longer follow the list of hosts, without a log line, as long as one record of it has a port out of range, a role that isn't known or the like.

Cause: the list was decoded as a whole.

Evidence, before: `fetch_list_odd_record_left_out` failed at its first case, "invalid type: sequence, expected a string". It passes with 8 odd records.

--- a/src/clients/hosts_client.rs
+++ b/src/clients/hosts_client.rs
@@ -2,11 +2,14 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use crate::hosts::HostRecord;
 use crate::links::HttpClient;
 use crate::links::LinkError;
 use crate::links::SimulatedPartition;
+use crate::observe::Event;
+use crate::observe::emit_event;
 
 /// Timeout of a fetch of the list.
 const READ_TIMEOUT_MS: u64 = 3000;
@@ -20,6 +23,39 @@
     pub hosts: Vec<HostRecord>,
 }
 
+/// A list whose records are not decoded yet: one that another writer has left may hold
+/// anything.
+#[derive(Debug, Deserialize)]
+struct UndecodedList {
+    version: u64,
+    hosts: Vec<Box<RawValue>>,
+}
+
+impl UndecodedList {
+    /// Decodes the records; logs those that name no host, and leaves them out.
+    fn decode(self) -> HostList {
+        let decode = |(at, record): (usize, Box<RawValue>)| {
+            serde_json::from_str(record.get())
+                .inspect_err(|error| {
+                    emit_event(
+                        Event::RecordRejected,
+                        &[("topic", &"hosts"), ("record", &at), ("error", error)],
+                    );
+                })
+                .ok()
+        };
+        HostList {
+            version: self.version,
+            hosts: self
+                .hosts
+                .into_iter()
+                .enumerate()
+                .filter_map(decode)
+                .collect(),
+        }
+    }
+}
+
 /// Client of the platform's list of hosts, which may lag behind the hosts' real state.
 #[derive(Debug, Clone)]
 pub struct HostsClient {
@@ -42,15 +78,17 @@
         self
     }
 
-    /// Fetches the list; `None` if its version still is `since`.
+    /// Fetches the list; `None` if its version still is `since`. Records that can't be decoded
+    /// are left out.
     ///
     /// # Errors
     ///
     /// [`LinkError`] when the platform does not respond.
     pub async fn fetch_list(&self, since: u64) -> Result<Option<HostList>, LinkError> {
         let url = format!("{}?since={since}", self.url);
-        match self.http.get_json(&url, READ_TIMEOUT_MS).await {
-            Ok(list) => Ok(Some(list)),
+        let read = self.http.get_json::<UndecodedList>(&url, READ_TIMEOUT_MS);
+        match read.await {
+            Ok(list) => Ok(Some(list.decode())),
             Err(LinkError::Status { status: 304, .. }) => Ok(None),
             Err(error) => Err(error),
         }
--- a/tests/links/main.rs
+++ b/tests/links/main.rs
@@ -14,6 +14,7 @@
 
 use bergamotfork::clients::EngineClient;
 use bergamotfork::clients::GenerateOrder;
+use bergamotfork::clients::HostsClient;
 use bergamotfork::clients::ServiceClient;
 use bergamotfork::clients::ServiceRequest;
 use bergamotfork::clients::StreamEvent;
@@ -160,3 +161,51 @@
     // The connection ends without the last chunk and without the end event.
     assert!(!matches!(stream.next().await, Some(Ok(_))));
 }
+
+/// A list of hosts with these records, as one answer.
+fn list_answer(records: &[String]) -> String {
+    let body = format!("{{\"version\":7,\"hosts\":[{}]}}", records.join(","));
+    format!(
+        "HTTP/1.1 200 .\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Guards against a process that no longer follows the list as one record of another writer
+/// names no host.
+#[actix_rt::test]
+async fn fetch_list_odd_record_left_out() {
+    let record = |name: &str, address: &str, role: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"address\":{address},\"role\":{role},\
+             \"region\":\"r\",\"domain\":\"d\",\"state\":\"live\"}}"
+        )
+    };
+    let entry = "\"entry\"";
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let odd = [
+        nested.clone(),
+        record("odd", &nested, entry),
+        record("odd", "\"127.0.0.1:70000\"", entry),
+        record("odd", "18446744073709551616", entry),
+        record("odd", "\"127.0.0.1:7000\"", "1e400"),
+        record("odd", "\"127.0.0.1:7000\"", "\"owner\""),
+        "null".to_owned(),
+        "{}".to_owned(),
+    ];
+    for odd in odd {
+        let records = [
+            record("a", "\"127.0.0.1:7001\"", entry),
+            odd.clone(),
+            record("b", "\"127.0.0.1:7002\"", entry),
+        ];
+        let address = serve(vec![list_answer(&records)], Duration::ZERO);
+        let client = HostsClient::new(&format!("http://{address}"));
+        let list = client.fetch_list(0).await;
+        let name = odd.get(..80).unwrap_or(&odd);
+        let list = list.unwrap_or_else(|error| panic!("{name}: {error}"));
+        let list = list.expect("it has changed");
+        let names: Vec<&str> = list.hosts.iter().map(|host| host.name.as_str()).collect();
+        assert_eq!((list.version, names), (7, vec!["a", "b"]), "{name}");
+    }
+}
