Let a stream contain only its events

Clients found the head of a response, an error text or the events of another stream in the middle of theirs, and the stream ended as if it were complete: a 200 whose body began with such bytes passed on both. Cause: the splitter took every block up to a blank line for an event, and only ids over the last one counted as a fault.

Change: each line of an event is blank, a comment, a field that clients know, or, beside data or an id, one with a value and a name like theirs, in lower case. The ids of one replica rise by one; an event that it sends twice is the same. The last `id` field counts, as for clients. A byte order mark before the events of a replica is left out, as one within a stream would be part of a line.

`fault_after_largest_id` took events with the ids 2^64-1 and 7 of one replica for sound. Ids of one replica rise, so the second event now is that of another replica, as strict as before, and a further check requires the fault for one replica.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -117,9 +117,124 @@
 /// Guards against a process that ends at an id after which there is none.
 #[test]
 fn fault_after_largest_id() {
-    let (events, _) = split(&["id: 18446744073709551615\ndata: a\n\nid: 7\ndata: b\n\n"]);
+    let (events, _) = split(&["id: 18446744073709551615\ndata: a\n\n"]);
+    let (of_other_replica, _) = split(&["id: 7\ndata: b\n\n"]);
     assert_eq!(events[0].fault_after(None), None);
-    assert_eq!(events[1].fault_after(events[0].id), None);
+    assert_eq!(of_other_replica[0].fault_after(events[0].id), None);
+    assert_eq!(
+        last_fault("id: 18446744073709551615\ndata: a\n\nid: 7\ndata: b\n\n"),
+        Some("event_order")
+    );
+}
+
+/// Why the last event of a stream can't follow those before it.
+fn last_fault(text: &str) -> Option<&'static str> {
+    let (events, _) = split(&[text]);
+    let (last, before) = events.split_last().expect("there is an event");
+    last.fault_after(before.iter().rev().find_map(|event| event.id))
+}
+
+#[test]
+fn fault_after_lines_of_no_event() {
+    for line in [
+        "HTTP/1.1 500 X",
+        "HTTP/1.1 500 X: y",
+        "Content-Type: text/plain",
+        "failed",
+        "failed to: run",
+        "{\"a\": 1}",
+        "5: a",
+        "-a: b",
+        "\u{feff}id: 2",
+    ] {
+        for event in [
+            format!("{line}\n\n"),
+            format!("{line}\nid: 2\ndata: b\n\n"),
+            format!("id: 2\ndata: b\n{line}\n\n"),
+        ] {
+            let text = format!("id: 1\ndata: a\n\n{event}");
+            assert_eq!(last_fault(&text), Some("malformed"), "{event:?}");
+        }
+    }
+    // A field that clients don't know stands in no event of its own.
+    assert_eq!(last_fault("server: x\n\n"), Some("malformed"));
+}
+
+#[test]
+fn fault_after_lines_of_events() {
+    for line in [
+        ": c",
+        ":HTTP/1.1 500 X",
+        "bergamot-versions: 2",
+        "a_1:",
+        "data",
+        "data:",
+        "data: HTTP/1.1 500 X",
+        "event: e",
+        "event",
+        "retry: 5",
+        "retry",
+    ] {
+        for end in ["\n", "\r\n", "\r"] {
+            let event = format!("{line}{end}id: 2{end}data: b{end}{end}");
+            let text = format!("id: 1{end}data: a{end}{end}{event}");
+            assert_eq!(last_fault(&text), None, "{event:?}");
+        }
+    }
+    for event in [
+        ": c\n\n",
+        "\n\n",
+        "event: e\n\n",
+        "retry: 5\n\n",
+        "id: 2\n\n",
+    ] {
+        let text = format!("id: 1\ndata: a\n\n{event}");
+        assert_eq!(last_fault(&text), None, "{event:?}");
+    }
+}
+
+#[test]
+fn fault_after_ids_of_same_replica() {
+    let first = "id: 2\ndata: b\n\n";
+    for (event, fault) in [
+        ("id: 3\ndata: c\n\n", None),
+        ("id: 2\ndata: b\n\n", None),
+        ("id: 2\ndata: other\n\n", Some("event_changed")),
+        ("id: 1\ndata: a\n\n", Some("event_order")),
+        ("id: 4\ndata: d\n\n", Some("event_gap")),
+        ("id: 3\nid: 9\ndata: c\n\n", Some("event_gap")),
+        ("id: 3\nid\ndata: c\n\n", Some("event_without_id")),
+        ("id: x\n\n", Some("event_without_id")),
+        ("data: c\n\n", Some("event_without_id")),
+    ] {
+        assert_eq!(last_fault(&format!("{first}{event}")), fault, "{event:?}");
+    }
+}
+
+/// Guards against a stream of another request that begins among events which the client has
+/// and are left out.
+#[test]
+fn fault_after_gap_below_last_id() {
+    let (events, _) = split(&["id: 1\ndata: a\n\nid: 6\ndata: f\n\n"]);
+    assert_eq!(events[1].fault_after(Some(5)), Some("event_gap"));
+}
+
+#[test]
+fn next_event_byte_order_mark_left_out() {
+    let text = "\u{feff}\n\nid: 1\ndata: a\n\n";
+    let expected = split(&["\n\nid: 1\ndata: a\n\n"]);
+    assert_eq!(split(&[text]), expected);
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for byte in text.bytes() {
+        splitter.buffer().push(byte);
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    assert_eq!(events, expected.0);
+    assert!(ends_inside_event("\u{feff}id: 1"));
+    assert!(!ends_inside_event("\u{feff}"));
 }
 
 /// Decodes records whose value is the address of a replica.
