Send the body of a request on after an interim response

A request with a body larger than the buffers of a connection got 504 when its replica sent a 1xx response before it had read it all. Cause: the entry stopped writing at the first bytes from the replica, then skipped the interim response and waited for an answer to half a body.

Change: complete interim responses are skipped while the body is written, up to 32 KB; any other bytes stop it as before.

Evidence: `interim_response_while_body_is_sent` with a body of 24 MB failed before (left: 504, right: 200) and passes. `refusal_of_earlier_attempt_while_body_is_sent` passed before and still does.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -24,6 +24,12 @@
 /// without a pause would otherwise stall the process, and no timer would fire.
 const MAX_READS_IN_A_ROW: u32 = 4;
 
+/// Start of every interim response.
+const INTERIM_STATUS_LINE: &[u8] = b"HTTP/1.1 1";
+
+/// Most bytes of interim responses that arrive while a request is written.
+const MAX_INTERIM_BYTES: usize = 32 * 1024;
+
 /// TCP connection with a buffer of the bytes that were read but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
@@ -176,16 +182,22 @@
         Ok(())
     }
 
-    /// Writes `bytes`, but stops when the peer sends something first, as it does when it
-    /// refuses a request before it has read it all.
+    /// Writes `bytes`, but stops when the peer responds first, as it does when it refuses a
+    /// request before it has read it all. Interim responses (1xx) are skipped.
     ///
     /// Returns the number of bytes written. What arrived is in `read_buffer`.
+    ///
+    /// # Errors
+    ///
+    /// [`Http1Error`] when the connection fails, the deadline passes, or the interim
+    /// responses are too large.
     pub async fn write_until_readable(
         &mut self,
         bytes: &[u8],
         deadline: Instant,
     ) -> Result<usize, Http1Error> {
         let mut sent = 0;
+        let mut interim_bytes = 0;
         while sent < bytes.len() {
             match self.stream.try_write(&bytes[sent..]) {
                 Ok(length) => sent += length,
@@ -196,7 +208,13 @@
                         Err(_) => return Err(Http1Error::TimedOut),
                     };
                     if ready.is_readable() && self.try_fill_buffer()? > 0 {
-                        return Ok(sent);
+                        interim_bytes += self.skip_interim_responses();
+                        if !is_start_of(&self.read_buffer, INTERIM_STATUS_LINE) {
+                            return Ok(sent);
+                        }
+                        if interim_bytes + self.read_buffer.len() > MAX_INTERIM_BYTES {
+                            return Err(Http1Error::HeadTooLarge);
+                        }
                     }
                 }
                 Err(error) => return Err(Http1Error::Io(error)),
@@ -205,6 +223,19 @@
         Ok(sent)
     }
 
+    /// Removes the complete interim responses at the front of `read_buffer`; returns how many
+    /// bytes they had.
+    fn skip_interim_responses(&mut self) -> usize {
+        let buffered_bytes = self.read_buffer.len();
+        while self.read_buffer.starts_with(INTERIM_STATUS_LINE) {
+            match ResponseHead::parse_from(&mut self.read_buffer, MAX_INTERIM_BYTES) {
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => break,
+            }
+        }
+        buffered_bytes - self.read_buffer.len()
+    }
+
     /// Whether the peer has sent anything, or closed the connection, since the last message
     /// that was read; what it sent belongs to no request.
     pub fn has_surplus(&mut self) -> bool {
@@ -259,3 +290,8 @@
         }
     }
 }
+
+/// Whether `bytes` begin with `prefix`, as far as they have arrived.
+fn is_start_of(bytes: &[u8], prefix: &[u8]) -> bool {
+    bytes.starts_with(prefix) || prefix.starts_with(bytes)
+}
