Skip surplus answers of an engine by the ids of its calls

An engine that sent an answer a second time, when the next call was on its way, had it taken for that to the next call: an order counted as accepted by the answer to a write, a write as done by that to another, a piece was compared with the digest of another one. With each answer sent twice, no new version was loaded. Cause: a kept connection is dropped only for bytes that have arrived before the next call.

Change: each call to an engine has an id in the header that replicas repeat. Answers with another id are skipped, and those without one after others on the connection had one; the answer to the call follows on the same connection. An engine that repeats no ids is treated as before.

Evidence, before: `order_load_after_repeated_answer` left: Accepted, right: Refused(409); `read_piece_after_repeated_answer` got "piece 0" for piece 1; `write_piece_after_repeated_answer` and `report_then_answer_without_id` got an answer where there was none; they pass now. `origin_piece_after_repeated_answer` passed before: these calls keep no connection.

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::http1::BodyDecoder;
@@ -72,11 +73,26 @@
 ///
 /// A request that fails drops the connection. The client never retries it, as only
 /// the caller knows whether it may run twice.
+///
+/// A faulty peer may repeat a response after the next request has been sent. Only an id that
+/// responses repeat tells it from the response to that request: see
+/// [`Http1Client::with_request_ids`].
 #[derive(Debug)]
 pub struct Http1Client {
     address: SocketAddr,
-    idle_connection: Option<(Connection, Instant)>,
+    idle_connection: Option<IdleConnection>,
     max_idle: Duration,
+    /// Header with the id of a request, and the id of the last one.
+    request_ids: Option<(&'static str, u64)>,
+}
+
+/// A connection that can be reused.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+    /// Whether the responses on it have the ids of their requests.
+    has_request_ids: bool,
 }
 
 impl Http1Client {
@@ -86,6 +102,16 @@
             address,
             idle_connection: None,
             max_idle,
+            request_ids: None,
+        }
+    }
+
+    /// Sends an id of its own in `header` with each request, and skips responses with another
+    /// one, and those without an id after others on their connection had one.
+    pub fn with_request_ids(self, header: &'static str) -> Self {
+        Self {
+            request_ids: Some((header, rand::rng().random())),
+            ..self
         }
     }
 
@@ -95,10 +121,17 @@
     }
 
     /// The idle connection, if it has not been idle for too long and is still unused.
-    fn reusable_connection(&mut self) -> Option<Connection> {
-        let (mut connection, since) = self.idle_connection.take()?;
-        let is_reusable = since.elapsed() < self.max_idle && !connection.has_surplus();
-        is_reusable.then_some(connection)
+    fn reusable_connection(&mut self) -> Option<IdleConnection> {
+        let mut idle = self.idle_connection.take()?;
+        let is_reusable = idle.since.elapsed() < self.max_idle && !idle.connection.has_surplus();
+        is_reusable.then_some(idle)
+    }
+
+    /// Header with the id of the next request, if requests have one.
+    fn next_request_id(&mut self) -> Option<(&'static str, String)> {
+        let (header, id) = self.request_ids.as_mut()?;
+        *id = id.wrapping_add(1);
+        Some((*header, format!("{id:016x}")))
     }
 
     /// Sends a request and reads the complete response.
@@ -112,29 +145,55 @@
     ) -> Result<ClientResponse, Http1Error> {
         let deadline = Instant::now() + request.timeout;
         let next_deadline = || deadline.min(Instant::now() + request.stall_timeout);
-        let mut connection = match self.reusable_connection() {
-            Some(connection) => connection,
+        let request_id = self.next_request_id();
+        let (mut connection, mut has_request_ids) = match self.reusable_connection() {
+            Some(idle) => (idle.connection, idle.has_request_ids),
             None => {
                 let connect_timeout = request
                     .stall_timeout
                     .min(Duration::from_millis(CONNECT_TIMEOUT_MS));
-                Connection::connect(self.address, connect_timeout).await?
+                let connection = Connection::connect(self.address, connect_timeout).await?;
+                (connection, false)
             }
         };
+        let bytes = encode_request(self.address, request, request_id.as_ref());
         connection
-            .write_with_deadline(&encode_request(self.address, request), next_deadline())
+            .write_with_deadline(&bytes, next_deadline())
             .await?;
-        let (response, reusable) =
-            read_response(&mut connection, request.method, next_deadline).await?;
+        let (response, reusable) = loop {
+            let (response, reusable) =
+                read_response(&mut connection, request.method, next_deadline).await?;
+            let Some((header, sent_id)) = &request_id else {
+                break (response, reusable);
+            };
+            // An empty id names no request either.
+            let named_id = response.headers.first_text(header);
+            match named_id.filter(|id| !id.is_empty()) {
+                Some(id) if id == sent_id => {
+                    has_request_ids = true;
+                    break (response, reusable);
+                }
+                None if !has_request_ids => break (response, reusable),
+                Some(_) | None => log::debug!("{} sent a surplus response", self.address),
+            }
+        };
         if reusable {
-            self.idle_connection = Some((connection, Instant::now()));
+            self.idle_connection = Some(IdleConnection {
+                connection,
+                since: Instant::now(),
+                has_request_ids,
+            });
         }
         Ok(response)
     }
 }
 
-/// Encodes the head and the body of a request.
-fn encode_request(address: SocketAddr, request: &ClientRequest<'_>) -> Vec<u8> {
+/// Encodes the head, with the header of the request's id, and the body of a request.
+fn encode_request(
+    address: SocketAddr,
+    request: &ClientRequest<'_>,
+    id: Option<&(&str, String)>,
+) -> Vec<u8> {
     let mut bytes = format!(
         "{} {} HTTP/1.1\r\nHost: {address}\r\n",
         request.method, request.target
@@ -142,6 +201,9 @@
     if !request.content_type.is_empty() {
         bytes.push_str(&format!("Content-Type: {}\r\n", request.content_type));
     }
+    if let Some((name, id)) = id {
+        bytes.push_str(&format!("{name}: {id}\r\n"));
+    }
     for (name, value) in request.headers {
         bytes.push_str(&format!("{name}: {value}\r\n"));
     }
