Give each call to a model's engine a connection of its own

A caller of the own interface got tokens of another request, and an order to an engine counted as carried out, when the engine sent the answer before a second time. Cause: the calls shared a pool of connections; tokens and answers to orders don't name their request.

Evidence, before: `generate_after_repeated_answer` left: token "one", right: token "two"; `set_role_after_repeated_answer` left: Ok, right: Refused(StaleOrder). They pass now; the connection is to the same host.

`generate_foreign_bytes_resumed` and `generate_foreign_bytes_not_complete` put an error text, a head and tokens out of order into streams of engines behind real processes. They passed at their first run: each frame is decoded, and its index checked.

--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -71,6 +71,9 @@
 impl std::error::Error for EngineError {}
 
 /// Client of one engine, used only by the endpoint process beside it.
+///
+/// Each call has a connection of its own: tokens and answers to orders don't name their
+/// request, so that a late or repeated answer could be taken for that to the next call.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
     http: HttpClient,
@@ -141,7 +144,7 @@
         let url = format!("{}/v1/state", self.base_url);
         let mut response = self
             .http
-            .request(Method::GET, &url)
+            .request_on_new_connection(Method::GET, &url)
             .timeout(ORDER_TIMEOUT)
             .send()
             .await
@@ -161,7 +164,7 @@
         let url = format!("{}/v1/generate", self.base_url);
         let mut response = self
             .http
-            .request(Method::POST, &url)
+            .request_on_new_connection(Method::POST, &url)
             .timeout(ORDER_TIMEOUT)
             .send_json(order)
             .await
@@ -189,7 +192,7 @@
         let url = format!("{}{path}", self.base_url);
         let mut response = self
             .http
-            .request(Method::POST, &url)
+            .request_on_new_connection(Method::POST, &url)
             .timeout(timeout)
             .send_json(body)
             .await
--- a/tests/generate_path/generate_cluster.rs
+++ b/tests/generate_path/generate_cluster.rs
@@ -40,8 +40,32 @@
             let endpoint = cluster.start_engine(&name, "or-north", &ENGINE_ARGS).await;
             engines.push(cluster.backend_of(&endpoint));
         }
+        Self::serve_model(cluster, entry, engines).await
+    }
+
+    /// Starts the cluster with endpoints that reach their engines at the addresses that
+    /// `start_proxy` returns for those of the engines.
+    pub async fn start_with_proxies(replicas: usize, start_proxy: impl Fn(&str) -> String) -> Self {
+        let mut cluster = Cluster::new().await;
+        let entry = cluster.start_entry("entry-1", "or-north", "").await;
+        let mut engines = Vec::new();
+        for number in 0..replicas {
+            let engine = cluster.unused_address();
+            cluster.start_bare_engine(&format!("bare-engine-{number}"), &engine);
+            let backend = start_proxy(&engine);
+            let name = format!("engine-{number}");
+            cluster
+                .start_endpoint(&name, "or-north", &backend, "")
+                .await;
+            engines.push(engine);
+        }
+        Self::serve_model(cluster, entry, engines).await
+    }
+
+    /// Publishes the model and waits until every replica serves it.
+    async fn serve_model(cluster: Cluster, entry: String, engines: Vec<String>) -> Self {
         let manifest = cluster.publish("chat", "v1", 100_000).await;
-        let replicas = replicas.max(1);
+        let replicas = engines.len().max(1);
         let model = format!("version = v1\nmanifest = {manifest}\nreplicas = {replicas}\n");
         cluster.append_edit("model chat", 0, &model).await;
         let digest = Digest::of_bytes(TOKEN.as_bytes());
--- a/tests/generate_path/main.rs
+++ b/tests/generate_path/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Entry, endpoints and engines run as separate processes.
 
+mod foreign_bytes;
 mod generate_cluster;
 #[path = "../support/mod.rs"]
 mod support;
