Use an endpoint again that was not ready once

Callers would see 503 no_replica for every request of a model whose engine was replaced, until its endpoint process was restarted, although the engine had its weights again: an entry took "not ready", with which an endpoint answers while its engine lacks the weights, for "leaving", and a process that leaves is not used again.

The test replaces the only engine under requests. Before: "not within 5 s: its endpoint gets requests", with 503 no_replica all the time. A request refused so now counts as one whose weights are not loaded. After: 200 once the weights are loaded.

--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -310,9 +310,8 @@
     fn handle_refusal(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) -> RelayStep {
         let error = refusal_error(reason, retry_after_ms);
         match reason {
-            RefusalReason::Leaving | RefusalReason::NotReady => {
-                RelayStep::Retry(RetryReason::Leaving)
-            }
+            RefusalReason::Leaving => RelayStep::Retry(RetryReason::Leaving),
+            RefusalReason::NotReady => RelayStep::Retry(RetryReason::NotLoaded),
             RefusalReason::Overloaded | RefusalReason::OverShare
                 if self.refusal_count < MAX_REFUSALS && self.has_free_slot() =>
             {
--- /dev/null
+++ b/tests/under_way/main.rs
@@ -0,0 +1,9 @@
+//! Answers under way beside silent processes, planned stops and edits of the configuration.
+//!
+//! Each caller uses kept connections to an entry that is a separate process.
+
+mod kept_connection;
+mod streams;
+#[path = "../support/mod.rs"]
+mod support;
+mod system;
