Keep a silent or late stream unless another endpoint takes it over

A token stream whose only endpoint or engine was silent for a while, or whose first token was late, ended with an error although nobody else could give the answer, or it ran twice.

Cause: an entry left an attempt after silence_ms, or when the first token took three times the 95th percentile, and looked for another endpoint after that; an endpoint ended the stream of an engine after 3 s of silence. A second run had the id of the first, so that a cancelled first run also ended the second one at the engine.

Now a silent or late attempt is set aside when an untried endpoint is left and the budget allows a retry, and dropped when the other one has sent a token. If the other fails or refuses, or none is left, it goes on. An endpoint sends heartbeats while its engine is silent and reports the silence, and the entry decides. Where the connection is silent and the process is heard, the second run goes to the same endpoint over a new connection, under an id of its own. A retry that no endpoint is left for takes nothing from the budget, and a stream that had tokens ends with stream_broken.

--- a/src/calls/generate_frame.rs
+++ b/src/calls/generate_frame.rs
@@ -40,6 +40,8 @@
     Token { index: u32, text: String },
     /// Heartbeat: the connection is alive.
     Beat { load: Load },
+    /// The engine has been silent for long; the stream goes on when it is heard again.
+    Stalled { load: Load },
     /// The answer is complete.
     End {
         request_id: String,
--- a/src/calls/router.rs
+++ b/src/calls/router.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Records a request that is silent or late, and goes on.
+    pub fn record_failure(&mut self, key: HostKey, now_ms: u64) {
+        self.ensure_stats(key).record_failure(now_ms);
+    }
+
     /// Drops the statistics of a host that was removed.
     pub fn remove_host(&mut self, key: HostKey) {
         self.endpoints.retain(|stats| stats.key != key);
--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -152,7 +152,8 @@
         decode_response(response.status(), &body)
     }
 
-    /// Starts a token stream and returns it once the engine has accepted the request.
+    /// Starts a token stream and returns it once the engine has accepted the request, however
+    /// long that takes.
     ///
     /// # Errors
     ///
@@ -162,7 +163,6 @@
         let mut response = self
             .http
             .request(Method::POST, &url)
-            .timeout(ORDER_TIMEOUT)
             .send_json(order)
             .await
             .map_err(|e| classify_send_error(&e))?;
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -2,6 +2,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_rt::time::sleep;
 use actix_rt::time::timeout;
@@ -24,16 +25,15 @@
 use crate::clients::EngineClient;
 use crate::clients::EngineError;
 use crate::clients::EngineErrorCode;
-use crate::clients::EngineStream;
 use crate::clients::GenerateOrder;
 use crate::clients::StreamEvent;
 use crate::weights::Digest;
 
-/// Interval of heartbeats while a request waits for a slot, in milliseconds.
+/// Interval of heartbeats while a request waits for a slot or the engine, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
 
-/// Time without an event after which the engine counts as failed.
-const ENGINE_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
+/// Time without an event after which the entry is told that the engine is silent.
+const ENGINE_SILENCE_LIMIT: Duration = Duration::from_millis(3000);
 
 /// Time for which a full buffer waits for its reader.
 const SLOW_READER_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -131,7 +131,7 @@
         if left_ms == 0 {
             return self.refuse(GenerateRefusal::deadline_passed()).await;
         }
-        let result = self.stream_tokens(&mut slot, left_ms).await;
+        let result = self.stream_tokens(&mut slot, deadline_ms).await;
         let final_frame = match result {
             Ok(final_frame) => final_frame,
             Err(StreamClosed) => {
@@ -148,21 +148,29 @@
     async fn stream_tokens(
         &self,
         slot: &mut RunSlot,
-        left_ms: u64,
+        deadline_ms: u64,
     ) -> Result<GenerateFrame, StreamClosed> {
         let load = self.queue.load();
         self.send(GenerateFrame::Started { load }).await?;
-        let order = self.generate_order(left_ms);
-        let mut events = match self.unless_closed(self.engine.generate(&order)).await? {
-            Ok(events) => events,
+        let order = self.generate_order(deadline_ms.saturating_sub(self.queue.now_ms()));
+        let started = self.engine.generate(&order);
+        let mut events = match self.with_heartbeats(started, deadline_ms).await? {
+            Some(Ok(events)) => events,
+            None => return Ok(self.stop_at_deadline()),
             // The engine may have crashed before it sent the head of its response.
-            Err(EngineError::Unreachable(_)) => return Ok(failed_frame(self.detect_crash().await)),
-            Err(error) => return Ok(failed_frame(error_fault(&error))),
+            Some(Err(EngineError::Unreachable(_))) => {
+                return Ok(failed_frame(self.detect_crash().await));
+            }
+            Some(Err(error)) => return Ok(failed_frame(error_fault(&error))),
         };
         let mut next_index = self.call.resume_from;
         slot.add_used_tokens(self.call.prompt_tokens());
         loop {
-            match self.next_event(&mut events).await? {
+            let next = self.with_heartbeats(events.next(), deadline_ms).await?;
+            let Some(next) = next else {
+                return Ok(self.stop_at_deadline());
+            };
+            match self.event_or_fault(next).await {
                 Ok(StreamEvent::Token { index, text }) if index == next_index => {
                     next_index += 1;
                     self.health.record_up();
@@ -202,18 +210,54 @@
         }
     }
 
-    /// Next event of the engine, or why the stream failed.
-    async fn next_event(
+    /// Result of `work` of the engine, with heartbeats while it lasts; `None` once the
+    /// deadline has passed.
+    ///
+    /// A silent engine does not end the stream: only the entry knows whether another endpoint
+    /// can run the request.
+    async fn with_heartbeats<T>(
         &self,
-        events: &mut EngineStream,
-    ) -> Result<Result<StreamEvent, StreamFault>, StreamClosed> {
-        let next = timeout(ENGINE_SILENCE_TIMEOUT, events.next());
-        Ok(match self.unless_closed(next).await? {
-            Ok(Some(Ok(event))) => Ok(event),
+        work: impl Future<Output = T>,
+        deadline_ms: u64,
+    ) -> Result<Option<T>, StreamClosed> {
+        let mut work = pin!(work);
+        let mut reported = Instant::now();
+        loop {
+            let left_ms = deadline_ms.saturating_sub(self.queue.now_ms());
+            let wait = Duration::from_millis(left_ms.min(HEARTBEAT_INTERVAL_MS));
+            match self.unless_closed(timeout(wait, work.as_mut())).await? {
+                Ok(done) => return Ok(Some(done)),
+                Err(_) if left_ms == 0 => return Ok(None),
+                Err(_) => {}
+            }
+            let load = self.queue.load();
+            if reported.elapsed() < ENGINE_SILENCE_LIMIT {
+                self.send(GenerateFrame::Beat { load }).await?;
+            } else {
+                reported = Instant::now();
+                self.send(GenerateFrame::Stalled { load }).await?;
+            }
+        }
+    }
+
+    /// Cancels the stream of the engine and returns the final frame.
+    fn stop_at_deadline(&self) -> GenerateFrame {
+        let engine = self.engine.clone();
+        let request_id = self.call.request_id.clone();
+        actix_rt::spawn(async move { engine.cancel(request_id).await });
+        failed_frame(StreamFault::DeadlinePassed)
+    }
+
+    /// The event that the engine sent, or why the stream failed.
+    async fn event_or_fault(
+        &self,
+        next: Option<Result<StreamEvent, EngineError>>,
+    ) -> Result<StreamEvent, StreamFault> {
+        match next {
+            Some(Ok(event)) => Ok(event),
             // The connection ended before the end event.
-            Ok(Some(Err(_)) | None) => Err(self.detect_crash().await),
-            Err(_) => Err(StreamFault::EngineFailed),
-        })
+            Some(Err(_)) | None => Err(self.detect_crash().await),
+        }
     }
 
     /// Fault of a broken connection to the engine: a crash if the engine is down.
--- a/src/entry/generate_attempt.rs
+++ b/src/entry/generate_attempt.rs
@@ -7,7 +7,9 @@
 use actix_web::http::Method;
 use actix_web::http::StatusCode;
 use bytes::Bytes;
+use futures_util::FutureExt;
 use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
 
 use super::generate_routing::RouteChoice;
@@ -18,6 +20,7 @@
 use crate::entry::EntryState;
 use crate::hosts::HostKey;
 use crate::hosts::Load;
+use crate::weights::Digest;
 
 /// Number of tokens between two samples of an endpoint's token interval.
 const TOKENS_PER_INTERVAL_SAMPLE: u32 = 4;
@@ -31,6 +34,8 @@
     Broken,
     /// Nothing was received on the connection for the longest allowed silence.
     Silent,
+    /// The endpoint reported that its engine is silent.
+    EngineSilent,
     /// The first token is late, although the request is running.
     LateFirstToken,
     /// The answer was invalid or belonged to another request.
@@ -54,6 +59,7 @@
             Self::NotSent => "not_sent",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::EngineSilent => "engine_silent",
             Self::LateFirstToken => "late_first_token",
             Self::WrongAnswer => "wrong_answer",
             Self::Refused => "refused",
@@ -70,6 +76,7 @@
             Self::NotSent
             | Self::Broken
             | Self::Silent
+            | Self::EngineSilent
             | Self::LateFirstToken
             | Self::WrongAnswer
             | Self::EngineFailed
@@ -79,16 +86,26 @@
     }
 }
 
+/// Chunks of a response body; an item `None` means that the connection broke.
+type Chunks = LocalBoxStream<'static, Option<Bytes>>;
+
 /// One attempt to run a request at one endpoint.
 ///
 /// Dropping it closes its connection and records its end with the router.
 pub(super) struct GenerateAttempt {
     state: Arc<EntryState>,
     pub(super) host_key: HostKey,
+    /// Incarnation of the endpoint process.
+    pub(super) incarnation: u64,
+    /// Manifest of the version that generates the tokens.
+    pub(super) manifest: Digest,
+    /// Identifies the run, so that an engine that is told to cancel it leaves others alone.
+    pub(super) request_id: String,
     started_ms: u64,
     pub(super) outcome: AttemptOutcome,
-    /// Chunks of the response body; an item `None` means that the connection broke.
-    chunks: LocalBoxStream<'static, Option<Bytes>>,
+    /// Sends the call; `None` once the response head has been received.
+    sending: Option<LocalBoxFuture<'static, Result<Chunks, RetryReason>>>,
+    chunks: Chunks,
     frames: FrameBuffer,
     /// Number of tokens received.
     tokens: u32,
@@ -101,12 +118,16 @@
 
 impl GenerateAttempt {
     /// An attempt whose start the router has already recorded.
-    pub(super) fn new(state: Arc<EntryState>, choice: &RouteChoice) -> Self {
+    pub(super) fn new(state: Arc<EntryState>, choice: &RouteChoice, request_id: String) -> Self {
         Self {
             state,
             host_key: choice.host_key,
+            incarnation: choice.incarnation,
+            manifest: choice.manifest,
+            request_id,
             started_ms: choice.started_ms,
             outcome: AttemptOutcome::Neutral,
+            sending: None,
             chunks: futures_util::stream::empty().boxed_local(),
             frames: FrameBuffer::default(),
             tokens: 0,
@@ -116,14 +137,13 @@
         }
     }
 
-    /// Sends the call over a new or a pooled connection, and waits for the response head.
-    pub(super) async fn send(
+    /// Starts to send the call over a new or a pooled connection.
+    pub(super) fn start_sending(
         &mut self,
         address: SocketAddr,
         call: &GenerateCall,
         use_fresh_connection: bool,
-        wait: Duration,
-    ) -> Result<(), RetryReason> {
+    ) {
         let url = format!("http://{address}/x/generate");
         let http = self.state.node.http();
         let request = match use_fresh_connection {
@@ -131,17 +151,18 @@
             false => http.request(Method::POST, &url),
         };
         let body = rmp_serde::to_vec_named(call).expect("calls have no failing fields");
-        let response = match timeout(wait, request.send_body(body)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(awc::error::SendRequestError::Connect(_))) => return Err(RetryReason::NotSent),
-            Ok(Err(_)) => return Err(RetryReason::Broken),
-            Err(_) => return Err(RetryReason::Silent),
+        let sending = async move {
+            let response = match request.send_body(body).await {
+                Ok(response) => response,
+                Err(awc::error::SendRequestError::Connect(_)) => return Err(RetryReason::NotSent),
+                Err(_) => return Err(RetryReason::Broken),
+            };
+            if response.status() != StatusCode::OK {
+                return Err(RetryReason::WrongAnswer);
+            }
+            Ok(response.map(Result::ok).boxed_local())
         };
-        if response.status() != StatusCode::OK {
-            return Err(RetryReason::WrongAnswer);
-        }
-        self.chunks = response.map(Result::ok).boxed_local();
-        Ok(())
+        self.sending = Some(sending.boxed_local());
     }
 
     /// Waits for the next frame, for at most `wait` or until the first token is late.
@@ -178,8 +199,18 @@
         }
     }
 
-    /// Waits for the next complete frame.
+    /// The first token may take any time from now on.
+    pub(super) fn lift_first_token_limit(&mut self) {
+        self.first_token_limit_ms = None;
+    }
+
+    /// Waits for the next complete frame; may be dropped and called again.
     async fn next_frame(&mut self) -> Result<GenerateFrame, RetryReason> {
+        if let Some(sending) = &mut self.sending {
+            let sent = sending.await;
+            self.sending = None;
+            self.chunks = sent?;
+        }
         loop {
             match self.frames.next_frame() {
                 Ok(Some(frame)) => return Ok(frame),
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -38,6 +38,8 @@
     Continue,
     /// Send an event to the caller.
     Emit(GenerateEvent),
+    /// Start another attempt beside the one that is silent or late, if one is allowed.
+    Hedge(RetryReason),
     /// Start another attempt, if one is allowed.
     Retry(RetryReason),
     /// Send the last event of a complete answer.
@@ -49,7 +51,8 @@
 /// Answers one request of a caller from one or more attempts at endpoints.
 ///
 /// If an attempt fails midway, the next one resumes after the last token that was sent to
-/// the caller.
+/// the caller. One that is silent or late is kept until another one has sent a token, as
+/// there may be no other endpoint.
 pub(super) struct GenerateRelay {
     state: Arc<EntryState>,
     call: GenerateCall,
@@ -57,6 +60,8 @@
     deadline_at_ms: u64,
     /// Attempt in progress.
     attempt: Option<GenerateAttempt>,
+    /// Silent or late attempts that go on beside the one in progress.
+    set_aside: Vec<GenerateAttempt>,
     /// Hosts that are not tried again.
     tried_hosts: Vec<HostKey>,
     attempt_count: usize,
@@ -67,6 +72,8 @@
     use_fresh_connection: bool,
     /// Manifest of the version that generated the tokens which the caller has.
     pinned_manifest: Option<Digest>,
+    /// Index of the first token that the caller asked for.
+    first_index: u32,
     /// Index of the next token to send to the caller.
     next_index: u32,
     has_ended: bool,
@@ -79,6 +86,7 @@
         Self {
             deadline_at_ms: state.node.now_ms() + call.deadline_ms,
             attempt: None,
+            set_aside: Vec::new(),
             tried_hosts: Vec::new(),
             attempt_count: 0,
             refusal_count: 0,
@@ -86,6 +94,7 @@
             use_fresh_connection: false,
             // A caller that resumes is taken to have tokens of the configured version.
             pinned_manifest: (call.resume_from > 0).then_some(call.manifest),
+            first_index: call.resume_from,
             next_index: call.resume_from,
             has_ended: false,
             state,
@@ -102,11 +111,13 @@
             match self.next_step().await {
                 RelayStep::Continue => {}
                 RelayStep::Emit(event) => return Some(Ok(event)),
+                RelayStep::Hedge(reason) => self.start_hedge(reason),
                 RelayStep::Finish(event) => {
                     self.has_ended = true;
                     let metrics = self.state.node.metrics();
                     metrics.add(CounterKind::Requests, 1, "outcome", "done");
                     self.attempt = None;
+                    self.set_aside.clear();
                     return Some(Ok(event));
                 }
                 RelayStep::Fail(error) => return Some(Err(self.finish_with_error(error))),
@@ -128,6 +139,7 @@
     fn finish_with_error(&mut self, error: ApiError) -> ApiError {
         self.has_ended = true;
         self.attempt = None;
+        self.set_aside.clear();
         let code = error.code().name();
         self.state.node.metrics().record_refusal(code);
         let fields: [(&str, &dyn std::fmt::Display); 2] =
@@ -139,24 +151,31 @@
     /// Starts an attempt if none is running, else waits for its next frame.
     async fn next_step(&mut self) -> RelayStep {
         let left_ms = self.left_ms();
-        if left_ms == 0 {
-            return RelayStep::Fail(deadline_error());
-        }
         let wait_ms = left_ms.min(self.state.settings.silence_ms);
         let wait = Duration::from_millis(wait_ms);
         let Some(attempt) = &mut self.attempt else {
-            return self.start_attempt(left_ms, wait).await;
+            return match left_ms {
+                0 => RelayStep::Fail(deadline_error()),
+                _ => self.start_attempt(left_ms),
+            };
         };
+        // Past the deadline, frames that have arrived are still sent to the caller.
         match attempt.wait_for_frame(wait).await {
             Ok(frame) => self.handle_frame(frame),
             // A wait that the deadline cut short does not count against the endpoint.
             Err(RetryReason::Silent) if wait_ms == left_ms => RelayStep::Fail(deadline_error()),
+            Err(RetryReason::Silent) if self.is_process_gone() => {
+                RelayStep::Retry(RetryReason::Broken)
+            }
+            Err(reason @ (RetryReason::Silent | RetryReason::LateFirstToken)) => {
+                RelayStep::Hedge(reason)
+            }
             Err(reason) => RelayStep::Retry(reason),
         }
     }
 
     /// Sends the call to an endpoint that was not tried yet.
-    async fn start_attempt(&mut self, left_ms: u64, wait: Duration) -> RelayStep {
+    fn start_attempt(&mut self, left_ms: u64) -> RelayStep {
         match self.suspect_status() {
             SuspectStatus::Clear => {}
             SuspectStatus::Suspect => self.call.is_suspect = true,
@@ -165,29 +184,96 @@
             }
         }
         let mut choice = self.choose_endpoint();
-        if choice.is_none() && self.use_fresh_connection {
+        if choice.is_none() && self.use_fresh_connection && self.set_aside.is_empty() {
             // All replicas were tried, perhaps over pooled connections that had broken
             // unnoticed, so each may be tried again over a new one.
             self.tried_hosts.clear();
             choice = self.choose_endpoint();
         }
         let Some(choice) = choice else {
-            return RelayStep::Fail(self.no_replica_error());
+            return match self.resume_set_aside() {
+                true => RelayStep::Continue,
+                false => RelayStep::Fail(self.no_replica_error()),
+            };
         };
         self.tried_hosts.push(choice.host_key);
         self.attempt_count += 1;
-        let mut attempt = GenerateAttempt::new(Arc::clone(&self.state), &choice);
         self.call.manifest = choice.manifest;
         self.call.resume_from = self.next_index;
         self.call.deadline_ms = left_ms;
-        let sent = attempt
-            .send(choice.address, &self.call, self.use_fresh_connection, wait)
-            .await;
+        let call = GenerateCall {
+            request_id: match self.attempt_count {
+                1 => self.call.request_id.clone(),
+                number => format!("{}-{number}", self.call.request_id),
+            },
+            ..self.call.clone()
+        };
+        let state = Arc::clone(&self.state);
+        let mut attempt = GenerateAttempt::new(state, &choice, call.request_id.clone());
+        attempt.start_sending(choice.address, &call, self.use_fresh_connection);
         self.attempt = Some(attempt);
-        match sent {
-            Ok(()) => RelayStep::Continue,
-            Err(reason) => RelayStep::Retry(reason),
+        RelayStep::Continue
+    }
+
+    /// Sets the silent or late attempt aside, so that another one starts, if an endpoint is
+    /// left and a retry is allowed; else it goes on as the only one.
+    fn start_hedge(&mut self, reason: RetryReason) {
+        let is_other_left = self.has_untried_endpoint();
+        let is_connection_lost = reason == RetryReason::Silent && self.is_process_heard();
+        let Some(mut attempt) = self.attempt.take() else {
+            return;
+        };
+        attempt.lift_first_token_limit();
+        if !(is_other_left || is_connection_lost) || !self.take_retry(reason) {
+            self.attempt = Some(attempt);
+            return;
+        }
+        if !is_other_left {
+            self.tried_hosts.retain(|tried| *tried != attempt.host_key);
         }
+        self.use_fresh_connection = reason == RetryReason::Silent;
+        let now_ms = self.state.node.now_ms();
+        let mut router = self.state.routing.router();
+        router.record_failure(attempt.host_key, now_ms);
+        drop(router);
+        self.set_aside.push(attempt);
+    }
+
+    /// Goes on with an attempt that was set aside; false if there is none.
+    fn resume_set_aside(&mut self) -> bool {
+        self.attempt = self.set_aside.pop();
+        self.attempt.is_some()
+    }
+
+    /// Whether the endpoint process of the running attempt was replaced or removed.
+    fn is_process_gone(&self) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        let roster = self.state.node.roster();
+        let host = roster.host(attempt.host_key);
+        host.is_none_or(|host| host.incarnation != attempt.incarnation)
+    }
+
+    /// Whether the endpoint of the running attempt has sent heartbeats while its connection
+    /// was silent, so that a new connection may help.
+    fn is_process_heard(&self) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        let now_ms = self.state.node.now_ms();
+        let roster = self.state.node.roster();
+        let silent_ms = roster
+            .host(attempt.host_key)
+            .and_then(|host| host.silent_ms(now_ms));
+        silent_ms.is_some_and(|silent_ms| silent_ms <= self.state.settings.silence_ms / 2)
+    }
+
+    /// Whether an endpoint that was not tried serves the call.
+    fn has_untried_endpoint(&self) -> bool {
+        let node = &self.state.node;
+        let routing = &self.state.routing;
+        routing.has_untried_endpoint(node, &self.call, self.pinned_manifest, &self.tried_hosts)
     }
 
     fn choose_endpoint(&self) -> Option<RouteChoice> {
@@ -250,7 +336,9 @@
             GenerateFrame::Token { index, text } if index == self.next_index => {
                 attempt.record_token();
                 self.next_index += 1;
-                self.pinned_manifest = Some(self.call.manifest);
+                self.pinned_manifest = Some(attempt.manifest);
+                self.set_aside.clear();
+                self.last_refusal = None;
                 RelayStep::Emit(GenerateEvent::Token { index, text })
             }
             GenerateFrame::Token { .. } => RelayStep::Retry(RetryReason::WrongAnswer),
@@ -258,6 +346,10 @@
                 attempt.record_load(load);
                 RelayStep::Emit(GenerateEvent::Beat)
             }
+            GenerateFrame::Stalled { load } => {
+                attempt.record_load(load);
+                RelayStep::Hedge(RetryReason::EngineSilent)
+            }
             GenerateFrame::End {
                 request_id,
                 tokens,
@@ -266,8 +358,8 @@
                 load,
             } => {
                 attempt.record_load(load);
-                let is_expected = request_id == self.call.request_id
-                    && manifest == self.call.manifest
+                let is_expected = request_id == attempt.request_id
+                    && manifest == attempt.manifest
                     && tokens == self.next_index;
                 if !is_expected {
                     return RelayStep::Retry(RetryReason::WrongAnswer);
@@ -276,7 +368,7 @@
                 let request = self.call.fingerprint();
                 self.state.node.suspects().clear_request(request);
                 RelayStep::Finish(GenerateEvent::End {
-                    request_id,
+                    request_id: self.call.request_id.clone(),
                     tokens,
                     manifest,
                     whole,
@@ -319,35 +411,52 @@
                 self.last_refusal = Some(error);
                 RelayStep::Retry(RetryReason::Refused)
             }
+            // An attempt that was set aside goes on.
+            _ if !self.set_aside.is_empty() => RelayStep::Retry(RetryReason::Refused),
             _ => RelayStep::Fail(error),
         }
     }
 
-    /// Ends the attempt, and takes a retry from the budget or returns the final error.
+    /// Ends the attempt, and takes a retry from the budget, goes on with an attempt that was
+    /// set aside, or returns the final error.
     fn prepare_retry(&mut self, reason: RetryReason) -> Result<(), ApiError> {
         if let Some(mut attempt) = self.attempt.take() {
             attempt.outcome = reason.attempt_outcome();
             self.record_failure(attempt.host_key, reason);
         }
         self.use_fresh_connection = matches!(reason, RetryReason::Silent | RetryReason::Broken);
+        let is_other_left = self.has_untried_endpoint();
+        if !self.set_aside.is_empty() && (!is_other_left || reason == RetryReason::Refused) {
+            self.resume_set_aside();
+            return Ok(());
+        }
+        // A retry that no endpoint is left for must not use up the budget.
+        if !is_other_left && !self.use_fresh_connection {
+            return Err(self.no_replica_error());
+        }
+        if self.take_retry(reason) || self.resume_set_aside() {
+            return Ok(());
+        }
+        Err(self.final_error(reason))
+    }
+
+    /// Takes a retry from the budget of the branch; false if no further attempt is allowed.
+    fn take_retry(&self, reason: RetryReason) -> bool {
         // A planned stop of an endpoint must not use up the retry budget of a branch.
         let is_exempt = reason == RetryReason::Leaving;
+        let routing = &self.state.routing;
         let is_allowed = is_exempt
             || self.attempt_count < MAX_ATTEMPTS
-                && self
-                    .state
-                    .routing
-                    .retry_budget()
-                    .try_retry(&self.call.branch);
+                && routing.retry_budget().try_retry(&self.call.branch);
         if !is_allowed {
-            return Err(self.final_error(reason));
+            return false;
         }
         let name = reason.name();
         self.state.node.metrics().record_retry(name);
         let fields: [(&str, &dyn std::fmt::Display); 2] =
             [("request", &self.call.request_id), ("reason", &name)];
         emit_event(Event::CallRetried, &fields);
-        Ok(())
+        true
     }
 
     /// Records in the roster that the host of a failed attempt is unreachable or leaving.
@@ -365,7 +474,7 @@
         if let Some(refusal) = self.last_refusal.take() {
             return refusal;
         }
-        if self.next_index > 0 {
+        if self.next_index > self.first_index {
             let message = format!(
                 "the answer was interrupted before its end ({})",
                 reason.name()
@@ -385,6 +494,9 @@
             return refusal;
         }
         let message = format!("no live endpoint serves model {:?}", self.call.model);
+        if self.next_index > self.first_index {
+            return ApiError::retryable(ErrorCode::StreamBroken, message, NO_REPLICA_RETRY_MS);
+        }
         ApiError::retryable(ErrorCode::NoReplica, message, NO_REPLICA_RETRY_MS)
     }
 
--- a/src/entry/generate_routing.rs
+++ b/src/entry/generate_routing.rs
@@ -93,11 +93,24 @@
         Some(RouteChoice {
             host_key,
             address: host.address,
+            incarnation: host.incarnation,
             manifest,
             started_ms: now_ms,
         })
     }
 
+    /// Whether an endpoint that was not tried serves the call.
+    pub(super) fn has_untried_endpoint(
+        &self,
+        node: &Node,
+        call: &GenerateCall,
+        pinned_manifest: Option<Digest>,
+        tried: &[HostKey],
+    ) -> bool {
+        let candidates = route_candidates(&node.roster(), call, pinned_manifest, node.now_ms());
+        candidates.iter().any(|it| !tried.contains(&it.key))
+    }
+
     /// Whether an endpoint that was not tried is expected to have a free slot for the call.
     pub(super) fn has_free_slot(
         &self,
@@ -141,6 +154,7 @@
 pub(super) struct RouteChoice {
     pub(super) host_key: HostKey,
     pub(super) address: SocketAddr,
+    pub(super) incarnation: u64,
     /// Manifest of the version that will answer.
     pub(super) manifest: Digest,
     /// Time of the choice, which identifies the request in the router, in milliseconds.
