Wait for the only endpoint of a call beyond a silence

Calls whose endpoint was silent for longer than 2.5 s ended with outcome_unknown, endpoint_lost, long before their deadline, although the endpoint went on and answered: an idempotent call had two tries of 1.25 s each, any other call one try and one question for its nonce.

call_silent_only_endpoint (frozen for 3.5 s within a call, 15 s to the deadline; two tests when it failed, one for each kind) and call_to_silent_only_endpoint failed: 504 outcome_unknown, endpoint_lost.

A silent exchange now goes on until the deadline. Beside it an idempotent call is sent to another endpoint, or to the same one if that has sent heartbeats since; any other call is settled by its answer or by that of the question, whichever comes first, and still runs once. It ends earlier when a later incarnation of the endpoint is known. "Not run" of a later attempt is no longer reported if an earlier one may have run. After: 200, and one execution for each call.

--- a/src/entry/idempotent_call.rs
+++ b/src/entry/idempotent_call.rs
@@ -1,6 +1,11 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 
 use crate::calls::CallOutcome;
@@ -11,8 +16,8 @@
 use crate::calls::UnknownReason;
 use crate::entry::EntryState;
 use crate::entry::call_exchange::ConnectionKind;
+use crate::entry::call_exchange::Exchange;
 use crate::entry::call_exchange::ExchangeResult;
-use crate::entry::call_exchange::exchange_message;
 use crate::hosts::HostKey;
 use crate::hosts::HostRole;
 use crate::observe::Event;
@@ -21,7 +26,11 @@
 /// Largest number of attempts for one call.
 const MAX_ATTEMPTS: usize = 3;
 
-/// Sends an idempotent call, and again to another endpoint if its answer is lost.
+/// Sends an idempotent call, and again to another endpoint if its answer is lost or the
+/// connection is silent.
+///
+/// An attempt that is silent goes on beside the next one, as it may be the only one that is
+/// answered.
 pub(super) async fn send_idempotent_call(
     state: &EntryState,
     call: ServiceCall,
@@ -31,39 +40,197 @@
         return CallOutcome::not_run(RefusalReason::NotReady);
     }
     state.calls.retry_budget().count_request(&call.branch);
-    let mut last_outcome = CallOutcome::not_run(RefusalReason::NoEndpoint);
-    for (attempt_no, (host_key, address)) in call_candidates(state, &call.service)
-        .into_iter()
-        .enumerate()
-    {
-        if attempt_no > 0 && !take_retry(state, &call.branch, &last_outcome) {
-            break;
+    let mut candidates = call_candidates(state, &call.service);
+    let Some(first) = candidates.pop_front() else {
+        return CallOutcome::not_run(RefusalReason::NoEndpoint);
+    };
+    if Instant::now() >= deadline {
+        return CallOutcome::not_run(RefusalReason::DeadlinePassed);
+    }
+    let mut run = IdempotentCall {
+        state,
+        call,
+        deadline,
+        candidates,
+        hosts: Vec::new(),
+        running: FuturesUnordered::new(),
+        lost: None,
+    };
+    // A pooled connection may have broken unnoticed, so a retry opens a new one.
+    run.start_attempt(first, ConnectionKind::Pooled);
+    run.wait_for_outcome().await
+}
+
+/// An endpoint that a call may be sent to.
+#[derive(Debug, Clone, Copy)]
+struct CallCandidate {
+    host_key: HostKey,
+    address: SocketAddr,
+    incarnation: u64,
+}
+
+/// One send of the call to an endpoint.
+struct Attempt {
+    candidate: CallCandidate,
+    exchange: Exchange,
+}
+
+impl Attempt {
+    /// Waits until the attempt has ended or is silent.
+    async fn wait(mut self) -> (Self, ExchangeResult) {
+        let result = self.exchange.wait().await;
+        (self, result)
+    }
+}
+
+/// A call with its attempts under way.
+struct IdempotentCall<'a> {
+    state: &'a EntryState,
+    call: ServiceCall,
+    deadline: Instant,
+    /// Endpoints in the order of attempts.
+    candidates: VecDeque<CallCandidate>,
+    /// Hosts of the attempts under way.
+    hosts: Vec<HostKey>,
+    running: FuturesUnordered<LocalBoxFuture<'a, (Attempt, ExchangeResult)>>,
+    /// Outcome of the first attempt that may have run.
+    lost: Option<CallOutcome>,
+}
+
+impl IdempotentCall<'_> {
+    /// Waits until an attempt is answered or none is left.
+    async fn wait_for_outcome(mut self) -> CallOutcome {
+        let mut last_outcome = CallOutcome::not_run(RefusalReason::NoEndpoint);
+        while let Some((attempt, result)) = self.running.next().await {
+            if matches!(result, ExchangeResult::Silent) && !self.is_replaced(&attempt.candidate) {
+                self.start_beside(&attempt);
+                self.running.push(attempt.wait().boxed_local());
+                continue;
+            }
+            let host_key = attempt.candidate.host_key;
+            if let Some(at) = self.hosts.iter().position(|host| *host == host_key) {
+                self.hosts.swap_remove(at);
+            }
+            last_outcome = attempt_outcome(result);
+            self.update_roster(host_key, &last_outcome);
+            if matches!(last_outcome, CallOutcome::Answer(_)) {
+                return last_outcome;
+            }
+            if matches!(last_outcome, CallOutcome::Unknown { .. }) {
+                self.lost.get_or_insert_with(|| last_outcome.clone());
+            }
+            if is_retryable(&last_outcome) {
+                self.start_next(last_outcome.code());
+            }
+        }
+        // A refusal of the last attempt does not mean that none of the others has run.
+        match last_outcome {
+            CallOutcome::NotRun { .. } => self.lost.unwrap_or(last_outcome),
+            _ => last_outcome,
+        }
+    }
+
+    /// Starts another attempt beside one that is silent, unless it would reach the same silent
+    /// process.
+    fn start_beside(&mut self, silent: &Attempt) {
+        let Some(next) = self.candidates.front() else {
+            return;
+        };
+        let now_ms = self.state.node.now_ms();
+        let silent_ms = self
+            .state
+            .node
+            .roster()
+            .host(next.host_key)
+            .and_then(|host| host.silent_ms(now_ms));
+        let is_heard = silent_ms.is_some_and(|ms| silent.exchange.is_only_connection_silent(ms));
+        if is_heard || !self.hosts.contains(&next.host_key) {
+            self.start_next(UnknownReason::EndpointLost.code());
+        }
+    }
+
+    /// Starts the next attempt, if one is left and the retry budget allows it.
+    fn start_next(&mut self, reason: &'static str) {
+        if self.candidates.is_empty() || Instant::now() >= self.deadline {
+            return;
+        }
+        if !self.take_retry(reason) {
+            self.candidates.clear();
+            return;
         }
-        if Instant::now() >= deadline {
-            return CallOutcome::not_run(RefusalReason::DeadlinePassed);
+        if let Some(next) = self.candidates.pop_front() {
+            self.start_attempt(next, ConnectionKind::Fresh);
         }
-        // A pooled connection may have broken unnoticed, so a retry opens a new one.
-        let connection = match attempt_no {
-            0 => ConnectionKind::Pooled,
-            _ => ConnectionKind::Fresh,
+    }
+
+    fn start_attempt(&mut self, candidate: CallCandidate, connection: ConnectionKind) {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let message = ServiceCall {
+            request_id: Nonce::random().to_string(),
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            ..self.call.clone()
         };
-        last_outcome = send_attempt(state, &call, host_key, address, connection, deadline).await;
-        if !is_retryable(&last_outcome) {
-            break;
+        let url = format!("http://{}/x/call", candidate.address);
+        let http = self.state.node.http();
+        let request_id = message.request_id.as_str();
+        let exchange = Exchange::start(http, connection, &url, request_id, &message, self.deadline);
+        let attempt = Attempt {
+            candidate,
+            exchange,
+        };
+        self.hosts.push(candidate.host_key);
+        self.running.push(attempt.wait().boxed_local());
+    }
+
+    /// Takes a retry from the budget of the branch; returns false if there is none left.
+    fn take_retry(&self, reason: &'static str) -> bool {
+        let metrics = self.state.node.metrics();
+        if !self.state.calls.retry_budget().try_retry(&self.call.branch) {
+            metrics.record_refusal(RefusalReason::RetryBudgetSpent.code());
+            return false;
+        }
+        metrics.record_retry(reason);
+        emit_event(Event::CallRetried, &[("reason", &reason)]);
+        true
+    }
+
+    /// Whether the endpoint process has been replaced since the call was sent.
+    fn is_replaced(&self, candidate: &CallCandidate) -> bool {
+        let roster = self.state.node.roster();
+        let host = roster.host(candidate.host_key);
+        host.is_none_or(|host| host.incarnation != candidate.incarnation)
+    }
+
+    /// Records in the roster that an endpoint is unreachable or leaving.
+    fn update_roster(&self, host_key: HostKey, outcome: &CallOutcome) {
+        let now_ms = self.state.node.now_ms();
+        match outcome {
+            CallOutcome::NotRun {
+                reason: RefusalReason::Unreachable,
+                ..
+            } => self.state.node.roster().record_failure(host_key, now_ms),
+            CallOutcome::NotRun {
+                reason: RefusalReason::Leaving,
+                ..
+            } => self.state.node.roster().record_leaving(host_key),
+            _ => {}
         }
     }
-    last_outcome
 }
 
 /// Usable endpoints of a service in the order of attempts, at random.
-fn call_candidates(state: &EntryState, service: &str) -> Vec<(HostKey, SocketAddr)> {
+fn call_candidates(state: &EntryState, service: &str) -> VecDeque<CallCandidate> {
     let now_ms = state.node.now_ms();
     let mut endpoints: Vec<_> = state
         .node
         .roster()
         .usable(HostRole::Endpoint, now_ms)
         .filter(|(_, host)| host.service.as_deref() == Some(service))
-        .map(|(host_key, host)| (host_key, host.address))
+        .map(|(host_key, host)| CallCandidate {
+            host_key,
+            address: host.address,
+            incarnation: host.incarnation,
+        })
         .collect();
     endpoints.shuffle(&mut rand::rng());
     // The list repeats, so that a single endpoint is tried again over a new connection.
@@ -75,18 +242,6 @@
         .collect()
 }
 
-/// Takes a retry from the budget of the branch; returns false if there is none left.
-fn take_retry(state: &EntryState, branch: &str, last_outcome: &CallOutcome) -> bool {
-    if !state.calls.retry_budget().try_retry(branch) {
-        let reason = RefusalReason::RetryBudgetSpent;
-        state.node.metrics().record_refusal(reason.code());
-        return false;
-    }
-    state.node.metrics().record_retry(last_outcome.code());
-    emit_event(Event::CallRetried, &[("reason", &last_outcome.code())]);
-    true
-}
-
 /// Whether an attempt at another endpoint or over another connection may succeed.
 fn is_retryable(outcome: &CallOutcome) -> bool {
     match outcome {
@@ -99,46 +254,20 @@
     }
 }
 
-/// Sends the call to one endpoint and updates the endpoint's status in the roster.
-async fn send_attempt(
-    state: &EntryState,
-    call: &ServiceCall,
-    host_key: HostKey,
-    address: SocketAddr,
-    connection: ConnectionKind,
-    deadline: Instant,
-) -> CallOutcome {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let attempt = ServiceCall {
-        request_id: Nonce::random().to_string(),
-        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-        ..call.clone()
-    };
-    let url = format!("http://{address}/x/call");
-    let http = state.node.http();
-    let request_id = attempt.request_id.as_str();
-    let result = exchange_message(http, connection, &url, request_id, &attempt, deadline).await;
-    let outcome = match result {
+/// Outcome of an attempt that has ended.
+fn attempt_outcome(result: ExchangeResult) -> CallOutcome {
+    match result {
         ExchangeResult::Report(CallReport::Ended(outcome)) => outcome,
         ExchangeResult::Report(CallReport::NotHere(reason)) => CallOutcome::unknown(reason),
         ExchangeResult::StillRunning => CallOutcome::unknown(UnknownReason::StillRunning),
         ExchangeResult::NotSent => CallOutcome::not_run(RefusalReason::Unreachable),
-        ExchangeResult::Lost(cause) => {
-            emit_event(Event::ConnectionSilent, &[("cause", &cause)]);
-            CallOutcome::unknown(UnknownReason::EndpointLost)
-        }
-    };
-    let now_ms = state.node.now_ms();
-    match &outcome {
-        CallOutcome::NotRun {
-            reason: RefusalReason::Unreachable,
-            ..
-        } => state.node.roster().record_failure(host_key, now_ms),
-        CallOutcome::NotRun {
-            reason: RefusalReason::Leaving,
-            ..
-        } => state.node.roster().record_leaving(host_key),
-        _ => {}
+        ExchangeResult::Lost(cause) => lost_outcome(cause),
+        ExchangeResult::Silent => lost_outcome("silent"),
     }
-    outcome
+}
+
+/// Outcome of an attempt whose connection was abandoned.
+fn lost_outcome(cause: &'static str) -> CallOutcome {
+    emit_event(Event::ConnectionSilent, &[("cause", &cause)]);
+    CallOutcome::unknown(UnknownReason::EndpointLost)
 }
--- a/src/entry/non_idempotent_call.rs
+++ b/src/entry/non_idempotent_call.rs
@@ -1,5 +1,9 @@
+use std::pin::pin;
 use std::time::Instant;
 
+use futures_util::future::Either;
+use futures_util::future::select;
+
 use crate::calls::CallOutcome;
 use crate::calls::CallReport;
 use crate::calls::CrashId;
@@ -15,8 +19,8 @@
 use crate::calls::fingerprint;
 use crate::entry::EntryState;
 use crate::entry::call_exchange::ConnectionKind;
+use crate::entry::call_exchange::Exchange;
 use crate::entry::call_exchange::ExchangeResult;
-use crate::entry::call_exchange::exchange_message;
 use crate::node::Reporter;
 
 /// One send of a call that must not run twice, under its permit.
@@ -42,9 +46,15 @@
         if let DispatchDecision::Closed(reason) = dispatch {
             return self.refuse(reason).await;
         }
-        let result = self
-            .send_message("call", &self.call.request_id, &self.call)
-            .await;
+        let mut exchange = self.start_exchange("call", &self.call.request_id, &self.call);
+        match exchange.wait().await {
+            ExchangeResult::Silent => self.settle_silent_call(exchange).await,
+            result => self.settle_call(result).await,
+        }
+    }
+
+    /// Outcome of the call after its exchange has ended.
+    async fn settle_call(&self, result: ExchangeResult) -> CallOutcome {
         match result {
             ExchangeResult::Report(CallReport::Ended(outcome)) => {
                 self.record_result(SendResult::Ended(outcome))
@@ -60,17 +70,72 @@
                 self.mark_endpoint_failed();
                 self.refuse(RefusalReason::Unreachable).await
             }
-            ExchangeResult::Lost(cause) => {
-                self.state.node.metrics().record_retry(cause);
-                let result = self.query_permit_status(RefusalReason::Withdrawn).await;
-                if result == SendResult::Lost(UnknownReason::EndpointGone) {
-                    self.record_endpoint_crash().await;
+            ExchangeResult::Silent => self.settle_lost_call("silent").await,
+            ExchangeResult::Lost(cause) => self.settle_lost_call(cause).await,
+        }
+    }
+
+    /// Outcome of a call whose connection was lost.
+    async fn settle_lost_call(&self, cause: &'static str) -> CallOutcome {
+        self.state.node.metrics().record_retry(cause);
+        let result = self.query_permit_status(RefusalReason::Withdrawn).await;
+        self.settle_query(result).await
+    }
+
+    /// Outcome of a call whose connection is silent: that of the call or of a query over
+    /// another connection, whichever comes first.
+    async fn settle_silent_call(&self, mut exchange: Exchange) -> CallOutcome {
+        self.state.node.metrics().record_retry("silent");
+        let call = pin!(self.wait_through_silence(&mut exchange));
+        let query = pin!(self.query_permit_status(RefusalReason::Withdrawn));
+        match select(call, query).await {
+            Either::Left((ExchangeResult::Lost(_), query)) => {
+                let result = query.await;
+                self.settle_query(result).await
+            }
+            Either::Left((result, _)) => self.settle_call(result).await,
+            Either::Right((SendResult::Lost(UnknownReason::EndpointLost), call)) => {
+                match call.await {
+                    ExchangeResult::Lost(_) => {
+                        self.record_result(SendResult::Lost(UnknownReason::EndpointLost))
+                    }
+                    result => self.settle_call(result).await,
+                }
+            }
+            Either::Right((result, _)) => self.settle_query(result).await,
+        }
+    }
+
+    /// Outcome of a call that the endpoint was asked for.
+    async fn settle_query(&self, result: SendResult) -> CallOutcome {
+        if result == SendResult::Lost(UnknownReason::EndpointGone) {
+            self.record_endpoint_crash().await;
+        }
+        self.record_result(result)
+    }
+
+    /// Waits for the end of an exchange, as long as the endpoint process may still answer.
+    async fn wait_through_silence(&self, exchange: &mut Exchange) -> ExchangeResult {
+        loop {
+            match exchange.wait().await {
+                ExchangeResult::Silent if self.is_endpoint_replaced() => {
+                    return ExchangeResult::Lost("replaced");
                 }
-                self.record_result(result)
+                ExchangeResult::Silent => {}
+                result => return result,
             }
         }
     }
 
+    /// Whether the endpoint process of the permit is known to have been replaced.
+    fn is_endpoint_replaced(&self) -> bool {
+        let roster = self.state.node.roster();
+        let host = roster
+            .key(&self.permit.endpoint)
+            .and_then(|key| roster.host(key));
+        host.is_some_and(|host| host.incarnation > self.permit.incarnation)
+    }
+
     /// Reason for which the call is not dispatched, if any.
     fn refusal_reason(&self) -> Option<RefusalReason> {
         if Instant::now() >= self.deadline {
@@ -110,34 +175,29 @@
             permit: self.permit.clone(),
             reason,
         };
-        let result = self.send_message("nonce", &query.request_id, &query).await;
-        match result {
+        let mut exchange = self.start_exchange("nonce", &query.request_id, &query);
+        match self.wait_through_silence(&mut exchange).await {
             ExchangeResult::Report(CallReport::Ended(outcome)) => SendResult::Ended(outcome),
             ExchangeResult::Report(CallReport::NotHere(reason)) => SendResult::QueryUnknown(reason),
             ExchangeResult::StillRunning => SendResult::Lost(UnknownReason::StillRunning),
             ExchangeResult::NotSent => SendResult::Lost(UnknownReason::EndpointGone),
-            ExchangeResult::Lost(_) => SendResult::Lost(UnknownReason::EndpointLost),
+            ExchangeResult::Lost(_) | ExchangeResult::Silent => {
+                SendResult::Lost(UnknownReason::EndpointLost)
+            }
         }
     }
 
-    /// Sends a message to the endpoint of the permit over a new connection.
-    async fn send_message(
+    /// Starts to send a message to the endpoint of the permit over a new connection.
+    fn start_exchange(
         &self,
         route: &str,
         request_id: &str,
         message: &impl serde::Serialize,
-    ) -> ExchangeResult {
+    ) -> Exchange {
         let url = format!("http://{}/x/{route}", self.permit.address);
         let http = self.state.node.http();
-        exchange_message(
-            http,
-            ConnectionKind::Fresh,
-            &url,
-            request_id,
-            message,
-            self.deadline,
-        )
-        .await
+        let connection = ConnectionKind::Fresh;
+        Exchange::start(http, connection, &url, request_id, message, self.deadline)
     }
 
     /// Records the result of the send in the ledger and returns the outcome to report.
--- /dev/null
+++ b/tests/under_way/calls.rs
@@ -0,0 +1,117 @@
+//! Calls of a service whose only endpoint is silent for a while, and deadlines.
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use serde_json::json;
+
+use crate::kept_connection::KeptConnection;
+use crate::support::until;
+use crate::system::Parts;
+use crate::system::System;
+use crate::system::assert_answered;
+use crate::system::call_body;
+
+/// Silence that is longer than two waits of the entry for a silent connection.
+const SILENCE: Duration = Duration::from_millis(2800);
+
+async fn start(desks: usize, delay: &str) -> System {
+    let parts = Parts {
+        desks,
+        service_args: &["--delay-ms", delay],
+        ..Parts::default()
+    };
+    System::start(parts).await
+}
+
+/// Calls whose only endpoint falls silent while they run are answered, and ran once.
+#[actix_rt::test]
+async fn call_silent_only_endpoint() {
+    let system = start(1, "500").await;
+    let permit = system.permit().await;
+    let before = system.executions(0).await.len();
+    let body = json!({"hut": 12});
+    let (lookup, book, ()) = futures_util::join!(
+        system.call("lookup", &body, None),
+        system.call("book", &body, Some(&permit)),
+        async {
+            system.wait_for_executions(0, before + 2).await;
+            system.freeze("desk-0", SILENCE).await;
+        }
+    );
+    assert_answered(&lookup);
+    assert_answered(&book);
+    assert_eq!(system.executions(0).await.len(), before + 2);
+}
+
+/// Calls that reach a silent endpoint are answered when it goes on, and the one that may not be
+/// repeated runs once.
+#[actix_rt::test]
+async fn call_to_silent_only_endpoint() {
+    let system = start(1, "10").await;
+    let permit = system.permit().await;
+    let body = json!({"hut": 12});
+    system.signal("desk-0", "STOP");
+    let (lookup, book, ()) = futures_util::join!(
+        system.call("lookup", &body, None),
+        system.call("book", &body, Some(&permit)),
+        async {
+            sleep(SILENCE).await;
+            system.signal("desk-0", "CONT");
+        }
+    );
+    assert_answered(&lookup);
+    assert_answered(&book);
+    let executions = system.executions(0).await;
+    let booked = executions.iter().filter(|it| it.path == "book").count();
+    assert_eq!(booked, 1);
+}
+
+/// A call whose only endpoint is killed has an outcome that is true, on a connection that stays
+/// usable, and is not run again.
+#[actix_rt::test]
+async fn call_killed_only_endpoint() {
+    let mut system = start(1, "3000").await;
+    let permit = system.permit().await;
+    let before = system.executions(0).await.len();
+    let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+    let body = call_body("book", &json!({"hut": 12}), Some(&permit));
+    let ((connection, answer), ()) =
+        futures_util::join!(connection.post("/v1/call", &body), async {
+            system.wait_for_executions(0, before + 1).await;
+            system.signal("desk-0", "KILL");
+        });
+    let answer = answer.expect("there is an answer");
+    assert!(answer.body.contains("\"endpoint_gone\""), "{}", answer.body);
+    system.cluster.restart("endpoint", "desk-0");
+    until("the call is known to be lost", 10, {
+        let mut connection = Some(connection);
+        async move || {
+            let mut again = body.clone();
+            again["send"] = json!(2);
+            let kept = connection.take().expect("the last answer returned it");
+            let (kept, answer) = kept.post("/v1/call", &again).await;
+            connection = Some(kept);
+            let answer = answer.expect("there is an answer");
+            answer.body.contains("\"past_incarnation\"").then_some(())
+        }
+    })
+    .await;
+    assert_eq!(system.executions(0).await.len(), before + 1);
+}
+
+/// An answer that is ready at the deadline is sent, or a refusal, on a connection that stays
+/// usable.
+#[actix_rt::test]
+async fn call_answer_at_deadline() {
+    let system = start(1, "300").await;
+    let mut connection = KeptConnection::open(&system.entry).expect("the entry listens");
+    for deadline_ms in (290..320).step_by(3) {
+        let mut body = call_body("lookup", &json!({"hut": 12}), None);
+        body["deadline_ms"] = json!(deadline_ms);
+        let (kept, answer) = connection.post("/v1/call", &body).await;
+        let answer = answer.expect("there is an answer");
+        assert!([200, 504].contains(&answer.status), "{}", answer.body);
+        connection = kept;
+    }
+}
--- a/tests/under_way/main.rs
+++ b/tests/under_way/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each caller uses kept connections to an entry that is a separate process.
 
+mod calls;
 mod kept_connection;
 mod streams;
 #[path = "../support/mod.rs"]
--- /dev/null
+++ b/tests/under_way/stops.rs
@@ -0,0 +1,155 @@
+//! Requests under way at an entry or endpoint that is stopped.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use serde_json::json;
+
+use crate::kept_connection::KeptConnection;
+use crate::system::Parts;
+use crate::system::System;
+use crate::system::assert_answered;
+use crate::system::assert_whole;
+use crate::system::call_body;
+use crate::system::generate_body;
+
+/// Callers that send one request after the other.
+const CALLERS: usize = 6;
+
+/// Time for which callers send requests before the stop.
+const BEFORE_STOP: Duration = Duration::from_millis(300);
+
+async fn start() -> System {
+    let parts = Parts {
+        engines: 2,
+        desks: 2,
+        service_args: &["--delay-ms", "20"],
+        entry_settings: "drain_ms = 3000",
+    };
+    System::start(parts).await
+}
+
+/// A request whose body arrives while the entry is stopped gets its answer.
+#[actix_rt::test]
+async fn stop_entry_while_body_arrives() {
+    let mut system = start().await;
+    let post = async |path: &str, body| {
+        let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+        let pause = Duration::from_millis(1500);
+        connection.post_in_parts(path, &body, pause).await.1
+    };
+    let call = call_body("lookup", &json!({"hut": 12}), None);
+    let (answer, tokens, ()) = futures_util::join!(
+        post("/v1/call", call),
+        post("/v1/generate", generate_body("tides?", 5)),
+        async {
+            sleep(BEFORE_STOP).await;
+            system.signal("entry-1", "TERM");
+        }
+    );
+    assert_answered(&answer);
+    assert_whole(&tokens, 5);
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
+/// Callers on kept connections get an answer to each request until the entry closes theirs.
+#[actix_rt::test]
+async fn stop_entry_kept_connections_in_use() {
+    let mut system = start().await;
+    let callers = (0..CALLERS).map(|number| {
+        let entry = system.entry.clone();
+        actix_rt::spawn(async move {
+            let mut connection = KeptConnection::open(&entry).expect("the entry listens");
+            let mut answers = 0;
+            loop {
+                let (path, body) = match number % 2 {
+                    0 => ("/v1/call", call_body("lookup", &json!({"hut": 12}), None)),
+                    _ => ("/v1/generate", generate_body("tides?", 2)),
+                };
+                let (kept, answer) = connection.post(path, &body).await;
+                let answer = answer.map_err(|cut| format!("{path} after {answers}: {cut}"))?;
+                assert_eq!(answer.status, 200, "{}", answer.body);
+                answers += 1;
+                if answer.closes {
+                    return Ok::<usize, String>(answers);
+                }
+                connection = kept;
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    sleep(BEFORE_STOP).await;
+    system.signal("entry-1", "TERM");
+    for caller in callers {
+        let answers = caller.await.expect("the caller runs");
+        assert!(
+            answers.as_ref().is_ok_and(|count| *count > 1),
+            "{answers:?}"
+        );
+    }
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
+/// A request that is longer than the drain ends with a refusal.
+#[actix_rt::test]
+async fn stop_entry_requests_longer_than_drain() {
+    let mut system = start().await;
+    let tokens = system.spawn_generate("tides?", 300);
+    system.wait_for_stream_anywhere().await;
+    for service in 0..2 {
+        let faults = json!({"silent_reply": 1});
+        let url = system.service_url(service);
+        system.cluster.set_faults(&url, &faults).await;
+    }
+    let permit = system.permit().await;
+    let body = json!({"hut": 12});
+    let (answer, ()) = futures_util::join!(system.call("book", &body, Some(&permit)), async {
+        sleep(BEFORE_STOP).await;
+        system.signal("entry-1", "TERM");
+    });
+    let answer = answer.expect("there is an answer");
+    assert!(answer.body.contains("\"unknown\""), "{}", answer.body);
+    let tokens = tokens.await.expect("the caller runs").expect("an answer");
+    let last = tokens.body.lines().last().expect("it has events");
+    assert!(last.contains("\"stream_broken\""), "{last}");
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
+/// Callers of other endpoints notice nothing of endpoints that stop.
+#[actix_rt::test]
+async fn stop_endpoints_under_load() {
+    let mut system = start().await;
+    let stop = Rc::new(Cell::new(false));
+    let callers = (0..CALLERS).map(|number| {
+        let entry = system.entry.clone();
+        let stop = Rc::clone(&stop);
+        actix_rt::spawn(async move {
+            let mut connection = KeptConnection::open(&entry).expect("the entry listens");
+            while !stop.get() {
+                let (path, body) = match number % 2 {
+                    0 => ("/v1/call", call_body("lookup", &json!({"hut": 12}), None)),
+                    _ => ("/v1/generate", generate_body("tides?", 20)),
+                };
+                let (kept, answer) = connection.post(path, &body).await;
+                match number % 2 {
+                    0 => assert_answered(&answer),
+                    _ => assert_whole(&answer, 20),
+                }
+                connection = kept;
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    sleep(BEFORE_STOP).await;
+    for name in ["engine-0", "desk-0"] {
+        system.signal(name, "TERM");
+        assert_eq!(system.wait_for_exit(name, 10).await, 0);
+    }
+    sleep(BEFORE_STOP).await;
+    stop.set(true);
+    for caller in callers {
+        caller.await.expect("each request is answered");
+    }
+}
