Close kept connections with an answer before a planned stop

Callers that kept using their connection to an entry that was stopped lost a request: the server closed the connection after an answer that did not say so, and the next request was already sent. stop_entry_kept_connections_in_use failed: "/v1/generate after 8: the connection was closed".

From the start of the drain each answer of an entry or endpoint carries "connection: close", so that callers go elsewhere without a loss. After: each request is answered and the process ends with 0.

--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -92,6 +92,7 @@
         let node = &self.state.node;
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
+        self.server.close_after_answers();
         Reporter::send_reports(node).await;
         let drain = Duration::from_millis(self.state.settings.drain_ms);
         // Stopping the server waits for connections only, and a call may outlive its
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -122,6 +122,7 @@
         let node = &self.state.node;
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
+        self.server.close_after_answers();
         Reporter::send_reports(node).await;
         let lifetime = Duration::from_millis(self.state.settings.address_lifetime_ms);
         actix_rt::time::sleep(lifetime).await;
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -1,11 +1,20 @@
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::App;
+use actix_web::Error;
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
+use actix_web::body::MessageBody;
+use actix_web::dev::ServiceRequest;
+use actix_web::dev::ServiceResponse;
+use actix_web::http::ConnectionType;
+use actix_web::middleware::Next;
 use actix_web::middleware::from_fn;
 use actix_web::web::ServiceConfig;
 use serde::Serialize;
@@ -46,11 +55,17 @@
     configure: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
 ) -> io::Result<HttpServerHandle> {
     let client_timeout = Duration::from_millis(options.client_timeout_ms);
+    let is_closing: Arc<AtomicBool> = Arc::default();
+    let shared = Arc::clone(&is_closing);
     let app = move || {
+        let is_closing = Arc::clone(&shared);
         App::new()
             .wrap(from_fn(move |request, next| {
                 limit_body_time(client_timeout, request, next)
             }))
+            .wrap(from_fn(move |request, next| {
+                close_connection(Arc::clone(&is_closing), request, next)
+            }))
             .configure(configure.clone())
     };
     let server = HttpServer::new(app)
@@ -61,11 +76,25 @@
         .bind(listen)?;
     let address = server.addrs().first().copied().unwrap_or(listen);
     let server = server.run();
-    let handle = HttpServerHandle::new(address, server.handle());
+    let handle = HttpServerHandle::new(address, server.handle(), is_closing);
     actix_rt::spawn(server);
     Ok(handle)
 }
 
+/// Middleware that closes the connection after the answer if `is_closing` is set.
+async fn close_connection(
+    is_closing: Arc<AtomicBool>,
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, Error> {
+    let mut response = next.call(request).await?;
+    if is_closing.load(Ordering::Acquire) {
+        let head = response.response_mut().head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
+}
+
 /// Whether `request` carries `shared_key`.
 pub fn has_shared_key(request: &HttpRequest, shared_key: &str) -> bool {
     let given = request
--- a/src/standin/http_server_handle.rs
+++ b/src/standin/http_server_handle.rs
@@ -1,4 +1,7 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use actix_web::dev::ServerHandle;
 
@@ -7,12 +10,19 @@
 pub struct HttpServerHandle {
     address: SocketAddr,
     server: ServerHandle,
+    /// Whether connections end with the next answer.
+    is_closing: Arc<AtomicBool>,
 }
 
 impl HttpServerHandle {
-    /// Handle of a server that listens on `address`.
-    pub fn new(address: SocketAddr, server: ServerHandle) -> Self {
-        Self { address, server }
+    /// Handle of a server that listens on `address`, and closes a connection after an answer
+    /// once `is_closing` is set.
+    pub fn new(address: SocketAddr, server: ServerHandle, is_closing: Arc<AtomicBool>) -> Self {
+        Self {
+            address,
+            server,
+            is_closing,
+        }
     }
 
     /// Address the server listens on.
@@ -30,8 +40,15 @@
         self.server.stop(false).await;
     }
 
+    /// Closes each connection after its next answer from now on, so that none is cut by the
+    /// stop while its client uses it.
+    pub fn close_after_answers(&self) {
+        self.is_closing.store(true, Ordering::Release);
+    }
+
     /// Stops gracefully: requests in progress may finish first.
     pub async fn stop(&self) {
+        self.close_after_answers();
         self.server.stop(true).await;
     }
 }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -120,8 +120,12 @@
     /// Starts an entry and returns its base URL; `settings` is appended to its `[entry]` section.
     pub async fn start_entry(&mut self, name: &str, region: &str, settings: &str) -> String {
         let address = self.reserve_address();
+        let drain = match settings.contains("drain_ms") {
+            true => "",
+            false => "drain_ms = 10000",
+        };
         let body = format!(
-            "[entry]\naddress_lifetime_ms = 500\ndrain_ms = 10000\n{settings}\n\
+            "[entry]\naddress_lifetime_ms = 500\n{drain}\n{settings}\n\
              [team platform]\ntoken_digest = {}\nsections = model *, branch *, service *\n",
             Digest::of_bytes(TOKEN.as_bytes())
         );
--- a/tests/under_way/main.rs
+++ b/tests/under_way/main.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod kept_connection;
+mod stops;
 mod streams;
 #[path = "../support/mod.rs"]
 mod support;
