End requests that outlast the drain of an entry with a refusal

A request that was under way at the end of drain_ms was cut without an answer, and a stop took address_lifetime_ms longer than drain_ms says. stop_entry_requests_longer_than_drain failed: "there is an answer: the connection was closed" for a call that may not be repeated.

Half a second before the end such a call is answered with outcome_unknown, still_running, whose permit may be sent again through another entry, and a stream ends with stream_broken, or leaving if it had no token. The time until addresses have expired is now part of the drain. After: both are answered and the process ends with 0.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -1,9 +1,12 @@
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
+use futures_util::future::Either;
+use futures_util::future::select;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -12,6 +15,7 @@
 use crate::calls::Permit;
 use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
+use crate::calls::UnknownReason;
 use crate::clients::REQUEST_ID_HEADER;
 use crate::document::BranchSection;
 use crate::document::Document;
@@ -79,11 +83,18 @@
         deadline_ms,
     };
     let deadline = Instant::now() + Duration::from_millis(deadline_ms);
-    let outcome = if service.idempotent.contains(&call.path) {
-        send_idempotent_call(&state, call, deadline).await
-    } else {
-        let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
-        call_with_permit(&state, call, body.permit, send_no, deadline).await
+    let is_idempotent = service.idempotent.contains(&call.path);
+    let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
+    let outcome = pin!(async {
+        match is_idempotent {
+            true => send_idempotent_call(&state, call, deadline).await,
+            false => call_with_permit(&state, call, body.permit, send_no, deadline).await,
+        }
+    });
+    let drain_end = pin!(state.drain_end.reached());
+    let outcome = match select(outcome, drain_end).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(_) => CallOutcome::unknown(UnknownReason::StillRunning),
     };
     if let CallOutcome::NotRun { reason, .. } = &outcome {
         state.node.metrics().record_refusal(reason.code());
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -1,6 +1,10 @@
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::Either;
+use futures_util::future::select;
+
 use super::generate_attempt::GenerateAttempt;
 use super::generate_attempt::RetryReason;
 use super::generate_event::GenerateEvent;
@@ -107,8 +111,14 @@
         if self.has_ended {
             return None;
         }
+        let state = Arc::clone(&self.state);
+        let mut drain_end = pin!(state.drain_end.reached());
         loop {
-            match self.next_step().await {
+            let step = match select(pin!(self.next_step()), drain_end.as_mut()).await {
+                Either::Left((step, _)) => Some(step),
+                Either::Right(_) => None,
+            };
+            match step.unwrap_or_else(|| RelayStep::Fail(self.drain_error())) {
                 RelayStep::Continue => {}
                 RelayStep::Emit(event) => return Some(Ok(event)),
                 RelayStep::Hedge(reason) => self.start_hedge(reason),
@@ -500,6 +510,16 @@
         ApiError::retryable(ErrorCode::NoReplica, message, NO_REPLICA_RETRY_MS)
     }
 
+    /// Error for a request that lasts longer than the drain of this entry.
+    fn drain_error(&self) -> ApiError {
+        let message = "the entry stops before the answer is complete";
+        let code = match self.next_index > self.first_index {
+            true => ErrorCode::StreamBroken,
+            false => ErrorCode::Leaving,
+        };
+        ApiError::retryable(code, message, 0)
+    }
+
     /// Time left until the deadline, in milliseconds.
     fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(self.state.node.now_ms())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod call_answer;
 mod call_exchange;
 mod call_permits;
+mod drain_end;
 mod error_code;
 mod generate;
 mod generate_attempt;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix::Actor;
 use actix_web::Resource;
@@ -27,6 +28,10 @@
 use crate::observe::emit_event;
 use crate::standin::HttpServerHandle;
 
+/// Part of the drain in which refusals are sent to callers whose requests are too long, in
+/// milliseconds.
+const REFUSAL_MARGIN_MS: u64 = 500;
+
 /// Handle of a running entry.
 #[derive(Debug, Clone)]
 pub struct EntryHandle {
@@ -42,7 +47,8 @@
 pub async fn start_entry(settings: EntrySettings) -> io::Result<EntryHandle> {
     let options = ServeOptions {
         client_timeout_ms: settings.slow_client_timeout_ms,
-        drain_ms: settings.drain_ms,
+        // The time until addresses have expired is a part of the drain.
+        drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
     };
     let listen = settings.process.listen;
     let state = Arc::new(EntryState::new(settings));
@@ -117,9 +123,15 @@
     /// Shuts down gracefully.
     ///
     /// The entry removes itself from the addresses, serves until those that callers
-    /// hold have expired, and then completes the requests in progress.
+    /// hold have expired, and then completes the requests in progress. Those that last longer
+    /// than the drain end with a refusal.
     pub async fn stop(&self) {
         let node = &self.state.node;
+        let drain_ms = self.state.settings.drain_ms;
+        let answer_ms = drain_ms.saturating_sub(REFUSAL_MARGIN_MS).max(drain_ms / 2);
+        self.state
+            .drain_end
+            .set(Instant::now() + Duration::from_millis(answer_ms));
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
         self.server.close_after_answers();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -4,6 +4,7 @@
 use crate::clients::LogClient;
 use crate::conf::EntrySettings;
 use crate::entry::GenerateRouting;
+use crate::entry::drain_end::DrainEnd;
 use crate::entry::service_call_state::ServiceCallState;
 use crate::node::Node;
 
@@ -22,6 +23,8 @@
     pub permit_key: PermitKey,
     /// Statistics of the endpoints and retry budget of token streams.
     pub routing: GenerateRouting,
+    /// End of the drain, once the entry stops.
+    pub drain_end: DrainEnd,
 }
 
 impl EntryState {
@@ -44,6 +47,7 @@
             calls: ServiceCallState::new(),
             permit_key,
             routing,
+            drain_end: DrainEnd::new(),
         }
     }
 }
--- a/tests/under_way/stops.rs
+++ b/tests/under_way/stops.rs
@@ -92,6 +92,31 @@
     assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
 }
 
+/// A request that is longer than the drain ends with a refusal.
+#[actix_rt::test]
+async fn stop_entry_requests_longer_than_drain() {
+    let mut system = start().await;
+    let tokens = system.spawn_generate("tides?", 300);
+    system.wait_for_stream_anywhere().await;
+    for service in 0..2 {
+        let faults = json!({"silent_reply": 1});
+        let url = system.service_url(service);
+        system.cluster.set_faults(&url, &faults).await;
+    }
+    let permit = system.permit().await;
+    let body = json!({"hut": 12});
+    let (answer, ()) = futures_util::join!(system.call("book", &body, Some(&permit)), async {
+        sleep(BEFORE_STOP).await;
+        system.signal("entry-1", "TERM");
+    });
+    let answer = answer.expect("there is an answer");
+    assert!(answer.body.contains("\"unknown\""), "{}", answer.body);
+    let tokens = tokens.await.expect("the caller runs").expect("an answer");
+    let last = tokens.body.lines().last().expect("it has events");
+    assert!(last.contains("\"stream_broken\""), "{last}");
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
 /// Callers of other endpoints notice nothing of endpoints that stop.
 #[actix_rt::test]
 async fn stop_endpoints_under_load() {
