Deliver what arrived while the process was paused

An entry or endpoint that was frozen past a deadline or timeout gave up answers that lay ready in its sockets: a stream ended with deadline_passed, and a call that may not be repeated with service_lost, for good.

After a timer has fired, waits for data look once more, for 10 ms. Frames that are there at the deadline are passed on. The tests were then made shorter.

--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -27,6 +27,7 @@
 use crate::clients::EngineErrorCode;
 use crate::clients::GenerateOrder;
 use crate::clients::StreamEvent;
+use crate::links::wait_for_data;
 use crate::weights::Digest;
 
 /// Interval of heartbeats while a request waits for a slot or the engine, in milliseconds.
@@ -225,10 +226,13 @@
         loop {
             let left_ms = deadline_ms.saturating_sub(self.queue.now_ms());
             let wait = Duration::from_millis(left_ms.min(HEARTBEAT_INTERVAL_MS));
-            match self.unless_closed(timeout(wait, work.as_mut())).await? {
-                Ok(done) => return Ok(Some(done)),
-                Err(_) if left_ms == 0 => return Ok(None),
-                Err(_) => {}
+            match self
+                .unless_closed(wait_for_data(wait, work.as_mut()))
+                .await?
+            {
+                Some(done) => return Ok(Some(done)),
+                None if left_ms == 0 => return Ok(None),
+                None => {}
             }
             let load = self.queue.load();
             if reported.elapsed() < ENGINE_SILENCE_LIMIT {
--- a/src/entry/call_exchange.rs
+++ b/src/entry/call_exchange.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_rt::time::timeout;
 use actix_web::http::Method;
 use awc::ClientResponse;
 use bytes::BytesMut;
@@ -16,6 +15,7 @@
 use crate::calls::ServiceReply;
 use crate::links::HttpClient;
 use crate::links::LinkError;
+use crate::links::wait_for_data;
 
 /// Time without a byte after which a connection is silent, in milliseconds.
 ///
@@ -96,11 +96,11 @@
     pub(super) async fn wait(&mut self) -> ExchangeResult {
         loop {
             let wait_ms = left_ms(self.deadline).min(MAX_SILENCE_MS);
-            match timeout(Duration::from_millis(wait_ms), self.receive()).await {
-                Ok(Some(result)) => return result,
-                Ok(None) => self.last_received_at = Instant::now(),
-                Err(_) if wait_ms == MAX_SILENCE_MS => return ExchangeResult::Silent,
-                Err(_) => return self.result_at_deadline(),
+            match wait_for_data(Duration::from_millis(wait_ms), self.receive()).await {
+                Some(Some(result)) => return result,
+                Some(None) => self.last_received_at = Instant::now(),
+                None if wait_ms == MAX_SILENCE_MS => return ExchangeResult::Silent,
+                None => return self.result_at_deadline(),
             }
         }
     }
--- a/src/entry/generate_attempt.rs
+++ b/src/entry/generate_attempt.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_rt::time::timeout;
 use actix_web::http::Method;
 use actix_web::http::StatusCode;
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use crate::entry::EntryState;
 use crate::hosts::HostKey;
 use crate::hosts::Load;
+use crate::links::wait_for_data;
 use crate::weights::Digest;
 
 /// Number of tokens between two samples of an endpoint's token interval.
@@ -176,7 +176,7 @@
             true => RetryReason::LateFirstToken,
             false => RetryReason::Silent,
         };
-        timeout(until_late.unwrap_or(wait).min(wait), self.next_frame())
+        wait_for_data(until_late.unwrap_or(wait).min(wait), self.next_frame())
             .await
             .unwrap_or(Err(reason))
     }
--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
-use actix_rt::time::timeout;
 use actix_web::body::MessageBody;
 use actix_web::error::PayloadError;
 use actix_web::http::Method;
@@ -23,6 +22,7 @@
 
 use crate::links::LinkError;
 use crate::links::SimulatedPartition;
+use crate::links::wait_for_data;
 
 /// Header with the shared key, in requests between this system's processes.
 pub const SHARED_KEY_HEADER: &str = "x-bergamotfork-key";
@@ -127,9 +127,9 @@
         timeout_ms: u64,
     ) -> Result<ClientResponse, LinkError> {
         let sending = request.send_body(body.into());
-        match timeout(Duration::from_millis(timeout_ms), sending).await {
-            Ok(response) => response.map_err(classify_send_error),
-            Err(_) => Err(LinkError::Timeout { timeout_ms }),
+        match wait_for_data(Duration::from_millis(timeout_ms), sending).await {
+            Some(response) => response.map_err(classify_send_error),
+            None => Err(LinkError::Timeout { timeout_ms }),
         }
     }
 
@@ -162,7 +162,7 @@
                 body: String::from_utf8_lossy(&bytes).into_owned(),
             })
         };
-        timeout(Duration::from_millis(timeout_ms), sending)
+        wait_for_data(Duration::from_millis(timeout_ms), sending)
             .await
             .unwrap_or(Err(LinkError::Timeout { timeout_ms }))
     }
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod raw_bytes;
 
+mod arrived_data;
 mod body_timeout;
 mod call_rejection;
 mod deadline_body;
@@ -14,6 +15,7 @@
 mod simulated_partition;
 mod token_bucket;
 
+pub use arrived_data::wait_for_data;
 pub use call_rejection::CallRejection;
 pub use deadline_body::DeadlineBody;
 pub use errors::LinkError;
--- a/tests/under_way/stops.rs
+++ b/tests/under_way/stops.rs
@@ -37,7 +37,7 @@
     let mut system = start().await;
     let post = async |path: &str, body| {
         let connection = KeptConnection::open(&system.entry).expect("the entry listens");
-        let pause = Duration::from_millis(1500);
+        let pause = Duration::from_millis(1200);
         connection.post_in_parts(path, &body, pause).await.1
     };
     let call = call_body("lookup", &json!({"hut": 12}), None);
--- a/tests/under_way/streams.rs
+++ b/tests/under_way/streams.rs
@@ -1,22 +1,25 @@
-//! Token streams whose only endpoint or engine is silent for a while or replaced.
+//! Token streams whose only endpoint or engine is silent for a while.
 
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use serde_json::json;
 
+use crate::kept_connection::KeptConnection;
 use crate::support::until;
 use crate::system::Parts;
 use crate::system::System;
 use crate::system::assert_whole;
+use crate::system::generate_body;
 
-/// Tokens of an answer that takes about 1.5 s.
-const TOKENS: u32 = 50;
+/// Tokens of an answer that takes about 1.2 s.
+const TOKENS: u32 = 40;
 
 /// Answers after which the entry knows how long a first token takes.
 const FIRST_TOKEN_SAMPLES: usize = 20;
 
 /// Silence after which an entry looks for another endpoint by default, and somewhat more.
-const LONG_SILENCE: Duration = Duration::from_millis(3400);
+const LONG_SILENCE: Duration = Duration::from_millis(3200);
 
 async fn start(entry_settings: &str) -> System {
     let parts = Parts {
@@ -37,7 +40,7 @@
     let started = system.engine_state(0).await.expect("it answers").started;
     system.signal("engine-0-engine", "STOP");
     let answer = system.spawn_generate("rules?", TOKENS);
-    sleep(Duration::from_millis(1500)).await;
+    sleep(Duration::from_millis(1000)).await;
     system.signal("engine-0-engine", "CONT");
     assert_whole(&answer.await.expect("the caller waits"), TOKENS);
     let state = system.engine_state(0).await.expect("it answers");
@@ -51,7 +54,7 @@
     let started = system.engine_state(0).await.expect("it answers").started;
     let answer = system.spawn_generate("tides?", TOKENS);
     system.wait_for_stream(0).await;
-    system.freeze("engine-0", Duration::from_millis(2000)).await;
+    system.freeze("engine-0", Duration::from_millis(1600)).await;
     assert_whole(&answer.await.expect("the caller waits"), TOKENS);
     let state = system.engine_state(0).await.expect("it answers");
     assert_eq!(state.started, started + 1);
@@ -88,6 +91,20 @@
     assert_eq!(state.started, started + 2);
 }
 
+/// Tokens that have arrived at the deadline are sent, though late.
+#[actix_rt::test]
+async fn stream_ready_at_deadline() {
+    let system = start("").await;
+    let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+    let mut body = generate_body("tides?", TOKENS);
+    body["deadline_ms"] = json!(1800);
+    let ((_, answer), ()) = futures_util::join!(connection.post("/v1/generate", &body), async {
+        system.wait_for_stream(0).await;
+        system.freeze("entry-1", Duration::from_millis(2100)).await;
+    });
+    assert_whole(&answer, TOKENS);
+}
+
 /// A stream that moved away from a silent endpoint to one that fails goes on at the first.
 #[actix_rt::test]
 async fn stream_silent_endpoint_and_refused_by_other() {
@@ -111,7 +128,7 @@
     let other = 1 - running;
     system.signal(&format!("engine-{other}-engine"), "KILL");
     system
-        .freeze(&format!("engine-{running}"), Duration::from_millis(2000))
+        .freeze(&format!("engine-{running}"), Duration::from_millis(1600))
         .await;
     assert_whole(&answer.await.expect("the caller waits"), TOKENS);
 }
--- a/tests/under_way/system.rs
+++ b/tests/under_way/system.rs
@@ -71,7 +71,7 @@
         let replicas = parts.engines.max(1);
         let model = format!("version = v1\nmanifest = {manifest}\nreplicas = {replicas}\n");
         cluster.append_edit("model chat", 0, &model).await;
-        let service = "idempotent = lookup\ntimeout_ms = 10000\n";
+        let service = "idempotent = lookup\ntimeout_ms = 2500\n";
         cluster.append_edit("service bookdesk", 0, service).await;
         let branch = format!(
             "token_digest = {}\nweight = 1\nshare_percent = 50\nburst_percent = 100\n\
