Keep weights loaded while requests with them are under way

Five seconds after a version was replaced or its model removed, the engine was told to unload it, also while streams of that version ran or waited in the queue of the endpoint. By the code, the engine refuses a stream that waited then (not run); what becomes of one that runs was left to the engine, and the stand-in goes on.

edit_sections_in_use (a stream of 7.5 s, a rollout, and removal of the model, service and branch within) failed: "unloaded in use". An endpoint now counts the requests that it accepted with a version and orders to unload it when none is left. After: it passes, and the version is unloaded once the streams have ended.

--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -383,7 +383,7 @@
 async fn product_endpoint(state: Data<ProductEndpoint>, body: Bytes) -> HttpResponse {
     state.received.fetch_add(1, Ordering::Relaxed);
     match decode_rmp::<GenerateCall>(&body) {
-        Ok(call) => state.server.run(call, weights_digest()),
+        Ok(call) => state.server.run(call, weights_digest(), ()),
         Err(error) => HttpResponse::BadRequest().body(error.to_string()),
     }
 }
--- a/src/endpoint/generate.rs
+++ b/src/endpoint/generate.rs
@@ -28,12 +28,15 @@
     if state.node.is_leaving() {
         return server.refuse(RefusalReason::Leaving);
     }
-    let version = state.weights.version(call.manifest);
-    let Some(content_digest) = version.and_then(|version| version.serving_content_digest()) else {
+    let Some(version) = state.weights.version(call.manifest) else {
+        return server.refuse(RefusalReason::NotReady);
+    };
+    let in_use = version.count_request();
+    let Some(content_digest) = version.serving_content_digest() else {
         return server.refuse(RefusalReason::NotReady);
     };
     refresh_shares(&state, server);
-    server.run(call, content_digest)
+    server.run(call, content_digest, in_use)
 }
 
 /// Sets the queue's shares from the current configuration if it has changed.
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -1,3 +1,4 @@
+use std::fmt::Debug;
 use std::sync::Arc;
 
 use actix_web::HttpResponse;
@@ -43,8 +44,13 @@
     }
 
     /// Queues a call and streams its frames; `content_digest` is the verified digest of
-    /// the weights it must run on.
-    pub fn run(&self, call: GenerateCall, content_digest: Digest) -> HttpResponse {
+    /// the weights it must run on, and `in_use` is dropped when the run ends.
+    pub fn run(
+        &self,
+        call: GenerateCall,
+        content_digest: Digest,
+        in_use: impl Debug + 'static,
+    ) -> HttpResponse {
         let (frames, mut received) = mpsc::channel(BUFFERED_FRAMES);
         let run = GenerateRun {
             queue: Arc::clone(&self.queue),
@@ -54,7 +60,10 @@
             content_digest,
             frames,
         };
-        actix_rt::spawn(run.run());
+        actix_rt::spawn(async move {
+            run.run().await;
+            drop(in_use);
+        });
         respond(stream::poll_fn(move |context| received.poll_recv(context)))
     }
 
--- a/src/endpoint/weights_rollout.rs
+++ b/src/endpoint/weights_rollout.rs
@@ -105,7 +105,11 @@
             }
             match tracked.retired_ms {
                 None if self.is_replaced(at).await => self.tracked[at].retired_ms = Some(now_ms),
-                Some(retired_ms) if now_ms >= retired_ms + UNLOAD_DELAY_MS => {
+                // Requests that were accepted with the version are answered with it.
+                Some(retired_ms)
+                    if now_ms >= retired_ms + UNLOAD_DELAY_MS
+                        && !tracked.version.has_requests() =>
+                {
                     to_unload.push(digest)
                 }
                 _ => {}
--- a/src/endpoint/weights_version.rs
+++ b/src/endpoint/weights_version.rs
@@ -64,6 +64,18 @@
     Held,
 }
 
+/// Counts a request while it waits or runs with a version.
+#[derive(Debug)]
+pub(super) struct RequestGuard {
+    version: Arc<WeightsVersion>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.version.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A version on this host, shared by its transfer and the HTTP handlers.
 #[derive(Debug)]
 pub struct WeightsVersion {
@@ -72,6 +84,8 @@
     peer_requests: Mutex<Vec<PeerRequest>>,
     /// Number of uploads in progress.
     uploads: AtomicU32,
+    /// Number of requests that wait or run with the version.
+    requests: AtomicU32,
     /// Notified after each change of the stage or the chunks.
     pub(super) signal: ChangeSignal,
 }
@@ -84,6 +98,7 @@
             stage: Mutex::new(VersionStage::Announced(WeightsReplica::announced(digest))),
             peer_requests: Mutex::default(),
             uploads: AtomicU32::new(0),
+            requests: AtomicU32::new(0),
             signal: ChangeSignal::default(),
         })
     }
@@ -93,6 +108,19 @@
         self.digest
     }
 
+    /// Counts a request until the guard is dropped.
+    pub(super) fn count_request(self: &Arc<Self>) -> RequestGuard {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        RequestGuard {
+            version: Arc::clone(self),
+        }
+    }
+
+    /// Whether requests wait or run with the version.
+    pub(super) fn has_requests(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) > 0
+    }
+
     fn lock_stage(&self) -> MutexGuard<'_, VersionStage> {
         self.stage.lock().expect("no holder of the stage panics")
     }
--- a/tests/under_way/main.rs
+++ b/tests/under_way/main.rs
@@ -3,6 +3,7 @@
 //! Each caller uses kept connections to an entry that is a separate process.
 
 mod calls;
+mod edits;
 mod kept_connection;
 mod stops;
 mod streams;
