Ask again for a call when the connection of the question breaks

A call that may not be repeated, whose endpoint process was killed, ended with endpoint_lost instead of endpoint_gone in 5 of 11 runs of call_killed_only_endpoint, and its request was not counted as running at a crash. Cause: a process that ends closes its sockets one by one, so its listener may accept the question for the nonce after the connection of the call has broken, and then break it too.

The question is now asked once more then, which a process that has ended refuses.

--- a/src/entry/non_idempotent_call.rs
+++ b/src/entry/non_idempotent_call.rs
@@ -176,7 +176,13 @@
             reason,
         };
         let mut exchange = self.start_exchange("nonce", &query.request_id, &query);
-        match self.wait_through_silence(&mut exchange).await {
+        let mut result = self.wait_through_silence(&mut exchange).await;
+        if matches!(result, ExchangeResult::Lost("broken")) {
+            // A process that ends may still accept a connection, and then breaks it.
+            let mut exchange = self.start_exchange("nonce", &query.request_id, &query);
+            result = self.wait_through_silence(&mut exchange).await;
+        }
+        match result {
             ExchangeResult::Report(CallReport::Ended(outcome)) => SendResult::Ended(outcome),
             ExchangeResult::Report(CallReport::NotHere(reason)) => SendResult::QueryUnknown(reason),
             ExchangeResult::StillRunning => SendResult::Lost(UnknownReason::StillRunning),
