--- a/tests/under_way/edits.rs
+++ b/tests/under_way/edits.rs
@@ -3,9 +3,6 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
-use bergamotfork::clients::LogClient;
-use bergamotfork::document::Edit;
-use bergamotfork::document::LogRecord;
 use serde_json::json;
 
 use crate::support::until;
@@ -13,6 +10,9 @@
 use crate::system::System;
 use crate::system::assert_answered;
 use crate::system::assert_whole;
+use bergamotfork::clients::LogClient;
+use bergamotfork::document::Edit;
+use bergamotfork::document::LogRecord;
 
 /// Tokens of an answer that lasts until replaced weights would have been unloaded.
 const TOKENS: u32 = 250;
