--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -155,7 +155,8 @@
         decode_response(response.status(), &body)
     }
 
-    /// Starts a token stream and returns it once the engine has accepted the request.
+    /// Starts a token stream and returns it once the engine has accepted the request, however
+    /// long that takes.
     ///
     /// # Errors
     ///
@@ -165,7 +166,6 @@
         let mut response = self
             .http
             .request_on_new_connection(Method::POST, &url)
-            .timeout(ORDER_TIMEOUT)
             .send_json(order)
             .await
             .map_err(|e| classify_send_error(&e))?;
