Tell a refusal that names no request only if nothing follows it, and resume no stream without ids

A refusal without an id is taken for the one to the request only if nothing else has come on its connection.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -140,6 +140,11 @@
         send.notice.set(response.notice);
     }
     if let Some(outcome) = reject_response(&response, &head, &send) {
+        let names_request = response.attempt_id.is_some();
+        let is_refusal = !matches!(outcome, SendOutcome::Broken(_));
+        if is_refusal && !names_request && has_surplus(&mut connection, &head, &send) {
+            return SendOutcome::Broken("other_answer");
+        }
         return outcome;
     }
     let framing = match head.framing(&send.method) {
@@ -167,6 +172,18 @@
     }
 }
 
+/// Whether more bytes have come after a response. One that names no request is then not known
+/// to be the one to the request that was sent.
+fn has_surplus(connection: &mut Connection, head: &ResponseHead, send: &ReplicaSend) -> bool {
+    let Ok(framing) = head.framing(&send.method) else {
+        return true;
+    };
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    let decoded = decoder.decode(&mut connection.read_buffer, &mut body);
+    decoded.is_err() || decoder.is_done() && !connection.read_buffer.is_empty()
+}
+
 /// Outcome of a send whose response does not show that the expected replica ran this
 /// request; None if the response is valid.
 fn reject_response(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -224,11 +224,12 @@
             }
             let Forwarding {
                 request,
+                relay,
                 history,
                 sends,
                 ..
             } = &forwarding;
-            if sends.as_slice().is_empty() && !self.try_take_retry(request, history) {
+            if sends.as_slice().is_empty() && !self.try_take_retry(request, relay, history) {
                 let Forwarding {
                     request,
                     relay,
@@ -458,7 +459,12 @@
 
     /// Whether the request may run at another replica beside the one that has it.
     fn may_send_second(&self, forwarding: &Forwarding<'_>) -> bool {
-        let Forwarding { request, sends, .. } = forwarding;
+        let Forwarding {
+            request,
+            relay,
+            sends,
+            ..
+        } = forwarding;
         // A send that has brought the head of a stream is counted already.
         let uncounted = sends.as_slice().iter().filter(|send| send.is_waiting());
         let uncounted = u32::try_from(uncounted.count()).unwrap_or(u32::MAX);
@@ -468,6 +474,7 @@
             .crash_count(request.fingerprint, state.now_ms());
         sends.has_room()
             && request.route.kind.is_repeatable()
+            && relay.can_go_on()
             && request.sends + uncounted < request.route.max_attempts
             // The silence may be the crash after which the request is refused.
             && crashes + 1 < REFUSED_AT_CRASHES
@@ -940,8 +947,13 @@
 
     /// Whether one more send is allowed. It is taken out of the retry budget, except
     /// after a connection that could not be opened.
-    fn try_take_retry(&self, request: &RoutedRequest, history: &AttemptHistory) -> bool {
-        if request.left_ms() == 0 {
+    fn try_take_retry(
+        &self,
+        request: &RoutedRequest,
+        relay: &StreamRelay,
+        history: &AttemptHistory,
+    ) -> bool {
+        if request.left_ms() == 0 || !relay.can_go_on() {
             return false;
         }
         if history.last_cause == "unreachable" {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -93,6 +93,12 @@
         self.last_id
     }
 
+    /// Whether another replica can go on with the stream: from its beginning, or after an event
+    /// that has an id.
+    pub fn can_go_on(&self) -> bool {
+        !self.is_head_sent || self.last_id.is_some()
+    }
+
     /// Number of events sent to the client.
     pub fn events(&self) -> u64 {
         self.events
