Take no position of the log that no store reaches

Callers would see: processes that no longer follow configurations and replicas, one after the other, and never again while any of them runs.

Cause: an entry took the end of a reply with records as it was. After one with an end of 2^64 - 1 it asks the store for what follows a position of era 16,777,215, and each answer counts as one of an earlier era. Its heartbeats name that position, and the others fetch it.

Evidence, before: `records_reply_odd_position_store_still_followed` timed out after 10 s waiting for the next configuration.

A reply with a position of an era beyond 65,535 is an error, ends of heartbeats beyond it count as not stated, and an answer of the store that names such an era is no answer.

--- a/src/fleet/log_position.rs
+++ b/src/fleet/log_position.rs
@@ -1,6 +1,9 @@
 /// Bits of a packed position that hold the offset.
 const OFFSET_BITS: u32 = 40;
 
+/// Latest era that counts: a store does not come back from a copy more often.
+const MAX_ERA: u64 = 65_535;
+
 /// Position in a topic of the platform's log.
 ///
 /// The store may come back from an older copy of itself. Offsets then start again from
@@ -24,6 +27,12 @@
         }
     }
 
+    /// Whether a store can have reached it. A position that none reaches must not be taken
+    /// over: nothing that the store has follows it.
+    pub fn is_plausible(self) -> bool {
+        self.era <= MAX_ERA
+    }
+
     /// The position as one number, with the same order.
     pub fn pack(self) -> u64 {
         (self.era << OFFSET_BITS) | self.offset
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -5,6 +5,8 @@
 
 use crate::calls::SuspectRecord;
 use crate::fleet::HeartbeatGaps;
+use crate::fleet::LogPosition;
+use crate::fleet::Topic;
 use crate::fleet::rendezvous_rank;
 
 /// Shortest time without a heartbeat after which an entry counts as failed, in ms: several
@@ -85,6 +87,16 @@
     pub suspects: Vec<SuspectRecord>,
 }
 
+impl EntryHeartbeat {
+    /// Packed position up to which the sender has every record of `topic`; None if it states
+    /// one that no store reaches.
+    pub fn end_offset(&self, topic: Topic) -> Option<u64> {
+        let end_offset = self.ends[topic as usize];
+        let position = LogPosition::unpack(end_offset);
+        position.is_plausible().then_some(end_offset)
+    }
+}
+
 /// Load of an engine, as its endpoint process reports it to the entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -418,9 +418,10 @@
         .flag("ready", heartbeat.is_ready);
     let internal = heartbeat.internal;
     let is_same_domain = heartbeat.failure_domain == current.settings.failure_domain;
-    let ends = heartbeat.ends;
+    let ends = Topic::ALL.map(|topic| heartbeat.end_offset(topic));
     let is_sender_ready = heartbeat.is_ready;
-    if ends[Topic::Replicas as usize] <= own_end_offsets[Topic::Replicas as usize] {
+    let replicas = Topic::Replicas as usize;
+    if ends[replicas].is_some_and(|end_offset| end_offset <= own_end_offsets[replicas]) {
         current.confirm_replicas(heartbeat.replicas_age_ms);
     }
     if current.peers.record_heartbeat(heartbeat, now_ms) {
@@ -431,7 +432,8 @@
     for topic in Topic::ALL {
         // The listing of a topic without records ends at 0. An entry that is ready has it.
         let lacks_listing = is_sender_ready && !current.topic_table(topic).has_listing();
-        let is_behind = (lacks_listing || ends[topic as usize] > own_end_offsets[topic as usize])
+        let own_end_offset = own_end_offsets[topic as usize];
+        let is_behind = (lacks_listing || ends[topic as usize] > Some(own_end_offset))
             && (is_same_domain || current.fetches_across_domains(topic));
         if is_behind && current.try_begin_fetch(topic) {
             spawn_fetch(state, topic, internal, FetchRange::Missing, decoder);
--- a/src/gateway/records_reply.rs
+++ b/src/gateway/records_reply.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::LogPosition;
 use crate::fleet::TopicRecord;
 use crate::fleet::TopicTable;
 
@@ -32,6 +33,8 @@
     Compression(lz4_flex::block::DecompressError),
     /// The decompressed bytes are no records.
     Encoding(rmp_serde::decode::Error),
+    /// The reply, or one of its records, is at this packed position, which no store reaches.
+    InvalidPosition(u64),
 }
 
 impl std::fmt::Display for RecordsReplyError {
@@ -40,6 +43,7 @@
             Self::InvalidLength(len) => write!(f, "invalid length of records: {len} bytes"),
             Self::Compression(error) => write!(f, "cannot decompress records: {error}"),
             Self::Encoding(error) => write!(f, "cannot decode records: {error}"),
+            Self::InvalidPosition(offset) => write!(f, "records at the position {offset}"),
         }
     }
 }
@@ -73,8 +77,8 @@
     ///
     /// # Errors
     ///
-    /// When the bytes are truncated, exceed the limit after decompression, or hold no
-    /// records.
+    /// When the bytes are truncated, exceed the limit after decompression, hold no records,
+    /// or state a position that no store reaches.
     pub fn unpack(bytes: &[u8]) -> Result<Self, RecordsReplyError> {
         let (len, packed) = lz4_flex::block::uncompressed_size(bytes)
             .map_err(|_| RecordsReplyError::InvalidLength(bytes.len()))?;
@@ -83,7 +87,13 @@
         }
         let plain =
             lz4_flex::block::decompress(packed, len).map_err(RecordsReplyError::Compression)?;
-        rmp_serde::from_slice(&plain).map_err(RecordsReplyError::Encoding)
+        let reply: Self = rmp_serde::from_slice(&plain).map_err(RecordsReplyError::Encoding)?;
+        let offsets = reply.records.iter().map(|record| record.1);
+        let mut offsets = offsets.chain([reply.end_offset]);
+        match offsets.find(|offset| !LogPosition::unpack(*offset).is_plausible()) {
+            Some(offset) => Err(RecordsReplyError::InvalidPosition(offset)),
+            None => Ok(reply),
+        }
     }
 
     /// The records, to be applied to a table.
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -149,7 +149,7 @@
                 let (is_behind, now_ms) = {
                     let state = state.borrow();
                     let table = state.topic_table(topic);
-                    let is_behind = heartbeat.ends[topic as usize] > table.end_offset()
+                    let is_behind = heartbeat.end_offset(topic) > Some(table.end_offset())
                         && (topic == Topic::Operator
                             || !table.has_listing()
                             || state.has_missing_pieces());
