--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,9 @@
 /// memory.
 pub const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Cause of a failed send whose answer is one to another request.
+const OTHER_ANSWER: &str = "other_answer";
+
 /// Headers that apply to one connection only, or that the gateway sets itself because
 /// they describe the framing of the body.
 const HOP_BY_HOP_HEADERS: [&str; 10] = [
@@ -134,17 +137,22 @@
         Err(error) => return SendOutcome::Broken(error.label()),
     };
     let response = dialect.response_facts(&head);
-    // Another replica that has taken over the address speaks of itself.
+    let rejected = reject_response(&response, &head, &send);
+    let is_refusal = rejected
+        .as_ref()
+        .is_some_and(|outcome| !matches!(outcome, SendOutcome::Broken(_)));
+    let names_request = response.attempt_id.is_some();
+    if is_refusal && !names_request && has_surplus(&mut connection, &head, &send) {
+        return SendOutcome::Broken(OTHER_ANSWER);
+    }
+    // Another replica that has taken over the address speaks of itself, and so does an answer to
+    // another request of the one that answered it.
     let is_expected_replica = response.replica_id.as_deref() == Some(&send.replica_id);
-    if !response.is_misdirected || is_expected_replica {
+    let is_own_answer = !matches!(rejected, Some(SendOutcome::Broken(OTHER_ANSWER)));
+    if is_own_answer && (!response.is_misdirected || is_expected_replica) {
         send.notice.set(response.notice);
     }
-    if let Some(outcome) = reject_response(&response, &head, &send) {
-        let names_request = response.attempt_id.is_some();
-        let is_refusal = !matches!(outcome, SendOutcome::Broken(_));
-        if is_refusal && !names_request && has_surplus(&mut connection, &head, &send) {
-            return SendOutcome::Broken("other_answer");
-        }
+    if let Some(outcome) = rejected {
         return outcome;
     }
     let framing = match head.framing(&send.method) {
@@ -196,7 +204,7 @@
         .as_ref()
         .is_some_and(|id| *id != send.attempt_id);
     if is_other_attempt {
-        return Some(SendOutcome::Broken("other_answer"));
+        return Some(SendOutcome::Broken(OTHER_ANSWER));
     }
     if response.is_misdirected {
         let is_expected_replica = response.replica_id.as_deref() == Some(&send.replica_id);
