Hand back requests that outlast the drain of an endpoint, and end it in time

At the end of an endpoint's drain the connections were cut, which took a retry from the budget of a stream that was resumed elsewhere, and the stop could take twice drain_ms, once for calls and once for connections.

stop_endpoints_requests_longer_than_drain (drain_ms = 1500, a stream of 3.6 s, a call whose service is silent) failed: "not within 2 s: desk-1 ends", and with 3 s allowed service_lost as the outcome, at the service's timeout of 2.5 s. Half a second before the end an endpoint now refuses its streams with leaving, which an entry resumes elsewhere outside of the budget, and answers calls with still_running, or endpoint_gone if they are idempotent, which an entry sends elsewhere. The whole stop takes drain_ms. After: it passes, and the stream is whole.

--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -230,7 +230,7 @@
             }
             RequestsPolicy::Product | RequestsPolicy::Both => {
                 let server = Data::new(ProductEndpoint {
-                    server: GenerateServer::new(queue, engine),
+                    server: GenerateServer::new(queue, engine, Arc::default()),
                     received,
                 });
                 let threads = Arc::clone(&self.endpoint_threads);
--- a/src/endpoint/call.rs
+++ b/src/endpoint/call.rs
@@ -1,3 +1,5 @@
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -6,6 +8,8 @@
 use actix_web::web;
 use actix_web::web::Bytes;
 use futures_util::FutureExt;
+use futures_util::future::Either;
+use futures_util::future::select;
 
 use crate::calls::CallDecision;
 use crate::calls::CallOutcome;
@@ -38,10 +42,18 @@
     let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
     heartbeat_response(async move {
         let request_id = call.request_id.clone();
-        let report = match call.permit.clone() {
-            Some(permit) => run_with_permit(&state, call, permit, deadline).await,
-            None => run_idempotent(&state, call, deadline).await,
+        // An entry sends an idempotent call to another endpoint then.
+        let reason_at_drain_end = match &call.permit {
+            Some(_) => UnknownReason::StillRunning,
+            None => UnknownReason::EndpointGone,
         };
+        let report = async {
+            match call.permit.clone() {
+                Some(permit) => run_with_permit(&state, call, permit, deadline).await,
+                None => run_idempotent(&state, call, deadline).await,
+            }
+        };
+        let report = until_drain_end(&state, report, reason_at_drain_end).await;
         ServiceReply {
             request_id,
             told: report,
@@ -62,14 +74,17 @@
         };
     heartbeat_response(async move {
         let status = permit_status(&state, &query.permit, query.reason);
-        let report = match status {
-            PermitStatus::NotRun(reason) => CallReport::Ended(CallOutcome::not_run(reason)),
-            PermitStatus::Ended(outcome) => CallReport::Ended(outcome),
-            PermitStatus::Unknown(reason) => CallReport::NotHere(reason),
-            PermitStatus::Running => {
-                CallReport::Ended(wait_for_outcome(&state, &query.permit).await)
+        let report = async {
+            match status {
+                PermitStatus::NotRun(reason) => CallReport::Ended(CallOutcome::not_run(reason)),
+                PermitStatus::Ended(outcome) => CallReport::Ended(outcome),
+                PermitStatus::Unknown(reason) => CallReport::NotHere(reason),
+                PermitStatus::Running => {
+                    CallReport::Ended(wait_for_outcome(&state, &query.permit).await)
+                }
             }
         };
+        let report = until_drain_end(&state, report, UnknownReason::StillRunning).await;
         ServiceReply {
             request_id: query.request_id,
             told: report,
@@ -77,6 +92,18 @@
     })
 }
 
+/// The report on a call, or `reason` if it is not ready at the end of a drain.
+async fn until_drain_end(
+    state: &EndpointState,
+    report: impl Future<Output = CallReport>,
+    reason: UnknownReason,
+) -> CallReport {
+    match select(pin!(report), pin!(state.drain_end.reached())).await {
+        Either::Left((report, _)) => report,
+        Either::Right(_) => CallReport::Ended(CallOutcome::unknown(reason)),
+    }
+}
+
 /// Runs a call with a permit at most once, however often it is received.
 async fn run_with_permit(
     state: &web::Data<EndpointState>,
--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -28,6 +28,7 @@
 use crate::clients::GenerateOrder;
 use crate::clients::StreamEvent;
 use crate::links::wait_for_data;
+use crate::node::DrainEnd;
 use crate::weights::Digest;
 
 /// Interval of heartbeats while a request waits for a slot or the engine, in milliseconds.
@@ -58,8 +59,24 @@
 }
 
 impl GenerateRun {
-    /// Runs the request until its final frame is sent or the stream is closed.
-    pub(super) async fn run(self) {
+    /// Runs the request until its final frame is sent or the stream is closed; refuses it at
+    /// the end of a drain.
+    pub(super) async fn run(self, drain_end: &DrainEnd) {
+        if let Either::Left(_) = select(pin!(self.answer()), pin!(drain_end.reached())).await {
+            return;
+        }
+        self.cancel_engine_run();
+        let reason = RefusalReason::Leaving;
+        let retry_after_ms = 0;
+        self.refuse(GenerateRefusal {
+            reason,
+            retry_after_ms,
+        })
+        .await;
+    }
+
+    /// Answers the request, or refuses it.
+    async fn answer(&self) {
         let deadline_ms = self.queue.now_ms() + self.call.deadline_ms;
         let Ok(_suspect_guard) = self.wait_for_suspect_slot(deadline_ms).await else {
             return;
@@ -246,10 +263,15 @@
 
     /// Cancels the stream of the engine and returns the final frame.
     fn stop_at_deadline(&self) -> GenerateFrame {
+        self.cancel_engine_run();
+        failed_frame(StreamFault::DeadlinePassed)
+    }
+
+    /// Cancels the stream of the engine, which may not notice a closed connection.
+    fn cancel_engine_run(&self) {
         let engine = self.engine.clone();
         let request_id = self.call.request_id.clone();
         actix_rt::spawn(async move { engine.cancel(request_id).await });
-        failed_frame(StreamFault::DeadlinePassed)
     }
 
     /// The event that the engine sent, or why the stream failed.
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -15,6 +15,7 @@
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
 use crate::clients::EngineClient;
+use crate::node::DrainEnd;
 use crate::weights::Digest;
 
 /// Number of frames that are buffered for a slow reader.
@@ -26,15 +27,17 @@
     queue: Arc<GenerateQueue>,
     engine: EngineClient,
     health: Arc<EngineHealth>,
+    drain_end: Arc<DrainEnd>,
 }
 
 impl GenerateServer {
-    /// Server for requests to `engine`, queued in `queue`.
-    pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient) -> Self {
+    /// Server for requests to `engine`, queued in `queue`, which are refused at `drain_end`.
+    pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient, drain_end: Arc<DrainEnd>) -> Self {
         Self {
             queue,
             engine,
             health: Arc::default(),
+            drain_end,
         }
     }
 
@@ -60,8 +63,9 @@
             content_digest,
             frames,
         };
+        let drain_end = Arc::clone(&self.drain_end);
         actix_rt::spawn(async move {
-            run.run().await;
+            run.run(&drain_end).await;
             drop(in_use);
         });
         respond(stream::poll_fn(move |context| received.poll_recv(context)))
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -88,17 +88,22 @@
     }
 
     /// Shuts down gracefully: notifies the entries, then drains the requests in progress.
+    /// Those that last longer end with a refusal.
     pub async fn stop(&self) {
         let node = &self.state.node;
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
+        let drain = Duration::from_millis(self.state.settings.drain_ms);
         node.start_drain();
+        self.state.drain_end.start(drain);
         self.server.close_after_answers();
         Reporter::send_reports(node).await;
-        let drain = Duration::from_millis(self.state.settings.drain_ms);
-        // Stopping the server waits for connections only, and a call may outlive its
-        // connection.
-        let _ = timeout(drain, self.state.calls.wait_until_drained()).await;
-        self.server.stop().await;
+        let drained = async {
+            // Stopping the server waits for connections only, and a call may outlive its
+            // connection.
+            self.state.calls.wait_until_drained().await;
+            self.server.stop().await;
+        };
+        let _ = timeout(drain, drained).await;
         emit_event(Event::ProcessStopped, &[("host", &node.name())]);
     }
 }
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -14,6 +14,7 @@
 use crate::endpoint::WeightLinks;
 use crate::endpoint::WeightsState;
 use crate::endpoint::call_registry::CallRegistry;
+use crate::node::DrainEnd;
 use crate::node::Node;
 use crate::weights::MemoryBudget;
 
@@ -36,6 +37,8 @@
     pub weights: Arc<WeightsState>,
     /// Server of generate requests; `None` beside a plain service.
     pub generate: Option<GenerateServer>,
+    /// End of the drain, once the process stops.
+    pub drain_end: Arc<DrainEnd>,
     permits: Mutex<PermitTable>,
 }
 
@@ -55,6 +58,7 @@
         let now_ms = node.now_ms();
         let permits = PermitTable::new(node.incarnation(), PermitLimits::default(), now_ms);
         let weights = weights_state(&settings, &node);
+        let drain_end: Arc<DrainEnd> = Arc::default();
         let generate = engine_address(&settings.backend).map(|address| {
             let queue = GenerateQueue::new(QueueLimits {
                 slots: settings.slots as u32,
@@ -62,13 +66,14 @@
                 max_waiting_per_branch: settings.queue_limit as usize,
                 max_waiting: settings.queue_limit as usize * FULL_BRANCH_QUEUES,
             });
-            GenerateServer::new(queue, EngineClient::new(address))
+            GenerateServer::new(queue, EngineClient::new(address), Arc::clone(&drain_end))
         });
         Self {
             settings,
             node,
             calls: CallRegistry::new(now_ms),
             generate,
+            drain_end,
             permits: Mutex::new(permits),
             weights,
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,7 +11,6 @@
 mod call_answer;
 mod call_exchange;
 mod call_permits;
-mod drain_end;
 mod error_code;
 mod generate;
 mod generate_attempt;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,7 +1,6 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix::Actor;
 use actix_web::Resource;
@@ -28,10 +27,6 @@
 use crate::observe::emit_event;
 use crate::standin::HttpServerHandle;
 
-/// Part of the drain in which refusals are sent to callers whose requests are too long, in
-/// milliseconds.
-const REFUSAL_MARGIN_MS: u64 = 500;
-
 /// Handle of a running entry.
 #[derive(Debug, Clone)]
 pub struct EntryHandle {
@@ -127,11 +122,8 @@
     /// than the drain end with a refusal.
     pub async fn stop(&self) {
         let node = &self.state.node;
-        let drain_ms = self.state.settings.drain_ms;
-        let answer_ms = drain_ms.saturating_sub(REFUSAL_MARGIN_MS).max(drain_ms / 2);
-        self.state
-            .drain_end
-            .set(Instant::now() + Duration::from_millis(answer_ms));
+        let drain = Duration::from_millis(self.state.settings.drain_ms);
+        self.state.drain_end.start(drain);
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
         self.server.close_after_answers();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -4,8 +4,8 @@
 use crate::clients::LogClient;
 use crate::conf::EntrySettings;
 use crate::entry::GenerateRouting;
-use crate::entry::drain_end::DrainEnd;
 use crate::entry::service_call_state::ServiceCallState;
+use crate::node::DrainEnd;
 use crate::node::Node;
 
 /// State shared by the handlers of an entry.
--- a/src/entry/drain_end.rs
+++ b/src/node/drain_end.rs
@@ -4,7 +4,10 @@
 use actix_rt::time::sleep;
 use tokio::sync::watch;
 
-/// Time of a stopping entry at which answers under way end with a refusal, before their
+/// Part of a drain in which refusals are sent to callers whose requests are too long.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time of a stopping process at which answers under way end with a refusal, before their
 /// connections are cut.
 #[derive(Debug)]
 pub struct DrainEnd {
@@ -12,20 +15,21 @@
 }
 
 impl DrainEnd {
-    /// An entry that is not stopping.
+    /// A process that is not stopping.
     pub fn new() -> Self {
         Self {
             end: watch::Sender::new(None),
         }
     }
 
-    /// Sets the end when the entry starts to stop.
-    pub(super) fn set(&self, end: Instant) {
-        self.end.send_replace(Some(end));
+    /// Starts a drain that lasts `drain` at the most.
+    pub fn start(&self, drain: Duration) {
+        let left = drain.saturating_sub(REFUSAL_MARGIN).max(drain / 2);
+        self.end.send_replace(Some(Instant::now() + left));
     }
 
     /// Waits until the drain ends.
-    pub(super) async fn reached(&self) {
+    pub async fn reached(&self) {
         let mut changes = self.end.subscribe();
         let end = match changes.wait_for(Option::is_some).await {
             Ok(end) => *end,
