Split the gateway's forwarding by job

The handle is in gateway_handle.rs, the state in forwarding.rs, sends in sending.rs, answers and their parts in answer_parts.rs, and what a send is recorded as in send_results.rs. Code is moved unchanged, apart from visibility.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,9 @@
 
 mod active_request;
 mod answer_memory;
+mod answer_parts;
 mod client_listener;
+mod connection_reuse;
 mod crash_signs;
 mod event_splitter;
 mod event_stream;
@@ -16,6 +18,8 @@
 mod fetch;
 mod follow;
 mod forward;
+mod forwarding;
+mod gateway_handle;
 mod handlers;
 mod heartbeats;
 mod local_response;
@@ -31,6 +35,8 @@
 mod request_outcome;
 mod routed_request;
 mod running_send;
+mod send_results;
+mod sending;
 mod settings;
 mod state;
 mod suspect_notices;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -12,7 +12,7 @@
 use crate::fleet::begins_in_time;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
-use crate::gateway::forward::Gateway;
+use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::observe::Event;
 use crate::observe::LogLine;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,7 +20,7 @@
 use crate::gateway::TopicSink;
 use crate::gateway::client_listener::serve_clients;
 use crate::gateway::follow::follow_topic;
-use crate::gateway::forward::Gateway;
+use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::handlers::DirectoryHandler;
 use crate::gateway::handlers::InternalCallHandler;
 use crate::gateway::handlers::ReadinessHandler;
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -1,11 +1,11 @@
 use tokio::time::Instant;
 
 use crate::gateway::Dialect;
+use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::write_header;
-use crate::gateway::forward::AttemptHistory;
-use crate::gateway::forward::ConnectionReuse;
-use crate::gateway::forward::Gateway;
+use crate::gateway::forwarding::AttemptHistory;
+use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_response::local_response;
 use crate::gateway::local_response::outcome_label;
 use crate::gateway::relay::ClientFraming;
