Take the import circles out of the gateway

Files imported each other's items in three circles: client_listener and process; crash_signs, forwarding, request_outcome and running_send; state with the files that follow topics and exchange datagrams. The causes of the end of a request or send are in end_causes.rs now, the trait of the topics' readers in topic_sink.rs, the datagrams in datagram.rs, their receivers in heartbeat_targets.rs, the list of changed suspects in changed_suspects.rs, and the time of accepting after a stop signal in client_listener.rs. Code is moved unchanged, apart from visibility.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -12,10 +12,9 @@
 use crate::gateway::active_request::ActiveRequest;
 use crate::gateway::active_request::wait_until_ending;
 use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::STOPPING;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_response::local_response;
-use crate::gateway::process::STOP_ACCEPT_TIME;
-use crate::gateway::request_outcome::STOPPING;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -26,6 +25,10 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
+/// Time after a stop signal during which requests are still accepted, while clients
+/// learn of it and connect to other entries.
+pub const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+
 /// Deadline of a request that states none, in ms.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
--- /dev/null
+++ b/src/gateway/end_causes.rs
@@ -0,0 +1,14 @@
+/// Cause of the refusal of a request that is suspected of several crashes.
+pub(super) const CRASH_SUSPECT: &str = "crash_suspect";
+
+/// Cause of the end of a send whose replica has a later incarnation.
+pub(super) const REPLICA_ENDED: &str = "replica_ended";
+
+/// Cause of the end of a send whose replica is on a silent host.
+pub(super) const HOST_SILENT: &str = "host_silent";
+
+/// Cause of the end of a request by a stop of the process.
+pub(super) const STOPPING: &str = "stopping";
+
+/// Cause of the end of a request whose client closed its connection.
+pub(super) const CLIENT_LEFT: &str = "client_left";
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -3,28 +3,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::UdpSocket;
 
 use crate::calls::CrashSign;
 use crate::fleet::EngineLoad;
 use crate::fleet::EntryHeartbeat;
-use crate::fleet::EntryRegistration;
 use crate::fleet::LoadReport;
 use crate::fleet::Topic;
-use crate::fleet::TopicTable;
 use crate::fleet::remote_beats;
+use crate::gateway::Datagram;
 use crate::gateway::FetchRange;
 use crate::gateway::GatewayState;
+use crate::gateway::KeptConfig;
+use crate::gateway::LeavingReplica;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
+use crate::gateway::datagram::send_to_all;
 use crate::gateway::fetch_records;
-use crate::gateway::suspect_notices::SuspectNotice;
+use crate::gateway::for_each_datagram;
+use crate::gateway::heartbeat_targets::Target;
+use crate::gateway::heartbeat_targets::endpoint_targets;
+use crate::gateway::heartbeat_targets::entry_targets;
+use crate::gateway::heartbeat_targets::is_known_endpoint;
 use crate::gateway::suspect_notices::merge_suspects;
 use crate::observe::Event;
 use crate::observe::LogLine;
-use crate::weights::ChunkBitmap;
 
 /// Interval of the heartbeats between entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -32,69 +35,9 @@
 /// Heartbeats to entries for each heartbeat to an endpoint process.
 const HEARTBEATS_PER_ENDPOINT_HEARTBEAT: u64 = 2;
 
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
-
 /// Largest number of crash suspects in one heartbeat, so that it fits a datagram.
 const MAX_SENT_SUSPECTS: usize = 16;
 
-/// Have message: the pieces of a version of weights that a host holds, as it reports
-/// them to other hosts.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct HeldPieces {
-    /// Address of the host's endpoint process.
-    pub address: SocketAddr,
-    /// Name of the model.
-    pub model: String,
-    /// Version of the weights.
-    pub version: u64,
-    /// Pieces that are staged and whose digests were verified.
-    pub have: ChunkBitmap,
-}
-
-/// Notice of an entry that it knows a later configuration than the store, which has come
-/// back from an older copy.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct KeptConfig {
-    /// Address of the entry for internal calls.
-    pub internal: SocketAddr,
-    /// Version of the configuration.
-    pub version: u64,
-}
-
-/// Notice that a replica has said in an answer that it is leaving.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingReplica {
-    /// Identifier of the replica.
-    pub id: String,
-    /// Start of its incarnation, in Unix ms.
-    pub born_unix_ms: Option<u64>,
-}
-
-/// A UDP message between entry and endpoint processes.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Datagram {
-    /// Heartbeat of an entry.
-    Beat(EntryHeartbeat),
-    /// Load of an engine, sent by its endpoint process.
-    Load(LoadReport),
-    /// Pieces of weights that a host holds, sent between endpoint processes.
-    Have(HeldPieces),
-    /// Configuration that the store has lost, sent between entries.
-    Kept(KeptConfig),
-    /// Replica that is leaving, sent between entries and to its endpoint process.
-    Leaving(LeavingReplica),
-    /// Requests that are suspected of crashes, sent between entries.
-    Suspects(SuspectNotice),
-}
-
-impl Datagram {
-    /// Encodes the message as MessagePack.
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec(self).expect("a datagram holds only plain data")
-    }
-}
-
 /// Sends heartbeats to the other entries and, less often, to the endpoint processes; to
 /// those of other regions still less often, the more there are.
 ///
@@ -148,15 +91,6 @@
     }
 }
 
-/// Sends a datagram to each target. A lost one is not sent again: the next replaces it.
-pub(super) fn send_to_all(socket: &UdpSocket, datagram: &[u8], targets: &[SocketAddr]) {
-    for target in targets {
-        if let Err(error) = socket.try_send_to(datagram, *target) {
-            log::debug!("cannot send a datagram to {target}: {error}");
-        }
-    }
-}
-
 /// Encoded notice of a configuration that the store has lost; None if it has lost none.
 fn kept_config(state: &GatewayState) -> Option<Vec<u8>> {
     let version = state.catalog.as_ref()?.version;
@@ -190,100 +124,6 @@
     }
 }
 
-/// Addresses for internal calls of the entries that are registered in the store.
-pub fn registered_entries(members: &TopicTable) -> impl Iterator<Item = SocketAddr> {
-    members
-        .records_since(0)
-        .filter_map(|record| {
-            rmp_serde::from_slice::<EntryRegistration>(record.value.as_deref()?).ok()
-        })
-        .map(|registration| registration.internal)
-}
-
-/// A receiver of heartbeats.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Target {
-    pub(super) address: SocketAddr,
-    /// Whether it is known to be in another region.
-    is_remote: bool,
-}
-
-/// The entries that are registered in the store or sent a heartbeat.
-pub(super) fn entry_targets(state: &GatewayState) -> Vec<Target> {
-    let own = state.settings.internal;
-    let mut targets: Vec<Target> = state
-        .peers
-        .all_entries()
-        .map(|peer| Target {
-            address: peer.internal,
-            is_remote: is_remote(state, &peer.failure_domain),
-        })
-        .collect();
-    let is_known = |address: &SocketAddr| targets.iter().any(|known| known.address == *address);
-    let registered = registered_entries(state.topic_table(Topic::Members));
-    let unknown: Vec<SocketAddr> = registered.filter(|address| !is_known(address)).collect();
-    targets.extend(unknown.into_iter().map(|address| Target {
-        address,
-        is_remote: false,
-    }));
-    targets.retain(|target| target.address != own);
-    targets
-}
-
-/// Whether a failure domain is in another region than this entry.
-fn is_remote(state: &GatewayState, failure_domain: &str) -> bool {
-    let settings = &state.settings;
-    settings.region(failure_domain) != settings.region(&settings.failure_domain)
-}
-
-/// The endpoint processes: each runs on the host of its replica and listens on the same
-/// internal port as entries.
-fn endpoint_targets(state: &GatewayState) -> Vec<Target> {
-    let port = state.settings.internal.port();
-    let Some(catalog) = &state.catalog else {
-        return Vec::new();
-    };
-    state
-        .replicas
-        .listed()
-        .filter(|(_, replica)| {
-            catalog
-                .service(&replica.record.service)
-                .is_some_and(|service| service.engine.is_some())
-        })
-        .map(|(_, replica)| Target {
-            address: SocketAddr::new(replica.record.address.ip(), port),
-            is_remote: is_remote(state, &replica.record.failure_domain),
-        })
-        .collect()
-}
-
-/// Whether this entry sends heartbeats to the endpoint process at `address`: the replica
-/// on its host is listed.
-fn is_known_endpoint(state: &GatewayState, address: SocketAddr) -> bool {
-    let mut replicas = state.replicas.listed();
-    replicas.any(|(_, replica)| replica.record.address.ip() == address.ip())
-}
-
-/// Calls `handle` for each datagram that can be decoded, with the sender's address.
-pub async fn for_each_datagram(socket: &UdpSocket, mut handle: impl FnMut(Datagram, SocketAddr)) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (len, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("cannot receive a datagram: {error}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            }
-        };
-        match rmp_serde::from_slice(&buffer[..len]) {
-            Ok(datagram) => handle(datagram, from),
-            Err(error) => log::debug!("cannot decode a datagram from {from}: {error}"),
-        }
-    }
-}
-
 /// Receives heartbeats of entries and load reports of endpoint processes.
 pub async fn receive_datagrams(
     state: Rc<RefCell<GatewayState>>,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -18,6 +18,7 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::RecordSource;
 use crate::gateway::TopicSink;
+use crate::gateway::client_listener::STOP_ACCEPT_TIME;
 use crate::gateway::client_listener::serve_clients;
 use crate::gateway::follow::follow_topic;
 use crate::gateway::gateway_handle::Gateway;
@@ -41,10 +42,6 @@
 /// Interval at which buffered log lines are written.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time after a stop signal during which requests are still accepted, while clients
-/// learn of it and connect to other entries.
-pub const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
-
 /// Longest time for which an entry waits for the registrations before it registers.
 const MEMBERS_LISTING_WAIT: Duration = Duration::from_millis(1_500);
 
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::Dialect;
 use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::CRASH_SUSPECT;
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::write_header;
 use crate::gateway::forwarding::AttemptHistory;
@@ -18,21 +19,6 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
-/// Cause of the refusal of a request that is suspected of several crashes.
-pub(super) const CRASH_SUSPECT: &str = "crash_suspect";
-
-/// Cause of the end of a send whose replica has a later incarnation.
-pub(super) const REPLICA_ENDED: &str = "replica_ended";
-
-/// Cause of the end of a send whose replica is on a silent host.
-pub(super) const HOST_SILENT: &str = "host_silent";
-
-/// Cause of the end of a request by a stop of the process.
-pub(super) const STOPPING: &str = "stopping";
-
-/// Cause of the end of a request whose client closed its connection.
-pub(super) const CLIENT_LEFT: &str = "client_left";
-
 /// How a request ended, for its log line and the metrics; status 0 is a response that
 /// was not completed.
 #[derive(Debug)]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use crate::gateway::LeavingReplica;
 use crate::gateway::TopicSink;
 use crate::gateway::answer_memory::AnswerMemory;
-use crate::gateway::suspect_notices::ChangedSuspects;
+use crate::gateway::changed_suspects::ChangedSuspects;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
