Split the gateway's state by concept

state.rs held the rates of requests, the longest deadlines, the retry budgets, the notices of leaving, the age of the replicas' records, the store's status and the required versions of weights as plain vectors and numbers with their rules. Each has a type and a file of its own now that owns data and rule; GatewayState keeps them as fields and its methods as before. Behaviour is unchanged.

--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -47,9 +47,9 @@
         || settings.internal != new.internal
         || settings.failure_domain != new.failure_domain
         || settings.retry_window_ms != new.retry_window_ms;
-    for (_, budget) in &mut state.retry_budgets {
-        budget.set_limits(new.retry_ratio, new.extra_retries);
-    }
+    state
+        .retry_budgets
+        .set_limits(new.retry_ratio, new.extra_retries);
     LogLine::new(Event::SettingsReloaded)
         .number("grace_ms", new.grace_ms)
         .number("weights_apply_ms", new.weights_apply_ms)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,7 +15,6 @@
 use crate::fleet::ClientLimits;
 use crate::fleet::Declarations;
 use crate::fleet::PeerTable;
-use crate::fleet::RateMeter;
 use crate::fleet::ReplicaTable;
 use crate::fleet::SharedRetryBudget;
 use crate::fleet::Topic;
@@ -25,6 +24,13 @@
 use crate::gateway::TopicSink;
 use crate::gateway::answer_memory::AnswerMemory;
 use crate::gateway::changed_suspects::ChangedSuspects;
+use crate::gateway::leaving_notices::LeavingNotices;
+use crate::gateway::longest_deadlines::LongestDeadlines;
+use crate::gateway::replicas_confirmation::ReplicasConfirmation;
+use crate::gateway::request_rates::RequestRates;
+use crate::gateway::required_versions::RequiredVersions;
+use crate::gateway::retry_budgets::RetryBudgets;
+use crate::gateway::store_status::StoreStatus;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
@@ -36,19 +42,6 @@
 /// one for each request that the replica held.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Share by which the deadlines of first requests may differ; a request with less
-/// time left counts as a retry.
-const DEADLINE_SPREAD: f64 = 0.17;
-
-/// Time before the deadline of new weights, `weights_apply_ms` after their declaration,
-/// from which a request names the version to a replica that has them, in ms: the replica
-/// may come back with older ones.
-const WEIGHTS_REQUIRED_MARGIN_MS: u64 = 1_300;
-
-/// Time before that deadline at which a request that still waits at an engine with old
-/// weights is cancelled, in ms. This process learns of a declaration late.
-const WEIGHTS_CANCEL_MARGIN_MS: u64 = 400;
-
 /// Age of the replicas' records from which they are fetched also from entries of
 /// other failure domains, in ms.
 const REPLICAS_OUTDATED_MS: u64 = 1_000;
@@ -57,13 +50,6 @@
 /// declarations before it is ready, in ms: two heartbeats of the other entries.
 const DECLARATION_AGE_WAIT_MS: u64 = 600;
 
-/// Age of the replicas' records that an entry reports before they were confirmed, in ms:
-/// a day, so that it confirms nothing.
-const UNCONFIRMED_AGE_MS: u64 = 24 * 3_600 * 1_000;
-
-/// Number of times that the other processes are told that a replica is leaving.
-const LEAVING_NOTICES: u32 = 3;
-
 /// State of an entry process, shared by its tasks.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -101,14 +87,11 @@
     pub update_notice: Rc<Notify>,
     /// Newest records of each topic, in the order of `Topic::ALL`.
     pub(super) topic_tables: [TopicTable; 3],
-    // Ascending by name of the service.
-    pub(super) retry_budgets: Vec<(String, SharedRetryBudget)>,
-    // Ascending by name of the service.
-    request_rates: Vec<(String, RateMeter)>,
-    // Longest deadline that a client stated, ascending by name of the route.
-    longest_deadlines_ms: Vec<(String, u64)>,
-    /// For each topic, whether the last read from the store failed.
-    pub(super) unavailable_topics: [bool; 3],
+    /// Retry budgets of the services.
+    pub(super) retry_budgets: RetryBudgets,
+    request_rates: RequestRates,
+    longest_deadlines: LongestDeadlines,
+    store_status: StoreStatus,
     /// Last time at which the store was found unavailable to this entry and to any
     /// that reads on its behalf.
     pub(super) store_unavailable_ms: Option<u64>,
@@ -127,14 +110,10 @@
     pub(super) changed_suspects: ChangedSuspects,
     /// Wakes the tasks that wait for a change of the suspects.
     pub(super) suspects_notice: Rc<Notify>,
-    // Replicas that are leaving, each with the number of times that the other processes are
-    // still told.
-    leaving_notices: Vec<(LeavingReplica, u32)>,
+    leaving_notices: LeavingNotices,
     /// For each topic, whether it is being fetched from another process.
     fetching: [bool; 3],
-    /// Time at which the store last confirmed the replicas' records; negative when that
-    /// was before this process started.
-    replicas_confirmed_ms: Option<i64>,
+    replicas_confirmation: ReplicasConfirmation,
     rng: Pcg64Mcg,
     started: Instant,
 }
@@ -161,10 +140,10 @@
             weights_notice: Rc::new(Notify::new()),
             update_notice: Rc::new(Notify::new()),
             topic_tables: Default::default(),
-            retry_budgets: Vec::new(),
-            request_rates: Vec::new(),
-            longest_deadlines_ms: Vec::new(),
-            unavailable_topics: [false; 3],
+            retry_budgets: RetryBudgets::default(),
+            request_rates: RequestRates::default(),
+            longest_deadlines: LongestDeadlines::default(),
+            store_status: StoreStatus::default(),
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
             broken_runs: BrokenRuns::default(),
@@ -173,9 +152,9 @@
             suspect_trials: Vec::new(),
             changed_suspects: ChangedSuspects::default(),
             suspects_notice: Rc::new(Notify::new()),
-            leaving_notices: Vec::new(),
+            leaving_notices: LeavingNotices::default(),
             fetching: [false; 3],
-            replicas_confirmed_ms: None,
+            replicas_confirmation: ReplicasConfirmation::default(),
             rng,
             started: Instant::now(),
         }))
@@ -223,32 +202,25 @@
 
     /// Whether the store answered the last read of each topic by this process.
     pub fn has_store(&self) -> bool {
-        !self.unavailable_topics.contains(&true)
+        self.store_status.is_available()
     }
 
     /// Time since the store confirmed the replicas' records, to this entry or to one
     /// that reported it in a heartbeat, in ms; time since the start if it has not yet.
     pub fn replicas_age_ms(&self) -> u64 {
-        self.age_ms(self.replicas_confirmed_ms.unwrap_or(0))
+        self.replicas_confirmation.age_ms(self.now_ms())
     }
 
     /// The same time as other entries are told; without a confirmation, a time that
     /// confirms nothing.
     pub fn reported_replicas_age_ms(&self) -> u64 {
-        self.replicas_confirmed_ms
-            .map_or(UNCONFIRMED_AGE_MS, |at_ms| self.age_ms(at_ms))
-    }
-
-    /// Time since `at_ms`, in ms.
-    fn age_ms(&self, at_ms: i64) -> u64 {
-        u64::try_from(self.now_ms() as i64 - at_ms).unwrap_or(0)
+        self.replicas_confirmation.reported_age_ms(self.now_ms())
     }
 
     /// Records that the store confirmed the replicas' records `age_ms` ago.
     pub fn confirm_replicas(&mut self, age_ms: u64) {
-        let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
-        let confirmed_ms = (self.now_ms() as i64).saturating_sub(age_ms);
-        self.replicas_confirmed_ms = self.replicas_confirmed_ms.max(Some(confirmed_ms));
+        let now_ms = self.now_ms();
+        self.replicas_confirmation.confirm(age_ms, now_ms);
     }
 
     /// Whether another entry of the failure domain reads the store on behalf of this
@@ -284,78 +256,32 @@
 
     /// Records whether the store answered a read of `topic`, and logs a change.
     pub fn record_store_result(&mut self, topic: Topic, error: Option<&dyn std::error::Error>) {
-        let is_unavailable = &mut self.unavailable_topics[topic as usize];
-        match error {
-            Some(error) if !*is_unavailable => {
-                *is_unavailable = true;
-                LogLine::new(Event::DependencyLost)
-                    .text("dependency", "store")
-                    .text("topic", topic.label())
-                    .text("error", error.to_string())
-                    .enqueue();
-            }
-            None if *is_unavailable => {
-                *is_unavailable = false;
-                LogLine::new(Event::DependencyRegained)
-                    .text("dependency", "store")
-                    .text("topic", topic.label())
-                    .enqueue();
-            }
-            _ => {}
-        }
+        self.store_status.record_result(topic, error);
     }
 
     /// Whether the last read of `topic` from the store failed.
     pub fn is_topic_unavailable(&self, topic: Topic) -> bool {
-        self.unavailable_topics[topic as usize]
+        self.store_status.is_topic_unavailable(topic)
     }
 
     /// Retry budget of `service`.
     pub fn retry_budget(&mut self, service: &str) -> &mut SharedRetryBudget {
-        let at = match self
-            .retry_budgets
-            .binary_search_by(|budget| budget.0.as_str().cmp(service))
-        {
-            Ok(at) => at,
-            Err(at) => {
-                let settings = &self.settings;
-                let budget = SharedRetryBudget::new(
-                    settings.retry_ratio,
-                    settings.extra_retries,
-                    settings.retry_window_ms,
-                );
-                self.retry_budgets.insert(at, (service.to_owned(), budget));
-                at
-            }
-        };
-        &mut self.retry_budgets[at].1
+        self.retry_budgets.find_or_add(service, &self.settings)
     }
 
     /// Counts a request for `service`, whether it is then sent or refused.
     pub fn count_request(&mut self, service: &str) {
         let now_ms = self.now_ms();
-        let request_rates = &mut self.request_rates;
-        let at = match request_rates.binary_search_by(|rate| rate.0.as_str().cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                request_rates.insert(at, (service.to_owned(), RateMeter::default()));
-                at
-            }
-        };
-        request_rates[at].1.record_event(now_ms);
+        self.request_rates.record_request(service, now_ms);
     }
 
     /// Estimated rate of requests for `service` at all other entries, per ms: each is
     /// assumed to get as many as this one.
     pub fn peer_requests_per_ms(&self, service: &str) -> f64 {
         let others = f64::from(self.entry_count() - 1);
-        match self
-            .request_rates
-            .binary_search_by(|rate| rate.0.as_str().cmp(service))
-        {
-            Ok(at) => self.request_rates[at].1.events_per_ms(self.now_ms()) * others,
-            Err(_) => 0.0,
-        }
+        self.request_rates
+            .requests_per_ms(service, self.now_ms())
+            .map_or(0.0, |requests_per_ms| requests_per_ms * others)
     }
 
     /// Number of entries that are up, this one included.
@@ -365,23 +291,8 @@
     }
 
     /// Least time that a client with `deadline_ms` left has already waited, in ms.
-    ///
-    /// A client that retries after a refusal has less time left than any client of the
-    /// route that sends its first request.
     pub fn waited_before_ms(&mut self, route: &str, deadline_ms: u64) -> u64 {
-        let longest = &mut self.longest_deadlines_ms;
-        let longest_ms = match longest.binary_search_by(|known| known.0.as_str().cmp(route)) {
-            Ok(at) => {
-                longest[at].1 = longest[at].1.max(deadline_ms);
-                longest[at].1
-            }
-            Err(at) => {
-                longest.insert(at, (route.to_owned(), deadline_ms));
-                deadline_ms
-            }
-        };
-        let first_request_ms = longest_ms - (longest_ms as f64 * DEADLINE_SPREAD) as u64;
-        first_request_ms.saturating_sub(deadline_ms)
+        self.longest_deadlines.waited_before_ms(route, deadline_ms)
     }
 
     /// Has the other processes told that a replica is leaving, at once and again with the
@@ -391,7 +302,7 @@
             id: id.to_owned(),
             born_unix_ms,
         };
-        self.leaving_notices.push((leaving, LEAVING_NOTICES));
+        self.leaving_notices.add(leaving);
         self.update_notice.notify_one();
     }
 
@@ -404,14 +315,12 @@
             let replica = replicas.find(|(_, known)| known.record.id == leaving.id)?;
             Some(SocketAddr::new(replica.1.record.address.ip(), port))
         };
-        let notices = self.leaving_notices.iter();
-        let notices = notices.map(|(leaving, _)| (leaving.clone(), host_of(leaving)));
-        let notices: Vec<_> = notices.collect();
-        self.leaving_notices.retain_mut(|notice| {
-            notice.1 -= 1;
-            notice.1 > 0
+        let notices = self.leaving_notices.take_due().into_iter();
+        let notices = notices.map(|leaving| {
+            let host = host_of(&leaving);
+            (leaving, host)
         });
-        notices
+        notices.collect()
     }
 
     /// Logs which replicas have fallen silent, and which are heard again.
@@ -442,33 +351,21 @@
 
     /// Oldest version of `model` that will soon be required; None for any.
     pub fn required_version(&self, model: &str) -> Option<u64> {
-        self.version_due_in(model, WEIGHTS_REQUIRED_MARGIN_MS)
+        self.required_versions().required_version(model)
     }
 
     /// Time within which an engine with `version` of `model` must begin a request, in
     /// ms; None while no later version is declared.
     pub fn begin_within_ms(&self, model: &str, version: u64) -> Option<u64> {
-        let now_ms = self.now_ms() as i64;
-        let apply_ms = self
-            .settings
-            .weights_apply_ms
-            .saturating_sub(WEIGHTS_CANCEL_MARGIN_MS) as i64;
-        self.weights
-            .for_model(model)
-            .filter(|declaration| declaration.version > version)
-            .map(|declaration| declaration.learned_ms + apply_ms - now_ms)
-            .min()
-            .map(|left_ms| u64::try_from(left_ms).unwrap_or(0))
+        self.required_versions().begin_within_ms(model, version)
     }
 
-    /// Newest version of `model` whose deadline is within `ahead_ms`, or has passed.
-    fn version_due_in(&self, model: &str, ahead_ms: u64) -> Option<u64> {
-        let now_ms = self.now_ms() as i64;
-        let due_ms = self.settings.weights_apply_ms.saturating_sub(ahead_ms) as i64;
-        self.weights
-            .for_model(model)
-            .filter(|declaration| now_ms - declaration.learned_ms >= due_ms)
-            .map(|declaration| declaration.version)
-            .max()
+    /// Versions of weights that requests must be served with now.
+    fn required_versions(&self) -> RequiredVersions<'_> {
+        RequiredVersions {
+            weights: &self.weights,
+            weights_apply_ms: self.settings.weights_apply_ms,
+            now_ms: self.now_ms(),
+        }
     }
 }
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -104,7 +104,7 @@
     /// another entry that reads on its behalf.
     fn is_expiry_tolerated(&mut self) -> bool {
         let now_ms = self.now_ms();
-        if self.unavailable_topics[Topic::Replicas as usize] && !self.has_other_reader() {
+        if self.is_topic_unavailable(Topic::Replicas) && !self.has_other_reader() {
             self.store_unavailable_ms = Some(now_ms);
         }
         self.store_unavailable_ms
