--- /dev/null
+++ b/src/gateway/local_refusals.rs
@@ -0,0 +1,111 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::gateway::Dialect;
+use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::STOPPING;
+use crate::gateway::gateway_handle::Gateway;
+use crate::gateway::local_response::local_response;
+use crate::http1::Connection;
+use crate::http1::Http1Error;
+use crate::http1::RequestHead;
+use crate::observe::Event;
+use crate::observe::LogLine;
+
+/// Timeout of writing a response that the gateway itself generates.
+pub(super) const LOCAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Retry-After of a refusal by an entry that is stopping, in ms: other entries accept
+/// the request at once.
+pub(super) const RETRY_AFTER_STOP_MS: u64 = 10;
+
+/// Response to a request that is refused before a replica is chosen.
+#[derive(Debug)]
+pub(super) struct LocalRefusal {
+    pub(super) status: u16,
+    pub(super) cause: &'static str,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+impl LocalRefusal {
+    pub(super) fn new(status: u16, cause: &'static str) -> Self {
+        Self {
+            status,
+            cause,
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Sends a refusal, and logs and counts it.
+pub(super) async fn refuse<D: Dialect>(
+    client: &Connection,
+    gateway: &Gateway<D>,
+    head: &RequestHead,
+    refusal: &LocalRefusal,
+) -> ConnectionReuse {
+    let close = head.wants_close() || gateway.state.borrow().stopping_since.is_some();
+    let facts = gateway.dialect.request_facts(head);
+    let config = gateway
+        .state
+        .borrow()
+        .catalog
+        .as_ref()
+        .map_or(0, |c| c.version);
+    LogLine::new(Event::RequestEnded)
+        .text("id", &facts.attempt_id)
+        .number("status", refusal.status)
+        .text("cause", refusal.cause)
+        .number("config", config)
+        .enqueue();
+    gateway.metrics.record_refusal(refusal.cause);
+    let bytes = local_response(refusal.status, refusal.retry_after_ms, close);
+    let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
+    match client.write_with_deadline(&bytes, deadline).await {
+        Ok(()) if !close => ConnectionReuse::Keep,
+        _ => ConnectionReuse::Close,
+    }
+}
+
+/// Refuses a request that has not been read to its end when the grace period of a stop is
+/// over; the connection is then closed.
+pub(super) async fn refuse_unread<D: Dialect>(client: &Connection, gateway: &Gateway<D>) {
+    LogLine::new(Event::RequestEnded)
+        .number("status", 503)
+        .text("cause", STOPPING)
+        .enqueue();
+    gateway.metrics.record_refusal(STOPPING);
+    let bytes = local_response(503, Some(RETRY_AFTER_STOP_MS), true);
+    let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
+    if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
+        log::debug!("cannot send a refusal to a client: {error}");
+    }
+}
+
+/// Responds to bytes that are no valid request; the connection is then closed.
+pub(super) async fn refuse_unreadable<D: Dialect>(
+    client: &Connection,
+    gateway: &Gateway<D>,
+    error: &Http1Error,
+) {
+    let status = match error {
+        Http1Error::Closed | Http1Error::Io(_) | Http1Error::NotConnected(_) => return,
+        Http1Error::IncompleteMessage => return,
+        Http1Error::Malformed(_) => 400,
+        Http1Error::HeadTooLarge => 431,
+        Http1Error::BodyTooLarge => 413,
+        Http1Error::NoMemory => 503,
+        Http1Error::TimedOut => 408,
+    };
+    LogLine::new(Event::RequestEnded)
+        .number("status", status)
+        .text("cause", error.label())
+        .enqueue();
+    gateway.metrics.record_refusal(error.label());
+    let bytes = local_response(status, None, true);
+    let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
+    if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
+        log::debug!("cannot send a refusal to a client: {error}");
+    }
+}
