--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod ports;
 mod process;
 mod read_ahead;
+mod received_datagrams;
 mod records_reply;
 mod relay;
 mod reload;
