Split the gateway's piece cache by job

It keeps the cache itself; the paths of pieces are in piece_paths.rs, a cached version in cached_version.rs, the replies in piece_replies.rs, and the reads of manifests and of pieces in manifest_reads.rs and piece_reads.rs. Code is moved unchanged, apart from visibility.

--- /dev/null
+++ b/src/gateway/piece_replies.rs
@@ -0,0 +1,73 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::gateway::piece_cache::PieceCache;
+use crate::gateway::piece_paths::HELD_PIECE_PATH;
+use crate::gateway::piece_paths::MANIFEST_PATH;
+use crate::gateway::piece_paths::PIECE_PATH;
+use crate::gateway::piece_paths::PRIMARY_MANIFEST_PATH;
+use crate::gateway::piece_paths::PRIMARY_PIECE_PATH;
+use crate::http1::InternalResponse;
+use crate::weights::ExternalCallError;
+use crate::weights::OriginPort;
+
+impl<O: OriginPort + 'static> PieceCache<O> {
+    /// Reply to a call for a piece or a manifest; None if `path` is neither.
+    pub async fn reply_to(self: &Rc<Self>, path: &str) -> Option<InternalResponse> {
+        let primary = path.strip_prefix(PRIMARY_MANIFEST_PATH);
+        if let Some(path_rest) = primary.or_else(|| path.strip_prefix(MANIFEST_PATH)) {
+            let (model, version) = path_rest.split_once('/')?;
+            let cached = self.find_or_add_version(model, version.parse().ok()?);
+            if primary.is_none() {
+                // A host begins to download the version.
+                self.start_read_ahead(&cached);
+            }
+            return Some(match self.manifest(&cached, primary.is_some()).await {
+                Ok(manifest) => InternalResponse {
+                    status: 200,
+                    content_type: "application/msgpack",
+                    body: rmp_serde::to_vec(&*manifest).ok()?,
+                },
+                Err(error) => unavailable_reply(&error),
+            });
+        }
+        let primary = path.strip_prefix(PRIMARY_PIECE_PATH);
+        let held = path.strip_prefix(HELD_PIECE_PATH);
+        let path_rest = primary.or(held).or_else(|| path.strip_prefix(PIECE_PATH))?;
+        let mut parts = path_rest.split('/');
+        let model = parts.next()?;
+        let version = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        let piece = if held.is_some() {
+            self.cached_piece(model, version, index)
+                .ok_or(ExternalCallError::Refused(404))
+        } else {
+            let cached = self.find_or_add_version(model, version);
+            self.piece(&cached, index, primary.is_some()).await
+        };
+        if let Ok(bytes) = &piece {
+            self.wait_for_link(bytes.len()).await;
+        }
+        Some(match piece {
+            Ok(bytes) => InternalResponse {
+                status: 200,
+                content_type: "application/octet-stream",
+                body: bytes.to_vec(),
+            },
+            Err(error) => unavailable_reply(&error),
+        })
+    }
+
+    /// Waits until the token bucket of the link admits `len` bytes.
+    async fn wait_for_link(&self, len: usize) {
+        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let wait_us = self.link.borrow_mut().reserve(now_us, len as u64);
+        tokio::time::sleep(Duration::from_micros(wait_us)).await;
+    }
+}
+
+/// Reply to a call for weights that could not be read.
+fn unavailable_reply(error: &ExternalCallError) -> InternalResponse {
+    log::debug!("cannot provide weights: {error}");
+    InternalResponse::without_body(503)
+}
--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -7,7 +7,7 @@
 use crate::fleet::RelayEntry;
 use crate::fleet::assign_pieces;
 use crate::gateway::GatewayState;
-use crate::gateway::piece_cache::CachedVersion;
+use crate::gateway::cached_version::CachedVersion;
 use crate::gateway::piece_cache::PieceCache;
 use crate::observe::Event;
 use crate::observe::LogLine;
