Take the import circle out of the entry's calls

call.rs and call_permits.rs imported each other's functions. Whether a branch may use a service is in service_access.rs now. Code is moved unchanged.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -13,9 +13,6 @@
 use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
 use crate::clients::REQUEST_ID_HEADER;
-use crate::document::BranchSection;
-use crate::document::Document;
-use crate::document::ServiceSection;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::ErrorCode;
@@ -24,6 +21,7 @@
 use crate::entry::call_permits;
 use crate::entry::idempotent_call::send_idempotent_call;
 use crate::entry::non_idempotent_call::NonIdempotentCall;
+use crate::entry::service_access::authorize_service;
 use crate::observe::Event;
 use crate::observe::emit_event;
 
@@ -127,30 +125,6 @@
     call.run().await
 }
 
-/// The service with the given name, if the branch may use it.
-///
-/// # Errors
-///
-/// [`ErrorCode::UnknownService`] or [`ErrorCode::Forbidden`].
-pub(super) fn authorize_service(
-    document: &Document,
-    branch: &BranchSection,
-    name: &str,
-) -> Result<ServiceSection, ApiError> {
-    let service = document.service(name).ok_or_else(|| {
-        let message = format!("service {name:?} does not exist");
-        ApiError::new(ErrorCode::UnknownService, message)
-    })?;
-    if branch.services.contains(&service.name) {
-        return Ok(service);
-    }
-    let message = format!(
-        "branch {:?} may not use service {:?}",
-        branch.name, service.name
-    );
-    Err(ApiError::new(ErrorCode::Forbidden, message))
-}
-
 /// Checks that a path consists of plain segments, so that it cannot escape the base path
 /// of the service's calls.
 fn check_call_path(path: &str) -> Result<(), ApiError> {
--- a/src/entry/call_permits.rs
+++ b/src/entry/call_permits.rs
@@ -10,7 +10,7 @@
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::auth;
-use crate::entry::call::authorize_service;
+use crate::entry::service_access::authorize_service;
 use crate::hosts::HostRole;
 
 /// Query parameters of `GET /v1/permits`.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod log_reader;
 mod non_idempotent_call;
 mod server;
+mod service_access;
 mod service_call_state;
 mod state;
 mod status;
