--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -4,15 +4,15 @@
 
 use actix_rt::time::sleep_until;
 use actix_web::http::Method;
-use futures_util::future::join_all;
 use serde::Serialize;
 use serde_json::json;
 
 use super::requests_driver::send_arrivals;
 use super::requests_fleet::RequestsFleet;
-use super::requests_fleet::RequestsPolicy;
+use super::requests_fleet::engine_states;
 use super::requests_overhead::OverheadResult;
 use super::requests_overhead::measure_overhead;
+use super::requests_policy::RequestsPolicy;
 use super::requests_result::PolicyResult;
 use super::requests_result::Snapshot;
 use super::requests_scenario::ENDPOINTS;
@@ -201,16 +201,6 @@
         .map_err(io::Error::other)
 }
 
-/// State of every engine that answers.
-pub(super) async fn engine_states(fleet: &RequestsFleet) -> Vec<EngineState> {
-    let states = fleet
-        .endpoints
-        .iter()
-        .map(|endpoint| endpoint.engine.fetch_state());
-    let states = join_all(states).await;
-    states.into_iter().filter_map(Result::ok).collect()
-}
-
 /// Share of all engine slots that are in use.
 fn busy_share(states: &[EngineState]) -> f64 {
     let running: u32 = states.iter().map(|state| state.running).sum();
--- a/src/bench/requests_document.rs
+++ b/src/bench/requests_document.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 
-use super::requests_fleet::MODEL;
-use super::requests_fleet::TOKEN;
-use super::requests_fleet::manifest_digest;
+use super::requests_model::MODEL;
+use super::requests_model::TOKEN;
+use super::requests_model::manifest_digest;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::ENDPOINTS;
 use crate::conf::ClusterSettings;
--- a/src/bench/requests_driver.rs
+++ b/src/bench/requests_driver.rs
@@ -14,11 +14,11 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 
-use super::requests_fleet::MODEL;
-use super::requests_fleet::RequestsPolicy;
-use super::requests_fleet::TOKEN;
-use super::requests_fleet::manifest_digest;
-use super::requests_fleet::weights_digest;
+use super::requests_model::MODEL;
+use super::requests_model::TOKEN;
+use super::requests_model::manifest_digest;
+use super::requests_model::weights_digest;
+use super::requests_policy::RequestsPolicy;
 use super::requests_scenario::Arrival;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::DEADLINE_MS;
--- a/src/bench/requests_fleet.rs
+++ b/src/bench/requests_fleet.rs
@@ -2,7 +2,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -11,13 +10,18 @@
 use actix_web::web;
 use actix_web::web::Bytes;
 use actix_web::web::Data;
+use futures_util::future::join_all;
 
 use super::requests_baseline;
 use super::requests_baseline::Fifo;
 use super::requests_baseline::RoundRobin;
 use super::requests_document::entry_settings;
 use super::requests_document::log_page;
-use super::requests_overhead::current_thread_id;
+use super::requests_model::MODEL;
+use super::requests_model::WEIGHTS;
+use super::requests_model::manifest_digest;
+use super::requests_model::weights_digest;
+use super::requests_policy::RequestsPolicy;
 use super::requests_scenario::BATCH_SLOWDOWN_PERCENT;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::ENDPOINTS;
@@ -25,8 +29,11 @@
 use super::requests_scenario::FIRST_TOKEN_MS;
 use super::requests_scenario::SLOTS;
 use super::requests_scenario::TOKEN_MS;
+use super::requests_threads::ThreadIds;
+use super::requests_threads::record_thread;
 use crate::calls::GenerateCall;
 use crate::clients::EngineClient;
+use crate::clients::EngineState;
 use crate::clients::FencingNumber;
 use crate::clients::LoadOrder;
 use crate::contracts::BranchShare;
@@ -47,16 +54,6 @@
 use crate::standin::HttpServerHandle;
 use crate::standin::engine;
 use crate::standin::engine::EngineOptions;
-use crate::weights::Digest;
-
-/// Name of the model.
-pub(super) const MODEL: &str = "chat";
-
-/// Bearer token of every branch.
-pub(super) const TOKEN: &str = "a token of the bench";
-
-/// Weights that the engines load.
-const WEIGHTS: &[u8] = b"weights of a small model";
 
 /// Largest number of requests of one branch that wait at an endpoint.
 const MAX_WAITING_PER_BRANCH: usize = 64;
@@ -67,17 +64,6 @@
 /// Last byte of the next loopback address to use.
 static NEXT_HOST: AtomicU32 = AtomicU32::new(1);
 
-/// Policy that a fleet runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum RequestsPolicy {
-    /// The entries and endpoints of this system.
-    Product,
-    /// Round robin over endpoints that run requests in order.
-    Baseline,
-    /// Both policies, one after the other.
-    Both,
-}
-
 /// Endpoint of the fleet with its engine.
 #[derive(Debug)]
 pub(super) struct FleetEndpoint {
@@ -105,15 +91,6 @@
     endpoint_threads: ThreadIds,
 }
 
-/// Ids of the worker threads of the servers of one role.
-type ThreadIds = Arc<Mutex<Vec<String>>>;
-
-/// Adds the calling thread to `threads`.
-fn record_thread(threads: &ThreadIds) {
-    let mut threads = threads.lock().expect("no holder of the lock panics");
-    threads.extend(current_thread_id());
-}
-
 /// Next loopback address; two of its bytes derive from the process id, so that
 /// benches that run at the same time do not collide.
 fn next_address() -> SocketAddr {
@@ -124,16 +101,6 @@
     SocketAddr::new(ip.into(), PORT)
 }
 
-/// Digest of the model's manifest; the manifest itself does not exist.
-pub(super) fn manifest_digest() -> Digest {
-    Digest::of_bytes(b"manifest of a small model")
-}
-
-/// Digest of the model's complete weights.
-pub(super) fn weights_digest() -> Digest {
-    Digest::of_bytes(WEIGHTS)
-}
-
 impl RequestsFleet {
     /// Starts engines with loaded weights, endpoints and entries.
     pub(super) async fn start(policy: RequestsPolicy, cache_blocks: usize) -> io::Result<Self> {
@@ -387,3 +354,13 @@
         Err(error) => HttpResponse::BadRequest().body(error.to_string()),
     }
 }
+
+/// State of every engine that answers.
+pub(super) async fn engine_states(fleet: &RequestsFleet) -> Vec<EngineState> {
+    let states = fleet
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.engine.fetch_state());
+    let states = join_all(states).await;
+    states.into_iter().filter_map(Result::ok).collect()
+}
--- a/src/bench/requests_overhead.rs
+++ b/src/bench/requests_overhead.rs
@@ -1,4 +1,3 @@
-use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -14,10 +13,11 @@
 use super::requests_driver::Driver;
 use super::requests_driver::Tallies;
 use super::requests_fleet::RequestsFleet;
-use super::requests_fleet::RequestsPolicy;
+use super::requests_policy::RequestsPolicy;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::TOKENS;
 use super::requests_tally::Outcome;
+use super::requests_threads::cpu_ns;
 use crate::links::HttpClient;
 
 /// Number of requests of each measurement.
@@ -175,18 +175,3 @@
         .map(|at| (at - start).as_micros() as u64);
     (result.outcome, first_token_us)
 }
-
-/// Total CPU time in nanoseconds of threads of this process, given by id.
-fn cpu_ns(threads: &[String]) -> u64 {
-    let of_thread = |thread: &String| {
-        let text = fs::read_to_string(format!("/proc/self/task/{thread}/schedstat")).ok()?;
-        text.split_whitespace().next()?.parse::<u64>().ok()
-    };
-    threads.iter().filter_map(of_thread).sum()
-}
-
-/// Id of the calling thread, as listed in `/proc/self/task`.
-pub(super) fn current_thread_id() -> Option<String> {
-    let link = fs::read_link("/proc/thread-self").ok()?;
-    Some(link.file_name()?.to_str()?.to_owned())
-}
--- a/src/bench/requests_result.rs
+++ b/src/bench/requests_result.rs
@@ -3,8 +3,8 @@
 
 use serde::Serialize;
 
-use super::requests::engine_states;
 use super::requests_fleet::RequestsFleet;
+use super::requests_fleet::engine_states;
 use super::requests_scenario::BRANCHES;
 use super::requests_scenario::capacity_per_s;
 use super::requests_tally::ReasonCounts;
