Revert the change of orders to empty engines: nothing is served for 15 s after a loss of power

Its process waits 15 s after its start before it orders an empty engine. Its idea to name the loaded version in orders may be kept without that wait.

--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -23,7 +23,7 @@
 pub enum OrderEnd {
     /// The engine has accepted it, or another order with the same expected count.
     Counted,
-    /// The engine has restarted, under another id or without the weights that the order names.
+    /// The engine has restarted under another id than the one that the order names.
     Restarted,
     /// It has not taken effect for a long time.
     Expired,
@@ -51,9 +51,9 @@
     Possible {
         /// Orders that the engine had accepted by its first report.
         orders: u64,
-        /// Models that the engine had loaded by then, each with its version.
-        weights: Vec<(String, u64)>,
-        /// Models whose staged pieces or loaded version show that nothing can take effect.
+        /// Monotonic time of the first report, in ms.
+        since_ms: i64,
+        /// Models whose staged pieces show that nothing was ordered.
         ruled_out: Vec<String>,
     },
     /// None can take effect.
@@ -64,56 +64,18 @@
 /// earlier process on this host may have left.
 ///
 /// Such an order may be accepted at any time, and the engine then takes whatever is staged.
-/// So the pieces of an open order stay staged. Each order names the number of orders that the
-/// engine must have accepted before, and the version that it must have loaded. An engine
-/// accepts at most one of those sent with the same number, and none while its count is
-/// higher. If it restarts under the same id, it counts anew, but it holds no weights and
-/// refuses an order that names some. Until an order that names a version is ruled out so, it
-/// is sent again.
-///
-/// An order to an engine without weights fits each incarnation with that id. If two were
-/// sent, and one of them accepted, the other might be accepted after a restart, with the
-/// pieces of a later version. So only one is under way at any time, also across processes:
-/// the next one is sent when it has expired. Once the engine has loaded its version, it has
-/// been carried out.
+/// Each order names the number of orders that the engine must have accepted before. So the
+/// engine accepts at most one of those sent with the same number, and none while its count
+/// is higher. Until then the pieces of an open order stay staged, and it is sent again. An
+/// engine that restarts under the same id counts anew; that is not covered once an order has
+/// been ruled out.
 #[derive(Debug, Default)]
 pub struct OrderLedger {
     open: Vec<OpenOrder>,
     earlier: EarlierOrders,
-    // Monotonic time by which an earlier process had ended, in ms.
-    started_ms: i64,
 }
 
 impl OrderLedger {
-    /// Creates the ledger of a process that started at `started_ms`.
-    pub fn starting_at(started_ms: i64) -> Self {
-        Self {
-            started_ms,
-            ..Self::default()
-        }
-    }
-
-    /// Returns the monotonic time in ms from which an engine that has loaded `loaded_version`
-    /// of `model` may be ordered to load it; `None` if it may be at any time.
-    pub fn not_before_ms(&self, model: &str, loaded_version: u64) -> Option<i64> {
-        if loaded_version != 0 {
-            return None;
-        }
-        let open = self.open.iter().find(|open| open.order.model == model);
-        let sent_ms = match (&self.earlier, open) {
-            (_, Some(open)) if open.order.expected_version.is_some() => return None,
-            (_, Some(open)) => open.last_sent_ms,
-            (EarlierOrders::Unreported, None) => self.started_ms,
-            (EarlierOrders::Possible { weights, .. }, None)
-                if self.may_have_earlier(model) && expected_version(weights, model).is_none() =>
-            {
-                self.started_ms
-            }
-            (EarlierOrders::Possible { .. } | EarlierOrders::Settled, None) => return None,
-        };
-        Some(sent_ms + UNANSWERED_CALL_EXPIRY_MS)
-    }
-
     /// Returns the version of the order for `model` that may still take effect.
     pub fn open_version(&self, model: &str) -> Option<u64> {
         let open = self.open.iter().find(|open| open.order.model == model)?;
@@ -148,7 +110,7 @@
     ) {
         let EarlierOrders::Possible {
             orders,
-            weights,
+            since_ms,
             ruled_out,
         } = &mut self.earlier
         else {
@@ -165,10 +127,9 @@
                 model: model.to_owned(),
                 version,
                 expected_orders: *orders,
-                expected_version: expected_version(weights, model),
                 incarnation: None,
             };
-            self.open.push(OpenOrder::new(order, self.started_ms));
+            self.open.push(OpenOrder::new(order, *since_ms));
         }
     }
 
@@ -183,10 +144,6 @@
             Some(open) => {
                 let known = &mut open.order;
                 known.expected_orders = known.expected_orders.max(order.expected_orders);
-                known.expected_version = known
-                    .expected_version
-                    .zip(order.expected_version)
-                    .map(|(known, sent)| known.max(sent));
                 if known.incarnation != order.incarnation {
                     known.incarnation = None;
                 }
@@ -197,12 +154,9 @@
     }
 
     /// Records that the engine has accepted `order`, which rules out the open ones that expect
-    /// no higher count and name a loaded version.
+    /// no higher count.
     pub fn record_accepted(&mut self, order: &LoadOrder) -> Vec<(OpenOrder, OrderEnd)> {
-        let is_counted = |open: &mut OpenOrder| {
-            open.order.expected_version.is_some()
-                && open.order.expected_orders <= order.expected_orders
-        };
+        let is_counted = |open: &mut OpenOrder| open.order.expected_orders <= order.expected_orders;
         self.open
             .extract_if(.., is_counted)
             .map(|open| (open, OrderEnd::Counted))
@@ -229,30 +183,20 @@
 
     /// Compares the possible orders of an earlier process with a report of the engine.
     fn settle_earlier(&mut self, report: &EngineReport, now_ms: i64) {
-        if now_ms - self.started_ms >= UNANSWERED_CALL_EXPIRY_MS {
-            self.earlier = EarlierOrders::Settled;
-            return;
-        }
-        match &mut self.earlier {
+        match &self.earlier {
             EarlierOrders::Unreported => {
                 self.earlier = EarlierOrders::Possible {
                     orders: report.orders,
-                    weights: report.weights.clone(),
+                    since_ms: now_ms,
                     ruled_out: Vec::new(),
                 };
             }
             EarlierOrders::Possible {
-                orders,
-                weights,
-                ruled_out,
+                orders, since_ms, ..
             } => {
-                let is_counted = report.orders > *orders;
-                let loaded = report.weights.iter().filter(|(model, version)| {
-                    *version != 0 && (is_counted || expected_version(weights, model).is_none())
-                });
-                ruled_out.extend(loaded.map(|weights| weights.0.clone()));
-                ruled_out.sort_unstable();
-                ruled_out.dedup();
+                if report.orders > *orders || now_ms - since_ms >= UNANSWERED_CALL_EXPIRY_MS {
+                    self.earlier = EarlierOrders::Settled;
+                }
             }
             EarlierOrders::Settled => {}
         }
@@ -277,24 +221,11 @@
         incarnation: Option<&str>,
         now_ms: i64,
     ) -> Option<OrderEnd> {
-        let order = &self.order;
-        let named = order.incarnation.as_deref();
-        let loaded_version = report.version(&order.model);
-        let is_counted = match order.expected_version {
-            Some(_) => report.orders > order.expected_orders,
-            None => loaded_version == order.version,
-        };
-        // In one incarnation, versions don't go back, and change with the count only.
-        let is_unfit = order.expected_version.is_some_and(|expected| {
-            loaded_version > expected
-                || loaded_version != expected && report.orders >= order.expected_orders
-        });
+        let named = self.order.incarnation.as_deref();
         if named.is_some() && incarnation.is_some() && named != incarnation {
             Some(OrderEnd::Restarted)
-        } else if is_counted {
+        } else if report.orders > self.order.expected_orders {
             Some(OrderEnd::Counted)
-        } else if is_unfit {
-            Some(OrderEnd::Restarted)
         } else if now_ms - self.last_sent_ms >= UNANSWERED_CALL_EXPIRY_MS {
             Some(OrderEnd::Expired)
         } else {
@@ -302,10 +233,3 @@
         }
     }
 }
-
-/// Returns the version that an order for `model` names when `weights` are loaded; `None` when
-/// there is none.
-fn expected_version(weights: &[(String, u64)], model: &str) -> Option<u64> {
-    let loaded = weights.iter().find(|loaded| loaded.0 == model)?;
-    (loaded.1 != 0).then_some(loaded.1)
-}
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -276,13 +276,15 @@
         if self.is_engine_leaving() {
             return None;
         }
-        let reported = self.engine_report.as_ref().map(|r| r.version(model));
-        let may_order_ms = reported.and_then(|version| self.orders.not_before_ms(model, version));
         if let Some(version) = self.orders.open_version(model) {
             // Where the engine has the version, another order for it would change nothing.
-            return (reported != Some(version)).then(|| NextLoad {
+            let is_loaded = self
+                .engine_report
+                .as_ref()
+                .is_some_and(|report| report.version(model) == version);
+            return (!is_loaded).then(|| NextLoad {
                 version,
-                not_before_ms: may_order_ms.unwrap_or(self.now_ms() as i64),
+                not_before_ms: self.now_ms() as i64,
             });
         }
         let mut declared: Vec<Declaration> = self.declared.for_model(model).cloned().collect();
@@ -295,17 +297,13 @@
             });
         }
         let downloads = self.download_progress(model);
-        let next = next_load(&NextLoadInput {
+        next_load(&NextLoadInput {
             now_ms: self.now_ms() as i64,
             engine_version: self.engine_version(model),
             declared: &declared,
             downloads: &downloads,
             apply_ms: self.settings.weights_apply_ms as i64,
             load_slot: self.load_slot(),
-        })?;
-        Some(NextLoad {
-            not_before_ms: may_order_ms.map_or(next.not_before_ms, |ms| next.not_before_ms.max(ms)),
-            ..next
         })
     }
 
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -188,24 +188,11 @@
     download: &WeightsDownload<'_, E, O>,
     checked: CheckedPieces,
 ) {
-    let (loaded_version, incarnation) = {
-        let state = download.state.borrow();
-        let Some(report) = &state.engine_report else {
-            return;
-        };
-        let loaded_version = report.version(download.model);
-        let may_order_ms = state.orders.not_before_ms(download.model, loaded_version);
-        if may_order_ms.is_some_and(|may_order_ms| (state.now_ms() as i64) < may_order_ms) {
-            return;
-        }
-        (loaded_version, state.incarnation(checked.born_unix_ms))
-    };
     let order = LoadOrder {
         model: download.model.to_owned(),
         version: download.version,
         expected_orders: checked.orders,
-        expected_version: (loaded_version != 0).then_some(loaded_version),
-        incarnation,
+        incarnation: download.state.borrow().incarnation(checked.born_unix_ms),
     };
     let sent_ms = download.state.borrow().now_ms() as i64;
     let outcome = download.engine.clone().order_load(&order).await;
