--- a/src/calls/router.rs
+++ b/src/calls/router.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Records a request that is silent or late, and goes on.
+    pub fn record_failure(&mut self, key: HostKey, now_ms: u64) {
+        self.ensure_stats(key).record_failure(now_ms);
+    }
+
     /// Drops the statistics of a host that was removed.
     pub fn remove_host(&mut self, key: HostKey) {
         self.endpoints.retain(|stats| stats.key != key);
@@ -276,7 +281,8 @@
                 1
             };
             let slots = u64::from(it.load.slots.max(1));
-            (self.expected_load(it, now_ms) + 1) * per_token_us * 1000 / slots
+            let expected = self.expected_load(it, now_ms).saturating_add(1);
+            expected.saturating_mul(per_token_us).saturating_mul(1000) / slots
         };
         let chosen = if cost(a) <= cost(b) { a } else { b };
         Some(chosen.key)
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -1,3 +1,4 @@
+use std::fmt::Debug;
 use std::sync::Arc;
 
 use actix_web::HttpResponse;
@@ -14,6 +15,7 @@
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
 use crate::clients::EngineClient;
+use crate::node::DrainEnd;
 use crate::weights::Digest;
 
 /// Number of frames that are buffered for a slow reader.
@@ -25,15 +27,17 @@
     queue: Arc<GenerateQueue>,
     engine: EngineClient,
     health: Arc<EngineHealth>,
+    drain_end: Arc<DrainEnd>,
 }
 
 impl GenerateServer {
-    /// Server for requests to `engine`, queued in `queue`.
-    pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient) -> Self {
+    /// Server for requests to `engine`, queued in `queue`, which are refused at `drain_end`.
+    pub fn new(queue: Arc<GenerateQueue>, engine: EngineClient, drain_end: Arc<DrainEnd>) -> Self {
         Self {
             queue,
             engine,
             health: Arc::default(),
+            drain_end,
         }
     }
 
@@ -43,8 +47,13 @@
     }
 
     /// Queues a call and streams its frames; `content_digest` is the verified digest of
-    /// the weights it must run on.
-    pub fn run(&self, call: GenerateCall, content_digest: Digest) -> HttpResponse {
+    /// the weights it must run on, and `in_use` is dropped when the run ends.
+    pub fn run(
+        &self,
+        call: GenerateCall,
+        content_digest: Digest,
+        in_use: impl Debug + 'static,
+    ) -> HttpResponse {
         let (frames, mut received) = mpsc::channel(BUFFERED_FRAMES);
         let run = GenerateRun {
             queue: Arc::clone(&self.queue),
@@ -54,7 +63,11 @@
             content_digest,
             frames,
         };
-        actix_rt::spawn(run.run());
+        let drain_end = Arc::clone(&self.drain_end);
+        actix_rt::spawn(async move {
+            run.run(&drain_end).await;
+            drop(in_use);
+        });
         respond(stream::poll_fn(move |context| received.poll_recv(context)))
     }
 
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -1,9 +1,12 @@
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
+use futures_util::future::Either;
+use futures_util::future::select;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -12,10 +15,8 @@
 use crate::calls::Permit;
 use crate::calls::RefusalReason;
 use crate::calls::ServiceCall;
+use crate::calls::UnknownReason;
 use crate::clients::REQUEST_ID_HEADER;
-use crate::document::BranchSection;
-use crate::document::Document;
-use crate::document::ServiceSection;
 use crate::entry::ApiError;
 use crate::entry::EntryState;
 use crate::entry::ErrorCode;
@@ -24,6 +25,7 @@
 use crate::entry::call_permits;
 use crate::entry::idempotent_call::send_idempotent_call;
 use crate::entry::non_idempotent_call::NonIdempotentCall;
+use crate::entry::service_access::authorize_service;
 use crate::observe::Event;
 use crate::observe::emit_event;
 
@@ -79,11 +81,18 @@
         deadline_ms,
     };
     let deadline = Instant::now() + Duration::from_millis(deadline_ms);
-    let outcome = if service.idempotent.contains(&call.path) {
-        send_idempotent_call(&state, call, deadline).await
-    } else {
-        let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
-        call_with_permit(&state, call, body.permit, send_no, deadline).await
+    let is_idempotent = service.idempotent.contains(&call.path);
+    let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
+    let outcome = pin!(async {
+        match is_idempotent {
+            true => send_idempotent_call(&state, call, deadline).await,
+            false => call_with_permit(&state, call, body.permit, send_no, deadline).await,
+        }
+    });
+    let drain_end = pin!(state.drain_end.reached());
+    let outcome = match select(outcome, drain_end).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(_) => CallOutcome::unknown(UnknownReason::StillRunning),
     };
     if let CallOutcome::NotRun { reason, .. } = &outcome {
         state.node.metrics().record_refusal(reason.code());
@@ -127,30 +136,6 @@
     call.run().await
 }
 
-/// The service with the given name, if the branch may use it.
-///
-/// # Errors
-///
-/// [`ErrorCode::UnknownService`] or [`ErrorCode::Forbidden`].
-pub(super) fn authorize_service(
-    document: &Document,
-    branch: &BranchSection,
-    name: &str,
-) -> Result<ServiceSection, ApiError> {
-    let service = document.service(name).ok_or_else(|| {
-        let message = format!("service {name:?} does not exist");
-        ApiError::new(ErrorCode::UnknownService, message)
-    })?;
-    if branch.services.contains(&service.name) {
-        return Ok(service);
-    }
-    let message = format!(
-        "branch {:?} may not use service {:?}",
-        branch.name, service.name
-    );
-    Err(ApiError::new(ErrorCode::Forbidden, message))
-}
-
 /// Checks that a path consists of plain segments, so that it cannot escape the base path
 /// of the service's calls.
 fn check_call_path(path: &str) -> Result<(), ApiError> {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -42,7 +42,8 @@
 pub async fn start_entry(settings: EntrySettings) -> io::Result<EntryHandle> {
     let options = ServeOptions {
         client_timeout_ms: settings.slow_client_timeout_ms,
-        drain_ms: settings.drain_ms,
+        // The time until addresses have expired is a part of the drain.
+        drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
     };
     let listen = settings.process.listen;
     let state = Arc::new(EntryState::new(settings));
@@ -117,11 +118,15 @@
     /// Shuts down gracefully.
     ///
     /// The entry removes itself from the addresses, serves until those that callers
-    /// hold have expired, and then completes the requests in progress.
+    /// hold have expired, and then completes the requests in progress. Those that last longer
+    /// than the drain end with a refusal.
     pub async fn stop(&self) {
         let node = &self.state.node;
+        let drain = Duration::from_millis(self.state.settings.drain_ms);
+        self.state.drain_end.start(drain);
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
+        self.server.close_after_answers();
         Reporter::send_reports(node).await;
         let lifetime = Duration::from_millis(self.state.settings.address_lifetime_ms);
         actix_rt::time::sleep(lifetime).await;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,15 +20,16 @@
 use crate::gateway::TopicSink;
 use crate::gateway::client_listener::serve_clients;
 use crate::gateway::follow::follow_topic;
-use crate::gateway::forward::Gateway;
+use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::handlers::DirectoryHandler;
 use crate::gateway::handlers::InternalCallHandler;
 use crate::gateway::handlers::ReadinessHandler;
-use crate::gateway::heartbeats::receive_datagrams;
 use crate::gateway::heartbeats::send_heartbeats;
 use crate::gateway::piece_cache::PieceCache;
+use crate::gateway::received_datagrams::receive_datagrams;
 use crate::gateway::reload::apply_settings;
 use crate::gateway::reload::wait_for_changed_settings;
+use crate::gateway::request_routing::STOP_ACCEPT_TIME;
 use crate::gateway::suspect_notices::send_suspect_notices;
 use crate::http1::serve_internal;
 use crate::observe::Event;
@@ -41,10 +42,6 @@
 /// Interval at which buffered log lines are written.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time after a stop signal during which requests are still accepted, while clients
-/// learn of it and connect to other entries.
-pub const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
-
 /// Longest time for which an entry waits for the registrations before it registers.
 const MEMBERS_LISTING_WAIT: Duration = Duration::from_millis(1_500);
 
--- /dev/null
+++ b/src/node/drain_end.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_rt::time::sleep;
+use tokio::sync::watch;
+
+/// Part of a drain in which refusals are sent to callers whose requests are too long.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time of a stopping process at which answers under way end with a refusal, before their
+/// connections are cut.
+#[derive(Debug)]
+pub struct DrainEnd {
+    end: watch::Sender<Option<Instant>>,
+}
+
+impl DrainEnd {
+    /// A process that is not stopping.
+    pub fn new() -> Self {
+        Self {
+            end: watch::Sender::new(None),
+        }
+    }
+
+    /// Starts a drain that lasts `drain` at the most.
+    pub fn start(&self, drain: Duration) {
+        let left = drain.saturating_sub(REFUSAL_MARGIN).max(drain / 2);
+        self.end.send_replace(Some(Instant::now() + left));
+    }
+
+    /// Waits until the drain ends.
+    pub async fn reached(&self) {
+        let mut changes = self.end.subscribe();
+        let end = match changes.wait_for(Option::is_some).await {
+            Ok(end) => *end,
+            Err(_) => None,
+        };
+        let left = end.map_or(Duration::MAX, |end| {
+            end.saturating_duration_since(Instant::now())
+        });
+        sleep(left).await;
+    }
+}
+
+impl Default for DrainEnd {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/tests/generate_path/generate_cluster.rs
+++ b/tests/generate_path/generate_cluster.rs
@@ -40,8 +40,32 @@
             let endpoint = cluster.start_engine(&name, "or-north", &ENGINE_ARGS).await;
             engines.push(cluster.backend_of(&endpoint));
         }
+        Self::serve_model(cluster, entry, engines).await
+    }
+
+    /// Starts the cluster with endpoints that reach their engines at the addresses that
+    /// `start_proxy` returns for those of the engines.
+    pub async fn start_with_proxies(replicas: usize, start_proxy: impl Fn(&str) -> String) -> Self {
+        let mut cluster = Cluster::new().await;
+        let entry = cluster.start_entry("entry-1", "or-north", "").await;
+        let mut engines = Vec::new();
+        for number in 0..replicas {
+            let engine = cluster.unused_address();
+            cluster.start_bare_engine(&format!("bare-engine-{number}"), &engine);
+            let backend = start_proxy(&engine);
+            let name = format!("engine-{number}");
+            cluster
+                .start_endpoint(&name, "or-north", &backend, "")
+                .await;
+            engines.push(engine);
+        }
+        Self::serve_model(cluster, entry, engines).await
+    }
+
+    /// Publishes the model and waits until every replica serves it.
+    async fn serve_model(cluster: Cluster, entry: String, engines: Vec<String>) -> Self {
         let manifest = cluster.publish("chat", "v1", 100_000).await;
-        let replicas = replicas.max(1);
+        let replicas = engines.len().max(1);
         let model = format!("version = v1\nmanifest = {manifest}\nreplicas = {replicas}\n");
         cluster.append_edit("model chat", 0, &model).await;
         let digest = Digest::of_bytes(TOKEN.as_bytes());
@@ -130,6 +154,15 @@
         send_generate(&self.entry, prompt, tokens).await
     }
 
+    /// Sends a request with these fields changed and waits for its answer.
+    pub async fn generate_with(&self, prompt: &str, changes: &Value) -> Result<Bytes, LinkError> {
+        let mut body = generate_body(prompt, 2);
+        for (key, value) in changes.as_object().expect("an object") {
+            body[key] = value.clone();
+        }
+        send_body(&self.entry, &body).await
+    }
+
     /// Sends a request in the background; its answer can be awaited later.
     pub fn spawn_generate(&self, prompt: &'static str, tokens: u32) -> JoinHandle<Bytes> {
         let entry = self.entry.clone();
@@ -187,9 +220,16 @@
 }
 
 async fn send_generate(entry: &str, prompt: &str, tokens: u32) -> Result<Bytes, LinkError> {
-    let body: Value = json!({
+    send_body(entry, &generate_body(prompt, tokens)).await
+}
+
+fn generate_body(prompt: &str, tokens: u32) -> Value {
+    json!({
         "branch": "seaside", "model": "chat", "prompt": prompt, "max_tokens": tokens, "seed": SEED,
-    });
+    })
+}
+
+async fn send_body(entry: &str, body: &Value) -> Result<Bytes, LinkError> {
     let request = HttpClient::to_platform()
         .request(Method::POST, &format!("{entry}/v1/generate"))
         .insert_header(("authorization", format!("Bearer {TOKEN}")))
