--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,7 +30,6 @@
 mod leaving_notices;
 mod local_refusals;
 mod local_response;
-mod longest_deadlines;
 mod manifest_reads;
 mod measured_source;
 mod piece_cache;
@@ -61,6 +60,7 @@
 mod suspect_notices;
 mod topic_records;
 mod topic_sink;
+mod usual_deadlines;
 
 pub use datagram::Datagram;
 pub use datagram::HeldPieces;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,12 +25,12 @@
 use crate::gateway::answer_memory::AnswerMemory;
 use crate::gateway::changed_suspects::ChangedSuspects;
 use crate::gateway::leaving_notices::LeavingNotices;
-use crate::gateway::longest_deadlines::LongestDeadlines;
 use crate::gateway::replicas_confirmation::ReplicasConfirmation;
 use crate::gateway::request_rates::RequestRates;
 use crate::gateway::required_versions::RequiredVersions;
 use crate::gateway::retry_budgets::RetryBudgets;
 use crate::gateway::store_status::StoreStatus;
+use crate::gateway::usual_deadlines::UsualDeadlines;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
@@ -90,7 +90,7 @@
     /// Retry budgets of the services.
     pub(super) retry_budgets: RetryBudgets,
     request_rates: RequestRates,
-    longest_deadlines: LongestDeadlines,
+    usual_deadlines: UsualDeadlines,
     store_status: StoreStatus,
     /// Last time at which the store was found unavailable to this entry and to any
     /// that reads on its behalf.
@@ -142,7 +142,7 @@
             topic_tables: Default::default(),
             retry_budgets: RetryBudgets::default(),
             request_rates: RequestRates::default(),
-            longest_deadlines: LongestDeadlines::default(),
+            usual_deadlines: UsualDeadlines::default(),
             store_status: StoreStatus::default(),
             store_unavailable_ms: None,
             expired_replicas: Vec::new(),
@@ -292,7 +292,7 @@
 
     /// Least time that a client with `deadline_ms` left has already waited, in ms.
     pub fn waited_before_ms(&mut self, route: &str, deadline_ms: u64) -> u64 {
-        self.longest_deadlines.waited_before_ms(route, deadline_ms)
+        self.usual_deadlines.waited_before_ms(route, deadline_ms)
     }
 
     /// Has the other processes told that a replica is leaving, at once and again with the
--- a/src/gateway/longest_deadlines.rs
+++ b/src/gateway/usual_deadlines.rs
@@ -6,12 +6,12 @@
 
 /// Usual deadlines that clients state on each route.
 #[derive(Debug, Default)]
-pub struct LongestDeadlines {
+pub struct UsualDeadlines {
     // Ascending by name of the route.
     recent: Vec<(String, RecentDeadlines)>,
 }
 
-impl LongestDeadlines {
+impl UsualDeadlines {
     /// Least time that a client with `deadline_ms` left has already waited, in ms.
     ///
     /// A client that retries after a refusal has less time left than the clients of the
