End a forwarded request, count a broken part and refuse unread requests in one place each

Three copies of taking a forwarding apart for end_attempts, one of record_part_end in fail_send, and one of the refusal of a request that was not read.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -59,14 +59,8 @@
             if forwarding.sends.as_slice().is_empty()
                 && let Err((cause, retry_after_ms)) = self.begin_send(&mut forwarding).await
             {
-                let Forwarding {
-                    request,
-                    relay,
-                    history,
-                    ..
-                } = forwarding;
                 return self
-                    .end_attempts(client, &request, &relay, history, cause, retry_after_ms)
+                    .end_forwarding(client, forwarding, cause, retry_after_ms)
                     .await;
             }
             let reuse = match self.next_step(client, &mut forwarding).await {
@@ -90,14 +84,8 @@
                 Step::Ending => {
                     let reuse = self.end_sends(client, &mut forwarding, STOPPING);
                     if reuse.is_none() {
-                        let Forwarding {
-                            request,
-                            relay,
-                            history,
-                            ..
-                        } = forwarding;
                         return self
-                            .end_attempts(client, &request, &relay, history, STOPPING, None)
+                            .end_forwarding(client, forwarding, STOPPING, None)
                             .await;
                     }
                     reuse
@@ -117,21 +105,33 @@
                 ..
             } = &forwarding;
             if sends.as_slice().is_empty() && !self.try_take_retry(request, relay, history) {
-                let Forwarding {
-                    request,
-                    relay,
-                    history,
-                    ..
-                } = forwarding;
                 let cause = history.last_cause;
                 let retry_after_ms = Some(RETRY_AFTER_FAILURE_MS);
                 return self
-                    .end_attempts(client, &request, &relay, history, cause, retry_after_ms)
+                    .end_forwarding(client, forwarding, cause, retry_after_ms)
                     .await;
             }
         }
     }
 
+    /// Ends a request that is not sent to a further replica, for this cause.
+    async fn end_forwarding(
+        &self,
+        client: &mut Connection,
+        forwarding: Forwarding<'_>,
+        cause: &'static str,
+        retry_after_ms: Option<u64>,
+    ) -> ConnectionReuse {
+        let Forwarding {
+            request,
+            relay,
+            history,
+            ..
+        } = forwarding;
+        self.end_attempts(client, &request, &relay, history, cause, retry_after_ms)
+            .await
+    }
+
     /// Waits for what happens next to a request whose sends are under way.
     async fn next_step(&self, client: &mut Connection, forwarding: &mut Forwarding<'_>) -> Step {
         let Forwarding {
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -71,16 +71,7 @@
 /// Refuses a request that has not been read to its end when the grace period of a stop is
 /// over; the connection is then closed.
 pub(super) async fn refuse_unread<D: Dialect>(client: &Connection, gateway: &Gateway<D>) {
-    LogLine::new(Event::RequestEnded)
-        .number("status", 503)
-        .text("cause", STOPPING)
-        .enqueue();
-    gateway.metrics.record_refusal(STOPPING);
-    let bytes = local_response(503, Some(RETRY_AFTER_STOP_MS), true);
-    let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
-    if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
-        log::debug!("cannot send a refusal to a client: {error}");
-    }
+    refuse_and_close(client, gateway, 503, STOPPING, Some(RETRY_AFTER_STOP_MS)).await;
 }
 
 /// Responds to bytes that are no valid request; the connection is then closed.
@@ -98,12 +89,24 @@
         Http1Error::NoMemory => 503,
         Http1Error::TimedOut => 408,
     };
+    refuse_and_close(client, gateway, status, error.label(), None).await;
+}
+
+/// Sends a refusal to a request that has not been read, and logs and counts it; the connection
+/// is then closed.
+async fn refuse_and_close<D: Dialect>(
+    client: &Connection,
+    gateway: &Gateway<D>,
+    status: u16,
+    cause: &'static str,
+    retry_after_ms: Option<u64>,
+) {
     LogLine::new(Event::RequestEnded)
         .number("status", status)
-        .text("cause", error.label())
+        .text("cause", cause)
         .enqueue();
-    gateway.metrics.record_refusal(error.label());
-    let bytes = local_response(status, None, true);
+    gateway.metrics.record_refusal(cause);
+    let bytes = local_response(status, retry_after_ms, true);
     let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
     if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
         log::debug!("cannot send a refusal to a client: {error}");
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -275,12 +275,9 @@
             ..
         } = forwarding;
         let send = sends.remove(at);
-        if let Some(stream) = send.stream() {
-            let part = stream.part();
-            self.metrics
-                .record_replica_answer(part.framing.label(), cause);
-            history.last_part = Some(part);
-        }
+        let part = send.stream().map(EventStream::part);
+        self.record_part_end(part, cause);
+        history.last_part = part.or(history.last_part);
         self.record_notice(request, &send.chosen, send.notice.get());
         request.sends += u32::from(send.is_waiting());
         history.may_have_run = true;
@@ -288,7 +285,6 @@
         let mut state = self.state.borrow_mut();
         self.record_broken_answer(&mut state, request, &send.chosen, cause, history);
         drop(state);
-        let part = send.stream().map(EventStream::part);
         self.log_failed_attempt(request, &send.chosen, cause, part);
     }
 
