--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -8,6 +8,7 @@
 use crate::gateway::active_request::ActiveRequest;
 use crate::gateway::active_request::wait_until_ending;
 use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::STOPPING;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_refusals::LOCAL_RESPONSE_TIMEOUT;
 use crate::gateway::local_refusals::refuse;
@@ -21,6 +22,8 @@
 use crate::http1::Http1Error;
 use crate::http1::RequestHead;
 use crate::http1::read_request_head;
+use crate::observe::Event;
+use crate::observe::LogLine;
 
 /// Idle timeout of a connection after a stop signal, so that a request that the
 /// client has already sent is still served.
@@ -44,6 +47,11 @@
                     > gateway.state.borrow().settings.max_client_connections =>
             {
                 gateway.metrics.record_refusal("connection");
+                gateway.metrics.record_closed_connection("limit");
+                LogLine::new(Event::RequestUnread)
+                    .text("cause", "limit")
+                    .number("bytes", 0)
+                    .enqueue();
             }
             Ok((stream, _)) => {
                 let (gateway, open_connections) = (gateway.clone(), open_connections.clone());
@@ -72,6 +80,9 @@
     loop {
         if let Err(error) = wait_for_request(&mut client, gateway).await {
             log::debug!("no further request on a client's connection: {error}");
+            if matches!(error, Http1Error::TimedOut) {
+                record_idle_close(&mut client, gateway);
+            }
             return;
         }
         let _active = ActiveRequest::begin(&gateway.state);
@@ -100,6 +111,20 @@
     }
 }
 
+/// Counts an idle connection that is closed before its client has closed it, and logs it if
+/// bytes of a request have arrived meanwhile.
+fn record_idle_close<D: Dialect>(client: &mut Connection, gateway: &Gateway<D>) {
+    let is_stopping = gateway.state.borrow().stopping_since.is_some();
+    let cause = if is_stopping { STOPPING } else { "idle" };
+    gateway.metrics.record_closed_connection(cause);
+    if client.has_surplus() && !client.read_buffer.is_empty() {
+        LogLine::new(Event::RequestUnread)
+            .text("cause", cause)
+            .number("bytes", client.read_buffer.len())
+            .enqueue();
+    }
+}
+
 /// Waits for the first byte of the next request; after a stop signal, with the shorter idle
 /// timeout.
 async fn wait_for_request<D: Dialect>(
@@ -134,7 +159,7 @@
         let idle_timeout_ms = gateway.state.borrow().limits().idle_timeout_ms;
         let until = idle_since + Duration::from_millis(idle_timeout_ms);
         if until <= idle_until {
-            return Err(Http1Error::Closed);
+            return Err(Http1Error::TimedOut);
         }
         idle_until = until;
         match wait_for_first_byte(client, idle_until).await {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -223,10 +223,11 @@
         .number("requests", state.borrow().active_requests)
         .enqueue();
     flush_log();
-    state.borrow_mut().stopping_since = Some(began);
-    state.borrow().stop_notice.notify_waiters();
     let kill_margin = KILL_MARGIN.min(grace / KILL_MARGIN_SHARE);
     let end_after = grace - kill_margin;
+    state.borrow_mut().stopping_since = Some(began);
+    state.borrow_mut().ends_at = Some(began + end_after);
+    state.borrow().stop_notice.notify_waiters();
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let waited = began.elapsed();
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -172,10 +172,10 @@
         let answer_ms = stream.map_or(took_ms, |stream| stream.0);
         self.metrics
             .record_answer(outcome_label(outcome.status), answer_ms);
-        let (config_age_ms, is_stopping) = {
+        let (config_age_ms, stop_left_ms) = {
             let state = self.state.borrow();
             let config_age_ms = state.now_ms().saturating_sub(state.catalog_adopted_ms);
-            (config_age_ms, state.stopping_since.is_some())
+            (config_age_ms, state.stop_left_ms(request.received_at))
         };
         let mut line = LogLine::new(Event::RequestEnded)
             .text("id", &request.facts.attempt_id)
@@ -187,9 +187,12 @@
             .number("sends", request.sends)
             .number("config", request.catalog.version)
             .number("config_age_ms", config_age_ms)
-            .flag("stopping", is_stopping)
+            .flag("stopping", stop_left_ms.is_some())
             .number("took_ms", took_ms as i64)
             .number("waited_before_ms", request.waited_before_ms);
+        if let Some(stop_left_ms) = stop_left_ms {
+            line = line.number("stop_left_ms", stop_left_ms);
+        }
         if outcome.cause == CRASH_SUSPECT {
             line = line.text("fingerprint", request.fingerprint.short_hex());
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -73,6 +73,8 @@
     pub incarnation: u64,
     /// Time of the stop signal.
     pub stopping_since: Option<Instant>,
+    /// Time at which the stop ends what is still under way.
+    pub ends_at: Option<Instant>,
     /// Number of requests of which a part has arrived and that have not ended.
     pub active_requests: usize,
     /// Whether the grace period of the stop is over, and what is under way is ended.
@@ -133,6 +135,7 @@
             suspects: SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS),
             incarnation: rng.random(),
             stopping_since: None,
+            ends_at: None,
             active_requests: 0,
             is_ending: false,
             end_notice: Rc::new(Notify::new()),
@@ -165,6 +168,12 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Time from `at` until the stop ends what is under way, in ms; None without a stop.
+    pub fn stop_left_ms(&self, at: Instant) -> Option<u64> {
+        let left = self.ends_at?.saturating_duration_since(at);
+        Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// A random number of 64 bits.
     pub fn random_bits(&mut self) -> u64 {
         self.rng.random()
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -31,11 +31,14 @@
     ReplicaAnswers,
     /// Orders to the engine to load weights, by `outcome`.
     LoadOrders,
+    /// Connections that were closed although their clients may have held them for kept, by
+    /// `cause`.
+    ClosedConnections,
 }
 
 impl CounterKind {
     /// All counters, in order of declaration.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -46,6 +49,7 @@
         Self::CutOffAdmissions,
         Self::ReplicaAnswers,
         Self::LoadOrders,
+        Self::ClosedConnections,
     ];
 
     /// Name of the counter; the exported text appends `_total` to it.
@@ -61,6 +65,7 @@
             Self::CutOffAdmissions => "bergamotfork_cut_off_admissions",
             Self::ReplicaAnswers => "bergamotfork_replica_answers",
             Self::LoadOrders => "bergamotfork_load_orders",
+            Self::ClosedConnections => "bergamotfork_closed_connections",
         }
     }
 }
@@ -163,6 +168,11 @@
         self.counters[CounterKind::ReplicaAnswers as usize].add(1, &labels);
     }
 
+    /// Counts a connection that is closed although its client may hold it for kept.
+    pub fn record_closed_connection(&self, cause: &'static str) {
+        self.add(CounterKind::ClosedConnections, 1, "cause", cause);
+    }
+
     /// Records the time of a call to the platform's store, in milliseconds.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str, took_ms: f64) {
         let labels = [
