Pass on during a stop only what can end before the process does

Callers saw: a request that came late in the grace period of a stop was taken and passed on, and cut by 502 at its end while its replica ran it to the end; requests that may run only once among them.

Cause: requests were taken for 2.5 s after the signal, whatever the grace was and however long such requests take.

Change: the entry keeps how long the latest requests of each route took.

--- a/src/calls/run_times.rs
+++ b/src/calls/run_times.rs
@@ -18,8 +18,14 @@
     pub fn record(&mut self, key: &str, took_ms: u64) {
         let at = match self.index_of(key) {
             Ok(at) => at,
-            Err(_) if self.recent.len() >= MAX_KEYS => return,
             Err(at) => {
+                // Names come and go with versions of the configuration.
+                let at = if self.recent.len() < MAX_KEYS {
+                    at
+                } else {
+                    self.recent.clear();
+                    0
+                };
                 let times = VecDeque::with_capacity(MAX_RUNS);
                 self.recent.insert(at, (key.to_owned(), times));
                 at
@@ -38,11 +44,6 @@
         self.recent[at].1.iter().max().copied().map(u64::from)
     }
 
-    /// Forgets the keys for which `is_kept` is false.
-    pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
-        self.recent.retain(|known| is_kept(&known.0));
-    }
-
     fn index_of(&self, key: &str) -> Result<usize, usize> {
         self.recent
             .binary_search_by(|known| known.0.as_str().cmp(key))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -91,6 +91,7 @@
                     reuse
                 }
                 Step::TimedOut => {
+                    self.record_run_time(&forwarding.request);
                     self.end_sends(client, &mut forwarding, StreamEnd::TimedOut.label())
                 }
             };
@@ -213,6 +214,7 @@
         let send = sends.remove(0);
         history.last_part = send.stream().map(EventStream::part);
         self.record_part_end(history.last_part, StreamEnd::Complete.label());
+        self.record_run_time(request);
         let latency_ms = relay.first_event_at().map_or(0.0, |at| {
             at.duration_since(request.received_at).as_secs_f64() * 1_000.0
         });
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -16,9 +16,9 @@
 /// Timeout of writing a response that the gateway itself generates.
 pub(super) const LOCAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Retry-After of a refusal by an entry that is stopping, in ms: other entries accept
-/// the request at once.
-pub(super) const RETRY_AFTER_STOP_MS: u64 = 10;
+/// Retry-After of a refusal whose cause is this entry alone, in ms: others accept the request
+/// at once.
+pub(super) const RETRY_AFTER_ELSEWHERE_MS: u64 = 10;
 
 /// Response to a request that is refused before a replica is chosen.
 #[derive(Debug)]
@@ -71,7 +71,14 @@
 /// Refuses a request that has not been read to its end when the grace period of a stop is
 /// over; the connection is then closed.
 pub(super) async fn refuse_unread<D: Dialect>(client: &Connection, gateway: &Gateway<D>) {
-    refuse_and_close(client, gateway, 503, STOPPING, Some(RETRY_AFTER_STOP_MS)).await;
+    refuse_and_close(
+        client,
+        gateway,
+        503,
+        STOPPING,
+        Some(RETRY_AFTER_ELSEWHERE_MS),
+    )
+    .await;
 }
 
 /// Responds to bytes that are no valid request; the connection is then closed.
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -107,6 +107,7 @@
         history: &AttemptHistory,
         response: ReplicaResponse,
     ) -> ConnectionReuse {
+        self.record_run_time(request);
         let close = self.closes_connection(request);
         let mut bytes = response_head(&response.head, close);
         write_length(&response, &mut bytes);
@@ -159,6 +160,12 @@
             || request.client_framing() == ClientFraming::UntilClose
     }
 
+    /// Records the time of a request that has run to its end or to that of its time.
+    pub(super) fn record_run_time(&self, request: &RoutedRequest) {
+        let mut state = self.state.borrow_mut();
+        (state.run_times).record(&request.route.name, request.waited_ms());
+    }
+
     /// Logs and counts a request that has ended; `stream` holds the time to the first
     /// event, in ms, and the number of events.
     pub(super) fn log_request_end(
@@ -191,7 +198,11 @@
             .number("took_ms", took_ms as i64)
             .number("waited_before_ms", request.waited_before_ms);
         if let Some(stop_left_ms) = stop_left_ms {
-            line = line.number("stop_left_ms", stop_left_ms);
+            let state = self.state.borrow();
+            let longest_ms = state.run_times.longest_ms(&request.route.name);
+            line = line
+                .number("stop_left_ms", stop_left_ms)
+                .number("longest_run_ms", longest_ms.map_or(-1, |ms| ms as i64));
         }
         if outcome.cause == CRASH_SUSPECT {
             line = line.text("fingerprint", request.fingerprint.short_hex());
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -11,7 +11,7 @@
 use crate::gateway::end_causes::STOPPING;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_refusals::LocalRefusal;
-use crate::gateway::local_refusals::RETRY_AFTER_STOP_MS;
+use crate::gateway::local_refusals::RETRY_AFTER_ELSEWHERE_MS;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::RequestHead;
 
@@ -39,7 +39,7 @@
         let refusal = LocalRefusal {
             status: 503,
             cause: STOPPING,
-            retry_after_ms: Some(RETRY_AFTER_STOP_MS),
+            retry_after_ms: Some(RETRY_AFTER_ELSEWHERE_MS),
         };
         return Err((head, refusal));
     }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -7,6 +7,7 @@
 use crate::calls::AnswerDecision;
 use crate::calls::AnswerUnderWay;
 use crate::calls::REFUSED_AT_CRASHES;
+use crate::calls::StopAdmission;
 use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaNotice;
 use crate::gateway::Dialect;
@@ -17,6 +18,7 @@
 use crate::gateway::end_causes::CRASH_SUSPECT;
 use crate::gateway::end_causes::HOST_SILENT;
 use crate::gateway::end_causes::REPLICA_ENDED;
+use crate::gateway::end_causes::STOPPING;
 use crate::gateway::event_stream::EventStream;
 use crate::gateway::exchange;
 use crate::gateway::exchange::ReplicaSend;
@@ -24,6 +26,7 @@
 use crate::gateway::forwarding::AttemptHistory;
 use crate::gateway::forwarding::Forwarding;
 use crate::gateway::gateway_handle::Gateway;
+use crate::gateway::local_refusals::RETRY_AFTER_ELSEWHERE_MS;
 use crate::gateway::placement::ChosenReplica;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::routed_request::RoutedRequest;
@@ -57,6 +60,9 @@
         if is_refused && trial.is_none() {
             return Err((CRASH_SUSPECT, None));
         }
+        if !relay.has_begun() && !self.can_end_before_stop(request) {
+            return Err((STOPPING, Some(RETRY_AFTER_ELSEWHERE_MS)));
+        }
         let chosen = self
             .choose_replica(request, relay.has_begun())
             .map_err(|(cause, retry_after_ms)| (cause, Some(retry_after_ms)))?;
@@ -69,6 +75,21 @@
         Ok(())
     }
 
+    /// Whether a request that is sent now is expected to end before a stop ends it; true
+    /// without a stop.
+    fn can_end_before_stop(&self, request: &RoutedRequest) -> bool {
+        let state = self.state.borrow();
+        state.stop_left_ms(Instant::now()).is_none_or(|left_ms| {
+            let admission = StopAdmission {
+                left_ms,
+                deadline_left_ms: request.left_ms(),
+                longest_run_ms: state.run_times.longest_ms(&request.route.name),
+                is_repeatable: request.route.kind.is_repeatable(),
+            };
+            admission.can_end()
+        })
+    }
+
     /// Starts a send to the chosen replica.
     fn start_send<'a>(
         &'a self,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use crate::calls::BrokenRuns;
 use crate::calls::CompletedRuns;
+use crate::calls::RunTimes;
 use crate::calls::SuspectTable;
 use crate::fleet::Catalog;
 use crate::fleet::ClientLimits;
@@ -103,6 +104,8 @@
     pub(super) broken_runs: BrokenRuns,
     /// Requests that have run to an end.
     pub(super) completed_runs: CompletedRuns,
+    /// Times that the requests of each route took.
+    pub(super) run_times: RunTimes,
     /// Addresses to which a connection is being opened, to see whether a replica is there.
     // Ascending.
     pub(super) checked_addresses: Vec<SocketAddr>,
@@ -151,6 +154,7 @@
             expired_replicas: Vec::new(),
             broken_runs: BrokenRuns::default(),
             completed_runs: CompletedRuns::default(),
+            run_times: RunTimes::default(),
             checked_addresses: Vec::new(),
             suspect_trials: Vec::new(),
             changed_suspects: ChangedSuspects::default(),
