Tell every request that waits at once that the grace is over

Callers saw: with a grace shorter than the pauses at which a request that waits is looked at, its connection ended without an answer.

Cause: whether the entry stops was asked before the wait, so that a request under way when the signal came heard of the end only at its next check; and after a standstill the process left its requests one check to answer.

Evidence: end_of_short_grace_answered (grace 0.4 s): status 0 before, 502 now.

Change: each wait for a replica hears of the end, and the time for the last answers counts from when they were ended.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -154,7 +154,6 @@
             .as_slice()
             .iter()
             .any(|send| self.is_withdrawable(send));
-        let is_stopping = self.state.borrow().stopping_since.is_some();
         let mut wake_at = request.deadline;
         wake_at = wake_at.min(sends.next_check_at().unwrap_or(wake_at));
         wake_at = wake_at.min(refused_until.unwrap_or(wake_at));
@@ -166,7 +165,7 @@
                 *refused_until = Some(Instant::now() + CLEARING_TIME);
                 return Step::Nothing;
             }
-            () = wait_until_ending(&self.state), if is_stopping => return Step::Ending,
+            () = wait_until_ending(&self.state) => return Step::Ending,
             () = tokio::time::sleep_until(wake_at) => {}
         }
         if wake_at.elapsed() >= STALL_TIME {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -66,6 +66,10 @@
 /// Interval at which a stopping process checks whether requests are still active.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after the listener is closed in which requests still arrive on open connections and
+/// are refused: a round trip to a distant client.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(250);
+
 /// Runs an entry process until a stop signal.
 ///
 /// Each call of `new_source` returns a new connection to the platform's store; `changed`
@@ -228,18 +232,22 @@
     state.borrow_mut().stopping_since = Some(began);
     state.borrow_mut().ends_at = Some(began + end_after);
     state.borrow().stop_notice.notify_waiters();
+    let mut ending_since = None;
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let waited = began.elapsed();
         let is_idle = state.borrow().active_requests == 0;
-        if waited >= end_after && !state.borrow().is_ending {
+        if waited >= end_after && ending_since.is_none() {
+            ending_since = Some(Instant::now());
             state.borrow_mut().is_ending = true;
             state.borrow().end_notice.notify_waiters();
             continue;
         }
-        // The clients of those that were ended get their answers.
-        let is_over = waited >= end_after + kill_margin / 2;
-        if is_over || is_idle && waited >= STOP_ACCEPT_TIME.min(end_after) {
+        // The clients of those that were ended get their answers, also where the process has
+        // stood still until then.
+        let is_over = ending_since.is_some_and(|since| since.elapsed() >= kill_margin / 2);
+        let last_request_after = STOP_ACCEPT_TIME + LAST_REQUEST_TIME;
+        if is_over || is_idle && waited >= last_request_after.min(end_after) {
             break;
         }
     }
