Keep a connection after a stream whose head has promised it

Callers saw: the next request after a stream got neither an answer nor a refusal.

Cause: whether the connection is kept was asked again at the end of a stream, whose head had told the client that it is; a signal that came in between closed it.

Evidence: stream_ends_during_stop_next_request_answered: none of eight connections was open before; all requests are answered now.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -231,11 +231,7 @@
         };
         let stream = Some((latency_ms, relay.events()));
         self.log_request_end(request, history, &outcome, stream);
-        if self.closes_connection(request) {
-            ConnectionReuse::Close
-        } else {
-            ConnectionReuse::Keep
-        }
+        relay.connection_reuse()
     }
 
     /// Ends the sends of a request for which there is no more time, for this cause; returns
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 use tokio::time::Instant;
 
+use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::exchange::is_hop_by_hop_header;
 use crate::gateway::exchange::write_header;
@@ -63,6 +64,8 @@
 #[derive(Debug)]
 pub struct StreamRelay {
     is_head_sent: bool,
+    // Whether the head has said that the connection is closed after the stream.
+    says_close: bool,
     last_id: Option<u64>,
     events: u64,
     first_event_at: Option<Instant>,
@@ -75,6 +78,7 @@
     pub fn new(last_id: Option<u64>, client_framing: ClientFraming, deadline: Instant) -> Self {
         Self {
             is_head_sent: false,
+            says_close: false,
             last_id,
             events: 0,
             first_event_at: None,
@@ -88,6 +92,16 @@
         self.is_head_sent
     }
 
+    /// Whether the client's connection stays open after the stream, as its head has told the
+    /// client.
+    pub fn connection_reuse(&self) -> ConnectionReuse {
+        if self.says_close {
+            ConnectionReuse::Close
+        } else {
+            ConnectionReuse::Keep
+        }
+    }
+
     /// Id of the last event that was sent to the client.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -174,6 +188,7 @@
         let mut bytes = Vec::with_capacity(data.len() + 64);
         if !self.is_head_sent {
             bytes = response_head(head, close);
+            self.says_close = close;
             if self.client_framing == ClientFraming::Chunked {
                 write_header("Transfer-Encoding", b"chunked", &mut bytes);
             }
