Let clients read refusals of requests that were not read

Callers saw: on a connection beyond the limit, of a request that was not read to its end, or after a part of a request, neither an answer nor a refusal.

Cause: a connection beyond the limit was closed unread; one that was refused in the middle of an upload was closed with bytes unread, so that it was reset and the refusal with it; a client that had closed its sending side got nothing.

Evidence: connections_beyond_limit_refused (status 0), refused_upload_refusal_read (the upload met a reset) and request_broken_off_refused (status 0) before.

Change: up to 64 connections beyond the limit are read, refused with 503 and closed; after each refusal of what was not read, the sending side is closed and the rest read for up to a second; a request that breaks off is refused with 400. Before the listener closes, what waits to be accepted is accepted.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -1,7 +1,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::fleet::ClientLimits;
@@ -9,9 +11,10 @@
 use crate::gateway::active_request::ActiveRequest;
 use crate::gateway::active_request::wait_until_ending;
 use crate::gateway::connection_reuse::ConnectionReuse;
-use crate::gateway::end_causes::STOPPING;
+use crate::gateway::end_causes::CONNECTION_LIMIT;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_refusals::LOCAL_RESPONSE_TIMEOUT;
+use crate::gateway::local_refusals::LocalRefusal;
 use crate::gateway::local_refusals::refuse;
 use crate::gateway::local_refusals::refuse_unread;
 use crate::gateway::local_refusals::refuse_unreadable;
@@ -26,47 +29,99 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
-/// Idle timeout of a connection after a stop signal, so that a request that the
-/// client has already sent is still served.
-const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Connections beyond the limit whose requests are read and refused at the same time. More are
+/// closed unread: file descriptors are kept for those that are served.
+const MAX_REFUSED_CONNECTIONS: usize = 64;
+
+/// Time in which the request on a connection beyond the limit begins.
+const REFUSED_CONNECTION_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a connection is read after a refusal, so that the client gets to read it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Accepts connections of clients until the process closes its listener.
-pub async fn serve_clients<D: Dialect + 'static>(listener: TcpListener, gateway: Gateway<D>) {
-    let open_connections = Rc::new(());
-    let closed = wait_until_closed(&gateway);
+pub async fn serve_clients<D: Dialect + 'static>(tcp: TcpListener, gateway: Gateway<D>) {
+    let listener = ClientListener {
+        gateway,
+        open_connections: Rc::new(()),
+        refused_connections: Rc::new(()),
+    };
+    let closed = wait_until_closed(&listener.gateway);
     let mut closed = std::pin::pin!(closed);
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
-            () = &mut closed => return,
+            accepted = tcp.accept() => accepted,
+            () = &mut closed => break,
         };
         match accepted {
-            // The loop itself holds one of the references.
-            Ok(_)
-                if Rc::strong_count(&open_connections)
-                    > gateway.state.borrow().settings.max_client_connections =>
-            {
-                gateway.metrics.record_refusal("connection");
-                gateway.metrics.record_closed_connection("limit");
-                LogLine::new(Event::RequestUnread)
-                    .text("cause", "limit")
-                    .number("bytes", 0)
-                    .enqueue();
-            }
-            Ok((stream, _)) => {
-                let (gateway, open_connections) = (gateway.clone(), open_connections.clone());
-                actix_rt::spawn(async move {
-                    serve_client(Connection::new(stream), &gateway).await;
-                    drop(open_connections);
-                });
-            }
+            Ok((stream, _)) => listener.serve(stream),
             Err(error) => {
                 log::warn!("cannot accept a client's connection: {error}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
     }
+    // Requests that have arrived on connections not accepted yet are refused.
+    tokio::task::yield_now().await;
+    while let Some(Ok((stream, _))) = tcp.accept().now_or_never() {
+        listener.serve(stream);
+    }
+}
+
+/// What is done with the connections of clients, and how many are open.
+struct ClientListener<D> {
+    gateway: Gateway<D>,
+    // Each connection holds a reference besides the one here.
+    open_connections: Rc<()>,
+    refused_connections: Rc<()>,
+}
+
+impl<D: Dialect + 'static> ClientListener<D> {
+    /// Serves a connection, or refuses its request if too many are open.
+    fn serve(&self, stream: TcpStream) {
+        let gateway = self.gateway.clone();
+        let limit = gateway.state.borrow().settings.max_client_connections;
+        let mut client = Connection::new(stream);
+        if Rc::strong_count(&self.open_connections) <= limit {
+            let open = self.open_connections.clone();
+            actix_rt::spawn(async move {
+                serve_client(client, &gateway).await;
+                drop(open);
+            });
+            return;
+        }
+        gateway.metrics.record_closed_connection("limit");
+        if Rc::strong_count(&self.refused_connections) > MAX_REFUSED_CONNECTIONS {
+            log_unread("limit", 0);
+            return;
+        }
+        let refused = self.refused_connections.clone();
+        actix_rt::spawn(async move {
+            refuse_connection(&mut client, &gateway).await;
+            drop(refused);
+        });
+    }
+}
+
+/// Refuses the request of a connection beyond the limit.
+async fn refuse_connection<D: Dialect + 'static>(client: &mut Connection, gateway: &Gateway<D>) {
+    let begin_by = Instant::now() + REFUSED_CONNECTION_TIME;
+    if wait_for_first_byte(client, begin_by).await.is_err() {
+        return;
+    }
+    let _active = ActiveRequest::begin(&gateway.state);
+    match read_request(client, gateway).await {
+        Ok((head, ..)) => {
+            let refusal = LocalRefusal {
+                closes_connection: true,
+                ..LocalRefusal::elsewhere(CONNECTION_LIMIT)
+            };
+            refuse(client, gateway, &head, &refusal).await;
+        }
+        Err(error) => refuse_unreadable(client, gateway, &error).await,
+    }
+    client.linger(Instant::now() + LINGER_TIME).await;
 }
 
 /// Waits for the stop signal and for the time in which requests are still accepted.
@@ -92,6 +147,7 @@
             request = read_request(&mut client, gateway) => request,
             () = wait_until_ending(&gateway.state) => {
                 refuse_unread(&client, gateway).await;
+                client.linger(Instant::now() + LINGER_TIME).await;
                 return;
             }
         };
@@ -99,6 +155,7 @@
             Ok(request) => request,
             Err(error) => {
                 refuse_unreadable(&client, gateway, &error).await;
+                client.linger(Instant::now() + LINGER_TIME).await;
                 return;
             }
         };
@@ -115,36 +172,18 @@
 /// Counts an idle connection that is closed before its client has closed it, and logs it if
 /// bytes of a request have arrived meanwhile.
 fn record_idle_close<D: Dialect>(client: &mut Connection, gateway: &Gateway<D>) {
-    let is_stopping = gateway.state.borrow().stopping_since.is_some();
-    let cause = if is_stopping { STOPPING } else { "idle" };
-    gateway.metrics.record_closed_connection(cause);
+    gateway.metrics.record_closed_connection("idle");
     if client.has_surplus() && !client.read_buffer.is_empty() {
-        LogLine::new(Event::RequestUnread)
-            .text("cause", cause)
-            .number("bytes", client.read_buffer.len())
-            .enqueue();
+        log_unread("idle", client.read_buffer.len());
     }
 }
 
-/// Waits for the first byte of the next request; after a stop signal, with the shorter idle
-/// timeout.
-async fn wait_for_request<D: Dialect>(
-    client: &mut Connection,
-    gateway: &Gateway<D>,
-) -> Result<(), Http1Error> {
-    let (stop_notice, is_stopping) = {
-        let state = gateway.state.borrow();
-        (state.stop_notice.clone(), state.stopping_since.is_some())
-    };
-    if !is_stopping {
-        let stopped = stop_notice.notified();
-        tokio::select! {
-            biased;
-            arrived = wait_while_idle(client, gateway) => return arrived,
-            () = stopped => {}
-        }
-    }
-    wait_for_first_byte(client, Instant::now() + STOPPING_IDLE_TIMEOUT).await
+/// Logs a connection that is closed with bytes of a request that is not read.
+fn log_unread(cause: &str, received: usize) {
+    LogLine::new(Event::RequestUnread)
+        .text("cause", cause)
+        .number("bytes", received)
+        .enqueue();
 }
 
 /// Waits for the first byte of the next request for as long as the idle timeout allows: the
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -26,6 +26,8 @@
     pub(super) status: u16,
     pub(super) cause: &'static str,
     pub(super) retry_after_ms: Option<u64>,
+    /// Whether the connection is closed after it in any case.
+    pub(super) closes_connection: bool,
 }
 
 impl LocalRefusal {
@@ -34,6 +36,15 @@
             status,
             cause,
             retry_after_ms: None,
+            closes_connection: false,
+        }
+    }
+
+    /// A refusal of what another entry accepts at once.
+    pub(super) fn elsewhere(cause: &'static str) -> Self {
+        Self {
+            retry_after_ms: Some(RETRY_AFTER_ELSEWHERE_MS),
+            ..Self::new(503, cause)
         }
     }
 }
@@ -45,7 +56,8 @@
     head: &RequestHead,
     refusal: &LocalRefusal,
 ) -> ConnectionReuse {
-    let close = head.wants_close() || gateway.state.borrow().stopping_since.is_some();
+    let is_stopping = gateway.state.borrow().stopping_since.is_some();
+    let close = refusal.closes_connection || head.wants_close() || is_stopping;
     let facts = gateway.dialect.request_facts(head);
     let config = gateway
         .state
@@ -89,8 +101,8 @@
 ) {
     let status = match error {
         Http1Error::Closed | Http1Error::Io(_) | Http1Error::NotConnected(_) => return,
-        Http1Error::IncompleteMessage => return,
-        Http1Error::Malformed(_) => 400,
+        // Its client may still read, although it has ended its side.
+        Http1Error::IncompleteMessage | Http1Error::Malformed(_) => 400,
         Http1Error::HeadTooLarge => 431,
         Http1Error::BodyTooLarge => 413,
         Http1Error::NoMemory => 503,
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -11,7 +11,6 @@
 use crate::gateway::end_causes::STOPPING;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_refusals::LocalRefusal;
-use crate::gateway::local_refusals::RETRY_AFTER_ELSEWHERE_MS;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::RequestHead;
 
@@ -36,18 +35,12 @@
     let mut state = gateway.state.borrow_mut();
     let stopping_since = state.stopping_since;
     if state.is_ending || stopping_since.is_some_and(|since| since.elapsed() >= STOP_ACCEPT_TIME) {
-        let refusal = LocalRefusal {
-            status: 503,
-            cause: STOPPING,
-            retry_after_ms: Some(RETRY_AFTER_ELSEWHERE_MS),
-        };
-        return Err((head, refusal));
+        return Err((head, LocalRefusal::elsewhere(STOPPING)));
     }
     let Some(catalog) = state.catalog.clone() else {
         let refusal = LocalRefusal {
-            status: 503,
-            cause: "no_configuration",
             retry_after_ms: Some(RETRY_AFTER_START_MS),
+            ..LocalRefusal::new(503, "no_configuration")
         };
         return Err((head, refusal));
     };
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -281,6 +281,24 @@
         }
     }
 
+    /// Ends the sending side, and discards what still arrives until the peer closes the
+    /// connection or `until` has passed. Closed with bytes unread, the connection would be
+    /// reset, and the peer might lose the answer that was written last.
+    pub async fn linger(&mut self, until: Instant) {
+        let socket = socket2::SockRef::from(&self.stream);
+        if let Err(error) = socket.shutdown(std::net::Shutdown::Write) {
+            log::debug!("cannot end the sending side of a connection: {error}");
+            return;
+        }
+        loop {
+            self.read_buffer.clear();
+            match self.fill_buffer_with_deadline(until).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
     /// Runs `work`; drops it and returns `None` when the peer closes the connection first.
     pub async fn run_unless_closed<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
         tokio::select! {
