Pass on during a stop by their deadline alone what may run only once

Callers saw: a request that may run only once was taken during a stop, as those before it on its route had taken less time, and cut at the end of the grace.

Cause: the longest of the latest runs bounds the next one only on routes whose requests are alike.

Change: such a request is passed on only if its deadline ends before what is under way is ended. Another process takes it at once.

--- a/src/calls/stop_admission.rs
+++ b/src/calls/stop_admission.rs
@@ -3,11 +3,8 @@
 //! The load pattern: clients that hold an address or a connection go on sending for seconds
 //! after the signal. What is passed on and can't end before the process does costs its client
 //! the whole wait, and runs for nobody; where it may run only once, its client can't even ask
-//! again. Another process would have taken it at once. So only what ends in time is passed on,
-//! by its deadline or by the time that such requests have taken lately.
-
-/// Silence of a sound replica, in ms, that a run may contain besides its usual time.
-const REPLICA_SILENCE_MS: u64 = 1_000;
+//! again. Another process would have taken it at once. So only what ends in time is passed on:
+//! by its deadline, or where it may run again, by the time that such requests have taken lately.
 
 /// What is known of a request that has arrived at a process that stops.
 #[derive(Debug, Clone, Copy)]
@@ -24,17 +21,13 @@
 }
 
 impl StopAdmission {
-    /// Whether the request is expected to end before what is under way is ended.
+    /// Whether the request ends before what is under way is ended: for certain where it may run
+    /// only once.
     pub fn can_end(&self) -> bool {
-        if self.deadline_left_ms <= self.left_ms {
-            return true;
-        }
-        let reserve_ms = if self.is_repeatable {
-            0
-        } else {
-            REPLICA_SILENCE_MS
+        let is_expected_to_end = || {
+            let longest_run_ms = self.longest_run_ms.filter(|_| self.is_repeatable);
+            longest_run_ms.is_some_and(|longest_ms| longest_ms <= self.left_ms)
         };
-        self.longest_run_ms
-            .is_some_and(|longest_ms| longest_ms.saturating_add(reserve_ms) <= self.left_ms)
+        self.deadline_left_ms <= self.left_ms || is_expected_to_end()
     }
 }
--- a/tests/calls/stops.rs
+++ b/tests/calls/stops.rs
@@ -19,12 +19,12 @@
     assert!(!request(699, Some(700), true).can_end());
 }
 
-/// Guards against requests that may run only once and are cut while a sound replica is silent
-/// for a second.
+/// Guards against requests that may run only once and are cut, as they take longer than those
+/// before on their route.
 #[test]
-fn can_end_single_run_has_reserve() {
-    assert!(!request(1_699, Some(700), false).can_end());
-    assert!(request(1_700, Some(700), false).can_end());
+fn can_end_single_run_by_deadline_alone() {
+    assert!(!request(59_999, Some(1), false).can_end());
+    assert!(request(60_000, None, false).can_end());
 }
 
 #[test]
