Tell weights that come due from a silent replica

A send that was ended because newer weights come due was logged (703) and counted as `silent`: a broken run that the next incarnation at the address turned into a crash suspicion, and an incomplete answer of the replica. Operators could not tell the two apart.

The end has its own cause, `weights_due`, which is no crash sign and no failure of the replica.

--- a/src/gateway/end_causes.rs
+++ b/src/gateway/end_causes.rs
@@ -7,6 +7,9 @@
 /// Cause of the end of a send whose replica is on a silent host.
 pub(super) const HOST_SILENT: &str = "host_silent";
 
+/// Cause of the end of a send whose replica may no longer begin it, as newer weights are due.
+pub(super) const WEIGHTS_DUE: &str = "weights_due";
+
 /// Cause of the end of a request by a stop of the process.
 pub(super) const STOPPING: &str = "stopping";
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
 use crate::gateway::answer_memory::HeldAnswer;
+use crate::gateway::end_causes::WEIGHTS_DUE;
 use crate::gateway::event_stream::EventStream;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -97,7 +98,7 @@
     pub is_streaming: bool,
     /// Head and body, encoded.
     pub bytes: Vec<u8>,
-    /// Time by which the head of the response must have arrived.
+    /// Time by which the head of the response must have arrived, as newer weights are due then.
     pub head_deadline: Instant,
     /// Time at which the final response is due.
     pub deadline: Instant,
@@ -133,6 +134,9 @@
         .await
     {
         Ok(head) => head,
+        Err(Http1Error::TimedOut) if head_deadline < send.deadline => {
+            return SendOutcome::Broken(WEIGHTS_DUE);
+        }
         Err(Http1Error::TimedOut) => return SendOutcome::Broken("silent"),
         Err(error) => return SendOutcome::Broken(error.label()),
     };
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -6,6 +6,7 @@
 use crate::gateway::GatewayState;
 use crate::gateway::crash_signs::check_replica_once;
 use crate::gateway::crash_signs::is_refused;
+use crate::gateway::end_causes::WEIGHTS_DUE;
 use crate::gateway::event_stream::AnswerPart;
 use crate::gateway::exchange::SendOutcome;
 use crate::gateway::forwarding::AttemptHistory;
@@ -187,7 +188,7 @@
     }
 
     /// Records that the answer of a replica was not complete, unless the cause is in this
-    /// process, and checks whether the replica has crashed.
+    /// process or in newer weights, and checks whether the replica has crashed.
     pub(super) fn record_broken_answer(
         &self,
         state: &mut GatewayState,
@@ -196,7 +197,7 @@
         cause: &str,
         history: &mut AttemptHistory,
     ) {
-        if cause == Http1Error::NoMemory.label() {
+        if cause == Http1Error::NoMemory.label() || cause == WEIGHTS_DUE {
             return;
         }
         let now_ms = state.now_ms();
