Let the one decision take the time at which weights come due

A plain generation that had begun on the old weights was ended with 502 when newer ones came due, 0.4 s before bounds.version_ms was over, although its replica went on: the head of such an answer comes only at its end, and a timer in send_to_replica took its absence for a request that had not begun. For a request that may run only once nobody else could give the answer. Before, generations of 2.5 s sent 0.2 s after the declaration got 502 (once, idempotent, and beside configurations).

The timer is gone; AnswerUnderWay gets the time that is left and what is known of the beginning: running (a load report after the send with nothing waiting, or bytes of the answer), predicted well before while the host was heard, or unknown. What may still wait is ended as before, and a stream that may be resumed goes elsewhere as before; what has begun keeps its answer, as the rule binds the beginning of a run.

--- a/src/calls/answer_under_way.rs
+++ b/src/calls/answer_under_way.rs
@@ -8,6 +8,12 @@
 //! second send beside the first, where the request may run again. Only the end of the
 //! replica's incarnation, or of the time that the client has, ends it sooner; and where a whole
 //! host falls silent while others report, what its client may ask again is given up.
+//!
+//! Newer weights that come due bind the beginning of a run, not its end. A stream shows its
+//! beginning by its events; the answer to a plain generation comes whole at its end, so its
+//! beginning follows from the reports of the replica or from the prediction.
+
+use crate::calls::BeginSign;
 
 /// Silence of a replica from which another may answer as well if a sign says that it is away,
 /// in ms: more than the pauses of a sound one under load.
@@ -71,6 +77,8 @@
     SendSecond,
     /// It is ended, as its replica has.
     ReplicaEnded,
+    /// It is ended: its replica may no longer begin it, as newer weights are due.
+    WeightsDue,
     /// It is given up, so that its client can ask again while there is time.
     GiveUp,
 }
@@ -86,6 +94,11 @@
     pub sign: ReplicaSign,
     /// Whether the request may run more than once, so that its client asks again.
     pub is_repeatable: bool,
+    /// Time until the replica may no longer begin the request, as newer weights come due, in
+    /// ms; None without such a limit.
+    pub weights_due_ms: Option<u64>,
+    /// Whether the replica has begun the request.
+    pub begin: BeginSign,
     /// Whether the request may run at another replica beside this one.
     pub may_send_second: bool,
 }
@@ -100,6 +113,16 @@
 
     /// What becomes of the answer now.
     pub fn decide(&self) -> AnswerDecision {
+        match self.decide_by_silence() {
+            AnswerDecision::ReplicaEnded => AnswerDecision::ReplicaEnded,
+            _ if self.is_ended_by_weights() => AnswerDecision::WeightsDue,
+            AnswerDecision::Wait(wait_ms) => AnswerDecision::Wait(self.wait_until_due_ms(wait_ms)),
+            decision => decision,
+        }
+    }
+
+    /// What becomes of the answer if no weights come due.
+    fn decide_by_silence(&self) -> AnswerDecision {
         if self.sign == ReplicaSign::Ended && self.silent_ms >= Self::MIN_SILENCE_MS {
             return AnswerDecision::ReplicaEnded;
         }
@@ -127,6 +150,29 @@
         self.silent_ms >= self.second_send_silence_ms()
     }
 
+    /// Whether the replica may no longer begin the request, and may not have begun it.
+    fn is_ended_by_weights(&self) -> bool {
+        if self.stage == AnswerStage::Streaming || self.weights_due_ms != Some(0) {
+            return false;
+        }
+        let is_waiting_stream = self.stage == AnswerStage::BeforeFirstEvent;
+        match self.begin {
+            BeginSign::Running => is_waiting_stream && self.may_send_second,
+            BeginSign::Predicted => is_waiting_stream && self.is_repeatable,
+            BeginSign::Unknown => true,
+        }
+    }
+
+    /// The wait, or the time until newer weights come due if that is shorter, in ms.
+    fn wait_until_due_ms(&self, wait_ms: u64) -> u64 {
+        match self.weights_due_ms {
+            Some(due_ms) if due_ms > 0 && self.stage != AnswerStage::Streaming => {
+                wait_ms.min(due_ms)
+            }
+            _ => wait_ms,
+        }
+    }
+
     /// Silence from which another replica may be asked as well, in ms.
     fn second_send_silence_ms(&self) -> u64 {
         match self.sign {
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -11,6 +11,7 @@
 //! allows it.
 
 mod answer_under_way;
+mod begin_sign;
 mod broken_runs;
 mod call_outcome;
 mod candidate;
@@ -39,6 +40,7 @@
 pub use answer_under_way::AnswerStage;
 pub use answer_under_way::AnswerUnderWay;
 pub use answer_under_way::ReplicaSign;
+pub use begin_sign::BeginSign;
 pub use broken_runs::BrokenRun;
 pub use broken_runs::BrokenRunKind;
 pub use broken_runs::BrokenRuns;
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -166,6 +166,11 @@
     })
 }
 
+/// Whether a request has begun, as far as the prediction tells, `elapsed_ms` after it was sent.
+pub fn is_predicted_to_have_begun(elapsed_ms: u64, predicted_ms: f64) -> bool {
+    begins_in_time(Some(elapsed_ms), predicted_ms)
+}
+
 /// Predicted time to the first event or the answer at `replica`, in ms; None when it
 /// lacks the capacity for the request.
 fn predicted_answer_ms(input: &AdmissionInput<'_>, replica: &Replica) -> Option<f64> {
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -193,6 +193,13 @@
             .filter(|load| now_ms.saturating_sub(load.received_ms) < LOAD_STALE_MS)
     }
 
+    /// Last load report, if it includes a request that was sent at `sent_ms`.
+    pub fn load_after(&self, sent_ms: u64) -> Option<&EngineLoad> {
+        self.load
+            .as_ref()
+            .filter(|load| load.received_ms > sent_ms.saturating_add(LOAD_REPORT_DELAY_MS))
+    }
+
     /// Estimated requests at the replica: those of the last load report, the sends of
     /// this process since then, and those of the other entries at
     /// `peer_requests_per_ms`. None without a recent report.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,6 @@
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
 use crate::gateway::answer_memory::HeldAnswer;
-use crate::gateway::end_causes::WEIGHTS_DUE;
 use crate::gateway::event_stream::EventStream;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
@@ -98,8 +97,6 @@
     pub is_streaming: bool,
     /// Head and body, encoded.
     pub bytes: Vec<u8>,
-    /// Time by which the head of the response must have arrived, as newer weights are due then.
-    pub head_deadline: Instant,
     /// Time at which the final response is due.
     pub deadline: Instant,
     /// Room for the answer.
@@ -128,15 +125,11 @@
         Ok(_) => {}
         Err(error) => return SendOutcome::Broken(error.label()),
     }
-    let head_deadline = send.head_deadline.min(send.deadline);
     let head = match connection
-        .read_response_head(MAX_HEAD_BYTES, || head_deadline)
+        .read_response_head(MAX_HEAD_BYTES, || send.deadline)
         .await
     {
         Ok(head) => head,
-        Err(Http1Error::TimedOut) if head_deadline < send.deadline => {
-            return SendOutcome::Broken(WEIGHTS_DUE);
-        }
         Err(Http1Error::TimedOut) => return SendOutcome::Broken("silent"),
         Err(error) => return SendOutcome::Broken(error.label()),
     };
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
+use crate::calls::BeginSign;
 use crate::calls::CrashId;
 use crate::calls::ReplicaSign;
 use crate::fleet::AdmissionDecision;
@@ -10,6 +11,7 @@
 use crate::fleet::ReplicaKey;
 use crate::fleet::admit_request;
 use crate::fleet::begins_in_time;
+use crate::fleet::is_predicted_to_have_begun;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::gateway_handle::Gateway;
@@ -98,6 +100,34 @@
             ReplicaSign::None
         }
     }
+
+    /// Whether the replica has begun the request that was sent to it, as far as its reports and
+    /// the prediction tell.
+    ///
+    /// An engine whose queue is empty has begun all that it has. Others may wait behind a plain
+    /// request that runs, while a stream that runs would have brought an event.
+    pub(super) fn begin_sign(&self, chosen: &ChosenReplica, is_streaming: bool) -> BeginSign {
+        let now_ms = self.now_ms();
+        let replica = self.replicas.get(chosen.key);
+        let is_same =
+            replica.record.id == chosen.id && replica.record.born_unix_ms == chosen.born_unix_ms;
+        let load = replica.load_after(chosen.sent_ms).filter(|_| is_same);
+        if load.is_some_and(|load| load.is_up && load.queued == 0 && load.running > 0) {
+            return BeginSign::Running;
+        }
+        let is_queued = is_streaming && load.is_some_and(|load| load.queued > 0);
+        let heard_ms = if replica.is_silent(now_ms) {
+            load.map_or(chosen.sent_ms, |load| load.received_ms)
+        } else {
+            now_ms
+        };
+        let elapsed_ms = heard_ms.saturating_sub(chosen.sent_ms);
+        if !is_queued && is_predicted_to_have_begun(elapsed_ms, chosen.predicted_ms) {
+            BeginSign::Predicted
+        } else {
+            BeginSign::Unknown
+        }
+    }
 }
 
 impl<D: Dialect> Gateway<D> {
--- a/src/gateway/running_send.rs
+++ b/src/gateway/running_send.rs
@@ -8,7 +8,9 @@
 
 use crate::calls::AnswerStage;
 use crate::calls::AnswerUnderWay;
+use crate::calls::BeginSign;
 use crate::fleet::ReplicaNotice;
+use crate::gateway::GatewayState;
 use crate::gateway::crash_signs::SuspectTrial;
 use crate::gateway::event_stream::EventStream;
 use crate::gateway::event_stream::StreamPart;
@@ -52,6 +54,11 @@
     pub(super) is_second: bool,
     trial: Option<SuspectTrial<'a>>,
     state: SendState,
+    sent_at: Instant,
+    // Time by which the replica must have begun it, as newer weights come due then.
+    begin_by: Option<Instant>,
+    // Whether it was seen that the replica has begun it.
+    is_begun: bool,
     // Time at which it was sent, or bytes of a plain answer last arrived.
     progress_at: Rc<Cell<Instant>>,
     // Time at which this process went on after it had stood still.
@@ -68,19 +75,25 @@
         trial: Option<SuspectTrial<'a>>,
         exchange: impl Future<Output = SendOutcome> + 'static,
     ) -> Self {
-        let now = Instant::now();
-        Self {
+        let sent_at = progress_at.get();
+        let begin_within = chosen.begin_within_ms.map(Duration::from_millis);
+        let mut send = Self {
             chosen,
             in_flight,
             notice,
-            check_at: now + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS),
+            check_at: sent_at,
             is_silence_recorded: false,
             is_second: false,
             trial,
             state: SendState::Waiting(Box::pin(exchange)),
+            sent_at,
+            begin_by: begin_within.map(|within| sent_at + within),
+            is_begun: false,
             progress_at,
             resumed_at: None,
-        }
+        };
+        send.record_progress();
+        send
     }
 
     /// Waits for what the send brings next; nothing is lost when the wait is dropped.
@@ -99,7 +112,9 @@
 
     /// Records that the send has brought something.
     pub(super) fn record_progress(&mut self) {
-        self.check_at = Instant::now() + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS);
+        let check_at = Instant::now() + Duration::from_millis(AnswerUnderWay::MIN_SILENCE_MS);
+        let begin_by = self.begin_by.filter(|_| self.is_waiting());
+        self.check_at = begin_by.map_or(check_at, |begin_by| begin_by.min(check_at));
         self.is_silence_recorded = false;
     }
 
@@ -140,6 +155,26 @@
         u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Time until its replica may no longer begin it, as newer weights come due, in ms; None
+    /// without such a limit.
+    pub(super) fn weights_due_ms(&self) -> Option<u64> {
+        let left = self.begin_by?.saturating_duration_since(Instant::now());
+        // Rounded up: no time is left only when it is over.
+        Some(u64::try_from(left.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX))
+    }
+
+    /// Whether its replica has begun it.
+    pub(super) fn begin_sign(&mut self, state: &GatewayState, is_streaming: bool) -> BeginSign {
+        let sign = state.begin_sign(&self.chosen, is_streaming);
+        // The head of a plain answer may come long before its end.
+        self.is_begun |= sign == BeginSign::Running || self.progress_at.get() > self.sent_at;
+        if self.is_begun {
+            BeginSign::Running
+        } else {
+            sign
+        }
+    }
+
     /// How far its answer has come.
     pub(super) fn stage(&self, is_streaming_route: bool) -> AnswerStage {
         match &self.state {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -17,6 +17,7 @@
 use crate::gateway::end_causes::CRASH_SUSPECT;
 use crate::gateway::end_causes::HOST_SILENT;
 use crate::gateway::end_causes::REPLICA_ENDED;
+use crate::gateway::end_causes::WEIGHTS_DUE;
 use crate::gateway::event_stream::EventStream;
 use crate::gateway::exchange;
 use crate::gateway::exchange::ReplicaSend;
@@ -87,8 +88,6 @@
             weights_version: chosen.weights_version,
             urgency: is_streaming.then_some(request.urgency),
         };
-        let begin_within = chosen.begin_within_ms.map(Duration::from_millis);
-        let begin_by = begin_within.map(|within| Instant::now() + within);
         let notice = Rc::new(Cell::new(ReplicaNotice::default()));
         let progress_at = Rc::new(Cell::new(Instant::now()));
         let send = ReplicaSend {
@@ -98,7 +97,6 @@
             method: request.head.method.clone(),
             is_streaming,
             bytes: request_bytes(&*self.dialect, &request.head, &request.body, &facts),
-            head_deadline: begin_by.unwrap_or(request.deadline),
             deadline: request.deadline,
             held: (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES),
             notice: notice.clone(),
@@ -125,6 +123,8 @@
             silent_ms: send.silent_ms(),
             sign: self.state.borrow().replica_sign(&send.chosen),
             is_repeatable: request.route.kind.is_repeatable(),
+            weights_due_ms: send.weights_due_ms(),
+            begin: send.begin_sign(&self.state.borrow(), is_streaming),
             may_send_second,
         };
         // A stream that has begun: its replica may have ended without a sign on the connection.
@@ -161,6 +161,7 @@
             AnswerDecision::Wait(wait_ms) => wait_ms,
             AnswerDecision::SendSecond => AnswerUnderWay::RECHECK_MS,
             AnswerDecision::ReplicaEnded => return self.fail_send(forwarding, at, REPLICA_ENDED),
+            AnswerDecision::WeightsDue => return self.fail_send(forwarding, at, WEIGHTS_DUE),
             AnswerDecision::GiveUp => return self.fail_send(forwarding, at, HOST_SILENT),
         };
         send.check_at = Instant::now() + Duration::from_millis(wait_ms);
--- a/tests/calls/answers_under_way.rs
+++ b/tests/calls/answers_under_way.rs
@@ -3,6 +3,7 @@
 use bergamotfork::calls::AnswerDecision;
 use bergamotfork::calls::AnswerStage;
 use bergamotfork::calls::AnswerUnderWay;
+use bergamotfork::calls::BeginSign;
 use bergamotfork::calls::ReplicaSign;
 
 const STAGES: [AnswerStage; 3] = [
@@ -20,6 +21,8 @@
         silent_ms,
         sign,
         is_repeatable: second,
+        weights_due_ms: None,
+        begin: BeginSign::Unknown,
         may_send_second: second,
     }
 }
@@ -120,3 +123,73 @@
         }
     }
 }
+
+/// Weights that come due: who may go on, for each kind of request.
+///
+/// Guards against LOST: an answer that has begun in time is ended.
+#[test]
+fn decide_weights_due_ends_what_may_not_have_begun() {
+    // Whether the request may run again, and whether another replica may take it now.
+    let once = (false, false);
+    let only = (true, false);
+    let other = (true, true);
+    let plain = AnswerStage::Plain;
+    let waiting = AnswerStage::BeforeFirstEvent;
+    let rows = [
+        (plain, BeginSign::Running, once, false),
+        (plain, BeginSign::Running, only, false),
+        (plain, BeginSign::Running, other, false),
+        (plain, BeginSign::Predicted, once, false),
+        (plain, BeginSign::Predicted, only, false),
+        (plain, BeginSign::Predicted, other, false),
+        (plain, BeginSign::Unknown, once, true),
+        (plain, BeginSign::Unknown, only, true),
+        (plain, BeginSign::Unknown, other, true),
+        (waiting, BeginSign::Running, once, false),
+        (waiting, BeginSign::Running, only, false),
+        (waiting, BeginSign::Running, other, true),
+        (waiting, BeginSign::Predicted, once, false),
+        (waiting, BeginSign::Predicted, only, true),
+        (waiting, BeginSign::Predicted, other, true),
+        (waiting, BeginSign::Unknown, once, true),
+        (waiting, BeginSign::Unknown, only, true),
+        (waiting, BeginSign::Unknown, other, true),
+    ];
+    for (stage, begin, (is_repeatable, may_send_second), is_ended) in rows {
+        for silent_ms in [100, 850, 1_200, 1_700] {
+            let answer = AnswerUnderWay {
+                weights_due_ms: Some(0),
+                is_repeatable,
+                begin,
+                ..answer(stage, silent_ms, ReplicaSign::None, may_send_second)
+            };
+            let decision = answer.decide();
+            let is_due = decision == AnswerDecision::WeightsDue;
+            assert_eq!(is_due, is_ended, "{answer:?}: {decision:?}");
+            assert_ne!(decision, AnswerDecision::Wait(0), "{answer:?}");
+        }
+    }
+}
+
+#[test]
+fn decide_weights_due_begun_stream_goes_on() {
+    for begin in [BeginSign::Running, BeginSign::Predicted, BeginSign::Unknown] {
+        let answer = AnswerUnderWay {
+            weights_due_ms: Some(0),
+            begin,
+            ..answer(AnswerStage::Streaming, 100, ReplicaSign::None, false)
+        };
+        assert!(matches!(answer.decide(), AnswerDecision::Wait(wait_ms) if wait_ms > 0));
+    }
+}
+
+#[test]
+fn decide_weights_not_due_waits_no_longer_than_until_then() {
+    for stage in [AnswerStage::Plain, AnswerStage::BeforeFirstEvent] {
+        let answer = AnswerUnderWay {
+            weights_due_ms: Some(20),
+            ..answer(stage, 100, ReplicaSign::None, true)
+        };
+        assert_eq!(answer.decide(), AnswerDecision::Wait(20), "{stage:?}");
+    }
+}
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -9,6 +9,7 @@
 use bergamotfork::fleet::ReplicaTable;
 use bergamotfork::fleet::admit_request;
 use bergamotfork::fleet::begins_in_time;
+use bergamotfork::fleet::is_predicted_to_have_begun;
 use bergamotfork::fleet::predicted_first_event_ms;
 
 const TARGET_MS: u64 = 400;
@@ -230,6 +231,22 @@
     assert!(!begins_in_time(Some(0), 0.0));
 }
 
+#[test]
+fn is_predicted_to_have_begun_late_prediction() {
+    assert!(is_predicted_to_have_begun(640, 200.0));
+    assert!(!is_predicted_to_have_begun(639, 200.0));
+}
+
+/// A report that was on its way when a request was sent says nothing of it.
+#[test]
+fn load_after_send_on_its_way() {
+    let (table, keys) = table(1_000, &[4]);
+    let replica = table.get(keys[0]);
+    assert!(replica.load_after(900).is_some());
+    assert!(replica.load_after(999).is_none());
+    assert!(replica.load_after(1_000).is_none());
+}
+
 /// Replays requests that arrive in one moment while all replicas are nearly idle. Guards
 /// against a replica that gets several and reads their prompts one after the other, while
 /// others have nothing to read.
