Place on old weights only what bears a silence before they are due

A request that may run only once, or a plain generation, was placed on a replica with old weights as long as it was predicted to begin before newer ones came due.

Such a request is now placed on old weights only if its replica can be silent for a second and still begin in time; else it goes to a replica with new weights or is refused at once (503, not run). Streams that may be resumed still use the old weights until shortly before, as they move elsewhere: the load pattern at begins_in_time holds for them.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -1,6 +1,7 @@
 use crate::fleet::EngineProfile;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
+use crate::fleet::RouteKind;
 
 /// Share of the latency target that waiting and predicted time together may use; the
 /// rest is a reserve for errors of the prediction.
@@ -41,6 +42,10 @@
 const PREDICTION_ERROR_FACTOR: f64 = 2.0;
 const BEGIN_RESERVE_MS: f64 = 240.0;
 
+/// Silence of a sound replica that a request must bear which can't be moved to another one, in
+/// ms.
+const SOUND_SILENCE_MS: u64 = 1_000;
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -166,6 +171,23 @@
     })
 }
 
+/// Time within which a replica must begin a request of this kind to be chosen for it, in ms, if
+/// it may use its weights for `begin_within_ms`.
+///
+/// A stream that may be resumed moves to another replica when its own has not begun it in time.
+/// Any other request would be lost, or its beginning is not seen: it gets a reserve in which its
+/// replica may fall silent and go on.
+pub fn placement_limit_ms(begin_within_ms: Option<u64>, kind: RouteKind) -> Option<u64> {
+    match kind {
+        RouteKind::Streaming { resumable: true } => begin_within_ms,
+        RouteKind::Streaming { resumable: false }
+        | RouteKind::Idempotent
+        | RouteKind::NonIdempotent => {
+            begin_within_ms.map(|within_ms| within_ms.saturating_sub(SOUND_SILENCE_MS))
+        }
+    }
+}
+
 /// Whether a request has begun, as far as the prediction tells, `elapsed_ms` after it was sent.
 pub fn is_predicted_to_have_begun(elapsed_ms: u64, predicted_ms: f64) -> bool {
     begins_in_time(Some(elapsed_ms), predicted_ms)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub use admission::admit_request;
 pub use admission::begins_in_time;
 pub use admission::is_predicted_to_have_begun;
+pub use admission::placement_limit_ms;
 pub use admission::predicted_first_event_ms;
 pub use catalog::Catalog;
 pub use catalog::ClientLimits;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -12,6 +12,7 @@
 use crate::fleet::admit_request;
 use crate::fleet::begins_in_time;
 use crate::fleet::is_predicted_to_have_begun;
+use crate::fleet::placement_limit_ms;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::gateway_handle::Gateway;
@@ -149,6 +150,8 @@
             let version = model.map(|model| (model, replica.weights_version(model, now_ms)))?;
             state.begin_within_ms(version.0, version.1)
         };
+        let limit_ms =
+            |replica: &Replica| placement_limit_ms(begin_within_ms(replica), request.route.kind);
         let mut usable: Vec<(ReplicaKey, &Replica)> = state
             .replicas
             .listed()
@@ -157,7 +160,7 @@
                     && replica.is_usable(now_ms)
                     && !request.tried_replicas.contains(key)
                     && model.is_none_or(|model| replica.weights_version(model, now_ms) > 0)
-                    && begins_in_time(begin_within_ms(replica), 0.0)
+                    && begins_in_time(limit_ms(replica), 0.0)
             })
             .collect();
         // What is sent to a host that stands still runs when it goes on, for nobody.
@@ -167,7 +170,7 @@
         }
         let begin_limits_ms: Vec<Option<u64>> = usable
             .iter()
-            .map(|(_, replica)| begin_within_ms(replica))
+            .map(|(_, replica)| limit_ms(replica))
             .collect();
         // The requests of the other entries are assumed to go to the replicas with free
         // slots, or to all usable ones if none has any.
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -7,9 +7,11 @@
 use bergamotfork::fleet::Replica;
 use bergamotfork::fleet::ReplicaKey;
 use bergamotfork::fleet::ReplicaTable;
+use bergamotfork::fleet::RouteKind;
 use bergamotfork::fleet::admit_request;
 use bergamotfork::fleet::begins_in_time;
 use bergamotfork::fleet::is_predicted_to_have_begun;
+use bergamotfork::fleet::placement_limit_ms;
 use bergamotfork::fleet::predicted_first_event_ms;
 
 const TARGET_MS: u64 = 400;
@@ -237,6 +239,24 @@
     assert!(!is_predicted_to_have_begun(639, 200.0));
 }
 
+/// Guards against LOST: a request that nobody else can take is sent to a replica whose weights
+/// end within a silence of it.
+#[test]
+fn placement_limit_reserve_unless_stream_resumable() {
+    let resumable = RouteKind::Streaming { resumable: true };
+    assert_eq!(placement_limit_ms(Some(1_500), resumable), Some(1_500));
+    let others = [
+        RouteKind::Streaming { resumable: false },
+        RouteKind::Idempotent,
+        RouteKind::NonIdempotent,
+    ];
+    for kind in others {
+        assert_eq!(placement_limit_ms(Some(1_500), kind), Some(500));
+        assert_eq!(placement_limit_ms(Some(900), kind), Some(0));
+        assert_eq!(placement_limit_ms(None, kind), None);
+    }
+}
+
 /// A report that was on its way when a request was sent says nothing of it.
 #[test]
 fn load_after_send_on_its_way() {
