--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -97,8 +97,6 @@
     pub is_streaming: bool,
     /// Head and body, encoded.
     pub bytes: Vec<u8>,
-    /// Time by which the head of the response must have arrived.
-    pub head_deadline: Instant,
     /// Time at which the final response is due.
     pub deadline: Instant,
     /// Room for the answer.
@@ -127,9 +125,8 @@
         Ok(_) => {}
         Err(error) => return SendOutcome::Broken(error.label()),
     }
-    let head_deadline = send.head_deadline.min(send.deadline);
     let head = match connection
-        .read_response_head(MAX_HEAD_BYTES, || head_deadline)
+        .read_response_head(MAX_HEAD_BYTES, || send.deadline)
         .await
     {
         Ok(head) => head,
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -7,8 +7,11 @@
 use bergamotfork::fleet::Replica;
 use bergamotfork::fleet::ReplicaKey;
 use bergamotfork::fleet::ReplicaTable;
+use bergamotfork::fleet::RouteKind;
 use bergamotfork::fleet::admit_request;
 use bergamotfork::fleet::begins_in_time;
+use bergamotfork::fleet::is_predicted_to_have_begun;
+use bergamotfork::fleet::placement_limit_ms;
 use bergamotfork::fleet::predicted_first_event_ms;
 
 const TARGET_MS: u64 = 400;
@@ -230,6 +233,40 @@
     assert!(!begins_in_time(Some(0), 0.0));
 }
 
+#[test]
+fn is_predicted_to_have_begun_late_prediction() {
+    assert!(is_predicted_to_have_begun(640, 200.0));
+    assert!(!is_predicted_to_have_begun(639, 200.0));
+}
+
+/// Guards against LOST: a request that nobody else can take is sent to a replica whose weights
+/// end within a silence of it.
+#[test]
+fn placement_limit_reserve_unless_stream_resumable() {
+    let resumable = RouteKind::Streaming { resumable: true };
+    assert_eq!(placement_limit_ms(Some(1_500), resumable), Some(1_500));
+    let others = [
+        RouteKind::Streaming { resumable: false },
+        RouteKind::Idempotent,
+        RouteKind::NonIdempotent,
+    ];
+    for kind in others {
+        assert_eq!(placement_limit_ms(Some(1_500), kind), Some(500));
+        assert_eq!(placement_limit_ms(Some(900), kind), Some(0));
+        assert_eq!(placement_limit_ms(None, kind), None);
+    }
+}
+
+/// A report that was on its way when a request was sent says nothing of it.
+#[test]
+fn load_after_send_on_its_way() {
+    let (table, keys) = table(1_000, &[4]);
+    let replica = table.get(keys[0]);
+    assert!(replica.load_after(900).is_some());
+    assert!(replica.load_after(999).is_none());
+    assert!(replica.load_after(1_000).is_none());
+}
+
 /// Replays requests that arrive in one moment while all replicas are nearly idle. Guards
 /// against a replica that gets several and reads their prompts one after the other, while
 /// others have nothing to read.
