End a send whose answer is nothing but a head without a length

A client got a 200 with an empty body, framed as whole (MIXED): a replica broke off in the head of its answer, behind the seal and before the length, with a line end after it, and closed. Such a head looks like one of an answer that ends with its connection, whose body is empty.

A success without a length and without a byte of a body, blank lines apart, now counts as broken off, as a stream without an event does already. A replica that means an empty body can state the length 0 or the status 204. Answers with a body that end with their connection are taken as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -170,6 +170,9 @@
         send.deadline
     });
     match read.await {
+        Ok(body) if is_head_alone(head.status, framing, &body) => {
+            SendOutcome::Broken(Http1Error::IncompleteMessage.label())
+        }
         Ok(body) => SendOutcome::Response(ReplicaResponse {
             head,
             framing,
@@ -180,6 +183,13 @@
     }
 }
 
+/// Whether nothing but a head with a success has come before the end of the connection: it may
+/// have broken off before the line with the length of the body.
+fn is_head_alone(status: u16, framing: Framing, body: &[u8]) -> bool {
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    framing == Framing::UntilClose && (200..300).contains(&status) && body.iter().all(is_line_end)
+}
+
 /// Whether more bytes have come after a response. One that names no request is then not known
 /// to be the one to the request that was sent.
 fn has_surplus(connection: &mut Connection, head: &ResponseHead, send: &ReplicaSend) -> bool {
