Check a staged piece before another host gets it

A host that asked another for a piece got a 200 with whatever the engine beside that one had answered, framed as whole (MIXED): a piece that was spoilt since it was staged, or what a cut answer of the engine held of it. The host that asked found it out by the digest, after its bytes had crossed the link. The test read the spoilt piece before (200), and gets no piece now; the others are served as before.

The endpoint now compares the piece with the manifest, where it knows it.

--- a/src/staging/piece_handler.rs
+++ b/src/staging/piece_handler.rs
@@ -52,11 +52,17 @@
         }
         let mut engine = self.engine.clone();
         match engine.read_piece(model, index).await {
-            Ok(Some(body)) => Some(InternalResponse {
-                status: 200,
-                content_type: "application/octet-stream",
-                body,
-            }),
+            Ok(Some(body)) if self.matches(model, version, index, &body) => {
+                Some(InternalResponse {
+                    status: 200,
+                    content_type: "application/octet-stream",
+                    body,
+                })
+            }
+            Ok(Some(_)) => {
+                log::debug!("piece {index} of model {model} was spoilt or read in part");
+                None
+            }
             Ok(None) => None,
             Err(error) => {
                 log::debug!(
@@ -67,6 +73,14 @@
         }
     }
 
+    /// Whether `bytes` are a piece of `version`, as far as its manifest is known. The engine's
+    /// answer may have been cut: it would be passed on as a whole one.
+    fn matches(&self, model: &str, version: u64, index: u32, bytes: &[u8]) -> bool {
+        let mut state = self.state.borrow_mut();
+        let download = state.staged_model(model).version_download(version);
+        download.is_none_or(|download| download.manifest.matches(index, bytes))
+    }
+
     /// Returns the manifest at `rest`, the path `MODEL/VERSION`; `None` when it is not
     /// known.
     fn manifest(&self, rest: &str) -> Option<InternalResponse> {
