Take no interim response of the own interface for the final one

A call to the log, on a kept connection, was acknowledged with the answer to the call before it (MIXED): awc takes a 103 for the final response and its connection for one to reuse, on which the final response then meets the next request. The new test saw the status 103 for the first append and the offset 1, which is that of the first, for the second; it gets an error that leaves open whether the first was appended, and the offset 2.

An interim response now ends its call as broken, and the thread's pool of connections is replaced, so that no later call can read what follows.

--- a/src/links/http_client.rs
+++ b/src/links/http_client.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
 
 thread_local! {
     /// Client whose connections the requests of one thread share.
-    static POOL: Client = new_client(MAX_CONNECTIONS);
+    static POOL: RefCell<Client> = RefCell::new(new_client(MAX_CONNECTIONS));
 }
 
 /// Creates a client without a timeout for requests, as each call here sets its own.
@@ -99,7 +100,7 @@
 
     /// Creates a request on a pooled connection.
     pub fn request(&self, method: Method, url: &str) -> ClientRequest {
-        self.add_shared_key(POOL.with(|pool| pool.request(method, url)))
+        self.add_shared_key(POOL.with_borrow(|pool| pool.request(method, url)))
     }
 
     /// Creates a request on a connection of its own; the client never resends it.
@@ -128,7 +129,9 @@
     ) -> Result<ClientResponse, LinkError> {
         let sending = request.send_body(body.into());
         match wait_for_data(Duration::from_millis(timeout_ms), sending).await {
-            Some(response) => response.map_err(classify_send_error),
+            Some(response) => response
+                .map_err(classify_send_error)
+                .and_then(reject_interim_response),
             None => Err(LinkError::Timeout { timeout_ms }),
         }
     }
@@ -144,7 +147,8 @@
         timeout_ms: u64,
     ) -> Result<Bytes, LinkError> {
         let sending = async {
-            let mut response = request.send_body(body).await.map_err(classify_send_error)?;
+            let response = request.send_body(body).await.map_err(classify_send_error)?;
+            let mut response = reject_interim_response(response)?;
             let status = response.status();
             let retry_after_ms = response
                 .headers()
@@ -307,6 +311,20 @@
     })
 }
 
+/// Fails for an interim response (1xx): `awc` takes it for the final one and the connection for
+/// one that can be reused, on which the final one would meet the next request. All connections
+/// of this thread that are idle are dropped.
+fn reject_interim_response<S>(response: ClientResponse<S>) -> Result<ClientResponse<S>, LinkError> {
+    if !response.status().is_informational() {
+        return Ok(response);
+    }
+    POOL.set(new_client(MAX_CONNECTIONS));
+    Err(LinkError::Broken(format!(
+        "an interim response, with status {}",
+        response.status().as_u16()
+    )))
+}
+
 /// Error of a message that could not be encoded or decoded.
 fn malformed(error: impl std::fmt::Display) -> LinkError {
     LinkError::Malformed(error.to_string())
--- a/tests/links/main.rs
+++ b/tests/links/main.rs
@@ -1,5 +1,7 @@
 //! Answers that are cut, as the clients of our own interface read them.
 
+mod head_cuts;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
