Add run times and the decision what a process that stops passes on

RunTimes keeps the times of the latest 32 runs of each route or service; StopAdmission says whether a request that arrives during a stop is expected to end before what is under way is ended. Not used yet.

--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -4,4 +4,5 @@
 mod crash_model;
 mod pauses;
 mod permits;
+mod stops;
 mod suspects;
--- /dev/null
+++ b/tests/calls/stops.rs
@@ -0,0 +1,73 @@
+//! What a process that stops passes on.
+
+use bergamotfork::calls::RunTimes;
+use bergamotfork::calls::StopAdmission;
+
+/// A request with a deadline of a minute, whose like took `longest_run_ms`.
+fn request(left_ms: u64, longest_run_ms: Option<u64>, is_repeatable: bool) -> StopAdmission {
+    StopAdmission {
+        left_ms,
+        deadline_left_ms: 60_000,
+        longest_run_ms,
+        is_repeatable,
+    }
+}
+
+#[test]
+fn can_end_longest_run_fits() {
+    assert!(request(700, Some(700), true).can_end());
+    assert!(!request(699, Some(700), true).can_end());
+}
+
+/// Guards against requests that may run only once and are cut while a sound replica is silent
+/// for a second.
+#[test]
+fn can_end_single_run_has_reserve() {
+    assert!(!request(1_699, Some(700), false).can_end());
+    assert!(request(1_700, Some(700), false).can_end());
+}
+
+#[test]
+fn can_end_deadline_fits() {
+    let due = StopAdmission {
+        deadline_left_ms: 1_500,
+        ..request(1_500, Some(4_000), false)
+    };
+    assert!(due.can_end());
+    assert!(
+        StopAdmission {
+            longest_run_ms: None,
+            ..due
+        }
+        .can_end()
+    );
+    assert!(
+        !StopAdmission {
+            left_ms: 1_499,
+            ..due
+        }
+        .can_end()
+    );
+}
+
+#[test]
+fn can_end_unknown_time_refused() {
+    assert!(!request(30_000, None, true).can_end());
+}
+
+#[test]
+fn longest_ms_of_latest_runs() {
+    let mut times = RunTimes::default();
+    assert_eq!(times.longest_ms("plan"), None);
+    times.record("plan", 5_000);
+    times.record("hold", 60);
+    assert_eq!(times.longest_ms("plan"), Some(5_000));
+    assert_eq!(times.longest_ms("hold"), Some(60));
+    for _ in 0..32 {
+        times.record("plan", 700);
+    }
+    assert_eq!(times.longest_ms("plan"), Some(700));
+    times.retain(|key| key == "hold");
+    assert_eq!(times.longest_ms("plan"), None);
+    assert_eq!(times.longest_ms("hold"), Some(60));
+}
