Send calls that a stopping endpoint hands back elsewhere, whatever the budget

Callers saw `unknown` with `endpoint_gone` for idempotent calls, although another endpoint was idle: when an endpoint's drain ended, it handed back what still ran, and each new send took a retry from the budget of the branch, ten at once. Beyond that the call ended. Streams were exempt already. One that is lost takes a retry as before.

--- a/src/entry/idempotent_call.rs
+++ b/src/entry/idempotent_call.rs
@@ -120,7 +120,7 @@
                 self.lost.get_or_insert_with(|| last_outcome.clone());
             }
             if is_retryable(&last_outcome) {
-                self.start_next(last_outcome.code());
+                self.start_next(last_outcome.code(), is_planned(&last_outcome));
             }
         }
         // A refusal of the last attempt does not mean that none of the others has run.
@@ -145,16 +145,17 @@
             .and_then(|host| host.silent_ms(now_ms));
         let is_heard = silent_ms.is_some_and(|ms| silent.exchange.is_only_connection_silent(ms));
         if is_heard || !self.hosts.contains(&next.host_key) {
-            self.start_next(UnknownReason::EndpointLost.code());
+            self.start_next(UnknownReason::EndpointLost.code(), false);
         }
     }
 
-    /// Starts the next attempt, if one is left and the retry budget allows it.
-    fn start_next(&mut self, reason: &'static str) {
+    /// Starts the next attempt, if one is left and the retry budget allows it; one after a
+    /// planned stop of an endpoint must not use up the budget of a branch.
+    fn start_next(&mut self, reason: &'static str, is_exempt: bool) {
         if self.candidates.is_empty() || Instant::now() >= self.deadline {
             return;
         }
-        if !self.take_retry(reason) {
+        if !self.take_retry(reason, is_exempt) {
             self.candidates.clear();
             return;
         }
@@ -182,10 +183,12 @@
         self.running.push(attempt.wait().boxed_local());
     }
 
-    /// Takes a retry from the budget of the branch; returns false if there is none left.
-    fn take_retry(&self, reason: &'static str) -> bool {
+    /// Takes a retry from the budget of the branch, unless it is exempt; returns false if there
+    /// is none left.
+    fn take_retry(&self, reason: &'static str, is_exempt: bool) -> bool {
         let metrics = self.state.node.metrics();
-        if !self.state.calls.retry_budget().try_retry(&self.call.branch) {
+        let is_allowed = is_exempt || self.state.calls.retry_budget().try_retry(&self.call.branch);
+        if !is_allowed {
             metrics.record_refusal(RefusalReason::RetryBudgetSpent.code());
             return false;
         }
@@ -254,6 +257,21 @@
     }
 }
 
+/// Whether an endpoint that stops as planned has refused the call or handed it back; one that
+/// is lost says nothing.
+fn is_planned(outcome: &CallOutcome) -> bool {
+    matches!(
+        outcome,
+        CallOutcome::NotRun {
+            reason: RefusalReason::Leaving,
+            ..
+        } | CallOutcome::Unknown {
+            reason: UnknownReason::EndpointGone,
+            ..
+        }
+    )
+}
+
 /// Outcome of an attempt that has ended.
 fn attempt_outcome(result: ExchangeResult) -> CallOutcome {
     match result {
--- a/tests/under_way/stops.rs
+++ b/tests/under_way/stops.rs
@@ -187,3 +187,26 @@
     assert!(book.body.contains("\"still_running\""), "{}", book.body);
     assert_whole(&tokens.await.expect("the caller runs"), 120);
 }
+
+/// Idempotent calls that an endpoint hands back at the end of its drain are answered elsewhere,
+/// however many they are; beyond the budget they ended with `endpoint_gone`.
+#[actix_rt::test]
+async fn stop_endpoint_hands_back_calls() {
+    let parts = Parts {
+        desks: 2,
+        service_args: &["--delay-ms", "1500"],
+        endpoint_settings: "drain_ms = 1000",
+        ..Parts::default()
+    };
+    let mut system = System::start(parts).await;
+    let body = json!({"hut": 12});
+    let calls = (0..60).map(|_| system.call("lookup", &body, None));
+    let (answers, ()) = futures_util::join!(futures_util::future::join_all(calls), async {
+        sleep(BEFORE_STOP).await;
+        system.signal("desk-0", "TERM");
+    });
+    for answer in &answers {
+        assert_answered(answer);
+    }
+    assert_eq!(system.wait_for_exit("desk-0", 10).await, 0);
+}
