Keep a refusal readable while its client goes on sending the body

A caller that sent a body over the limit for longer than a second met a broken pipe instead of `body_too_large`: the entry read on for one second after an early answer, and then closed. It now reads on for as long as the client has to send a body (`slow_client_timeout_ms`).

call_body_too_large failed before (3 MiB in two parts with 2.5 s between them: broken pipe; with 0 and 0.5 s the refusal arrived).

--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -71,6 +71,9 @@
     let server = HttpServer::new(app)
         .workers(1)
         .client_request_timeout(client_timeout)
+        // A refusal that comes before the end of a body stays readable while the client has time
+        // to send.
+        .client_disconnect_timeout(client_timeout)
         .shutdown_timeout(options.drain_ms.div_ceil(1000))
         .disable_signals()
         .bind(listen)?;
--- a/tests/under_way/calls.rs
+++ b/tests/under_way/calls.rs
@@ -103,3 +103,60 @@
         connection = kept;
     }
 }
+
+/// Idempotent calls that run at an endpoint when it is killed are answered by another one.
+#[actix_rt::test]
+async fn call_idempotent_killed_endpoint() {
+    let system = start(2, "600").await;
+    let body = json!({"hut": 12});
+    let before = system.executions(0).await.len();
+    let calls = (0..8).map(|_| system.call("lookup", &body, None));
+    let (answers, ()) = futures_util::join!(futures_util::future::join_all(calls), async {
+        system.wait_for_executions(0, before + 1).await;
+        system.signal("desk-0", "KILL");
+    });
+    for answer in &answers {
+        assert_answered(answer);
+    }
+}
+
+/// A caller that closes its sending side after a request gets the answer.
+#[actix_rt::test]
+async fn call_half_closed_caller() {
+    let system = start(1, "300").await;
+    let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+    let body = call_body("lookup", &json!({"hut": 12}), None);
+    assert_answered(&connection.post_and_shut("/v1/call", &body).await);
+}
+
+/// A caller whose body is too large gets the refusal, also if it sends for seconds before it
+/// reads; its connection was reset under it.
+#[actix_rt::test]
+async fn call_body_too_large() {
+    let system = start(1, "20").await;
+    let body = call_body("lookup", &json!("x".repeat(3 << 20)), None);
+    for pause_ms in [0, 500, 2500] {
+        let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+        let pause = Duration::from_millis(pause_ms);
+        let posted = connection.post_in_parts("/v1/call", &body, pause).await;
+        let answer = posted
+            .1
+            .unwrap_or_else(|cut| panic!("{pause_ms} ms: {cut}"));
+        assert_eq!(answer.status, 413, "{}", answer.body);
+        assert!(answer.body.contains("body_too_large"), "{}", answer.body);
+    }
+}
+
+/// A kept connection that is idle is open for 4 s at least, and is closed without a byte.
+#[actix_rt::test]
+async fn call_idle_connection() {
+    let system = start(1, "20").await;
+    let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+    let body = call_body("lookup", &json!({"hut": 12}), None);
+    let (connection, first) = connection.post("/v1/call", &body).await;
+    assert_answered(&first);
+    sleep(Duration::from_secs(4)).await;
+    let (connection, second) = connection.post("/v1/call", &body).await;
+    assert_answered(&second);
+    connection.wait_for_close().await.expect("it is closed");
+}
--- a/tests/under_way/edits.rs
+++ b/tests/under_way/edits.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use serde_json::Value;
 use serde_json::json;
 
+use crate::kept_connection::KeptConnection;
 use crate::support::until;
 use crate::system::Parts;
 use crate::system::System;
 use crate::system::assert_answered;
 use crate::system::assert_whole;
+use crate::system::call_body;
+use crate::system::generate_body;
 use bergamotfork::clients::LogClient;
 use bergamotfork::document::Edit;
 use bergamotfork::document::LogRecord;
@@ -83,6 +87,41 @@
     .await;
 }
 
+/// A request whose body arrives while its service or branch is removed gets a refusal, over a
+/// connection that stays usable.
+#[actix_rt::test]
+async fn edit_sections_while_bodies_arrive() {
+    let parts = Parts {
+        engines: 1,
+        desks: 1,
+        service_args: &["--delay-ms", "20"],
+        ..Parts::default()
+    };
+    let system = System::start(parts).await;
+    let post = async |path: &str, body: Value| {
+        let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+        let pause = Duration::from_millis(1500);
+        let (kept, answer) = connection.post_in_parts(path, &body, pause).await;
+        let (_, again) = kept.post(path, &body).await;
+        [answer, again]
+    };
+    let call = call_body("lookup", &json!({"hut": 12}), None);
+    let (calls, streams, ()) = futures_util::join!(
+        post("/v1/call", call),
+        post("/v1/generate", generate_body("tides?", 5)),
+        async {
+            sleep(Duration::from_millis(200)).await;
+            remove_section(&system, "model chat", 1).await;
+            remove_section(&system, "service bookdesk", 2).await;
+            remove_section(&system, "branch seaside", 3).await;
+        }
+    );
+    for answer in calls.into_iter().chain(streams) {
+        let answer = answer.expect("there is an answer");
+        assert_eq!(answer.status, 404, "{}", answer.body);
+    }
+}
+
 /// Removes a section by a record in the log.
 async fn remove_section(system: &System, section: &str, base_revision: u64) {
     let edit = Edit {
--- a/tests/under_way/kept_connection.rs
+++ b/tests/under_way/kept_connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -57,6 +58,71 @@
         body: &Value,
         pause: Duration,
     ) -> (Self, Result<Answer, String>) {
+        let (head, body) = self.request(path, body);
+        let exchange = spawn_blocking(move || {
+            let (first, second) = body.split_at(body.len() / 2);
+            let answer = self.exchange(&format!("{head}{first}"), second, pause);
+            (self, answer)
+        });
+        exchange.await.expect("the caller runs")
+    }
+
+    /// Posts `body` byte by byte from its middle on, with `pause` before each byte, until there
+    /// is an answer or the connection is cut.
+    pub async fn post_slowly(
+        mut self,
+        path: &str,
+        body: &Value,
+        pause: Duration,
+    ) -> Result<Answer, String> {
+        let (head, body) = self.request(path, body);
+        let mut sender = self.stream.try_clone().expect("a socket can be shared");
+        let (first, rest) = body.split_at(body.len() / 2);
+        let (first, rest) = (format!("{head}{first}"), rest.to_owned());
+        let sending = spawn_blocking(move || {
+            let sent = sender.write_all(first.as_bytes());
+            sent.map_err(|error| format!("not sent: {error}"))?;
+            for byte in rest.bytes() {
+                std::thread::sleep(pause);
+                if sender.write_all(&[byte]).is_err() {
+                    break;
+                }
+            }
+            Ok::<(), String>(())
+        });
+        let reading = spawn_blocking(move || self.read_answer());
+        let answer = reading.await.expect("the caller runs");
+        sending.await.expect("the caller runs")?;
+        answer
+    }
+
+    /// Posts `body`, closes the sending side, and reads the answer.
+    pub async fn post_and_shut(mut self, path: &str, body: &Value) -> Result<Answer, String> {
+        let (head, body) = self.request(path, body);
+        let exchange = spawn_blocking(move || {
+            let sent = self.stream.write_all(format!("{head}{body}").as_bytes());
+            sent.and_then(|()| self.stream.shutdown(Shutdown::Write))
+                .map_err(|error| format!("not sent: {error}"))?;
+            self.read_answer()
+        });
+        exchange.await.expect("the caller runs")
+    }
+
+    /// Waits until the entry closes the connection; an error if it sends something or does not
+    /// close it in time.
+    pub async fn wait_for_close(mut self) -> Result<(), String> {
+        let closing = spawn_blocking(move || {
+            let mut byte = [0];
+            match self.stream.read(&mut byte) {
+                Ok(0) => Ok(()),
+                other => Err(format!("{other:?}")),
+            }
+        });
+        closing.await.expect("the caller runs")
+    }
+
+    /// Head and body of a request.
+    fn request(&self, path: &str, body: &Value) -> (String, String) {
         let body = body.to_string();
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {TOKEN}\r\n\
@@ -64,12 +130,7 @@
             self.host,
             body.len()
         );
-        let exchange = spawn_blocking(move || {
-            let (first, second) = body.split_at(body.len() / 2);
-            let answer = self.exchange(&format!("{head}{first}"), second, pause);
-            (self, answer)
-        });
-        exchange.await.expect("the caller runs")
+        (head, body)
     }
 
     fn exchange(&mut self, first: &str, second: &str, pause: Duration) -> Result<Answer, String> {
