Refuse a request whose body is not whole at the end of the drain

A caller whose body was still arriving at the end of an entry's drain got no answer: the handler waits for the whole body and knew nothing of the drain, and the process ended under it. The body now ends with the drain, and the request is refused with `leaving`, which its caller can read while it goes on sending. The end of a drain moves from `node` to `links`, as the server waits for it.

stop_entry_body_later_than_drain (bodies of one byte every 50 ms, drain of 2 s) failed before: the connection was cut.

--- a/src/endpoint/generate_run.rs
+++ b/src/endpoint/generate_run.rs
@@ -27,8 +27,8 @@
 use crate::clients::EngineErrorCode;
 use crate::clients::GenerateOrder;
 use crate::clients::StreamEvent;
+use crate::links::DrainEnd;
 use crate::links::wait_for_data;
-use crate::node::DrainEnd;
 use crate::weights::Digest;
 
 /// Interval of heartbeats while a request waits for a slot or the engine, in milliseconds.
--- a/src/endpoint/generate_server.rs
+++ b/src/endpoint/generate_server.rs
@@ -15,7 +15,7 @@
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
 use crate::clients::EngineClient;
-use crate::node::DrainEnd;
+use crate::links::DrainEnd;
 use crate::weights::Digest;
 
 /// Number of frames that are buffered for a slow reader.
--- a/src/endpoint/state.rs
+++ b/src/endpoint/state.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::WeightLinks;
 use crate::endpoint::WeightsState;
 use crate::endpoint::call_registry::CallRegistry;
-use crate::node::DrainEnd;
+use crate::links::DrainEnd;
 use crate::node::Node;
 use crate::weights::MemoryBudget;
 
--- a/src/entry/api_error.rs
+++ b/src/entry/api_error.rs
@@ -157,6 +157,9 @@
 /// Error for a raw body that could not be read.
 pub fn payload_error(error: &PayloadError) -> ApiError {
     let code = match error {
+        PayloadError::Io(cause) if cause.kind() == ErrorKind::ConnectionAborted => {
+            return ApiError::retryable(ErrorCode::Leaving, error.to_string(), 0);
+        }
         PayloadError::Overflow => ErrorCode::BodyTooLarge,
         PayloadError::Io(cause) if cause.kind() == ErrorKind::TimedOut => ErrorCode::RequestTimeout,
         _ => ErrorCode::BadRequest,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -52,13 +52,15 @@
 ///
 /// The I/O error when an address cannot be bound.
 pub async fn start_entry(settings: EntrySettings) -> io::Result<EntryHandle> {
+    let listen = settings.process.listen;
+    let state = Arc::new(EntryState::new(settings));
+    let settings = &state.settings;
     let options = ServeOptions {
         client_timeout_ms: settings.slow_client_timeout_ms,
         // The time until addresses have expired is a part of the drain.
         drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
+        drain_end: Arc::clone(&state.drain_end),
     };
-    let listen = settings.process.listen;
-    let state = Arc::new(EntryState::new(settings));
     let shared = Arc::clone(&state);
     let server = serve(listen, &options, move |app| {
         let max_body_bytes = shared.settings.max_body_bytes;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,7 +5,7 @@
 use crate::conf::EntrySettings;
 use crate::entry::GenerateRouting;
 use crate::entry::service_call_state::ServiceCallState;
-use crate::node::DrainEnd;
+use crate::links::DrainEnd;
 use crate::node::Node;
 
 /// State shared by the handlers of an entry.
@@ -24,7 +24,7 @@
     /// Statistics of the endpoints and retry budget of token streams.
     pub routing: GenerateRouting,
     /// End of the drain, once the entry stops.
-    pub drain_end: DrainEnd,
+    pub drain_end: Arc<DrainEnd>,
 }
 
 impl EntryState {
@@ -47,7 +47,7 @@
             calls: ServiceCallState::new(),
             permit_key,
             routing,
-            drain_end: DrainEnd::new(),
+            drain_end: Arc::default(),
         }
     }
 }
--- a/src/links/body_timeout.rs
+++ b/src/links/body_timeout.rs
@@ -1,4 +1,6 @@
 use std::io;
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::time::Instant;
@@ -13,12 +15,18 @@
 use actix_web::middleware::Next;
 use bytes::Bytes;
 use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::select;
 use futures_util::stream;
 
-/// Request body that fails when it is not complete at its deadline.
+use crate::links::DrainEnd;
+
+/// Request body that fails when it is not complete at its deadline, or when the drain of a
+/// stopping process ends.
 struct TimedBody {
     payload: Payload,
     deadline: Instant,
+    drain_end: Arc<DrainEnd>,
     has_ended: bool,
 }
 
@@ -29,8 +37,11 @@
             return None;
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let part = timeout(left, self.payload.next()).await;
-        let part = part.unwrap_or_else(|_| Some(Err(late_body_error())));
+        let part = timeout(left, self.payload.next());
+        let part = match select(pin!(part), pin!(self.drain_end.reached())).await {
+            Either::Left((part, _)) => part.unwrap_or_else(|_| Some(Err(late_body_error()))),
+            Either::Right(_) => Some(Err(stopped_error())),
+        };
         self.has_ended = !matches!(part, Some(Ok(_)));
         part
     }
@@ -44,10 +55,19 @@
     ))
 }
 
+/// Error of a body that was not complete when the process had to end.
+fn stopped_error() -> PayloadError {
+    PayloadError::Io(io::Error::new(
+        io::ErrorKind::ConnectionAborted,
+        "the process stops before the body is complete",
+    ))
+}
+
 /// Middleware that makes the body of a request fail when it is not complete within
-/// `body_timeout`.
+/// `body_timeout` and before `drain_end`.
 pub async fn limit_body_time(
     body_timeout: Duration,
+    drain_end: Arc<DrainEnd>,
     mut request: ServiceRequest,
     next: Next<impl MessageBody>,
 ) -> Result<ServiceResponse<impl MessageBody>, Error> {
@@ -58,6 +78,7 @@
     let body = TimedBody {
         payload,
         deadline: Instant::now() + body_timeout,
+        drain_end,
         has_ended: false,
     };
     let parts = stream::unfold(body, |mut body| async move {
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -27,6 +27,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::links::CallRejection;
+use crate::links::DrainEnd;
 use crate::links::LinkError;
 use crate::links::RequestsUnderWay;
 use crate::links::SHARED_KEY_HEADER;
@@ -41,6 +42,8 @@
     pub client_timeout_ms: u64,
     /// Time that requests in progress have after a stop, in ms.
     pub drain_ms: u64,
+    /// End of the drain, at which a body that is still arriving is refused.
+    pub drain_end: Arc<DrainEnd>,
 }
 
 impl Default for ServeOptions {
@@ -48,6 +51,7 @@
         Self {
             client_timeout_ms: 5000,
             drain_ms: 30_000,
+            drain_end: Arc::default(),
         }
     }
 }
@@ -65,14 +69,16 @@
     let client_timeout = Duration::from_millis(options.client_timeout_ms);
     let is_closing: Arc<AtomicBool> = Arc::default();
     let shared = Arc::clone(&is_closing);
+    let drain_end = Arc::clone(&options.drain_end);
     let under_way: Arc<RequestsUnderWay> = Arc::default();
     let requests = Arc::clone(&under_way);
     let app = move || {
         let is_closing = Arc::clone(&shared);
+        let drain_end = Arc::clone(&drain_end);
         let requests = Arc::clone(&requests);
         App::new()
             .wrap(from_fn(move |request, next| {
-                limit_body_time(client_timeout, request, next)
+                limit_body_time(client_timeout, Arc::clone(&drain_end), request, next)
             }))
             .wrap(from_fn(move |request, next| {
                 hold_request(Arc::clone(&requests), request, next)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,7 +4,6 @@
 mod config_admission;
 mod config_request;
 mod datagram_receiver;
-mod drain_end;
 mod host_list_watcher;
 #[allow(clippy::module_inception)]
 mod node;
@@ -17,7 +16,6 @@
 pub use config_request::ConfigRequest;
 pub use config_request::emit_notices;
 pub use config_request::fetch_config;
-pub use drain_end::DrainEnd;
 pub use host_list_watcher::HostListWatcher;
 pub use node::Node;
 pub use reporter::Reporter;
--- a/tests/under_way/late_in_stop.rs
+++ b/tests/under_way/late_in_stop.rs
@@ -58,6 +58,32 @@
     assert!(took < AT_ONCE, "{took:?} {body}");
 }
 
+/// A request whose body is not whole at the end of the drain gets a refusal, also while its
+/// caller goes on sending; its connection was cut.
+#[actix_rt::test]
+async fn stop_entry_body_later_than_drain() {
+    let mut system = start(1, 1, "20", "drain_ms = 2000").await;
+    let post = async |path: &str, body| {
+        let connection = KeptConnection::open(&system.entry).expect("the entry listens");
+        let pause = Duration::from_millis(50);
+        connection.post_slowly(path, &body, pause).await
+    };
+    let long = json!({"note": "x".repeat(400)});
+    let prompt = "x".repeat(400);
+    let (call, tokens, ()) = futures_util::join!(
+        post("/v1/call", call_body("lookup", &long, None)),
+        post("/v1/generate", generate_body(&prompt, 5)),
+        async {
+            sleep(Duration::from_millis(300)).await;
+            system.signal("entry-1", "TERM");
+        }
+    );
+    for answer in [call, tokens] {
+        assert_refused(&answer, Duration::ZERO);
+    }
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
 /// A connection whose stream ends within a stop, and whose answer did not say that it would be
 /// closed, takes another request; it was closed under it.
 #[actix_rt::test]
