Refuse at once what arrives in a stop and can't end in it

An entry that stops takes requests until its addresses have lapsed. It passed them on whatever was left of its drain: calls ended with `still_running` and streams with `stream_broken` after the whole wait, and what they had begun ran for nobody. Past the end of a short drain, calls were even sent and given up in the same moment.

The entry now keeps how long the latest calls of each path took, and the latest streams of each model and size, and asks StopAdmission: what has a deadline or a usual time that fits in the rest of the drain is taken; the rest is refused with `leaving`, not run. For a call under a permit the refusal is recorded, so that no copy runs later.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -80,7 +80,9 @@
         permit: None,
         deadline_ms,
     };
-    let deadline = Instant::now() + Duration::from_millis(deadline_ms);
+    let started = Instant::now();
+    let deadline = started + Duration::from_millis(deadline_ms);
+    let target = call.target();
     let is_idempotent = service.idempotent.contains(&call.path);
     let send_no = body.send.unwrap_or(UNNUMBERED_SEND);
     let outcome = pin!(async {
@@ -94,6 +96,9 @@
         Either::Left((outcome, _)) => outcome,
         Either::Right(_) => CallOutcome::unknown(UnknownReason::StillRunning),
     };
+    if let CallOutcome::Answer(_) = &outcome {
+        state.record_run(&[&target], started.elapsed());
+    }
     if let CallOutcome::NotRun { reason, .. } = &outcome {
         state.node.metrics().record_refusal(reason.code());
         emit_event(
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -95,7 +95,9 @@
             .min(MAX_DEADLINE_MS),
         is_suspect: false,
     };
-    stream_response(GenerateRelay::new(state.into_inner(), call)).await
+    let mut relay = GenerateRelay::new(state.into_inner(), call);
+    relay.check_stop()?;
+    stream_response(relay).await
 }
 
 /// Answers with the stream of events.
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -1,6 +1,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -81,6 +82,7 @@
     /// Index of the next token to send to the caller.
     next_index: u32,
     has_ended: bool,
+    started: Instant,
 }
 
 impl GenerateRelay {
@@ -101,6 +103,7 @@
             first_index: call.resume_from,
             next_index: call.resume_from,
             has_ended: false,
+            started: Instant::now(),
             state,
             call,
         }
@@ -124,6 +127,9 @@
                 RelayStep::Hedge(reason) => self.start_hedge(reason),
                 RelayStep::Finish(event) => {
                     self.has_ended = true;
+                    let kinds = self.kinds();
+                    let kinds = [kinds[0].as_str(), kinds[1].as_str()];
+                    self.state.record_run(&kinds, self.started.elapsed());
                     let metrics = self.state.node.metrics();
                     metrics.add(CounterKind::Requests, 1, "outcome", "done");
                     self.attempt = None;
@@ -140,6 +146,30 @@
         }
     }
 
+    /// Refuses the request, before anything of it was sent, if it can't end before this entry
+    /// stops.
+    pub(super) fn check_stop(&mut self) -> Result<(), ApiError> {
+        let kinds = self.kinds();
+        let kinds = [kinds[0].as_str(), kinds[1].as_str()];
+        let deadline_left = Duration::from_millis(self.left_ms());
+        match self.state.can_end(&kinds, deadline_left, true) {
+            true => Ok(()),
+            false => {
+                let error = self.drain_error();
+                Err(self.finish_with_error(error))
+            }
+        }
+    }
+
+    /// Kinds of requests that take about as long: those of the model for about as many tokens,
+    /// and all those of the model.
+    fn kinds(&self) -> [String; 2] {
+        let tokens = self.call.max_tokens.saturating_sub(self.first_index);
+        let size = tokens.checked_next_power_of_two().unwrap_or(u32::MAX);
+        let model = &self.call.model;
+        [format!("model {model} {size}"), format!("model {model}")]
+    }
+
     /// Identifier of the request.
     pub(super) fn request_id(&self) -> &str {
         &self.call.request_id
--- a/src/entry/idempotent_call.rs
+++ b/src/entry/idempotent_call.rs
@@ -39,6 +39,10 @@
     if !state.node.is_ready() {
         return CallOutcome::not_run(RefusalReason::NotReady);
     }
+    let deadline_left = deadline.saturating_duration_since(Instant::now());
+    if !state.can_end(&[&call.target()], deadline_left, true) {
+        return CallOutcome::not_run(RefusalReason::Leaving);
+    }
     state.calls.retry_budget().count_request(&call.branch);
     let mut candidates = call_candidates(state, &call.service);
     let Some(first) = candidates.pop_front() else {
--- a/src/entry/non_idempotent_call.rs
+++ b/src/entry/non_idempotent_call.rs
@@ -145,8 +145,13 @@
         if !node.is_ready() {
             return Some(RefusalReason::NotReady);
         }
+        let target = self.call.target();
+        let deadline_left = self.deadline.saturating_duration_since(Instant::now());
+        if !self.state.can_end(&[&target], deadline_left, false) {
+            return Some(RefusalReason::Leaving);
+        }
         let now_ms = node.now_ms();
-        let request = fingerprint(&self.call.target(), self.call.body.as_bytes());
+        let request = fingerprint(&target, self.call.body.as_bytes());
         let status = node.suspects().request_status(request, now_ms);
         (status == SuspectStatus::Refused).then_some(RefusalReason::CrashSuspect)
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -133,7 +133,8 @@
     ///
     /// The entry removes itself from the addresses, serves until those that callers
     /// hold have expired, and then completes the requests in progress. Those that last longer
-    /// than the drain end with a refusal.
+    /// than the drain end with a refusal, and those that arrive and would last longer are
+    /// refused at once.
     pub async fn stop(&self) {
         let node = &self.state.node;
         let started = Instant::now();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,6 +1,10 @@
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
 
 use crate::calls::PermitKey;
+use crate::calls::RunTimes;
+use crate::calls::StopAdmission;
 use crate::clients::LogClient;
 use crate::conf::EntrySettings;
 use crate::entry::GenerateRouting;
@@ -25,6 +29,8 @@
     pub routing: GenerateRouting,
     /// End of the drain, once the entry stops.
     pub drain_end: Arc<DrainEnd>,
+    /// Times that the latest requests took, by their kind.
+    run_times: Mutex<RunTimes>,
 }
 
 impl EntryState {
@@ -48,6 +54,43 @@
             permit_key,
             routing,
             drain_end: Arc::default(),
+            run_times: Mutex::default(),
+        }
+    }
+
+    /// Whether a request that has arrived is expected to end before this entry does; `kinds`
+    /// names requests that take as long, the most alike first.
+    pub(super) fn can_end(
+        &self,
+        kinds: &[&str],
+        deadline_left: Duration,
+        is_repeatable: bool,
+    ) -> bool {
+        let Some(left_ms) = self.drain_end.left_ms() else {
+            return true;
+        };
+        let run_times = self
+            .run_times
+            .lock()
+            .expect("no holder of the times panics");
+        let admission = StopAdmission {
+            left_ms,
+            deadline_left_ms: u64::try_from(deadline_left.as_millis()).unwrap_or(u64::MAX),
+            longest_run_ms: kinds.iter().find_map(|kind| run_times.longest_ms(kind)),
+            is_repeatable,
+        };
+        admission.can_end()
+    }
+
+    /// Records the time that a request of these kinds took to its whole answer.
+    pub(super) fn record_run(&self, kinds: &[&str], took: Duration) {
+        let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        let mut run_times = self
+            .run_times
+            .lock()
+            .expect("no holder of the times panics");
+        for kind in kinds {
+            run_times.record(kind, took_ms);
         }
     }
 }
--- a/src/links/drain_end.rs
+++ b/src/links/drain_end.rs
@@ -28,6 +28,13 @@
         self.end.send_replace(Some(Instant::now() + left));
     }
 
+    /// Time until the drain ends, in milliseconds; `None` if the process is not stopping.
+    pub fn left_ms(&self) -> Option<u64> {
+        let end = (*self.end.borrow())?;
+        let left = end.saturating_duration_since(Instant::now());
+        Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Waits until the drain ends.
     pub async fn reached(&self) {
         let mut changes = self.end.subscribe();
--- a/tests/under_way/late_in_stop.rs
+++ b/tests/under_way/late_in_stop.rs
@@ -58,6 +58,96 @@
     assert!(took < AT_ONCE, "{took:?} {body}");
 }
 
+/// Calls that can't end before the drain does are refused at once and did not run; they ended
+/// with `still_running` although nobody had begun them.
+#[actix_rt::test]
+async fn stop_entry_calls_sent_late() {
+    let mut system = start(0, 2, "1200", "drain_ms = 2000").await;
+    let mut permits = Vec::new();
+    for _ in 0..3 {
+        permits.push(system.permit().await);
+    }
+    let ran = async || system.executions(0).await.len() + system.executions(1).await.len();
+    let before = ran().await;
+    let lookup = || call_body("lookup", &json!({"hut": 12}), None);
+    system.signal("entry-1", "TERM");
+    let early = spawn_post(&system.entry, "/v1/call", lookup()).expect("it listens");
+    sleep(Duration::from_millis(350)).await;
+    let mut late = Vec::new();
+    for permit in &permits {
+        late.extend(spawn_post(&system.entry, "/v1/call", lookup()));
+        let book = call_body("book", &json!({"hut": 12}), Some(permit));
+        late.extend(spawn_post(&system.entry, "/v1/call", book));
+        sleep(REQUEST_PAUSE).await;
+    }
+    assert!(late.len() >= 2, "{}", late.len());
+    for caller in late {
+        let (answer, took) = caller.await.expect("the caller runs");
+        assert_refused(&answer, took);
+        let answer = answer.expect("there is an answer");
+        assert!(answer.body.contains("\"not_run\""), "{}", answer.body);
+    }
+    assert_answered(&early.await.expect("the caller runs").0);
+    assert_eq!(ran().await, before + 1);
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
+/// Streams that can't end before the drain does are refused at once, and those that can are
+/// whole; they were begun and broken.
+#[actix_rt::test]
+async fn stop_entry_streams_sent_late() {
+    let mut system = start(2, 0, "0", "drain_ms = 2000").await;
+    for tokens in [5, 80] {
+        assert_whole(&system.generate("tides?", tokens).await, tokens);
+    }
+    let entry = system.entry.clone();
+    let post = |tokens| spawn_post(&entry, "/v1/generate", generate_body("tides?", tokens));
+    system.signal("entry-1", "TERM");
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        callers.extend(post(5).map(|caller| (5, caller)));
+        callers.extend(post(80).map(|caller| (80, caller)));
+        sleep(REQUEST_PAUSE).await;
+    }
+    assert!(callers.len() >= 12, "{}", callers.len());
+    for (tokens, caller) in callers {
+        let (answer, took) = caller.await.expect("the caller runs");
+        match tokens {
+            5 => assert_whole(&answer, 5),
+            _ => assert_refused(&answer, took),
+        }
+    }
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
+/// In a drain of nearly nothing each call is answered or refused truthfully, with nothing left
+/// unknown; calls past its end were passed on and given up.
+#[actix_rt::test]
+async fn stop_entry_short_drain() {
+    let mut system = start(0, 1, "20", "drain_ms = 600").await;
+    let before = system.executions(0).await.len();
+    system.signal("entry-1", "TERM");
+    let mut callers = Vec::new();
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(450) {
+        let body = call_body("lookup", &json!({"hut": 12}), None);
+        callers.extend(spawn_post(&system.entry, "/v1/call", body));
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(callers.len() >= 20, "{}", callers.len());
+    let mut answered = 0;
+    for caller in callers {
+        let (answer, took) = caller.await.expect("the caller runs");
+        match &answer {
+            Ok(whole) if whole.status == 200 => answered += 1,
+            _ => assert_refused(&answer, took),
+        }
+    }
+    assert_eq!(system.executions(0).await.len(), before + answered);
+    assert!(answered > 0);
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
 /// A request whose body is not whole at the end of the drain gets a refusal, also while its
 /// caller goes on sending; its connection was cut.
 #[actix_rt::test]
