Deliver what arrived while an entry stood still past the end of its drain

An entry that was frozen within a stop found the end of its drain before it looked for data: a call whose answer lay in its socket ended with `still_running`. Whoever waits for the end of the drain now has 10 ms to look, as at a deadline.

stop_entry_frozen_past_drain failed before with `still_running`.

--- a/src/links/arrived_data.rs
+++ b/src/links/arrived_data.rs
@@ -5,7 +5,7 @@
 use actix_rt::time::timeout;
 
 /// Time in which data that has arrived is received, once a timer has fired.
-const ARRIVED_DATA_WAIT: Duration = Duration::from_millis(10);
+pub(super) const ARRIVED_DATA_WAIT: Duration = Duration::from_millis(10);
 
 /// Waits for data for at most `wait`; `None` if none has arrived by then.
 ///
--- a/src/links/drain_end.rs
+++ b/src/links/drain_end.rs
@@ -4,6 +4,8 @@
 use actix_rt::time::sleep;
 use tokio::sync::watch;
 
+use crate::links::arrived_data::ARRIVED_DATA_WAIT;
+
 /// Part of a drain in which refusals are sent to callers whose requests are too long.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 
@@ -35,7 +37,8 @@
         Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// Waits until the drain ends.
+    /// Waits until the drain ends; whoever waited meanwhile then has time to look for data that
+    /// arrived while the process stood still.
     pub async fn reached(&self) {
         let mut changes = self.end.subscribe();
         let end = match changes.wait_for(Option::is_some).await {
@@ -45,7 +48,10 @@
         let left = end.map_or(Duration::MAX, |end| {
             end.saturating_duration_since(Instant::now())
         });
-        sleep(left).await;
+        if !left.is_zero() {
+            sleep(left).await;
+            sleep(ARRIVED_DATA_WAIT).await;
+        }
     }
 }
 
--- a/tests/under_way/late_in_stop.rs
+++ b/tests/under_way/late_in_stop.rs
@@ -199,6 +199,28 @@
     assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
 }
 
+/// What has arrived while the entry stood still past the end of its drain is delivered; what has
+/// not ends with a refusal.
+#[actix_rt::test]
+async fn stop_entry_frozen_past_drain() {
+    let mut system = start(1, 1, "600", "drain_ms = 2000").await;
+    let lookup = call_body("lookup", &json!({"hut": 12}), None);
+    let post = |path, body| spawn_post(&system.entry, path, body).expect("it listens");
+    let call = post("/v1/call", lookup);
+    let short = post("/v1/generate", generate_body("tides?", 20));
+    let long = post("/v1/generate", generate_body("tides?", 150));
+    sleep(Duration::from_millis(150)).await;
+    system.signal("entry-1", "TERM");
+    sleep(Duration::from_millis(100)).await;
+    system.freeze("entry-1", Duration::from_millis(2300)).await;
+    assert_answered(&call.await.expect("the caller runs").0);
+    assert_whole(&short.await.expect("the caller runs").0, 20);
+    let long = long.await.expect("the caller runs").0.expect("an answer");
+    let last = long.body.lines().last().expect("it has events");
+    assert!(last.contains("\"stream_broken\""), "{last}");
+    assert_eq!(system.wait_for_exit("entry-1", 10).await, 0);
+}
+
 /// A stop ends within its drain, also with a stream that is longer.
 #[actix_rt::test]
 async fn stop_entry_ends_within_drain() {
