Let an endpoint that stood still past its drain send its last answers

An endpoint that was frozen within a stop woke past the end of its drain and ended at once: a call under a permit whose answer lay in its socket was told as `endpoint_gone`. The last 250 ms of a drain now count from the waking on.

stop_endpoint_frozen_past_drain failed before with `endpoint_gone`. stop_endpoint_permits_until_gone (150 calls under permits up to the end of an endpoint and past it) passed from the start.

--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -1,4 +1,5 @@
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::endpoint::configure_weights_routes;
 use crate::endpoint::generate;
 use crate::endpoint::generate_load::LoadUpdater;
+use crate::links::LAST_ANSWERS_TIME;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -97,13 +99,16 @@
         self.state.drain_end.start(drain);
         self.server.close_after_answers();
         Reporter::send_reports(node).await;
-        let drained = async {
+        let mut drained = pin!(async {
             // Stopping the server waits for connections only, and a call may outlive its
             // connection.
             self.state.calls.wait_until_drained().await;
             self.server.stop().await;
-        };
-        let _ = timeout(drain, drained).await;
+        });
+        let last = LAST_ANSWERS_TIME.min(drain / 4);
+        if timeout(drain - last, drained.as_mut()).await.is_err() {
+            let _ = timeout(last, drained).await;
+        }
         emit_event(Event::ProcessStopped, &[("host", &node.name())]);
     }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -22,6 +22,7 @@
 use crate::entry::generate;
 use crate::entry::status;
 use crate::entry::tailer::Tailer;
+use crate::links::LAST_ANSWERS_TIME;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -36,9 +37,6 @@
 /// stop if the answers had begun before it, and their next requests may be on the way.
 const KEPT_TIME: Duration = Duration::from_millis(500);
 
-/// Time for the last answers of a process that stood still past the end of its drain.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
-
 /// Handle of a running entry.
 #[derive(Debug, Clone)]
 pub struct EntryHandle {
--- a/src/links/drain_end.rs
+++ b/src/links/drain_end.rs
@@ -9,6 +9,9 @@
 /// Part of a drain in which refusals are sent to callers whose requests are too long.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for the last answers of a process that stood still past the end of its drain.
+pub const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
+
 /// Time of a stopping process at which answers under way end with a refusal, before their
 /// connections are cut.
 #[derive(Debug)]
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -21,6 +21,7 @@
 pub use call_rejection::CallRejection;
 pub use deadline_body::DeadlineBody;
 pub use drain_end::DrainEnd;
+pub use drain_end::LAST_ANSWERS_TIME;
 pub use errors::LinkError;
 pub use http_client::HttpClient;
 pub use http_client::SHARED_KEY_HEADER;
--- a/tests/under_way/stops.rs
+++ b/tests/under_way/stops.rs
@@ -210,3 +210,71 @@
     }
     assert_eq!(system.wait_for_exit("desk-0", 10).await, 0);
 }
+
+/// Calls under permits of an endpoint that stops are answered or did not run, up to its last
+/// moment and after it.
+#[actix_rt::test]
+async fn stop_endpoint_permits_until_gone() {
+    let parts = Parts {
+        desks: 1,
+        service_args: &["--delay-ms", "40"],
+        endpoint_settings: "drain_ms = 1500",
+        ..Parts::default()
+    };
+    let mut system = System::start(parts).await;
+    let mut permits = Vec::new();
+    while permits.len() < 150 {
+        permits.push(system.permit().await);
+    }
+    let before = system.executions(0).await.len();
+    let calls = permits.into_iter().enumerate().map(|(number, permit)| {
+        let entry = system.entry.clone();
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(10) * number as u32).await;
+            let connection = KeptConnection::open(&entry)?;
+            let call = call_body("book", &json!({"hut": number}), Some(&permit));
+            connection.post("/v1/call", &call).await.1
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    sleep(BEFORE_STOP).await;
+    system.signal("desk-0", "TERM");
+    let mut answered = 0;
+    for call in calls {
+        let answer = call.await.expect("the caller runs").expect("an answer");
+        match answer.status {
+            200 => answered += 1,
+            _ => assert!(answer.body.contains("\"not_run\""), "{}", answer.body),
+        }
+    }
+    assert_eq!(system.executions(0).await.len(), before + answered);
+    assert_eq!(system.wait_for_exit("desk-0", 10).await, 0);
+}
+
+/// What runs at an endpoint that stands still past the end of its drain is answered.
+#[actix_rt::test]
+async fn stop_endpoint_frozen_past_drain() {
+    let parts = Parts {
+        desks: 1,
+        service_args: &["--delay-ms", "600"],
+        endpoint_settings: "drain_ms = 1500",
+        ..Parts::default()
+    };
+    let mut system = System::start(parts).await;
+    let permit = system.permit().await;
+    let before = system.executions(0).await.len();
+    let body = json!({"hut": 12});
+    let (book, lookup, ()) = futures_util::join!(
+        system.call("book", &body, Some(&permit)),
+        system.call("lookup", &body, None),
+        async {
+            system.wait_for_executions(0, before + 2).await;
+            system.signal("desk-0", "TERM");
+            sleep(Duration::from_millis(100)).await;
+            system.freeze("desk-0", Duration::from_millis(1800)).await;
+        }
+    );
+    assert_answered(&book);
+    assert_answered(&lookup);
+    assert_eq!(system.wait_for_exit("desk-0", 10).await, 0);
+}
