--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,11 +1,16 @@
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix::Actor;
+use actix_rt::time::sleep;
+use actix_rt::time::timeout;
 use actix_web::Resource;
 use actix_web::Route;
 use actix_web::web;
+use futures_util::future::select;
 
 use crate::conf::EntrySettings;
 use crate::entry::EntryState;
@@ -17,6 +22,7 @@
 use crate::entry::generate;
 use crate::entry::status;
 use crate::entry::tailer::Tailer;
+use crate::links::LAST_ANSWERS_TIME;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -27,6 +33,10 @@
 use crate::observe::emit_event;
 use crate::standin::HttpServerHandle;
 
+/// Time for which connections stay open after their answers: their clients were not told of the
+/// stop if the answers had begun before it, and their next requests may be on the way.
+const KEPT_TIME: Duration = Duration::from_millis(500);
+
 /// Handle of a running entry.
 #[derive(Debug, Clone)]
 pub struct EntryHandle {
@@ -40,13 +50,15 @@
 ///
 /// The I/O error when an address cannot be bound.
 pub async fn start_entry(settings: EntrySettings) -> io::Result<EntryHandle> {
+    let listen = settings.process.listen;
+    let state = Arc::new(EntryState::new(settings));
+    let settings = &state.settings;
     let options = ServeOptions {
         client_timeout_ms: settings.slow_client_timeout_ms,
         // The time until addresses have expired is a part of the drain.
         drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
+        drain_end: Arc::clone(&state.drain_end),
     };
-    let listen = settings.process.listen;
-    let state = Arc::new(EntryState::new(settings));
     let shared = Arc::clone(&state);
     let server = serve(listen, &options, move |app| {
         let max_body_bytes = shared.settings.max_body_bytes;
@@ -119,18 +131,24 @@
     ///
     /// The entry removes itself from the addresses, serves until those that callers
     /// hold have expired, and then completes the requests in progress. Those that last longer
-    /// than the drain end with a refusal.
+    /// than the drain end with a refusal, and those that arrive and would last longer are
+    /// refused at once.
     pub async fn stop(&self) {
         let node = &self.state.node;
+        let started = Instant::now();
         let drain = Duration::from_millis(self.state.settings.drain_ms);
+        let left = || drain.saturating_sub(started.elapsed());
         self.state.drain_end.start(drain);
         emit_event(Event::ProcessStopping, &[("host", &node.name())]);
         node.start_drain();
         self.server.close_after_answers();
         Reporter::send_reports(node).await;
         let lifetime = Duration::from_millis(self.state.settings.address_lifetime_ms);
-        actix_rt::time::sleep(lifetime).await;
-        self.server.stop().await;
+        sleep(lifetime.min(left())).await;
+        let earlier = pin!(self.server.wait_for_earlier());
+        select(earlier, pin!(self.state.drain_end.reached())).await;
+        sleep(KEPT_TIME.min(left() / 2)).await;
+        let _ = timeout(left().max(LAST_ANSWERS_TIME), self.server.stop()).await;
         emit_event(Event::ProcessStopped, &[("host", &node.name())]);
     }
 }
