Count the grace of a stop by the newest settings and from its signal

Callers saw: beside a stop, no answer at all: the platform killed the process before it had ended what was under way.

Cause: the grace was that of the settings read last, up to two seconds ago, and counted from when the process heard the signal, also after a standstill; a process that ended what was under way left after more than its grace where that is short; and one that was idle left without an answer for what had arrived in its last 50 ms.

Change: the settings are read once more at the signal; a clock that ticks tells since when the signal may have been sent; what arrives after the last check is refused.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 mod required_versions;
 mod retry_budgets;
 mod routed_request;
+mod run_clock;
 mod running_send;
 mod send_results;
 mod sending;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -30,6 +30,8 @@
 use crate::gateway::reload::apply_settings;
 use crate::gateway::reload::wait_for_changed_settings;
 use crate::gateway::request_routing::STOP_ACCEPT_TIME;
+use crate::gateway::run_clock::RunClock;
+use crate::gateway::run_clock::TICK_INTERVAL;
 use crate::gateway::suspect_notices::send_suspect_notices;
 use crate::http1::serve_internal;
 use crate::observe::Event;
@@ -66,6 +68,9 @@
 /// Interval at which a stopping process checks whether requests are still active.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same once what is under way was ended, and least time for its answers.
+const LAST_ANSWER_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after the listener is closed in which requests still arrive on open connections and
 /// are refused: a round trip to a distant client.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(250);
@@ -114,17 +119,31 @@
         .text("host", &settings.name)
         .text("front", settings.front.to_string())
         .enqueue();
+    let clock = Rc::new(RefCell::new(RunClock::new(Instant::now())));
+    actix_rt::spawn(tick(clock.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             new = wait_for_changed_settings(&mut hang_up, &mut changed) => apply_settings(&state, &new),
         }
     }
-    let grace_ms = state.borrow().settings.grace_ms;
-    drain_and_stop(&state, Duration::from_millis(grace_ms)).await;
+    let signalled_at = clock.borrow().signal_sent_at(Instant::now());
+    // The settings may have changed since they were last read.
+    if let Some(new) = changed() {
+        apply_settings(&state, &new);
+    }
+    drain_and_stop(&state, signalled_at).await;
     Ok(())
 }
 
+/// Keeps the time at which the process last ran.
+async fn tick(clock: Rc<RefCell<RunClock>>) {
+    loop {
+        tokio::time::sleep(TICK_INTERVAL).await;
+        clock.borrow_mut().tick(Instant::now());
+    }
+}
+
 /// Binds the addresses of the settings, and spawns their handlers.
 async fn start_listeners(
     settings: &GatewaySettings,
@@ -220,34 +239,43 @@
 }
 
 /// Drains the active requests; returns when there are none. Those that are still active
-/// shortly before the end of the grace period are ended.
-async fn drain_and_stop(state: &RefCell<GatewayState>, grace: Duration) {
-    let began = Instant::now();
+/// shortly before the end of the grace period, which counts from `signalled_at`, are ended.
+async fn drain_and_stop(state: &RefCell<GatewayState>, signalled_at: Instant) {
+    let grace = Duration::from_millis(state.borrow().settings.grace_ms);
+    let kill_margin = KILL_MARGIN.min(grace / KILL_MARGIN_SHARE);
+    let ends_at = signalled_at + grace - kill_margin;
     LogLine::new(Event::ProcessStopping)
         .number("requests", state.borrow().active_requests)
+        .number(
+            "signalled_ms_ago",
+            signalled_at.elapsed().as_millis() as u64,
+        )
         .enqueue();
     flush_log();
-    let kill_margin = KILL_MARGIN.min(grace / KILL_MARGIN_SHARE);
-    let end_after = grace - kill_margin;
-    state.borrow_mut().stopping_since = Some(began);
-    state.borrow_mut().ends_at = Some(began + end_after);
-    state.borrow().stop_notice.notify_waiters();
-    let mut ending_since = None;
+    {
+        let mut state = state.borrow_mut();
+        state.stopping_since = Some(signalled_at);
+        state.ends_at = Some(ends_at);
+        state.stop_notice.notify_waiters();
+    }
+    let idle_end_at = ends_at.min(signalled_at + STOP_ACCEPT_TIME + LAST_REQUEST_TIME);
     loop {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        let waited = began.elapsed();
+        let now = Instant::now();
         let is_idle = state.borrow().active_requests == 0;
-        if waited >= end_after && ending_since.is_none() {
-            ending_since = Some(Instant::now());
-            state.borrow_mut().is_ending = true;
-            state.borrow().end_notice.notify_waiters();
-            continue;
+        if now >= ends_at || is_idle && now >= idle_end_at {
+            break;
         }
-        // The clients of those that were ended get their answers, also where the process has
-        // stood still until then.
-        let is_over = ending_since.is_some_and(|since| since.elapsed() >= kill_margin / 2);
-        let last_request_after = STOP_ACCEPT_TIME + LAST_REQUEST_TIME;
-        if is_over || is_idle && waited >= last_request_after.min(end_after) {
+        tokio::time::sleep_until(ends_at.min(now + DRAIN_CHECK_INTERVAL)).await;
+    }
+    state.borrow_mut().is_ending = true;
+    state.borrow().end_notice.notify_waiters();
+    // The clients of what was ended get their answers, also where the process has stood still
+    // until then, and so does what arrives just now.
+    let answered_by = Instant::now() + kill_margin / 2;
+    loop {
+        tokio::time::sleep(LAST_ANSWER_INTERVAL).await;
+        let is_idle = state.borrow().active_requests == 0;
+        if is_idle || Instant::now() >= answered_by {
             break;
         }
     }
@@ -255,5 +283,6 @@
         .number("requests", state.borrow().active_requests)
         .enqueue();
     flush_log();
-    tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    // The lines are written by another thread.
+    tokio::time::sleep(DRAIN_CHECK_INTERVAL.min(kill_margin / 4)).await;
 }
