Let writes hear the end of the grace, and show each break to HTTP/1.0 clients

Callers saw: a stream that ends with its connection looked complete when the process was killed, or when a slow client had not read on by the end of a stop.

Change: such a connection ends with a reset from the head of its stream on, and orderly once the stream is complete; a write ends 20 ms after the grace.

--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -1,8 +1,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::gateway::GatewayState;
 
+/// Time for a write to a slow client after the grace period of a stop is over.
+const LAST_WRITE_TIME: Duration = Duration::from_millis(20);
+
 /// Counts a request as active, from its first byte on, until it is dropped.
 #[derive(Debug)]
 pub struct ActiveRequest(Rc<RefCell<GatewayState>>);
@@ -29,3 +33,9 @@
         ending.await;
     }
 }
+
+/// Waits until a write to a client has to end, as the process does.
+pub async fn wait_until_writes_end(state: &RefCell<GatewayState>) {
+    wait_until_ending(state).await;
+    tokio::time::sleep(LAST_WRITE_TIME).await;
+}
--- a/src/gateway/answer_parts.rs
+++ b/src/gateway/answer_parts.rs
@@ -1,4 +1,5 @@
 use crate::gateway::Dialect;
+use crate::gateway::active_request::wait_until_writes_end;
 use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::event_stream::AnswerPart;
 use crate::gateway::event_stream::StreamPart;
@@ -91,11 +92,14 @@
             }
             StreamPart::End => {
                 let rest = stream.remainder();
-                relay.finish(client, &stream.head, close, rest).await
+                let ending = wait_until_writes_end(&self.state);
+                relay
+                    .finish(client, &stream.head, close, rest, ending)
+                    .await
             }
             StreamPart::Broken(cause) => StreamEnd::Broken(cause),
         };
-        self.end_part(client, forwarding, at, end)
+        self.end_part(forwarding, at, end)
     }
 
     /// Passes on the next events of a stream, from the send at `at`.
@@ -117,18 +121,18 @@
         send.in_flight.record_events_sent();
         send.record_forwarded();
         let stream = send.stream().expect("only a stream has parts");
+        let ending = wait_until_writes_end(&self.state);
         let written = relay
-            .write_events(client, &stream.head, close, &next.bytes)
+            .write_events(client, &stream.head, close, &next.bytes, ending)
             .await;
         let end = written.or(next.fault.map(StreamEnd::Broken))?;
-        self.end_part(client, forwarding, at, end)
+        self.end_part(forwarding, at, end)
     }
 
     /// Ends the part of a stream from the send at `at`; returns whether the client's
     /// connection is kept, if the request has ended.
     fn end_part(
         &self,
-        client: &Connection,
         forwarding: &mut Forwarding<'_>,
         at: usize,
         end: StreamEnd,
@@ -136,7 +140,7 @@
         match end {
             StreamEnd::Complete => Some(self.complete_stream(forwarding, at)),
             StreamEnd::ClientDisconnected => Some(self.client_disconnected(forwarding)),
-            StreamEnd::TimedOut => self.end_sends(client, forwarding, end.label()),
+            StreamEnd::TimedOut | StreamEnd::Stopping => self.end_sends(forwarding, end.label()),
             StreamEnd::Broken(cause) => {
                 self.fail_send(forwarding, at, cause);
                 None
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -82,7 +82,7 @@
                 }
                 Step::Nothing => None,
                 Step::Ending => {
-                    let reuse = self.end_sends(client, &mut forwarding, STOPPING);
+                    let reuse = self.end_sends(&mut forwarding, STOPPING);
                     if reuse.is_none() {
                         return self
                             .end_forwarding(client, forwarding, STOPPING, None)
@@ -90,10 +90,7 @@
                     }
                     reuse
                 }
-                Step::TimedOut => {
-                    self.record_run_time(&forwarding.request);
-                    self.end_sends(client, &mut forwarding, StreamEnd::TimedOut.label())
-                }
+                Step::TimedOut => self.end_sends(&mut forwarding, StreamEnd::TimedOut.label()),
             };
             if let Some(reuse) = reuse {
                 return reuse;
@@ -239,7 +236,6 @@
     /// then sees.
     pub(super) fn end_sends(
         &self,
-        client: &Connection,
         forwarding: &mut Forwarding<'_>,
         cause: &'static str,
     ) -> Option<ConnectionReuse> {
@@ -266,7 +262,7 @@
         }
         relay
             .has_begun()
-            .then(|| self.abort_stream(client, request, history, cause))
+            .then(|| self.abort_stream(request, history, cause))
     }
 
     /// Ends a request whose client closed its connection while it was at replicas.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,8 +1,10 @@
+use std::future::Future;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::STOPPING;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::exchange::is_hop_by_hop_header;
 use crate::gateway::exchange::write_header;
@@ -25,6 +27,8 @@
     Broken(&'static str),
     /// The deadline of the request has passed.
     TimedOut,
+    /// The process ends before a slow client has read on.
+    Stopping,
 }
 
 impl StreamEnd {
@@ -35,6 +39,7 @@
             Self::ClientDisconnected => "client_left",
             Self::Broken(cause) => cause,
             Self::TimedOut => "timeout",
+            Self::Stopping => STOPPING,
         }
     }
 }
@@ -152,16 +157,19 @@
     }
 
     /// Sends `bytes` of events to the client, after the head of the first replica whose events
-    /// come. `close` states whether the client's connection is closed afterwards.
+    /// come. `close` states whether the client's connection is closed afterwards; a write ends
+    /// with `ending`.
     pub async fn write_events(
         &mut self,
         client: &Connection,
         head: &ResponseHead,
         close: bool,
         bytes: &[u8],
+        ending: impl Future<Output = ()>,
     ) -> Option<StreamEnd> {
         self.first_event_at.get_or_insert_with(Instant::now);
-        self.write_part(client, head, close, bytes, false).await
+        let part = self.encode_part(client, head, close, bytes, false);
+        self.write_part(client, &part, ending).await
     }
 
     /// Sends the rest of the stream and its end.
@@ -171,26 +179,40 @@
         head: &ResponseHead,
         close: bool,
         rest: &[u8],
+        ending: impl Future<Output = ()>,
     ) -> StreamEnd {
-        let written = self.write_part(client, head, close, rest, true).await;
-        written.unwrap_or(StreamEnd::Complete)
+        let part = self.encode_part(client, head, close, rest, true);
+        match self.write_part(client, &part, ending).await {
+            Some(end) => end,
+            None => {
+                if self.client_framing == ClientFraming::UntilClose {
+                    client.close_on_drop();
+                }
+                StreamEnd::Complete
+            }
+        }
     }
 
-    /// Sends `data`, with the head before the first part and, after the last one, the end.
-    async fn write_part(
+    /// Bytes of `data` on the wire, with the head before the first part and, after the last one,
+    /// the end.
+    fn encode_part(
         &mut self,
         client: &Connection,
         head: &ResponseHead,
         close: bool,
         data: &[u8],
         is_last: bool,
-    ) -> Option<StreamEnd> {
+    ) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(data.len() + 64);
         if !self.is_head_sent {
             bytes = response_head(head, close);
             self.says_close = close;
-            if self.client_framing == ClientFraming::Chunked {
-                write_header("Transfer-Encoding", b"chunked", &mut bytes);
+            match self.client_framing {
+                ClientFraming::Chunked => {
+                    write_header("Transfer-Encoding", b"chunked", &mut bytes);
+                }
+                // However the process ends, an orderly end would make the stream complete.
+                ClientFraming::UntilClose => client.reset_on_drop(),
             }
             bytes.extend_from_slice(b"\r\n");
             self.is_head_sent = true;
@@ -199,8 +221,23 @@
             ClientFraming::Chunked => append_chunk(data, is_last, &mut bytes),
             ClientFraming::UntilClose => bytes.extend_from_slice(data),
         }
+        bytes
+    }
+
+    /// Writes a part of the stream; returns how the stream has ended if it can't go on.
+    async fn write_part(
+        &self,
+        client: &Connection,
+        bytes: &[u8],
+        ending: impl Future<Output = ()>,
+    ) -> Option<StreamEnd> {
         let deadline = self.deadline.max(Instant::now() + READY_WRITE_TIME);
-        match client.write_with_deadline(&bytes, deadline).await {
+        let written = tokio::select! {
+            biased;
+            written = client.write_with_deadline(bytes, deadline) => written,
+            () = ending => return Some(StreamEnd::Stopping),
+        };
+        match written {
             Ok(()) => None,
             Err(Http1Error::TimedOut) => Some(StreamEnd::TimedOut),
             Err(_) => Some(StreamEnd::ClientDisconnected),
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -1,8 +1,10 @@
 use tokio::time::Instant;
 
 use crate::gateway::Dialect;
+use crate::gateway::active_request::wait_until_writes_end;
 use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::end_causes::CRASH_SUSPECT;
+use crate::gateway::end_causes::STOPPING;
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::write_header;
 use crate::gateway::forwarding::AttemptHistory;
@@ -44,7 +46,7 @@
         retry_after_ms: Option<u64>,
     ) -> ConnectionReuse {
         if relay.has_begun() {
-            return self.abort_stream(client, request, &history, cause);
+            return self.abort_stream(request, &history, cause);
         }
         if let Some(response) = history.fallback_response.take() {
             return self
@@ -82,7 +84,6 @@
     /// connection is closed without the last chunk, or reset where there are no chunks.
     pub(super) fn abort_stream(
         &self,
-        client: &Connection,
         request: &RoutedRequest,
         history: &AttemptHistory,
         cause: &str,
@@ -93,9 +94,6 @@
             retry_after_ms: None,
         };
         self.log_request_end(request, history, &outcome, None);
-        if request.client_framing() == ClientFraming::UntilClose {
-            client.reset_on_drop();
-        }
         ConnectionReuse::Close
     }
 
@@ -114,10 +112,16 @@
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&response.body);
         let deadline = request.deadline.max(Instant::now() + READY_WRITE_TIME);
-        let written = client.write_with_deadline(&bytes, deadline).await;
-        let (status, cause) = match &written {
+        let written = tokio::select! {
+            biased;
+            written = client.write_with_deadline(&bytes, deadline) => {
+                written.map_err(|error| error.label())
+            }
+            () = wait_until_writes_end(&self.state) => Err(STOPPING),
+        };
+        let (status, cause) = match written {
             Ok(()) => (response.head.status, "answered"),
-            Err(error) => (0, error.label()),
+            Err(cause) => (0, cause),
         };
         let outcome = RequestOutcome {
             status,
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -308,6 +308,14 @@
         }
     }
 
+    /// Takes back [`Connection::reset_on_drop`].
+    pub fn close_on_drop(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        if let Err(error) = socket.set_linger(None) {
+            log::debug!("cannot clear SO_LINGER, the connection will be reset: {error}");
+        }
+    }
+
     /// Makes the connection end with a TCP reset when it is dropped.
     ///
     /// The reset discards the bytes that wait in the socket, so that a request that was
