Measure runs by what they take, and ask before each send of a stop

Callers saw: requests late in a stop that were passed on and cut, and others refused without need.

Cause: a run was measured with its upload; plain requests that reached the end of their time were not recorded, and others as if they had taken no more; errors of replicas counted as quick runs; 32 runs forget a long one soon. Second sends and repeated ones did not ask whether they can end.

Change: the time counts from the whole request on, for answers below 400; one that reaches the end of its time leaves only the deadline to go by; 128 runs are kept; each send asks.

--- a/src/calls/run_times.rs
+++ b/src/calls/run_times.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 /// Runs of each key whose times are kept.
-const MAX_RUNS: usize = 32;
+const MAX_RUNS: usize = 128;
 
 /// Keys whose times are kept: more than a large configuration has routes.
 const MAX_KEYS: usize = 4_096;
--- a/src/calls/stop_admission.rs
+++ b/src/calls/stop_admission.rs
@@ -28,6 +28,6 @@
             let longest_run_ms = self.longest_run_ms.filter(|_| self.is_repeatable);
             longest_run_ms.is_some_and(|longest_ms| longest_ms <= self.left_ms)
         };
-        self.deadline_left_ms <= self.left_ms || is_expected_to_end()
+        self.left_ms > 0 && (self.deadline_left_ms <= self.left_ms || is_expected_to_end())
     }
 }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -105,7 +105,9 @@
         history: &AttemptHistory,
         response: ReplicaResponse,
     ) -> ConnectionReuse {
-        self.record_run_time(request);
+        if response.head.status < 400 {
+            self.record_run_time(request);
+        }
         let close = self.closes_connection(request);
         let mut bytes = response_head(&response.head, close);
         write_length(&response, &mut bytes);
@@ -167,7 +169,8 @@
     /// Records the time of a request that has run to its end or to that of its time.
     pub(super) fn record_run_time(&self, request: &RoutedRequest) {
         let mut state = self.state.borrow_mut();
-        (state.run_times).record(&request.route.name, request.waited_ms());
+        let took_ms = u64::try_from(request.routed_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        state.run_times.record(&request.route.name, took_ms);
     }
 
     /// Logs and counts a request that has ended; `stream` holds the time to the first
@@ -180,6 +183,11 @@
         stream: Option<(f64, u64)>,
     ) {
         let took_ms = request.received_at.elapsed().as_secs_f64() * 1_000.0;
+        // How long it would have taken is not known.
+        if request.sends > 0 && request.left_ms() == 0 {
+            let mut state = self.state.borrow_mut();
+            state.run_times.record(&request.route.name, u64::MAX);
+        }
         let answer_ms = stream.map_or(took_ms, |stream| stream.0);
         self.metrics
             .record_answer(outcome_label(outcome.status), answer_ms);
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -83,6 +83,7 @@
         workspace,
         urgency: engine_urgency(priority, is_late),
         received_at,
+        routed_at: Instant::now(),
         deadline,
         waited_before_ms,
         tried_replicas: Vec::new(),
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -31,6 +31,8 @@
     pub urgency: u8,
     /// Time at which its head was complete.
     pub received_at: Instant,
+    /// Time at which it had arrived whole.
+    pub routed_at: Instant,
     /// Time at which the final response is due.
     pub deadline: Instant,
     /// Least time that the client had already waited, estimated from its deadline, in
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -166,7 +166,8 @@
             return history.failed_connections < MAX_FAILED_CONNECTIONS;
         }
         let is_safe = !history.may_have_run || request.route.kind.is_repeatable();
-        if !is_safe || !request.has_attempts_left() {
+        let can_end = relay.has_begun() || self.can_end_before_stop(request);
+        if !is_safe || !can_end || !request.has_attempts_left() {
             return false;
         }
         self.take_retry(request, history.last_cause)
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -78,7 +78,7 @@
 
     /// Whether a request that is sent now is expected to end before a stop ends it; true
     /// without a stop.
-    fn can_end_before_stop(&self, request: &RoutedRequest) -> bool {
+    pub(super) fn can_end_before_stop(&self, request: &RoutedRequest) -> bool {
         let state = self.state.borrow();
         state.stop_left_ms(Instant::now()).is_none_or(|left_ms| {
             let admission = StopAdmission {
@@ -221,6 +221,7 @@
         sends.has_room()
             && request.route.kind.is_repeatable()
             && relay.can_go_on()
+            && (relay.has_begun() || self.can_end_before_stop(request))
             && request.sends + uncounted < request.route.max_attempts
             // The silence may be the crash after which the request is refused.
             && crashes + 1 < REFUSED_AT_CRASHES
