Refuse connections beyond the limit by their head alone

Callers saw: a client beyond the limit was asked for a body that is refused in any case, and got nothing when the grace was over meanwhile.

Change: the head is read, and the refusal hears the end of the grace.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -93,7 +93,9 @@
         }
         gateway.metrics.record_closed_connection("limit");
         if Rc::strong_count(&self.refused_connections) > MAX_REFUSED_CONNECTIONS {
-            log_unread("limit", 0);
+            LogLine::new(Event::RequestUnread)
+                .text("cause", "limit")
+                .enqueue();
             return;
         }
         let refused = self.refused_connections.clone();
@@ -111,8 +113,13 @@
         return;
     }
     let _active = ActiveRequest::begin(&gateway.state);
-    match read_request(client, gateway).await {
-        Ok((head, ..)) => {
+    let read = tokio::select! {
+        biased;
+        read = read_head(client, gateway) => read,
+        () = wait_until_ending(&gateway.state) => return refuse_unread(client, gateway).await,
+    };
+    match read {
+        Ok(head) => {
             let refusal = LocalRefusal {
                 closes_connection: true,
                 ..LocalRefusal::elsewhere(CONNECTION_LIMIT)
@@ -137,7 +144,7 @@
         if let Err(error) = wait_for_request(&mut client, gateway).await {
             log::debug!("no further request on a client's connection: {error}");
             if matches!(error, Http1Error::TimedOut) {
-                record_idle_close(&mut client, gateway);
+                gateway.metrics.record_closed_connection("idle");
             }
             return;
         }
@@ -169,23 +176,6 @@
     }
 }
 
-/// Counts an idle connection that is closed before its client has closed it, and logs it if
-/// bytes of a request have arrived meanwhile.
-fn record_idle_close<D: Dialect>(client: &mut Connection, gateway: &Gateway<D>) {
-    gateway.metrics.record_closed_connection("idle");
-    if client.has_surplus() && !client.read_buffer.is_empty() {
-        log_unread("idle", client.read_buffer.len());
-    }
-}
-
-/// Logs a connection that is closed with bytes of a request that is not read.
-fn log_unread(cause: &str, received: usize) {
-    LogLine::new(Event::RequestUnread)
-        .text("cause", cause)
-        .number("bytes", received)
-        .enqueue();
-}
-
 /// Waits for the first byte of the next request for as long as the idle timeout allows: the
 /// one in force when the connection became idle, or a longer one that came into force since,
 /// by which its client may go already. As long as a client may not have heard of a shorter
@@ -228,6 +218,16 @@
     }
 }
 
+/// Reads the head of a request whose first bytes have arrived.
+async fn read_head<D: Dialect>(
+    client: &mut Connection,
+    gateway: &Gateway<D>,
+) -> Result<RequestHead, Http1Error> {
+    let limits = gateway.state.borrow().limits();
+    let head_time = Duration::from_millis(limits.head_timeout_ms);
+    read_request_head(client, limits.max_head_bytes, head_time, head_time).await
+}
+
 /// Reads a request whose first bytes have arrived; returns its head, its body and the time at
 /// which the head was complete.
 async fn read_request<D: Dialect>(
@@ -235,8 +235,7 @@
     gateway: &Gateway<D>,
 ) -> Result<(RequestHead, Vec<u8>, Instant), Http1Error> {
     let limits = gateway.state.borrow().limits();
-    let head_time = Duration::from_millis(limits.head_timeout_ms);
-    let head = read_request_head(client, limits.max_head_bytes, head_time, head_time).await?;
+    let head = read_head(client, gateway).await?;
     let received_at = Instant::now();
     // A client goes by the limits that were in force when it began, or by later ones.
     let limits = limits.most_lenient(gateway.state.borrow().limits());
