Name the loaded version in orders

What callers saw: tokens of wrong weights. A send of an order that got no answer is still on its way, another one is accepted, and the next versions are staged. The engine restarts under its id with its staging area, counts from 0, and accepts the first send with other pieces.

Cause: id and count are all that an order names, and both come again after such a restart.

Change: an order names the version that the engine has loaded (Expect-Version, which a replica with other weights refuses with 421, as for requests). A restarted engine has none. Named only where the engine reports that model alone, since the version is named without its model. Nothing waits for it: orders are sent and sent again as before.

Not mended: an order to an engine without weights names none, and fits it again after the restart.

--- a/src/staging/load_order.rs
+++ b/src/staging/load_order.rs
@@ -10,6 +10,10 @@
     /// Number of orders that the engine must have accepted so far; it refuses this one
     /// otherwise.
     pub expected_orders: u64,
+    /// Version of the model that the engine must have loaded; it refuses this one otherwise.
+    /// `None` for an engine without weights, or with those of another model beside it: the
+    /// version is named without its model.
+    pub expected_version: Option<u64>,
     /// Id of the incarnation that the pieces were checked at; any other one refuses the
     /// order. `None` while its record is unknown.
     pub incarnation: Option<String>,
--- a/src/staging/order_ledger.rs
+++ b/src/staging/order_ledger.rs
@@ -67,8 +67,9 @@
 /// Each order names the number of orders that the engine must have accepted before. So the
 /// engine accepts at most one of those sent with the same number, and none while its count
 /// is higher. Until then the pieces of an open order stay staged, and it is sent again. An
-/// engine that restarts under the same id counts anew; that is not covered once an order has
-/// been ruled out.
+/// engine that restarts under the same id counts anew, but holds no weights, and refuses an
+/// order that names a loaded version. One that names none fits it again; that is not covered
+/// once the order has been ruled out.
 #[derive(Debug, Default)]
 pub struct OrderLedger {
     open: Vec<OpenOrder>,
@@ -127,6 +128,7 @@
                 model: model.to_owned(),
                 version,
                 expected_orders: *orders,
+                expected_version: None,
                 incarnation: None,
             };
             self.open.push(OpenOrder::new(order, *since_ms));
--- a/src/staging/ports.rs
+++ b/src/staging/ports.rs
@@ -33,6 +33,14 @@
             .find(|weights| weights.0 == model)
             .map_or(0, |weights| weights.1)
     }
+
+    /// Returns the loaded version of `model` if the engine holds that model alone.
+    pub fn only_version(&self, model: &str) -> Option<u64> {
+        match &self.weights[..] {
+            [(loaded, version)] if loaded == model && *version != 0 => Some(*version),
+            _ => None,
+        }
+    }
 }
 
 /// Connection to the engine on this host and to its staging area.
--- a/src/staging/weights_manager.rs
+++ b/src/staging/weights_manager.rs
@@ -188,13 +188,18 @@
     download: &WeightsDownload<'_, E, O>,
     checked: CheckedPieces,
 ) {
-    let order = LoadOrder {
-        model: download.model.to_owned(),
-        version: download.version,
-        expected_orders: checked.orders,
-        incarnation: download.state.borrow().incarnation(checked.born_unix_ms),
+    let (order, sent_ms) = {
+        let state = download.state.borrow();
+        let report = state.engine_report.as_ref();
+        let order = LoadOrder {
+            model: download.model.to_owned(),
+            version: download.version,
+            expected_orders: checked.orders,
+            expected_version: report.and_then(|report| report.only_version(download.model)),
+            incarnation: state.incarnation(checked.born_unix_ms),
+        };
+        (order, state.now_ms() as i64)
     };
-    let sent_ms = download.state.borrow().now_ms() as i64;
     let outcome = download.engine.clone().order_load(&order).await;
     let metrics = download.metrics;
     metrics.add(CounterKind::LoadOrders, 1, "outcome", outcome.name());
--- a/tests/staging/orders.rs
+++ b/tests/staging/orders.rs
@@ -43,10 +43,22 @@
         model: model.to_owned(),
         version,
         expected_orders,
+        expected_version: None,
         incarnation: Some(id.to_owned()),
     }
 }
 
+#[test]
+fn only_version_one_model() {
+    let mut report = report(1, 0);
+    assert_eq!(report.only_version("a"), None);
+    report.weights = vec![("a".to_owned(), 2)];
+    assert_eq!(report.only_version("a"), Some(2));
+    assert_eq!(report.only_version("b"), None);
+    report.weights.push(("b".to_owned(), 1));
+    assert_eq!(report.only_version("a"), None);
+}
+
 fn staged(missing: u32, unrecognised: u32, held: &[(u64, u32)]) -> StagedPieces {
     StagedPieces {
         pieces: 3,
