--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -91,6 +91,7 @@
                     reuse
                 }
                 Step::TimedOut => {
+                    self.record_run_time(&forwarding.request);
                     self.end_sends(client, &mut forwarding, StreamEnd::TimedOut.label())
                 }
             };
@@ -153,7 +154,6 @@
             .as_slice()
             .iter()
             .any(|send| self.is_withdrawable(send));
-        let is_stopping = self.state.borrow().stopping_since.is_some();
         let mut wake_at = request.deadline;
         wake_at = wake_at.min(sends.next_check_at().unwrap_or(wake_at));
         wake_at = wake_at.min(refused_until.unwrap_or(wake_at));
@@ -165,7 +165,7 @@
                 *refused_until = Some(Instant::now() + CLEARING_TIME);
                 return Step::Nothing;
             }
-            () = wait_until_ending(&self.state), if is_stopping => return Step::Ending,
+            () = wait_until_ending(&self.state) => return Step::Ending,
             () = tokio::time::sleep_until(wake_at) => {}
         }
         if wake_at.elapsed() >= STALL_TIME {
@@ -213,6 +213,7 @@
         let send = sends.remove(0);
         history.last_part = send.stream().map(EventStream::part);
         self.record_part_end(history.last_part, StreamEnd::Complete.label());
+        self.record_run_time(request);
         let latency_ms = relay.first_event_at().map_or(0.0, |at| {
             at.duration_since(request.received_at).as_secs_f64() * 1_000.0
         });
@@ -230,11 +231,7 @@
         };
         let stream = Some((latency_ms, relay.events()));
         self.log_request_end(request, history, &outcome, stream);
-        if self.closes_connection(request) {
-            ConnectionReuse::Close
-        } else {
-            ConnectionReuse::Keep
-        }
+        relay.connection_reuse()
     }
 
     /// Ends the sends of a request for which there is no more time, for this cause; returns
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -16,9 +16,9 @@
 /// Timeout of writing a response that the gateway itself generates.
 pub(super) const LOCAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Retry-After of a refusal by an entry that is stopping, in ms: other entries accept
-/// the request at once.
-pub(super) const RETRY_AFTER_STOP_MS: u64 = 10;
+/// Retry-After of a refusal whose cause is this entry alone, in ms: others accept the request
+/// at once.
+pub(super) const RETRY_AFTER_ELSEWHERE_MS: u64 = 10;
 
 /// Response to a request that is refused before a replica is chosen.
 #[derive(Debug)]
@@ -26,6 +26,8 @@
     pub(super) status: u16,
     pub(super) cause: &'static str,
     pub(super) retry_after_ms: Option<u64>,
+    /// Whether the connection is closed after it in any case.
+    pub(super) closes_connection: bool,
 }
 
 impl LocalRefusal {
@@ -34,6 +36,15 @@
             status,
             cause,
             retry_after_ms: None,
+            closes_connection: false,
+        }
+    }
+
+    /// A refusal of what another entry accepts at once.
+    pub(super) fn elsewhere(cause: &'static str) -> Self {
+        Self {
+            retry_after_ms: Some(RETRY_AFTER_ELSEWHERE_MS),
+            ..Self::new(503, cause)
         }
     }
 }
@@ -45,7 +56,8 @@
     head: &RequestHead,
     refusal: &LocalRefusal,
 ) -> ConnectionReuse {
-    let close = head.wants_close() || gateway.state.borrow().stopping_since.is_some();
+    let is_stopping = gateway.state.borrow().stopping_since.is_some();
+    let close = refusal.closes_connection || head.wants_close() || is_stopping;
     let facts = gateway.dialect.request_facts(head);
     let config = gateway
         .state
@@ -71,7 +83,14 @@
 /// Refuses a request that has not been read to its end when the grace period of a stop is
 /// over; the connection is then closed.
 pub(super) async fn refuse_unread<D: Dialect>(client: &Connection, gateway: &Gateway<D>) {
-    refuse_and_close(client, gateway, 503, STOPPING, Some(RETRY_AFTER_STOP_MS)).await;
+    refuse_and_close(
+        client,
+        gateway,
+        503,
+        STOPPING,
+        Some(RETRY_AFTER_ELSEWHERE_MS),
+    )
+    .await;
 }
 
 /// Responds to bytes that are no valid request; the connection is then closed.
@@ -82,8 +101,8 @@
 ) {
     let status = match error {
         Http1Error::Closed | Http1Error::Io(_) | Http1Error::NotConnected(_) => return,
-        Http1Error::IncompleteMessage => return,
-        Http1Error::Malformed(_) => 400,
+        // Its client may still read, although it has ended its side.
+        Http1Error::IncompleteMessage | Http1Error::Malformed(_) => 400,
         Http1Error::HeadTooLarge => 431,
         Http1Error::BodyTooLarge => 413,
         Http1Error::NoMemory => 503,
