--- a/src/gateway/end_causes.rs
+++ b/src/gateway/end_causes.rs
@@ -10,6 +10,9 @@
 /// Cause of the refusal of a request on a connection beyond the limit.
 pub(super) const CONNECTION_LIMIT: &str = "connection";
 
+/// Cause of the end of a send whose replica may no longer begin it, as newer weights are due.
+pub(super) const WEIGHTS_DUE: &str = "weights_due";
+
 /// Cause of the end of a request by a stop of the process.
 pub(super) const STOPPING: &str = "stopping";
 
