Take a signal for sent during a standstill only as the process wakes from it

Cause: until the tick after the standstill, 100 ms later, each signal counted as sent when that began.

Change: only one that is heard within 30 ms, in the turns in which the process takes what has arrived meanwhile.

--- a/src/gateway/run_clock.rs
+++ b/src/gateway/run_clock.rs
@@ -8,8 +8,11 @@
 /// Time without a tick from which the process has stood still.
 const STANDSTILL: Duration = Duration::from_millis(300);
 
-/// When a process has run, by its ticks: a signal that arrives after a standstill may have been
-/// sent when that began.
+/// Time after a standstill in which a signal that was sent during it is heard.
+const WAKING_TIME: Duration = Duration::from_millis(30);
+
+/// When a process has run, by its ticks: a signal that is heard as it wakes may have been sent
+/// when its standstill began.
 #[derive(Debug)]
 pub struct RunClock {
     ticked_at: Instant,
@@ -37,6 +40,7 @@
         if now.duration_since(self.ticked_at) >= STANDSTILL {
             return self.ticked_at;
         }
-        self.stood_still_since.unwrap_or(now)
+        let is_waking = now.duration_since(self.ticked_at) <= WAKING_TIME;
+        self.stood_still_since.filter(|_| is_waking).unwrap_or(now)
     }
 }
