Log which shared parts the prompts of requests have

An operator could not see what the crashes of replicas had in common: the logs name a request by the digest of the whole, and no line says which parts its prompt shares with others. 701 and 703 now have the short digests of the shared parts. They are decoded by the adapter: all parts but the last, whose id is the request's own. No decision changes.

--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -37,6 +37,9 @@
     pub prompt_tokens: u32,
     /// Largest number of tokens that the response may have.
     pub max_answer_tokens: u32,
+    /// Ids of the parts of the prompt that other requests may share, in order: all but the
+    /// last, which is the request's own.
+    pub prompt_part_ids: Vec<String>,
     /// Id of the last event that the client received of a stream it resumes.
     pub last_event_id: Option<u64>,
 }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -203,6 +203,7 @@
             .number("status", outcome.status)
             .text("cause", outcome.cause)
             .text("replica", &history.replica)
+            .text("parts", request.causes.parts_label())
             .number("sends", request.sends)
             .number("config", request.catalog.version)
             .number("config_age_ms", config_age_ms)
@@ -217,7 +218,7 @@
                 .number("longest_run_ms", longest_ms.map_or(-1, |ms| ms as i64));
         }
         if outcome.cause == CRASH_SUSPECT {
-            line = line.text("fingerprint", request.fingerprint.short_hex());
+            line = line.text("fingerprint", request.causes.request.short_hex());
         }
         if let Some(retry_after_ms) = outcome.retry_after_ms {
             line = line.number("retry_after_ms", retry_after_ms);
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -3,6 +3,7 @@
 
 use tokio::time::Instant;
 
+use crate::calls::RunCauses;
 use crate::calls::fingerprint;
 use crate::fleet::Catalog;
 use crate::fleet::Route;
@@ -70,10 +71,11 @@
     // By service: what one service of a split route runs to an end may crash the other.
     let caller = workspace.as_deref().unwrap_or_default();
     let run = format!("{service} {host}{} {caller}", head.target);
-    let fingerprint = fingerprint(&run, &body);
+    let request = fingerprint(&run, &body);
+    let causes = RunCauses::new(request, &service, &facts.prompt_part_ids);
     let is_late = waited_before_ms > 0;
     Ok(Box::new(RoutedRequest {
-        fingerprint,
+        causes,
         head,
         body,
         facts,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -2,13 +2,13 @@
 
 use tokio::time::Instant;
 
+use crate::calls::RunCauses;
 use crate::fleet::Catalog;
 use crate::fleet::ReplicaKey;
 use crate::fleet::Route;
 use crate::gateway::RequestFacts;
 use crate::gateway::relay::ClientFraming;
 use crate::http1::RequestHead;
-use crate::weights::Digest;
 
 /// A completely received request with the route, service and client that it belongs to.
 #[derive(Debug)]
@@ -38,8 +38,9 @@
     /// Least time that the client had already waited, estimated from its deadline, in
     /// ms.
     pub waited_before_ms: u64,
-    /// Digest of service, path, caller and body, equal for every retry of the request.
-    pub fingerprint: Digest,
+    /// What may be the cause if it crashes a replica; the digest of the request is over
+    /// service, path, caller and body.
+    pub causes: RunCauses,
     /// Replicas that were chosen for it so far.
     pub tried_replicas: Vec<ReplicaKey>,
     /// Number of sends that reached a replica.
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -119,7 +119,7 @@
                 let asks_for_pause =
                     response.head.status == 503 && state.replicas.get(chosen.key).is_paused(now_ms);
                 if !matches!(response.head.status, 503 | 504) {
-                    state.record_completed_run(request.fingerprint);
+                    state.record_completed_run(request.causes.request);
                 }
                 if !asks_for_pause {
                     state
@@ -203,12 +203,12 @@
         }
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
-        if !state.record_broken_run(request.fingerprint, chosen, cause) {
+        if !state.record_broken_run(request.causes.request, chosen, cause) {
             return;
         }
         actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
         // One more crash leaves the request refused: that is known before its next send.
-        if state.suspects.crash_count(request.fingerprint, now_ms) + 1 >= REFUSED_AT_CRASHES {
+        if state.suspects.crash_count(request.causes.request, now_ms) + 1 >= REFUSED_AT_CRASHES {
             history.unchecked_address = Some(chosen.address);
         }
     }
@@ -230,7 +230,8 @@
             .text("id", &request.facts.attempt_id)
             .text("replica", &chosen.id)
             .text("cause", cause)
-            .text("fingerprint", request.fingerprint.short_hex())
+            .text("fingerprint", request.causes.request.short_hex())
+            .text("parts", request.causes.parts_label())
             .number("sends", request.sends)
             .number("sent_ms_ago", now_ms.saturating_sub(chosen.sent_ms))
             .flag("removed", replica.is_removed)
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -56,7 +56,7 @@
         // Asked before each send: the one before may have been the third crash.
         let is_refused = self.is_refused_as_suspect(request);
         let trial = is_refused
-            .then(|| SuspectTrial::begin(&self.state, request.fingerprint))
+            .then(|| SuspectTrial::begin(&self.state, request.causes.request))
             .flatten();
         if is_refused && trial.is_none() {
             return Err((CRASH_SUSPECT, None));
@@ -217,7 +217,7 @@
         let state = self.state.borrow();
         let crashes = state
             .suspects
-            .crash_count(request.fingerprint, state.now_ms());
+            .crash_count(request.causes.request, state.now_ms());
         sends.has_room()
             && request.route.kind.is_repeatable()
             && relay.can_go_on()
@@ -238,7 +238,7 @@
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
-        if state.record_broken_run(request.fingerprint, chosen, "silent") {
+        if state.record_broken_run(request.causes.request, chosen, "silent") {
             actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
         }
     }
@@ -316,7 +316,7 @@
         let state = self.state.borrow();
         state
             .suspects
-            .request_status(request.fingerprint, state.now_ms())
+            .request_status(request.causes.request, state.now_ms())
             == SuspectStatus::Refused
     }
 
