Suspect the parts of a prompt of crashes, and refuse the one that causes them

Cause: the suspect table knew one identity, the whole request. What the crashes had in common was a part of the prompt, which no entry read, so each request began at no crash. Class: the evidence is kept under a key that is narrower than its cause.

Why this works: a run names all that may be its cause, and one table keeps requests and parts, so that recording, telling, asking before each send, clearing and trials hold for both. A success clears all parts of its prompt, so only parts without one remain; the one with the most crashes is taken for their cause and explains them away for its companions.

--- a/src/calls/broken_runs.rs
+++ b/src/calls/broken_runs.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use crate::calls::CrashId;
+use crate::calls::RunCauses;
 use crate::weights::Digest;
 
 /// Longest time between the end of a run and a sign that its replica is down, in ms: several
@@ -65,14 +66,16 @@
 /// A run of a request that ended without an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRun {
-    /// Fingerprint of the request.
-    pub fingerprint: Digest,
+    /// What may have caused the crash, if it was one.
+    pub causes: RunCauses,
     /// The crash that ended it, if it was one.
     pub crash: CrashId,
     /// Address of the replica.
     pub address: SocketAddr,
     /// How it ended.
     pub kind: BrokenRunKind,
+    /// Time at which it was sent, in ms.
+    pub sent_ms: u64,
     /// Time at which it ended, in ms.
     pub at_ms: u64,
 }
@@ -118,6 +121,6 @@
 
     /// Removes the runs of a request that has since run to an end elsewhere.
     pub fn remove_request(&mut self, fingerprint: Digest) {
-        self.runs.retain(|run| run.fingerprint != fingerprint);
+        self.runs.retain(|run| run.causes.request != fingerprint);
     }
 }
--- a/src/calls/completed_runs.rs
+++ b/src/calls/completed_runs.rs
@@ -1,9 +1,9 @@
 use crate::weights::Digest;
 
-/// Largest number of requests that are remembered.
+/// Largest number of requests, or parts of prompts, that are remembered.
 const MAX_REQUESTS: usize = 4_096;
 
-/// Requests that have run to an end, each with the last time.
+/// Requests, or parts of prompts, that have run to an end, each with the last time.
 #[derive(Debug, Default)]
 pub struct CompletedRuns {
     // Ascending by fingerprint.
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -90,6 +90,7 @@
 pub use stored_answer::StoredAnswer;
 pub use suspect_slot::SuspectSlot;
 pub use suspect_table::CrashId;
+pub use suspect_table::PART_REFUSED_AT_CRASHES;
 pub use suspect_table::REFUSED_AT_CRASHES;
 pub use suspect_table::SuspectRecord;
 pub use suspect_table::SuspectStatus;
--- a/src/calls/run_causes.rs
+++ b/src/calls/run_causes.rs
@@ -12,6 +12,8 @@
 pub struct RunCauses {
     /// Digest of the whole request, equal for every retry of it.
     pub request: Digest,
+    /// Digest of the service that runs it, which stands for all runs there.
+    pub service: Digest,
     // In the order of the prompt, without repeats.
     parts: Vec<Digest>,
 }
@@ -34,7 +36,19 @@
                 break;
             }
         }
-        Self { request, parts }
+        Self {
+            request,
+            service: part_digest(service, b""),
+            parts,
+        }
+    }
+
+    /// The same without the parts.
+    pub fn without_parts(&self) -> Self {
+        Self {
+            parts: Vec::new(),
+            ..*self
+        }
     }
 
     /// Digests of the shared parts.
@@ -42,6 +56,11 @@
         &self.parts
     }
 
+    /// The request and the shared parts.
+    pub fn all(&self) -> impl Iterator<Item = Digest> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+
     /// Short digests of the first parts, separated by commas, for logs.
     pub fn parts_label(&self) -> String {
         let logged = self.parts.iter().take(MAX_LOGGED_PARTS);
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -1,11 +1,26 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::RunCauses;
 use crate::weights::Digest;
 
 /// Number of crashes from which on a request is refused.
 pub const REFUSED_AT_CRASHES: usize = 3;
 
+/// Number of crashes from which on a part of a prompt is refused.
+pub const PART_REFUSED_AT_CRASHES: usize = 4;
+
+/// Number of these that must have come one after the other, each under a run that was sent
+/// after the one before: replicas that fail together end many runs of a part at once.
+const PART_SUCCESSIVE_CRASHES: usize = 3;
+
+/// Number of these that must have come under other requests than the one with the most: what a
+/// single request causes is no reason to refuse the others that share a part with it.
+const PART_OTHER_CRASHES: usize = 2;
+
+/// Largest number of crashes of a part of which an entry that has started is told.
+const MAX_TOLD_CRASHES: usize = 8;
+
 /// Number of windows for which a crash is remembered.
 const MEMORY_WINDOWS: u64 = 8;
 
@@ -26,9 +41,15 @@
 /// Time after the last crash until a refused request is tried again, in ms.
 const FIRST_TRIAL_MS: u64 = 15_000;
 
+/// The same for a part no run of which is known to have come to an end, in ms.
+const FIRST_PART_TRIAL_MS: u64 = 60_000;
+
 /// Factor by which that time grows with each crash after a trial.
 const TRIAL_FACTOR: u64 = 4;
 
+/// One part in so many of a full table is dropped at a time.
+const DROPPED_SHARE: usize = 32;
+
 /// Digest of the target and body of a request, which identifies it in the suspect table.
 pub fn fingerprint(target: &str, body: &[u8]) -> Digest {
     let mut hasher = blake3::Hasher::new();
@@ -55,10 +76,11 @@
     pub const PROCESS_CRASH: u32 = u32::MAX;
 }
 
-/// A request that was running when an endpoint crashed, as exchanged between processes.
+/// A request that was running when an endpoint crashed, or a part of its prompt, as exchanged
+/// between processes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request, or digest of the part.
     pub fingerprint: Digest,
     /// Crash during which it was running.
     pub death: CrashId,
@@ -66,6 +88,12 @@
     pub age_ms: u64,
     /// Whether a later run without a crash cleared the request.
     pub cleared: bool,
+    /// For a part: a request with it that was running.
+    #[serde(default)]
+    pub part_of: Option<Digest>,
+    /// For a part: time from when that run was sent until the crash, in milliseconds.
+    #[serde(default)]
+    pub run_ms: u64,
 }
 
 /// How a request is treated after the crashes during which it was running.
@@ -79,14 +107,17 @@
     Refused,
 }
 
-/// A request that was running during a crash.
+/// A request that was running during a crash, or a part of its prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Suspicion {
-    // The key of a suspicion is the pair of request and crash.
+    // The key of a suspicion is the pair of request or part, and crash.
     fingerprint: Digest,
     crash: CrashId,
     observed_ms: u64,
     cleared: bool,
+    // None if the request itself is suspected.
+    part_of: Option<Digest>,
+    run_ms: u64,
 }
 
 impl Suspicion {
@@ -100,18 +131,41 @@
             death: self.crash.clone(),
             age_ms: now_ms.saturating_sub(self.observed_ms),
             cleared: self.cleared,
+            part_of: self.part_of,
+            run_ms: self.run_ms,
         }
     }
+
+    /// Time at which the run that was observed was sent, in ms.
+    fn sent_ms(&self) -> u64 {
+        self.observed_ms.saturating_sub(self.run_ms)
+    }
 }
 
-/// Requests that were running when endpoints crashed.
+/// A part of a prompt that is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RefusedPart {
+    part: Digest,
+    last_crash_ms: u64,
+}
+
+/// Requests, and parts of their prompts, that were running when endpoints crashed.
 ///
-/// A suspicion is a pair of request and crash. Merging takes the union, in which
+/// A suspicion is a pair of request or part, and crash. Merging takes the union, in which
 /// "cleared" wins, so the order and repetition of merges do not matter.
+///
+/// A crash ends all runs of its endpoint, so each crash has one cause and many companions. A
+/// run that comes to an end clears the request and all of its parts. Of the parts that remain,
+/// the one with the most crashes is taken for their cause, and they no longer count for any
+/// other part or request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectTable {
     // Ascending by fingerprint and crash.
     suspicions: Vec<Suspicion>,
+    // Ascending by part.
+    refused_parts: Vec<RefusedPart>,
+    // The crashes of which these are the cause, ascending.
+    explained_crashes: Vec<CrashId>,
     window_ms: u64,
     max_suspicions: usize,
 }
@@ -121,6 +175,8 @@
     pub fn new(window_ms: u64, max_suspicions: usize) -> Self {
         Self {
             suspicions: Vec::new(),
+            refused_parts: Vec::new(),
+            explained_crashes: Vec::new(),
             window_ms,
             max_suspicions: max_suspicions.max(1),
         }
@@ -134,11 +190,54 @@
                 crash,
                 observed_ms: now_ms,
                 cleared: false,
+                part_of: None,
+                run_ms: 0,
             },
             now_ms,
         );
     }
 
+    /// Records a run that was sent `run_ms` before an endpoint crashed: the request, and those
+    /// parts of its prompt that `may_be_cause` does not rule out. Returns what was recorded.
+    pub fn add_crashed_run(
+        &mut self,
+        causes: &RunCauses,
+        crash: &CrashId,
+        run_ms: u64,
+        now_ms: u64,
+        may_be_cause: impl Fn(Digest) -> bool,
+    ) -> Vec<Digest> {
+        self.add_crash(causes.request, crash.clone(), now_ms);
+        let parts = causes.parts().iter().copied();
+        let parts: Vec<Digest> = parts.filter(|part| may_be_cause(*part)).collect();
+        for part in &parts {
+            let suspicion = Suspicion {
+                fingerprint: *part,
+                crash: crash.clone(),
+                observed_ms: now_ms,
+                cleared: false,
+                part_of: Some(causes.request),
+                run_ms,
+            };
+            self.merge_suspicion(suspicion, now_ms);
+        }
+        self.judge_parts(now_ms);
+        std::iter::once(causes.request).chain(parts).collect()
+    }
+
+    /// Clears the request and the parts of a run that came to an end; returns those that were
+    /// suspected.
+    pub fn clear_run(&mut self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
+        let cleared: Vec<Digest> = causes
+            .all()
+            .filter(|cause| self.clear_request(*cause))
+            .collect();
+        if !cleared.is_empty() {
+            self.judge_parts(now_ms);
+        }
+        cleared
+    }
+
     /// Clears a request that ran to an end, so that no crash before was its doing; returns
     /// whether it was suspected of one.
     pub fn clear_request(&mut self, fingerprint: Digest) -> bool {
@@ -156,6 +255,40 @@
         was_suspected
     }
 
+    /// How a run is to be treated: as its request, and refused also for a part of its prompt.
+    pub fn run_status(&self, causes: &RunCauses, now_ms: u64) -> SuspectStatus {
+        let mut parts = causes.parts().iter();
+        if parts.any(|part| self.is_part_refused(*part, now_ms)) {
+            return SuspectStatus::Refused;
+        }
+        self.request_status(causes.request, now_ms)
+    }
+
+    /// Whether a part of a prompt is refused.
+    pub fn is_part_refused(&self, part: Digest, now_ms: u64) -> bool {
+        self.refused_parts
+            .binary_search_by_key(&part, |refused| refused.part)
+            .is_ok_and(|at| {
+                now_ms.saturating_sub(self.refused_parts[at].last_crash_ms) < self.window_ms
+            })
+    }
+
+    /// Number of crashes at or before `until_ms` of which a part has not been cleared.
+    pub fn part_crashes_until(&self, part: Digest, until_ms: u64, now_ms: u64) -> usize {
+        self.of_cause(part)
+            .iter()
+            .filter(|suspicion| self.is_counted(suspicion, now_ms))
+            .filter(|suspicion| suspicion.observed_ms <= until_ms)
+            .count()
+    }
+
+    /// Whether one more crash may leave a run refused.
+    pub fn is_near_refusal(&self, causes: &RunCauses, now_ms: u64) -> bool {
+        let mut parts = causes.parts().iter();
+        self.crash_count(causes.request, now_ms) + 1 >= REFUSED_AT_CRASHES
+            || parts.any(|part| self.crash_count(*part, now_ms) + 1 >= PART_REFUSED_AT_CRASHES)
+    }
+
     /// How a request is to be treated.
     pub fn request_status(&self, fingerprint: Digest, now_ms: u64) -> SuspectStatus {
         match self.crash_count(fingerprint, now_ms) {
@@ -165,32 +298,58 @@
         }
     }
 
-    /// Number of crashes of which a request has not been cleared; 0 once the last of them is
-    /// longer ago than the window.
+    /// Number of crashes of which a request or part has not been cleared; 0 once the last of
+    /// them is longer ago than the window.
     pub fn crash_count(&self, fingerprint: Digest, now_ms: u64) -> usize {
+        self.count_crashes(self.of_cause(fingerprint), now_ms)
+    }
+
+    /// Suspicions of a request or part.
+    fn of_cause(&self, fingerprint: Digest) -> &[Suspicion] {
         let first = self
             .suspicions
             .partition_point(|suspicion| suspicion.fingerprint < fingerprint);
-        let of_request = self.suspicions[first..]
-            .chunk_by(|one, next| one.fingerprint == next.fingerprint)
-            .next()
-            .filter(|of_request| of_request[0].fingerprint == fingerprint);
-        of_request.map_or(0, |of_request| self.count_crashes(of_request, now_ms))
+        let rest = &self.suspicions[first..];
+        let end = rest.partition_point(|suspicion| suspicion.fingerprint == fingerprint);
+        &rest[..end]
     }
 
-    /// Whether a refused request, which last ran to an end at `last_end_ms`, may be tried once:
-    /// a while after its last crash, or soon if its crashes came together, as in a failure of
-    /// several endpoints that no request has caused.
+    /// Whether a suspicion counts: it is remembered, was not cleared, and no refused part has
+    /// caused the crash in place of the request.
+    fn is_counted(&self, suspicion: &Suspicion, now_ms: u64) -> bool {
+        let is_explained = suspicion.part_of.is_none()
+            && self
+                .explained_crashes
+                .binary_search(&suspicion.crash)
+                .is_ok();
+        !suspicion.cleared && !self.is_expired(suspicion, now_ms) && !is_explained
+    }
+
+    /// Whether a refused request or part, which last ran to an end at `last_end_ms`, may be
+    /// tried once: a while after its last crash, or soon if the crashes of a request came
+    /// together, as in a failure of several endpoints that no request has caused.
     pub fn is_trial_due(&self, fingerprint: Digest, last_end_ms: Option<u64>, now_ms: u64) -> bool {
-        let counted = self.requests().flatten().filter(|suspicion| {
-            suspicion.fingerprint == fingerprint
-                && !suspicion.cleared
-                && !self.is_expired(suspicion, now_ms)
-        });
-        let times_ms: Vec<u64> = counted.map(|suspicion| suspicion.observed_ms).collect();
-        let (Some(first_ms), Some(last_ms)) = (times_ms.iter().min(), times_ms.iter().max()) else {
+        let of_cause = self.of_cause(fingerprint);
+        let counted = of_cause
+            .iter()
+            .filter(|suspicion| self.is_counted(suspicion, now_ms));
+        let mut times_ms: Vec<u64> = counted.map(|suspicion| suspicion.observed_ms).collect();
+        times_ms.sort_unstable();
+        let (Some(first_ms), Some(last_ms)) = (times_ms.first(), times_ms.last()) else {
             return true;
         };
+        if of_cause[0].part_of.is_some() {
+            // Many runs of a part may have begun before it was refused, so a trial is told from
+            // them by the pause before it.
+            let pauses = times_ms.windows(2);
+            let trials = pauses.filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_MS);
+            let first_trial_ms = match last_end_ms {
+                Some(_) => FIRST_TRIAL_MS,
+                None => FIRST_PART_TRIAL_MS,
+            };
+            return now_ms.saturating_sub(*last_ms)
+                >= trial_pause_ms(first_trial_ms, trials.count());
+        }
         let trials = times_ms.len().saturating_sub(REFUSED_AT_CRASHES);
         let has_ended_before =
             last_end_ms.is_some_and(|end_ms| end_ms + ENDED_BEFORE_MS >= *first_ms);
@@ -202,8 +361,7 @@
         let pause_ms = if last_ms - first_ms < same_failure_ms {
             SAME_FAILURE_TRIAL_MS
         } else {
-            let factor = TRIAL_FACTOR.saturating_pow(u32::try_from(trials).unwrap_or(u32::MAX));
-            FIRST_TRIAL_MS.saturating_mul(factor)
+            trial_pause_ms(FIRST_TRIAL_MS, trials)
         };
         now_ms.saturating_sub(*last_ms) >= pause_ms
     }
@@ -220,7 +378,7 @@
         let age_ms = |suspicion: &Suspicion| now_ms.saturating_sub(suspicion.observed_ms);
         let counted = of_request
             .iter()
-            .filter(|suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms));
+            .filter(|suspicion| self.is_counted(suspicion, now_ms));
         if counted
             .clone()
             .all(|suspicion| age_ms(suspicion) >= self.window_ms)
@@ -239,8 +397,12 @@
     /// Drops the crashes that are no longer remembered.
     pub fn drop_expired(&mut self, now_ms: u64) {
         let memory_ms = self.memory_ms();
+        let remembered = self.suspicions.len();
         self.suspicions
             .retain(|suspicion| now_ms.saturating_sub(suspicion.observed_ms) < memory_ms);
+        if self.suspicions.len() < remembered {
+            self.judge_parts(now_ms);
+        }
     }
 
     /// Suspicions that are remembered, for other processes.
@@ -254,32 +416,104 @@
 
     /// Suspicions of a request that are remembered, for other processes.
     pub fn request_records(&self, fingerprint: Digest, now_ms: u64) -> Vec<SuspectRecord> {
-        let of_request = self.suspicions.iter();
-        of_request
-            .skip_while(|suspicion| suspicion.fingerprint < fingerprint)
-            .take_while(|suspicion| suspicion.fingerprint == fingerprint)
+        self.of_cause(fingerprint)
+            .iter()
             .filter(|suspicion| !self.is_expired(suspicion, now_ms))
             .map(|suspicion| suspicion.to_record(now_ms))
             .collect()
     }
 
-    /// At most `max` suspicions of requests that one more crash leaves refused or that are
-    /// refused already, those with the most crashes first.
+    /// At most `max` suspicions: those of refused parts first, then of requests and parts that
+    /// one more crash leaves refused or that are refused already, those with the most crashes
+    /// first.
     pub fn most_suspected(&self, max: usize, now_ms: u64) -> Vec<SuspectRecord> {
-        let mut requests: Vec<(usize, &[Suspicion])> = self
+        let refused = self.refused_parts.iter();
+        let refused = refused.flat_map(|refused| self.witnesses(refused.part, now_ms));
+        let mut others: Vec<(usize, &[Suspicion])> = self
             .requests()
             .map(|of_request| (self.count_crashes(of_request, now_ms), of_request))
-            .filter(|request| request.0 + 1 >= REFUSED_AT_CRASHES)
+            .filter(|(count, of_request)| match of_request[0].part_of {
+                None => count + 1 >= REFUSED_AT_CRASHES,
+                Some(_) => {
+                    count + 1 >= PART_REFUSED_AT_CRASHES
+                        && !self.is_part_refused(of_request[0].fingerprint, now_ms)
+                }
+            })
             .collect();
-        requests.sort_by_key(|request| std::cmp::Reverse(request.0));
-        let suspicions = requests.into_iter().flat_map(|request| request.1);
-        suspicions
+        others.sort_by_key(|request| std::cmp::Reverse(request.0));
+        let others = others.into_iter().flat_map(|request| request.1);
+        refused
+            .chain(others)
             .filter(|suspicion| !self.is_expired(suspicion, now_ms))
             .take(max)
             .map(|suspicion| suspicion.to_record(now_ms))
             .collect()
     }
 
+    /// Some crashes of a part that are enough to refuse it.
+    fn witnesses(&self, part: Digest, now_ms: u64) -> Vec<&Suspicion> {
+        let counted = self.of_cause(part).iter();
+        let counted: Vec<&Suspicion> = counted
+            .filter(|suspicion| self.is_counted(suspicion, now_ms))
+            .collect();
+        let mut witnesses = successive_crashes(&counted);
+        for suspicion in counted {
+            if !witnesses.iter().any(|known| known.crash == suspicion.crash) {
+                witnesses.push(suspicion);
+            }
+        }
+        witnesses.truncate(MAX_TOLD_CRASHES);
+        witnesses
+    }
+
+    /// Decides anew which parts are refused.
+    ///
+    /// The part with the most crashes is taken for their cause; they do not count for the next.
+    fn judge_parts(&mut self, now_ms: u64) {
+        let mut refused = Vec::new();
+        let mut explained: Vec<CrashId> = Vec::new();
+        let mut candidates: Vec<Vec<&Suspicion>> = self
+            .requests()
+            .filter(|of_part| of_part[0].part_of.is_some())
+            .map(|of_part| {
+                let suspicions = of_part.iter();
+                suspicions
+                    .filter(|suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms))
+                    .collect()
+            })
+            .collect();
+        loop {
+            for counted in &mut candidates {
+                counted.retain(|suspicion| explained.binary_search(&suspicion.crash).is_err());
+            }
+            candidates.retain(|counted| is_refusable(counted));
+            // Of two with as many crashes, the same one in all processes.
+            let rank = |counted: &&Vec<&Suspicion>| {
+                (counted.len(), std::cmp::Reverse(counted[0].fingerprint))
+            };
+            let Some(cause) = candidates.iter().max_by_key(rank) else {
+                break;
+            };
+            refused.push(RefusedPart {
+                part: cause[0].fingerprint,
+                last_crash_ms: (cause.iter().map(|suspicion| suspicion.observed_ms))
+                    .max()
+                    .unwrap_or(now_ms),
+            });
+            explained.extend(cause.iter().map(|suspicion| suspicion.crash.clone()));
+            explained.sort_unstable();
+        }
+        refused.sort_by_key(|refused| refused.part);
+        self.refused_parts = refused;
+        self.explained_crashes = explained;
+    }
+
+    /// Parts that are refused.
+    pub fn refused_parts(&self, now_ms: u64) -> impl Iterator<Item = Digest> {
+        let parts = self.refused_parts.iter().map(|refused| refused.part);
+        parts.filter(move |part| self.is_part_refused(*part, now_ms))
+    }
+
     /// Digest of the suspicions that are remembered; equal in processes that hold the same ones.
     pub fn digest(&self, now_ms: u64) -> Digest {
         let mut hasher = blake3::Hasher::new();
@@ -292,6 +526,9 @@
             hasher.update(&suspicion.crash.incarnation.to_be_bytes());
             hasher.update(&suspicion.crash.crash_no.to_be_bytes());
             hasher.update(&[u8::from(suspicion.cleared)]);
+            if let Some(request) = suspicion.part_of {
+                hasher.update(request.as_bytes());
+            }
         }
         Digest::from(hasher.finalize())
     }
@@ -314,6 +551,8 @@
                     crash: record.death,
                     observed_ms: now_ms.saturating_sub(record.age_ms),
                     cleared: record.cleared,
+                    part_of: record.part_of,
+                    run_ms: record.run_ms,
                 },
                 now_ms,
             );
@@ -321,6 +560,7 @@
                 learned.push(record.fingerprint);
             }
         }
+        self.judge_parts(now_ms);
         learned
     }
 
@@ -355,6 +595,12 @@
                 let known = &mut self.suspicions[at];
                 known.cleared |= suspicion.cleared;
                 known.observed_ms = known.observed_ms.min(suspicion.observed_ms);
+                // The run that was sent last, and the same request in all processes.
+                known.run_ms = known.run_ms.min(suspicion.run_ms);
+                known.part_of = match (known.part_of, suspicion.part_of) {
+                    (Some(known), Some(other)) => Some(known.min(other)),
+                    (known, other) => known.or(other),
+                };
                 false
             }
             Err(at) => {
@@ -365,8 +611,8 @@
         }
     }
 
-    /// Drops a suspicion if there are too many: one that was cleared, or else one of a request
-    /// with the fewest crashes; the oldest of these.
+    /// Drops some suspicions if there are too many: those that were cleared, or else those of
+    /// requests with the fewest crashes; the oldest of these.
     fn drop_least(&mut self, now_ms: u64) {
         if self.suspicions.len() <= self.max_suspicions {
             return;
@@ -379,9 +625,50 @@
             };
             of_request.iter().map(rank)
         });
-        let least = ranks.enumerate().min_by_key(|rank| rank.1);
-        if let Some((at, _)) = least {
+        let mut ranks: Vec<((usize, u64), usize)> =
+            ranks.enumerate().map(|(at, rank)| (rank, at)).collect();
+        // Several at a time, as each search looks at all of them.
+        let count = (self.max_suspicions / DROPPED_SHARE).max(1);
+        ranks.select_nth_unstable(count - 1);
+        let mut dropped: Vec<usize> = ranks[..count].iter().map(|(_, at)| *at).collect();
+        dropped.sort_unstable();
+        for at in dropped.into_iter().rev() {
             self.suspicions.remove(at);
         }
     }
 }
+
+/// Whether the crashes that count for a part are enough to refuse it.
+fn is_refusable(counted: &[&Suspicion]) -> bool {
+    if counted.len() < PART_REFUSED_AT_CRASHES {
+        return false;
+    }
+    let mut requests: Vec<Option<Digest>> =
+        counted.iter().map(|suspicion| suspicion.part_of).collect();
+    requests.sort_unstable();
+    let of_one_request = requests.chunk_by(|one, next| one == next).map(<[_]>::len);
+    let most_of_one = of_one_request.max().unwrap_or(0);
+    counted.len() - most_of_one >= PART_OTHER_CRASHES
+        && successive_crashes(counted).len() >= PART_SUCCESSIVE_CRASHES
+}
+
+/// The most crashes of which each came under a run that was sent after the one before.
+fn successive_crashes<'a>(counted: &[&'a Suspicion]) -> Vec<&'a Suspicion> {
+    let mut by_time = counted.to_vec();
+    by_time.sort_by_key(|suspicion| suspicion.observed_ms);
+    let mut successive: Vec<&Suspicion> = Vec::new();
+    for suspicion in by_time {
+        let last = successive.last();
+        if last.is_none_or(|last| suspicion.sent_ms() >= last.observed_ms) {
+            successive.push(suspicion);
+        }
+    }
+    successive
+}
+
+/// Time after the last crash until a refused cause is tried again after `trials` that failed,
+/// in ms.
+fn trial_pause_ms(first_ms: u64, trials: usize) -> u64 {
+    let factor = TRIAL_FACTOR.saturating_pow(u32::try_from(trials).unwrap_or(u32::MAX));
+    first_ms.saturating_mul(factor)
+}
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -6,6 +6,10 @@
 use crate::calls::BrokenRun;
 use crate::calls::BrokenRunKind;
 use crate::calls::CrashSign;
+use crate::calls::PART_REFUSED_AT_CRASHES;
+use crate::calls::RunCauses;
+use crate::calls::SuspectRecord;
+use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
 use crate::fleet::rendezvous_rank;
@@ -27,6 +31,10 @@
 /// Largest number of records of which an entry that has started is told.
 const MAX_TOLD_SUSPECTS: usize = 48;
 
+/// Longest time before a crash, in ms, within which a run of a part has come to an end that
+/// rules the part out as its cause.
+const RULED_OUT_MS: u64 = 2_000;
+
 /// Kind of a broken run that ended for this cause; `None` when the replica has answered or
 /// the cause is in this process.
 fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
@@ -54,7 +62,7 @@
     /// crashed; returns whether that is to be checked by a connection.
     pub(super) fn record_broken_run(
         &mut self,
-        fingerprint: Digest,
+        causes: &RunCauses,
         chosen: &ChosenReplica,
         cause: &str,
     ) -> bool {
@@ -77,10 +85,11 @@
         let crash = chosen.process_crash();
         let is_told = self.suspects.has_crash(&crash);
         self.broken_runs.add(BrokenRun {
-            fingerprint,
+            causes: causes.clone(),
             crash,
             address: chosen.address,
             kind,
+            sent_ms: chosen.sent_ms,
             at_ms: now_ms,
         });
         // The sign may have come before the end of the run was noticed.
@@ -146,52 +155,112 @@
     }
 
     /// Records a run that came to an end, which shows that the request was only beside the
-    /// cause of earlier crashes.
-    pub(super) fn record_completed_run(&mut self, fingerprint: Digest) {
+    /// cause of earlier crashes; a failure shows nothing of the parts of its prompt.
+    pub(super) fn record_completed_run(&mut self, causes: &RunCauses, is_success: bool) {
         let now_ms = self.now_ms();
-        self.completed_runs.record(fingerprint, now_ms);
-        self.broken_runs.remove_request(fingerprint);
-        if self.suspects.clear_request(fingerprint) {
-            self.tell_suspect(fingerprint);
+        self.broken_runs.remove_request(causes.request);
+        self.completed_runs.record(causes.request, now_ms);
+        let cleared = if is_success {
+            for part in causes.parts() {
+                self.completed_parts.record(*part, now_ms);
+            }
+            self.completed_parts.record(causes.service, now_ms);
+            causes.clone()
+        } else {
+            causes.without_parts()
+        };
+        for cause in self.suspects.clear_run(&cleared, now_ms) {
+            self.tell_suspect(cause);
             LogLine::new(Event::SuspectCleared)
-                .text("fingerprint", fingerprint.short_hex())
+                .text("fingerprint", cause.short_hex())
                 .enqueue();
         }
     }
 
-    /// Whether this entry may try a refused request now: of all entries only one does, one
-    /// run at a time.
-    fn may_try(&self, fingerprint: Digest) -> bool {
+    /// Requests and parts of its prompt for which a run is refused.
+    pub(super) fn refused_causes(&self, causes: &RunCauses) -> Vec<Digest> {
+        let now_ms = self.now_ms();
+        let is_request = |cause: &Digest| *cause == causes.request;
+        let is_refused = |cause: &Digest| match is_request(cause) {
+            true => self.suspects.request_status(*cause, now_ms) == SuspectStatus::Refused,
+            false => self.is_part_refused(*cause, causes.service, now_ms),
+        };
+        causes.all().filter(is_refused).collect()
+    }
+
+    /// Whether a part of a prompt is refused at a service. While nothing at all runs to an end
+    /// there, a part whose runs did before is not.
+    fn is_part_refused(&self, part: Digest, service: Digest, now_ms: u64) -> bool {
+        if !self.suspects.is_part_refused(part, now_ms) {
+            return false;
+        }
+        if self.completed_parts.last_end_ms(part).is_none() {
+            return true;
+        }
+        let last_end_ms = self.completed_parts.last_end_ms(service).unwrap_or(0);
+        let crashes = self.suspects.part_crashes_until(part, last_end_ms, now_ms);
+        crashes >= PART_REFUSED_AT_CRASHES
+    }
+
+    /// Whether this entry may try a refused request or part now: of all entries only one does,
+    /// one run at a time.
+    fn may_try(&self, cause: Digest) -> bool {
         let now_ms = self.now_ms();
         let entries = self.peers.live_entries(now_ms);
         let names = entries.map(|entry| entry.name.as_str());
-        let last_end_ms = self.completed_runs.last_end_ms(fingerprint);
-        self.suspects.is_trial_due(fingerprint, last_end_ms, now_ms)
-            && !self.suspect_trials.contains(&fingerprint)
-            && rendezvous_rank(&self.settings.name, names, fingerprint.seed()) == 0
+        let of_request = self.completed_runs.last_end_ms(cause);
+        let last_end_ms = of_request.or(self.completed_parts.last_end_ms(cause));
+        self.suspects.is_trial_due(cause, last_end_ms, now_ms)
+            && !self.suspect_trials.contains(&cause)
+            && rendezvous_rank(&self.settings.name, names, cause.seed()) == 0
     }
 
-    /// Adds the requests of runs that ended by crashes to the suspects.
+    /// Adds the runs that ended by crashes to the suspects.
     fn suspect_crashed_runs(&mut self, crashed: Vec<BrokenRun>, sign: CrashSign) {
         let now_ms = self.now_ms();
         for run in crashed {
-            let replica = run.crash.endpoint.clone();
-            self.suspects
-                .add_crash(run.fingerprint, run.crash, run.at_ms);
-            LogLine::new(Event::CrashSuspected)
-                .text("replica", replica)
-                .text("fingerprint", run.fingerprint.short_hex())
-                .text("sign", sign.label())
-                .number(
-                    "crashes",
-                    self.suspects.crash_count(run.fingerprint, now_ms),
-                )
-                .number("broken_ms_ago", now_ms.saturating_sub(run.at_ms))
-                .enqueue();
-            self.tell_suspect(run.fingerprint);
+            let completed_parts = &self.completed_parts;
+            let run_ms = run.at_ms.saturating_sub(run.sent_ms);
+            let suspected =
+                self.suspects
+                    .add_crashed_run(&run.causes, &run.crash, run_ms, run.at_ms, |part| {
+                        let last_end_ms = completed_parts.last_end_ms(part);
+                        last_end_ms.is_none_or(|end_ms| end_ms + RULED_OUT_MS < run.at_ms)
+                    });
+            for cause in &suspected {
+                let is_part = *cause != run.causes.request;
+                LogLine::new(Event::CrashSuspected)
+                    .text("replica", &run.crash.endpoint)
+                    .text("fingerprint", cause.short_hex())
+                    .flag("part", is_part)
+                    .text("sign", sign.label())
+                    .number("crashes", self.suspects.crash_count(*cause, now_ms))
+                    .number("broken_ms_ago", now_ms.saturating_sub(run.at_ms))
+                    .number("run_ms", run_ms)
+                    .enqueue();
+            }
+            for cause in suspected {
+                self.tell_suspect(cause);
+            }
         }
     }
 
+    /// Records of another entry, in which the parts that this one can rule out are cleared.
+    pub(super) fn rule_out_parts(&self, records: &[SuspectRecord]) -> Vec<SuspectRecord> {
+        let now_ms = self.now_ms();
+        let is_ruled_out = |record: &SuspectRecord| {
+            let last_end_ms = self.completed_parts.last_end_ms(record.fingerprint);
+            let crash_ms = now_ms.saturating_sub(record.age_ms);
+            record.part_of.is_some()
+                && last_end_ms.is_some_and(|end_ms| end_ms + RULED_OUT_MS >= crash_ms)
+        };
+        let records = records.iter().map(|record| SuspectRecord {
+            cleared: record.cleared || is_ruled_out(record),
+            ..record.clone()
+        });
+        records.collect()
+    }
+
     /// Has the other entries told that the suspicions of a request have changed.
     fn tell_suspect(&mut self, fingerprint: Digest) {
         let now_ms = self.now_ms();
@@ -208,36 +277,40 @@
     }
 }
 
-/// The one run by which a refused request is tried, until it is dropped.
+/// The one run by which refused causes are tried, until it is dropped.
 #[derive(Debug)]
 pub struct SuspectTrial<'a> {
     state: &'a RefCell<GatewayState>,
-    fingerprint: Digest,
+    causes: Vec<Digest>,
 }
 
 impl<'a> SuspectTrial<'a> {
-    /// Begins the trial of a refused request; `None` if it may not be tried here and now.
-    pub fn begin(state: &'a RefCell<GatewayState>, fingerprint: Digest) -> Option<Self> {
-        if !state.borrow().may_try(fingerprint) {
+    /// Begins the trial of all causes for which a run is refused; `None` if one of them may not
+    /// be tried here and now.
+    pub fn begin(state: &'a RefCell<GatewayState>, causes: Vec<Digest>) -> Option<Self> {
+        let may_try = |cause: &Digest| state.borrow().may_try(*cause);
+        if !causes.iter().all(may_try) {
             return None;
         }
-        state.borrow_mut().suspect_trials.push(fingerprint);
-        Some(Self { state, fingerprint })
+        state.borrow_mut().suspect_trials.extend(&causes);
+        Some(Self { state, causes })
     }
 
     /// Logs that the run is sent to `replica`.
     pub fn log_send(&self, replica: &str) {
-        LogLine::new(Event::SuspectTried)
-            .text("fingerprint", self.fingerprint.short_hex())
-            .text("replica", replica)
-            .enqueue();
+        for cause in &self.causes {
+            LogLine::new(Event::SuspectTried)
+                .text("fingerprint", cause.short_hex())
+                .text("replica", replica)
+                .enqueue();
+        }
     }
 }
 
 impl Drop for SuspectTrial<'_> {
     fn drop(&mut self) {
         let trials = &mut self.state.borrow_mut().suspect_trials;
-        trials.retain(|tried| *tried != self.fingerprint);
+        trials.retain(|tried| !self.causes.contains(tried));
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -219,7 +219,7 @@
         state
             .replicas
             .record_answer(send.chosen.key, latency_ms, false, now_ms);
-        state.record_completed_run(request.causes.request);
+        state.record_completed_run(&request.causes, true);
         drop(state);
         let outcome = RequestOutcome {
             status: 200,
@@ -257,7 +257,7 @@
             history.may_have_run = true;
             if !relay.has_begun() {
                 let mut state = self.state.borrow_mut();
-                state.record_broken_run(request.causes.request, &send.chosen, cause);
+                state.record_broken_run(&request.causes, &send.chosen, cause);
             }
         }
         relay
@@ -280,7 +280,7 @@
             self.record_part_end(part, StreamEnd::ClientDisconnected.label());
             history.last_part = part.or(history.last_part);
             let mut state = self.state.borrow_mut();
-            state.record_broken_run(request.causes.request, &send.chosen, CLIENT_LEFT);
+            state.record_broken_run(&request.causes, &send.chosen, CLIENT_LEFT);
         }
         let outcome = RequestOutcome {
             status: 0,
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -1,5 +1,4 @@
 use crate::calls::CrashSign;
-use crate::calls::REFUSED_AT_CRASHES;
 use crate::fleet::ReplicaNotice;
 use crate::fleet::RouteKind;
 use crate::gateway::Dialect;
@@ -119,7 +118,8 @@
                 let asks_for_pause =
                     response.head.status == 503 && state.replicas.get(chosen.key).is_paused(now_ms);
                 if !matches!(response.head.status, 503 | 504) {
-                    state.record_completed_run(request.causes.request);
+                    let is_success = (200..300).contains(&response.head.status);
+                    state.record_completed_run(&request.causes, is_success);
                 }
                 if !asks_for_pause {
                     state
@@ -203,12 +203,12 @@
         }
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
-        if !state.record_broken_run(request.causes.request, chosen, cause) {
+        if !state.record_broken_run(&request.causes, chosen, cause) {
             return;
         }
         actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
         // One more crash leaves the request refused: that is known before its next send.
-        if state.suspects.crash_count(request.causes.request, now_ms) + 1 >= REFUSED_AT_CRASHES {
+        if state.suspects.is_near_refusal(&request.causes, now_ms) {
             history.unchecked_address = Some(chosen.address);
         }
     }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -6,9 +6,7 @@
 
 use crate::calls::AnswerDecision;
 use crate::calls::AnswerUnderWay;
-use crate::calls::REFUSED_AT_CRASHES;
 use crate::calls::StopAdmission;
-use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaNotice;
 use crate::gateway::Dialect;
 use crate::gateway::SendFacts;
@@ -54,13 +52,13 @@
             check_replica(&self.state, address).await;
         }
         // Asked before each send: the one before may have been the third crash.
-        let is_refused = self.is_refused_as_suspect(request);
-        let trial = is_refused
-            .then(|| SuspectTrial::begin(&self.state, request.causes.request))
-            .flatten();
-        if is_refused && trial.is_none() {
-            return Err((CRASH_SUSPECT, None));
-        }
+        let refused = self.state.borrow().refused_causes(&request.causes);
+        let trial = if refused.is_empty() {
+            None
+        } else {
+            let trial = SuspectTrial::begin(&self.state, refused);
+            Some(trial.ok_or((CRASH_SUSPECT, None))?)
+        };
         if !relay.has_begun() && !self.can_end_before_stop(request) {
             return Err((STOPPING, Some(RETRY_AFTER_ELSEWHERE_MS)));
         }
@@ -215,16 +213,13 @@
         let uncounted = sends.as_slice().iter().filter(|send| send.is_waiting());
         let uncounted = u32::try_from(uncounted.count()).unwrap_or(u32::MAX);
         let state = self.state.borrow();
-        let crashes = state
-            .suspects
-            .crash_count(request.causes.request, state.now_ms());
         sends.has_room()
             && request.route.kind.is_repeatable()
             && relay.can_go_on()
             && (relay.has_begun() || self.can_end_before_stop(request))
             && request.sends + uncounted < request.route.max_attempts
             // The silence may be the crash after which the request is refused.
-            && crashes + 1 < REFUSED_AT_CRASHES
+            && !(state.suspects).is_near_refusal(&request.causes, state.now_ms())
             && !sends.as_slice().iter().any(RunningSend::is_trial)
     }
 
@@ -238,7 +233,7 @@
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
         state.replicas.record_incomplete_answer(chosen.key, now_ms);
-        if state.record_broken_run(request.causes.request, chosen, "silent") {
+        if state.record_broken_run(&request.causes, chosen, "silent") {
             actix_rt::spawn(check_replica_once(self.state.clone(), chosen.address));
         }
     }
@@ -314,10 +309,7 @@
     /// Whether the request is refused because it is suspected of several crashes.
     pub(super) fn is_refused_as_suspect(&self, request: &RoutedRequest) -> bool {
         let state = self.state.borrow();
-        state
-            .suspects
-            .request_status(request.causes.request, state.now_ms())
-            == SuspectStatus::Refused
+        !state.refused_causes(&request.causes).is_empty()
     }
 
     /// Waits until the request is refused because it is suspected of several crashes.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -39,9 +39,9 @@
 /// Time for which a request remains suspected after a crash, in ms.
 const SUSPECT_WINDOW_MS: u64 = 600_000;
 
-/// Largest number of pairs of a suspected request and a crash that are kept: a crash adds
-/// one for each request that the replica held.
-const MAX_SUSPECTS: usize = 1_024;
+/// Largest number of pairs of a suspected request, or part of a prompt, and a crash that are
+/// kept: a crash adds some for each request that the replica held.
+const MAX_SUSPECTS: usize = 4_096;
 
 /// Age of the replicas' records from which they are fetched also from entries of
 /// other failure domains, in ms.
@@ -104,6 +104,8 @@
     pub(super) broken_runs: BrokenRuns,
     /// Requests that have run to an end.
     pub(super) completed_runs: CompletedRuns,
+    /// Parts of prompts that were in requests which ran to an end, and the services.
+    pub(super) completed_parts: CompletedRuns,
     /// Times that the requests of each route took.
     pub(super) run_times: RunTimes,
     /// Addresses to which a connection is being opened, to see whether a replica is there.
@@ -154,6 +156,7 @@
             expired_replicas: Vec::new(),
             broken_runs: BrokenRuns::default(),
             completed_runs: CompletedRuns::default(),
+            completed_parts: CompletedRuns::default(),
             run_times: RunTimes::default(),
             checked_addresses: Vec::new(),
             suspect_trials: Vec::new(),
--- a/src/gateway/suspect_notices.rs
+++ b/src/gateway/suspect_notices.rs
@@ -57,9 +57,8 @@
 /// Merges and logs the suspicions that another entry reports.
 pub fn merge_suspects(state: &mut GatewayState, entry: &str, records: &[SuspectRecord]) {
     let now_ms = state.now_ms();
-    let learned = state
-        .suspects
-        .merge_records(records.iter().cloned(), now_ms);
+    let records = state.rule_out_parts(records);
+    let learned = state.suspects.merge_records(records, now_ms);
     if learned.is_empty() {
         return;
     }
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -82,7 +82,7 @@
     710 EntrySeen Info "A heartbeat of another entry arrived; the entry is new, has restarted or had timed out.";
     711 RecordsPulled Info "Records were fetched from another entry.";
     712 WeightsDeclared Info "The operator declared a version of weights.";
-    713 CrashSuspected Warn "A request is suspected of crashing replicas.";
+    713 CrashSuspected Warn "A request, or a part of its prompt, is suspected of crashing replicas.";
     714 TopicListed Info "A listing of a topic was read from the platform's store, or the read failed.";
     715 TopicRewound Warn "The platform's store came back from an older copy, and a topic was listed anew.";
     716 ReplyDiscarded Info "A reply of the platform's store was discarded, since the store has come back from an older copy after it.";
@@ -90,9 +90,9 @@
     718 ReplicaPaused Info "A replica turned a request away and wants nothing from this process for a time.";
     719 ReplicaSilent Warn "Reports and answers of a replica stay away; it gets no new requests while others can take them.";
     720 ReplicaHeard Info "A replica that was silent is heard again, or is no longer listed.";
-    721 SuspectLearned Info "Another entry told of a crash during which a request was running.";
-    722 SuspectCleared Info "A request that was running during a crash has run to an end and is no suspect any more.";
-    723 SuspectTried Info "A request that is refused as a crash suspect is tried once by this entry.";
+    721 SuspectLearned Info "Another entry told of a crash during which a request, or one with a part, was running.";
+    722 SuspectCleared Info "A request, or one with a part, that was running during a crash has run to an end and is no suspect any more.";
+    723 SuspectTried Info "A request, or one with a part, that is refused as a crash suspect is tried once by this entry.";
     724 SecondSend Info "A request was sent to a second replica beside the first, which is silent.";
     725 SendCancelled Info "A send was cancelled, as the answer of another replica is passed on.";
     726 RequestUnread Warn "A client's connection was closed unread, as more were open than can be refused.";
--- a/tests/calls/crash_model.rs
+++ b/tests/calls/crash_model.rs
@@ -15,6 +15,7 @@
 use bergamotfork::calls::CrashId;
 use bergamotfork::calls::CrashSign;
 use bergamotfork::calls::REFUSED_AT_CRASHES;
+use bergamotfork::calls::RunCauses;
 use bergamotfork::calls::SuspectRecord;
 use bergamotfork::calls::SuspectStatus;
 use bergamotfork::calls::SuspectTable;
@@ -136,6 +137,11 @@
     fingerprint("model", &number.to_be_bytes())
 }
 
+/// Causes of a run of a request without parts.
+fn causes(request: Digest) -> RunCauses {
+    RunCauses::new(request, "service", [""; 0])
+}
+
 fn culprit() -> Digest {
     request(0)
 }
@@ -329,10 +335,11 @@
                 self.crashes.push((now_ms, crash.clone(), entry));
             }
             self.entries[entry].broken.add(BrokenRun {
-                fingerprint: run.request,
+                causes: causes(run.request),
                 crash: crash.clone(),
                 address: address(replica),
                 kind: BrokenRunKind::ConnectionEnded,
+                sent_ms: now_ms,
                 at_ms: now_ms,
             });
             // Some checks come when the replica is back.
@@ -350,8 +357,8 @@
     fn suspect(&mut self, entry: usize, crashed: Vec<BrokenRun>) {
         for run in crashed {
             let table = &mut self.entries[entry].table;
-            table.add_crash(run.fingerprint, run.crash, run.at_ms);
-            self.tell(entry, run.fingerprint);
+            table.add_crash(run.causes.request, run.crash, run.at_ms);
+            self.tell(entry, run.causes.request);
         }
     }
 
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -5,4 +5,5 @@
 mod pauses;
 mod permits;
 mod stops;
+mod suspect_parts;
 mod suspects;
