Keep the times of crashes that were before the process started

A caller's request that crashes replicas was tried again by an entry 0.3 s after its restart, where it has to wait 15 s after the last crash. Cause: the table holds times since the start of the process, and what an entry that has just started is told of was before it: all such crashes counted as of time 0, so of one moment, as in a failure that no request has caused. Class: an unsigned time that saturates. The table now keeps signed times.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -113,7 +113,8 @@
     // The key of a suspicion is the pair of request or part, and crash.
     fingerprint: Digest,
     crash: CrashId,
-    observed_ms: u64,
+    // Negative if it was before the process started.
+    observed_ms: i64,
     cleared: bool,
     // None if the request itself is suspected.
     part_of: Option<Digest>,
@@ -129,7 +130,7 @@
         SuspectRecord {
             fingerprint: self.fingerprint,
             death: self.crash.clone(),
-            age_ms: now_ms.saturating_sub(self.observed_ms),
+            age_ms: age_ms(now_ms, self.observed_ms),
             cleared: self.cleared,
             part_of: self.part_of,
             run_ms: self.run_ms,
@@ -137,8 +138,8 @@
     }
 
     /// Time at which the run that was observed was sent, in ms.
-    fn sent_ms(&self) -> u64 {
-        self.observed_ms.saturating_sub(self.run_ms)
+    fn sent_ms(&self) -> i64 {
+        self.observed_ms.saturating_sub_unsigned(self.run_ms)
     }
 }
 
@@ -146,7 +147,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct RefusedPart {
     part: Digest,
-    last_crash_ms: u64,
+    last_crash_ms: i64,
 }
 
 /// Requests, and parts of their prompts, that were running when endpoints crashed.
@@ -188,7 +189,7 @@
             Suspicion {
                 fingerprint,
                 crash,
-                observed_ms: now_ms,
+                observed_ms: signed_ms(now_ms),
                 cleared: false,
                 part_of: None,
                 run_ms: 0,
@@ -214,7 +215,7 @@
             let suspicion = Suspicion {
                 fingerprint: *part,
                 crash: crash.clone(),
-                observed_ms: now_ms,
+                observed_ms: signed_ms(now_ms),
                 cleared: false,
                 part_of: Some(causes.request),
                 run_ms,
@@ -268,9 +269,7 @@
     pub fn is_part_refused(&self, part: Digest, now_ms: u64) -> bool {
         self.refused_parts
             .binary_search_by_key(&part, |refused| refused.part)
-            .is_ok_and(|at| {
-                now_ms.saturating_sub(self.refused_parts[at].last_crash_ms) < self.window_ms
-            })
+            .is_ok_and(|at| age_ms(now_ms, self.refused_parts[at].last_crash_ms) < self.window_ms)
     }
 
     /// Number of crashes at or before `until_ms` of which a part has not been cleared.
@@ -278,7 +277,7 @@
         self.of_cause(part)
             .iter()
             .filter(|suspicion| self.is_counted(suspicion, now_ms))
-            .filter(|suspicion| suspicion.observed_ms <= until_ms)
+            .filter(|suspicion| suspicion.observed_ms <= signed_ms(until_ms))
             .count()
     }
 
@@ -333,7 +332,7 @@
         let counted = of_cause
             .iter()
             .filter(|suspicion| self.is_counted(suspicion, now_ms));
-        let mut times_ms: Vec<u64> = counted.map(|suspicion| suspicion.observed_ms).collect();
+        let mut times_ms: Vec<i64> = counted.map(|suspicion| suspicion.observed_ms).collect();
         times_ms.sort_unstable();
         let (Some(first_ms), Some(last_ms)) = (times_ms.first(), times_ms.last()) else {
             return true;
@@ -342,28 +341,27 @@
             // Many runs of a part may have begun before it was refused, so a trial is told from
             // them by the pause before it.
             let pauses = times_ms.windows(2);
-            let trials = pauses.filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_MS);
+            let trials = pauses.filter(|pair| pair[0].abs_diff(pair[1]) >= FIRST_TRIAL_MS);
             let first_trial_ms = match last_end_ms {
                 Some(_) => FIRST_TRIAL_MS,
                 None => FIRST_PART_TRIAL_MS,
             };
-            return now_ms.saturating_sub(*last_ms)
-                >= trial_pause_ms(first_trial_ms, trials.count());
+            return age_ms(now_ms, *last_ms) >= trial_pause_ms(first_trial_ms, trials.count());
         }
         let trials = times_ms.len().saturating_sub(REFUSED_AT_CRASHES);
         let has_ended_before =
-            last_end_ms.is_some_and(|end_ms| end_ms + ENDED_BEFORE_MS >= *first_ms);
+            last_end_ms.is_some_and(|end_ms| signed_ms(end_ms + ENDED_BEFORE_MS) >= *first_ms);
         let same_failure_ms = if has_ended_before {
             SAME_FAILURE_MS
         } else {
             SAME_MOMENT_MS
         };
-        let pause_ms = if last_ms - first_ms < same_failure_ms {
+        let pause_ms = if first_ms.abs_diff(*last_ms) < same_failure_ms {
             SAME_FAILURE_TRIAL_MS
         } else {
             trial_pause_ms(FIRST_TRIAL_MS, trials)
         };
-        now_ms.saturating_sub(*last_ms) >= pause_ms
+        age_ms(now_ms, *last_ms) >= pause_ms
     }
 
     /// Suspicions by request.
@@ -375,7 +373,7 @@
     /// Number of crashes that count among the suspicions of one request; none when the last is
     /// longer ago than the window.
     fn count_crashes(&self, of_request: &[Suspicion], now_ms: u64) -> usize {
-        let age_ms = |suspicion: &Suspicion| now_ms.saturating_sub(suspicion.observed_ms);
+        let age_ms = |suspicion: &Suspicion| age_ms(now_ms, suspicion.observed_ms);
         let counted = of_request
             .iter()
             .filter(|suspicion| self.is_counted(suspicion, now_ms));
@@ -399,7 +397,7 @@
         let memory_ms = self.memory_ms();
         let remembered = self.suspicions.len();
         self.suspicions
-            .retain(|suspicion| now_ms.saturating_sub(suspicion.observed_ms) < memory_ms);
+            .retain(|suspicion| age_ms(now_ms, suspicion.observed_ms) < memory_ms);
         if self.suspicions.len() < remembered {
             self.judge_parts(now_ms);
         }
@@ -498,7 +496,7 @@
                 part: cause[0].fingerprint,
                 last_crash_ms: (cause.iter().map(|suspicion| suspicion.observed_ms))
                     .max()
-                    .unwrap_or(now_ms),
+                    .unwrap_or(signed_ms(now_ms)),
             });
             explained.extend(cause.iter().map(|suspicion| suspicion.crash.clone()));
             explained.sort_unstable();
@@ -549,7 +547,7 @@
                 Suspicion {
                     fingerprint: record.fingerprint,
                     crash: record.death,
-                    observed_ms: now_ms.saturating_sub(record.age_ms),
+                    observed_ms: signed_ms(now_ms).saturating_sub_unsigned(record.age_ms),
                     cleared: record.cleared,
                     part_of: record.part_of,
                     run_ms: record.run_ms,
@@ -575,7 +573,7 @@
     }
 
     fn is_expired(&self, suspicion: &Suspicion, now_ms: u64) -> bool {
-        now_ms.saturating_sub(suspicion.observed_ms) >= self.memory_ms()
+        age_ms(now_ms, suspicion.observed_ms) >= self.memory_ms()
     }
 
     /// Time for which a crash is remembered. One that is older than the window counts only
@@ -625,7 +623,7 @@
             };
             of_request.iter().map(rank)
         });
-        let mut ranks: Vec<((usize, u64), usize)> =
+        let mut ranks: Vec<((usize, i64), usize)> =
             ranks.enumerate().map(|(at, rank)| (rank, at)).collect();
         // Several at a time, as each search looks at all of them.
         let count = (self.max_suspicions / DROPPED_SHARE).max(1);
@@ -638,6 +636,16 @@
     }
 }
 
+/// A time as one that may also be before the start of the process.
+fn signed_ms(at_ms: u64) -> i64 {
+    i64::try_from(at_ms).unwrap_or(i64::MAX)
+}
+
+/// Time since `at_ms`; 0 if that is yet to come.
+fn age_ms(now_ms: u64, at_ms: i64) -> u64 {
+    u64::try_from(signed_ms(now_ms).saturating_sub(at_ms)).unwrap_or(0)
+}
+
 /// Whether the crashes that count for a part are enough to refuse it.
 fn is_refusable(counted: &[&Suspicion]) -> bool {
     if counted.len() < PART_REFUSED_AT_CRASHES {
--- a/tests/calls/suspects.rs
+++ b/tests/calls/suspects.rs
@@ -223,3 +223,17 @@
     slot.release(request(0));
     assert!(slot.try_acquire(request(1)));
 }
+
+/// Guards against crashes that count as of one moment, as they were before the process started.
+#[test]
+fn is_trial_due_crashes_before_start_of_process() {
+    let mut told = SuspectTable::new(600_000, 64);
+    for number in 0..3 {
+        told.add_crash(request(0), crash(number), 1_000 * u64::from(number));
+    }
+    let mut table = SuspectTable::new(600_000, 64);
+    table.merge_records(told.export_records(8_000), 0);
+    assert_eq!(table.request_status(request(0), 0), SuspectStatus::Refused);
+    assert!(!table.is_trial_due(request(0), None, 8_999));
+    assert!(table.is_trial_due(request(0), None, 9_000));
+}
