Refuse parts together that nothing tells apart

Callers' requests with a sound part would be refused in place of the one that crashes replicas: where two parts had been in the same requests at all crashes, the lesser digest was refused, so that requests with the sound part alone got 503, and those with the other one went on. Cause: a tie was decided by chance. Such parts are now refused only in a prompt that has all of them; the next run with one alone tells which it is (unit test run_status_parts_together_told_apart_by_next_run). Of parts of other requests with as many crashes, the one whose runs were sent shortest before them is taken first.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -143,10 +145,12 @@
     }
 }
 
-/// A part of a prompt that is refused.
+/// Parts that are refused in a prompt that has all of them: they ran together at the same
+/// crashes, and nothing tells them apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct RefusedPart {
-    part: Digest,
+struct RefusedParts {
+    // Ascending; the first one stands for all.
+    parts: Vec<Digest>,
     last_crash_ms: i64,
 }
 
@@ -158,14 +162,14 @@
 /// A crash ends all runs of its endpoint, so each crash has one cause and many companions. A
 /// run that comes to an end clears the request and all of its parts. Of the parts that remain,
 /// the one with the most crashes is taken for their cause, and they no longer count for any
-/// other part or request.
+/// other part or request. Parts that were together at all of these are refused together only:
+/// the next run with one of them alone tells which it is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectTable {
     // Ascending by fingerprint and crash.
     suspicions: Vec<Suspicion>,
-    // Ascending by part.
-    refused_parts: Vec<RefusedPart>,
-    // The crashes of which these are the cause, ascending.
+    refused_parts: Vec<RefusedParts>,
+    // The crashes of which these are the causes, ascending.
     explained_crashes: Vec<CrashId>,
     window_ms: u64,
     max_suspicions: usize,
@@ -258,18 +262,31 @@
 
     /// How a run is to be treated: as its request, and refused also for a part of its prompt.
     pub fn run_status(&self, causes: &RunCauses, now_ms: u64) -> SuspectStatus {
-        let mut parts = causes.parts().iter();
-        if parts.any(|part| self.is_part_refused(*part, now_ms)) {
-            return SuspectStatus::Refused;
+        match self.refused_parts_of(causes, now_ms).next() {
+            Some(_) => SuspectStatus::Refused,
+            None => self.request_status(causes.request, now_ms),
         }
-        self.request_status(causes.request, now_ms)
     }
 
-    /// Whether a part of a prompt is refused.
-    pub fn is_part_refused(&self, part: Digest, now_ms: u64) -> bool {
+    /// Parts for which a run is refused; the first one of those that are refused together.
+    pub fn refused_parts_of(
+        &self,
+        causes: &RunCauses,
+        now_ms: u64,
+    ) -> impl Iterator<Item = Digest> {
+        self.refused_groups(now_ms)
+            .filter(|refused| {
+                let mut parts = refused.parts.iter();
+                parts.all(|part| causes.parts().contains(part))
+            })
+            .map(|refused| refused.parts[0])
+    }
+
+    /// The refused parts whose last crash is not longer ago than the window.
+    fn refused_groups(&self, now_ms: u64) -> impl Iterator<Item = &RefusedParts> {
         self.refused_parts
-            .binary_search_by_key(&part, |refused| refused.part)
-            .is_ok_and(|at| age_ms(now_ms, self.refused_parts[at].last_crash_ms) < self.window_ms)
+            .iter()
+            .filter(move |refused| age_ms(now_ms, refused.last_crash_ms) < self.window_ms)
     }
 
     /// Number of crashes at or before `until_ms` of which a part has not been cleared.
@@ -426,7 +443,7 @@
     /// first.
     pub fn most_suspected(&self, max: usize, now_ms: u64) -> Vec<SuspectRecord> {
         let refused = self.refused_parts.iter();
-        let refused = refused.flat_map(|refused| self.witnesses(refused.part, now_ms));
+        let refused: Vec<Digest> = refused.flat_map(|group| group.parts.clone()).collect();
         let mut others: Vec<(usize, &[Suspicion])> = self
             .requests()
             .map(|of_request| (self.count_crashes(of_request, now_ms), of_request))
@@ -434,13 +451,15 @@
                 None => count + 1 >= REFUSED_AT_CRASHES,
                 Some(_) => {
                     count + 1 >= PART_REFUSED_AT_CRASHES
-                        && !self.is_part_refused(of_request[0].fingerprint, now_ms)
+                        && !refused.contains(&of_request[0].fingerprint)
                 }
             })
             .collect();
-        others.sort_by_key(|request| std::cmp::Reverse(request.0));
+        others.sort_by_key(|request| Reverse(request.0));
         let others = others.into_iter().flat_map(|request| request.1);
+        let refused = refused.iter();
         refused
+            .flat_map(|part| self.witnesses(*part, now_ms))
             .chain(others)
             .filter(|suspicion| !self.is_expired(suspicion, now_ms))
             .take(max)
@@ -455,6 +474,8 @@
             .filter(|suspicion| self.is_counted(suspicion, now_ms))
             .collect();
         let mut witnesses = successive_crashes(&counted);
+        let surplus = witnesses.len().saturating_sub(MAX_TOLD_CRASHES);
+        witnesses.drain(..surplus);
         for suspicion in counted {
             if !witnesses.iter().any(|known| known.crash == suspicion.crash) {
                 witnesses.push(suspicion);
@@ -485,31 +506,53 @@
                 counted.retain(|suspicion| explained.binary_search(&suspicion.crash).is_err());
             }
             candidates.retain(|counted| is_refusable(counted));
-            // Of two with as many crashes, the same one in all processes.
+            // Of two with as many crashes, the one whose runs had begun shortly before.
             let rank = |counted: &&Vec<&Suspicion>| {
-                (counted.len(), std::cmp::Reverse(counted[0].fingerprint))
+                let run_ms: u64 = counted.iter().map(|suspicion| suspicion.run_ms).sum();
+                let part = counted[0].fingerprint;
+                (counted.len(), Reverse(run_ms), Reverse(part))
             };
             let Some(cause) = candidates.iter().max_by_key(rank) else {
                 break;
             };
-            refused.push(RefusedPart {
-                part: cause[0].fingerprint,
-                last_crash_ms: (cause.iter().map(|suspicion| suspicion.observed_ms))
-                    .max()
-                    .unwrap_or(signed_ms(now_ms)),
+            let is_together = |other: &&Vec<&Suspicion>| are_together(cause, other);
+            let together = candidates.iter().filter(is_together);
+            let last_crash_ms = cause.iter().map(|suspicion| suspicion.observed_ms).max();
+            refused.push(RefusedParts {
+                parts: together.map(|counted| counted[0].fingerprint).collect(),
+                last_crash_ms: last_crash_ms.unwrap_or(signed_ms(now_ms)),
             });
             explained.extend(cause.iter().map(|suspicion| suspicion.crash.clone()));
             explained.sort_unstable();
         }
-        refused.sort_by_key(|refused| refused.part);
         self.refused_parts = refused;
         self.explained_crashes = explained;
     }
 
-    /// Parts that are refused.
-    pub fn refused_parts(&self, now_ms: u64) -> impl Iterator<Item = Digest> {
-        let parts = self.refused_parts.iter().map(|refused| refused.part);
-        parts.filter(move |part| self.is_part_refused(*part, now_ms))
+    /// Requests and parts that are refused; the first one of those that are refused together.
+    pub fn refused_causes(&self, now_ms: u64) -> Vec<Digest> {
+        let parts = self.refused_groups(now_ms);
+        let parts = parts.map(|refused| refused.parts[0]);
+        let requests = self
+            .requests()
+            .filter(|of_cause| of_cause[0].part_of.is_none())
+            .filter(|of_cause| self.count_crashes(of_cause, now_ms) >= REFUSED_AT_CRASHES);
+        let requests = requests.map(|of_cause| of_cause[0].fingerprint);
+        parts.chain(requests).collect()
+    }
+
+    /// Crashes under a refused request or part, and the parts that are refused together with
+    /// it, that are enough to refuse it elsewhere; all that are remembered if it is not refused.
+    pub fn cause_records(&self, cause: Digest, now_ms: u64) -> Vec<SuspectRecord> {
+        let mut groups = self.refused_groups(now_ms);
+        let Some(refused) = groups.find(|refused| refused.parts[0] == cause) else {
+            return self.request_records(cause, now_ms);
+        };
+        let parts = refused.parts.iter();
+        let witnesses = parts.flat_map(|part| self.witnesses(*part, now_ms));
+        witnesses
+            .map(|suspicion| suspicion.to_record(now_ms))
+            .collect()
     }
 
     /// Digest of the suspicions that are remembered; equal in processes that hold the same ones.
@@ -660,6 +703,15 @@
         && successive_crashes(counted).len() >= PART_SUCCESSIVE_CRASHES
 }
 
+/// Whether two parts ran in the same requests at the same crashes.
+fn are_together(one: &[&Suspicion], other: &[&Suspicion]) -> bool {
+    one.len() == other.len()
+        && one
+            .iter()
+            .zip(other)
+            .all(|(one, other)| one.crash == other.crash && one.part_of == other.part_of)
+}
+
 /// The most crashes of which each came under a run that was sent after the one before.
 fn successive_crashes<'a>(counted: &[&'a Suspicion]) -> Vec<&'a Suspicion> {
     let mut by_time = counted.to_vec();
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -180,20 +180,16 @@
     /// Requests and parts of its prompt for which a run is refused.
     pub(super) fn refused_causes(&self, causes: &RunCauses) -> Vec<Digest> {
         let now_ms = self.now_ms();
-        let is_request = |cause: &Digest| *cause == causes.request;
-        let is_refused = |cause: &Digest| match is_request(cause) {
-            true => self.suspects.request_status(*cause, now_ms) == SuspectStatus::Refused,
-            false => self.is_part_refused(*cause, causes.service, now_ms),
-        };
-        causes.all().filter(is_refused).collect()
+        let status = self.suspects.request_status(causes.request, now_ms);
+        let request = (status == SuspectStatus::Refused).then_some(causes.request);
+        let parts = self.suspects.refused_parts_of(causes, now_ms);
+        let parts = parts.filter(|part| self.is_part_at_fault(*part, causes.service, now_ms));
+        request.into_iter().chain(parts).collect()
     }
 
-    /// Whether a part of a prompt is refused at a service. While nothing at all runs to an end
-    /// there, a part whose runs did before is not.
-    fn is_part_refused(&self, part: Digest, service: Digest, now_ms: u64) -> bool {
-        if !self.suspects.is_part_refused(part, now_ms) {
-            return false;
-        }
+    /// Whether the crashes under a part are no failure of its whole service: while nothing at
+    /// all runs to an end there, a part whose runs did before is not refused.
+    fn is_part_at_fault(&self, part: Digest, service: Digest, now_ms: u64) -> bool {
         if self.completed_parts.last_end_ms(part).is_none() {
             return true;
         }
--- a/tests/calls/suspect_parts.rs
+++ b/tests/calls/suspect_parts.rs
@@ -103,6 +103,39 @@
     assert_ne!(table.run_status(&beside, now_ms), SuspectStatus::Refused);
 }
 
+/// Guards against a companion that is refused in place of the cause.
+#[test]
+fn run_status_parts_together_told_apart_by_next_run() {
+    let mut table = new_table();
+    for number in 0..4 {
+        add(&mut table, number, &["a", "q"], number, number * STEP_MS);
+    }
+    let now_ms = 4 * STEP_MS;
+    assert!(is_refused(&table, &["a", "b", "q"], now_ms));
+    assert!(!is_refused(&table, &["a", "b"], now_ms));
+    assert!(!is_refused(&table, &["q"], now_ms));
+    let mut crashed = table.clone();
+    add(&mut crashed, 9, &["q"], 9, now_ms);
+    assert!(is_refused(&crashed, &["q"], now_ms));
+    assert!(!is_refused(&crashed, &["a", "b"], now_ms));
+    table.clear_run(&run(9, &["a"]), now_ms);
+    assert!(is_refused(&table, &["q"], now_ms));
+}
+
+/// Guards against a choice by chance between parts of requests that ran side by side.
+#[test]
+fn run_status_part_of_latest_runs_refused() {
+    let mut table = new_table();
+    for number in 0..4 {
+        let at_ms = number * STEP_MS;
+        add(&mut table, number, &["q"], number, at_ms);
+        let beside = run(100 + number, &["p"]);
+        table.add_crashed_run(&beside, &crash(number), 4 * RUN_MS, at_ms, |_| true);
+    }
+    assert!(is_refused(&table, &["q"], 4 * STEP_MS));
+    assert!(!is_refused(&table, &["p"], 4 * STEP_MS));
+}
+
 #[test]
 fn run_status_two_parts_refused() {
     let mut table = new_table();
