Keep what is refused in the platform's store across a restart of all entries

Cause: the suspect table lives in the processes alone. Entries in touch have to know, so what is refused for a second is appended to the topic of the entries' registrations, which each entry lists before it is ready.

--- a/src/fleet/topic_table.rs
+++ b/src/fleet/topic_table.rs
@@ -7,7 +7,8 @@
     Operator,
     /// Registrations of the replicas.
     Replicas,
-    /// Registrations of the entries, by which they find each other.
+    /// Registrations of the entries, by which they find each other, and the requests and parts
+    /// that they refuse as the cause of crashes.
     Members,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod read_ahead;
 mod received_datagrams;
 mod records_reply;
+mod refusal_records;
 mod relay;
 mod reload;
 mod replicas_confirmation;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -27,6 +27,7 @@
 use crate::gateway::heartbeats::send_heartbeats;
 use crate::gateway::piece_cache::PieceCache;
 use crate::gateway::received_datagrams::receive_datagrams;
+use crate::gateway::refusal_records::keep_refused_causes;
 use crate::gateway::reload::apply_settings;
 use crate::gateway::reload::wait_for_changed_settings;
 use crate::gateway::request_routing::STOP_ACCEPT_TIME;
@@ -110,6 +111,7 @@
         ));
     }
     actix_rt::spawn(register_entry(state.clone(), new_source()));
+    actix_rt::spawn(keep_refused_causes(state.clone(), new_source()));
     actix_rt::spawn(send_heartbeats(state.clone(), socket.clone()));
     actix_rt::spawn(send_suspect_notices(state.clone(), socket.clone()));
     actix_rt::spawn(receive_datagrams(state.clone(), socket, decoder));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -51,6 +51,10 @@
 /// declarations before it is ready, in ms: two heartbeats of the other entries.
 const DECLARATION_AGE_WAIT_MS: u64 = 600;
 
+/// Longest time after its start for which an entry waits for the records of the entries, among
+/// them those of refused causes, before it is ready, in ms.
+const MEMBERS_WAIT_MS: u64 = 1_500;
+
 /// State of an entry process, shared by its tasks.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -198,6 +202,8 @@
         self.stopping_since.is_none()
             && self.catalog.is_some()
             && self.topic_tables[Topic::Replicas as usize].has_listing()
+            && (self.topic_tables[Topic::Members as usize].has_listing()
+                || self.now_ms() >= MEMBERS_WAIT_MS)
             && (self.weights.are_times_exact() || self.now_ms() >= DECLARATION_AGE_WAIT_MS)
     }
 
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -45,7 +45,8 @@
                 self.expired_replicas.push(key.to_owned());
             }
             (Topic::Replicas, None) => self.remove_replica(key),
-            (Topic::Operator, None) | (Topic::Members, _) => {}
+            (Topic::Members, Some(value)) => self.apply_kept_cause(key, &value, offset),
+            (Topic::Operator | Topic::Members, None) => {}
         }
     }
 
--- a/src/observe/log_line.rs
+++ b/src/observe/log_line.rs
@@ -49,9 +49,7 @@
 impl LogLine {
     /// Creates a line about `event` with the time and the event's number, name and level.
     pub fn new(event: Event) -> Self {
-        let unix_ms = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |time| time.as_millis());
+        let unix_ms = unix_ms();
         Self {
             text: format!(
                 "{{\"unix_ms\":{unix_ms},\"event\":{},\"name\":\"{}\",\"level\":\"{}\"",
@@ -145,3 +143,11 @@
         }
     });
 }
+
+/// Time of the wall clock, in Unix ms.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -14,6 +14,7 @@
 pub use log_line::flush_log;
 pub use log_line::flush_log_every;
 pub use log_line::start_log_writer;
+pub use log_line::unix_ms;
 pub use logging::init_logging;
 pub use metrics::CounterKind;
 pub use metrics::Metrics;
