Suspect the beginnings of prompts on the own interface

Callers of the own interface with prompts of one beginning that crashes engines, no two alike, had one engine end after the other: the same class as on the users' platform, as the suspect table there knew the digest of the whole prompt alone. Evidence: generate_beginning_that_crashes_refused failed before (the next sound request was refused, as no engine was left) and passes: such prompts are refused, three or more of nine engines run on, and prompts that share the instructions before it are served. A run names the beginnings of its prompt as parts; recording, clearing and the question before each attempt take them, and the records are exchanged as before.

--- a/src/calls/completed_runs.rs
+++ b/src/calls/completed_runs.rs
@@ -1,8 +1,13 @@
+use crate::calls::RunCauses;
 use crate::weights::Digest;
 
 /// Largest number of requests, or parts of prompts, that are remembered.
 const MAX_REQUESTS: usize = 4_096;
 
+/// Longest time before a crash, in ms, within which a run of a part has come to an end that
+/// rules the part out as its cause.
+const RULED_OUT_MS: u64 = 2_000;
+
 /// Requests, or parts of prompts, that have run to an end, each with the last time.
 #[derive(Debug, Default)]
 pub struct CompletedRuns {
@@ -23,12 +28,27 @@
         }
     }
 
+    /// Records that a run came to an end: the parts of its prompt, and its service.
+    pub fn record_parts(&mut self, causes: &RunCauses, now_ms: u64) {
+        for part in causes.parts() {
+            self.record(*part, now_ms);
+        }
+        self.record(causes.service, now_ms);
+    }
+
     /// Time at which the request last ran to an end, in ms.
     pub fn last_end_ms(&self, fingerprint: Digest) -> Option<u64> {
         let at = self.position(fingerprint).ok()?;
         Some(self.ends[at].1)
     }
 
+    /// Whether a part is ruled out as the cause of a crash at `crash_ms`: a run of it came to an
+    /// end shortly before, or since.
+    pub fn rules_out(&self, part: Digest, crash_ms: u64) -> bool {
+        let last_end_ms = self.last_end_ms(part);
+        last_end_ms.is_some_and(|end_ms| end_ms + RULED_OUT_MS >= crash_ms)
+    }
+
     fn position(&self, fingerprint: Digest) -> Result<usize, usize> {
         self.ends
             .binary_search_by_key(&fingerprint.seed(), |end| end.0)
--- a/src/calls/generate_call.rs
+++ b/src/calls/generate_call.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::RunCauses;
 use crate::calls::fingerprint;
 use crate::weights::Digest;
 
@@ -8,6 +9,12 @@
 /// some 64 prompt tokens of 4 bytes in the time for one decoding step.
 const PROMPT_BYTES_PER_TOKEN: u64 = 256;
 
+/// Shortest beginning of a prompt that may be the cause of a crash, in bytes.
+const MIN_BEGINNING_BYTES: usize = 64;
+
+/// Each longer one has this share of the length more: few for a long prompt.
+const BEGINNING_STEP_SHARE: usize = 5;
+
 /// A request for tokens, from an entry to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerateCall {
@@ -43,6 +50,15 @@
         fingerprint(&format!("model {}", self.model), self.prompt.as_bytes())
     }
 
+    /// What may be the cause if the request crashes an engine: itself, or a beginning of its
+    /// prompt that other prompts may have as well.
+    pub fn causes(&self) -> RunCauses {
+        let prompt = self.prompt.as_bytes();
+        let lengths = beginning_lengths().take_while(|length| *length < prompt.len());
+        let beginnings = lengths.map(|length| &prompt[..length]);
+        RunCauses::new(self.fingerprint(), &self.model, beginnings)
+    }
+
     /// Expected cost of the request, in decoded tokens.
     pub fn cost_tokens(&self) -> u64 {
         let decoded = self.max_tokens.saturating_sub(self.resume_from);
@@ -54,3 +70,9 @@
         self.prompt.len() as u64 / PROMPT_BYTES_PER_TOKEN + 1
     }
 }
+
+/// Lengths of the beginnings of prompts that are told apart, ascending, in bytes.
+fn beginning_lengths() -> impl Iterator<Item = usize> {
+    let next = |length: &usize| length.checked_add(length / BEGINNING_STEP_SHARE);
+    std::iter::successors(Some(MIN_BEGINNING_BYTES), next)
+}
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::calls::CompletedRuns;
 use crate::calls::RunCauses;
 use crate::weights::Digest;
 
@@ -289,8 +290,28 @@
             .filter(move |refused| age_ms(now_ms, refused.last_crash_ms) < self.window_ms)
     }
 
+    /// The request and the parts for which a run is refused, given the parts and services of
+    /// which runs have come to an end.
+    pub fn refused_causes_of(
+        &self,
+        causes: &RunCauses,
+        completed_parts: &CompletedRuns,
+        now_ms: u64,
+    ) -> Vec<Digest> {
+        let status = self.request_status(causes.request, now_ms);
+        let request = (status == SuspectStatus::Refused).then_some(causes.request);
+        let parts = self.refused_parts_of(causes, now_ms).filter(|part| {
+            // While nothing at all runs to an end at the service, its failure is no fault of a
+            // part whose runs did before.
+            let last_end_ms = completed_parts.last_end_ms(causes.service).unwrap_or(0);
+            completed_parts.last_end_ms(*part).is_none()
+                || self.crashes_until(*part, last_end_ms, now_ms) >= PART_REFUSED_AT_CRASHES
+        });
+        request.into_iter().chain(parts).collect()
+    }
+
     /// Number of crashes at or before `until_ms` of which a part has not been cleared.
-    pub fn part_crashes_until(&self, part: Digest, until_ms: u64, now_ms: u64) -> usize {
+    fn crashes_until(&self, part: Digest, until_ms: u64, now_ms: u64) -> usize {
         self.of_cause(part)
             .iter()
             .filter(|suspicion| self.is_counted(suspicion, now_ms))
--- a/src/entry/generate_attempt.rs
+++ b/src/entry/generate_attempt.rs
@@ -101,7 +101,8 @@
     pub(super) manifest: Digest,
     /// Identifies the run, so that an engine that is told to cancel it leaves others alone.
     pub(super) request_id: String,
-    started_ms: u64,
+    /// Time at which it was sent, in ms.
+    pub(super) started_ms: u64,
     pub(super) outcome: AttemptOutcome,
     /// Sends the call; `None` once the response head has been received.
     sending: Option<LocalBoxFuture<'static, Result<Chunks, RetryReason>>>,
--- a/src/entry/generate_relay.rs
+++ b/src/entry/generate_relay.rs
@@ -15,6 +15,7 @@
 use crate::calls::GenerateCall;
 use crate::calls::GenerateFrame;
 use crate::calls::RefusalReason;
+use crate::calls::RunCauses;
 use crate::calls::StreamFault;
 use crate::calls::SuspectStatus;
 use crate::entry::ApiError;
@@ -61,6 +62,8 @@
 pub(super) struct GenerateRelay {
     state: Arc<EntryState>,
     call: GenerateCall,
+    /// What may be the cause if it crashes an engine.
+    causes: RunCauses,
     /// Deadline on the clock of the node, in milliseconds.
     deadline_at_ms: u64,
     /// Attempt in progress.
@@ -104,6 +107,7 @@
             next_index: call.resume_from,
             has_ended: false,
             started: Instant::now(),
+            causes: call.causes(),
             state,
             call,
         }
@@ -216,7 +220,7 @@
 
     /// Sends the call to an endpoint that was not tried yet.
     fn start_attempt(&mut self, left_ms: u64) -> RelayStep {
-        match self.suspect_status() {
+        match self.state.node.run_status(&self.causes) {
             SuspectStatus::Clear => {}
             SuspectStatus::Suspect => self.call.is_suspect = true,
             SuspectStatus::Refused => {
@@ -322,18 +326,14 @@
         routing.choose_endpoint(node, &self.call, self.pinned_manifest, &self.tried_hosts)
     }
 
-    /// How the request is treated after the crashes during which it was running.
-    fn suspect_status(&self) -> SuspectStatus {
-        let now_ms = self.state.node.now_ms();
-        let request = self.call.fingerprint();
-        self.state.node.suspects().request_status(request, now_ms)
-    }
-
     /// Records that the request was running when an engine crashed, and reports it to the
     /// other processes.
     fn record_crash(&self, crash_no: u32) {
         let node = &self.state.node;
-        let Some(host_key) = self.attempt.as_ref().map(|attempt| attempt.host_key) else {
+        let attempt = self.attempt.as_ref();
+        let Some((host_key, sent_ms)) =
+            attempt.map(|attempt| (attempt.host_key, attempt.started_ms))
+        else {
             return;
         };
         let Some((endpoint, incarnation)) = node
@@ -348,9 +348,7 @@
             incarnation,
             crash_no,
         };
-        let now_ms = node.now_ms();
-        let request = self.call.fingerprint();
-        node.suspects().add_crash(request, crash, now_ms);
+        node.record_crashed_run(&self.causes, &crash, sent_ms);
         let node = Arc::clone(node);
         actix_rt::spawn(async move { Reporter::send_reports(&node).await });
     }
@@ -405,8 +403,7 @@
                     return RelayStep::Retry(RetryReason::WrongAnswer);
                 }
                 attempt.outcome = AttemptOutcome::Complete;
-                let request = self.call.fingerprint();
-                self.state.node.suspects().clear_request(request);
+                self.state.node.record_completed_run(&self.causes);
                 RelayStep::Finish(GenerateEvent::End {
                     request_id: self.call.request_id.clone(),
                     tokens,
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -6,10 +6,8 @@
 use crate::calls::BrokenRun;
 use crate::calls::BrokenRunKind;
 use crate::calls::CrashSign;
-use crate::calls::PART_REFUSED_AT_CRASHES;
 use crate::calls::RunCauses;
 use crate::calls::SuspectRecord;
-use crate::calls::SuspectStatus;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
 use crate::fleet::rendezvous_rank;
@@ -31,10 +29,6 @@
 /// Largest number of records of which an entry that has started is told.
 const MAX_TOLD_SUSPECTS: usize = 48;
 
-/// Longest time before a crash, in ms, within which a run of a part has come to an end that
-/// rules the part out as its cause.
-const RULED_OUT_MS: u64 = 2_000;
-
 /// Kind of a broken run that ended for this cause; `None` when the replica has answered or
 /// the cause is in this process.
 fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
@@ -161,10 +155,7 @@
         self.broken_runs.remove_request(causes.request);
         self.completed_runs.record(causes.request, now_ms);
         let cleared = if is_success {
-            for part in causes.parts() {
-                self.completed_parts.record(*part, now_ms);
-            }
-            self.completed_parts.record(causes.service, now_ms);
+            self.completed_parts.record_parts(causes, now_ms);
             causes.clone()
         } else {
             causes.without_parts()
@@ -180,22 +171,8 @@
     /// Requests and parts of its prompt for which a run is refused.
     pub(super) fn refused_causes(&self, causes: &RunCauses) -> Vec<Digest> {
         let now_ms = self.now_ms();
-        let status = self.suspects.request_status(causes.request, now_ms);
-        let request = (status == SuspectStatus::Refused).then_some(causes.request);
-        let parts = self.suspects.refused_parts_of(causes, now_ms);
-        let parts = parts.filter(|part| self.is_part_at_fault(*part, causes.service, now_ms));
-        request.into_iter().chain(parts).collect()
-    }
-
-    /// Whether the crashes under a part are no failure of its whole service: while nothing at
-    /// all runs to an end there, a part whose runs did before is not refused.
-    fn is_part_at_fault(&self, part: Digest, service: Digest, now_ms: u64) -> bool {
-        if self.completed_parts.last_end_ms(part).is_none() {
-            return true;
-        }
-        let last_end_ms = self.completed_parts.last_end_ms(service).unwrap_or(0);
-        let crashes = self.suspects.part_crashes_until(part, last_end_ms, now_ms);
-        crashes >= PART_REFUSED_AT_CRASHES
+        self.suspects
+            .refused_causes_of(causes, &self.completed_parts, now_ms)
     }
 
     /// Whether this entry may try a refused request or part now: of all entries only one does,
@@ -220,8 +197,7 @@
             let suspected =
                 self.suspects
                     .add_crashed_run(&run.causes, &run.crash, run_ms, run.at_ms, |part| {
-                        let last_end_ms = completed_parts.last_end_ms(part);
-                        last_end_ms.is_none_or(|end_ms| end_ms + RULED_OUT_MS < run.at_ms)
+                        !completed_parts.rules_out(part, run.at_ms)
                     });
             for cause in &suspected {
                 let is_part = *cause != run.causes.request;
@@ -245,10 +221,9 @@
     pub(super) fn rule_out_parts(&self, records: &[SuspectRecord]) -> Vec<SuspectRecord> {
         let now_ms = self.now_ms();
         let is_ruled_out = |record: &SuspectRecord| {
-            let last_end_ms = self.completed_parts.last_end_ms(record.fingerprint);
             let crash_ms = now_ms.saturating_sub(record.age_ms);
-            record.part_of.is_some()
-                && last_end_ms.is_some_and(|end_ms| end_ms + RULED_OUT_MS >= crash_ms)
+            let part = record.fingerprint;
+            record.part_of.is_some() && self.completed_parts.rules_out(part, crash_ms)
         };
         let records = records.iter().map(|record| SuspectRecord {
             cleared: record.cleared || is_ruled_out(record),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,7 +11,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::calls::CompletedRuns;
+use crate::calls::CrashId;
+use crate::calls::RunCauses;
 use crate::calls::SuspectRecord;
+use crate::calls::SuspectStatus;
 use crate::calls::SuspectTable;
 use crate::conf::ClusterSettings;
 use crate::conf::PlatformSettings;
@@ -76,6 +80,8 @@
     follower: Mutex<Follower>,
     own_state: Mutex<OwnState>,
     suspects: Mutex<SuspectTable>,
+    /// Parts of prompts that were in requests which ran to an end.
+    completed_parts: Mutex<CompletedRuns>,
     leaving: AtomicBool,
     control_bytes: AtomicU64,
 }
@@ -105,6 +111,7 @@
             follower: Mutex::new(Follower::new(0)),
             own_state: Mutex::default(),
             suspects: Mutex::new(SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECT_RECORDS)),
+            completed_parts: Mutex::default(),
             leaving: AtomicBool::new(false),
             control_bytes: AtomicU64::new(0),
         }
@@ -228,6 +235,43 @@
             .expect("no holder of the suspects panics")
     }
 
+    /// How a run is to be treated after the crashes of its request and of the parts of its
+    /// prompt.
+    pub fn run_status(&self, causes: &RunCauses) -> SuspectStatus {
+        let now_ms = self.now_ms();
+        let suspects = self.suspects();
+        let refused = suspects.refused_causes_of(causes, &self.completed_parts(), now_ms);
+        match refused.is_empty() {
+            true => suspects.request_status(causes.request, now_ms),
+            false => SuspectStatus::Refused,
+        }
+    }
+
+    /// Records a run that was sent at `sent_ms` and ended by a crash.
+    pub fn record_crashed_run(&self, causes: &RunCauses, crash: &CrashId, sent_ms: u64) {
+        let now_ms = self.now_ms();
+        let run_ms = now_ms.saturating_sub(sent_ms);
+        let mut suspects = self.suspects();
+        let completed_parts = self.completed_parts();
+        suspects.add_crashed_run(causes, crash, run_ms, now_ms, |part| {
+            !completed_parts.rules_out(part, now_ms)
+        });
+    }
+
+    /// Records a run that came to an end, so that no crash before was the doing of its request
+    /// or of a part of its prompt.
+    pub fn record_completed_run(&self, causes: &RunCauses) {
+        let now_ms = self.now_ms();
+        self.suspects().clear_run(causes, now_ms);
+        self.completed_parts().record_parts(causes, now_ms);
+    }
+
+    fn completed_parts(&self) -> MutexGuard<'_, CompletedRuns> {
+        self.completed_parts
+            .lock()
+            .expect("no holder of the completed parts panics")
+    }
+
     /// Returns all suspect records, to send to other processes.
     pub fn known_suspects(&self) -> Vec<SuspectRecord> {
         let now_ms = self.now_ms();
--- a/tests/calls/suspect_parts.rs
+++ b/tests/calls/suspect_parts.rs
@@ -1,6 +1,7 @@
 use arbtest::arbtest;
 
 use bergamotfork::calls::CrashId;
+use bergamotfork::calls::GenerateCall;
 use bergamotfork::calls::PART_REFUSED_AT_CRASHES;
 use bergamotfork::calls::RunCauses;
 use bergamotfork::calls::SuspectRecord;
@@ -241,3 +242,34 @@
         Ok(())
     });
 }
+
+fn prompt_parts(prompt: &str) -> Vec<Digest> {
+    let call = GenerateCall {
+        request_id: String::new(),
+        branch: String::new(),
+        model: "chat".to_owned(),
+        manifest: Digest::of_bytes(b"weights"),
+        prompt: prompt.to_owned(),
+        max_tokens: 1,
+        seed: 0,
+        priority: 0,
+        resume_from: 0,
+        deadline_ms: 1_000,
+        is_suspect: false,
+    };
+    call.causes().parts().to_vec()
+}
+
+#[test]
+fn causes_beginnings_of_prompts_shared() {
+    let beginning = "x".repeat(200);
+    let one = prompt_parts(&format!("{beginning} one"));
+    let other = prompt_parts(&format!("{beginning} another one"));
+    assert_eq!(one, other);
+    assert!(!one.is_empty());
+    let different = prompt_parts(&"y".repeat(200));
+    assert!(!one.iter().any(|part| different.contains(part)));
+    // The whole prompt is the request itself.
+    assert_eq!(prompt_parts(&"x".repeat(64)), []);
+    assert!(prompt_parts(&"x".repeat(10_000_000)).len() <= 64);
+}
--- a/tests/generate_path/main.rs
+++ b/tests/generate_path/main.rs
@@ -126,6 +126,34 @@
     cluster.assert_answer(&answer, "rules?", 4);
 }
 
+/// Guards against prompts with one beginning that crash engines, no two alike.
+#[actix_rt::test]
+async fn generate_beginning_that_crashes_refused() {
+    let cluster = GenerateCluster::start(9).await;
+    let instructions = "Answer as the harbour office does, briefly and politely. ".repeat(3);
+    let crashing = format!(
+        "{instructions} [[crash]] {}",
+        "The tide tables of May. ".repeat(8)
+    );
+    for number in 0..8 {
+        let sound = cluster
+            .generate(&format!("{instructions} rules {number}?"), 2)
+            .await;
+        sound.expect("engines are left");
+        let refused = cluster.generate(&format!("{crashing} {number}?"), 4).await;
+        assert!(refused.is_err(), "no engine survives it");
+    }
+    let refused = cluster
+        .generate(&format!("{crashing} and now?"), 4)
+        .await
+        .expect_err("it is refused");
+    assert!(refused.to_string().contains("request_blocked"), "{refused}");
+    assert!(cluster.live_engine_count().await >= 3);
+    let prompt = format!("{instructions} and now?");
+    let answer = cluster.generate(&prompt, 4).await;
+    cluster.assert_answer(&answer.expect("it is served"), &prompt, 4);
+}
+
 /// Numbers that no caller means are answered, and the next request is served.
 #[actix_rt::test]
 async fn generate_odd_numbers_answered() {
