--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod answers_under_way;
 mod crash_model;
+mod part_model;
 mod pauses;
 mod permits;
 mod stops;
