Refuse a part at each service of a split route from its first crash there

Callers' requests with a part that crashes replicas ended four of each service of a split route: parts are counted by service, as what one service runs to an end may crash the other, and the counts began anew at each. A request now names its parts also as the other services of its route have them; one that is refused there is refused here from its first crash on, and served as long as it has none.

--- a/src/calls/run_causes.rs
+++ b/src/calls/run_causes.rs
@@ -16,6 +16,8 @@
     pub service: Digest,
     // In the order of the prompt, without repeats.
     parts: Vec<Digest>,
+    // The same parts, in the same order, as each other service has them that may run it.
+    parts_elsewhere: Vec<Vec<Digest>>,
 }
 
 impl RunCauses {
@@ -26,20 +28,31 @@
         service: &str,
         part_ids: impl IntoIterator<Item = P>,
     ) -> Self {
-        let mut parts = Vec::new();
+        Self::of_services(request, service, [], part_ids)
+    }
+
+    /// The same for a request that the services `elsewhere` may run in place of `service`.
+    pub fn of_services<'a, P: AsRef<[u8]>>(
+        request: Digest,
+        service: &str,
+        elsewhere: impl IntoIterator<Item = &'a str>,
+        part_ids: impl IntoIterator<Item = P>,
+    ) -> Self {
+        let mut ids: Vec<P> = Vec::new();
         for id in part_ids {
-            let part = part_digest(service, id.as_ref());
-            if !parts.contains(&part) {
-                parts.push(part);
-            }
-            if parts.len() == MAX_PARTS {
-                break;
+            if ids.len() < MAX_PARTS && !ids.iter().any(|known| known.as_ref() == id.as_ref()) {
+                ids.push(id);
             }
         }
+        let parts_at = |service: &str| {
+            let parts = ids.iter().map(|id| part_digest(service, id.as_ref()));
+            parts.collect()
+        };
         Self {
             request,
             service: part_digest(service, b""),
-            parts,
+            parts: parts_at(service),
+            parts_elsewhere: elsewhere.into_iter().map(parts_at).collect(),
         }
     }
 
@@ -47,6 +60,7 @@
     pub fn without_parts(&self) -> Self {
         Self {
             parts: Vec::new(),
+            parts_elsewhere: Vec::new(),
             ..*self
         }
     }
@@ -56,6 +70,12 @@
         &self.parts
     }
 
+    /// The shared parts as each other service has them that may run the request, in the same
+    /// order.
+    pub fn parts_elsewhere(&self) -> &[Vec<Digest>] {
+        &self.parts_elsewhere
+    }
+
     /// The request and the shared parts.
     pub fn all(&self) -> impl Iterator<Item = Digest> {
         std::iter::once(self.request).chain(self.parts.iter().copied())
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -263,24 +263,35 @@
 
     /// How a run is to be treated: as its request, and refused also for a part of its prompt.
     pub fn run_status(&self, causes: &RunCauses, now_ms: u64) -> SuspectStatus {
-        match self.refused_parts_of(causes, now_ms).next() {
-            Some(_) => SuspectStatus::Refused,
-            None => self.request_status(causes.request, now_ms),
+        match self.refused_parts_of(causes, now_ms).is_empty() {
+            true => self.request_status(causes.request, now_ms),
+            false => SuspectStatus::Refused,
         }
     }
 
-    /// Parts for which a run is refused; the first one of those that are refused together.
-    pub fn refused_parts_of(
-        &self,
-        causes: &RunCauses,
-        now_ms: u64,
-    ) -> impl Iterator<Item = Digest> {
-        self.refused_groups(now_ms)
-            .filter(|refused| {
-                let mut parts = refused.parts.iter();
-                parts.all(|part| causes.parts().contains(part))
-            })
-            .map(|refused| refused.parts[0])
+    /// Parts for which a run is refused; the first one of those that are refused together. One
+    /// that is refused at another service is refused here from its first crash on.
+    pub fn refused_parts_of(&self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
+        let here = causes.parts();
+        let refused = self.refused_indices(here, now_ms);
+        let mut refused: Vec<Digest> = refused.map(|at| here[at]).collect();
+        for elsewhere in causes.parts_elsewhere() {
+            for at in self.refused_indices(elsewhere, now_ms) {
+                let part = here[at];
+                if !refused.contains(&part) && self.crash_count(part, now_ms) > 0 {
+                    refused.push(part);
+                }
+            }
+        }
+        refused
+    }
+
+    /// Indices of the refused ones among the parts of a prompt.
+    fn refused_indices(&self, parts: &[Digest], now_ms: u64) -> impl Iterator<Item = usize> {
+        let is_in_prompt = |part: &Digest| parts.contains(part);
+        let groups = self.refused_groups(now_ms);
+        let groups = groups.filter(move |refused| refused.parts.iter().all(is_in_prompt));
+        groups.filter_map(|refused| parts.iter().position(|part| *part == refused.parts[0]))
     }
 
     /// The refused parts whose last crash is not longer ago than the window.
@@ -300,7 +311,8 @@
     ) -> Vec<Digest> {
         let status = self.request_status(causes.request, now_ms);
         let request = (status == SuspectStatus::Refused).then_some(causes.request);
-        let parts = self.refused_parts_of(causes, now_ms).filter(|part| {
+        let parts = self.refused_parts_of(causes, now_ms).into_iter();
+        let parts = parts.filter(|part| {
             // While nothing at all runs to an end at the service, its failure is no fault of a
             // part whose runs did before.
             let last_end_ms = completed_parts.last_end_ms(causes.service).unwrap_or(0);
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -72,7 +72,9 @@
     let caller = workspace.as_deref().unwrap_or_default();
     let run = format!("{service} {host}{} {caller}", head.target);
     let request = fingerprint(&run, &body);
-    let causes = RunCauses::new(request, &service, &facts.prompt_part_ids);
+    let services = route.services.iter().map(|other| other.0.as_str());
+    let elsewhere = services.filter(|other| *other != service);
+    let causes = RunCauses::of_services(request, &service, elsewhere, &facts.prompt_part_ids);
     let is_late = waited_before_ms > 0;
     Ok(Box::new(RoutedRequest {
         causes,
--- a/tests/calls/suspect_parts.rs
+++ b/tests/calls/suspect_parts.rs
@@ -157,6 +157,27 @@
     assert!(!is_refused(&table, &["a"], now_ms));
 }
 
+/// Guards against four more crashes at each service of a split route.
+#[test]
+fn run_status_part_refused_elsewhere_refused_from_first_crash() {
+    let mut table = new_table();
+    for number in 0..4 {
+        add(&mut table, number, &["a", "q"], number, number * STEP_MS);
+        table.clear_run(&run(50 + number, &["a"]), number * STEP_MS);
+    }
+    let now_ms = 4 * STEP_MS;
+    let request = fingerprint("run", b"other");
+    let other = RunCauses::of_services(request, "t", ["s"], ["a", "q"]);
+    // What one service runs to an end may crash the other.
+    assert_ne!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+    table.add_crashed_run(&other, &crash(90), RUN_MS, now_ms, |_| true);
+    assert_eq!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+    let sound = RunCauses::of_services(request, "t", ["s"], ["a"]);
+    assert_ne!(table.run_status(&sound, now_ms), SuspectStatus::Refused);
+    table.clear_run(&other, now_ms);
+    assert_ne!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+}
+
 #[test]
 fn clear_run_ends_refusal_of_part() {
     let mut table = new_table();
