Tell a companion that was in more runs from the part that crashes replicas

Callers' requests with a sound part would be refused in place of the part that crashes replicas where the sound one was in a second request at the same crashes: of several requests with a part at a crash the table keeps one, so the two did not count as together, and the one whose shortest run was shorter was taken for the cause. The unit test run_status_companion_in_more_runs_told_apart failed before. Parts that were at the same crashes are refused together if one request had both.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -146,8 +146,8 @@
     }
 }
 
-/// Parts that are refused in a prompt that has all of them: they ran together at the same
-/// crashes, and nothing tells them apart.
+/// Parts that are refused in a prompt that has all of them: they ran at the same crashes, and
+/// nothing tells them apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct RefusedParts {
     // Ascending; the first one stands for all.
@@ -736,13 +736,13 @@
         && successive_crashes(counted).len() >= PART_SUCCESSIVE_CRASHES
 }
 
-/// Whether two parts ran in the same requests at the same crashes.
+/// Whether two parts ran at the same crashes, and in one request at one of them at least: of
+/// several requests with a part at a crash, one is known.
 fn are_together(one: &[&Suspicion], other: &[&Suspicion]) -> bool {
+    let pairs = || one.iter().zip(other);
     one.len() == other.len()
-        && one
-            .iter()
-            .zip(other)
-            .all(|(one, other)| one.crash == other.crash && one.part_of == other.part_of)
+        && pairs().all(|(one, other)| one.crash == other.crash)
+        && pairs().any(|(one, other)| one.part_of == other.part_of)
 }
 
 /// The most crashes of which each came under a run that was sent after the one before.
--- a/tests/calls/suspect_parts.rs
+++ b/tests/calls/suspect_parts.rs
@@ -123,6 +123,26 @@
     assert!(is_refused(&table, &["q"], now_ms));
 }
 
+/// Guards against a companion that is refused, as it was in further requests at the same crashes.
+#[test]
+fn run_status_companion_in_more_runs_told_apart() {
+    let mut table = new_table();
+    for number in 0..4 {
+        let at_ms = number * STEP_MS;
+        add(&mut table, number, &["d", "q"], number, at_ms);
+        if number % 2 == 0 {
+            // Of the two requests with the companion, the table keeps the lesser.
+            let is_lesser = |beside: &RunCauses| beside.request < run(number, &[]).request;
+            let mut others = (100..).map(|other| run(other, &["d"]));
+            let beside = others.find(is_lesser).expect("a lesser request");
+            table.add_crashed_run(&beside, &crash(number), RUN_MS / 2, at_ms, |_| true);
+        }
+    }
+    let now_ms = 4 * STEP_MS;
+    assert!(is_refused(&table, &["d", "q"], now_ms));
+    assert!(!is_refused(&table, &["d"], now_ms));
+}
+
 /// Guards against a choice by chance between parts of requests that ran side by side.
 #[test]
 fn run_status_part_of_latest_runs_refused() {
