Split the evidence about parts from the suspect table

Moves and renames without a change of behaviour: suspicions and their times, and what the crashes under a part say of it, have files of their own, and the table's groups are named by cause, as they hold requests and parts.

--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -5,22 +5,18 @@
 
 use crate::calls::CompletedRuns;
 use crate::calls::RunCauses;
+use crate::calls::part_evidence::PART_REFUSED_AT_CRASHES;
+use crate::calls::part_evidence::are_together;
+use crate::calls::part_evidence::is_refusable;
+use crate::calls::part_evidence::successive_crashes;
+use crate::calls::suspicion::Suspicion;
+use crate::calls::suspicion::age_ms;
+use crate::calls::suspicion::signed_ms;
 use crate::weights::Digest;
 
 /// Number of crashes from which on a request is refused.
 pub const REFUSED_AT_CRASHES: usize = 3;
 
-/// Number of crashes from which on a part of a prompt is refused.
-pub const PART_REFUSED_AT_CRASHES: usize = 4;
-
-/// Number of these that must have come one after the other, each under a run that was sent
-/// after the one before: replicas that fail together end many runs of a part at once.
-const PART_SUCCESSIVE_CRASHES: usize = 3;
-
-/// Number of these that must have come under other requests than the one with the most: what a
-/// single request causes is no reason to refuse the others that share a part with it.
-const PART_OTHER_CRASHES: usize = 2;
-
 /// Largest number of crashes of a part of which an entry that has started is told.
 const MAX_TOLD_CRASHES: usize = 8;
 
@@ -110,42 +106,6 @@
     Refused,
 }
 
-/// A request that was running during a crash, or a part of its prompt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Suspicion {
-    // The key of a suspicion is the pair of request or part, and crash.
-    fingerprint: Digest,
-    crash: CrashId,
-    // Negative if it was before the process started.
-    observed_ms: i64,
-    cleared: bool,
-    // None if the request itself is suspected.
-    part_of: Option<Digest>,
-    run_ms: u64,
-}
-
-impl Suspicion {
-    fn key(&self) -> (Digest, &CrashId) {
-        (self.fingerprint, &self.crash)
-    }
-
-    fn to_record(&self, now_ms: u64) -> SuspectRecord {
-        SuspectRecord {
-            fingerprint: self.fingerprint,
-            death: self.crash.clone(),
-            age_ms: age_ms(now_ms, self.observed_ms),
-            cleared: self.cleared,
-            part_of: self.part_of,
-            run_ms: self.run_ms,
-        }
-    }
-
-    /// Time at which the run that was observed was sent, in ms.
-    fn sent_ms(&self) -> i64 {
-        self.observed_ms.saturating_sub_unsigned(self.run_ms)
-    }
-}
-
 /// Parts that are refused in a prompt that has all of them: they ran at the same crashes, and
 /// nothing tells them apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -244,8 +204,8 @@
         cleared
     }
 
-    /// Clears a request that ran to an end, so that no crash before was its doing; returns
-    /// whether it was suspected of one.
+    /// Clears a request that ran to an end, or a part of its prompt, so that no crash before was
+    /// its doing; returns whether it was suspected of one.
     pub fn clear_request(&mut self, fingerprint: Digest) -> bool {
         let first = self
             .suspicions
@@ -414,17 +374,17 @@
         age_ms(now_ms, *last_ms) >= pause_ms
     }
 
-    /// Suspicions by request.
-    fn requests(&self) -> impl Iterator<Item = &[Suspicion]> {
+    /// Suspicions by request and part.
+    fn by_cause(&self) -> impl Iterator<Item = &[Suspicion]> {
         self.suspicions
             .chunk_by(|one, next| one.fingerprint == next.fingerprint)
     }
 
-    /// Number of crashes that count among the suspicions of one request; none when the last is
-    /// longer ago than the window.
-    fn count_crashes(&self, of_request: &[Suspicion], now_ms: u64) -> usize {
+    /// Number of crashes that count among the suspicions of one request or part; none when the
+    /// last is longer ago than the window.
+    fn count_crashes(&self, of_cause: &[Suspicion], now_ms: u64) -> usize {
         let age_ms = |suspicion: &Suspicion| age_ms(now_ms, suspicion.observed_ms);
-        let counted = of_request
+        let counted = of_cause
             .iter()
             .filter(|suspicion| self.is_counted(suspicion, now_ms));
         if counted
@@ -462,7 +422,7 @@
             .collect()
     }
 
-    /// Suspicions of a request that are remembered, for other processes.
+    /// Suspicions of a request or part that are remembered, for other processes.
     pub fn request_records(&self, fingerprint: Digest, now_ms: u64) -> Vec<SuspectRecord> {
         self.of_cause(fingerprint)
             .iter()
@@ -478,13 +438,13 @@
         let refused = self.refused_parts.iter();
         let refused: Vec<Digest> = refused.flat_map(|group| group.parts.clone()).collect();
         let mut others: Vec<(usize, &[Suspicion])> = self
-            .requests()
-            .map(|of_request| (self.count_crashes(of_request, now_ms), of_request))
-            .filter(|(count, of_request)| match of_request[0].part_of {
+            .by_cause()
+            .map(|of_cause| (self.count_crashes(of_cause, now_ms), of_cause))
+            .filter(|(count, of_cause)| match of_cause[0].part_of {
                 None => count + 1 >= REFUSED_AT_CRASHES,
                 Some(_) => {
                     count + 1 >= PART_REFUSED_AT_CRASHES
-                        && !refused.contains(&of_request[0].fingerprint)
+                        && !refused.contains(&of_cause[0].fingerprint)
                 }
             })
             .collect();
@@ -525,7 +485,7 @@
         let mut refused = Vec::new();
         let mut explained: Vec<CrashId> = Vec::new();
         let mut candidates: Vec<Vec<&Suspicion>> = self
-            .requests()
+            .by_cause()
             .filter(|of_part| of_part[0].part_of.is_some())
             .map(|of_part| {
                 let suspicions = of_part.iter();
@@ -567,7 +527,7 @@
         let parts = self.refused_groups(now_ms);
         let parts = parts.map(|refused| refused.parts[0]);
         let requests = self
-            .requests()
+            .by_cause()
             .filter(|of_cause| of_cause[0].part_of.is_none())
             .filter(|of_cause| self.count_crashes(of_cause, now_ms) >= REFUSED_AT_CRASHES);
         let requests = requests.map(|of_cause| of_cause[0].fingerprint);
@@ -691,13 +651,13 @@
         if self.suspicions.len() <= self.max_suspicions {
             return;
         }
-        let ranks = self.requests().flat_map(|of_request| {
-            let crashes = self.count_crashes(of_request, now_ms);
+        let ranks = self.by_cause().flat_map(|of_cause| {
+            let crashes = self.count_crashes(of_cause, now_ms);
             let rank = move |suspicion: &Suspicion| match suspicion.cleared {
                 true => (0, suspicion.observed_ms),
                 false => (crashes, suspicion.observed_ms),
             };
-            of_request.iter().map(rank)
+            of_cause.iter().map(rank)
         });
         let mut ranks: Vec<((usize, i64), usize)> =
             ranks.enumerate().map(|(at, rank)| (rank, at)).collect();
@@ -712,53 +672,6 @@
     }
 }
 
-/// A time as one that may also be before the start of the process.
-fn signed_ms(at_ms: u64) -> i64 {
-    i64::try_from(at_ms).unwrap_or(i64::MAX)
-}
-
-/// Time since `at_ms`; 0 if that is yet to come.
-fn age_ms(now_ms: u64, at_ms: i64) -> u64 {
-    u64::try_from(signed_ms(now_ms).saturating_sub(at_ms)).unwrap_or(0)
-}
-
-/// Whether the crashes that count for a part are enough to refuse it.
-fn is_refusable(counted: &[&Suspicion]) -> bool {
-    if counted.len() < PART_REFUSED_AT_CRASHES {
-        return false;
-    }
-    let mut requests: Vec<Option<Digest>> =
-        counted.iter().map(|suspicion| suspicion.part_of).collect();
-    requests.sort_unstable();
-    let of_one_request = requests.chunk_by(|one, next| one == next).map(<[_]>::len);
-    let most_of_one = of_one_request.max().unwrap_or(0);
-    counted.len() - most_of_one >= PART_OTHER_CRASHES
-        && successive_crashes(counted).len() >= PART_SUCCESSIVE_CRASHES
-}
-
-/// Whether two parts ran at the same crashes, and in one request at one of them at least: of
-/// several requests with a part at a crash, one is known.
-fn are_together(one: &[&Suspicion], other: &[&Suspicion]) -> bool {
-    let pairs = || one.iter().zip(other);
-    one.len() == other.len()
-        && pairs().all(|(one, other)| one.crash == other.crash)
-        && pairs().any(|(one, other)| one.part_of == other.part_of)
-}
-
-/// The most crashes of which each came under a run that was sent after the one before.
-fn successive_crashes<'a>(counted: &[&'a Suspicion]) -> Vec<&'a Suspicion> {
-    let mut by_time = counted.to_vec();
-    by_time.sort_by_key(|suspicion| suspicion.observed_ms);
-    let mut successive: Vec<&Suspicion> = Vec::new();
-    for suspicion in by_time {
-        let last = successive.last();
-        if last.is_none_or(|last| suspicion.sent_ms() >= last.observed_ms) {
-            successive.push(suspicion);
-        }
-    }
-    successive
-}
-
 /// Time after the last crash until a refused cause is tried again after `trials` that failed,
 /// in ms.
 fn trial_pause_ms(first_ms: u64, trials: usize) -> u64 {
