Judge parts only where suspicions have changed, and say what counts once

Each heartbeat of each entry repeats what it knows, and each was followed by a new judgement of all parts, with a list for each of them: now only one that has brought something new, and only parts with enough crashes are looked at (read; what it saves was not measured). The filter of the suspicions that count stood in five places, and the status of a run in the table and in the node; both stand once. A success no longer copies the causes of its run.

--- a/src/calls/run_causes.rs
+++ b/src/calls/run_causes.rs
@@ -56,15 +56,6 @@
         }
     }
 
-    /// The same without the parts.
-    pub fn without_parts(&self) -> Self {
-        Self {
-            parts: Vec::new(),
-            parts_elsewhere: Vec::new(),
-            ..*self
-        }
-    }
-
     /// Digests of the shared parts.
     pub fn parts(&self) -> &[Digest] {
         &self.parts
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -106,6 +106,14 @@
     Refused,
 }
 
+/// What became of a suspicion that was merged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Merged {
+    Added,
+    Changed,
+    Unchanged,
+}
+
 /// Parts that are refused in a prompt that has all of them: they ran at the same crashes, and
 /// nothing tells them apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -221,9 +229,16 @@
         was_suspected
     }
 
-    /// How a run is to be treated: as its request, and refused also for a part of its prompt.
-    pub fn run_status(&self, causes: &RunCauses, now_ms: u64) -> SuspectStatus {
-        match self.refused_parts_of(causes, now_ms).is_empty() {
+    /// How a run is to be treated, given the parts and services of which runs have come to an
+    /// end: as its request, and refused also for a part of its prompt.
+    pub fn run_status(
+        &self,
+        causes: &RunCauses,
+        completed_parts: &CompletedRuns,
+        now_ms: u64,
+    ) -> SuspectStatus {
+        let refused = self.refused_causes_of(causes, completed_parts, now_ms);
+        match refused.is_empty() {
             true => self.request_status(causes.request, now_ms),
             false => SuspectStatus::Refused,
         }
@@ -231,7 +246,7 @@
 
     /// Parts for which a run is refused; the first one of those that are refused together. One
     /// that is refused at another service is refused here from its first crash on.
-    pub fn refused_parts_of(&self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
+    fn refused_parts_of(&self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
         let here = causes.parts();
         let refused = self.refused_indices(here, now_ms);
         let mut refused: Vec<Digest> = refused.map(|at| here[at]).collect();
@@ -284,9 +299,7 @@
 
     /// Number of crashes at or before `until_ms` of which a part has not been cleared.
     fn crashes_until(&self, part: Digest, until_ms: u64, now_ms: u64) -> usize {
-        self.of_cause(part)
-            .iter()
-            .filter(|suspicion| self.is_counted(suspicion, now_ms))
+        self.counted(self.of_cause(part), now_ms)
             .filter(|suspicion| suspicion.observed_ms <= signed_ms(until_ms))
             .count()
     }
@@ -323,15 +336,19 @@
         &rest[..end]
     }
 
-    /// Whether a suspicion counts: it is remembered, was not cleared, and no refused part has
+    /// The suspicions that count: they are remembered, were not cleared, and no refused part has
     /// caused the crash in place of the request.
-    fn is_counted(&self, suspicion: &Suspicion, now_ms: u64) -> bool {
-        let is_explained = suspicion.part_of.is_none()
-            && self
-                .explained_crashes
-                .binary_search(&suspicion.crash)
-                .is_ok();
-        !suspicion.cleared && !self.is_expired(suspicion, now_ms) && !is_explained
+    fn counted<'a>(
+        &self,
+        of_cause: &'a [Suspicion],
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Suspicion> + Clone {
+        of_cause.iter().filter(move |suspicion| {
+            let explained = &self.explained_crashes;
+            let is_explained =
+                suspicion.part_of.is_none() && explained.binary_search(&suspicion.crash).is_ok();
+            !suspicion.cleared && !self.is_expired(suspicion, now_ms) && !is_explained
+        })
     }
 
     /// Whether a refused request or part, which last ran to an end at `last_end_ms`, may be
@@ -339,9 +356,7 @@
     /// together, as in a failure of several endpoints that no request has caused.
     pub fn is_trial_due(&self, fingerprint: Digest, last_end_ms: Option<u64>, now_ms: u64) -> bool {
         let of_cause = self.of_cause(fingerprint);
-        let counted = of_cause
-            .iter()
-            .filter(|suspicion| self.is_counted(suspicion, now_ms));
+        let counted = self.counted(of_cause, now_ms);
         let mut times_ms: Vec<i64> = counted.map(|suspicion| suspicion.observed_ms).collect();
         times_ms.sort_unstable();
         let (Some(first_ms), Some(last_ms)) = (times_ms.first(), times_ms.last()) else {
@@ -383,13 +398,10 @@
     /// Number of crashes that count among the suspicions of one request or part; none when the
     /// last is longer ago than the window.
     fn count_crashes(&self, of_cause: &[Suspicion], now_ms: u64) -> usize {
-        let age_ms = |suspicion: &Suspicion| age_ms(now_ms, suspicion.observed_ms);
-        let counted = of_cause
-            .iter()
-            .filter(|suspicion| self.is_counted(suspicion, now_ms));
+        let counted = self.counted(of_cause, now_ms);
         if counted
             .clone()
-            .all(|suspicion| age_ms(suspicion) >= self.window_ms)
+            .all(|suspicion| age_ms(now_ms, suspicion.observed_ms) >= self.window_ms)
         {
             return 0;
         }
@@ -462,10 +474,7 @@
 
     /// Some crashes of a part that are enough to refuse it.
     fn witnesses(&self, part: Digest, now_ms: u64) -> Vec<&Suspicion> {
-        let counted = self.of_cause(part).iter();
-        let counted: Vec<&Suspicion> = counted
-            .filter(|suspicion| self.is_counted(suspicion, now_ms))
-            .collect();
+        let counted: Vec<&Suspicion> = self.counted(self.of_cause(part), now_ms).collect();
         let mut witnesses = successive_crashes(&counted);
         let surplus = witnesses.len().saturating_sub(MAX_TOLD_CRASHES);
         witnesses.drain(..surplus);
@@ -487,12 +496,8 @@
         let mut candidates: Vec<Vec<&Suspicion>> = self
             .by_cause()
             .filter(|of_part| of_part[0].part_of.is_some())
-            .map(|of_part| {
-                let suspicions = of_part.iter();
-                suspicions
-                    .filter(|suspicion| !suspicion.cleared && !self.is_expired(suspicion, now_ms))
-                    .collect()
-            })
+            .filter(|of_part| of_part.len() >= PART_REFUSED_AT_CRASHES)
+            .map(|of_part| self.counted(of_part, now_ms).collect())
             .collect();
         loop {
             for counted in &mut candidates {
@@ -575,11 +580,13 @@
         now_ms: u64,
     ) -> Vec<Digest> {
         let mut learned = Vec::new();
+        // Heartbeats tell again and again what is known.
+        let mut has_changed = false;
         for record in records {
             if record.age_ms >= self.memory_ms() {
                 continue;
             }
-            let is_new = self.merge_suspicion(
+            let merged = self.merge_suspicion(
                 Suspicion {
                     fingerprint: record.fingerprint,
                     crash: record.death,
@@ -590,11 +597,14 @@
                 },
                 now_ms,
             );
-            if is_new && !record.cleared {
+            has_changed |= merged != Merged::Unchanged;
+            if merged == Merged::Added && !record.cleared {
                 learned.push(record.fingerprint);
             }
         }
-        self.judge_parts(now_ms);
+        if has_changed {
+            self.judge_parts(now_ms);
+        }
         learned
     }
 
@@ -619,14 +629,15 @@
         self.window_ms.saturating_mul(MEMORY_WINDOWS)
     }
 
-    /// Adds a suspicion or merges it with the one known; returns whether it is new.
-    fn merge_suspicion(&mut self, suspicion: Suspicion, now_ms: u64) -> bool {
+    /// Adds a suspicion or merges it with the one known.
+    fn merge_suspicion(&mut self, suspicion: Suspicion, now_ms: u64) -> Merged {
         let found = self
             .suspicions
             .binary_search_by(|known| known.key().cmp(&suspicion.key()));
         match found {
             Ok(at) => {
                 let known = &mut self.suspicions[at];
+                let before = known.clone();
                 known.cleared |= suspicion.cleared;
                 known.observed_ms = known.observed_ms.min(suspicion.observed_ms);
                 // The run that was sent last, and the same request in all processes.
@@ -635,12 +646,15 @@
                     (Some(known), Some(other)) => Some(known.min(other)),
                     (known, other) => known.or(other),
                 };
-                false
+                match *known == before {
+                    true => Merged::Unchanged,
+                    false => Merged::Changed,
+                }
             }
             Err(at) => {
                 self.suspicions.insert(at, suspicion);
                 self.drop_least(now_ms);
-                true
+                Merged::Added
             }
         }
     }
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -156,11 +156,12 @@
         self.completed_runs.record(causes.request, now_ms);
         let cleared = if is_success {
             self.completed_parts.record_parts(causes, now_ms);
-            causes.clone()
+            self.suspects.clear_run(causes, now_ms)
         } else {
-            causes.without_parts()
+            let was_suspected = self.suspects.clear_request(causes.request);
+            Vec::from_iter(was_suspected.then_some(causes.request))
         };
-        for cause in self.suspects.clear_run(&cleared, now_ms) {
+        for cause in cleared {
             self.tell_suspect(cause);
             LogLine::new(Event::SuspectCleared)
                 .text("fingerprint", cause.short_hex())
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -239,12 +239,8 @@
     /// prompt.
     pub fn run_status(&self, causes: &RunCauses) -> SuspectStatus {
         let now_ms = self.now_ms();
-        let suspects = self.suspects();
-        let refused = suspects.refused_causes_of(causes, &self.completed_parts(), now_ms);
-        match refused.is_empty() {
-            true => suspects.request_status(causes.request, now_ms),
-            false => SuspectStatus::Refused,
-        }
+        self.suspects()
+            .run_status(causes, &self.completed_parts(), now_ms)
     }
 
     /// Records a run that was sent at `sent_ms` and ended by a crash.
--- a/tests/calls/suspect_parts.rs
+++ b/tests/calls/suspect_parts.rs
@@ -1,5 +1,6 @@
 use arbtest::arbtest;
 
+use bergamotfork::calls::CompletedRuns;
 use bergamotfork::calls::CrashId;
 use bergamotfork::calls::GenerateCall;
 use bergamotfork::calls::PART_REFUSED_AT_CRASHES;
@@ -45,9 +46,14 @@
     table.add_crashed_run(&causes, &crash(crash_no), RUN_MS, at_ms, |_| true);
 }
 
+/// How a run is treated where no run is known to have come to an end.
+fn status(table: &SuspectTable, causes: &RunCauses, now_ms: u64) -> SuspectStatus {
+    table.run_status(causes, &CompletedRuns::default(), now_ms)
+}
+
 /// Whether a new request with these parts is refused.
 fn is_refused(table: &SuspectTable, parts: &[&str], now_ms: u64) -> bool {
-    table.run_status(&run(u64::MAX, parts), now_ms) == SuspectStatus::Refused
+    status(table, &run(u64::MAX, parts), now_ms) == SuspectStatus::Refused
 }
 
 #[test]
@@ -81,7 +87,7 @@
     }
     let now_ms = 6 * STEP_MS;
     let culprit = run(1, &["shared"]);
-    assert_eq!(table.run_status(&culprit, now_ms), SuspectStatus::Refused);
+    assert_eq!(status(&table, &culprit, now_ms), SuspectStatus::Refused);
     assert!(!is_refused(&table, &["shared"], now_ms));
 }
 
@@ -101,7 +107,7 @@
     assert!(is_refused(&table, &["q"], now_ms));
     assert!(!is_refused(&table, &["companion"], now_ms));
     let beside = run(7, &["other"]);
-    assert_ne!(table.run_status(&beside, now_ms), SuspectStatus::Refused);
+    assert_ne!(status(&table, &beside, now_ms), SuspectStatus::Refused);
 }
 
 /// Guards against a companion that is refused in place of the cause.
@@ -189,13 +195,13 @@
     let request = fingerprint("run", b"other");
     let other = RunCauses::of_services(request, "t", ["s"], ["a", "q"]);
     // What one service runs to an end may crash the other.
-    assert_ne!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+    assert_ne!(status(&table, &other, now_ms), SuspectStatus::Refused);
     table.add_crashed_run(&other, &crash(90), RUN_MS, now_ms, |_| true);
-    assert_eq!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+    assert_eq!(status(&table, &other, now_ms), SuspectStatus::Refused);
     let sound = RunCauses::of_services(request, "t", ["s"], ["a"]);
-    assert_ne!(table.run_status(&sound, now_ms), SuspectStatus::Refused);
+    assert_ne!(status(&table, &sound, now_ms), SuspectStatus::Refused);
     table.clear_run(&other, now_ms);
-    assert_ne!(table.run_status(&other, now_ms), SuspectStatus::Refused);
+    assert_ne!(status(&table, &other, now_ms), SuspectStatus::Refused);
 }
 
 #[test]
