--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# The last tenant is taken away. TROUBLE=0: the next version keeps it.
+case_dir=$(cd "$(dirname "$0")" && pwd)
+cd "$case_dir/../.." || exit 2
+program=target/review/release/last_tenant
+[ -x "$program" ] && [ -x target/release/bergamotfork-platform ] || exit 2
+folder=$(mktemp -d) || exit 2
+"$program" "$case_dir" "$folder"
+result=$?
+rm -r "$folder"
+case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
