--- a/review/stand-ins/src/bin/last_tenant.rs
+++ b/review/stand-ins/src/bin/last_tenant.rs
@@ -76,14 +76,16 @@
         .map(|host_no| Process::start_entry(&folder, host_no, store.address, ""))
         .collect();
     if !entries.iter().all(Process::wait_ready) {
+        drop(entries);
         eprintln!("an entry did not become ready");
         std::process::exit(2);
     }
     std::thread::sleep(Duration::from_secs(1));
-    for entry in &entries {
-        let (_, held) = send(&record, entry.front(), API_KEY);
-        let (_, unknown) = send(&record, entry.front(), UNKNOWN_KEY);
+    for front in entries.iter().map(Process::front).collect::<Vec<_>>() {
+        let (_, held) = send(&record, front, API_KEY);
+        let (_, unknown) = send(&record, front, UNKNOWN_KEY);
         if (held, unknown) != (200, 401) {
+            drop(entries);
             eprintln!("before the change: {held} to the key, {unknown} to an unknown one");
             std::process::exit(2);
         }
--- a/review/stand-ins/src/bin/late_heartbeat.rs
+++ b/review/stand-ins/src/bin/late_heartbeat.rs
@@ -233,6 +233,7 @@
     // An entry without replicas is not ready: the topic is created by the first record.
     store.put("keyed.servers", "i-0", "");
     if !entries.iter().all(Process::wait_ready) {
+        drop(entries);
         eprintln!("an entry did not become ready");
         std::process::exit(2);
     }
--- a/review/stand-ins/src/bin/split_route.rs
+++ b/review/stand-ins/src/bin/split_route.rs
@@ -102,6 +102,7 @@
         .map(|host_no| Process::start_entry(&folder, host_no, store.address, ""))
         .collect();
     if !entries.iter().all(Process::wait_ready) {
+        drop(entries);
         eprintln!("an entry did not become ready");
         std::process::exit(2);
     }
--- a/review/stand-ins/src/bin/uploads.rs
+++ b/review/stand-ins/src/bin/uploads.rs
@@ -129,8 +129,9 @@
             continue;
         };
         connection.set_timeout(Duration::from_secs(8));
-        while !shared.stops.load(Ordering::Relaxed) && send(shared, &mut connection, "/hold/a", 200)
-        {
+        let mut is_open = true;
+        while is_open && !shared.stops.load(Ordering::Relaxed) {
+            is_open = send(shared, &mut connection, "/hold/a", 200);
         }
     }
 }
@@ -207,6 +208,7 @@
         .map(|host_no| Process::start_entry(&folder, host_no, store.address, ""))
         .collect();
     if !entries.iter().all(Process::wait_ready) {
+        drop(entries);
         eprintln!("an entry did not become ready");
         std::process::exit(2);
     }
