--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# A request that crashes replicas, on a route that is split. TROUBLE=0: replicas bear it.
+# A part that crashes replicas, late in long prompts. TROUBLE=0: replicas bear the part.
 case_dir=$(cd "$(dirname "$0")" && pwd)
 cd "$case_dir/../.." || exit 2
-program=target/review/release/split_route
+program=target/review/release/late_part
 [ -x "$program" ] && [ -x target/release/bergamotfork-platform ] || exit 2
 folder=$(mktemp -d) || exit 2
 "$program" "$case_dir" "$folder"
--- a/review/stand-ins/src/replica.rs
+++ b/review/stand-ins/src/replica.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::http::Connection;
@@ -95,23 +97,43 @@
     }
 }
 
-/// Writes the record of a replica at its heartbeats, as long as the program runs.
-pub fn register(store: Store, service: String, id: String, address: SocketAddr, slots: u32) {
+/// Writes the record of a replica at its heartbeats until the flag that it returns is set; after
+/// three silent intervals the store drops the record.
+pub fn register(
+    store: Store,
+    service: String,
+    id: String,
+    address: SocketAddr,
+    slots: u32,
+) -> Arc<AtomicBool> {
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let born = unix.expect("a time after 1970").as_millis();
+    let has_ended = Arc::new(AtomicBool::new(false));
+    let ended = has_ended.clone();
     let put = move |sequence: u64| {
-        let record = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"longbeach\",\
-             \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
-             \"sequence\":{sequence},\"born\":{born}}}"
-        );
+        let record = match ended.load(Ordering::Relaxed) {
+            true => String::new(),
+            false => format!(
+                "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"longbeach\",\
+                 \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
+                 \"sequence\":{sequence},\"born\":{born}}}"
+            ),
+        };
         store.put("keyed.servers", &id, &record);
     };
     put(1);
+    let ended = has_ended.clone();
     std::thread::spawn(move || {
-        for sequence in 2.. {
+        let mut sequence = 1;
+        while !ended.load(Ordering::Relaxed) {
             std::thread::sleep(HEARTBEAT);
-            put(sequence);
+            if !ended.load(Ordering::Relaxed) {
+                sequence += 1;
+                put(sequence);
+            }
         }
+        std::thread::sleep(2 * HEARTBEAT);
+        put(sequence);
     });
+    has_ended
 }
