--- a/review/stand-ins/src/bin/split_route.rs
+++ b/review/stand-ins/src/bin/split_route.rs
@@ -30,7 +30,7 @@
 
 /// Time for which it comes, and times between two of these and of other requests.
 const LENGTH_MS: u64 = 20_000;
-const CULPRIT_INTERVAL_MS: u64 = 1_500;
+const CULPRIT_INTERVAL_MS: u64 = 1_200;
 const SOUND_INTERVAL_MS: u64 = 30;
 
 /// Bound of the rule: `stable_window_ms` after the third crash no more than three.
