--- a/review/stand-ins/src/bin/cut_stream.rs
+++ b/review/stand-ins/src/bin/cut_stream.rs
@@ -74,6 +74,7 @@
          Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
     );
     let after = header("Last-Event-Id").parse().unwrap_or(0);
+    println!("replica {id} runs {attempt}, after event {after}");
     let mut is_open = connection.write(head.as_bytes()).is_ok();
     for event in after + 1..=EVENTS {
         std::thread::sleep(EVENT_PAUSE);
@@ -89,20 +90,23 @@
     }
 }
 
-/// Starts a replica as a process of its own; returns it with its address.
-fn start_replica(id: &str, framing: &str) -> (Child, SocketAddr) {
+/// Starts a replica as a process of its own, whose runs are recorded; returns it with its address.
+fn start_replica(id: &str, framing: &str, record: &Record) -> (Child, SocketAddr) {
     let program = std::env::current_exe().expect("the program has a path");
     let mut child = Command::new(program)
         .args(["replica", id, framing])
         .stdout(Stdio::piped())
         .spawn()
         .expect("the replica starts");
-    let mut line = String::new();
-    let output = child.stdout.take().expect("its output");
-    BufReader::new(output)
-        .read_line(&mut line)
-        .expect("its address");
+    let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+    let line = lines.next().expect("a line").expect("its address");
     let address = line.trim().parse().expect("an address");
+    let record = record.clone();
+    std::thread::spawn(move || {
+        lines
+            .map_while(Result::ok)
+            .for_each(|line| record.line(line))
+    });
     (child, address)
 }
 
@@ -160,7 +164,7 @@
     let mut flags = Vec::new();
     for number in 1..=REPLICAS {
         let id = format!("i-{number}");
-        let (child, address) = start_replica(&id, &framing);
+        let (child, address) = start_replica(&id, &framing, &record);
         replicas.push(child);
         flags.push(register(
             store.clone(),
@@ -214,7 +218,7 @@
         replicas[0].kill().expect("the replica runs");
         flags[0].store(true, Ordering::Relaxed);
         std::thread::sleep(AWAY);
-        let (child, address) = start_replica("i-7", &framing);
+        let (child, address) = start_replica("i-7", &framing, &record);
         record.line("it is back as i-7");
         replicas.push(child);
         register(
--- a/review/stand-ins/src/crashing.rs
+++ b/review/stand-ins/src/crashing.rs
@@ -152,6 +152,9 @@
                 ));
                 let mut arrivals = self.seen.arrivals.lock().expect("no holder panics");
                 arrivals.push(self.record.now_ms());
+            } else {
+                self.record
+                    .line(format_args!("replica {id} runs {attempt}"));
             }
             if !self.plan.is_streaming {
                 std::thread::sleep(EVENT_PAUSE);
