--- a/review/stand-ins/src/bin/late_part.rs
+++ b/review/stand-ins/src/bin/late_part.rs
@@ -34,6 +34,11 @@
 /// Length of the traffic, and times between two requests with the culprit and two without.
 const LENGTH_MS: u64 = 24_000;
 const CULPRIT_INTERVAL_MS: u64 = 1_000;
+
+/// Time from which requests with the culprit come, and for how long.
+const CULPRIT_START_MS: u64 = 1_900;
+const CULPRIT_LENGTH_MS: u64 = 20_000;
+
 const SOUND_INTERVAL_MS: u64 = 30;
 
 /// Bound of the rule: `stable_window_ms` after the fifth crash no more than three.
@@ -139,7 +144,8 @@
         };
         start("");
         let per_culprit = CULPRIT_INTERVAL_MS / SOUND_INTERVAL_MS;
-        if tick >= 2 * per_culprit && tick % per_culprit == 0 {
+        let since_ms = (tick * SOUND_INTERVAL_MS).saturating_sub(CULPRIT_START_MS);
+        if tick % per_culprit == 0 && (1..=CULPRIT_LENGTH_MS).contains(&since_ms) {
             start(&format!("{CULPRIT}:30,"));
         }
     }
