--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! except queueing log lines; the caller passes the time, in ms of a monotonic clock.
 
 mod admission;
+mod candidates;
 mod catalog;
 mod declarations;
 mod directory_choice;
@@ -32,6 +33,9 @@
 pub use admission::is_predicted_to_have_begun;
 pub use admission::placement_limit_ms;
 pub use admission::predicted_first_event_ms;
+pub use candidates::CandidateInput;
+pub use candidates::Exclusion;
+pub use candidates::candidates;
 pub use catalog::Catalog;
 pub use catalog::ClientLimits;
 pub use catalog::EngineProfile;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -6,13 +6,13 @@
 use crate::calls::ReplicaSign;
 use crate::fleet::AdmissionDecision;
 use crate::fleet::AdmissionInput;
+use crate::fleet::CandidateInput;
 use crate::fleet::RefusalCause;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::admit_request;
-use crate::fleet::begins_in_time;
+use crate::fleet::candidates;
 use crate::fleet::is_predicted_to_have_begun;
-use crate::fleet::placement_limit_ms;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::gateway_handle::Gateway;
@@ -146,31 +146,19 @@
         let model = request.facts.model.as_deref();
         let required = model.and_then(|model| state.required_version(model));
         let service = request.catalog.service(&request.service);
-        let begin_within_ms = |replica: &Replica| {
-            let version = model.map(|model| (model, replica.weights_version(model, now_ms)))?;
-            state.begin_within_ms(version.0, version.1)
+        let begin_within_ms = |model: &str, version: u64| state.begin_within_ms(model, version);
+        let input = CandidateInput {
+            now_ms,
+            service: &request.service,
+            kind: request.route.kind,
+            tried_replicas: &request.tried_replicas,
+            model,
+            begin_within_ms: &begin_within_ms,
         };
-        let limit_ms =
-            |replica: &Replica| placement_limit_ms(begin_within_ms(replica), request.route.kind);
-        let mut usable: Vec<(ReplicaKey, &Replica)> = state
-            .replicas
-            .listed()
-            .filter(|(key, replica)| {
-                replica.record.service == request.service
-                    && replica.is_usable(now_ms)
-                    && !request.tried_replicas.contains(key)
-                    && model.is_none_or(|model| replica.weights_version(model, now_ms) > 0)
-                    && begins_in_time(limit_ms(replica), 0.0)
-            })
-            .collect();
-        // What is sent to a host that stands still runs when it goes on, for nobody.
-        let is_heard = |usable: &(ReplicaKey, &Replica)| !usable.1.is_silent(now_ms);
-        if state.replicas.has_reports(&request.service, now_ms) && usable.iter().any(is_heard) {
-            usable.retain(is_heard);
-        }
+        let usable = candidates(&state.replicas, &input);
         let begin_limits_ms: Vec<Option<u64>> = usable
             .iter()
-            .map(|(_, replica)| limit_ms(replica))
+            .map(|(_, replica)| input.limit_ms(replica))
             .collect();
         // The requests of the other entries are assumed to go to the replicas with free
         // slots, or to all usable ones if none has any.
@@ -215,7 +203,9 @@
                         .map(|(required, model)| (required, replica.weights_version(model, now_ms)))
                         .filter(|(required, version)| version >= required)
                         .map(|(_, version)| version),
-                    begin_within_ms: begin_within_ms(replica),
+                    begin_within_ms: model.and_then(|model| {
+                        begin_within_ms(model, replica.weights_version(model, now_ms))
+                    }),
                     load_age_ms: replica
                         .recent_load(now_ms)
                         .map(|load| now_ms - load.received_ms),
