Send requests to allowed regions only, and to no evacuated failure domain

Cause: routes and tenants of the configuration may state allowed_regions, and the operator may evacuate a failure domain with a record op/evacuate/ZONE. The entries ignored both.

Change: the candidates of a request are checked against DomainRules after service and usability, before each send. Regions are those that the route and the workspace allow, by the request's own configuration and by the newest one; a failure domain without a known region is outside. Evacuations follow the newest record of the key, and end with an empty record or a listing that lacks it; both changes wake the heartbeats. A refusal is immediate and has the cause residency or evacuated. The directory names only entries in the client's or in an allowed region for hosts with restricted routes. Events 728 to 730 and a gauge show the course of an evacuation. Regions of the settings are taken over at a reload.

--- a/src/fleet/candidates.rs
+++ b/src/fleet/candidates.rs
@@ -3,6 +3,7 @@
 //! The filters apply in a fixed order, and the first that fails is the reason. What remains
 //! is weighed by [`crate::fleet::admit_request`].
 
+use crate::fleet::DomainRules;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::ReplicaTable;
@@ -17,6 +18,10 @@
     OtherService,
     /// It leaves, pauses, is loading, or was found unreachable or down.
     Unusable,
+    /// Its region is not among those in which the request may be served, or is not known.
+    Residency,
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// The request was sent to it before.
     AlreadyTried,
     /// It has no weights of the model.
@@ -31,6 +36,8 @@
         match self {
             Self::OtherService => "other_service",
             Self::Unusable => "unusable",
+            Self::Residency => "residency",
+            Self::Evacuated => "evacuated",
             Self::AlreadyTried => "already_tried",
             Self::NoWeights => "no_weights",
             Self::WeightsDue => "weights_due",
@@ -46,6 +53,8 @@
     pub service: &'a str,
     /// Whether and how the request may be repeated.
     pub kind: RouteKind,
+    /// Failure domains that it may be sent to.
+    pub domains: DomainRules<'a>,
     /// Replicas that it was sent to before.
     pub tried_replicas: &'a [ReplicaKey],
     /// Model that it asks for.
@@ -71,6 +80,8 @@
             Some(Exclusion::OtherService)
         } else if !replica.is_usable(self.now_ms) {
             Some(Exclusion::Unusable)
+        } else if let Some(rule) = self.domains.exclusion(&replica.record.failure_domain) {
+            Some(rule)
         } else if self.tried_replicas.contains(&key) {
             Some(Exclusion::AlreadyTried)
         } else if !self.model.is_none_or(has_weights) {
@@ -99,3 +110,16 @@
     }
     usable
 }
+
+/// The rule on failure domains that leaves a service without replicas for a request: what
+/// excludes the ones that could take it otherwise. None if none could.
+pub fn excluding_rule(replicas: &ReplicaTable, input: &CandidateInput<'_>) -> Option<Exclusion> {
+    let listed = replicas.listed();
+    let exclusions = listed.filter_map(|(key, replica)| input.exclusion(key, replica));
+    let rules = exclusions.filter(|e| matches!(e, Exclusion::Residency | Exclusion::Evacuated));
+    // An evacuated one is in an allowed region: the evacuation is what can be taken back.
+    rules.reduce(|first, next| match first {
+        Exclusion::Evacuated => first,
+        _ => next,
+    })
+}
--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use crate::fleet::Residency;
+
 /// Whether and how requests of a route may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -49,6 +51,8 @@
     pub max_attempts: u32,
     /// Whether requests without an API key are accepted.
     pub allows_anonymous: bool,
+    /// Regions in which requests may be served; empty for every region.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A model that an engine serves.
@@ -159,6 +163,8 @@
     pub name: String,
     /// Priority of its requests, 0 being the most urgent; None for that of the route.
     pub priority: Option<u32>,
+    /// Regions in which its requests may be served; empty for every region.
+    pub allowed_regions: Vec<String>,
 }
 
 /// One version of the configuration, indexed for lookup.
@@ -218,6 +224,17 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Regions that all routes of `host` with a list of regions allow; every region if there
+    /// is no such route.
+    pub fn host_residency(&self, host: &str) -> Residency {
+        let first = self.routes.partition_point(|r| r.host.as_str() < host);
+        let mut residency = Residency::default();
+        for route in self.routes[first..].iter().take_while(|r| r.host == host) {
+            residency.narrow(&route.allowed_regions);
+        }
+        residency
+    }
+
     /// Service with that name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let at = self
@@ -256,4 +273,9 @@
             .ok()?;
         Some(&self.workspaces[self.api_keys[at].1])
     }
+
+    /// Workspace with that name.
+    pub fn workspace_named(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.iter().find(|owner| owner.name == name)
+    }
 }
--- a/src/fleet/directory_choice.rs
+++ b/src/fleet/directory_choice.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 
+use crate::fleet::Residency;
 use crate::fleet::rendezvous_order;
 use crate::weights::mix64;
 
@@ -31,6 +32,25 @@
     pub region: &'a str,
 }
 
+/// The entries that a client in `region` is told of for a host whose routes allow these
+/// regions: those in its own region or in an allowed one. All if there are none, as a client
+/// must get an answer.
+///
+/// An entry sends requests to the allowed regions from anywhere. One that is in neither region
+/// only adds a way through a third.
+pub fn entries_in_allowed_regions<'a>(
+    entries: Vec<ListedEntry<'a>>,
+    region: &str,
+    residency: &Residency,
+) -> Vec<ListedEntry<'a>> {
+    let is_named =
+        |entry: &ListedEntry<'_>| entry.region == region || residency.allows(Some(entry.region));
+    if !entries.iter().any(is_named) {
+        return entries;
+    }
+    entries.into_iter().filter(is_named).collect()
+}
+
 /// Chooses the entries for an answer of the entry `own_name` to a client in
 /// `failure_domain` of `region`, at most `max_entries`.
 ///
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -430,6 +430,15 @@
             .map(|(at, replica)| (replica_key(at), replica))
     }
 
+    /// Requests of this process that replicas of a failure domain are handling, those included
+    /// that are no longer listed.
+    pub fn in_flight_in(&self, failure_domain: &str) -> u32 {
+        let replicas = self.replicas.iter();
+        replicas
+            .filter(|replica| replica.record.failure_domain == failure_domain)
+            .fold(0, |sum, replica| sum.saturating_add(replica.in_flight))
+    }
+
     /// Whether most replicas of `service` that ever reported their load still do. Otherwise
     /// the link of this process fails, or the process itself stood still, and the silence of
     /// a replica says nothing of it.
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -2,8 +2,10 @@
 use std::rc::Rc;
 
 use crate::fleet::ListedEntry;
+use crate::fleet::Residency;
 use crate::fleet::Topic;
 use crate::fleet::choose_entries;
+use crate::fleet::entries_in_allowed_regions;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::TopicSink;
@@ -52,6 +54,13 @@
         if entries.is_empty() {
             return InternalResponse::without_body(503);
         }
+        let residency = state
+            .catalog
+            .as_ref()
+            .map_or_else(Residency::default, |catalog| {
+                catalog.host_residency(&query.host)
+            });
+        let entries = entries_in_allowed_regions(entries, &query.region, &residency);
         let chosen = choose_entries(
             &entries,
             &query.failure_domain,
@@ -162,6 +171,8 @@
             self.metrics.record_answer_bytes(held_bytes as u64);
             let suspects = self.state.borrow().suspects.len();
             self.metrics.record_crash_suspects(suspects as u64);
+            let evacuated = self.state.borrow().evacuated_in_flight();
+            self.metrics.record_evacuated_in_flight(evacuated.into());
             return InternalResponse::metrics(self.metrics.render());
         }
         if let Some(reply) = self.pieces.reply_to(path).await {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -39,6 +39,7 @@
             let mut state = state.borrow_mut();
             state.remove_expired_replicas();
             state.log_silence_changes();
+            state.log_idle_domains();
             let heartbeat = Datagram::Beat(own_heartbeat(&state));
             let (entries, endpoints) = (entry_targets(&state), endpoint_targets(&state));
             let remote = entries.iter().chain(&endpoints).filter(|t| t.is_remote);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod crash_signs;
 mod datagram;
 mod end_causes;
+mod evacuation;
 mod event_splitter;
 mod event_stream;
 mod exchange;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,11 +7,14 @@
 use crate::fleet::AdmissionDecision;
 use crate::fleet::AdmissionInput;
 use crate::fleet::CandidateInput;
+use crate::fleet::DomainRules;
+use crate::fleet::Exclusion;
 use crate::fleet::RefusalCause;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::admit_request;
 use crate::fleet::candidates;
+use crate::fleet::excluding_rule;
 use crate::fleet::is_predicted_to_have_begun;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
@@ -147,10 +150,16 @@
         let required = model.and_then(|model| state.required_version(model));
         let service = request.catalog.service(&request.service);
         let begin_within_ms = |model: &str, version: u64| state.begin_within_ms(model, version);
+        let residency = state.residency(request);
         let input = CandidateInput {
             now_ms,
             service: &request.service,
             kind: request.route.kind,
+            domains: DomainRules {
+                residency: &residency,
+                evacuations: &state.evacuations,
+                regions: &state.settings.regions,
+            },
             tried_replicas: &request.tried_replicas,
             model,
             begin_within_ms: &begin_within_ms,
@@ -215,9 +224,11 @@
                 cause: RefusalCause::NoReplica,
                 retry_after_ms,
             } => {
-                let pause_ms = time_to_first_pause_end(&state, &request.service, now_ms);
+                let pause_ms = time_to_first_pause_end(&state, &input);
                 let retry_after_ms = (pause_ms + retry_after_ms).min(request.left_ms() / 3);
-                Err((RefusalCause::NoReplica.label(), retry_after_ms))
+                let rule = excluding_rule(&state.replicas, &input);
+                let cause = rule.map_or(RefusalCause::NoReplica.label(), Exclusion::label);
+                Err((cause, retry_after_ms))
             }
             AdmissionDecision::Refuse {
                 cause,
@@ -260,13 +271,19 @@
     }
 }
 
-/// Time until the first replica of `service` that pauses takes requests again, in ms; 0 if
-/// none pauses.
-fn time_to_first_pause_end(state: &GatewayState, service: &str, now_ms: u64) -> u64 {
+/// Time until the first replica that pauses and that the request may be sent to takes requests
+/// again, in ms; 0 if none pauses.
+fn time_to_first_pause_end(state: &GatewayState, input: &CandidateInput<'_>) -> u64 {
+    let now_ms = input.now_ms;
     let replicas = state.replicas.listed();
     replicas
-        .filter(|(_, replica)| replica.record.service == service)
-        .filter_map(|(_, replica)| replica.pause_end_ms())
+        .map(|(_, replica)| replica)
+        .filter(|replica| replica.record.service == input.service)
+        .filter(|replica| {
+            let failure_domain = &replica.record.failure_domain;
+            input.domains.exclusion(failure_domain).is_none()
+        })
+        .filter_map(Replica::pause_end_ms)
         .filter(|end_ms| *end_ms > now_ms)
         .min()
         .map_or(0, |end_ms| end_ms - now_ms)
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -84,6 +84,8 @@
 /// A client's query for the addresses of entries.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectoryQuery {
+    /// Name of the host that the client asks for, in lower case and without a port.
+    pub host: String,
     /// Region of the client.
     pub region: String,
     /// Failure domain of the client.
@@ -213,6 +215,9 @@
 pub trait RecordDecoder {
     /// Decodes a record of the operator.
     fn operator_record(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, InvalidRecord>;
+    /// Failure domain that a record of the operator evacuates as long as its key exists; None if
+    /// the key is another one.
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str>;
     /// Version that a record states of itself; None if it states none or can't be decoded.
     fn record_version(&self, topic: Topic, record: &TopicRecord) -> Option<RecordVersion>;
     /// Decodes the record with which a replica registers.
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -44,6 +44,8 @@
     settings.weights_apply_ms = new.weights_apply_ms;
     settings.config_apply_ms = new.config_apply_ms;
     settings.max_client_connections = new.max_client_connections;
+    // Requests that may be served in some regions only follow the newest assignment.
+    settings.regions.clone_from(&new.regions);
     let needs_restart = settings.front != new.front
         || settings.internal != new.internal
         || settings.failure_domain != new.failure_domain
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Catalog;
 use crate::fleet::ClientLimits;
 use crate::fleet::Declarations;
+use crate::fleet::Evacuations;
 use crate::fleet::PeerTable;
 use crate::fleet::ReplicaTable;
 use crate::fleet::SharedRetryBudget;
@@ -66,6 +67,8 @@
     pub catalog_adopted_ms: u64,
     /// Declared versions of weights.
     pub weights: Declarations,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: Evacuations,
     /// Replicas of all services.
     pub replicas: ReplicaTable,
     /// Memory for answers that are not passed on yet.
@@ -138,6 +141,7 @@
             catalog: None,
             catalog_adopted_ms: 0,
             weights: Declarations::default(),
+            evacuations: Evacuations::default(),
             replicas: ReplicaTable::default(),
             answer_memory: AnswerMemory::default(),
             peers: PeerTable::default(),
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -33,6 +33,14 @@
         };
         let value = record.value.clone();
         let offset = record.offset;
+        if topic == Topic::Operator
+            && let Some(failure_domain) = decoder.evacuated_domain(key)
+        {
+            // A key that a listing no longer has comes here as well, without a value.
+            let is_evacuated = value.as_ref().is_some_and(|value| !value.is_empty());
+            self.apply_evacuation(failure_domain, is_evacuated, offset);
+            return;
+        }
         match (topic, value) {
             (Topic::Operator, Some(value)) => {
                 self.apply_operator_record(key, &value, offset, decoder);
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -88,6 +88,8 @@
     answer_bytes: Gauge<u64>,
     /// Pairs of a request and a crash during which it was running.
     crash_suspects: Gauge<u64>,
+    /// Requests in flight in evacuated failure domains.
+    evacuated_in_flight: Gauge<u64>,
 }
 
 /// Upper bounds of the buckets for the lateness of timers, in ms.
@@ -127,6 +129,7 @@
             .build();
         let answer_bytes = meter.u64_gauge("bergamotfork_answer_bytes").build();
         let crash_suspects = meter.u64_gauge("bergamotfork_crash_suspects").build();
+        let evacuated_in_flight = meter.u64_gauge("bergamotfork_evacuated_in_flight").build();
         Self {
             registry,
             _provider: provider,
@@ -136,6 +139,7 @@
             timer_late_ms,
             answer_bytes,
             crash_suspects,
+            evacuated_in_flight,
         }
     }
 
@@ -197,6 +201,11 @@
         self.crash_suspects.record(pairs, &[]);
     }
 
+    /// Records how many requests of this entry are in flight in evacuated failure domains.
+    pub fn record_evacuated_in_flight(&self, requests: u64) {
+        self.evacuated_in_flight.record(requests, &[]);
+    }
+
     /// All metrics in the Prometheus text format; empty if they can't be encoded.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/tests/fleet/fleet_view.rs
+++ b/tests/fleet/fleet_view.rs
@@ -29,6 +29,7 @@
         services: vec![("s".to_owned(), 1)],
         max_attempts: 2,
         allows_anonymous: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -60,6 +61,7 @@
     let owner = Workspace {
         name: "w".to_owned(),
         priority: Some(1),
+        allowed_regions: Vec::new(),
     };
     let keys = vec!["k2".to_owned(), "k1".to_owned()];
     let catalog = Catalog::new(
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod directory;
+mod domains;
 mod fixture;
 mod fleet_view;
 mod heartbeats;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -245,6 +245,10 @@
         Ok(OperatorRecord::Other)
     }
 
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix("evacuate/")
+    }
+
     fn record_version(&self, _topic: Topic, _record: &TopicRecord) -> Option<RecordVersion> {
         None
     }
