Name no entry for heartbeats that waited while the directory stood still

Cause: after a standstill, the heartbeats that waited in the socket count as new and the standstill as a gap of 1 s, so an entry that ended meanwhile is named for 3.6 s more, however long ago its end was.

Change: a standstill of 3 s or more is noticed before a datagram or a query is handled. Heartbeats read in the 300 ms after it are no sign of life for the directory, and its answers wait until 1.5 s after it, when every entry that runs has sent another one. Other uses of heartbeats are unchanged.

--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -177,6 +177,18 @@
             .map(|peer| &peer.heartbeat)
     }
 
+    /// Last heartbeats of the entries that have not timed out, if received at `since_ms` or
+    /// later.
+    pub fn live_entries_since(
+        &self,
+        since_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &EntryHeartbeat> {
+        let live = self.peers.iter().filter(move |peer| peer.is_live(now_ms));
+        live.filter(move |peer| peer.gaps.last_received_ms() >= since_ms)
+            .map(|peer| &peer.heartbeat)
+    }
+
     /// Whether another entry of `failure_domain` reads the store on behalf of the entry
     /// `own`, whose records of the replicas are `age_ms` old.
     ///
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::fleet::ListedEntry;
 use crate::fleet::Residency;
@@ -35,6 +36,7 @@
         let Some(query) = self.dialect.directory_query(&request.head) else {
             return InternalResponse::without_body(404);
         };
+        self.wait_for_heartbeats().await;
         let state = self.state.borrow();
         let settings = &state.settings;
         let listed = |front, failure_domain| ListedEntry {
@@ -42,7 +44,8 @@
             failure_domain,
             region: settings.region(failure_domain),
         };
-        let peers = state.peers.live_entries(state.now_ms());
+        let since_ms = state.standstill.heartbeats_count_from_ms();
+        let peers = state.peers.live_entries_since(since_ms, state.now_ms());
         let own = state
             .is_ready()
             .then(|| listed(settings.front, settings.failure_domain.as_str()));
@@ -78,6 +81,24 @@
     }
 }
 
+impl<D> DirectoryHandler<D> {
+    /// Waits until the entries that run have sent a heartbeat, after this process has stood
+    /// still.
+    async fn wait_for_heartbeats(&self) {
+        loop {
+            let wait_ms = {
+                let mut state = self.state.borrow_mut();
+                state.record_run();
+                state.standstill.wait_ms(state.now_ms())
+            };
+            if wait_ms == 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+}
+
 /// Serves the platform's readiness check.
 #[derive(Debug)]
 pub struct ReadinessHandler<D> {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -37,6 +37,7 @@
     loop {
         let (heartbeat, kept_config, entries, targets) = {
             let mut state = state.borrow_mut();
+            state.record_run();
             state.remove_expired_replicas();
             state.log_silence_changes();
             state.log_idle_domains();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod send_results;
 mod sending;
 mod settings;
+mod standstill;
 mod state;
 mod store_status;
 mod suspect_notices;
--- a/src/gateway/received_datagrams.rs
+++ b/src/gateway/received_datagrams.rs
@@ -31,21 +31,24 @@
     socket: Rc<UdpSocket>,
     decoder: Rc<impl RecordDecoder + 'static>,
 ) {
-    for_each_datagram(&socket, |datagram, from| match datagram {
-        Datagram::Beat(heartbeat) => apply_heartbeat(&state, heartbeat, &decoder),
-        Datagram::Load(report) => {
-            apply_load_report(&state, &report, from);
-            if !is_known_endpoint(&state.borrow(), from) {
-                let heartbeat = Datagram::Beat(own_heartbeat(&state.borrow())).encode();
-                send_to_all(&socket, &heartbeat, &[from]);
+    for_each_datagram(&socket, |datagram, from| {
+        state.borrow_mut().record_run();
+        match datagram {
+            Datagram::Beat(heartbeat) => apply_heartbeat(&state, heartbeat, &decoder),
+            Datagram::Load(report) => {
+                apply_load_report(&state, &report, from);
+                if !is_known_endpoint(&state.borrow(), from) {
+                    let heartbeat = Datagram::Beat(own_heartbeat(&state.borrow())).encode();
+                    send_to_all(&socket, &heartbeat, &[from]);
+                }
+            }
+            // Only endpoint processes use the reports of held pieces.
+            Datagram::Have(_) => {}
+            Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
+            Datagram::Leaving(leaving) => apply_leaving(&state, &leaving),
+            Datagram::Suspects(notice) => {
+                merge_suspects(&mut state.borrow_mut(), &notice.name, &notice.records);
             }
-        }
-        // Only endpoint processes use the reports of held pieces.
-        Datagram::Have(_) => {}
-        Datagram::Kept(kept) => apply_kept_config(&state, &kept, &decoder),
-        Datagram::Leaving(leaving) => apply_leaving(&state, &leaving),
-        Datagram::Suspects(notice) => {
-            merge_suspects(&mut state.borrow_mut(), &notice.name, &notice.records);
         }
     })
     .await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,6 +31,7 @@
 use crate::gateway::request_rates::RequestRates;
 use crate::gateway::required_versions::RequiredVersions;
 use crate::gateway::retry_budgets::RetryBudgets;
+use crate::gateway::standstill::Standstill;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::usual_deadlines::UsualDeadlines;
 use crate::observe::Event;
@@ -125,6 +126,8 @@
     /// Wakes the tasks that wait for a change of the suspects.
     pub(super) suspects_notice: Rc<Notify>,
     leaving_notices: LeavingNotices,
+    /// When the process last went on after it had stood still.
+    pub(super) standstill: Standstill,
     /// For each topic, whether it is being fetched from another process.
     fetching: [bool; 3],
     replicas_confirmation: ReplicasConfirmation,
@@ -171,6 +174,7 @@
             changed_suspects: ChangedSuspects::default(),
             suspects_notice: Rc::new(Notify::new()),
             leaving_notices: LeavingNotices::default(),
+            standstill: Standstill::default(),
             fetching: [false; 3],
             replicas_confirmation: ReplicasConfirmation::default(),
             rng,
