--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -1,9 +1,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::fleet::ListedEntry;
+use crate::fleet::Residency;
 use crate::fleet::Topic;
 use crate::fleet::choose_entries;
+use crate::fleet::entries_in_allowed_regions;
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::TopicSink;
@@ -33,6 +36,7 @@
         let Some(query) = self.dialect.directory_query(&request.head) else {
             return InternalResponse::without_body(404);
         };
+        self.wait_for_heartbeats().await;
         let state = self.state.borrow();
         let settings = &state.settings;
         let listed = |front, failure_domain| ListedEntry {
@@ -40,7 +44,8 @@
             failure_domain,
             region: settings.region(failure_domain),
         };
-        let peers = state.peers.live_entries(state.now_ms());
+        let since_ms = state.standstill.heartbeats_count_from_ms();
+        let peers = state.peers.live_entries_since(since_ms, state.now_ms());
         let own = state
             .is_ready()
             .then(|| listed(settings.front, settings.failure_domain.as_str()));
@@ -52,6 +57,13 @@
         if entries.is_empty() {
             return InternalResponse::without_body(503);
         }
+        let residency = state
+            .catalog
+            .as_ref()
+            .map_or_else(Residency::default, |catalog| {
+                catalog.host_residency(&query.host)
+            });
+        let entries = entries_in_allowed_regions(entries, &query.region, &residency);
         let chosen = choose_entries(
             &entries,
             &query.failure_domain,
@@ -69,6 +81,24 @@
     }
 }
 
+impl<D> DirectoryHandler<D> {
+    /// Waits until the entries that run have sent a heartbeat, after this process has stood
+    /// still.
+    async fn wait_for_heartbeats(&self) {
+        loop {
+            let wait_ms = {
+                let mut state = self.state.borrow_mut();
+                state.record_run();
+                state.standstill.wait_ms(state.now_ms())
+            };
+            if wait_ms == 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+}
+
 /// Serves the platform's readiness check.
 #[derive(Debug)]
 pub struct ReadinessHandler<D> {
@@ -162,6 +192,8 @@
             self.metrics.record_answer_bytes(held_bytes as u64);
             let suspects = self.state.borrow().suspects.len();
             self.metrics.record_crash_suspects(suspects as u64);
+            let evacuated = self.state.borrow().evacuated_in_flight();
+            self.metrics.record_evacuated_in_flight(evacuated.into());
             return InternalResponse::metrics(self.metrics.render());
         }
         if let Some(reply) = self.pieces.reply_to(path).await {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Catalog;
 use crate::fleet::ClientLimits;
 use crate::fleet::Declarations;
+use crate::fleet::Evacuations;
 use crate::fleet::PeerTable;
 use crate::fleet::ReplicaTable;
 use crate::fleet::SharedRetryBudget;
@@ -30,6 +31,7 @@
 use crate::gateway::request_rates::RequestRates;
 use crate::gateway::required_versions::RequiredVersions;
 use crate::gateway::retry_budgets::RetryBudgets;
+use crate::gateway::standstill::Standstill;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::usual_deadlines::UsualDeadlines;
 use crate::observe::Event;
@@ -66,6 +68,8 @@
     pub catalog_adopted_ms: u64,
     /// Declared versions of weights.
     pub weights: Declarations,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: Evacuations,
     /// Replicas of all services.
     pub replicas: ReplicaTable,
     /// Memory for answers that are not passed on yet.
@@ -122,6 +126,8 @@
     /// Wakes the tasks that wait for a change of the suspects.
     pub(super) suspects_notice: Rc<Notify>,
     leaving_notices: LeavingNotices,
+    /// When the process last went on after it had stood still.
+    pub(super) standstill: Standstill,
     /// For each topic, whether it is being fetched from another process.
     fetching: [bool; 3],
     replicas_confirmation: ReplicasConfirmation,
@@ -138,6 +144,7 @@
             catalog: None,
             catalog_adopted_ms: 0,
             weights: Declarations::default(),
+            evacuations: Evacuations::default(),
             replicas: ReplicaTable::default(),
             answer_memory: AnswerMemory::default(),
             peers: PeerTable::default(),
@@ -167,6 +174,7 @@
             changed_suspects: ChangedSuspects::default(),
             suspects_notice: Rc::new(Notify::new()),
             leaving_notices: LeavingNotices::default(),
+            standstill: Standstill::default(),
             fetching: [false; 3],
             replicas_confirmation: ReplicasConfirmation::default(),
             rng,
