--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -71,8 +71,8 @@
         } else {
             [&part, &all]
         };
-        // Two entries are counted by all, and are in a view of one by mistake or not at all.
-        let lone = vec!["lone".to_owned()];
+        // Three more entries run: one knows only itself, one is not registered, one knows none.
+        let lone = ["lone".to_owned()];
         let mut entries = vec![
             ("lone".to_owned(), 0, [&lone[..], &lone[..]]),
             ("unregistered".to_owned(), 0, [&all[..], &all[..]]),
@@ -119,7 +119,7 @@
 fn cold_share_may_send_returning_domain() {
     let all = names(0..33);
     let replicas: Vec<String> = (0..17).map(|number| format!("replica-{number}")).collect();
-    let mut sent_ms = vec![Vec::new(); replicas.len()];
+    let mut sent_ms = [const { Vec::new() }; 17];
     let mut seed = 1u64;
     for name in &all {
         let mut times = vec![ColdTimes::new(0, RETURN_MS); replicas.len()];
@@ -215,6 +215,14 @@
 fn cold_share_new_without_limit() {
     assert!(ColdShare::new(0.0, 1.5, 5.0).is_none());
     assert_eq!(share().per_second(), 32);
+    // The settings may state any number.
+    let all = names(0..33);
+    let times = ColdTimes::new(0, 0);
+    for bound in [f64::MAX, -1.0, 0.0] {
+        let share = ColdShare::new(1.0, bound, bound).unwrap();
+        let may_send = |name: &String| share.may_send(name, &all, "r", &times, 9_000);
+        assert_eq!(all.iter().any(may_send), bound > 0.0, "{bound}");
+    }
 }
 
 #[test]
