--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -25,6 +25,11 @@
         if !self.evacuations.set(failure_domain, is_evacuated) {
             return;
         }
+        if !is_evacuated {
+            // Its replicas may have become cold, and their records say so later.
+            let now_ms = self.now_ms();
+            self.replicas.record_return(failure_domain, now_ms);
+        }
         let event = if is_evacuated {
             Event::DomainEvacuated
         } else {
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -100,6 +100,7 @@
     728 DomainEvacuated Warn "The operator evacuated a failure domain; its replicas get no new requests from this entry.";
     729 DomainRestored Info "An evacuation was taken back; the failure domain gets requests again.";
     730 DomainIdle Info "No request of this entry is in flight any more in an evacuated failure domain.";
+    735 ColdReplicasHeldBack Info "A request was not sent to cold replicas, as this entry has sent them its share.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
--- a/tests/fleet/domains.rs
+++ b/tests/fleet/domains.rs
@@ -66,6 +66,7 @@
         tried_replicas: &tried,
         model: None,
         begin_within_ms: &|_, _| None,
+        is_within_cold_share: &|_| true,
     };
     let exclusions = keys.iter().map(|k| input.exclusion(*k, table.get(*k)));
     let count = candidates(&table, &input).len();
