--- a/src/gateway/cached_version.rs
+++ b/src/gateway/cached_version.rs
@@ -21,6 +21,8 @@
     pub(super) last_used: RefCell<Instant>,
     /// Whether a task reads the share of this entry ahead.
     pub(super) is_read_ahead: Cell<bool>,
+    /// Monotonic time at which all entries were found to have it, in ms.
+    pub(super) complete_ms: Cell<Option<i64>>,
 }
 
 impl CachedVersion {
--- a/src/gateway/manifest_reads.rs
+++ b/src/gateway/manifest_reads.rs
@@ -7,6 +7,7 @@
 use crate::gateway::piece_paths::PRIMARY_MANIFEST_PATH;
 use crate::http1::ClientRequest;
 use crate::http1::Http1Client;
+use crate::http1::Http1Error;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::ExternalCallError;
@@ -34,7 +35,7 @@
         as_primary: bool,
     ) -> Result<Rc<PieceManifest>, ExternalCallError> {
         let read = async || {
-            if !as_primary && let Some(manifest) = self.read_manifest_from_holder(cached).await {
+            if !as_primary && let Some(manifest) = self.read_manifest_from_holder(cached).await? {
                 return Ok(RefCell::new(Rc::new(manifest)));
             }
             self.read_manifest(cached).await.map(RefCell::new)
@@ -47,12 +48,24 @@
     /// to read it from the origin.
     ///
     /// The link of the origin carries one copy of the weights in about the time that it
-    /// would need for the manifests of a hundred entries.
-    async fn read_manifest_from_holder(&self, cached: &CachedVersion) -> Option<PieceManifest> {
+    /// would need for the manifests of a hundred entries. So a holder that takes longer, while
+    /// the origin's link is full, is asked again later.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExternalCallError::Unreachable`] if the holders of a version that was just
+    /// declared don't have its manifest yet.
+    async fn read_manifest_from_holder(
+        &self,
+        cached: &CachedVersion,
+    ) -> Result<Option<PieceManifest>, ExternalCallError> {
+        let mut is_read_elsewhere = false;
         let holders = self.ranked_holders(MANIFEST_RANK_SEED);
         let pieces = self.piece_count(&cached.model);
         for holder in holders.into_iter().take(MAX_MANIFEST_HOLDERS) {
-            let holder = holder?;
+            let Some(holder) = holder else {
+                return Ok(None);
+            };
             let target = format!("{PRIMARY_MANIFEST_PATH}{}/{}", cached.model, cached.version);
             let request = ClientRequest::get(&target, PRIMARY_MANIFEST_TIMEOUT);
             match Http1Client::new(holder, Duration::ZERO)
@@ -63,19 +76,30 @@
                     let manifest: Option<PieceManifest> = rmp_serde::from_slice(&reply.body).ok();
                     if let Some(manifest) = manifest.filter(|m| m.describes(cached.version, pieces))
                     {
-                        return Some(manifest);
+                        return Ok(Some(manifest));
                     }
                     log_rejected_manifest(cached, "entry");
                 }
-                Ok(reply) => log::debug!("{holder} has no manifest: status {}", reply.status),
-                Err(error) => log::debug!("cannot read a manifest from {holder}: {error}"),
+                Ok(reply) => {
+                    log::debug!("{holder} has no manifest: status {}", reply.status);
+                    is_read_elsewhere = true;
+                }
+                Err(error) => {
+                    log::debug!("cannot read a manifest from {holder}: {error}");
+                    is_read_elsewhere |= matches!(error, Http1Error::TimedOut);
+                }
             }
         }
-        None
+        if is_read_elsewhere && self.is_fresh(cached) {
+            return Err(ExternalCallError::Unreachable(
+                "the holders have no manifest yet".to_owned(),
+            ));
+        }
+        Ok(None)
     }
 
     /// Number of pieces that the configuration gives a version of `model`; 0 for none.
-    fn piece_count(&self, model: &str) -> u32 {
+    pub(super) fn piece_count(&self, model: &str) -> u32 {
         let state = self.state.borrow();
         let catalog = state.catalog.as_ref();
         catalog.map_or(0, |catalog| catalog.piece_count(model))
--- a/src/gateway/piece_cache.rs
+++ b/src/gateway/piece_cache.rs
@@ -78,6 +78,7 @@
             pieces: RefCell::default(),
             last_used: RefCell::new(Instant::now()),
             is_read_ahead: Cell::new(false),
+            complete_ms: Cell::new(None),
         });
         self.versions.borrow_mut().push(cached.clone());
         cached
--- a/src/gateway/piece_paths.rs
+++ b/src/gateway/piece_paths.rs
@@ -8,6 +8,9 @@
 /// Path on which other entries read a piece only if it is cached.
 pub(super) const HELD_PIECE_PATH: &str = "/held-piece/";
 
+/// Path on which other entries ask whether a piece is cached.
+pub(super) const HELD_STATUS_PATH: &str = "/held-status/";
+
 /// Path on which hosts read a manifest, before `MODEL/VERSION`.
 pub const MANIFEST_PATH: &str = "/manifest/";
 
--- a/src/gateway/piece_reads.rs
+++ b/src/gateway/piece_reads.rs
@@ -11,6 +11,7 @@
 use crate::gateway::piece_paths::PRIMARY_PIECE_PATH;
 use crate::http1::ClientRequest;
 use crate::http1::Http1Client;
+use crate::http1::Http1Error;
 use crate::observe::CounterKind;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -36,9 +37,18 @@
 /// holder or the origin failed: those that held it before entries joined or left.
 const MAX_FORMER_HOLDER_REQUESTS: usize = 3;
 
-/// Attempts at reading one piece from the origin.
+/// Attempts at reading one piece from the origin that doesn't match its digest.
 const MAX_ORIGIN_READS: u32 = 3;
 
+/// Why another entry gave no piece.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HolderError {
+    /// No connection to it could be opened.
+    NotConnected,
+    /// It had none, sent a spoilt one, or did not answer in time.
+    Failed,
+}
+
 impl<O: OriginPort + 'static> PieceCache<O> {
     /// A piece from the cache, or read from another entry or the origin; with
     /// `as_primary`, this entry reads it from the origin whatever its rank.
@@ -86,9 +96,11 @@
             let read = self.read_from_entry(PRIMARY_PIECE_PATH, cached, manifest, index, holder);
             match read.await {
                 Ok(bytes) => return Ok(bytes),
-                // It has no piece either: the origin fails. The others would ask it in vain.
-                Err(error) if error.is_answer() => break,
-                Err(_) => {}
+                // Without a connection it can't be reading the piece.
+                Err(HolderError::NotConnected) => {}
+                // It has no piece either, as the origin fails, or is still reading it. A read
+                // by another holder would take another copy from the origin's link.
+                Err(HolderError::Failed) => break,
             }
         }
         former
@@ -118,7 +130,7 @@
     }
 
     /// Whether the version was declared just now, so that no other entry has it yet.
-    fn is_fresh(&self, cached: &CachedVersion) -> bool {
+    pub(super) fn is_fresh(&self, cached: &CachedVersion) -> bool {
         let state = self.state.borrow();
         let mut declared = state.weights.for_model(&cached.model);
         let now_ms = state.now_ms() as i64;
@@ -152,7 +164,7 @@
         manifest: &PieceManifest,
         index: u32,
         entry: SocketAddr,
-    ) -> Result<Vec<u8>, ExternalCallError> {
+    ) -> Result<Vec<u8>, HolderError> {
         let target = format!("{path}{}/{}/{index}", cached.model, cached.version);
         let timeout = if path == HELD_PIECE_PATH {
             HELD_PIECE_TIMEOUT
@@ -161,27 +173,32 @@
         };
         let mut client = Http1Client::new(entry, Duration::ZERO);
         match client.send(&ClientRequest::get(&target, timeout)).await {
-            Ok(reply) if reply.status != 200 => Err(ExternalCallError::Refused(reply.status)),
+            Ok(reply) if reply.status != 200 => {
+                log::debug!("{entry} has no piece {index}: status {}", reply.status);
+                Err(HolderError::Failed)
+            }
             Ok(reply) if manifest.matches(index, &reply.body) => Ok(reply.body),
             Ok(_) => {
                 log::debug!("{entry} sent a piece that does not match its digest");
-                Err(ExternalCallError::Corrupt)
+                Err(HolderError::Failed)
             }
             Err(error) => {
                 log::debug!("cannot read a piece from {entry}: {error}");
-                Err(ExternalCallError::Unreachable(error.to_string()))
+                Err(match error {
+                    Http1Error::NotConnected(_) => HolderError::NotConnected,
+                    _ => HolderError::Failed,
+                })
             }
         }
     }
 
-    /// Reads a piece from the origin, again if it fails or its digest does not match.
+    /// Reads a piece from the origin, again if its digest does not match.
     async fn read_from_origin(
         &self,
         cached: &CachedVersion,
         manifest: &PieceManifest,
         index: u32,
     ) -> Result<Vec<u8>, ExternalCallError> {
-        let mut fault = ExternalCallError::Corrupt;
         for _ in 0..MAX_ORIGIN_READS {
             let origin = self.origin_address()?;
             let began = Instant::now();
@@ -207,16 +224,15 @@
                         .number("piece", index)
                         .text("from", "origin")
                         .enqueue();
-                    fault = ExternalCallError::Corrupt;
                 }
-                Err(error) => fault = error,
+                // Reads that follow at once would occupy the link when the origin is back, out
+                // of turn.
+                Err(error) => return Err(error),
             }
         }
         // A manifest that was spoilt alike in two reads is confirmed, but no piece matches.
-        if fault == ExternalCallError::Corrupt {
-            self.reread_manifest(cached).await;
-        }
-        Err(fault)
+        self.reread_manifest(cached).await;
+        Err(ExternalCallError::Corrupt)
     }
 }
 
--- a/src/gateway/piece_replies.rs
+++ b/src/gateway/piece_replies.rs
@@ -3,6 +3,7 @@
 
 use crate::gateway::piece_cache::PieceCache;
 use crate::gateway::piece_paths::HELD_PIECE_PATH;
+use crate::gateway::piece_paths::HELD_STATUS_PATH;
 use crate::gateway::piece_paths::MANIFEST_PATH;
 use crate::gateway::piece_paths::PIECE_PATH;
 use crate::gateway::piece_paths::PRIMARY_MANIFEST_PATH;
@@ -31,13 +32,19 @@
                 Err(error) => unavailable_reply(&error),
             });
         }
+        if let Some(path_rest) = path.strip_prefix(HELD_STATUS_PATH) {
+            let (model, version, index) = parse_piece(path_rest)?;
+            let is_held = self.cached_piece(model, version, index).is_some();
+            return Some(InternalResponse::without_body(if is_held {
+                200
+            } else {
+                404
+            }));
+        }
         let primary = path.strip_prefix(PRIMARY_PIECE_PATH);
         let held = path.strip_prefix(HELD_PIECE_PATH);
         let path_rest = primary.or(held).or_else(|| path.strip_prefix(PIECE_PATH))?;
-        let mut parts = path_rest.split('/');
-        let model = parts.next()?;
-        let version = parts.next()?.parse().ok()?;
-        let index = parts.next()?.parse().ok()?;
+        let (model, version, index) = parse_piece(path_rest)?;
         let piece = if held.is_some() {
             self.cached_piece(model, version, index)
                 .ok_or(ExternalCallError::Refused(404))
@@ -66,6 +73,15 @@
     }
 }
 
+/// Model, version and index of a piece in the rest of a path.
+fn parse_piece(path_rest: &str) -> Option<(&str, u64, u32)> {
+    let mut parts = path_rest.split('/');
+    let model = parts.next()?;
+    let version = parts.next()?.parse().ok()?;
+    let index = parts.next()?.parse().ok()?;
+    Some((model, version, index))
+}
+
 /// Reply to a call for weights that could not be read.
 fn unavailable_reply(error: &ExternalCallError) -> InternalResponse {
     log::debug!("cannot provide weights: {error}");
--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -1,21 +1,37 @@
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use tokio::time::Instant;
 
 use crate::fleet::RelayEntry;
 use crate::fleet::assign_pieces;
 use crate::gateway::GatewayState;
 use crate::gateway::cached_version::CachedVersion;
 use crate::gateway::piece_cache::PieceCache;
+use crate::gateway::piece_paths::HELD_STATUS_PATH;
+use crate::http1::ClientRequest;
+use crate::http1::Http1Client;
 use crate::observe::Event;
 use crate::observe::LogLine;
+use crate::weights::DeclaredVersion;
 use crate::weights::ExternalCallError;
 use crate::weights::OriginPort;
+use crate::weights::OriginTurns;
+use crate::weights::VersionSpan;
 
-/// Pause after a failure before reading ahead is retried.
-const READ_AHEAD_RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before a manifest is requested again after that failed.
+const MANIFEST_RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Interval at which an entry finds out whether an earlier version is complete.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Timeout of a question whether another entry has a piece.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Share of the pieces of a version, the last ones, whose holders are asked whether they have
+/// them: one in eight.
+const WATCHED_DIVISOR: u32 = 8;
 
 /// Longest time for which one piece is assumed to occupy the origin's link, in s. A link that
 /// is configured to be slower than that is configured wrongly.
@@ -43,61 +59,165 @@
         }
     }
 
-    /// Starts a task that reads the share of this entry, unless one runs already or a later
-    /// version is declared: the link of the origin carries one of them in time, not two.
+    /// Starts a task that reads the share of this entry, unless one runs already or the
+    /// version is not to be read any more.
     pub(super) fn start_read_ahead(self: &Rc<Self>, cached: &Rc<CachedVersion>) {
-        if self.later_declared_ms(cached).is_some() || cached.is_read_ahead.replace(true) {
+        if self.origin_span(cached).is_none() || cached.is_read_ahead.replace(true) {
             return;
         }
+        actix_rt::spawn(self.clone().watch_earlier(cached.clone()));
         let (pieces, cached) = (self.clone(), cached.clone());
         actix_rt::spawn(async move {
-            while let Err(error) = pieces.read_share(&cached).await {
+            let mut failures = 0;
+            while let Err(error) = pieces.read_share(&cached, failures).await {
                 log::debug!("cannot read version {} ahead: {error}", cached.version);
-                if pieces.later_declared_ms(&cached).is_some() {
+                if pieces.origin_span(&cached).is_none() {
                     break;
                 }
-                tokio::time::sleep(READ_AHEAD_RETRY_PAUSE).await;
+                failures += 1;
             }
             cached.is_read_ahead.set(false);
         });
     }
 
-    /// Monotonic time at which a later version was declared, in ms; None if none is.
-    fn later_declared_ms(&self, cached: &CachedVersion) -> Option<i64> {
+    /// Span of the origin's link that a version has; None if it is not to be read any more.
+    fn origin_span(&self, cached: &CachedVersion) -> Option<VersionSpan> {
+        let piece_count = match cached.manifest.get() {
+            Some(manifest) => manifest.borrow().piece_count(),
+            None => self.piece_count(&cached.model),
+        };
+        let copy_time = self.origin_piece_time() * piece_count;
         let state = self.state.borrow();
-        let mut later = state.weights.for_model(&cached.model);
-        later
-            .find(|declaration| declaration.version > cached.version)
-            .map(|declaration| declaration.learned_ms)
+        let declarations = state.weights.for_model(&cached.model);
+        let declared: Vec<DeclaredVersion> = declarations
+            .map(|declaration| DeclaredVersion {
+                version: declaration.version,
+                declared_ms: declaration.learned_ms,
+                complete_ms: self
+                    .find_version(&cached.model, declaration.version)
+                    .and_then(|known| known.complete_ms.get()),
+            })
+            .collect();
+        let turns = OriginTurns {
+            declared: &declared,
+            copy_ms: whole_ms(copy_time),
+            apply_ms: i64::try_from(state.settings.weights_apply_ms).unwrap_or(i64::MAX),
+        };
+        turns.span(cached.version, state.now_ms() as i64)
+    }
+
+    /// Waits until it is time to read the piece that is `offset` from the begin of a copy,
+    /// after `failures` failed reads; returns whether the version is still to be read.
+    async fn wait_for_turn(&self, cached: &CachedVersion, offset: Duration, failures: u32) -> bool {
+        let mut read_ms = None;
+        loop {
+            let Some(span) = self.origin_span(cached) else {
+                return false;
+            };
+            let now_ms = self.state.borrow().now_ms() as i64;
+            // The first turn may change: an earlier version is complete, or a later declared.
+            let read_ms = if failures == 0 {
+                span.first_read_ms(whole_ms(offset), now_ms)
+            } else {
+                *read_ms
+                    .get_or_insert_with(|| span.next_read_ms(whole_ms(offset), failures, now_ms))
+            };
+            if read_ms <= now_ms {
+                return true;
+            }
+            let wait = Duration::from_millis(u64::try_from(read_ms - now_ms).unwrap_or(0));
+            tokio::time::sleep(wait.min(WATCH_INTERVAL)).await;
+        }
+    }
+
+    /// Finds out when the version that is read before this one is complete, and records it.
+    ///
+    /// Its last pieces are read last. Each time the primary holder of one of them is asked, a
+    /// different one at each entry, so that no entry gets the questions of all.
+    async fn watch_earlier(self: Rc<Self>, cached: Rc<CachedVersion>) {
+        let earlier = {
+            let state = self.state.borrow();
+            let earlier = state.weights.for_model(&cached.model);
+            let newest = earlier.filter(|d| d.version < cached.version).last();
+            newest.map(|declaration| declaration.version)
+        };
+        let Some(earlier) = earlier.and_then(|v| self.find_version(&cached.model, v)) else {
+            return;
+        };
+        let started_ms = self.state.borrow().now_ms() as i64;
+        let mut turn = u32::from(self.state.borrow().settings.internal.port());
+        if let IpAddr::V4(ip) = self.state.borrow().settings.internal.ip() {
+            turn = turn.wrapping_add(u32::from(ip.octets()[3]));
+        }
+        while cached.is_read_ahead.get() && earlier.complete_ms.get().is_none() {
+            let Some(span) = self.origin_span(&cached) else {
+                return;
+            };
+            let now_ms = self.state.borrow().now_ms() as i64;
+            if span
+                .behind_until_ms
+                .is_none_or(|until_ms| now_ms >= until_ms)
+                || now_ms >= span.begin_ms.max(started_ms) + span.copy_ms
+            {
+                return;
+            }
+            turn = turn.wrapping_add(1);
+            if self.is_piece_read(&earlier, turn).await {
+                earlier.complete_ms.set(Some(now_ms));
+            }
+            tokio::time::sleep(WATCH_INTERVAL).await;
+        }
+    }
+
+    /// Whether this entry has its share of a version, and the primary holder of one of its
+    /// last pieces, which `turn` selects, has that one.
+    async fn is_piece_read(&self, cached: &CachedVersion, turn: u32) -> bool {
+        let Some(piece_count) = cached.manifest.get().map(|m| m.borrow().piece_count()) else {
+            return false;
+        };
+        let from_last = turn % (piece_count / WATCHED_DIVISOR).max(1);
+        let index = piece_count.saturating_sub(from_last + 1);
+        if !self.missing_share(cached, piece_count).is_empty() {
+            return false;
+        }
+        let holder = self.ranked_holders(u64::from(index)).into_iter().next();
+        let Some(Some(holder)) = holder else {
+            return true;
+        };
+        let target = format!(
+            "{HELD_STATUS_PATH}{}/{}/{index}",
+            cached.model, cached.version
+        );
+        let request = ClientRequest::get(&target, WATCH_TIMEOUT);
+        let reply = Http1Client::new(holder, Duration::ZERO)
+            .send(&request)
+            .await;
+        reply.is_ok_and(|reply| reply.status == 200)
     }
 
     /// Reads the share of this entry: the pieces of which it is the primary holder, and
     /// those that hosts of its region will fetch from it. So each region soon holds every
     /// piece, also when the origin fails a moment later.
     ///
-    /// Each read starts at the time at which the origin's link, shared by all entries,
-    /// is expected to reach that index, so that pieces arrive in the order in which
-    /// hosts request them.
-    async fn read_share(&self, cached: &CachedVersion) -> Result<(), ExternalCallError> {
+    /// Each read starts at the turn of its piece, so that pieces arrive in the order in
+    /// which hosts request them.
+    async fn read_share(
+        &self,
+        cached: &CachedVersion,
+        failures: u32,
+    ) -> Result<(), ExternalCallError> {
+        if failures > 0 && cached.manifest.get().is_none() {
+            tokio::time::sleep(MANIFEST_RETRY_PAUSE).await;
+        }
         let manifest = self.manifest(cached, false).await?;
         let share = self.missing_share(cached, manifest.piece_count());
         if share.is_empty() {
             return Ok(());
         }
-        let began = Instant::now();
-        let began_ms = self.state.borrow().now_ms() as i64;
         let piece_time = self.origin_piece_time();
-        let first = share.first().map_or(0, |piece| piece.index);
-        let half_time = piece_time * manifest.piece_count() / 2;
-        let half_ms = began_ms + i64::try_from(half_time.as_millis()).unwrap_or(i64::MAX);
         let reads = share.iter().map(|piece| async move {
-            tokio::time::sleep_until(began + piece_time * (piece.index - first)).await;
-            // A version that is half read is of use if the origin fails before the later one
-            // is read.
-            if self
-                .later_declared_ms(cached)
-                .is_some_and(|ms| ms < half_ms)
-            {
+            let offset = piece_time * piece.index;
+            if !self.wait_for_turn(cached, offset, failures).await {
                 return Err(ExternalCallError::Unreachable(
                     "a later version is declared".to_owned(),
                 ));
@@ -156,6 +276,11 @@
     }
 }
 
+/// A duration in whole ms.
+fn whole_ms(duration: Duration) -> i64 {
+    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
+}
+
 /// The entries that relay pieces to the hosts of this entry's region, as these hosts know
 /// them; none if the region has no host with an engine.
 fn region_relays(state: &GatewayState) -> Vec<RelayEntry> {
--- a/src/staging/next_load.rs
+++ b/src/staging/next_load.rs
@@ -15,9 +15,20 @@
 /// Time before a version is due at which the last engine gets its load order, in ms.
 const ORDER_MARGIN_MS: i64 = 300;
 
+/// Pause before a download that stalled is tried again, in ms, while a newer version makes no
+/// progress either.
+const RETRY_PAUSE_MS: i64 = 300;
+
+/// Pause before it is tried again while a newer version makes progress, in ms.
+const BUSY_RETRY_PAUSE_MS: i64 = 900;
+
+/// Time by which a version has to be ready before a newer one to be loaded after it was due,
+/// in ms. A load takes an engine out of service for about half of that.
+const MIN_LEAD_MS: i64 = 1_000;
+
 /// Share of the pieces from which on a download is finished although a newer version is
 /// declared: the rest takes less time than the newer version has more.
-const MIN_SHARE_TO_FINISH: f64 = 0.5;
+pub(super) const MIN_SHARE_TO_FINISH: f64 = 0.5;
 
 /// Minimum age of the newest declaration for an empty engine to start with it,
 /// in ms: by then the entries have cached its pieces.
@@ -108,24 +119,53 @@
 }
 
 /// Returns the version whose download is to be finished before that of a newer one starts:
-/// it makes progress and is half done.
+/// it is half done, and makes progress or is tried again.
 ///
 /// The engine need not load it. But if the origin fails before the newer version is there,
-/// it is the only one that can be loaded in time.
+/// it is the only one that can be loaded in time. Where it has stalled, as the origin is
+/// unavailable, it is tried again at intervals: once the origin is back, its last pieces
+/// arrive sooner than all those of the newer version.
 pub fn version_to_finish(
     downloads: &[DownloadProgress],
     engine_version: u64,
     now_ms: i64,
 ) -> Option<u64> {
+    let is_tried = |download: &DownloadProgress| {
+        let idle_ms = now_ms - download.last_progress_ms;
+        idle_ms < STALL_MS || idle_ms >= STALL_MS + retry_pause_ms(downloads, download, now_ms)
+    };
     let in_progress = downloads.iter().find(|download| {
         download.version > engine_version
             && !download.is_complete
             && download.held_share >= MIN_SHARE_TO_FINISH
-            && now_ms < download.last_progress_ms + STALL_MS
+            && is_tried(download)
     });
     in_progress.map(|download| download.version)
 }
 
+/// Pause before a stalled download is tried again, in ms; without end where a newer version
+/// is about to be complete.
+fn retry_pause_ms(downloads: &[DownloadProgress], stalled: &DownloadProgress, now_ms: i64) -> i64 {
+    let newer = downloads
+        .iter()
+        .filter(|download| download.version > stalled.version);
+    let mut pause_ms = RETRY_PAUSE_MS;
+    for download in newer {
+        if download.is_complete || download.held_share >= stalled.held_share {
+            return i64::MAX - STALL_MS;
+        }
+        if now_ms - download.last_progress_ms < RETRY_PAUSE_MS && download.held_share > 0.0 {
+            pause_ms = BUSY_RETRY_PAUSE_MS;
+        }
+    }
+    pause_ms
+}
+
+/// Time until the rest of a download has arrived, in ms.
+fn rest_ms(download: &DownloadProgress) -> i64 {
+    (DOWNLOAD_MS as f64 * (1.0 - download.held_share)) as i64
+}
+
 /// Chooses between the first version that the engine lacks and the newest one.
 fn choose_version<'a>(
     input: &NextLoadInput<'_>,
@@ -150,9 +190,14 @@
     }
     let newest_ready_ms = match download_of(newest.version) {
         Some(download) if download.is_complete => input.now_ms,
-        Some(download) => (download.started_ms + DOWNLOAD_MS).max(input.now_ms),
+        Some(download) => input.now_ms + rest_ms(download),
         None => input.now_ms + DOWNLOAD_MS,
     };
+    // An engine that gets an overdue version serves until the newer one is there.
+    let first_ready_ms =
+        download_of(first.version).map(|download| input.now_ms + rest_ms(download));
+    let is_first_sooner =
+        first_ready_ms.is_some_and(|ready_ms| ready_ms + MIN_LEAD_MS <= newest_ready_ms);
     match (is_stalled(first.version), is_stalled(newest.version)) {
         (true, false) => return newest,
         (false, true) => return first,
@@ -166,7 +211,7 @@
         }
         (false, false) => {}
     }
-    if newest_ready_ms <= due_ms || input.now_ms >= due_ms {
+    if newest_ready_ms <= due_ms || (input.now_ms >= due_ms && !is_first_sooner) {
         return newest;
     }
     first
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use crate::staging::DownloadProgress;
+use crate::staging::next_load::MIN_SHARE_TO_FINISH;
 use crate::staging::order_ledger::UNANSWERED_CALL_EXPIRY_MS;
 use crate::weights::ChunkBitmap;
 use crate::weights::PieceManifest;
@@ -219,6 +220,13 @@
         self.version_download(version).is_some() && self.held_pieces(version).is_complete()
     }
 
+    /// Returns whether so much of `version` is staged or buffered that the rest is fetched
+    /// before a later version.
+    pub fn is_worth_finishing(&self, version: u64) -> bool {
+        self.version_download(version).is_some()
+            && held_share(&self.held_pieces(version)) >= MIN_SHARE_TO_FINISH
+    }
+
     /// Records that the manifest of `version` is searched for since `now_ms`.
     pub fn start_search(&mut self, version: u64, now_ms: i64) {
         self.searches.retain(|search| search.0 != version);
@@ -242,12 +250,11 @@
             .iter()
             .map(|download| {
                 let version = download.manifest.version;
-                let held = self.held_pieces(version);
                 DownloadProgress {
                     version,
                     started_ms: download.started_ms,
                     last_progress_ms: download.last_progress_ms,
-                    held_share: f64::from(held.held_count()) / f64::from(held.chunk_count().max(1)),
+                    held_share: held_share(&self.held_pieces(version)),
                     is_complete: self.is_complete(version),
                 }
             })
@@ -264,3 +271,8 @@
         }
     }
 }
+
+/// Share of the pieces that is held, from 0 to 1.
+fn held_share(held: &ChunkBitmap) -> f64 {
+    f64::from(held.held_count()) / f64::from(held.chunk_count().max(1))
+}
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -392,14 +392,14 @@
     }
 
     /// Returns whether pieces of `version` may be written to the staging area right
-    /// away: no complete earlier version waits to be loaded, and no order for another one
-    /// may still take effect.
+    /// away: no earlier version that is half there waits to be finished or loaded, and no
+    /// order for another one may still take effect.
     pub fn can_overwrite_staged(&self, model: &str, version: u64) -> bool {
         let engine_version = self.engine_version(model);
         let has_waiting = |staged: &StagedModel| {
             staged.downloads().iter().any(|download| {
                 let other = download.manifest.version;
-                other > engine_version && other < version && staged.is_complete(other)
+                other > engine_version && other < version && staged.is_worth_finishing(other)
             })
         };
         let is_waiting = self
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -322,3 +322,56 @@
         [progress(2, 6_100, 6_100, false)]
     );
 }
+
+/// Progress of an incomplete download that holds `held_share` of the pieces.
+fn held(version: u64, last_progress_ms: i64, held_share: f64) -> DownloadProgress {
+    DownloadProgress {
+        held_share,
+        ..progress(version, 0, last_progress_ms, false)
+    }
+}
+
+/// Guards against a host that never returns to a nearly complete version after the origin has
+/// been unavailable, and so has neither version when the first is due.
+#[test]
+fn version_to_finish_stalled_tried_again() {
+    let stalled = [held(2, 2_500, 0.86), held(3, 3_500, 0.0)];
+    assert_eq!(version_to_finish(&stalled, 1, 3_300), Some(2));
+    assert_eq!(version_to_finish(&stalled, 1, 3_500), None);
+    assert_eq!(version_to_finish(&stalled, 1, 3_700), Some(2));
+    // While the newer version arrives, it is interrupted less often, and not near its end.
+    let newer_arrives = [held(2, 2_500, 0.86), held(3, 3_600, 0.3)];
+    assert_eq!(version_to_finish(&newer_arrives, 1, 3_700), None);
+    assert_eq!(version_to_finish(&newer_arrives, 1, 4_300), Some(2));
+    let newer_first = [held(2, 2_500, 0.86), held(3, 9_000, 0.9)];
+    assert_eq!(version_to_finish(&newer_first, 1, 9_100), Some(3));
+}
+
+/// Guards against an engine without any usable version, when the first one is overdue but has
+/// nearly arrived and the newer one has not.
+#[test]
+fn next_load_overdue_first_sooner() {
+    let versions = [(2, 0), (3, 2_000)];
+    let version_at = |held_share| {
+        let downloads = [held(2, 7_500, 0.9), held(3, 7_600, held_share)];
+        load_with(7_700, 1, &versions, &downloads, 0.0).map(|next| next.version)
+    };
+    assert_eq!(version_at(0.1), Some(2));
+    assert_eq!(version_at(0.8), Some(3));
+}
+
+/// Guards against pieces of a later version written over a nearly complete one.
+#[test]
+fn is_worth_finishing_half_held() {
+    let mut staged = StagedModel::new("m");
+    staged.start_download(manifest(2), 0);
+    let pieces = manifest(2).piece_count();
+    for index in 0..pieces / 2 {
+        assert!(!staged.is_worth_finishing(2));
+        staged.set_staged_version(index, 2);
+    }
+    assert_eq!(staged.is_worth_finishing(2), pieces % 2 == 0);
+    staged.set_staged_version(pieces / 2, 2);
+    assert!(staged.is_worth_finishing(2));
+    assert!(!staged.is_worth_finishing(3));
+}
--- a/tests/weights/main.rs
+++ b/tests/weights/main.rs
@@ -3,6 +3,7 @@
 mod chunks;
 mod links;
 mod origin;
+mod origin_turns;
 mod plan;
 mod ranking;
 mod replica;
