Versions under load: an entry that fails doesn't hold back the next version; design note

The share of an entry grows when another fails, and nobody reads pieces of an earlier version for that, so the earlier version counted as incomplete until the last moment for the next one. An entry now counts its share as read when its reads of it have ended. Not measured.

--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -169,15 +169,18 @@
         }
     }
 
-    /// Whether this entry has its share of a version, and the primary holder of one of its
-    /// last pieces, which `turn` selects, has that one.
+    /// Whether this entry has read its share of a version, and the primary holder of one of
+    /// its last pieces, which `turn` selects, has that one.
+    ///
+    /// The share is not computed anew: an entry that fails enlarges it, and nobody reads the
+    /// pieces of an earlier version for that.
     async fn is_piece_read(&self, cached: &CachedVersion, turn: u32) -> bool {
         let Some(piece_count) = cached.manifest.get().map(|m| m.borrow().piece_count()) else {
             return false;
         };
         let from_last = turn % (piece_count / WATCHED_DIVISOR).max(1);
         let index = piece_count.saturating_sub(from_last + 1);
-        if !self.missing_share(cached, piece_count).is_empty() {
+        if cached.is_read_ahead.get() {
             return false;
         }
         let holder = self.ranked_holders(u64::from(index)).into_iter().next();
