Versions under load: the missing pieces of the newest version are read in turns

When the origin was back, every entry requested its missing pieces at once: they shared the link and arrived at the same late moment, after the 1.5 s that a host waits for a piece. They are now requested in turns of the time that the missing part needs; a version that a later one waits for keeps short pauses.

--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -106,9 +106,15 @@
         turns.span(cached.version, state.now_ms() as i64)
     }
 
-    /// Waits until it is time to read the piece that is `offset` from the begin of a copy,
+    /// Waits until it is time to read the piece that is `offset_ms` from the begin of a copy,
     /// after `failures` failed reads; returns whether the version is still to be read.
-    async fn wait_for_turn(&self, cached: &CachedVersion, offset: Duration, failures: u32) -> bool {
+    /// `first_missing_ms` is the offset of the first piece that this entry lacks.
+    async fn wait_for_turn(
+        &self,
+        cached: &CachedVersion,
+        (offset_ms, first_missing_ms): (i64, i64),
+        failures: u32,
+    ) -> bool {
         let mut read_ms = None;
         loop {
             let Some(span) = self.origin_span(cached) else {
@@ -117,10 +123,11 @@
             let now_ms = self.state.borrow().now_ms() as i64;
             // The first turn may change: an earlier version is complete, or a later declared.
             let read_ms = if failures == 0 {
-                span.first_read_ms(whole_ms(offset), now_ms)
+                span.first_read_ms(offset_ms, now_ms)
             } else {
-                *read_ms
-                    .get_or_insert_with(|| span.next_read_ms(whole_ms(offset), failures, now_ms))
+                *read_ms.get_or_insert_with(|| {
+                    span.next_read_ms(offset_ms, first_missing_ms, failures, now_ms)
+                })
             };
             if read_ms <= now_ms {
                 return true;
@@ -218,9 +225,11 @@
             return Ok(());
         }
         let piece_time = self.origin_piece_time();
+        let first_missing = share.first().map_or(0, |piece| piece.index);
+        let first_missing_ms = whole_ms(piece_time * first_missing);
         let reads = share.iter().map(|piece| async move {
-            let offset = piece_time * piece.index;
-            if !self.wait_for_turn(cached, offset, failures).await {
+            let offsets_ms = (whole_ms(piece_time * piece.index), first_missing_ms);
+            if !self.wait_for_turn(cached, offsets_ms, failures).await {
                 return Err(ExternalCallError::Unreachable(
                     "a later version is declared".to_owned(),
                 ));
--- a/src/weights/origin_turns.rs
+++ b/src/weights/origin_turns.rs
@@ -11,8 +11,8 @@
 //! intervals, and the span of the later one begins once the earlier is complete, or at the
 //! last moment at which it can still be complete before its own deadline. So when the origin
 //! is back, the few missing pieces of the earlier version do not wait behind a whole copy of
-//! the later. Failed reads of the later one that overlap with the earlier are repeated in
-//! turns of a whole copy.
+//! the later. Failed reads of the newest version are repeated in turns of the time that its
+//! missing part needs, and in turns of a whole copy while the earlier one is incomplete.
 
 /// Pause before a piece is requested again after its read failed, in ms.
 const RETRY_PAUSE_MS: i64 = 200;
@@ -61,6 +61,8 @@
     pub copy_ms: i64,
     /// Monotonic time until which an earlier version is read first, in ms, if there is one.
     pub behind_until_ms: Option<i64>,
+    /// Whether a later version waits until this one is complete.
+    pub is_awaited: bool,
 }
 
 impl OriginTurns<'_> {
@@ -91,6 +93,7 @@
                     begin_ms,
                     copy_ms: self.copy_ms,
                     behind_until_ms: behind_until_ms.filter(|_| earlier_complete_ms.is_none()),
+                    is_awaited: later.is_some(),
                 });
             }
             if !is_skipped {
@@ -115,6 +118,7 @@
             begin_ms: now_ms,
             copy_ms: self.copy_ms,
             behind_until_ms: None,
+            is_awaited: false,
         })
     }
 }
@@ -131,16 +135,36 @@
     }
 
     /// Time of the next read of that piece after `failures` reads of it have failed, the
-    /// last one at `now_ms`.
-    pub fn next_read_ms(&self, offset_ms: i64, failures: u32, now_ms: i64) -> i64 {
+    /// last one at `now_ms`; `first_missing_ms` is the offset of the first piece that the
+    /// reader lacks.
+    ///
+    /// Further attempts come in turns of the time that the missing part needs, each piece at
+    /// its own place: all at once would arrive at the same late moment when the origin is back.
+    /// A version that a later one waits for has short pauses, as its rest is small.
+    pub fn next_read_ms(
+        &self,
+        offset_ms: i64,
+        first_missing_ms: i64,
+        failures: u32,
+        now_ms: i64,
+    ) -> i64 {
         let is_behind = self
             .behind_until_ms
             .is_some_and(|until_ms| now_ms < until_ms);
-        if !is_behind || failures <= QUICK_RETRIES || self.copy_ms <= RETRY_PAUSE_MS {
-            return now_ms + RETRY_PAUSE_MS;
+        let turn_ms = if is_behind {
+            self.copy_ms
+        } else if self.is_awaited {
+            RETRY_PAUSE_MS
+        } else {
+            self.copy_ms - first_missing_ms
+        };
+        let earliest_ms = now_ms + RETRY_PAUSE_MS;
+        if failures <= QUICK_RETRIES || turn_ms <= RETRY_PAUSE_MS {
+            return earliest_ms;
         }
         let first_ms = self.begin_ms + offset_ms;
-        let turns = (now_ms + RETRY_PAUSE_MS - first_ms).max(0) / self.copy_ms + 1;
-        first_ms + turns * self.copy_ms
+        let late_ms = (earliest_ms - first_ms).max(0);
+        let turns = late_ms.saturating_add(turn_ms - 1) / turn_ms;
+        first_ms.saturating_add(turns.saturating_mul(turn_ms))
     }
 }
