Believe the end of a connection only without signs of a crash

Cause: an answer with neither a length nor chunks ends with its connection, and the system of a killed replica closes its connections in the same way. An end that is not believed has the cause replica_crashed and is handled as any broken answer.

--- a/src/calls/broken_runs.rs
+++ b/src/calls/broken_runs.rs
@@ -119,6 +119,17 @@
         self.runs.iter().any(|run| run.address == address)
     }
 
+    /// Whether a connection of the incarnation that `crash` ends has broken off at `since_ms` or
+    /// later.
+    pub fn has_broken_connection(&self, crash: &CrashId, since_ms: u64) -> bool {
+        let mut runs = self.runs.iter();
+        runs.any(|run| {
+            run.kind == BrokenRunKind::ConnectionEnded
+                && run.at_ms >= since_ms
+                && run.crash == *crash
+        })
+    }
+
     /// Removes the runs of a request that has since run to an end elsewhere.
     pub fn remove_request(&mut self, fingerprint: Digest) {
         self.runs.retain(|run| run.causes.request != fingerprint);
--- a/src/gateway/answer_parts.rs
+++ b/src/gateway/answer_parts.rs
@@ -1,6 +1,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::active_request::wait_until_writes_end;
 use crate::gateway::connection_reuse::ConnectionReuse;
+use crate::gateway::end_causes::REPLICA_CRASHED;
 use crate::gateway::event_stream::AnswerPart;
 use crate::gateway::event_stream::StreamPart;
 use crate::gateway::exchange::SendOutcome;
@@ -32,6 +33,7 @@
         self.record_notice(request, &send.chosen, send.notice.get());
         history.has_unused_retry |=
             send.is_second && matches!(outcome, SendOutcome::Unreachable(_));
+        let outcome = self.check_end(&send.chosen, outcome);
         let accepted = self.record_outcome(request, &send.chosen, outcome, history, is_only);
         match accepted {
             None => drop(sends.remove(at)),
@@ -90,7 +92,12 @@
                     return self.pass_on(client, forwarding, at, next, close).await;
                 }
             }
-            StreamPart::End => {
+            StreamPart::EndAtClose(port)
+                if !self.state.borrow().is_end_of_answer(&send.chosen, port) =>
+            {
+                StreamEnd::Broken(REPLICA_CRASHED)
+            }
+            StreamPart::End | StreamPart::EndAtClose(_) => {
                 let rest = stream.remainder();
                 let ending = wait_until_writes_end(&self.state);
                 relay
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -1,11 +1,13 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use crate::calls::BrokenRun;
 use crate::calls::BrokenRunKind;
+use crate::calls::CloseSigns;
 use crate::calls::CrashSign;
+use crate::calls::PortSign;
+use crate::calls::ReplicaSign;
 use crate::calls::RunCauses;
 use crate::calls::SuspectRecord;
 use crate::fleet::ReplicaRecord;
@@ -14,17 +16,19 @@
 use crate::gateway::GatewayState;
 use crate::gateway::end_causes::CLIENT_LEFT;
 use crate::gateway::end_causes::HOST_SILENT;
+use crate::gateway::end_causes::REPLICA_CRASHED;
 use crate::gateway::end_causes::REPLICA_ENDED;
 use crate::gateway::exchange;
 use crate::gateway::placement::ChosenReplica;
-use crate::http1::Connection;
+use crate::gateway::port_probe::probe_port;
 use crate::http1::Http1Error;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
 
-/// Time for which a connection that checks a replica is watched.
-const CHECK_TIME: Duration = Duration::from_millis(20);
+/// Time within which connections that end do so at the same moment, in ms: that for which a port
+/// is watched, and as much again for the process that sees their ends one after the other.
+const SAME_MOMENT_MS: u64 = 40;
 
 /// Largest number of records of which an entry that has started is told.
 const MAX_TOLD_SUSPECTS: usize = 48;
@@ -33,9 +37,8 @@
 /// the cause is in this process.
 fn broken_run_kind(cause: &str) -> Option<BrokenRunKind> {
     match cause {
-        "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event" | REPLICA_ENDED => {
-            Some(BrokenRunKind::ConnectionEnded)
-        }
+        "closed" | "broken_off" | "io" | "reset" | "no_events" | "inside_event"
+        | REPLICA_CRASHED | REPLICA_ENDED => Some(BrokenRunKind::ConnectionEnded),
         "silent" | "timed_out" | "timeout" | HOST_SILENT | CLIENT_LEFT => {
             Some(BrokenRunKind::Silent)
         }
@@ -43,14 +46,6 @@
     }
 }
 
-/// Whether a connection attempt failed because no process listens on the address.
-pub fn is_refused(error: &Http1Error) -> bool {
-    match error {
-        Http1Error::NotConnected(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
-
 impl GatewayState {
     /// Records a run that ended for `cause` without an answer, in case its replica has
     /// crashed; returns whether that is to be checked by a connection.
@@ -97,6 +92,28 @@
         cause != CLIENT_LEFT && self.broken_runs.contains(chosen.address)
     }
 
+    /// Whether the end of its connection is that of an answer from the replica, whose `port` was
+    /// tried since.
+    pub(super) fn is_end_of_answer(&self, chosen: &ChosenReplica, port: PortSign) -> bool {
+        let replica = self.replicas.get(chosen.key);
+        let is_same =
+            replica.record.id == chosen.id && replica.record.born_unix_ms == chosen.born_unix_ms;
+        let has_announced = replica.is_leaving() || replica.record.state == ReplicaState::Leaving;
+        let now_ms = self.now_ms();
+        let crash = chosen.process_crash();
+        let since_ms = now_ms.saturating_sub(SAME_MOMENT_MS);
+        let signs = CloseSigns {
+            port,
+            is_ended: self.replica_sign(chosen) == ReplicaSign::Ended
+                || self.suspects.has_crash(&crash),
+            is_reported_down: is_same
+                && replica.recent_load(now_ms).is_some_and(|load| !load.is_up),
+            has_broken_neighbours: self.broken_runs.has_broken_connection(&crash, since_ms),
+            is_leaving: is_same && has_announced,
+        };
+        signs.is_end_of_answer()
+    }
+
     /// Records a sign that no incarnation runs at `address`.
     pub(super) fn record_down_sign(&mut self, address: SocketAddr, sign: CrashSign) {
         let now_ms = self.now_ms();
@@ -303,15 +320,7 @@
 /// Checks by a connection whether a process still listens at the address of a replica whose
 /// connection broke.
 pub async fn check_replica(state: &RefCell<GatewayState>, address: SocketAddr) {
-    let mut connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
-    if let Ok(connection) = &mut connected {
-        // A process that is ending may close its listener after its connections.
-        let closed = tokio::time::timeout(CHECK_TIME, connection.fill_buffer()).await;
-        if matches!(closed, Ok(Ok(0) | Err(_))) {
-            connected = Connection::connect(address, exchange::CONNECT_TIMEOUT).await;
-        }
-    }
-    if connected.is_err_and(|error| is_refused(&error)) {
+    if probe_port(address, exchange::CONNECT_TIMEOUT).await == PortSign::Refused {
         let mut state = state.borrow_mut();
         state.record_down_sign(address, CrashSign::ConnectionRefused);
     }
--- a/src/gateway/end_causes.rs
+++ b/src/gateway/end_causes.rs
@@ -4,6 +4,10 @@
 /// Cause of the end of a send whose replica has a later incarnation.
 pub(super) const REPLICA_ENDED: &str = "replica_ended";
 
+/// Cause of the end of a send whose replica has crashed, as far as the signs tell, where the
+/// end of the connection alone would be that of the answer.
+pub(super) const REPLICA_CRASHED: &str = "replica_crashed";
+
 /// Cause of the end of a send whose replica is on a silent host.
 pub(super) const HOST_SILENT: &str = "host_silent";
 
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -1,10 +1,14 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::calls::PortSign;
 use crate::gateway::answer_memory::HeldAnswer;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
+use crate::gateway::port_probe::probe_at_close;
 use crate::http1::BodyDecoder;
 use crate::http1::BodyLimit;
 use crate::http1::Connection;
@@ -22,6 +26,9 @@
     Events(Vec<StreamEvent>),
     /// The end of a stream that ends after a whole event.
     End,
+    /// The end of the connection after a whole event of a stream that has no other end, with what
+    /// the port of the replica has shown since.
+    EndAtClose(PortSign),
     /// The part broke off, for this cause.
     Broken(&'static str),
 }
@@ -51,15 +58,21 @@
     is_forwarded: bool,
     last_progress: Instant,
     bytes_since_progress: usize,
+    // Address of the replica, and time at which the stream is due.
+    source: (SocketAddr, Instant),
+    // Checks the port of the replica after the end of the connection.
+    port_probe: Option<JoinHandle<PortSign>>,
 }
 
 impl EventStream {
-    /// The stream whose head is `head`, and whose body follows on `connection`.
+    /// The stream whose head is `head`, and whose body follows on `connection`; `source` is the
+    /// address of its replica and the time at which its end is due.
     pub fn new(
         head: ResponseHead,
         connection: Connection,
         framing: Framing,
         held: HeldAnswer,
+        source: (SocketAddr, Instant),
     ) -> Self {
         Self {
             head,
@@ -72,6 +85,8 @@
             is_forwarded: false,
             last_progress: Instant::now(),
             bytes_since_progress: 0,
+            source,
+            port_probe: None,
         }
     }
 
@@ -124,7 +139,7 @@
                 return StreamPart::Broken(error.label());
             }
             match self.connection.fill_buffer().await {
-                Ok(0) => return self.end_at_close(),
+                Ok(0) => return self.end_at_close().await,
                 Ok(received) => self.bytes_since_progress += received,
                 Err(_) => return StreamPart::Broken("reset"),
             }
@@ -152,13 +167,26 @@
         }
     }
 
-    /// The end of the connection.
-    fn end_at_close(&mut self) -> StreamPart {
-        match self.decoder.finish_at_close() {
-            // A replica that crashes before its first event ends such a body in the same way.
-            Ok(()) if !self.is_forwarded => StreamPart::Broken("no_events"),
-            Ok(()) => self.end(),
-            Err(error) => StreamPart::Broken(error.label()),
+    /// The end of the connection; the decoder stays as it is until the wait is over, which may
+    /// be dropped.
+    async fn end_at_close(&mut self) -> StreamPart {
+        let (address, deadline) = self.source;
+        if self.framing != Framing::UntilClose {
+            return match self.decoder.finish_at_close() {
+                Ok(()) => self.end(),
+                Err(error) => StreamPart::Broken(error.label()),
+            };
         }
+        // A replica that crashes before its first event ends such a body in the same way.
+        if !self.is_forwarded {
+            return StreamPart::Broken("no_events");
+        }
+        if self.splitter.is_inside_event() {
+            return self.end();
+        }
+        let probe = self
+            .port_probe
+            .get_or_insert_with(|| actix_rt::spawn(probe_at_close(address, deadline)));
+        StreamPart::EndAtClose(probe.await.unwrap_or(PortSign::Unknown))
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,12 +5,14 @@
 
 use tokio::time::Instant;
 
+use crate::calls::PortSign;
 use crate::fleet::ReplicaNotice;
 use crate::gateway::Dialect;
 use crate::gateway::ResponseFacts;
 use crate::gateway::SendFacts;
 use crate::gateway::answer_memory::HeldAnswer;
 use crate::gateway::event_stream::EventStream;
+use crate::gateway::port_probe::probe_at_close;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
 use crate::http1::Framing;
@@ -57,6 +59,9 @@
     pub framing: Framing,
     /// Complete body.
     pub body: Vec<u8>,
+    /// What the port of the replica has shown since the end of the connection, if that ends the
+    /// body.
+    pub port_at_close: Option<PortSign>,
     /// Room that the body takes; returned when the response is dropped.
     pub _held: HeldAnswer,
 }
@@ -157,7 +162,8 @@
         Err(error) => return SendOutcome::Broken(error.label()),
     };
     if send.is_streaming && head.status == 200 && framing != Framing::None {
-        let stream = EventStream::new(head, connection, framing, send.held);
+        let source = (send.address, send.deadline);
+        let stream = EventStream::new(head, connection, framing, send.held, source);
         return SendOutcome::Stream(Box::new(stream));
     }
     let decoder = BodyDecoder::new(framing);
@@ -171,6 +177,10 @@
             SendOutcome::Broken(Http1Error::IncompleteMessage.label())
         }
         Ok(body) => SendOutcome::Response(ReplicaResponse {
+            port_at_close: match framing {
+                Framing::UntilClose => Some(probe_at_close(send.address, send.deadline).await),
+                Framing::None | Framing::Length(_) | Framing::Chunked => None,
+            },
             head,
             framing,
             body,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod piece_reads;
 mod piece_replies;
 mod placement;
+mod port_probe;
 mod ports;
 mod process;
 mod read_ahead;
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -4,13 +4,15 @@
 use crate::gateway::Dialect;
 use crate::gateway::GatewayState;
 use crate::gateway::crash_signs::check_replica_once;
-use crate::gateway::crash_signs::is_refused;
+use crate::gateway::end_causes::REPLICA_CRASHED;
 use crate::gateway::end_causes::WEIGHTS_DUE;
 use crate::gateway::event_stream::AnswerPart;
+use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::SendOutcome;
 use crate::gateway::forwarding::AttemptHistory;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::placement::ChosenReplica;
+use crate::gateway::port_probe::is_refused;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::Http1Error;
@@ -65,6 +67,20 @@
         }
     }
 
+    /// The outcome of a send, which is a failure if its response ended with a connection whose
+    /// end is not believed.
+    pub(super) fn check_end(&self, chosen: &ChosenReplica, outcome: SendOutcome) -> SendOutcome {
+        match outcome {
+            SendOutcome::Response(ReplicaResponse {
+                port_at_close: Some(port),
+                ..
+            }) if !self.state.borrow().is_end_of_answer(chosen, port) => {
+                SendOutcome::Broken(REPLICA_CRASHED)
+            }
+            outcome => outcome,
+        }
+    }
+
     /// Records the outcome of a send; returns a response or stream that is to be sent
     /// to the client, or None after a failed attempt. `is_only` states whether no other send
     /// is under way, whose answer may be better.
