--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod heartbeats;
 mod listing_turn;
 mod notices;
+mod record_order;
 mod retries;
 mod rewind;
 mod silence;
