--- a/tests/fleet/notices.rs
+++ b/tests/fleet/notices.rs
@@ -88,6 +88,30 @@
     assert!(!table.get(key).is_usable(1_010));
 }
 
+/// Guards against a pause that is forgotten as another replica takes the place of the removed
+/// one in the table.
+#[test]
+fn record_notice_pause_outlasts_record() {
+    let (mut table, keys) = table(0, &[0, 0]);
+    table.record_notice(keys[0], Some(1), pause(9_000), 990, 1_000);
+    table.remove("r1");
+    table.register(record("r3", 3), 1_500);
+    let (key, _) = table.register(record("r1", 1), 2_000);
+    assert!(!table.get(key).is_usable(9_900));
+    let send_id = table.record_send(key, 1.0, 10_000);
+    assert!(!table.get(key).is_usable(10_010), "one request first");
+    table.record_end(key, send_id, 10_020);
+    assert!(table.get(key).is_usable(10_030));
+    // A newer incarnation has no part in it.
+    table.record_notice(key, Some(1), pause(9_000), 10_100, 10_110);
+    table.remove("r1");
+    table.register(record("r4", 4), 10_200);
+    let mut newer = record("r1", 1);
+    newer.born_unix_ms = Some(2);
+    let (key, _) = table.register(newer, 10_300);
+    assert!(table.get(key).is_usable(10_310));
+}
+
 /// Guards against all waiting requests going to a replica at the end of its pause.
 #[test]
 fn pause_end_one_request_first() {
