Order the records of a key by what their writers state

The store may carry out a write seconds late, after a newer one of the same writer, and a peer's listing may be behind the own one. TopicTable compared versions only across eras of the store, so a late heartbeat "ready" brought a leaving replica back into use, and a late configuration came into force. A record's version now takes precedence within an era as well. The newest write and the last deletion of a key are kept apart (known_record.rs), so that the result does not depend on the order of arrival.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod directory_choice;
 mod engine_load;
 mod heartbeat_gaps;
+mod known_record;
 mod listing_turn;
 mod log_position;
 mod peers;
--- a/src/fleet/topic_table.rs
+++ b/src/fleet/topic_table.rs
@@ -1,4 +1,5 @@
 use crate::fleet::LogPosition;
+use crate::fleet::known_record::KnownRecord;
 
 /// A topic of the platform's log whose records have keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,7 +33,7 @@
 }
 
 /// Version that a record states of itself, independent of its position in the log:
-/// incarnation of its writer, then number of the version.
+/// incarnation of its writer, or 0 if it states none, then number of the version.
 pub type RecordVersion = (u64, u64);
 
 /// The newest record of one key of a topic.
@@ -47,49 +48,11 @@
 }
 
 impl TopicRecord {
-    fn era(&self) -> u64 {
+    pub(super) fn era(&self) -> u64 {
         LogPosition::unpack(self.offset).era
     }
 }
 
-/// A record with what is needed to compare it across eras.
-#[derive(Debug)]
-struct KnownRecord {
-    record: TopicRecord,
-    /// Version of the last value, if the key was deleted.
-    deleted_version: Option<RecordVersion>,
-}
-
-impl KnownRecord {
-    /// Whether `other` replaces this record.
-    ///
-    /// Within an era the higher offset does. A record of a later era does unless it states
-    /// an older version: then it comes from the copy to which the store went back.
-    fn is_replaced_by(
-        &self,
-        other: &TopicRecord,
-        version_of: &impl Fn(&TopicRecord) -> Option<RecordVersion>,
-    ) -> bool {
-        if self.record.era() == other.era() {
-            return other.offset > self.record.offset;
-        }
-        let known_version = self.deleted_version.or_else(|| version_of(&self.record));
-        match (known_version, version_of(other)) {
-            (Some(known), Some(new)) if known != new => new > known,
-            // A key that was deleted with this version does not come back with it.
-            (Some(_), Some(_)) if self.record.value.is_none() => false,
-            _ => other.offset > self.record.offset,
-        }
-    }
-
-    /// Deletes the key at `offset`.
-    fn delete(&mut self, offset: u64, version_of: &impl Fn(&TopicRecord) -> Option<RecordVersion>) {
-        self.deleted_version = version_of(&self.record);
-        self.record.value = None;
-        self.record.offset = offset;
-    }
-}
-
 /// Result of applying a listing.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ListingChanges {
@@ -100,10 +63,11 @@
     pub kept: usize,
 }
 
-/// The newest record of each key of a topic, merged by position and version.
+/// The newest record of each key of a topic, merged by version and position.
 ///
 /// Records may arrive in any order, from the log or from other entries. A key never goes
-/// back to an older value.
+/// back to an older value: the store may carry out a write seconds late, after a newer one of
+/// the same writer, so the version that a record states takes precedence over its position.
 #[derive(Debug, Default)]
 pub struct TopicTable {
     // Sorted by key.
@@ -144,26 +108,9 @@
             .records
             .binary_search_by(|known| known.record.key.cmp(&record.key))
         {
-            Ok(at) => {
-                let known = &mut self.records[at];
-                if !known.is_replaced_by(&record, &version_of) {
-                    return false;
-                }
-                if record.value.is_none() {
-                    known.delete(record.offset, &version_of);
-                } else {
-                    *known = KnownRecord {
-                        record,
-                        deleted_version: None,
-                    };
-                }
-                true
-            }
+            Ok(at) => self.records[at].merge(record, version_of),
             Err(at) => {
-                let known = KnownRecord {
-                    record,
-                    deleted_version: None,
-                };
+                let known = KnownRecord::new(record, version_of);
                 self.records.insert(at, known);
                 true
             }
@@ -176,6 +123,9 @@
     /// `end_offset`, or is of an earlier era and states a version: the store has lost it,
     /// and its writer writes it again. `keeps_lost_records` is false for topics whose
     /// records last only while their writers write them again and again.
+    ///
+    /// A listing that is behind the last one adds no key that the last one lacks: that key
+    /// was deleted in between.
     pub fn apply_listing(
         &mut self,
         listing: Vec<TopicRecord>,
@@ -188,6 +138,9 @@
         listed.sort_unstable();
         let era = LogPosition::unpack(end_offset).era;
         for record in listing {
+            if end_offset < self.complete_from_offset && self.was_deleted(&record) {
+                continue;
+            }
             let key = record.key.clone();
             let is_newer_era = self
                 .get(&key)
@@ -209,11 +162,11 @@
                 continue;
             }
             changes.changed.push(record.key.clone());
-            let is_lost = record.era() < era;
-            known.delete(record.offset, &version_of);
-            if is_lost {
+            if record.era() < era {
                 // The store has only lost it, and may get it back as it was.
-                known.deleted_version = None;
+                known.lose();
+            } else {
+                known.delete_before(end_offset);
             }
         }
         self.end_offset = self.end_offset.max(end_offset);
@@ -221,6 +174,13 @@
         changes
     }
 
+    /// Whether a record of an unknown key was deleted before the last listing.
+    fn was_deleted(&self, record: &TopicRecord) -> bool {
+        self.get(&record.key).is_none()
+            && record.era() == LogPosition::unpack(self.complete_from_offset).era
+            && record.offset < self.complete_from_offset
+    }
+
     /// Marks that a complete listing was applied.
     pub fn mark_listed(&mut self) {
         self.has_listing = true;
@@ -251,7 +211,10 @@
     /// Whether a record is known that the store has lost, or has an older version of.
     pub fn has_kept_records(&self) -> bool {
         let era = LogPosition::unpack(self.end_offset).era;
-        self.live_records().any(|record| record.era() < era)
+        self.records
+            .iter()
+            .filter(|known| known.record.value.is_some())
+            .any(|known| known.record.era() < era || known.is_out_of_order())
     }
 
     /// Newest records at or after the packed position `offset`, deletions included.
