--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -173,6 +173,7 @@
     // Sorted by name.
     services: Vec<Service>,
     workspaces: Vec<Workspace>,
+    has_workspaces: bool,
     // Index of the owner in `workspaces` for each API key, sorted by key.
     api_keys: Vec<(String, usize)>,
 }
@@ -204,6 +205,7 @@
             limits,
             routes,
             services,
+            has_workspaces: !owners.is_empty(),
             workspaces: owners,
             api_keys,
         }
@@ -243,9 +245,15 @@
             .unwrap_or(0)
     }
 
-    /// Whether any workspace is configured, so that requests need an API key.
+    /// Marks that the configuration lists its workspaces, even if the list is empty.
+    pub fn mark_workspaces_listed(&mut self) {
+        self.has_workspaces = true;
+    }
+
+    /// Whether the configuration lists workspaces, so that requests need an API key. With an
+    /// empty list, no key is valid.
     pub fn has_workspaces(&self) -> bool {
-        !self.workspaces.is_empty()
+        self.has_workspaces
     }
 
     /// Workspace that owns the API key `key`.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,8 @@
 mod directory_choice;
 mod engine_load;
 mod heartbeat_gaps;
+mod incarnation;
+mod kept_pauses;
 mod known_record;
 mod listing_turn;
 mod log_position;
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -5,6 +5,9 @@
 use crate::fleet::ReplicaNotice;
 use crate::fleet::ReplicaRecord;
 use crate::fleet::ReplicaState;
+use crate::fleet::incarnation::Incarnation;
+use crate::fleet::kept_pauses::KeptPauses;
+use crate::fleet::kept_pauses::ReplicaPause;
 
 /// Time between the send of a request and the first load report that can include it, in
 /// ms: two link delays between regions and the pause of one poll.
@@ -307,6 +310,22 @@
         self.load = Some(load);
     }
 
+    /// Its pause, which outlasts its record.
+    fn pause(&self) -> ReplicaPause {
+        ReplicaPause {
+            until_ms: self.paused_until_ms,
+            sent_ms: self.pause_sent_ms,
+            awaits_probe: self.awaits_probe,
+        }
+    }
+
+    /// Continues a pause that was known before its record came back.
+    fn set_pause(&mut self, pause: ReplicaPause) {
+        self.paused_until_ms = pause.until_ms;
+        self.pause_sent_ms = pause.sent_ms;
+        self.awaits_probe = pause.awaits_probe;
+    }
+
     /// Records that the first request after a pause was answered or has ended; the others
     /// follow unless the replica wants another pause.
     fn record_probe_end(&mut self, send_id: u64, now_ms: u64) {
@@ -332,25 +351,10 @@
     // Incarnations whose answers have said that they are leaving, oldest first. Kept apart
     // from the replicas, as a record may be removed and come back.
     leaving: VecDeque<Incarnation>,
+    kept_pauses: KeptPauses,
     last_send_id: u64,
 }
 
-/// Id and start of a replica.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Incarnation {
-    id: String,
-    born_unix_ms: Option<u64>,
-}
-
-impl Incarnation {
-    fn of(record: &ReplicaRecord) -> Self {
-        Self {
-            id: record.id.clone(),
-            born_unix_ms: record.born_unix_ms,
-        }
-    }
-}
-
 impl ReplicaTable {
     /// Applies a replica's latest registration; returns its key and whether it is a new
     /// replica or a new incarnation. What was observed of an earlier incarnation is
@@ -373,9 +377,7 @@
                 newer.in_flight = replica.in_flight;
                 // A record that was removed and comes back ends no pause.
                 if newer.record.born_unix_ms == replica.record.born_unix_ms {
-                    newer.paused_until_ms = replica.paused_until_ms;
-                    newer.pause_sent_ms = replica.pause_sent_ms;
-                    newer.awaits_probe = replica.awaits_probe;
+                    newer.set_pause(replica.pause());
                 }
                 *replica = newer;
             } else {
@@ -384,14 +386,20 @@
             }
             return (key, is_new_incarnation);
         }
+        let mut replica = Replica::new(record, now_ms);
+        if let Some(pause) = self.kept_pauses.take(&Incarnation::of(&replica.record)) {
+            replica.set_pause(pause);
+        }
         let is_reusable = |replica: &Replica| replica.is_removed && replica.in_flight == 0;
         match self.replicas.iter().position(is_reusable) {
             Some(at) => {
-                self.replicas[at] = Replica::new(record, now_ms);
+                let removed = std::mem::replace(&mut self.replicas[at], replica);
+                let incarnation = Incarnation::of(&removed.record);
+                self.kept_pauses.keep(incarnation, removed.pause(), now_ms);
                 (replica_key(at), true)
             }
             None => {
-                self.replicas.push(Replica::new(record, now_ms));
+                self.replicas.push(replica);
                 (replica_key(self.replicas.len() - 1), true)
             }
         }
