--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod part_model;
 mod pauses;
 mod permits;
+mod split_causes;
 mod stops;
 mod suspect_parts;
 mod suspects;
