Refuse what crashes replicas at every service and behind any number of parts

A request was counted by service, so a route of n services crashed three replicas of each, and again after it had moved. Crashes now also count under an identity without the service; a run that ends well clears the request at its service only, and a service without a crash of its own is tried by one entry, twice at most. On a split route, the crashes of a part count together.

--- a/src/calls/completed_runs.rs
+++ b/src/calls/completed_runs.rs
@@ -1,9 +1,13 @@
 use crate::calls::RunCauses;
 use crate::weights::Digest;
 
-/// Largest number of requests, or parts of prompts, that are remembered.
+/// Largest number of requests that are remembered.
 const MAX_REQUESTS: usize = 4_096;
 
+/// Largest number of parts of prompts that are remembered: three times as many as the head of
+/// one request holds.
+const MAX_PARTS: usize = 16_384;
+
 /// Longest time before a crash, in ms, within which a run of a part has come to an end that
 /// rules the part out as its cause.
 const RULED_OUT_MS: u64 = 2_000;
@@ -23,17 +27,27 @@
             Ok(at) => self.ends[at].1 = now_ms,
             Err(at) => {
                 self.ends.insert(at, (fingerprint.seed(), now_ms));
-                self.forget_oldest();
+                self.forget_oldest(MAX_REQUESTS);
             }
         }
     }
 
     /// Records that a run came to an end: the parts of its prompt, and its service.
     pub fn record_parts(&mut self, causes: &RunCauses, now_ms: u64) {
-        for part in causes.parts() {
-            self.record(*part, now_ms);
+        let mut added = Vec::new();
+        let service = std::iter::once(causes.service);
+        for part in causes.parts().iter().copied().chain(service) {
+            match self.position(part) {
+                Ok(at) => self.ends[at].1 = now_ms,
+                Err(_) => added.push((part.seed(), now_ms)),
+            }
+        }
+        if !added.is_empty() {
+            self.ends.append(&mut added);
+            self.ends.sort_unstable();
+            self.ends.dedup_by_key(|end| end.0);
+            self.forget_oldest(MAX_PARTS);
         }
-        self.record(causes.service, now_ms);
     }
 
     /// Time at which the request last ran to an end, in ms.
@@ -54,13 +68,20 @@
             .binary_search_by_key(&fingerprint.seed(), |end| end.0)
     }
 
-    fn forget_oldest(&mut self) {
-        if self.ends.len() <= MAX_REQUESTS {
+    fn forget_oldest(&mut self, max: usize) {
+        if self.ends.len() <= max {
             return;
         }
         let mut times_ms: Vec<u64> = self.ends.iter().map(|end| end.1).collect();
-        let (_, median_ms, _) = times_ms.select_nth_unstable(MAX_REQUESTS / 2);
+        let (_, median_ms, _) = times_ms.select_nth_unstable(max / 2);
+        // The parts of one long prompt have all ended at the same time.
         let median_ms = *median_ms;
-        self.ends.retain(|end| end.1 > median_ms);
+        let newer = self.ends.iter().filter(|end| end.1 > median_ms).count();
+        let mut room = max.saturating_sub(newer) / 2;
+        self.ends.retain(|end| {
+            let is_kept = end.1 > median_ms || (end.1 == median_ms && room > 0);
+            room -= usize::from(is_kept && end.1 == median_ms);
+            is_kept
+        });
     }
 }
--- a/src/calls/generate_call.rs
+++ b/src/calls/generate_call.rs
@@ -15,6 +15,9 @@
 /// Each longer one has this share of the length more: few for a long prompt.
 const BEGINNING_STEP_SHARE: usize = 5;
 
+/// Largest number of beginnings of a prompt that are told apart.
+const MAX_BEGINNINGS: usize = 64;
+
 /// A request for tokens, from an entry to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerateCall {
@@ -74,5 +77,5 @@
 /// Lengths of the beginnings of prompts that are told apart, ascending, in bytes.
 fn beginning_lengths() -> impl Iterator<Item = usize> {
     let next = |length: &usize| length.checked_add(length / BEGINNING_STEP_SHARE);
-    std::iter::successors(Some(MIN_BEGINNING_BYTES), next)
+    std::iter::successors(Some(MIN_BEGINNING_BYTES), next).take(MAX_BEGINNINGS)
 }
--- a/src/calls/suspect_table.rs
+++ b/src/calls/suspect_table.rs
@@ -46,6 +46,9 @@
 /// Factor by which that time grows with each crash after a trial.
 const TRIAL_FACTOR: u64 = 4;
 
+/// Largest number of services that are tried although others have crashed under the request.
+const MAX_UNTRIED_SERVICES: usize = 2;
+
 /// One part in so many of a full table is dropped at a time.
 const DROPPED_SHARE: usize = 32;
 
@@ -182,8 +185,12 @@
         may_be_cause: impl Fn(Digest) -> bool,
     ) -> Vec<Digest> {
         self.add_crash(causes.request, crash.clone(), now_ms);
-        let parts = causes.parts().iter().copied();
-        let parts: Vec<Digest> = parts.filter(|part| may_be_cause(*part)).collect();
+        if let Some(identity) = causes.identity {
+            self.add_crash(identity, crash.clone(), now_ms);
+        }
+        let crash_count = |part| self.crash_count(part, now_ms);
+        let suspects = causes.suspects_of(crash, may_be_cause, crash_count);
+        let parts = suspects.parts().to_vec();
         for part in &parts {
             let suspicion = Suspicion {
                 fingerprint: *part,
@@ -196,22 +203,51 @@
             self.merge_suspicion(suspicion, now_ms);
         }
         self.judge_parts(now_ms);
-        std::iter::once(causes.request).chain(parts).collect()
+        let requests = std::iter::once(causes.request).chain(causes.identity);
+        requests.chain(parts).collect()
     }
 
     /// Clears the request and the parts of a run that came to an end; returns those that were
     /// suspected.
     pub fn clear_run(&mut self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
-        let cleared: Vec<Digest> = causes
-            .all()
-            .filter(|cause| self.clear_request(*cause))
-            .collect();
+        let mut cleared = self.clear_run_request(causes, now_ms);
+        let parts = causes.parts().iter().copied();
+        cleared.extend(parts.filter(|part| self.clear_request(*part)));
         if !cleared.is_empty() {
             self.judge_parts(now_ms);
         }
         cleared
     }
 
+    /// Clears the request of a run that came to an end at its service, of the crashes there and,
+    /// at this service, of those at others; returns what was suspected.
+    pub fn clear_run_request(&mut self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
+        let mut cleared = Vec::new();
+        if let Some(identity) = causes.identity {
+            let mut elsewhere: Vec<Suspicion> = self.of_cause(identity).to_vec();
+            elsewhere.retain(|suspicion| !suspicion.cleared);
+            for mut suspicion in elsewhere {
+                let here = self.of_cause(causes.request);
+                let at = here.binary_search_by(|known| known.crash.cmp(&suspicion.crash));
+                let is_here = at.is_ok_and(|at| !here[at].cleared);
+                suspicion.cleared = true;
+                if !is_here {
+                    suspicion.fingerprint = causes.request;
+                }
+                let fingerprint = suspicion.fingerprint;
+                if self.merge_suspicion(suspicion, now_ms) != Merged::Unchanged {
+                    cleared.push(fingerprint);
+                }
+            }
+        }
+        if self.clear_request(causes.request) {
+            cleared.push(causes.request);
+        }
+        cleared.sort_unstable();
+        cleared.dedup();
+        cleared
+    }
+
     /// Clears a request that ran to an end, or a part of its prompt, so that no crash before was
     /// its doing; returns whether it was suspected of one.
     pub fn clear_request(&mut self, fingerprint: Digest) -> bool {
@@ -239,11 +275,62 @@
     ) -> SuspectStatus {
         let refused = self.refused_causes_of(causes, completed_parts, now_ms);
         match refused.is_empty() {
+            true if self.uncleared_crashes(causes, now_ms) > 0 => SuspectStatus::Suspect,
             true => self.request_status(causes.request, now_ms),
             false => SuspectStatus::Refused,
         }
     }
 
+    /// Number of crashes of a request, at any service, of which the service of this run has not
+    /// cleared it.
+    fn uncleared_crashes(&self, causes: &RunCauses, now_ms: u64) -> usize {
+        let Some(identity) = causes.identity else {
+            return 0;
+        };
+        let here = self.of_cause(causes.request);
+        let is_cleared = |suspicion: &Suspicion| {
+            let at = here.binary_search_by(|known| known.crash.cmp(&suspicion.crash));
+            at.is_ok_and(|at| here[at].cleared)
+        };
+        let of_cause = self.of_cause(identity);
+        match self.count_crashes(of_cause, now_ms) {
+            0 => 0,
+            _ => self
+                .counted(of_cause, now_ms)
+                .filter(|suspicion| !is_cleared(suspicion))
+                .count(),
+        }
+    }
+
+    /// Digest for which the request of a run is refused at its service: the one of all services,
+    /// or else that of this one.
+    fn refused_request_of(&self, causes: &RunCauses, now_ms: u64) -> Option<Digest> {
+        if self.uncleared_crashes(causes, now_ms) >= REFUSED_AT_CRASHES {
+            return causes.identity;
+        }
+        let status = self.request_status(causes.request, now_ms);
+        (status == SuspectStatus::Refused).then_some(causes.request)
+    }
+
+    /// Whether a request that is refused at all services may be tried at the service of this run,
+    /// which has not crashed under it: another service may be at fault. That is tried twice at
+    /// most, and not before the last crash is known at all entries.
+    pub fn is_untried_service(
+        &self,
+        causes: &RunCauses,
+        refused: Option<Digest>,
+        now_ms: u64,
+    ) -> bool {
+        let Some(identity) = causes.identity.filter(|_| refused == causes.identity) else {
+            return false;
+        };
+        let crashes = self.counted(self.of_cause(identity), now_ms);
+        let last_ms = crashes.clone().map(|suspicion| suspicion.observed_ms).max();
+        self.crash_count(causes.request, now_ms) == 0
+            && crashes.count() < REFUSED_AT_CRASHES + MAX_UNTRIED_SERVICES
+            && last_ms.is_some_and(|last_ms| age_ms(now_ms, last_ms) >= SAME_FAILURE_TRIAL_MS)
+    }
+
     /// Parts for which a run is refused; the first one of those that are refused together. One
     /// that is refused at another service is refused here from its first crash on.
     fn refused_parts_of(&self, causes: &RunCauses, now_ms: u64) -> Vec<Digest> {
@@ -258,9 +345,35 @@
                 }
             }
         }
+        if !causes.parts_elsewhere().is_empty() {
+            let split = here.iter().enumerate();
+            let split = split.filter(|(at, _)| self.is_refusable_anywhere(causes, *at, now_ms));
+            let split: Vec<Digest> = split.map(|(_, part)| *part).collect();
+            refused.extend(split);
+            refused.sort_unstable();
+            refused.dedup();
+        }
         refused
     }
 
+    /// Whether the crashes of a part at the service of a run, and at those that may run it in its
+    /// place, are enough to refuse it together.
+    fn is_refusable_anywhere(&self, causes: &RunCauses, at: usize, now_ms: u64) -> bool {
+        let part = causes.parts()[at];
+        if self.crash_count(part, now_ms) == 0 {
+            return false;
+        }
+        let elsewhere = causes.parts_elsewhere().iter().map(|parts| parts[at]);
+        let all = std::iter::once(part).chain(elsewhere);
+        let is_unexplained = |suspicion: &&Suspicion| {
+            let explained = &self.explained_crashes;
+            explained.binary_search(&suspicion.crash).is_err()
+        };
+        let counted = all.flat_map(|part| self.counted(self.of_cause(part), now_ms));
+        let counted: Vec<&Suspicion> = counted.filter(is_unexplained).collect();
+        is_refusable(&counted)
+    }
+
     /// Indices of the refused ones among the parts of a prompt.
     fn refused_indices(&self, parts: &[Digest], now_ms: u64) -> impl Iterator<Item = usize> {
         let is_in_prompt = |part: &Digest| parts.contains(part);
@@ -284,8 +397,7 @@
         completed_parts: &CompletedRuns,
         now_ms: u64,
     ) -> Vec<Digest> {
-        let status = self.request_status(causes.request, now_ms);
-        let request = (status == SuspectStatus::Refused).then_some(causes.request);
+        let request = self.refused_request_of(causes, now_ms);
         let parts = self.refused_parts_of(causes, now_ms).into_iter();
         let parts = parts.filter(|part| {
             // While nothing at all runs to an end at the service, its failure is no fault of a
@@ -308,6 +420,7 @@
     pub fn is_near_refusal(&self, causes: &RunCauses, now_ms: u64) -> bool {
         let mut parts = causes.parts().iter();
         self.crash_count(causes.request, now_ms) + 1 >= REFUSED_AT_CRASHES
+            || self.uncleared_crashes(causes, now_ms) + 1 >= REFUSED_AT_CRASHES
             || parts.any(|part| self.crash_count(*part, now_ms) + 1 >= PART_REFUSED_AT_CRASHES)
     }
 
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -78,8 +78,14 @@
         let is_down = is_same && replica.recent_load(now_ms).is_some_and(|load| !load.is_up);
         let crash = chosen.process_crash();
         let is_told = self.suspects.has_crash(&crash);
+        // Only what may be suspected is kept, as a prompt may have thousands of parts.
+        let causes = causes.suspects_of(
+            &crash,
+            |part| !self.completed_parts.rules_out(part, now_ms),
+            |part| self.suspects.crash_count(part, now_ms),
+        );
         self.broken_runs.add(BrokenRun {
-            causes: causes.clone(),
+            causes,
             crash,
             address: chosen.address,
             kind,
@@ -153,13 +159,14 @@
     pub(super) fn record_completed_run(&mut self, causes: &RunCauses, is_success: bool) {
         let now_ms = self.now_ms();
         self.broken_runs.remove_request(causes.request);
-        self.completed_runs.record(causes.request, now_ms);
+        for request in std::iter::once(causes.request).chain(causes.identity) {
+            self.completed_runs.record(request, now_ms);
+        }
         let cleared = if is_success {
             self.completed_parts.record_parts(causes, now_ms);
             self.suspects.clear_run(causes, now_ms)
         } else {
-            let was_suspected = self.suspects.clear_request(causes.request);
-            Vec::from_iter(was_suspected.then_some(causes.request))
+            self.suspects.clear_run_request(causes, now_ms)
         };
         for cause in cleared {
             self.tell_suspect(cause);
@@ -178,13 +185,15 @@
 
     /// Whether this entry may try a refused request or part now: of all entries only one does,
     /// one run at a time.
-    fn may_try(&self, cause: Digest) -> bool {
+    fn may_try(&self, causes: &RunCauses, cause: Digest) -> bool {
         let now_ms = self.now_ms();
         let entries = self.peers.live_entries(now_ms);
         let names = entries.map(|entry| entry.name.as_str());
         let of_request = self.completed_runs.last_end_ms(cause);
         let last_end_ms = of_request.or(self.completed_parts.last_end_ms(cause));
-        self.suspects.is_trial_due(cause, last_end_ms, now_ms)
+        let is_due = self.suspects.is_trial_due(cause, last_end_ms, now_ms)
+            || (self.suspects).is_untried_service(causes, Some(cause), now_ms);
+        is_due
             && !self.suspect_trials.contains(&cause)
             && rendezvous_rank(&self.settings.name, names, cause.seed()) == 0
     }
@@ -201,7 +210,7 @@
                         !completed_parts.rules_out(part, run.at_ms)
                     });
             for cause in &suspected {
-                let is_part = *cause != run.causes.request;
+                let is_part = run.causes.parts().contains(cause);
                 LogLine::new(Event::CrashSuspected)
                     .text("replica", &run.crash.endpoint)
                     .text("fingerprint", cause.short_hex())
@@ -259,8 +268,12 @@
 impl<'a> SuspectTrial<'a> {
     /// Begins the trial of all causes for which a run is refused; `None` if one of them may not
     /// be tried here and now.
-    pub fn begin(state: &'a RefCell<GatewayState>, causes: Vec<Digest>) -> Option<Self> {
-        let may_try = |cause: &Digest| state.borrow().may_try(*cause);
+    pub fn begin(
+        state: &'a RefCell<GatewayState>,
+        run: &RunCauses,
+        causes: Vec<Digest>,
+    ) -> Option<Self> {
+        let may_try = |cause: &Digest| state.borrow().may_try(run, *cause);
         if !causes.iter().all(may_try) {
             return None;
         }
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -68,13 +68,16 @@
     let deadline = received_at + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random_bits());
     state.count_request(&service);
-    // By service: what one service of a split route runs to an end may crash the other.
+    // What one service of a split route runs to an end may crash the other, and what has crashed
+    // replicas of some services is sent to no further one.
     let caller = workspace.as_deref().unwrap_or_default();
-    let run = format!("{service} {host}{} {caller}", head.target);
-    let request = fingerprint(&run, &body);
+    let run = format!("{host}{} {caller}", head.target);
+    let identity = fingerprint(&run, &body);
+    let request = fingerprint(&format!("{service} {run}"), &body);
     let services = route.services.iter().map(|other| other.0.as_str());
     let elsewhere = services.filter(|other| *other != service);
-    let causes = RunCauses::of_services(request, &service, elsewhere, &facts.prompt_part_ids);
+    let causes = RunCauses::of_services(request, &service, elsewhere, &facts.prompt_part_ids)
+        .with_identity(identity);
     let is_late = waited_before_ms > 0;
     Ok(Box::new(RoutedRequest {
         causes,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -56,7 +56,7 @@
         let trial = if refused.is_empty() {
             None
         } else {
-            let trial = SuspectTrial::begin(&self.state, refused);
+            let trial = SuspectTrial::begin(&self.state, &request.causes, refused);
             Some(trial.ok_or((CRASH_SUSPECT, None))?)
         };
         if !relay.has_begun() && !self.can_end_before_stop(request) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -41,7 +41,7 @@
 
 /// Largest number of pairs of a suspected request, or part of a prompt, and a crash that are
 /// kept: a crash adds some for each request that the replica held.
-const MAX_SUSPECTS: usize = 4_096;
+const MAX_SUSPECTS: usize = 8_192;
 
 /// Age of the replicas' records from which they are fetched also from entries of
 /// other failure domains, in ms.
--- a/tests/calls/split_causes.rs
+++ b/tests/calls/split_causes.rs
@@ -99,3 +99,103 @@
         assert!(crashes <= 8, "{count} services: {crashes} crashes");
     }
 }
+
+/// A run of one request at one of the services.
+fn request_run(service: &str) -> RunCauses {
+    let request = fingerprint(service, b"culprit");
+    let identity = fingerprint("anywhere", b"culprit");
+    RunCauses::new(request, service, [""; 0]).with_identity(identity)
+}
+
+fn request_status(table: &SuspectTable, service: &str, now_ms: u64) -> SuspectStatus {
+    table.run_status(&request_run(service), &CompletedRuns::default(), now_ms)
+}
+
+/// Adds a crash of the request at a service.
+fn add_request(table: &mut SuspectTable, service: &str, number: u64) {
+    let run = request_run(service);
+    table.add_crashed_run(&run, &crash(number), 100, number * STEP_MS, |_| true);
+}
+
+/// Guards against three crashes at each service, also after a route has moved.
+#[test]
+fn run_status_request_of_split_route_refused() {
+    for count in [1, 2, 4, 8] {
+        let mut table = SuspectTable::new(600_000, 4_096);
+        for number in 0..3 {
+            let service = SERVICES[number as usize % count];
+            assert_ne!(
+                request_status(&table, service, 10_000),
+                SuspectStatus::Refused
+            );
+            add_request(&mut table, service, number);
+        }
+        for service in SERVICES {
+            assert_eq!(
+                request_status(&table, service, 10_000),
+                SuspectStatus::Refused
+            );
+        }
+    }
+}
+
+#[test]
+fn run_status_request_of_moved_route_refused() {
+    let mut table = SuspectTable::new(600_000, 4_096);
+    add_request(&mut table, "s0", 0);
+    add_request(&mut table, "s0", 1);
+    add_request(&mut table, "s1", 2);
+    assert_eq!(request_status(&table, "s1", 3_000), SuspectStatus::Refused);
+}
+
+/// A service that runs the request well is told apart from those that it crashes, in every
+/// process.
+#[test]
+fn clear_run_request_served_at_one_service() {
+    let mut table = SuspectTable::new(600_000, 4_096);
+    for number in 0..3 {
+        add_request(&mut table, "s0", number);
+    }
+    let told = table.clear_run(&request_run("s1"), 4_000);
+    let mut other = SuspectTable::new(600_000, 4_096);
+    other.merge_records(table.export_records(4_000), 4_000);
+    assert!(told.contains(&request_run("s1").request));
+    for table in [&table, &other] {
+        assert_eq!(request_status(table, "s1", 4_000), SuspectStatus::Clear);
+        assert_eq!(request_status(table, "s0", 4_000), SuspectStatus::Refused);
+        assert_eq!(request_status(table, "s2", 4_000), SuspectStatus::Refused);
+    }
+    // A trial at the service that it crashed ends well, too.
+    table.clear_run(&request_run("s0"), 30_000);
+    for service in ["s0", "s1", "s2"] {
+        assert_eq!(
+            request_status(&table, service, 30_000),
+            SuspectStatus::Clear
+        );
+    }
+}
+
+/// Guards against a service that goes unused for a request which only another one can't run,
+/// and against a trial at each of many services.
+#[test]
+fn is_untried_service_tried_at_most_twice() {
+    let mut table = SuspectTable::new(600_000, 4_096);
+    for number in 0..3 {
+        add_request(&mut table, "s0", number);
+    }
+    let is_due = |table: &SuspectTable, service, now_ms| {
+        let run = request_run(service);
+        table.is_untried_service(&run, run.identity, now_ms)
+    };
+    assert!(!is_due(&table, "s0", 2_500));
+    assert!(
+        !is_due(&table, "s1", 2_100),
+        "other crashes may not be known yet"
+    );
+    assert!(is_due(&table, "s1", 2_500));
+    add_request(&mut table, "s1", 3);
+    assert!(!is_due(&table, "s1", 3_500));
+    assert!(is_due(&table, "s2", 3_500));
+    add_request(&mut table, "s2", 4);
+    assert!(!is_due(&table, "s3", 9_000));
+}
