--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -38,8 +38,11 @@
 mod service_call;
 mod stop_admission;
 mod stored_answer;
+mod suspect_exchange;
+mod suspect_refusals;
 mod suspect_slot;
 mod suspect_table;
+mod suspect_trials;
 mod suspicion;
 mod unknown_reason;
 
