One budget, from limits.memory_mb, for what a process holds for others

Cause: only answers had a budget. Bodies were read whole before anything bounded them together, a second copy was encoded for each send, and the ports of serve_internal had no limit of connections.

Change: MemoryBudget counts heads, bodies and answers. Room for a body is taken at its announced length before a byte is read, else as it grows. Without room, requests that have not grown for 1 s are closed, then new ones get 503 with Retry-After; what has arrived whole is kept. Large requests can't take the last quarter, answers not the last eighth. All sends share the body, and large answers are written without a copy. A connection that waits holds no buffer. The directory, the readiness check, the inner ports and the endpoint's port bound their connections; at the limit of client connections, those on which nothing has arrived for 1 s give way. Without limits.memory_mb there is no budget, and answers keep their limit of 64 MiB.

Each read of a body in small chunks yields to other connections, and size lines are parsed without an allocation.

--- a/src/gateway/answer_memory.rs
+++ b/src/gateway/answer_memory.rs
@@ -3,23 +3,40 @@
 
 use crate::http1::BodyLimit;
 use crate::http1::Http1Error;
+use crate::http1::MemoryBudget;
+use crate::http1::RoomUse;
 
 /// Bytes of each answer that are held without asking for room, so that large answers do
 /// not keep small ones from being read.
 const FREE_BYTES: usize = 16 * 1024;
 
-/// Bytes of all answers together that are held beyond their free bytes: a quarter of the
-/// memory of an entry's host, as a buffer that grows may be twice as large as its content.
+/// Bytes of all answers together that are held beyond their free bytes where the settings state
+/// no memory: a quarter of the memory of an entry's host, as a buffer that grows may be twice as
+/// large as its content.
 const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
 
 /// Memory of a process for answers of replicas that it can't pass on yet: plain answers
 /// until they are complete, and events of streams.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct AnswerMemory {
+    budget: MemoryBudget,
     held_bytes: Rc<Cell<usize>>,
 }
 
 impl AnswerMemory {
+    /// Memory that is taken from `budget`.
+    pub fn new(budget: MemoryBudget) -> Self {
+        Self {
+            budget,
+            held_bytes: Rc::default(),
+        }
+    }
+
+    /// Budget from which it is taken.
+    pub fn budget(&self) -> &MemoryBudget {
+        &self.budget
+    }
+
     /// Bytes held now, without the free bytes of each answer.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes.get()
@@ -50,9 +67,12 @@
         }
         let counted_bytes = bytes.saturating_sub(FREE_BYTES);
         let others_bytes = self.memory.held_bytes.get() - self.counted_bytes;
-        if counted_bytes > self.counted_bytes && others_bytes + counted_bytes > MAX_HELD_BYTES {
+        let is_over = others_bytes + counted_bytes > MAX_HELD_BYTES;
+        if counted_bytes > self.counted_bytes && is_over && !self.memory.budget.is_limited() {
             return Err(Http1Error::NoMemory);
         }
+        let budget = &self.memory.budget;
+        budget.change(self.counted_bytes, counted_bytes, RoomUse::Answer)?;
         self.memory.held_bytes.set(others_bytes + counted_bytes);
         self.counted_bytes = counted_bytes;
         Ok(())
@@ -63,5 +83,6 @@
     fn drop(&mut self) {
         let held_bytes = self.memory.held_bytes.get() - self.counted_bytes;
         self.memory.held_bytes.set(held_bytes);
+        self.memory.budget.release(self.counted_bytes);
     }
 }
--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -20,9 +21,13 @@
 use crate::gateway::local_refusals::refuse_unreadable;
 use crate::gateway::request_routing::STOP_ACCEPT_TIME;
 use crate::gateway::request_routing::route_request;
+use crate::gateway::routed_request::ReadRequest;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
-use crate::http1::Framing;
+use crate::http1::ConnectionSlot;
+use crate::http1::ConnectionSlots;
+use crate::http1::ConnectionStage;
+use crate::http1::HeldRequest;
 use crate::http1::Http1Error;
 use crate::http1::RequestHead;
 use crate::http1::read_request_head;
@@ -39,11 +44,18 @@
 /// Time for which a connection is read after a refusal, so that the client gets to read it.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// The same after a refusal for lack of memory: clients that send the whole body before they
+/// read get to read it, as far as their links allow.
+const MEMORY_LINGER_TIME: Duration = Duration::from_secs(4);
+
+/// Time without a byte after which a new connection may be closed for another one.
+const SILENT_CONNECTION_TIME: Duration = Duration::from_secs(1);
+
 /// Accepts connections of clients until the process closes its listener.
 pub async fn serve_clients<D: Dialect + 'static>(tcp: TcpListener, gateway: Gateway<D>) {
     let listener = ClientListener {
         gateway,
-        open_connections: Rc::new(()),
+        open_connections: Rc::default(),
         refused_connections: Rc::new(()),
     };
     let closed = wait_until_closed(&listener.gateway);
@@ -72,22 +84,26 @@
 /// What is done with the connections of clients, and how many are open.
 struct ClientListener<D> {
     gateway: Gateway<D>,
+    open_connections: Rc<ConnectionSlots>,
     // Each connection holds a reference besides the one here.
-    open_connections: Rc<()>,
     refused_connections: Rc<()>,
 }
 
 impl<D: Dialect + 'static> ClientListener<D> {
-    /// Serves a connection, or refuses its request if too many are open.
+    /// Serves a connection, or refuses its request if too many are open and none of them has
+    /// been silent since it was opened.
     fn serve(&self, stream: TcpStream) {
         let gateway = self.gateway.clone();
         let limit = gateway.state.borrow().settings.max_client_connections;
         let mut client = Connection::new(stream);
-        if Rc::strong_count(&self.open_connections) <= limit {
-            let open = self.open_connections.clone();
+        if self.open_connections.count() < limit || self.close_silent() {
+            let slot = self.open_connections.add();
             actix_rt::spawn(async move {
-                serve_client(client, &gateway).await;
-                drop(open);
+                tokio::select! {
+                    biased;
+                    () = slot.closed() => gateway.metrics.record_closed_connection("silent"),
+                    () = serve_client(client, &gateway, &slot) => {}
+                }
             });
             return;
         }
@@ -104,6 +120,22 @@
             drop(refused);
         });
     }
+
+    /// Closes the connection that has been silent for the longest time since it was opened, if
+    /// the memory of the process is limited; returns whether there was one.
+    fn close_silent(&self) -> bool {
+        let is_limited = self
+            .gateway
+            .state
+            .borrow()
+            .answer_memory
+            .budget()
+            .is_limited();
+        is_limited
+            && self
+                .open_connections
+                .close_one(ConnectionStage::Idle, SILENT_CONNECTION_TIME)
+    }
 }
 
 /// Refuses the request of a connection beyond the limit.
@@ -113,9 +145,10 @@
         return;
     }
     let _active = ActiveRequest::begin(&gateway.state);
+    let mut held = hold_request(gateway);
     let read = tokio::select! {
         biased;
-        read = read_head(client, gateway) => read,
+        read = read_head(client, gateway, &mut held) => read,
         () = wait_until_ending(&gateway.state) => return refuse_unread(client, gateway).await,
     };
     match read {
@@ -139,7 +172,11 @@
 }
 
 /// Serves the requests of one connection, one after the other.
-async fn serve_client<D: Dialect + 'static>(mut client: Connection, gateway: &Gateway<D>) {
+async fn serve_client<D: Dialect + 'static>(
+    mut client: Connection,
+    gateway: &Gateway<D>,
+    slot: &ConnectionSlot,
+) {
     loop {
         if let Err(error) = wait_for_request(&mut client, gateway).await {
             log::debug!("no further request on a client's connection: {error}");
@@ -148,6 +185,8 @@
             }
             return;
         }
+        // Its client may hold it for kept from now on.
+        slot.enter(ConnectionStage::Handling);
         let _active = ActiveRequest::begin(&gateway.state);
         let request = tokio::select! {
             biased;
@@ -158,15 +197,19 @@
                 return;
             }
         };
-        let (head, body, received_at) = match request {
+        let request = match request {
             Ok(request) => request,
             Err(error) => {
                 refuse_unreadable(&client, gateway, &error).await;
-                client.linger(Instant::now() + LINGER_TIME).await;
+                let linger_time = match error {
+                    Http1Error::NoMemory => MEMORY_LINGER_TIME,
+                    _ => LINGER_TIME,
+                };
+                client.linger(Instant::now() + linger_time).await;
                 return;
             }
         };
-        let reuse = match route_request(gateway, head, body, received_at) {
+        let reuse = match route_request(gateway, request) {
             Ok(request) => gateway.forward(&mut client, *request).await,
             Err((head, refusal)) => refuse(&client, gateway, &head, &refusal).await,
         };
@@ -222,25 +265,53 @@
 async fn read_head<D: Dialect>(
     client: &mut Connection,
     gateway: &Gateway<D>,
+    held: &mut HeldRequest,
 ) -> Result<RequestHead, Http1Error> {
     let limits = gateway.state.borrow().limits();
     let head_time = Duration::from_millis(limits.head_timeout_ms);
-    read_request_head(client, limits.max_head_bytes, head_time, head_time).await
+    read_request_head(client, limits.max_head_bytes, head_time, head_time, held).await
+}
+
+/// Room for a request that begins to arrive.
+fn hold_request<D: Dialect>(gateway: &Gateway<D>) -> HeldRequest {
+    HeldRequest::new(gateway.state.borrow().answer_memory.budget())
 }
 
-/// Reads a request whose first bytes have arrived; returns its head, its body and the time at
-/// which the head was complete.
+/// Reads a request whose first bytes have arrived, unless it is closed for another one.
 async fn read_request<D: Dialect>(
     client: &mut Connection,
     gateway: &Gateway<D>,
-) -> Result<(RequestHead, Vec<u8>, Instant), Http1Error> {
+) -> Result<ReadRequest, Http1Error> {
+    let mut held = hold_request(gateway);
+    let arriving = held.arriving();
+    let (head, body, received_at) = tokio::select! {
+        biased;
+        () = arriving.closed() => return Err(Http1Error::NoMemory),
+        read = read_message(client, gateway, &mut held) => read?,
+    };
+    held.finish();
+    Ok(ReadRequest {
+        head,
+        body,
+        held,
+        received_at,
+    })
+}
+
+/// Reads a request within its room; returns its head, its body and the time at which the head
+/// was complete.
+async fn read_message<D: Dialect>(
+    client: &mut Connection,
+    gateway: &Gateway<D>,
+    held: &mut HeldRequest,
+) -> Result<(RequestHead, Bytes, Instant), Http1Error> {
     let limits = gateway.state.borrow().limits();
-    let head = read_head(client, gateway).await?;
+    let head = read_head(client, gateway, held).await?;
     let received_at = Instant::now();
     // A client goes by the limits that were in force when it began, or by later ones.
     let limits = limits.most_lenient(gateway.state.borrow().limits());
-    let body = read_body(client, &head, limits).await?;
-    Ok((head, body, received_at))
+    let body = read_body(client, &head, limits, held).await?;
+    Ok((head, Bytes::from(body), received_at))
 }
 
 /// Reads the body of a request within these limits.
@@ -248,11 +319,10 @@
     client: &mut Connection,
     head: &RequestHead,
     limits: ClientLimits,
+    held: &mut HeldRequest,
 ) -> Result<Vec<u8>, Http1Error> {
     let framing = head.framing()?;
-    if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
-        return Err(Http1Error::BodyTooLarge);
-    }
+    held.begin_body(framing.announced_bytes(), limits.max_body_bytes)?;
     let decoder = BodyDecoder::new(framing);
     if !decoder.is_done() && head.headers.has_token("expect", "100-continue") {
         client
@@ -264,6 +334,6 @@
     }
     let idle = Duration::from_millis(limits.idle_timeout_ms);
     client
-        .read_body(decoder, limits.max_body_bytes, || Instant::now() + idle)
+        .read_body(decoder, held, || Instant::now() + idle)
         .await
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::fleet::ReplicaNotice;
@@ -30,6 +31,10 @@
 /// memory.
 pub const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Largest body of a request that is copied behind its head, so that both are written at once,
+/// in bytes.
+pub const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
+
 /// Cause of a failed send whose answer is one to another request.
 const OTHER_ANSWER: &str = "other_answer";
 
@@ -95,8 +100,10 @@
     pub method: String,
     /// Whether a response with status 200 is a stream of events.
     pub is_streaming: bool,
-    /// Head and body, encoded.
+    /// Head, encoded, with the body if it is small.
     pub bytes: Vec<u8>,
+    /// Body that follows; shared by all sends of a request.
+    pub body: Bytes,
     /// Time at which the final response is due.
     pub deadline: Instant,
     /// Room for the answer.
@@ -118,12 +125,12 @@
         Err(error) => return SendOutcome::Unreachable(error),
     };
     connection.reset_on_drop();
-    match connection
-        .write_until_readable(&send.bytes, send.deadline)
-        .await
-    {
-        Ok(_) => {}
-        Err(error) => return SendOutcome::Broken(error.label()),
+    for part in [send.bytes.as_slice(), send.body.as_ref()] {
+        match connection.write_until_readable(part, send.deadline).await {
+            Ok(written) if written < part.len() => break,
+            Ok(_) => {}
+            Err(error) => return SendOutcome::Broken(error.label()),
+        }
     }
     let head = match connection
         .read_response_head(MAX_HEAD_BYTES, || send.deadline)
@@ -232,14 +239,17 @@
         .then_some(SendOutcome::Broken("encoded"))
 }
 
-/// Encodes a request with the headers for its replica.
+/// Encodes a request with the headers for its replica; returns what is written first, and the
+/// body that follows unless it is small.
 pub fn request_bytes(
     dialect: &impl Dialect,
     head: &RequestHead,
-    body: &[u8],
+    body: &Bytes,
     facts: &SendFacts<'_>,
-) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(1024 + body.len());
+) -> (Vec<u8>, Bytes) {
+    let is_joined = body.len() <= MAX_JOINED_BODY_BYTES;
+    let joined_bytes = if is_joined { body.len() } else { 0 };
+    let mut bytes = Vec::with_capacity(1024 + joined_bytes);
     bytes.extend_from_slice(head.method.as_bytes());
     bytes.push(b' ');
     bytes.extend_from_slice(head.target.as_bytes());
@@ -262,8 +272,11 @@
         );
     }
     bytes.extend_from_slice(b"Connection: close\r\n\r\n");
-    bytes.extend_from_slice(body);
-    bytes
+    if is_joined {
+        bytes.extend_from_slice(body);
+        return (bytes, Bytes::new());
+    }
+    (bytes, body.clone())
 }
 
 /// Whether a header applies only to the connection on which it was received.
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -20,6 +20,10 @@
 /// at once.
 pub(super) const RETRY_AFTER_ELSEWHERE_MS: u64 = 10;
 
+/// Retry-After of a request for which there is no memory, in ms: the time in which others that
+/// have stopped growing are found and closed.
+const RETRY_AFTER_MEMORY_MS: u64 = 500;
+
 /// Response to a request that is refused before a replica is chosen.
 #[derive(Debug)]
 pub(super) struct LocalRefusal {
@@ -108,7 +112,8 @@
         Http1Error::NoMemory => 503,
         Http1Error::TimedOut => 408,
     };
-    refuse_and_close(client, gateway, status, error.label(), None).await;
+    let retry_after_ms = matches!(error, Http1Error::NoMemory).then_some(RETRY_AFTER_MEMORY_MS);
+    refuse_and_close(client, gateway, status, error.label(), retry_after_ms).await;
 }
 
 /// Sends a refusal to a request that has not been read, and logs and counts it; the connection
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -34,6 +34,7 @@
 use crate::gateway::run_clock::RunClock;
 use crate::gateway::run_clock::TICK_INTERVAL;
 use crate::gateway::suspect_notices::send_suspect_notices;
+use crate::http1::InternalLimits;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -59,6 +60,15 @@
 const REGISTRATION_PAUSES: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
+/// Connections of other processes that an entry serves at once: endpoints that read weights,
+/// and entries that fetch records.
+const MAX_INTERNAL_CONNECTIONS: usize = 128;
+
+/// Connections to the readiness check, the directory and the metrics, each, that are served at
+/// once. Together with the internal ones they stay within the descriptors reserved beside those
+/// of clients.
+const MAX_CHECK_CONNECTIONS: usize = 48;
+
 /// Longest time before the end of the grace period, when the platform kills the process, at
 /// which requests that are still active are ended.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
@@ -154,6 +164,11 @@
     metrics: &Rc<Metrics>,
     pieces: &Rc<PieceCache<impl OriginPort>>,
 ) -> io::Result<()> {
+    let memory = state.borrow().answer_memory.budget().clone();
+    let limits = |max_connections| InternalLimits {
+        memory: memory.clone(),
+        max_connections,
+    };
     let front = TcpListener::bind(settings.front).await?;
     let gateway = Gateway {
         state: state.clone(),
@@ -166,23 +181,31 @@
             state: state.clone(),
             dialect: dialect.clone(),
         };
-        actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, readiness));
+        let listener = TcpListener::bind(address).await?;
+        let limits = limits(MAX_CHECK_CONNECTIONS);
+        actix_rt::spawn(serve_internal(listener, readiness, limits));
     }
     if let Some(address) = settings.directory {
         let directory = DirectoryHandler {
             state: state.clone(),
             dialect: dialect.clone(),
         };
-        actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, directory));
+        let listener = TcpListener::bind(address).await?;
+        let limits = limits(MAX_CHECK_CONNECTIONS);
+        actix_rt::spawn(serve_internal(listener, directory, limits));
     }
-    for address in [settings.internal, settings.metrics] {
+    for (address, max_connections) in [
+        (settings.internal, MAX_INTERNAL_CONNECTIONS),
+        (settings.metrics, MAX_CHECK_CONNECTIONS),
+    ] {
         let internal = InternalCallHandler {
             state: state.clone(),
             metrics: metrics.clone(),
             pieces: pieces.clone(),
             last_records: RefCell::default(),
         };
-        actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, internal));
+        let listener = TcpListener::bind(address).await?;
+        actix_rt::spawn(serve_internal(listener, internal, limits(max_connections)));
     }
     Ok(())
 }
--- a/src/gateway/request_outcome.rs
+++ b/src/gateway/request_outcome.rs
@@ -5,6 +5,7 @@
 use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::end_causes::CRASH_SUSPECT;
 use crate::gateway::end_causes::STOPPING;
+use crate::gateway::exchange::MAX_JOINED_BODY_BYTES;
 use crate::gateway::exchange::ReplicaResponse;
 use crate::gateway::exchange::write_header;
 use crate::gateway::forwarding::AttemptHistory;
@@ -112,11 +113,15 @@
         let mut bytes = response_head(&response.head, close);
         write_length(&response, &mut bytes);
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&response.body);
+        let mut rest = response.body.as_slice();
+        if rest.len() <= MAX_JOINED_BODY_BYTES {
+            bytes.extend_from_slice(rest);
+            rest = &[];
+        }
         let deadline = request.deadline.max(Instant::now() + READY_WRITE_TIME);
         let written = tokio::select! {
             biased;
-            written = client.write_with_deadline(&bytes, deadline) => {
+            written = client.write_message_with_deadline(&bytes, rest, deadline) => {
                 written.map_err(|error| error.label())
             }
             () = wait_until_writes_end(&self.state) => Err(STOPPING),
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -12,6 +12,7 @@
 use crate::gateway::end_causes::STOPPING;
 use crate::gateway::gateway_handle::Gateway;
 use crate::gateway::local_refusals::LocalRefusal;
+use crate::gateway::routed_request::ReadRequest;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::http1::RequestHead;
 
@@ -29,10 +30,14 @@
 /// the refusal.
 pub(super) fn route_request<D: Dialect>(
     gateway: &Gateway<D>,
-    head: RequestHead,
-    body: Vec<u8>,
-    received_at: Instant,
+    read: ReadRequest,
 ) -> Result<Box<RoutedRequest>, (RequestHead, LocalRefusal)> {
+    let ReadRequest {
+        head,
+        body,
+        held,
+        received_at,
+    } = read;
     let mut state = gateway.state.borrow_mut();
     let stopping_since = state.stopping_since;
     if state.is_ending || stopping_since.is_some_and(|since| since.elapsed() >= STOP_ACCEPT_TIME) {
@@ -80,6 +85,7 @@
         causes,
         head,
         body,
+        _held: held,
         facts,
         catalog,
         route,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::calls::RunCauses;
@@ -8,15 +9,31 @@
 use crate::fleet::Route;
 use crate::gateway::RequestFacts;
 use crate::gateway::relay::ClientFraming;
+use crate::http1::HeldRequest;
 use crate::http1::RequestHead;
 
+/// A completely received request.
+#[derive(Debug)]
+pub struct ReadRequest {
+    /// Head as the client sent it.
+    pub head: RequestHead,
+    /// Complete body.
+    pub body: Bytes,
+    /// Room that the head and the body take.
+    pub held: HeldRequest,
+    /// Time at which the head was complete.
+    pub received_at: Instant,
+}
+
 /// A completely received request with the route, service and client that it belongs to.
 #[derive(Debug)]
 pub struct RoutedRequest {
     /// Head as the client sent it.
     pub head: RequestHead,
     /// Complete body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
+    /// Room that the head and the body take; returned when the request is dropped.
+    pub _held: HeldRequest,
     /// Values decoded from its headers.
     pub facts: RequestFacts,
     /// Configuration by which it was routed.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -107,6 +107,7 @@
             weights_version: chosen.weights_version,
             urgency: is_streaming.then_some(request.urgency),
         };
+        let (bytes, body) = request_bytes(&*self.dialect, &request.head, &request.body, &facts);
         let notice = Rc::new(Cell::new(ReplicaNotice::default()));
         let progress_at = Rc::new(Cell::new(Instant::now()));
         let send = ReplicaSend {
@@ -115,7 +116,8 @@
             attempt_id: request.facts.attempt_id.clone(),
             method: request.head.method.clone(),
             is_streaming,
-            bytes: request_bytes(&*self.dialect, &request.head, &request.body, &facts),
+            bytes,
+            body,
             deadline: request.deadline,
             held: (self.state.borrow().answer_memory).hold_answer(exchange::MAX_RESPONSE_BYTES),
             notice: notice.clone(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,8 @@
     pub link_mbps: f64,
     /// Largest number of connections of clients that may be open at once.
     pub max_client_connections: usize,
+    /// Memory of the host for this process, in bytes; None without a limit.
+    pub memory_bytes: Option<usize>,
 }
 
 impl GatewaySettings {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use crate::gateway::retry_budgets::RetryBudgets;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::usual_deadlines::UsualDeadlines;
+use crate::http1::MemoryBudget;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
@@ -133,13 +134,15 @@
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings) -> Rc<RefCell<Self>> {
         let mut rng = Pcg64Mcg::from_os_rng();
+        let budget =
+            MemoryBudget::of_process(settings.memory_bytes, settings.max_client_connections);
         Rc::new(RefCell::new(Self {
             settings,
             catalog: None,
             catalog_adopted_ms: 0,
             weights: Declarations::default(),
             replicas: ReplicaTable::default(),
-            answer_memory: AnswerMemory::default(),
+            answer_memory: AnswerMemory::new(budget),
             peers: PeerTable::default(),
             suspects: SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS),
             incarnation: rng.random(),
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -79,22 +79,22 @@
                     read_buffer.clear();
                     return Ok(());
                 }
-                Self::ChunkSize => match split_line(read_buffer)? {
-                    Some(line) => match parse_chunk_size(&line)? {
+                Self::ChunkSize => match take_line(read_buffer, parse_chunk_size)? {
+                    Some(size) => match size? {
                         0 => Self::Trailer(0),
                         size => Self::ChunkData(size),
                     },
                     None => return Ok(()),
                 },
-                Self::ChunkEnd => match split_line(read_buffer)? {
-                    Some(line) if line.is_empty() => Self::ChunkSize,
+                Self::ChunkEnd => match take_line(read_buffer, <[u8]>::len)? {
+                    Some(0) => Self::ChunkSize,
                     Some(_) => return Err(Http1Error::Malformed("end of a chunk")),
                     None => return Ok(()),
                 },
-                Self::Trailer(bytes) => match split_line(read_buffer)? {
-                    Some(line) if line.is_empty() => Self::Done,
-                    Some(line) if bytes + line.len() <= MAX_TRAILER_BYTES => {
-                        Self::Trailer(bytes + line.len())
+                Self::Trailer(bytes) => match take_line(read_buffer, <[u8]>::len)? {
+                    Some(0) => Self::Done,
+                    Some(length) if bytes + length <= MAX_TRAILER_BYTES => {
+                        Self::Trailer(bytes + length)
                     }
                     Some(_) => return Err(Http1Error::Malformed("trailer of a chunked body")),
                     None => return Ok(()),
@@ -127,9 +127,12 @@
     left - count as u64
 }
 
-/// Takes one line off the front and returns it without its CR LF; `None` when it is
-/// not complete yet.
-fn split_line(read_buffer: &mut BytesMut) -> Result<Option<Vec<u8>>, Http1Error> {
+/// Takes one line off the front and returns what `read` makes of it without its CR LF; `None`
+/// when it is not complete yet.
+fn take_line<T>(
+    read_buffer: &mut BytesMut,
+    read: impl FnOnce(&[u8]) -> T,
+) -> Result<Option<T>, Http1Error> {
     let Some(newline) = read_buffer.iter().position(|byte| *byte == b'\n') else {
         if read_buffer.len() > MAX_LINE_BYTES {
             return Err(Http1Error::Malformed("line of a chunked body"));
@@ -139,9 +142,9 @@
     if newline == 0 || read_buffer[newline - 1] != b'\r' || newline > MAX_LINE_BYTES {
         return Err(Http1Error::Malformed("line of a chunked body"));
     }
-    let line = read_buffer[..newline - 1].to_vec();
+    let result = read(&read_buffer[..newline - 1]);
     read_buffer.advance(newline + 1);
-    Ok(Some(line))
+    Ok(Some(result))
 }
 
 /// Parses the size line of a chunk; extensions after `;` are ignored.
--- a/src/http1/body_limit.rs
+++ b/src/http1/body_limit.rs
@@ -8,6 +8,11 @@
     ///
     /// [`Http1Error::BodyTooLarge`] or [`Http1Error::NoMemory`].
     fn admit(&mut self, bytes: usize) -> Result<(), Http1Error>;
+
+    /// Length for which room was taken before the body arrives.
+    fn announced_bytes(&self) -> usize {
+        0
+    }
 }
 
 impl BodyLimit for usize {
@@ -23,4 +28,8 @@
     fn admit(&mut self, bytes: usize) -> Result<(), Http1Error> {
         (**self).admit(bytes)
     }
+
+    fn announced_bytes(&self) -> usize {
+        (**self).announced_bytes()
+    }
 }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -81,6 +81,10 @@
             match self.stream.try_read_buf(&mut self.read_buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.reads_in_a_row = 0;
+                    // A connection that waits holds no empty buffer.
+                    if self.read_buffer.is_empty() {
+                        self.read_buffer = BytesMut::new();
+                    }
                     self.stream.readable().await?;
                 }
                 result => {
@@ -148,10 +152,20 @@
         mut limit: impl BodyLimit,
         deadline: impl Fn() -> Instant,
     ) -> Result<Vec<u8>, Http1Error> {
-        let mut body = Vec::new();
+        let mut body = Vec::with_capacity(limit.announced_bytes());
         loop {
+            let received_bytes = self.read_buffer.len();
+            if body.capacity() - body.len() < received_bytes {
+                // Doubling would hold up to twice the content.
+                body.reserve_exact(received_bytes.max(body.len() / 4));
+            }
+            let body_bytes = body.len();
             decoder.decode(&mut self.read_buffer, &mut body)?;
             limit.admit(body.len())?;
+            // Small chunks take more time than content of the same size: others get their turn.
+            if body.len() - body_bytes < received_bytes / 2 {
+                tokio::task::yield_now().await;
+            }
             if decoder.is_done() {
                 return Ok(body);
             }
@@ -178,6 +192,20 @@
         }
     }
 
+    /// Writes all of `head` and then of `body`, and fails after `deadline`.
+    pub async fn write_message_with_deadline(
+        &self,
+        head: &[u8],
+        body: &[u8],
+        deadline: Instant,
+    ) -> Result<(), Http1Error> {
+        self.write_with_deadline(head, deadline).await?;
+        if body.is_empty() {
+            return Ok(());
+        }
+        self.write_with_deadline(body, deadline).await
+    }
+
     /// Writes all of `bytes`, however long it takes.
     async fn write(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -74,6 +74,14 @@
 }
 
 impl Framing {
+    /// Length of the body, where it is announced.
+    pub fn announced_bytes(self) -> Option<u64> {
+        match self {
+            Self::Length(length) => Some(length),
+            Self::None | Self::Chunked | Self::UntilClose => None,
+        }
+    }
+
     /// Name of the framing in logs and metrics; part of the interface.
     pub fn label(self) -> &'static str {
         match self {
--- /dev/null
+++ b/src/http1/memory_budget.rs
@@ -0,0 +1,163 @@
+//! One budget for what a process holds on behalf of others: heads and bodies that arrive,
+//! requests that are under way, and answers that their readers have not taken yet.
+//!
+//! Load: many peers that send large messages, or stop in the middle of them. Room is taken
+//! before the bytes are read. Large requests can't take the last quarter of the budget, and
+//! answers not the last eighth, so that small requests always have a share of their own. Where
+//! there is no room, messages that have stopped growing are closed, the longest silent first;
+//! a request that has arrived whole is never closed for another one.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::http1::Http1Error;
+use crate::http1::arriving_request::ArrivingRequest;
+
+/// Memory that a process needs for itself: its code, tables, buffered log lines and pieces of
+/// weights. On a small host it is a third of the memory.
+const OWN_BYTES: usize = 32 * 1024 * 1024;
+
+/// Memory of a connection whose peer is silent: its task and the buffers of its socket.
+const CONNECTION_BYTES: usize = 12 * 1024;
+
+/// Share of the rest that is given out, in fifths: an allocator keeps freed memory between
+/// blocks that are in use.
+const GIVEN_FIFTHS: usize = 4;
+
+/// Time without growth from which a message is closed for another one.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// What room is taken for. The order is that of the shares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoomUse {
+    /// A request with a large body.
+    LargeRequest,
+    /// An answer.
+    Answer,
+    /// A request without a large body.
+    SmallRequest,
+}
+
+impl RoomUse {
+    /// Eighths of the budget that may be in use once room is taken for it.
+    fn eighths(self) -> usize {
+        match self {
+            Self::LargeRequest => 6,
+            Self::Answer => 7,
+            Self::SmallRequest => 8,
+        }
+    }
+}
+
+/// Budget of a process; clones share it.
+#[derive(Debug, Clone)]
+pub struct MemoryBudget {
+    shared: Rc<SharedBudget>,
+}
+
+#[derive(Debug)]
+struct SharedBudget {
+    // None without a limit.
+    max_bytes: Option<usize>,
+    held_bytes: Cell<usize>,
+    arriving: RefCell<Vec<Rc<ArrivingRequest>>>,
+}
+
+impl MemoryBudget {
+    /// Budget of a process that may take `memory_bytes`, None without a limit, and serves so
+    /// many connections.
+    pub fn of_process(memory_bytes: Option<usize>, max_connections: usize) -> Self {
+        let max_bytes = memory_bytes.map(|memory_bytes| {
+            let own_bytes = OWN_BYTES.min(memory_bytes / 3);
+            let connection_bytes = max_connections.saturating_mul(CONNECTION_BYTES);
+            let rest = memory_bytes
+                .saturating_sub(own_bytes)
+                .saturating_sub(connection_bytes);
+            // However many connections there may be, some of them are served.
+            (rest / 5 * GIVEN_FIFTHS).max(memory_bytes / 4)
+        });
+        let shared = SharedBudget {
+            max_bytes,
+            held_bytes: Cell::default(),
+            arriving: RefCell::default(),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Whether there is a limit.
+    pub fn is_limited(&self) -> bool {
+        self.shared.max_bytes.is_some()
+    }
+
+    /// Bytes held now.
+    pub fn held_bytes(&self) -> usize {
+        self.shared.held_bytes.get()
+    }
+
+    /// Adds a request that begins to arrive.
+    pub(super) fn begin_arrival(&self) -> Rc<ArrivingRequest> {
+        let request = Rc::new(ArrivingRequest::new(Instant::now()));
+        self.shared.arriving.borrow_mut().push(request.clone());
+        request
+    }
+
+    /// Ends the arrival of a request, whether it has arrived whole or not.
+    pub(super) fn end_arrival(&self, request: &Rc<ArrivingRequest>) {
+        let mut arriving = self.shared.arriving.borrow_mut();
+        arriving.retain(|other| !Rc::ptr_eq(other, request));
+    }
+
+    /// Changes room of `from` bytes to `to` bytes; closes requests that have stopped growing if
+    /// that is needed.
+    ///
+    /// # Errors
+    ///
+    /// [`Http1Error::NoMemory`] when there is no room; then `from` bytes stay taken.
+    pub fn change(&self, from: usize, to: usize, room_use: RoomUse) -> Result<(), Http1Error> {
+        if to > from && !self.has_room(to - from, room_use) {
+            self.close_stalled(to - from, room_use);
+            if !self.has_room(to - from, room_use) {
+                return Err(Http1Error::NoMemory);
+            }
+        }
+        let held_bytes = self.shared.held_bytes.get() - from + to;
+        self.shared.held_bytes.set(held_bytes);
+        Ok(())
+    }
+
+    /// Returns room of `bytes`.
+    pub fn release(&self, bytes: usize) {
+        let held_bytes = self.shared.held_bytes.get() - bytes;
+        self.shared.held_bytes.set(held_bytes);
+    }
+
+    fn has_room(&self, bytes: usize, room_use: RoomUse) -> bool {
+        self.shared.max_bytes.is_none_or(|max_bytes| {
+            let limit = max_bytes / 8 * room_use.eighths();
+            self.shared.held_bytes.get().saturating_add(bytes) <= limit
+        })
+    }
+
+    /// Closes requests that have stopped growing until there is room, the longest silent first.
+    fn close_stalled(&self, bytes: usize, room_use: RoomUse) {
+        let arriving = self.shared.arriving.borrow();
+        let now = Instant::now();
+        let mut stalled: Vec<&Rc<ArrivingRequest>> = arriving
+            .iter()
+            .filter(|request| request.silence(now) >= STALL_TIME && request.counted_bytes() > 0)
+            .collect();
+        stalled.sort_unstable_by_key(|request| std::cmp::Reverse(request.silence(now)));
+        for request in stalled {
+            if self.has_room(bytes, room_use) {
+                return;
+            }
+            self.release(request.close());
+        }
+    }
+}
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -6,14 +6,19 @@
 //! and the target of a request exactly as sent. Heads are parsed by `httparse`.
 //! Ambiguous framing is rejected, which prevents request smuggling.
 
+mod arriving_request;
 mod body;
 mod body_limit;
 mod client;
 mod connection;
+mod connection_slots;
 mod errors;
 mod head;
+mod held_request;
+mod memory_budget;
 mod server;
 
+pub use arriving_request::ArrivingRequest;
 pub use body::BodyDecoder;
 pub use body_limit::BodyLimit;
 pub use client::ClientRequest;
@@ -21,12 +26,19 @@
 pub use client::Http1Client;
 pub use connection::Connection;
 pub use connection::LATE_TIMER;
+pub use connection_slots::ConnectionSlot;
+pub use connection_slots::ConnectionSlots;
+pub use connection_slots::ConnectionStage;
 pub use errors::Http1Error;
 pub use head::Framing;
 pub use head::Headers;
 pub use head::RequestHead;
 pub use head::ResponseHead;
+pub use held_request::HeldRequest;
+pub use memory_budget::MemoryBudget;
+pub use memory_budget::RoomUse;
 pub use server::InternalHandler;
+pub use server::InternalLimits;
 pub use server::InternalRequest;
 pub use server::InternalResponse;
 pub use server::read_request_head;
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -7,8 +7,14 @@
 
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
+use crate::http1::HeldRequest;
 use crate::http1::Http1Error;
+use crate::http1::MemoryBudget;
 use crate::http1::RequestHead;
+use crate::http1::RoomUse;
+use crate::http1::connection_slots::ConnectionSlot;
+use crate::http1::connection_slots::ConnectionSlots;
+use crate::http1::connection_slots::ConnectionStage;
 
 /// Largest head of an internal request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -16,6 +22,12 @@
 /// Largest body of an internal request, in bytes.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// Largest body of a response that is written together with its head, in bytes.
+const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
+
+/// Retry-After of a refusal for which there is no memory, in s.
+const RETRY_AFTER_MEMORY_S: f64 = 0.5;
+
 /// Time that an internal connection may stay idle between two requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -63,6 +75,18 @@
     }
 }
 
+/// Time for which a connection is read after a refusal, so that the peer gets to read it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// What an internal listener may hold for its peers.
+#[derive(Debug, Clone)]
+pub struct InternalLimits {
+    /// Budget of the process.
+    pub memory: MemoryBudget,
+    /// Largest number of connections.
+    pub max_connections: usize,
+}
+
 /// Handles the requests of an internal listener.
 pub trait InternalHandler: 'static {
     /// Handles one request.
@@ -72,7 +96,7 @@
 /// Reads the head of a request.
 ///
 /// Waits at most `idle_timeout` for its first byte, then at most `head_timeout` for the
-/// rest of the head.
+/// rest of the head, which `held` has room for.
 ///
 /// # Errors
 ///
@@ -83,6 +107,7 @@
     max_head_bytes: usize,
     idle_timeout: Duration,
     head_timeout: Duration,
+    held: &mut HeldRequest,
 ) -> Result<RequestHead, Http1Error> {
     let mut deadline = Instant::now() + idle_timeout;
     let mut has_started = !connection.read_buffer.is_empty();
@@ -90,9 +115,14 @@
         deadline = Instant::now() + head_timeout;
     }
     loop {
+        let buffered_bytes = connection.read_buffer.len();
         if let Some(head) = RequestHead::parse_from(&mut connection.read_buffer, max_head_bytes)? {
+            held.end_head(buffered_bytes - connection.read_buffer.len())?;
             return Ok(head);
         }
+        if has_started {
+            held.admit_head(buffered_bytes)?;
+        }
         match connection.fill_buffer_with_deadline(deadline).await {
             Ok(0) if has_started => return Err(Http1Error::IncompleteMessage),
             Ok(0) => return Err(Http1Error::Closed),
@@ -108,14 +138,27 @@
 }
 
 /// Accepts connections and serves their internal requests, without end.
-pub async fn serve_internal(listener: TcpListener, handler: impl InternalHandler) {
+pub async fn serve_internal(
+    listener: TcpListener,
+    handler: impl InternalHandler,
+    limits: InternalLimits,
+) {
     let handler = Rc::new(handler);
+    let slots = Rc::new(ConnectionSlots::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
+                slots.make_room(limits.max_connections).await;
+                let (handler, memory) = (handler.clone(), limits.memory.clone());
+                let slot = slots.add();
                 actix_rt::spawn(async move {
-                    if let Err(error) = serve_connection(Connection::new(stream), &*handler).await {
+                    let mut connection = Connection::new(stream);
+                    let ended = tokio::select! {
+                        biased;
+                        () = slot.closed() => Err(Http1Error::Closed),
+                        ended = serve_connection(&mut connection, &*handler, &memory, &slot) => ended,
+                    };
+                    if let Err(error) = ended {
                         log::debug!("an internal connection ended: {error}");
                     }
                 });
@@ -130,41 +173,123 @@
 
 /// Serves the requests of one connection until it is closed or idle for too long.
 async fn serve_connection(
-    mut connection: Connection,
+    connection: &mut Connection,
     handler: &impl InternalHandler,
+    memory: &MemoryBudget,
+    slot: &ConnectionSlot,
 ) -> Result<(), Http1Error> {
     loop {
-        let read = read_request_head(
-            &mut connection,
-            MAX_HEAD_BYTES,
-            IDLE_TIMEOUT,
-            MESSAGE_TIMEOUT,
-        );
-        let head = match read.await {
-            Ok(head) => head,
-            Err(Http1Error::Closed) => return Ok(()),
-            Err(error) => return Err(error),
+        if !wait_for_request(connection).await? {
+            return Ok(());
+        }
+        slot.enter(ConnectionStage::Reading);
+        let mut held = HeldRequest::new(memory);
+        let arriving = held.arriving();
+        let read = tokio::select! {
+            biased;
+            () = arriving.closed() => Err(Http1Error::NoMemory),
+            read = read_request(connection, &mut held) => read,
         };
-        let deadline = Instant::now() + MESSAGE_TIMEOUT;
-        let decoder = BodyDecoder::new(head.framing()?);
-        let body = connection
-            .read_body(decoder, MAX_BODY_BYTES, || deadline)
-            .await?;
-        let is_last = head.wants_close();
-        let response = handler.handle(InternalRequest { head, body }).await;
-        let mut bytes = format!(
-            "HTTP/1.1 {} .\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n",
-            response.status,
-            response.content_type,
-            response.body.len()
-        )
-        .into_bytes();
-        bytes.extend_from_slice(&response.body);
-        connection
-            .write_with_deadline(&bytes, Instant::now() + MESSAGE_TIMEOUT)
-            .await?;
+        let request = match read {
+            Ok(request) => request,
+            Err(error) => {
+                refuse(connection, &error).await?;
+                return Err(error);
+            }
+        };
+        held.finish();
+        slot.enter(ConnectionStage::Handling);
+        let is_last = request.head.wants_close();
+        let mut response = handler.handle(request).await;
+        let response_bytes = response.body.len().saturating_sub(MAX_JOINED_BODY_BYTES);
+        let is_admitted = memory.change(0, response_bytes, RoomUse::Answer).is_ok();
+        if !is_admitted {
+            response = InternalResponse::without_body(503);
+        }
+        let written = write_response(connection, &response).await;
+        if is_admitted {
+            memory.release(response_bytes);
+        }
+        written?;
         if is_last {
             return Ok(());
         }
+        slot.enter(ConnectionStage::Idle);
+    }
+}
+
+/// Waits for the first byte of a request; false when none arrives in time.
+async fn wait_for_request(connection: &mut Connection) -> Result<bool, Http1Error> {
+    if !connection.read_buffer.is_empty() {
+        return Ok(true);
+    }
+    let idle_until = Instant::now() + IDLE_TIMEOUT;
+    match connection.fill_buffer_with_deadline(idle_until).await {
+        Ok(0) | Err(Http1Error::TimedOut) => Ok(false),
+        Ok(_) => Ok(true),
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads a request whose first bytes have arrived.
+async fn read_request(
+    connection: &mut Connection,
+    held: &mut HeldRequest,
+) -> Result<InternalRequest, Http1Error> {
+    let read = read_request_head(
+        connection,
+        MAX_HEAD_BYTES,
+        IDLE_TIMEOUT,
+        MESSAGE_TIMEOUT,
+        held,
+    );
+    let head = read.await?;
+    let framing = head.framing()?;
+    held.begin_body(framing.announced_bytes(), MAX_BODY_BYTES)?;
+    let deadline = Instant::now() + MESSAGE_TIMEOUT;
+    let decoder = BodyDecoder::new(framing);
+    let body = connection.read_body(decoder, held, || deadline).await?;
+    Ok(InternalRequest { head, body })
+}
+
+/// Answers a request that is not read because of its size or for lack of memory; the connection
+/// is then closed.
+async fn refuse(connection: &mut Connection, error: &Http1Error) -> Result<(), Http1Error> {
+    let head = match error {
+        Http1Error::BodyTooLarge => "HTTP/1.1 413 .\r\n".to_owned(),
+        Http1Error::NoMemory => {
+            format!("HTTP/1.1 503 .\r\nRetry-After: {RETRY_AFTER_MEMORY_S}\r\n")
+        }
+        _ => return Ok(()),
+    };
+    let text = head + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    let deadline = Instant::now() + MESSAGE_TIMEOUT;
+    connection
+        .write_with_deadline(text.as_bytes(), deadline)
+        .await?;
+    connection.linger(Instant::now() + LINGER_TIME).await;
+    Ok(())
+}
+
+/// Writes a response.
+async fn write_response(
+    connection: &Connection,
+    response: &InternalResponse,
+) -> Result<(), Http1Error> {
+    let mut bytes = format!(
+        "HTTP/1.1 {} .\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n",
+        response.status,
+        response.content_type,
+        response.body.len()
+    )
+    .into_bytes();
+    let mut rest = response.body.as_slice();
+    if rest.len() <= MAX_JOINED_BODY_BYTES {
+        bytes.extend_from_slice(rest);
+        rest = &[];
     }
+    let deadline = Instant::now() + MESSAGE_TIMEOUT;
+    connection
+        .write_message_with_deadline(&bytes, rest, deadline)
+        .await
 }
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -19,6 +19,8 @@
 use crate::gateway::fetch_records;
 use crate::gateway::for_each_datagram;
 use crate::gateway::wait_for_changed_settings;
+use crate::http1::InternalLimits;
+use crate::http1::MemoryBudget;
 use crate::http1::serve_internal;
 use crate::observe::Event;
 use crate::observe::LogLine;
@@ -52,6 +54,9 @@
 /// rounded up, so that the rate of messages that a host sends stays bounded.
 const HOSTS_PER_HAVE_INTERVAL: u32 = 20;
 
+/// Connections that each port serves at once: more than the other hosts of a deployment open.
+const MAX_CONNECTIONS: usize = 128;
+
 /// Time for which pieces are still served after a stop signal.
 const STOP_DELAY: Duration = Duration::from_millis(300);
 
@@ -78,13 +83,18 @@
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
     let metrics = Rc::new(Metrics::new());
     let state = StagingState::new(settings.clone());
+    let limits = InternalLimits {
+        memory: MemoryBudget::of_process(settings.memory_bytes, 2 * MAX_CONNECTIONS),
+        max_connections: MAX_CONNECTIONS,
+    };
     for address in [settings.internal, settings.metrics] {
         let handler = PieceHandler {
             state: state.clone(),
             engine: engine.clone(),
             metrics: metrics.clone(),
         };
-        actix_rt::spawn(serve_internal(TcpListener::bind(address).await?, handler));
+        let listener = TcpListener::bind(address).await?;
+        actix_rt::spawn(serve_internal(listener, handler, limits.clone()));
     }
     let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     actix_rt::spawn(follow_records(
--- a/src/staging/settings.rs
+++ b/src/staging/settings.rs
@@ -20,6 +20,8 @@
     /// Time after the declaration of a version within which it must serve every
     /// request, in ms.
     pub weights_apply_ms: u64,
+    /// Memory of the host for this process, in bytes; None without a limit.
+    pub memory_bytes: Option<usize>,
 }
 
 impl StagingSettings {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -285,6 +285,7 @@
         config_apply_ms: 2_000,
         link_mbps: 100.0,
         max_client_connections: 10,
+        memory_bytes: None,
     }
 }
 
