--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use crate::gateway::standstill::Standstill;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::usual_deadlines::UsualDeadlines;
+use crate::http1::MemoryBudget;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
@@ -139,6 +140,8 @@
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings) -> Rc<RefCell<Self>> {
         let mut rng = Pcg64Mcg::from_os_rng();
+        let budget =
+            MemoryBudget::of_process(settings.memory_bytes, settings.max_client_connections);
         Rc::new(RefCell::new(Self {
             settings,
             catalog: None,
@@ -146,7 +149,7 @@
             weights: Declarations::default(),
             evacuations: Evacuations::default(),
             replicas: ReplicaTable::default(),
-            answer_memory: AnswerMemory::default(),
+            answer_memory: AnswerMemory::new(budget),
             peers: PeerTable::default(),
             suspects: SuspectTable::new(SUSPECT_WINDOW_MS, MAX_SUSPECTS),
             incarnation: rng.random(),
