--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -67,7 +67,6 @@
     let waited_before_ms = state.waited_before_ms(&route.name, deadline_ms);
     let deadline = received_at + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random_bits());
-    state.count_request(&service);
     // By service: what one service of a split route runs to an end may crash the other.
     let caller = workspace.as_deref().unwrap_or_default();
     let run = format!("{service} {host}{} {caller}", head.target);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod fleet_view;
 mod heartbeats;
 mod listing_turn;
+mod load_spread;
 mod notices;
 mod retries;
 mod rewind;
