--- a/src/gateway/standstill.rs
+++ b/src/gateway/standstill.rs
@@ -1,5 +1,3 @@
-use crate::gateway::GatewayState;
-
 /// Time for which a process must have stood still for heartbeats that waited meanwhile to be too
 /// old for the directory, in ms: with the longest time after which a silent entry counts as
 /// failed (3.6 s), a dead entry is otherwise named for less than 7 s.
@@ -45,11 +43,3 @@
         })
     }
 }
-
-impl GatewayState {
-    /// Records that the process runs, so that a standstill is noticed.
-    pub(super) fn record_run(&mut self) {
-        let now_ms = self.now_ms();
-        self.standstill.record_run(now_ms);
-    }
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -194,6 +194,12 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Records that the process runs, so that a standstill is noticed.
+    pub(super) fn record_run(&mut self) {
+        let now_ms = self.now_ms();
+        self.standstill.record_run(now_ms);
+    }
+
     /// Time from `at` until the stop ends what is under way, in ms; None without a stop.
     pub fn stop_left_ms(&self, at: Instant) -> Option<u64> {
         let left = self.ends_at?.saturating_duration_since(at);
