Take answers whose status HTTP does not have for none, and serve heads with many lines

600 and 999 reached the caller with their bodies, on all routes. The head is now malformed, its connection is not used again, and the caller gets 502 where no other replica may be asked; 101 and statuses under 100 too.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,10 +1,18 @@
+use std::ops::RangeInclusive;
+
 use bytes::Buf;
 use bytes::BytesMut;
 
 use crate::http1::Http1Error;
 
-/// Most header lines in one head.
-const MAX_HEADERS: usize = 96;
+/// Bytes of the shortest header line.
+const MIN_LINE_BYTES: usize = 4;
+
+/// Statuses that HTTP has.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// Status of an upgrade, which no request here asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Header lines in the order of arrival; names are compared without case.
 #[derive(Debug, Clone, Default)]
@@ -117,7 +125,7 @@
         read_buffer: &mut BytesMut,
         max_bytes: usize,
     ) -> Result<Option<Self>, Http1Error> {
-        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut lines = vec![httparse::EMPTY_HEADER; max_lines(read_buffer, max_bytes)];
         let mut parsed = httparse::Request::new(&mut lines);
         let len = match parsed.parse(read_buffer) {
             Ok(httparse::Status::Complete(len)) => len,
@@ -180,6 +188,13 @@
     }
 }
 
+/// Most header lines that a head of at most `max_bytes` at the front of `read_buffer` can have.
+fn max_lines(read_buffer: &[u8], max_bytes: usize) -> usize {
+    let head = &read_buffer[..read_buffer.len().min(max_bytes)];
+    let line_ends = head.iter().filter(|byte| **byte == b'\n').count();
+    line_ends.min(max_bytes / MIN_LINE_BYTES) + 1
+}
+
 /// Status line and headers of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
@@ -204,7 +219,7 @@
         read_buffer: &mut BytesMut,
         max_bytes: usize,
     ) -> Result<Option<Self>, Http1Error> {
-        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut lines = vec![httparse::EMPTY_HEADER; max_lines(read_buffer, max_bytes)];
         let mut parsed = httparse::Response::new(&mut lines);
         let len = match parsed.parse(read_buffer) {
             Ok(httparse::Status::Complete(len)) => len,
@@ -217,8 +232,13 @@
         if len > max_bytes {
             return Err(Http1Error::HeadTooLarge);
         }
+        let status = parsed.code.unwrap_or_default();
+        // Nothing that such a head says of its body is believed.
+        if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+            return Err(Http1Error::Malformed("status of the response"));
+        }
         let head = Self {
-            status: parsed.code.unwrap_or_default(),
+            status,
             reason: parsed.reason.unwrap_or_default().to_owned(),
             is_http10: parsed.version == Some(0),
             headers: Headers::from_httparse(parsed.headers),
--- a/tests/http1/main.rs
+++ b/tests/http1/main.rs
@@ -73,6 +73,15 @@
     ));
 }
 
+/// Guards against a refusal of heads with many short lines that are within the limit of bytes.
+#[test]
+fn request_head_many_lines() {
+    let lines: String = (0..120).map(|number| format!("x{number}:y\r\n")).collect();
+    let head = parse_request(&format!("GET / HTTP/1.1\r\n{lines}\r\n"));
+    let head = head.expect("a valid head").expect("a complete head");
+    assert_eq!(head.headers.values("x119").count(), 1);
+}
+
 #[test]
 fn request_head_folded_line() {
     let head = "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n";
