--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -2,7 +2,6 @@
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
 use crate::fleet::RouteKind;
-use crate::fleet::choose_by_level;
 
 /// Share of the latency target that waiting and predicted time together may use; the
 /// rest is a reserve for errors of the prediction.
@@ -16,8 +15,8 @@
 /// Predicted time subtracted for a replica in the same failure domain, in ms.
 const SAME_DOMAIN_BONUS_MS: f64 = 40.0;
 
-/// Largest random time added to a prediction for a replica without an engine, in ms, so that
-/// entries do not all choose the same replica.
+/// Largest random time added to a prediction, in ms, so that entries with the same load
+/// reports do not all choose the same replica.
 const MAX_JITTER_MS: f64 = 20.0;
 
 /// Shortest and longest time after which a refused client should retry, in ms.
@@ -43,9 +42,6 @@
 const PREDICTION_ERROR_FACTOR: f64 = 2.0;
 const BEGIN_RESERVE_MS: f64 = 240.0;
 
-/// Factor by which a prompt is read more slowly while the engine's other requests run.
-const SHARED_PROMPT_FACTOR: f64 = 1.5;
-
 /// Silence of a sound replica that a request must bear which can't be moved to another one, in
 /// ms.
 const SOUND_SILENCE_MS: u64 = 1_000;
@@ -106,10 +102,6 @@
     pub entry_count: u32,
     /// Estimated requests per ms that the other entries together send to one replica.
     pub peer_requests_per_ms: f64,
-    /// Estimated requests that all entries together send to the service, per ms.
-    pub sends_per_ms: f64,
-    /// Time by which most answers of the service begin later than predicted, in ms.
-    pub start_delay_ms: f64,
     /// For each of the replicas, the time within which it must begin the request, in ms;
     /// None for no limit.
     pub begin_within_ms: &'a [Option<u64>],
@@ -131,102 +123,42 @@
 
 /// Chooses the replica for a request, or refuses the request at once.
 ///
-/// Among the engines that are predicted to meet the latency target it goes to one by chance,
-/// so that all are filled alike, and among other replicas to the one with the shortest
-/// predicted time. It is refused when no replica is predicted to meet the target, since it
-/// would only delay other requests. A request whose target has passed already, or whose client retries after a
+/// The request goes to the replica with the shortest predicted time. It is refused when
+/// no replica is predicted to meet the latency target, since it would only delay other
+/// requests. A request whose target has passed already, or whose client retries after a
 /// refusal, goes only to an engine with enough free slots; one that resumes a stream goes
 /// to any engine at which no request waits.
 pub fn admit_request(input: &AdmissionInput<'_>) -> AdmissionDecision {
     if input.remaining_ms == 0 {
         return refuse(RefusalCause::Expired, input);
     }
-    let mut capable: Vec<Capable> = Vec::new();
+    let mut best: Option<(f64, f64, ReplicaKey)> = None;
     for (index, (key, replica)) in input.replicas.iter().enumerate() {
-        let Some(prediction) = predict(input, replica) else {
+        let Some(predicted_ms) = predicted_answer_ms(input, replica) else {
             continue;
         };
         let begin_within_ms = input.begin_within_ms.get(index).copied().flatten();
-        if begins_in_time(begin_within_ms, prediction.predicted_ms) {
-            capable.push(Capable {
-                key: *key,
-                prediction,
-                report_age_ms: replica.report_age_ms(input.now_ms).unwrap_or(0) as f64,
-                is_near: replica.record.failure_domain == input.failure_domain,
-            });
+        if !begins_in_time(begin_within_ms, predicted_ms) {
+            continue;
+        }
+        let mut cost_ms = predicted_ms + MAX_JITTER_MS * unit_random(input.seed, index);
+        if replica.record.failure_domain == input.failure_domain {
+            cost_ms -= SAME_DOMAIN_BONUS_MS;
+        }
+        if best.is_none_or(|best| cost_ms < best.0) {
+            best = Some((cost_ms, predicted_ms, *key));
         }
     }
-    let chosen = match input.engine {
-        Some(engine) => choose_engine(input, engine, &capable),
-        None => choose_shortest(input, &capable),
-    };
-    match chosen {
-        Some(at) => AdmissionDecision::Send {
-            replica: capable[at].key,
-            predicted_ms: capable[at].prediction.predicted_ms,
+    match best {
+        Some((_, predicted_ms, replica)) => AdmissionDecision::Send {
+            replica,
+            predicted_ms,
         },
         None if input.replicas.is_empty() => refuse(RefusalCause::NoReplica, input),
         None => refuse(RefusalCause::Overload, input),
     }
 }
 
-/// A replica that has the capacity for a request.
-struct Capable {
-    key: ReplicaKey,
-    prediction: Prediction,
-    report_age_ms: f64,
-    is_near: bool,
-}
-
-/// What is predicted for a request at one replica.
-struct Prediction {
-    /// Time to the first event or the answer, in ms.
-    predicted_ms: f64,
-    /// Requests that the replica has, by its last report and the sends of this process.
-    requests: f64,
-    /// Part of the prediction that these requests do not explain, in ms.
-    extra_ms: f64,
-}
-
-/// Index of the replica with the shortest predicted time.
-fn choose_shortest(input: &AdmissionInput<'_>, capable: &[Capable]) -> Option<usize> {
-    let cost_ms = |at: usize| {
-        let bonus_ms = if capable[at].is_near {
-            SAME_DOMAIN_BONUS_MS
-        } else {
-            0.0
-        };
-        let jitter_ms = MAX_JITTER_MS * unit_random(input.seed, at);
-        capable[at].prediction.predicted_ms + jitter_ms - bonus_ms
-    };
-    (0..capable.len()).min_by(|a, b| cost_ms(*a).total_cmp(&cost_ms(*b)))
-}
-
-/// Index of the engine that a request is sent to. Times count as requests, by the time in which
-/// a prompt is read.
-fn choose_engine(
-    input: &AdmissionInput<'_>,
-    engine: &EngineProfile,
-    capable: &[Capable],
-) -> Option<usize> {
-    let prompt_ms = engine.mean_prompt_tokens / engine.prompt_tokens_per_ms.max(0.001);
-    let request_ms = (prompt_ms / SHARED_PROMPT_FACTOR).max(1.0);
-    let levels: Vec<f64> = capable
-        .iter()
-        .map(|capable| {
-            let crossing_ms = if capable.is_near {
-                0.0
-            } else {
-                SAME_DOMAIN_BONUS_MS
-            };
-            capable.prediction.requests + (capable.prediction.extra_ms + crossing_ms) / request_ms
-        })
-        .collect();
-    let ages_ms: f64 = capable.iter().map(|capable| capable.report_age_ms).sum();
-    let expected = input.sends_per_ms * ages_ms / capable.len().max(1) as f64;
-    choose_by_level(&levels, expected, unit_random(input.seed, 0))
-}
-
 /// Whether a request that is predicted to begin after `predicted_ms` begins within the time
 /// that its replica may still use its weights.
 ///
@@ -261,51 +193,35 @@
     begins_in_time(Some(elapsed_ms), predicted_ms)
 }
 
-/// What is predicted for the request at `replica`; None when it lacks the capacity for it.
-fn predict(input: &AdmissionInput<'_>, replica: &Replica) -> Option<Prediction> {
+/// Predicted time to the first event or the answer at `replica`, in ms; None when it
+/// lacks the capacity for the request.
+fn predicted_answer_ms(input: &AdmissionInput<'_>, replica: &Replica) -> Option<f64> {
     let Some(engine) = input.engine else {
-        return predicted_ms_without_engine(input, replica).map(|predicted_ms| Prediction {
-            predicted_ms,
-            requests: f64::from(replica.in_flight),
-            extra_ms: 0.0,
-        });
+        return predicted_ms_without_engine(input, replica);
     };
     let pace = replica
         .recent_load(input.now_ms)
         .map_or(1.0, |load| load.pace);
-    let own_view = |peer_requests_per_ms: f64| {
-        replica
-            .estimated_requests(peer_requests_per_ms, input.now_ms)
-            .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entry_count))
-    };
-    let requests = own_view(input.peer_requests_per_ms);
+    let requests = replica
+        .estimated_requests(input.peer_requests_per_ms, input.now_ms)
+        .unwrap_or_else(|| replica.in_flight.saturating_mul(input.entry_count));
     let excess_delay_ms = replica.excess_delay_ms(input.now_ms);
     let unread = replica.unstarted_requests(input.now_ms);
     let predicted_ms =
         pace * predicted_first_event_ms(engine, requests, f64::from(input.prompt_tokens));
     let unread_ms = pace * unread_prompts_ms(engine, requests, unread);
     let time_budget_ms = input.target_latency_ms as f64 * MAX_TARGET_SHARE - input.waited_ms as f64;
-    let start_delay_ms = if requests < engine.slots {
-        // Free slots are used in any case.
-        0.0
-    } else {
-        input.start_delay_ms
-    };
     let has_capacity = if excess_delay_ms >= MAX_EXCESS_DELAY_MS {
         false
     } else if input.has_partial_answer {
         requests <= engine.slots
     } else if time_budget_ms > 0.0 && !input.was_refused_before {
-        predicted_ms + start_delay_ms <= time_budget_ms
+        predicted_ms <= time_budget_ms
     } else {
         f64::from(requests) < f64::from(engine.slots) * MAX_LATE_SLOT_SHARE
     };
     // Slots that are free are used, even if the prompts before are read first.
-    has_capacity.then(|| Prediction {
-        predicted_ms: predicted_ms + unread_ms + excess_delay_ms,
-        requests: pace * f64::from(own_view(0.0)),
-        extra_ms: unread_ms + excess_delay_ms,
-    })
+    has_capacity.then_some(predicted_ms + unread_ms + excess_delay_ms)
 }
 
 /// Predicted time to the answer at `replica` of a service without an engine, in ms, from
@@ -343,7 +259,7 @@
     let request_ms = engine.mean_answer_tokens * step_ms
         + slots * engine.mean_prompt_tokens / engine.prompt_tokens_per_ms.max(0.001);
     let waiting = (f64::from(requests) + 1.0 - slots).max(0.0);
-    pass_ms + SHARED_PROMPT_FACTOR * prompt_ms + waiting * request_ms / slots
+    pass_ms + 1.5 * prompt_ms + waiting * request_ms / slots
 }
 
 /// Time in which an engine reads the prompts of `unread` of its `requests`, which it reads
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -288,17 +288,17 @@
         self.mean_excess_delay_ms * 0.5f64.powf(idle_ms / DELAY_HALF_LIFE_MS)
     }
 
-    /// Adds the excess delay of a pending send to the mean, unless it was added before; returns
-    /// by how much its answer began later than predicted, in ms.
-    fn record_delay(&mut self, send_id: u64, now_ms: u64) -> Option<f64> {
-        let at = self.pending.iter().position(|p| p.send_id == send_id)?;
+    /// Adds the excess delay of a pending send to the mean, unless it was added before.
+    fn record_delay(&mut self, send_id: u64, now_ms: u64) {
+        let Some(at) = self.pending.iter().position(|p| p.send_id == send_id) else {
+            return;
+        };
         let pending = self.pending.swap_remove(at);
         let took_ms = now_ms.saturating_sub(pending.sent_ms) as f64;
         let newest_ms = (took_ms - pending.predicted_ms).max(0.0);
         let past_ms = self.mean_excess_delay_ms(now_ms);
         self.mean_excess_delay_ms = past_ms + DELAY_WEIGHT * (newest_ms - past_ms);
         self.mean_excess_delay_updated_ms = now_ms;
-        Some(took_ms - pending.predicted_ms)
     }
 
     /// Mean latency of its answers, in ms; 0 before the first.
@@ -535,19 +535,12 @@
         self.last_send_id
     }
 
-    /// Records that the answer to a send has begun; returns by how much later than predicted,
-    /// in ms, unless that was recorded before.
-    pub fn record_answer_start(
-        &mut self,
-        key: ReplicaKey,
-        send_id: u64,
-        now_ms: u64,
-    ) -> Option<f64> {
+    /// Records that the answer to a send has begun.
+    pub fn record_answer_start(&mut self, key: ReplicaKey, send_id: u64, now_ms: u64) {
         let replica = &mut self.replicas[key.0 as usize];
-        let error_ms = replica.record_delay(send_id, now_ms);
+        replica.record_delay(send_id, now_ms);
         replica.record_probe_end(send_id, now_ms);
         replica.last_answer_ms = now_ms;
-        error_ms
     }
 
     /// Records that a send has ended, with an answer or without.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -91,12 +91,9 @@
     pub(super) fn record_events_sent(&self) {
         let mut state = self.state.borrow_mut();
         let now_ms = state.now_ms();
-        let replicas = &mut state.replicas;
-        let error_ms = replicas.record_answer_start(self.key, self.send_id, now_ms);
-        if let Some(error_ms) = error_ms {
-            let service = state.replicas.get(self.key).record.service.clone();
-            state.start_delays.record(&service, error_ms, now_ms);
-        }
+        state
+            .replicas
+            .record_answer_start(self.key, self.send_id, now_ms);
     }
 }
 
@@ -245,8 +242,6 @@
             failure_domain: &state.settings.failure_domain,
             entry_count: state.entry_count(),
             peer_requests_per_ms: peer_requests_per_replica_ms,
-            sends_per_ms: state.fleet_sends_per_ms(&request.service),
-            start_delay_ms: state.start_delays.delay_ms(&request.service, now_ms),
             begin_within_ms: &begin_limits_ms,
             prompt_tokens: request.facts.prompt_tokens,
             waited_ms: request.waited_ms(),
@@ -333,7 +328,6 @@
         let send_id = state
             .replicas
             .record_send(chosen.key, chosen.predicted_ms, now_ms);
-        state.count_send(&request.service);
         if request.sends == 0 && request.tried_replicas.is_empty() {
             state.retry_budget(&request.service).record_request(now_ms);
         }
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -72,6 +72,7 @@
     let waited_before_ms = state.waited_before_ms(&route.name, deadline_ms);
     let deadline = received_at + Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let service = choose_service(&route, state.random_bits());
+    state.count_request(&service);
     // What one service of a split route runs to an end may crash the other, and what has crashed
     // replicas of some services is sent to no further one.
     let caller = workspace.as_deref().unwrap_or_default();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,6 @@
 use crate::fleet::PeerTable;
 use crate::fleet::ReplicaTable;
 use crate::fleet::SharedRetryBudget;
-use crate::fleet::StartDelays;
 use crate::fleet::Topic;
 use crate::fleet::TopicTable;
 use crate::gateway::GatewaySettings;
@@ -102,9 +101,7 @@
     pub(super) topic_tables: [TopicTable; 3],
     /// Retry budgets of the services.
     pub(super) retry_budgets: RetryBudgets,
-    /// By how much the answers of each service begin later than predicted.
-    pub(super) start_delays: StartDelays,
-    send_rates: RequestRates,
+    request_rates: RequestRates,
     usual_deadlines: UsualDeadlines,
     store_status: StoreStatus,
     /// Last time at which the store was found unavailable to this entry and to any
@@ -166,8 +163,7 @@
             update_notice: Rc::new(Notify::new()),
             topic_tables: Default::default(),
             retry_budgets: RetryBudgets::default(),
-            start_delays: StartDelays::default(),
-            send_rates: RequestRates::default(),
+            request_rates: RequestRates::default(),
             usual_deadlines: UsualDeadlines::default(),
             store_status: StoreStatus::default(),
             store_unavailable_ms: None,
@@ -312,28 +308,19 @@
         self.retry_budgets.find_or_add(service, &self.settings)
     }
 
-    /// Counts a request that is sent to a replica of `service`.
-    pub fn count_send(&mut self, service: &str) {
+    /// Counts a request for `service`, whether it is then sent or refused.
+    pub fn count_request(&mut self, service: &str) {
         let now_ms = self.now_ms();
-        self.send_rates.record_request(service, now_ms);
+        self.request_rates.record_request(service, now_ms);
     }
 
-    /// Estimated rate at which all other entries send requests to `service`, per ms: each is
-    /// assumed to send as many as this one.
+    /// Estimated rate of requests for `service` at all other entries, per ms: each is
+    /// assumed to get as many as this one.
     pub fn peer_requests_per_ms(&self, service: &str) -> f64 {
         let others = f64::from(self.entry_count() - 1);
-        self.own_sends_per_ms(service) * others
-    }
-
-    /// Estimated rate at which all entries together send requests to `service`, per ms.
-    pub fn fleet_sends_per_ms(&self, service: &str) -> f64 {
-        self.own_sends_per_ms(service) * f64::from(self.entry_count())
-    }
-
-    fn own_sends_per_ms(&self, service: &str) -> f64 {
-        self.send_rates
+        self.request_rates
             .requests_per_ms(service, self.now_ms())
-            .unwrap_or(0.0)
+            .map_or(0.0, |requests_per_ms| requests_per_ms * others)
     }
 
     /// Number of entries that are up, this one included.
