--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -21,7 +21,6 @@
 use crate::gateway::exchange;
 use crate::gateway::placement::ChosenReplica;
 use crate::gateway::port_probe::probe_port;
-use crate::http1::Http1Error;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::weights::Digest;
