--- a/review/stand-ins-2/src/crowd.rs
+++ b/review/stand-ins-2/src/crowd.rs
@@ -16,6 +16,7 @@
 use crate::process::config;
 use crate::process::replica_record;
 use crate::process::start_entry;
+use crate::process::unix_ms;
 use crate::store::Store;
 
 /// Memory of the machine, in bytes.
@@ -40,7 +41,9 @@
     let scratch = Scratch::create("review-2-crowd")?;
     let store = Store::start()?;
     let replica = serve(([127, 0, 0, 1], 0).into(), |head, _, connection| {
-        let id = head.header("bergamotfork-request-attempt-id").unwrap_or_default();
+        let id = head
+            .header("bergamotfork-request-attempt-id")
+            .unwrap_or_default();
         let headers = format!(
             "Bergamotfork-Request-Attempt-Id: {id}\r\nBergamotfork-Response-Seal: s.{id}\r\n"
         );
@@ -51,7 +54,11 @@
                  \"priority\":2,\"service\":\"desk\",\"max_attempts\":2,\"anonymous\":true}";
     let service = "{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":96}";
     store.put("keyed.op", "config", &config(3, route, service));
-    store.put("keyed.servers", "i-0", &replica_record("desk", replica, "ready", 1));
+    store.put(
+        "keyed.servers",
+        "i-0",
+        &replica_record("desk", replica, "ready", unix_ms(), 1),
+    );
     let Some((mut entry, addresses)) = start_entry(&scratch, store.address)? else {
         record.line("the entry did not become ready");
         return Ok(Verdict::NotRun);
@@ -87,13 +94,21 @@
             break;
         }
     }
-    record.line(format!("{} connections are open, {} MB resident", crowd.len(), most >> 20));
+    record.line(format!(
+        "{} connections are open, {} MB resident",
+        crowd.len(),
+        most >> 20
+    ));
     let until = Instant::now() + HOLD_TIME;
     while Instant::now() < until && most <= MEMORY_BYTES && !entry.has_ended() {
         most = most.max(entry.resident_bytes().unwrap_or(0));
         thread::sleep(Duration::from_millis(50));
     }
-    record.line(format!("at most {} MB resident of {} MB", most >> 20, MEMORY_BYTES >> 20));
+    record.line(format!(
+        "at most {} MB resident of {} MB",
+        most >> 20,
+        MEMORY_BYTES >> 20
+    ));
     if most > MEMORY_BYTES {
         // The platform kills a process that exceeds the memory of its machine.
         entry.kill();
@@ -141,7 +156,9 @@
     let Some(mut connection) = Connection::open(front) else {
         return 0;
     };
-    let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(5)));
+    let _ = connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(5)));
     let request = "POST /hold/y HTTP/1.1\r\nHost: h.example\r\n\
                    Bergamotfork-Request-Attempt-Id: 00000000000000bb\r\n\
                    Bergamotfork-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nhold";
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -23,11 +23,6 @@
         Some(&line.1)
     }
 
-    /// Method of a request.
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     /// Path and query of a request.
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or_default()
@@ -149,7 +144,9 @@
                 body.extend_from_slice(&chunk[..size]);
             }
         }
-        let length = head.header("content-length").and_then(|text| text.parse().ok());
+        let length = head
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
         match self.read_bytes(length.unwrap_or(0)) {
             Some(bytes) => (bytes, true),
             None => (std::mem::take(&mut self.buffer), false),
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,12 +2,15 @@
 //! separate processes, writes record.txt into its folder, and exits with 1 if the rule was
 //! broken, 0 if it held and 2 if it could not run.
 
+mod crash;
 mod crowd;
 mod http;
 mod process;
+mod reborn;
 mod replica;
 mod spot;
 mod store;
+mod stray;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -32,14 +35,20 @@
     thread::spawn(|| {
         thread::sleep(MAX_RUN_TIME);
         eprintln!("the run took too long");
+        process::kill_all();
         std::process::exit(2);
     });
     let verdict = match words.as_slice() {
-        [_, "replica", address, id] => replica::run(address, id),
+        [_, "replica", address, id, events, born] => replica::run(address, id, events, born),
         [_, "spot", folder] => spot::run(Path::new(folder), has_trouble),
         [_, "crowd", folder] => crowd::run(Path::new(folder), has_trouble),
+        [_, "crash", folder] => crash::run(Path::new(folder), has_trouble),
+        [_, "reborn", folder] => reborn::run(Path::new(folder), has_trouble),
+        [_, "stray", folder] => stray::run(Path::new(folder), has_trouble),
         _ => {
-            eprintln!("usage: review-2 replica ADDRESS ID | spot FOLDER | crowd FOLDER");
+            eprintln!(
+                "usage: review-2 replica ADDRESS ID EVENTS BORN, or review-2 crash|spot|crowd|stray|reborn FOLDER"
+            );
             Ok(Verdict::NotRun)
         }
     };
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::UNIX_EPOCH;
 
 use crate::http::Connection;
 
@@ -41,6 +42,19 @@
     }
 }
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that run, as the run ends early.
+pub fn kill_all() {
+    let running = RUNNING.lock().expect("no holder panics");
+    for pid in running.iter() {
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &pid.to_string()])
+            .status();
+    }
+}
+
 /// A process that is killed when it is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -48,10 +62,27 @@
 }
 
 impl Process {
+    pub fn new(child: Child) -> Self {
+        RUNNING.lock().expect("no holder panics").push(child.id());
+        Self { child }
+    }
+
     /// Ends the process with SIGKILL and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let pid = self.child.id();
+        RUNNING
+            .lock()
+            .expect("no holder panics")
+            .retain(|other| *other != pid);
+    }
+
+    /// Sends the process a signal by its name, such as `HUP`.
+    pub fn signal(&self, name: &str) -> std::io::Result<()> {
+        let pid = self.child.id().to_string();
+        Command::new("kill").args(["-s", name, &pid]).status()?;
+        Ok(())
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -62,7 +93,9 @@
     pub fn resident_bytes(&self) -> Option<u64> {
         let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
         let kilobytes: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
         Some(kilobytes * 1024)
     }
@@ -142,7 +175,7 @@
              listen.front={}\nlisten.ready={}\nlisten.directory={directory}\n",
             addresses.front, addresses.ready
         );
-    let process = start(scratch, "entry", &text)?;
+    let process = start(scratch, "entry", "entry", &text)?;
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
         if readiness(addresses.ready) == 200 {
@@ -153,19 +186,20 @@
     Ok(None)
 }
 
-/// Starts an endpoint process beside the engine at `app`.
+/// Starts an endpoint process beside the replica at `app`.
 pub fn start_endpoint(
     scratch: &Scratch,
     store: SocketAddr,
     app: SocketAddr,
     service: &str,
 ) -> std::io::Result<Process> {
-    let text = common_settings("side-longbeach-1", app.ip(), store)
+    let name = format!("side-longbeach-{}", app.ip());
+    let text = common_settings(&name, app.ip(), store)
         + &format!(
             "role=endpoint\nlimits.memory_mb=128\nlimits.max_fds=2048\nlimits.link_mbps=9.4\n\
              app={app}\nservice={service}\n"
         );
-    start(scratch, "endpoint", &text)
+    start(scratch, "endpoint", &name, &text)
 }
 
 /// Status of the readiness check; 0 without an answer.
@@ -174,18 +208,20 @@
         return 0;
     };
     let request = b"GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n";
-    let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let _ = connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(1)));
     if connection.stream.write_all(request).is_err() {
         return 0;
     }
     connection.read_head().map_or(0, |head| head.status())
 }
 
-/// Starts the role `role` with these settings; its log goes to the scratch folder.
-fn start(scratch: &Scratch, role: &str, settings: &str) -> std::io::Result<Process> {
-    let path = scratch.path.join(format!("{role}.conf"));
+/// Starts the role `role` with these settings; they and its log go to the scratch folder.
+fn start(scratch: &Scratch, role: &str, name: &str, settings: &str) -> std::io::Result<Process> {
+    let path = scratch.path.join(format!("{name}.conf"));
     std::fs::write(&path, settings)?;
-    let log = File::create(scratch.path.join(format!("{role}.log")))?;
+    let log = File::create(scratch.path.join(format!("{name}.log")))?;
     let child = Command::new("target/release/bergamotfork-platform")
         .arg(role)
         .env("BERGAMOTFORK_CONFIG", &path)
@@ -193,7 +229,7 @@
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()?;
-    Ok(Process { child })
+    Ok(Process::new(child))
 }
 
 /// Configuration with these routes, services and the limits of the small deployment.
@@ -205,11 +241,22 @@
     )
 }
 
-/// Record of a replica in the store.
-pub fn replica_record(service: &str, address: SocketAddr, state: &str, sequence: u64) -> String {
+/// Present time, in Unix ms.
+pub fn unix_ms() -> u128 {
+    UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis())
+}
+
+/// Record of a replica that started at `born`, in Unix ms.
+pub fn replica_record(
+    service: &str,
+    address: SocketAddr,
+    state: &str,
+    born: u128,
+    sequence: u64,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"longbeach\",\
          \"version\":\"v1\",\"slots\":16,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
-         \"models\":[],\"sequence\":{sequence}}}"
+         \"models\":[],\"sequence\":{sequence},\"born\":{born}}}"
     )
 }
--- a/review/stand-ins-2/src/spot.rs
+++ b/review/stand-ins-2/src/spot.rs
@@ -1,9 +1,8 @@
-//! A replica is taken away two seconds after its notice, while its streams are under way.
+//! Replicas are taken away two seconds after their notice, while their streams are under way.
 
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -24,11 +23,15 @@
 use crate::process::machine_ip;
 use crate::process::replica_record;
 use crate::process::start_entry;
-use crate::replica::EVENTS;
+use crate::process::unix_ms;
 use crate::store::Store;
 
-/// Replicas of the service; one of them is taken away, 12.5 in 100.
+/// Replicas of the service, and those of them that are taken away, a quarter.
 const REPLICAS: usize = 8;
+const TAKEN: usize = 2;
+
+/// Events of a stream.
+const EVENTS: u64 = 50;
 
 /// Clients, each of which asks for one stream after the other.
 const CLIENTS: u32 = 80;
@@ -39,10 +42,10 @@
 /// Time for which clients begin requests.
 const TRAFFIC_TIME: Duration = Duration::from_secs(14);
 
-/// Time after the start of traffic at which the replica gets its notice.
+/// Time after the start of traffic at which they get their notice.
 const NOTICE_AT: Duration = Duration::from_secs(6);
 
-/// Time from the notice until the replica is gone.
+/// Time from the notice until they are gone.
 const NOTICE_TIME: Duration = Duration::from_secs(2);
 
 /// Interval at which a replica writes its record.
@@ -69,21 +72,25 @@
     process: Process,
     id: String,
     address: SocketAddr,
+    born: u128,
 }
 
 impl ReplicaProcess {
     fn start(number: usize) -> std::io::Result<Self> {
         let id = format!("i-{number}");
         let address = free_address(machine_ip(20 + number as u8))?;
-        let child: Child = Command::new(std::env::current_exe()?)
+        let born = unix_ms();
+        let child = Command::new(std::env::current_exe()?)
             .args(["replica", &address.to_string(), &id])
+            .args([EVENTS.to_string(), born.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .spawn()?;
         Ok(Self {
-            process: Process { child },
+            process: Process::new(child),
             id,
             address,
+            born,
         })
     }
 }
@@ -103,7 +110,7 @@
     let service = "{\"name\":\"chat\",\"health_path\":\"/health\",\"max_connections\":264}";
     store.put("keyed.op", "config", &config(3, route, service));
     for replica in &replicas {
-        let text = replica_record("chat", replica.address, "ready", 1);
+        let text = replica_record("chat", replica.address, "ready", replica.born, 1);
         store.put("keyed.servers", &replica.id, &text);
     }
     let Some((mut entry, addresses)) = start_entry(&scratch, store.address)? else {
@@ -140,38 +147,44 @@
         let now = began.elapsed();
         if has_trouble && !has_notice && now >= NOTICE_AT {
             has_notice = true;
-            let leaving = &mut replicas[0];
-            if let Some(input) = &mut leaving.process.child.stdin {
-                input.write_all(b"leave\n")?;
-            }
             sequence += 1;
-            let text = replica_record("chat", leaving.address, "draining", sequence);
-            store.put("keyed.servers", &leaving.id, &text);
+            for leaving in &mut replicas[..TAKEN] {
+                if let Some(input) = &mut leaving.process.child.stdin {
+                    input.write_all(b"leave\n")?;
+                }
+                let text =
+                    replica_record("chat", leaving.address, "draining", leaving.born, sequence);
+                store.put("keyed.servers", &leaving.id, &text);
+                record.line(format!("{} is draining", leaving.id));
+            }
             last_beat_at = now;
-            record.line(format!("{} is draining", leaving.id));
         }
         if has_notice && !is_gone && now >= NOTICE_AT + NOTICE_TIME {
             is_gone = true;
-            replicas[0].process.kill();
-            record.line(format!("{} is gone", replicas[0].id));
+            for taken in &mut replicas[..TAKEN] {
+                taken.process.kill();
+                record.line(format!("{} is gone", taken.id));
+            }
         }
         if is_gone && !is_removed && now >= last_beat_at + HEARTBEAT * HEARTBEATS_UNTIL_REMOVED {
             is_removed = true;
-            store.put("keyed.servers", &replicas[0].id, "");
-            record.line(format!("the record of {} is removed", replicas[0].id));
+            for taken in &replicas[..TAKEN] {
+                store.put("keyed.servers", &taken.id, "");
+            }
+            record.line("their records are removed");
         }
         if now >= next_beat {
             next_beat += HEARTBEAT;
             sequence += 1;
             for (number, replica) in replicas.iter().enumerate() {
-                let is_leaving = number == 0 && has_notice;
+                let is_leaving = number < TAKEN && has_notice;
                 if is_leaving && is_gone {
                     continue;
                 }
                 let state = if is_leaving { "draining" } else { "ready" };
-                let text = replica_record("chat", replica.address, state, sequence);
+                let text = replica_record("chat", replica.address, state, replica.born, sequence);
                 store.put("keyed.servers", &replica.id, &text);
-                if number == 0 {
+                if number < TAKEN {
                     last_beat_at = now;
                 }
             }
@@ -220,7 +233,10 @@
         && let Some(head) = connection.read_head()
     {
         status = head.status();
-        seal = head.header("bergamotfork-response-seal").unwrap_or_default().to_owned();
+        seal = head
+            .header("bergamotfork-response-seal")
+            .unwrap_or_default()
+            .to_owned();
         (body, is_complete) = connection.read_body(&head);
     }
     let text = String::from_utf8_lossy(&body);
