--- a/review/stand-ins-2/src/crowd.rs
+++ b/review/stand-ins-2/src/crowd.rs
@@ -11,11 +11,13 @@
 use crate::Verdict;
 use crate::http::Connection;
 use crate::http::serve;
+use crate::process::Process;
 use crate::process::Record;
 use crate::process::Scratch;
 use crate::process::config;
 use crate::process::replica_record;
-use crate::process::start_entry;
+use crate::process::restart_entry;
+use crate::process::start_numbered_entry;
 use crate::process::unix_ms;
 use crate::store::Store;
 
@@ -32,8 +34,15 @@
 /// Body of each request of the crowd, in bytes; its last byte is not sent.
 const BODY_BYTES: usize = 2_048;
 
+/// Entries, and the crowds that come to each, one after the other.
+const ENTRIES: u8 = 2;
+const CROWDS: usize = 3;
+
+/// Pause before a process that was killed is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time for which the crowd stays, less than the idle time that the configuration grants.
-const HOLD_TIME: Duration = Duration::from_secs(8);
+const HOLD_TIME: Duration = Duration::from_secs(6);
 
 /// Runs the case.
 pub fn run(folder: &Path, has_trouble: bool) -> std::io::Result<Verdict> {
@@ -59,29 +68,78 @@
         "i-0",
         &replica_record("desk", replica, "ready", unix_ms(), 1),
     );
-    let Some((mut entry, addresses)) = start_entry(&scratch, store.address)? else {
-        record.line("the entry did not become ready");
-        return Ok(Verdict::NotRun);
-    };
-    let resident = entry.resident_bytes().unwrap_or(0);
-    record.line(format!("entry ready, {} MB resident", resident >> 20));
-    let status = ask(addresses.front);
-    record.line(format!("an ordinary request before the crowd: {status}"));
-    if status != 200 {
-        return Ok(Verdict::NotRun);
-    }
-
-    let clients = if has_trouble { CROWD } else { 0 };
     let head = crowd_head();
+    let clients = if has_trouble { CROWD } else { 0 };
+    let mut entries = Vec::new();
+    for number in 1..=ENTRIES {
+        let Some((process, addresses)) = start_numbered_entry(&scratch, store.address, number)?
+        else {
+            record.line(format!("entry {number} did not become ready"));
+            return Ok(Verdict::NotRun);
+        };
+        entries.push((number, process, addresses));
+    }
     record.line(format!(
-        "{clients} clients send a head of {} bytes and {} of {BODY_BYTES} bytes of a body",
+        "{ENTRIES} entries ready; {CROWDS} crowds of {clients} clients for each send heads of {} \
+         bytes and {} of {BODY_BYTES} bytes of a body",
         head.len(),
         BODY_BYTES - 1
     ));
+    // Entries on which the process has ended three times by itself.
+    let mut broken_entries = 0;
+    for (number, process, addresses) in &mut entries {
+        let mut ends = 0;
+        for _ in 0..CROWDS {
+            let status = ask(addresses.front);
+            record.line(format!(
+                "entry {number}: an ordinary request before: {status}"
+            ));
+            if status != 200 {
+                return Ok(Verdict::NotRun);
+            }
+            if !exceeds_memory(&record, *number, process, addresses.front, clients, &head) {
+                continue;
+            }
+            ends += 1;
+            let status = ask(addresses.front);
+            record.line(format!(
+                "entry {number}: an ordinary request afterwards: {status}"
+            ));
+            thread::sleep(RESTART_PAUSE);
+            let Some(again) = restart_entry(&scratch, *number, *addresses)? else {
+                record.line(format!("entry {number} did not become ready again"));
+                return Ok(Verdict::NotRun);
+            };
+            *process = again;
+        }
+        record.line(format!(
+            "entry {number}: its process has ended {ends} times"
+        ));
+        broken_entries += u8::from(ends >= CROWDS);
+    }
+    Ok(if broken_entries >= ENTRIES {
+        record.line("Fault: processes on two machines have ended three times each");
+        Verdict::Broken
+    } else {
+        record.line("held");
+        Verdict::Held
+    })
+}
+
+/// Lets a crowd come to an entry; returns whether its process has ended, by itself or as the
+/// platform kills one that exceeds the memory of its machine.
+fn exceeds_memory(
+    record: &Record,
+    number: u8,
+    entry: &mut Process,
+    front: SocketAddr,
+    clients: usize,
+    head: &str,
+) -> bool {
+    let mut most = 0;
     let mut crowd = Vec::with_capacity(clients);
-    let mut most = resident;
     for _ in 0..clients {
-        if let Some(mut connection) = Connection::open(addresses.front) {
+        if let Some(mut connection) = Connection::open(front) {
             let body = vec![b'b'; BODY_BYTES - 1];
             let is_sent = connection.stream.write_all(head.as_bytes()).is_ok()
                 && connection.stream.write_all(&body).is_ok();
@@ -94,48 +152,33 @@
             break;
         }
     }
-    record.line(format!(
-        "{} connections are open, {} MB resident",
-        crowd.len(),
-        most >> 20
-    ));
     let until = Instant::now() + HOLD_TIME;
     while Instant::now() < until && most <= MEMORY_BYTES && !entry.has_ended() {
         most = most.max(entry.resident_bytes().unwrap_or(0));
         thread::sleep(Duration::from_millis(50));
     }
     record.line(format!(
-        "at most {} MB resident of {} MB",
+        "entry {number}: {} connections are open, at most {} MB resident of {} MB",
+        crowd.len(),
         most >> 20,
         MEMORY_BYTES >> 20
     ));
-    if most > MEMORY_BYTES {
-        // The platform kills a process that exceeds the memory of its machine.
-        entry.kill();
-        record.line("the platform kills the entry: it exceeds the memory of its machine");
-        let status = ask(addresses.front);
-        record.line(format!("an ordinary request afterwards: {status}"));
-        return Ok(Verdict::Broken);
-    }
     if entry.has_ended() {
-        record.line("the entry has ended by itself");
-        return Ok(Verdict::Broken);
+        record.line(format!("entry {number} has ended by itself"));
+        return true;
     }
-    let status = ask(addresses.front);
-    record.line(format!("an ordinary request beside the crowd: {status}"));
-    drop(crowd);
-    let until = Instant::now() + Duration::from_secs(20);
-    let mut status = 0;
-    while status != 200 && Instant::now() < until {
-        status = ask(addresses.front);
-        thread::sleep(Duration::from_millis(100));
+    if most > MEMORY_BYTES {
+        entry.kill();
+        record.line(format!(
+            "entry {number} is killed: it exceeds the memory of its machine"
+        ));
+        return true;
     }
-    record.line(format!("an ordinary request after the crowd: {status}"));
-    Ok(if status == 200 {
-        Verdict::Held
-    } else {
-        Verdict::Broken
-    })
+    let status = ask(front);
+    record.line(format!(
+        "entry {number}: an ordinary request beside the crowd: {status}"
+    ));
+    false
 }
 
 /// Head of a request of the crowd, as large as the configuration allows, of short lines.
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -163,27 +163,58 @@
     scratch: &Scratch,
     store: SocketAddr,
 ) -> std::io::Result<Option<(Process, EntryAddresses)>> {
-    let ip = machine_ip(1);
+    start_numbered_entry(scratch, store, 1)
+}
+
+/// The same on the machine `number`.
+pub fn start_numbered_entry(
+    scratch: &Scratch,
+    store: SocketAddr,
+    number: u8,
+) -> std::io::Result<Option<(Process, EntryAddresses)>> {
+    let ip = machine_ip(number);
     let addresses = EntryAddresses {
         front: free_address(ip)?,
         ready: free_address(ip)?,
     };
     let directory = free_address(ip)?;
-    let text = common_settings("front-longbeach-1", ip, store)
+    let name = format!("front-longbeach-{number}");
+    let text = common_settings(&name, ip, store)
         + &format!(
             "role=entry\nlimits.memory_mb=260\nlimits.max_fds=4200\nlimits.link_mbps=1000.0\n\
              listen.front={}\nlisten.ready={}\nlisten.directory={directory}\n",
             addresses.front, addresses.ready
         );
-    let process = start(scratch, "entry", "entry", &text)?;
+    // The settings of the first entry keep the name that cases change them by.
+    let file = if number == 1 { "entry" } else { &name };
+    let process = start(scratch, "entry", file, &text)?;
+    Ok(wait_until_ready(addresses).then_some((process, addresses)))
+}
+
+/// Starts the entry of the machine `number` again, with the settings that it had.
+pub fn restart_entry(
+    scratch: &Scratch,
+    number: u8,
+    addresses: EntryAddresses,
+) -> std::io::Result<Option<Process>> {
+    let file = match number {
+        1 => "entry".to_owned(),
+        _ => format!("front-longbeach-{number}"),
+    };
+    let process = launch(scratch, "entry", &file)?;
+    Ok(wait_until_ready(addresses).then_some(process))
+}
+
+/// Waits until an entry is ready; returns whether it is.
+fn wait_until_ready(addresses: EntryAddresses) -> bool {
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
         if readiness(addresses.ready) == 200 {
-            return Ok(Some((process, addresses)));
+            return true;
         }
         thread::sleep(Duration::from_millis(20));
     }
-    Ok(None)
+    false
 }
 
 /// Starts an endpoint process beside the replica at `app`.
@@ -221,6 +252,12 @@
 fn start(scratch: &Scratch, role: &str, name: &str, settings: &str) -> std::io::Result<Process> {
     let path = scratch.path.join(format!("{name}.conf"));
     std::fs::write(&path, settings)?;
+    launch(scratch, role, name)
+}
+
+/// Starts the role `role` with the settings that were written under `name`.
+fn launch(scratch: &Scratch, role: &str, name: &str) -> std::io::Result<Process> {
+    let path = scratch.path.join(format!("{name}.conf"));
     let log = File::create(scratch.path.join(format!("{name}.log")))?;
     let child = Command::new("target/release/bergamotfork-platform")
         .arg(role)
