Let the work for a head grow with its bytes

What callers saw: one client on a kept connection could occupy the processor of an entry.

Cause: each line was compared with each name that `Connection` lists, and a head was parsed from its start with each part of it that arrived, down to single bytes.

Evidence: read, and by counts, not by times: a head of 15 KB that arrives byte by byte is parsed at most 20 times (`head_in_single_bytes_parsed_seldom`), where the code before parsed it 15,000 times.

Why this works: the names are sorted once and looked up by binary search. A head is parsed when it may have ended, and after its size has doubled, which still finds bytes that are no head early.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,8 +16,8 @@
 use crate::gateway::port_probe::probe_at_close;
 use crate::http1::BodyDecoder;
 use crate::http1::Connection;
+use crate::http1::ConnectionOptions;
 use crate::http1::Framing;
-use crate::http1::Headers;
 use crate::http1::Http1Error;
 use crate::http1::RequestHead;
 use crate::http1::ResponseHead;
@@ -40,21 +40,6 @@
 /// Cause of a failed send whose answer is one to another request.
 const OTHER_ANSWER: &str = "other_answer";
 
-/// Headers that apply to one connection only, or that the gateway sets itself because
-/// they describe the framing of the body.
-const HOP_BY_HOP_HEADERS: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
-
 /// A complete response of a replica.
 #[derive(Debug)]
 pub struct ReplicaResponse {
@@ -264,10 +249,9 @@
     bytes.push(b' ');
     bytes.extend_from_slice(head.target.as_bytes());
     bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    let hop_by_hop = ConnectionOptions::of(&head.headers);
     for (name, value) in head.headers.iter() {
-        let is_dropped =
-            is_hop_by_hop_header(name, &head.headers) || !dialect.is_forwarded_header(name);
-        if !is_dropped {
+        if !hop_by_hop.contains(name) && dialect.is_forwarded_header(name) {
             write_header(name, value, &mut bytes);
         }
     }
@@ -289,14 +273,6 @@
     (bytes, body.clone())
 }
 
-/// Whether a header applies only to the connection on which it was received.
-pub fn is_hop_by_hop_header(name: &str, headers: &Headers) -> bool {
-    HOP_BY_HOP_HEADERS
-        .iter()
-        .any(|line| line.eq_ignore_ascii_case(name))
-        || headers.has_token("connection", name)
-}
-
 /// Appends a header to `out`.
 pub fn write_header(name: &str, value: &[u8], out: &mut Vec<u8>) {
     out.extend_from_slice(name.as_bytes());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,9 +6,9 @@
 use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::end_causes::STOPPING;
 use crate::gateway::event_splitter::StreamEvent;
-use crate::gateway::exchange::is_hop_by_hop_header;
 use crate::gateway::exchange::write_header;
 use crate::http1::Connection;
+use crate::http1::ConnectionOptions;
 use crate::http1::Http1Error;
 use crate::http1::ResponseHead;
 
@@ -261,8 +261,9 @@
 /// the empty line.
 pub fn response_head(head: &ResponseHead, close: bool) -> Vec<u8> {
     let mut bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
+    let hop_by_hop = ConnectionOptions::of(&head.headers);
     for (name, value) in head.headers.iter() {
-        if !is_hop_by_hop_header(name, &head.headers) {
+        if !hop_by_hop.contains(name) {
             write_header(name, value, &mut bytes);
         }
     }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -12,6 +12,7 @@
 use crate::http1::BodyLimit;
 use crate::http1::Http1Error;
 use crate::http1::ResponseHead;
+use crate::http1::head_search::HeadSearch;
 
 /// Space reserved in the buffer for each read, in bytes.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -125,15 +126,19 @@
         deadline: impl Fn() -> Instant,
     ) -> Result<ResponseHead, Http1Error> {
         let mut left_bytes = max_bytes;
+        let mut search = HeadSearch::default();
         loop {
             let buffered_bytes = self.read_buffer.len();
-            match ResponseHead::parse_from(&mut self.read_buffer, left_bytes)? {
-                Some(head) if head.is_interim() => {
-                    left_bytes -= buffered_bytes - self.read_buffer.len();
-                    continue;
+            if search.is_due(&self.read_buffer, left_bytes) {
+                match ResponseHead::parse_from(&mut self.read_buffer, left_bytes)? {
+                    Some(head) if head.is_interim() => {
+                        left_bytes -= buffered_bytes - self.read_buffer.len();
+                        search = HeadSearch::default();
+                        continue;
+                    }
+                    Some(head) => return Ok(head),
+                    None => {}
                 }
-                Some(head) => return Ok(head),
-                None => {}
             }
             if self.fill_buffer_with_deadline(deadline()).await? == 0 {
                 return Err(Http1Error::IncompleteMessage);
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -15,6 +15,7 @@
 use crate::http1::connection_slots::ConnectionSlot;
 use crate::http1::connection_slots::ConnectionSlots;
 use crate::http1::connection_slots::ConnectionStage;
+use crate::http1::head_search::HeadSearch;
 
 /// Largest head of an internal request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -114,9 +115,13 @@
     if has_started {
         deadline = Instant::now() + head_timeout;
     }
+    let mut search = HeadSearch::default();
     loop {
         let buffered_bytes = connection.read_buffer.len();
-        if let Some(head) = RequestHead::parse_from(&mut connection.read_buffer, max_head_bytes)? {
+        if search.is_due(&connection.read_buffer, max_head_bytes)
+            && let Some(head) =
+                RequestHead::parse_from(&mut connection.read_buffer, max_head_bytes)?
+        {
             held.end_head(buffered_bytes - connection.read_buffer.len())?;
             return Ok(head);
         }
--- a/tests/http1/large_heads.rs
+++ b/tests/http1/large_heads.rs
@@ -1,7 +1,9 @@
-//! Heads of the largest size: what they take grows with their bytes.
+//! Heads of the largest size: what they take, and the work for them, grow with their bytes.
 
 use bytes::BytesMut;
 
+use bergamotfork::http1::ConnectionOptions;
+use bergamotfork::http1::HeadSearch;
 use bergamotfork::http1::RequestHead;
 
 const MAX_HEAD_BYTES: usize = 16_384;
@@ -39,3 +41,44 @@
     assert!(head.headers.has_token("X-0", "V:99"));
     assert!(!head.headers.has_token("X-0", "v:98"));
 }
+
+#[test]
+fn connection_options_among_many() {
+    let named = (0..1_000).map(|number| format!("Connection: X-{number},Y-{number}"));
+    let (head, _) = parse(named);
+    let options = ConnectionOptions::of(&head.headers);
+    assert!(options.contains("x-0") && options.contains("Y-300"));
+    assert!(options.contains("Transfer-Encoding"));
+    assert!(!options.contains("X-1001") && !options.contains("Host"));
+}
+
+/// Number of times that a head is parsed which arrives in parts of `part_bytes`.
+fn parses(text: &str, part_bytes: usize) -> usize {
+    let mut search = HeadSearch::default();
+    let mut parses = 0;
+    for end in (0..text.len() + part_bytes).step_by(part_bytes) {
+        let arrived = &text.as_bytes()[..end.min(text.len())];
+        parses += usize::from(search.is_due(arrived, MAX_HEAD_BYTES));
+    }
+    assert!(search.is_due(&vec![b'a'; MAX_HEAD_BYTES + 1], MAX_HEAD_BYTES));
+    parses
+}
+
+#[test]
+fn head_in_single_bytes_parsed_seldom() {
+    let text = format!("GET / HTTP/1.1\r\n{}\r\n", "a:b\r\n".repeat(3_000));
+    assert!(parses(&text, 1) <= 20);
+}
+
+#[test]
+fn head_end_found_at_any_split() {
+    let text = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(2_000));
+    for end in ["\r\n\r\n", "\n\n", "\n\r\n"] {
+        let text = text.trim_end().to_owned() + end;
+        for split in text.len() - 5..text.len() {
+            let mut search = HeadSearch::default();
+            search.is_due(&text.as_bytes()[..split], MAX_HEAD_BYTES);
+            assert!(search.is_due(text.as_bytes(), MAX_HEAD_BYTES), "{split}");
+        }
+    }
+}
