Bound and count what waits in sockets

What callers saw: an entry was killed for its memory when clients went on sending where nothing is read: behind requests at replicas, behind answers, in chunks of one byte.

Cause: bytes that are received and not read count toward the memory of a process, but were counted nowhere, and the system grows the receive buffer of each connection to megabytes. Reads reserved 16 KiB on each connection, and up to 64 KiB of further requests were kept uncounted.

Why this works: SO_RCVBUF is set before a socket listens or connects, so it holds for connections that are not accepted yet, and no window is taken back. The budget is what is left beside the process and what its listeners take at most, and the number of connections is one that the memory bears. A request takes room for its replica's receive buffer and the first bytes of its answer before it is sent.

--- a/src/gateway/answer_memory.rs
+++ b/src/gateway/answer_memory.rs
@@ -2,14 +2,12 @@
 use std::rc::Rc;
 
 use crate::http1::BodyLimit;
+use crate::http1::FREE_ANSWER_BYTES;
 use crate::http1::Http1Error;
 use crate::http1::MemoryBudget;
+use crate::http1::ReceiveRoom;
 use crate::http1::RoomUse;
 
-/// Bytes of each answer that are held without asking for room, so that large answers do
-/// not keep small ones from being read.
-const FREE_BYTES: usize = 16 * 1024;
-
 /// Bytes of all answers together that are held beyond their free bytes where the settings state
 /// no memory: a quarter of the memory of an entry's host, as a buffer that grows may be twice as
 /// large as its content.
@@ -60,12 +58,19 @@
     max_bytes: usize,
 }
 
+impl HeldAnswer {
+    /// Size of the receive buffer of the connection on which the answer arrives, in bytes.
+    pub fn receive_buffer_bytes(&self) -> u32 {
+        u32::try_from(self.memory.budget.receive_buffer_bytes()).unwrap_or(u32::MAX)
+    }
+}
+
 impl BodyLimit for HeldAnswer {
     fn admit(&mut self, bytes: usize) -> Result<(), Http1Error> {
         if bytes > self.max_bytes {
             return Err(Http1Error::BodyTooLarge);
         }
-        let counted_bytes = bytes.saturating_sub(FREE_BYTES);
+        let counted_bytes = bytes.saturating_sub(FREE_ANSWER_BYTES);
         let others_bytes = self.memory.held_bytes.get() - self.counted_bytes;
         let is_over = others_bytes + counted_bytes > MAX_HELD_BYTES;
         if counted_bytes > self.counted_bytes && is_over && !self.memory.budget.is_limited() {
@@ -77,6 +82,10 @@
         self.counted_bytes = counted_bytes;
         Ok(())
     }
+
+    fn take_receive_room(&self) -> Option<ReceiveRoom> {
+        self.memory.budget.take_receive_room()
+    }
 }
 
 impl Drop for HeldAnswer {
--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -94,7 +94,12 @@
     /// been silent since it was opened.
     fn serve(&self, stream: TcpStream) {
         let gateway = self.gateway.clone();
-        let limit = gateway.state.borrow().settings.max_client_connections;
+        let limit = gateway
+            .state
+            .borrow()
+            .settings
+            .client_load()
+            .max_connections;
         let mut client = Connection::new(stream);
         if self.open_connections.count() < limit || self.close_silent() {
             let slot = self.open_connections.add();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -110,7 +110,10 @@
 /// after its response can't be taken for the response to another request. It is reset when
 /// the future is dropped.
 pub async fn send_to_replica(dialect: Rc<impl Dialect>, send: ReplicaSend) -> SendOutcome {
-    let mut connection = match Connection::connect(send.address, CONNECT_TIMEOUT).await {
+    let receive_buffer_bytes = send.held.receive_buffer_bytes();
+    let connected =
+        Connection::connect_with_buffer(send.address, CONNECT_TIMEOUT, receive_buffer_bytes);
+    let mut connection = match connected.await {
         Ok(connection) => connection,
         Err(error) => return SendOutcome::Unreachable(error),
     };
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// A refusal for which there is no memory.
+    pub(super) fn no_memory() -> Self {
+        Self {
+            retry_after_ms: Some(RETRY_AFTER_MEMORY_MS),
+            ..Self::new(503, Http1Error::NoMemory.label())
+        }
+    }
+
     /// A refusal of what another entry accepts at once.
     pub(super) fn elsewhere(cause: &'static str) -> Self {
         Self {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -33,6 +32,8 @@
 use crate::gateway::request_routing::STOP_ACCEPT_TIME;
 use crate::gateway::run_clock::RunClock;
 use crate::gateway::run_clock::TICK_INTERVAL;
+use crate::gateway::settings::CHECK_LOAD;
+use crate::gateway::settings::INTERNAL_LOAD;
 use crate::gateway::suspect_notices::send_suspect_notices;
 use crate::http1::InternalLimits;
 use crate::http1::serve_internal;
@@ -60,15 +61,6 @@
 const REGISTRATION_PAUSES: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
-/// Connections of other processes that an entry serves at once: endpoints that read weights,
-/// and entries that fetch records.
-const MAX_INTERNAL_CONNECTIONS: usize = 128;
-
-/// Connections to the readiness check, the directory and the metrics, each, that are served at
-/// once. Together with the internal ones they stay within the descriptors reserved beside those
-/// of clients.
-const MAX_CHECK_CONNECTIONS: usize = 48;
-
 /// Longest time before the end of the grace period, when the platform kills the process, at
 /// which requests that are still active are ended.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
@@ -165,11 +157,11 @@
     pieces: &Rc<PieceCache<impl OriginPort>>,
 ) -> io::Result<()> {
     let memory = state.borrow().answer_memory.budget().clone();
-    let limits = |max_connections| InternalLimits {
+    let limits = |load| InternalLimits {
         memory: memory.clone(),
-        max_connections,
+        load,
     };
-    let front = TcpListener::bind(settings.front).await?;
+    let front = settings.client_load().listen(settings.front)?;
     let gateway = Gateway {
         state: state.clone(),
         dialect: dialect.clone(),
@@ -181,8 +173,8 @@
             state: state.clone(),
             dialect: dialect.clone(),
         };
-        let listener = TcpListener::bind(address).await?;
-        let limits = limits(MAX_CHECK_CONNECTIONS);
+        let listener = CHECK_LOAD.listen(address)?;
+        let limits = limits(CHECK_LOAD);
         actix_rt::spawn(serve_internal(listener, readiness, limits));
     }
     if let Some(address) = settings.directory {
@@ -190,13 +182,13 @@
             state: state.clone(),
             dialect: dialect.clone(),
         };
-        let listener = TcpListener::bind(address).await?;
-        let limits = limits(MAX_CHECK_CONNECTIONS);
+        let listener = CHECK_LOAD.listen(address)?;
+        let limits = limits(CHECK_LOAD);
         actix_rt::spawn(serve_internal(listener, directory, limits));
     }
-    for (address, max_connections) in [
-        (settings.internal, MAX_INTERNAL_CONNECTIONS),
-        (settings.metrics, MAX_CHECK_CONNECTIONS),
+    for (address, limits) in [
+        (settings.internal, limits(INTERNAL_LOAD)),
+        (settings.metrics, limits(CHECK_LOAD)),
     ] {
         let internal = InternalCallHandler {
             state: state.clone(),
@@ -204,8 +196,8 @@
             pieces: pieces.clone(),
             last_records: RefCell::default(),
         };
-        let listener = TcpListener::bind(address).await?;
-        actix_rt::spawn(serve_internal(listener, internal, limits(max_connections)));
+        let listener = limits.load.listen(address)?;
+        actix_rt::spawn(serve_internal(listener, internal, limits));
     }
     Ok(())
 }
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -46,12 +46,14 @@
     settings.cold_overage = new.cold_overage;
     settings.cold_slack = new.cold_slack;
     settings.max_client_connections = new.max_client_connections;
+    let loads = settings.listener_loads();
     // Requests that may be served in some regions only follow the newest assignment.
     settings.regions.clone_from(&new.regions);
     let needs_restart = settings.front != new.front
         || settings.internal != new.internal
         || settings.failure_domain != new.failure_domain
         || settings.retry_window_ms != new.retry_window_ms;
+    state.answer_memory.budget().set_listeners(&loads);
     state
         .retry_budgets
         .set_limits(new.retry_ratio, new.extra_retries);
--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -35,7 +35,7 @@
     let ReadRequest {
         head,
         body,
-        held,
+        mut held,
         received_at,
     } = read;
     let mut state = gateway.state.borrow_mut();
@@ -83,6 +83,9 @@
     let elsewhere = services.filter(|other| *other != service);
     let causes = RunCauses::of_services(request, &service, elsewhere, &facts.prompt_part_ids)
         .with_identity(identity);
+    if held.begin_forwarding(0).is_err() {
+        return Err((head, LocalRefusal::no_memory()));
+    }
     let is_late = waited_before_ms > 0;
     Ok(Box::new(RoutedRequest {
         causes,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,27 @@
 use std::net::SocketAddr;
 
+use crate::http1::INTERNAL_RECEIVE_BUFFER_BYTES;
+use crate::http1::ListenerLoad;
+use crate::http1::MemoryBudget;
+
+/// Connections of other processes that an entry serves at once: endpoints that read weights,
+/// and entries that fetch records.
+pub(super) const INTERNAL_LOAD: ListenerLoad = ListenerLoad {
+    max_connections: 128,
+    receive_buffer_bytes: INTERNAL_RECEIVE_BUFFER_BYTES,
+};
+
+/// Connections to the readiness check, the directory and the metrics, each, that are served at
+/// once. Together with the internal ones they stay within the descriptors reserved beside those
+/// of clients.
+pub(super) const CHECK_LOAD: ListenerLoad = ListenerLoad {
+    max_connections: 48,
+    receive_buffer_bytes: INTERNAL_RECEIVE_BUFFER_BYTES,
+};
+
+/// Fewest connections of clients, however little memory a process has.
+const MIN_CLIENT_CONNECTIONS: usize = 16;
+
 /// Settings of an entry process.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -42,11 +64,42 @@
     pub link_mbps: f64,
     /// Largest number of connections of clients that may be open at once.
     pub max_client_connections: usize,
+    /// Size of the receive buffer of a connection to a client or a replica, in bytes.
+    pub receive_buffer_bytes: u32,
     /// Memory of the host for this process, in bytes; None without a limit.
     pub memory_bytes: Option<usize>,
 }
 
 impl GatewaySettings {
+    /// Connections of clients that are served at once: as many as the settings allow and the
+    /// memory bears.
+    pub fn client_load(&self) -> ListenerLoad {
+        let affordable = self.memory_bytes.map_or(usize::MAX, |memory_bytes| {
+            MemoryBudget::affordable_connections(
+                memory_bytes,
+                self.receive_buffer_bytes,
+                &Self::internal_loads(),
+            )
+        });
+        let affordable = affordable.max(MIN_CLIENT_CONNECTIONS);
+        ListenerLoad {
+            max_connections: self.max_client_connections.min(affordable),
+            receive_buffer_bytes: self.receive_buffer_bytes,
+        }
+    }
+
+    /// What all listeners take of the memory at most.
+    pub fn listener_loads(&self) -> Vec<ListenerLoad> {
+        let mut loads = Self::internal_loads().to_vec();
+        loads.push(self.client_load());
+        loads
+    }
+
+    /// The listeners for other processes and for checks.
+    fn internal_loads() -> [ListenerLoad; 4] {
+        [INTERNAL_LOAD, CHECK_LOAD, CHECK_LOAD, CHECK_LOAD]
+    }
+
     /// Region of a failure domain, or its own name when it is not listed.
     pub fn region<'a>(&'a self, failure_domain: &'a str) -> &'a str {
         self.regions
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -140,8 +140,7 @@
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings) -> Rc<RefCell<Self>> {
         let mut rng = Pcg64Mcg::from_os_rng();
-        let budget =
-            MemoryBudget::of_process(settings.memory_bytes, settings.max_client_connections);
+        let budget = MemoryBudget::of_process(settings.memory_bytes, &settings.listener_loads());
         Rc::new(RefCell::new(Self {
             settings,
             catalog: None,
--- a/src/http1/body_limit.rs
+++ b/src/http1/body_limit.rs
@@ -1,4 +1,5 @@
 use crate::http1::Http1Error;
+use crate::http1::ReceiveRoom;
 
 /// Decides whether a body that is being read may grow.
 pub trait BodyLimit {
@@ -13,6 +14,11 @@
     fn announced_bytes(&self) -> usize {
         0
     }
+
+    /// Takes room for a larger receive buffer while the body arrives.
+    fn take_receive_room(&self) -> Option<ReceiveRoom> {
+        None
+    }
 }
 
 impl BodyLimit for usize {
@@ -32,4 +38,8 @@
     fn announced_bytes(&self) -> usize {
         (**self).announced_bytes()
     }
+
+    fn take_receive_room(&self) -> Option<ReceiveRoom> {
+        (**self).take_receive_room()
+    }
 }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -13,13 +14,17 @@
 use crate::http1::Http1Error;
 use crate::http1::ResponseHead;
 use crate::http1::head_search::HeadSearch;
+use crate::http1::receive_buffer::new_socket;
+use crate::http1::receive_room::ReceiveRoom;
 
-/// Space reserved in the buffer for each read, in bytes.
+/// Most bytes of one read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
-/// Bytes kept of pipelined requests while a request is handled; the rest stays in the
-/// socket, where TCP slows the sender down.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes kept of pipelined requests while a request is handled.
+pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Content of a body from which a larger receive buffer is used.
+const MIN_WIDE_BODY_BYTES: usize = 64 * 1024;
 
 /// Reads that find bytes at once before other tasks get their turn: a peer that sends
 /// without a pause would otherwise stall the process, and no timer would fire.
@@ -35,6 +40,12 @@
 /// Most bytes of interim responses that arrive while a request is written.
 const MAX_INTERIM_BYTES: usize = 32 * 1024;
 
+thread_local! {
+    /// What a read receives; a connection holds only what has arrived on it.
+    static RECEIVED: RefCell<[u8; READ_CHUNK_BYTES]> =
+        const { RefCell::new([0; READ_CHUNK_BYTES]) };
+}
+
 /// TCP connection with a buffer of the bytes that were read but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
@@ -42,6 +53,8 @@
     /// Bytes that were read but not yet parsed.
     pub read_buffer: BytesMut,
     reads_in_a_row: u32,
+    /// Room for a larger receive buffer.
+    receive_room: Option<ReceiveRoom>,
 }
 
 impl Connection {
@@ -54,6 +67,7 @@
             stream,
             read_buffer: BytesMut::new(),
             reads_in_a_row: 0,
+            receive_room: None,
         }
     }
 
@@ -63,7 +77,28 @@
     ///
     /// [`Http1Error::NotConnected`], also when the time has passed.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Self, Http1Error> {
-        match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Self::wait_connected(TcpStream::connect(address), timeout).await
+    }
+
+    /// Does the same with a receive buffer of this size.
+    ///
+    /// # Errors
+    ///
+    /// [`Http1Error::NotConnected`], also when the time has passed.
+    pub async fn connect_with_buffer(
+        address: SocketAddr,
+        timeout: Duration,
+        receive_buffer_bytes: u32,
+    ) -> Result<Self, Http1Error> {
+        let socket = new_socket(address, receive_buffer_bytes).map_err(Http1Error::NotConnected)?;
+        Self::wait_connected(socket.connect(address), timeout).await
+    }
+
+    async fn wait_connected(
+        connected: impl Future<Output = io::Result<TcpStream>>,
+        timeout: Duration,
+    ) -> Result<Self, Http1Error> {
+        match tokio::time::timeout(timeout, connected).await {
             Ok(Ok(stream)) => Ok(Self::new(stream)),
             Ok(Err(error)) => Err(Http1Error::NotConnected(error)),
             Err(_) => Err(Http1Error::NotConnected(io::ErrorKind::TimedOut.into())),
@@ -78,8 +113,7 @@
             tokio::task::yield_now().await;
         }
         loop {
-            self.read_buffer.reserve(READ_CHUNK_BYTES);
-            match self.stream.try_read_buf(&mut self.read_buffer) {
+            match self.read_available() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.reads_in_a_row = 0;
                     // A connection that waits holds no empty buffer.
@@ -96,6 +130,32 @@
         }
     }
 
+    /// Appends bytes that have arrived to `read_buffer`; fails with `WouldBlock` when there are
+    /// none.
+    fn read_available(&mut self) -> io::Result<usize> {
+        RECEIVED.with_borrow_mut(|received| {
+            let count = self.try_read(received)?;
+            self.read_buffer.extend_from_slice(&received[..count]);
+            Ok(count)
+        })
+    }
+
+    /// Reads bytes that have arrived. Room for a larger receive buffer that is no longer used is
+    /// returned once the buffer is empty.
+    fn try_read(&mut self, received: &mut [u8]) -> io::Result<usize> {
+        let read = self.stream.try_read(received);
+        let is_empty = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        if is_empty
+            && self
+                .receive_room
+                .as_ref()
+                .is_some_and(|room| !room.is_used())
+        {
+            self.receive_room = None;
+        }
+        read
+    }
+
     /// Does the same as `fill_buffer`, and fails after `deadline`.
     pub async fn fill_buffer_with_deadline(
         &mut self,
@@ -153,11 +213,27 @@
     /// [`Http1Error`] when the body is too large, malformed, incomplete or late.
     pub async fn read_body(
         &mut self,
-        mut decoder: BodyDecoder,
+        decoder: BodyDecoder,
         mut limit: impl BodyLimit,
         deadline: impl Fn() -> Instant,
     ) -> Result<Vec<u8>, Http1Error> {
-        let mut body = Vec::with_capacity(limit.announced_bytes());
+        let body = Vec::with_capacity(limit.announced_bytes());
+        if limit.announced_bytes() >= MIN_WIDE_BODY_BYTES {
+            self.widen(&limit);
+        }
+        let read = self.read_rest(decoder, body, &mut limit, deadline).await;
+        self.narrow();
+        read
+    }
+
+    /// Reads the rest of a body.
+    async fn read_rest(
+        &mut self,
+        mut decoder: BodyDecoder,
+        mut body: Vec<u8>,
+        limit: &mut impl BodyLimit,
+        deadline: impl Fn() -> Instant,
+    ) -> Result<Vec<u8>, Http1Error> {
         loop {
             let received_bytes = self.read_buffer.len();
             if body.capacity() - body.len() < received_bytes {
@@ -167,6 +243,9 @@
             let body_bytes = body.len();
             decoder.decode(&mut self.read_buffer, &mut body)?;
             limit.admit(body.len())?;
+            if body_bytes < MIN_WIDE_BODY_BYTES && body.len() >= MIN_WIDE_BODY_BYTES {
+                self.widen(limit);
+            }
             // Small chunks take more time than content of the same size: others get their turn.
             if body.len() - body_bytes < received_bytes / 2 {
                 tokio::task::yield_now().await;
@@ -181,6 +260,32 @@
         }
     }
 
+    /// Enlarges the receive buffer if there is room for that.
+    fn widen(&mut self, limit: &impl BodyLimit) {
+        if self.receive_room.is_some() {
+            return;
+        }
+        self.receive_room = limit.take_receive_room();
+        if let Some(room) = &self.receive_room {
+            self.set_receive_buffer(room.wide_bytes());
+        }
+    }
+
+    /// Takes back that it was enlarged. Its room is kept until what it holds is read.
+    fn narrow(&mut self) {
+        if let Some(room) = &mut self.receive_room {
+            let narrow_bytes = room.end_use();
+            self.set_receive_buffer(narrow_bytes);
+        }
+    }
+
+    fn set_receive_buffer(&self, bytes: usize) {
+        let socket = socket2::SockRef::from(&self.stream);
+        if let Err(error) = socket.set_recv_buffer_size(bytes) {
+            log::debug!("cannot set SO_RCVBUF of a connection: {error}");
+        }
+    }
+
     /// Writes all of `bytes`, and fails after `deadline`.
     pub async fn write_with_deadline(
         &self,
@@ -289,8 +394,7 @@
     /// Appends the bytes that have arrived to `read_buffer` without waiting and returns
     /// their number; the end of the connection is an error.
     fn try_fill_buffer(&mut self) -> Result<usize, Http1Error> {
-        self.read_buffer.reserve(READ_CHUNK_BYTES);
-        match self.stream.try_read_buf(&mut self.read_buffer) {
+        match self.read_available() {
             Ok(0) => Err(Http1Error::IncompleteMessage),
             Ok(length) => Ok(length),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
@@ -314,6 +418,20 @@
         }
     }
 
+    /// Waits for bytes, discards some, and returns their number; 0 when the peer has closed the
+    /// connection.
+    async fn discard(&mut self) -> io::Result<usize> {
+        loop {
+            let read = RECEIVED.with_borrow_mut(|received| self.try_read(received));
+            match read {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.readable().await?;
+                }
+                result => return result,
+            }
+        }
+    }
+
     /// Ends the sending side, and discards what still arrives until the peer closes the
     /// connection or `until` has passed. Closed with bytes unread, the connection would be
     /// reset, and the peer might lose the answer that was written last.
@@ -323,11 +441,11 @@
             log::debug!("cannot end the sending side of a connection: {error}");
             return;
         }
-        loop {
-            self.read_buffer.clear();
-            match self.fill_buffer_with_deadline(until).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
+        self.read_buffer = BytesMut::new();
+        while Instant::now() < until {
+            match timeout_at(until, self.discard()).await {
+                Ok(Ok(0) | Err(_)) | Err(_) => return,
+                Ok(Ok(_)) => tokio::task::yield_now().await,
             }
         }
     }
--- a/src/http1/held_request.rs
+++ b/src/http1/held_request.rs
@@ -2,9 +2,12 @@
 
 use crate::http1::BodyLimit;
 use crate::http1::Http1Error;
+use crate::http1::ReceiveRoom;
 use crate::http1::arriving_request::ArrivingRequest;
+use crate::http1::connection::MAX_READ_AHEAD_BYTES;
 use crate::http1::memory_budget::MemoryBudget;
 use crate::http1::memory_budget::RoomUse;
+use crate::http1::receive_buffer::most_unread_bytes;
 
 /// Largest body of a request that may take the room reserved for small ones, in bytes.
 const MAX_SMALL_BODY_BYTES: usize = 16 * 1024;
@@ -12,8 +15,15 @@
 /// Bytes in which the room of a body without an announced length grows.
 const GROWTH_BYTES: usize = 16 * 1024;
 
-/// Free space of the buffer into which a head is read, in bytes.
-const HEAD_BUFFER_BYTES: usize = 16 * 1024;
+/// Copies of a head that its request holds: as it arrived, the values decoded from it, and
+/// encoded for a replica.
+const HEAD_COPIES: usize = 3;
+
+/// What is added to a head for a replica, in bytes.
+const ADDED_HEAD_BYTES: usize = 1024;
+
+/// First bytes of an answer, which are held without asking for room.
+pub const FREE_ANSWER_BYTES: usize = 16 * 1024;
 
 /// Room that one request takes, from its head to its end; dropping it returns the room.
 #[derive(Debug)]
@@ -22,6 +32,7 @@
     request: Rc<ArrivingRequest>,
     head_bytes: usize,
     body_bytes: usize,
+    under_way_bytes: usize,
     announced_bytes: usize,
     max_body_bytes: usize,
 }
@@ -34,6 +45,7 @@
             request: budget.begin_arrival(),
             head_bytes: 0,
             body_bytes: 0,
+            under_way_bytes: 0,
             announced_bytes: 0,
             max_body_bytes: 0,
         }
@@ -51,18 +63,18 @@
     /// [`Http1Error::NoMemory`].
     pub fn admit_head(&mut self, bytes: usize) -> Result<(), Http1Error> {
         self.request.record_arrived(bytes);
-        self.head_bytes = bytes + HEAD_BUFFER_BYTES;
+        // A buffer that grows has up to as much space as content.
+        self.head_bytes = 2 * bytes;
         self.count()
     }
 
-    /// Takes room for a complete head of `bytes`: its lines are held twice, as what arrived and
-    /// encoded for a replica.
+    /// Takes room for a complete head of `bytes`.
     ///
     /// # Errors
     ///
     /// [`Http1Error::NoMemory`].
     pub fn end_head(&mut self, bytes: usize) -> Result<(), Http1Error> {
-        self.head_bytes = 2 * bytes;
+        self.head_bytes = HEAD_COPIES * bytes + ADDED_HEAD_BYTES;
         self.count()
     }
 
@@ -86,6 +98,22 @@
         self.count()
     }
 
+    /// Takes room for what a request that has arrived whole takes while it is at a replica: the
+    /// requests that follow it, the receive buffer of the replica's connection and the first
+    /// bytes of the answer, and `decoded_bytes` of what was decoded from its head.
+    ///
+    /// # Errors
+    ///
+    /// [`Http1Error::NoMemory`].
+    pub fn begin_forwarding(&mut self, decoded_bytes: usize) -> Result<(), Http1Error> {
+        let unread_bytes = most_unread_bytes(self.budget.receive_buffer_bytes());
+        // A small body is copied behind its head.
+        let copied_bytes = self.body_bytes.min(MAX_SMALL_BODY_BYTES);
+        self.under_way_bytes =
+            MAX_READ_AHEAD_BYTES + unread_bytes + FREE_ANSWER_BYTES + copied_bytes + decoded_bytes;
+        self.count()
+    }
+
     /// Records that the request has arrived whole: it is not closed for another one any more.
     pub fn finish(&mut self) {
         self.budget.end_arrival(&self.request);
@@ -102,7 +130,7 @@
             RoomUse::LargeRequest
         };
         let from = self.request.counted_bytes();
-        let to = self.head_bytes + self.body_bytes;
+        let to = self.head_bytes + self.body_bytes + self.under_way_bytes;
         self.budget.change(from, to, room_use)?;
         self.request.set_counted_bytes(to);
         Ok(())
@@ -125,6 +153,10 @@
     fn announced_bytes(&self) -> usize {
         self.announced_bytes
     }
+
+    fn take_receive_room(&self) -> Option<ReceiveRoom> {
+        self.budget.take_receive_room()
+    }
 }
 
 impl Drop for HeldRequest {
--- a/src/http1/memory_budget.rs
+++ b/src/http1/memory_budget.rs
@@ -16,24 +16,38 @@
 
 use crate::http1::Http1Error;
 use crate::http1::arriving_request::ArrivingRequest;
+use crate::http1::listener_load::ListenerLoad;
+use crate::http1::receive_buffer::RECEIVE_BUFFER_BYTES;
 
 /// Memory that a process needs for itself: its code, tables, buffered log lines and pieces of
 /// weights. On a small host it is a third of the memory.
 const OWN_BYTES: usize = 32 * 1024 * 1024;
 
-/// Memory of a connection whose peer is silent: its task and the buffers of its socket.
-const CONNECTION_BYTES: usize = 12 * 1024;
-
 /// Share of the rest that is given out, in fifths: an allocator keeps freed memory between
 /// blocks that are in use.
 const GIVEN_FIFTHS: usize = 4;
 
+/// Share that the connections of clients may take at most of what is left beside the process and
+/// its other listeners, in fifths.
+const CONNECTION_FIFTHS: usize = 3;
+
+/// Memory that a process with `memory_bytes` has left beside what it needs for itself and what
+/// its listeners take at most.
+fn rest_bytes(memory_bytes: usize, listeners: &[ListenerLoad]) -> usize {
+    let taken = listeners.iter().map(ListenerLoad::most_bytes);
+    let own_bytes = OWN_BYTES.min(memory_bytes / 3);
+    let taken_bytes = taken.fold(own_bytes, usize::saturating_add);
+    memory_bytes.saturating_sub(taken_bytes)
+}
+
 /// Time without growth from which a message is closed for another one.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
 /// What room is taken for. The order is that of the shares.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RoomUse {
+    /// A larger receive buffer, which speeds up a message that would arrive without it.
+    ReceiveBuffer,
     /// A request with a large body.
     LargeRequest,
     /// An answer.
@@ -46,6 +60,7 @@
     /// Eighths of the budget that may be in use once room is taken for it.
     fn eighths(self) -> usize {
         match self {
+            Self::ReceiveBuffer => 4,
             Self::LargeRequest => 6,
             Self::Answer => 7,
             Self::SmallRequest => 8,
@@ -62,37 +77,73 @@
 #[derive(Debug)]
 struct SharedBudget {
     // None without a limit.
-    max_bytes: Option<usize>,
+    memory_bytes: Option<usize>,
+    // What is given out of it, None without a limit.
+    max_bytes: Cell<Option<usize>>,
+    receive_buffer_bytes: usize,
     held_bytes: Cell<usize>,
     arriving: RefCell<Vec<Rc<ArrivingRequest>>>,
 }
 
 impl MemoryBudget {
-    /// Budget of a process that may take `memory_bytes`, None without a limit, and serves so
-    /// many connections.
-    pub fn of_process(memory_bytes: Option<usize>, max_connections: usize) -> Self {
-        let max_bytes = memory_bytes.map(|memory_bytes| {
-            let own_bytes = OWN_BYTES.min(memory_bytes / 3);
-            let connection_bytes = max_connections.saturating_mul(CONNECTION_BYTES);
-            let rest = memory_bytes
-                .saturating_sub(own_bytes)
-                .saturating_sub(connection_bytes);
-            // However many connections there may be, some of them are served.
-            (rest / 5 * GIVEN_FIFTHS).max(memory_bytes / 4)
-        });
+    /// Budget of a process that may take `memory_bytes`, None without a limit, and has these
+    /// listeners.
+    pub fn of_process(memory_bytes: Option<usize>, listeners: &[ListenerLoad]) -> Self {
+        let buffer_sizes = listeners.iter().map(|load| load.receive_buffer_bytes);
         let shared = SharedBudget {
-            max_bytes,
+            memory_bytes,
+            max_bytes: Cell::default(),
+            receive_buffer_bytes: buffer_sizes.max().unwrap_or(RECEIVE_BUFFER_BYTES) as usize,
             held_bytes: Cell::default(),
             arriving: RefCell::default(),
         };
-        Self {
+        let budget = Self {
             shared: Rc::new(shared),
+        };
+        budget.set_listeners(listeners);
+        budget
+    }
+
+    /// Sets what the listeners of the process take at most.
+    pub fn set_listeners(&self, listeners: &[ListenerLoad]) {
+        let max_bytes = self.shared.memory_bytes.map(|memory_bytes| {
+            let rest = rest_bytes(memory_bytes, listeners);
+            // However little memory there is, some requests are served.
+            (rest / 5 * GIVEN_FIFTHS).max(memory_bytes / 8)
+        });
+        self.shared.max_bytes.set(max_bytes);
+    }
+
+    /// Largest number of connections of a listener with receive buffers of this size for which
+    /// a process with `memory_bytes` and the listeners `others` has memory: the rest is left for
+    /// messages.
+    pub fn affordable_connections(
+        memory_bytes: usize,
+        receive_buffer_bytes: u32,
+        others: &[ListenerLoad],
+    ) -> usize {
+        let share_bytes = rest_bytes(memory_bytes, others) / 5 * CONNECTION_FIFTHS;
+        ListenerLoad::connections_within(share_bytes, receive_buffer_bytes)
+    }
+
+    /// Size of the receive buffer of a connection of clients, in bytes.
+    pub fn receive_buffer_bytes(&self) -> usize {
+        self.shared.receive_buffer_bytes
+    }
+
+    /// Takes room if there is any without closing requests; returns whether there was.
+    pub(super) fn try_take(&self, bytes: usize, room_use: RoomUse) -> bool {
+        let has_room = self.has_room(bytes, room_use);
+        if has_room {
+            let held_bytes = self.shared.held_bytes.get() + bytes;
+            self.shared.held_bytes.set(held_bytes);
         }
+        has_room
     }
 
     /// Whether there is a limit.
     pub fn is_limited(&self) -> bool {
-        self.shared.max_bytes.is_some()
+        self.shared.memory_bytes.is_some()
     }
 
     /// Bytes held now.
@@ -138,7 +189,7 @@
     }
 
     fn has_room(&self, bytes: usize, room_use: RoomUse) -> bool {
-        self.shared.max_bytes.is_none_or(|max_bytes| {
+        self.shared.max_bytes.get().is_none_or(|max_bytes| {
             let limit = max_bytes / 8 * room_use.eighths();
             self.shared.held_bytes.get().saturating_add(bytes) <= limit
         })
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -9,6 +9,7 @@
 use crate::http1::Connection;
 use crate::http1::HeldRequest;
 use crate::http1::Http1Error;
+use crate::http1::ListenerLoad;
 use crate::http1::MemoryBudget;
 use crate::http1::RequestHead;
 use crate::http1::RoomUse;
@@ -84,8 +85,8 @@
 pub struct InternalLimits {
     /// Budget of the process.
     pub memory: MemoryBudget,
-    /// Largest number of connections.
-    pub max_connections: usize,
+    /// Connections that are served at once.
+    pub load: ListenerLoad,
 }
 
 /// Handles the requests of an internal listener.
@@ -153,15 +154,15 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                slots.make_room(limits.max_connections).await;
-                let (handler, memory) = (handler.clone(), limits.memory.clone());
+                slots.make_room(limits.load.max_connections).await;
+                let (handler, limits) = (handler.clone(), limits.clone());
                 let slot = slots.add();
                 actix_rt::spawn(async move {
                     let mut connection = Connection::new(stream);
                     let ended = tokio::select! {
                         biased;
                         () = slot.closed() => Err(Http1Error::Closed),
-                        ended = serve_connection(&mut connection, &*handler, &memory, &slot) => ended,
+                        ended = serve_connection(&mut connection, &*handler, &limits, &slot) => ended,
                     };
                     if let Err(error) = ended {
                         log::debug!("an internal connection ended: {error}");
@@ -180,7 +181,7 @@
 async fn serve_connection(
     connection: &mut Connection,
     handler: &impl InternalHandler,
-    memory: &MemoryBudget,
+    limits: &InternalLimits,
     slot: &ConnectionSlot,
 ) -> Result<(), Http1Error> {
     loop {
@@ -188,7 +189,7 @@
             return Ok(());
         }
         slot.enter(ConnectionStage::Reading);
-        let mut held = HeldRequest::new(memory);
+        let mut held = HeldRequest::new(&limits.memory);
         let arriving = held.arriving();
         let read = tokio::select! {
             biased;
@@ -205,16 +206,16 @@
         held.finish();
         slot.enter(ConnectionStage::Handling);
         let is_last = request.head.wants_close();
-        let mut response = handler.handle(request).await;
+        let response = handler.handle(request).await;
         let response_bytes = response.body.len().saturating_sub(MAX_JOINED_BODY_BYTES);
-        let is_admitted = memory.change(0, response_bytes, RoomUse::Answer).is_ok();
-        if !is_admitted {
-            response = InternalResponse::without_body(503);
+        let memory = &limits.memory;
+        if let Err(error) = memory.change(0, response_bytes, RoomUse::Answer) {
+            drop(response);
+            refuse(connection, &error).await?;
+            return Err(error);
         }
         let written = write_response(connection, &response).await;
-        if is_admitted {
-            memory.release(response_bytes);
-        }
+        memory.release(response_bytes);
         written?;
         if is_last {
             return Ok(());
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 
 use crate::fleet::Topic;
@@ -19,7 +18,9 @@
 use crate::gateway::fetch_records;
 use crate::gateway::for_each_datagram;
 use crate::gateway::wait_for_changed_settings;
+use crate::http1::INTERNAL_RECEIVE_BUFFER_BYTES;
 use crate::http1::InternalLimits;
+use crate::http1::ListenerLoad;
 use crate::http1::MemoryBudget;
 use crate::http1::serve_internal;
 use crate::observe::Event;
@@ -55,7 +56,10 @@
 const HOSTS_PER_HAVE_INTERVAL: u32 = 20;
 
 /// Connections that each port serves at once: more than the other hosts of a deployment open.
-const MAX_CONNECTIONS: usize = 128;
+const PORT_LOAD: ListenerLoad = ListenerLoad {
+    max_connections: 128,
+    receive_buffer_bytes: INTERNAL_RECEIVE_BUFFER_BYTES,
+};
 
 /// Time for which pieces are still served after a stop signal.
 const STOP_DELAY: Duration = Duration::from_millis(300);
@@ -83,18 +87,19 @@
     let mut hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
     let metrics = Rc::new(Metrics::new());
     let state = StagingState::new(settings.clone());
-    let limits = InternalLimits {
-        memory: MemoryBudget::of_process(settings.memory_bytes, 2 * MAX_CONNECTIONS),
-        max_connections: MAX_CONNECTIONS,
-    };
+    let memory = MemoryBudget::of_process(settings.memory_bytes, &[PORT_LOAD, PORT_LOAD]);
     for address in [settings.internal, settings.metrics] {
+        let limits = InternalLimits {
+            memory: memory.clone(),
+            load: PORT_LOAD,
+        };
         let handler = PieceHandler {
             state: state.clone(),
             engine: engine.clone(),
             metrics: metrics.clone(),
         };
-        let listener = TcpListener::bind(address).await?;
-        actix_rt::spawn(serve_internal(listener, handler, limits.clone()));
+        let listener = PORT_LOAD.listen(address)?;
+        actix_rt::spawn(serve_internal(listener, handler, limits));
     }
     let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     actix_rt::spawn(follow_records(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -291,6 +291,7 @@
         cold_slack: 0.0,
         link_mbps: 100.0,
         max_client_connections: 10,
+        receive_buffer_bytes: bergamotfork::http1::RECEIVE_BUFFER_BYTES,
         memory_bytes: None,
     }
 }
--- a/tests/http1/main.rs
+++ b/tests/http1/main.rs
@@ -1,6 +1,7 @@
 //! Heads, framing and bodies of HTTP/1.1 messages. Ambiguous messages must be rejected,
 //! as they could be used to smuggle requests.
 
+mod budget;
 mod client;
 mod large_heads;
 
