Notice that a client which sent ahead has left

What callers saw: replicas stayed busy with requests whose clients had left.

Cause: with its read-ahead full, a connection was not read any more, and its end not seen; the request kept its replica's slot until its deadline.

Evidence: `client_that_sent_ahead_leaves_noticed` timed out on the code before. It holds now.

Why this works: what comes beyond 16 KiB behind a request is discarded, ten times a second, so that the end is reached; the connection is closed after the answer. The discarded requests have not run.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -218,6 +218,10 @@
             Ok(request) => gateway.forward(&mut client, *request).await,
             Err((head, refusal)) => refuse(&client, gateway, &head, &refusal).await,
         };
+        if client.has_discarded() {
+            client.linger(Instant::now() + LINGER_TIME).await;
+            return;
+        }
         if reuse == ConnectionReuse::Close {
             return;
         }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -23,6 +23,10 @@
 /// Bytes kept of pipelined requests while a request is handled.
 pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// Interval at which what a peer sends beyond these bytes is discarded. TCP slows the peer down
+/// in between.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Content of a body from which a larger receive buffer is used.
 const MIN_WIDE_BODY_BYTES: usize = 64 * 1024;
 
@@ -55,6 +59,8 @@
     reads_in_a_row: u32,
     /// Room for a larger receive buffer.
     receive_room: Option<ReceiveRoom>,
+    /// Next time at which bytes are discarded, once the peer has sent more ahead than is kept.
+    discard_at: Option<Instant>,
 }
 
 impl Connection {
@@ -68,6 +74,7 @@
             read_buffer: BytesMut::new(),
             reads_in_a_row: 0,
             receive_room: None,
+            discard_at: None,
         }
     }
 
@@ -404,20 +411,32 @@
 
     /// Waits until the peer closes the connection or it fails.
     ///
-    /// Pipelined requests that arrive meanwhile are kept in `read_buffer`. Once it is
-    /// full nothing more is read, and the wait never ends.
+    /// Pipelined requests that arrive meanwhile are kept in `read_buffer`. Of a peer that sends
+    /// more than is kept they are discarded, and its connection is not to be used for another
+    /// request, so that the end of the connection is noticed however much it has sent.
     pub async fn wait_closed(&mut self) {
-        loop {
+        while self.discard_at.is_none() {
             if self.read_buffer.len() >= MAX_READ_AHEAD_BYTES {
-                std::future::pending::<()>().await;
+                self.read_buffer = BytesMut::new();
+                self.discard_at = Some(Instant::now());
+            } else if matches!(self.fill_buffer().await, Ok(0) | Err(_)) {
+                return;
             }
-            match self.fill_buffer().await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
+        }
+        loop {
+            tokio::time::sleep_until(self.discard_at.unwrap_or_else(Instant::now)).await;
+            if matches!(self.discard().await, Ok(0) | Err(_)) {
+                return;
             }
+            self.discard_at = Some(Instant::now() + DISCARD_INTERVAL);
         }
     }
 
+    /// Whether requests that the peer sent ahead were discarded.
+    pub fn has_discarded(&self) -> bool {
+        self.discard_at.is_some()
+    }
+
     /// Waits for bytes, discards some, and returns their number; 0 when the peer has closed the
     /// connection.
     async fn discard(&mut self) -> io::Result<usize> {
