Bound what the parts of prompts take

What callers saw: an entry was killed for its memory by heads that list thousands of parts of a prompt.

Cause: each part was held as a String of its own while its request ran, beside a digest for each service, none of which was counted.

--- a/src/gateway/request_routing.rs
+++ b/src/gateway/request_routing.rs
@@ -63,7 +63,7 @@
     let Some(route) = catalog.route(&host, head.path()).cloned() else {
         return Err((head, LocalRefusal::new(404, "no_route")));
     };
-    let facts = gateway.dialect.request_facts(&head);
+    let mut facts = gateway.dialect.request_facts(&head);
     let (workspace, priority) = match identify_caller(&catalog, &route, &facts.credential) {
         Ok(caller) => caller,
         Err(refusal) => return Err((head, refusal)),
@@ -83,7 +83,9 @@
     let elsewhere = services.filter(|other| *other != service);
     let causes = RunCauses::of_services(request, &service, elsewhere, &facts.prompt_part_ids)
         .with_identity(identity);
-    if held.begin_forwarding(0).is_err() {
+    // Thousands of them would take many times the head.
+    facts.prompt_part_ids = Vec::new();
+    if held.begin_forwarding(causes.held_bytes()).is_err() {
         return Err((head, LocalRefusal::no_memory()));
     }
     let is_late = waited_before_ms > 0;
