Tell operators which peers are refused, and why

What operators saw: refusals at the inner ports left neither a counter nor a line, and a crowd at the port of clients thousands of lines without an address.

Why this works: `bergamotfork_peer_refusals_total` counts by cause at all ports, and event 736 names the port and a peer once a second for each port and cause, with the number since the line before. An answer for which there is no room at an inner port is refused with `Retry-After`.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -14,6 +14,7 @@
 use crate::gateway::connection_reuse::ConnectionReuse;
 use crate::gateway::end_causes::CONNECTION_LIMIT;
 use crate::gateway::gateway_handle::Gateway;
+use crate::gateway::local_refusals::CLIENT_PORT;
 use crate::gateway::local_refusals::LOCAL_RESPONSE_TIMEOUT;
 use crate::gateway::local_refusals::LocalRefusal;
 use crate::gateway::local_refusals::refuse;
@@ -101,18 +102,23 @@
             .client_load()
             .max_connections;
         let mut client = Connection::new(stream);
+        let peer = client.peer();
         if self.open_connections.count() < limit || self.close_silent() {
             let slot = self.open_connections.add();
             actix_rt::spawn(async move {
                 tokio::select! {
                     biased;
-                    () = slot.closed() => gateway.metrics.record_closed_connection("silent"),
+                    () = slot.closed() => {
+                        gateway.metrics.record_closed_connection("silent");
+                        gateway.refusals.record(CLIENT_PORT, "silent", peer);
+                    }
                     () = serve_client(client, &gateway, &slot) => {}
                 }
             });
             return;
         }
         gateway.metrics.record_closed_connection("limit");
+        gateway.refusals.record(CLIENT_PORT, CONNECTION_LIMIT, peer);
         if Rc::strong_count(&self.refused_connections) > MAX_REFUSED_CONNECTIONS {
             LogLine::new(Event::RequestUnread)
                 .text("cause", "limit")
@@ -219,6 +225,8 @@
             Err((head, refusal)) => refuse(&client, gateway, &head, &refusal).await,
         };
         if client.has_discarded() {
+            let peer = client.peer();
+            gateway.refusals.record(CLIENT_PORT, "sent_ahead", peer);
             client.linger(Instant::now() + LINGER_TIME).await;
             return;
         }
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -3,6 +3,7 @@
 
 use crate::gateway::GatewayState;
 use crate::observe::Metrics;
+use crate::observe::PortRefusals;
 
 /// Sends the requests of clients to replicas, and the responses to the clients.
 #[derive(Debug)]
@@ -13,6 +14,8 @@
     pub dialect: Rc<D>,
     /// Metrics of the process.
     pub metrics: Rc<Metrics>,
+    /// Clients that are refused.
+    pub refusals: PortRefusals,
 }
 
 impl<D> Clone for Gateway<D> {
@@ -21,6 +24,7 @@
             state: self.state.clone(),
             dialect: self.dialect.clone(),
             metrics: self.metrics.clone(),
+            refusals: self.refusals.clone(),
         }
     }
 }
--- a/src/gateway/local_refusals.rs
+++ b/src/gateway/local_refusals.rs
@@ -13,6 +13,9 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 
+/// Name of the port of clients in logs.
+pub(super) const CLIENT_PORT: &str = "clients";
+
 /// Timeout of writing a response that the gateway itself generates.
 pub(super) const LOCAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -84,6 +87,10 @@
         .number("config", config)
         .enqueue();
     gateway.metrics.record_refusal(refusal.cause);
+    if refusal.cause == Http1Error::NoMemory.label() {
+        let peer = client.peer();
+        gateway.refusals.record(CLIENT_PORT, refusal.cause, peer);
+    }
     let bytes = local_response(refusal.status, refusal.retry_after_ms, close);
     let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
     match client.write_with_deadline(&bytes, deadline).await {
@@ -138,6 +145,7 @@
         .text("cause", cause)
         .enqueue();
     gateway.metrics.record_refusal(cause);
+    gateway.refusals.record(CLIENT_PORT, cause, client.peer());
     let bytes = local_response(status, retry_after_ms, true);
     let deadline = Instant::now() + LOCAL_RESPONSE_TIMEOUT;
     if let Err(error) = client.write_with_deadline(&bytes, deadline).await {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -40,6 +40,7 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
+use crate::observe::PortRefusals;
 use crate::observe::flush_log;
 use crate::observe::flush_log_every;
 use crate::weights::OriginPort;
@@ -157,15 +158,19 @@
     pieces: &Rc<PieceCache<impl OriginPort>>,
 ) -> io::Result<()> {
     let memory = state.borrow().answer_memory.budget().clone();
-    let limits = |load| InternalLimits {
+    let refusals = PortRefusals::new(metrics.clone());
+    let limits = |port, load| InternalLimits {
+        port,
         memory: memory.clone(),
         load,
+        refusals: refusals.clone(),
     };
     let front = settings.client_load().listen(settings.front)?;
     let gateway = Gateway {
         state: state.clone(),
         dialect: dialect.clone(),
         metrics: metrics.clone(),
+        refusals: refusals.clone(),
     };
     actix_rt::spawn(serve_clients(front, gateway));
     if let Some(address) = settings.ready {
@@ -174,7 +179,7 @@
             dialect: dialect.clone(),
         };
         let listener = CHECK_LOAD.listen(address)?;
-        let limits = limits(CHECK_LOAD);
+        let limits = limits("readiness", CHECK_LOAD);
         actix_rt::spawn(serve_internal(listener, readiness, limits));
     }
     if let Some(address) = settings.directory {
@@ -183,12 +188,12 @@
             dialect: dialect.clone(),
         };
         let listener = CHECK_LOAD.listen(address)?;
-        let limits = limits(CHECK_LOAD);
+        let limits = limits("directory", CHECK_LOAD);
         actix_rt::spawn(serve_internal(listener, directory, limits));
     }
     for (address, limits) in [
-        (settings.internal, limits(INTERNAL_LOAD)),
-        (settings.metrics, limits(CHECK_LOAD)),
+        (settings.internal, limits("internal", INTERNAL_LOAD)),
+        (settings.metrics, limits("metrics", CHECK_LOAD)),
     ] {
         let internal = InternalCallHandler {
             state: state.clone(),
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Address of the peer, unless the connection has failed.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
     /// Opens a connection to `address` within `timeout`.
     ///
     /// # Errors
--- a/src/http1/server.rs
+++ b/src/http1/server.rs
@@ -17,6 +17,7 @@
 use crate::http1::connection_slots::ConnectionSlots;
 use crate::http1::connection_slots::ConnectionStage;
 use crate::http1::head_search::HeadSearch;
+use crate::observe::PortRefusals;
 
 /// Largest head of an internal request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -83,10 +84,14 @@
 /// What an internal listener may hold for its peers.
 #[derive(Debug, Clone)]
 pub struct InternalLimits {
+    /// Name of the port in logs.
+    pub port: &'static str,
     /// Budget of the process.
     pub memory: MemoryBudget,
     /// Connections that are served at once.
     pub load: ListenerLoad,
+    /// Peers that are refused.
+    pub refusals: PortRefusals,
 }
 
 /// Handles the requests of an internal listener.
@@ -161,7 +166,10 @@
                     let mut connection = Connection::new(stream);
                     let ended = tokio::select! {
                         biased;
-                        () = slot.closed() => Err(Http1Error::Closed),
+                        () = slot.closed() => {
+                            limits.refusals.record(limits.port, "limit", connection.peer());
+                            Err(Http1Error::Closed)
+                        }
                         ended = serve_connection(&mut connection, &*handler, &limits, &slot) => ended,
                     };
                     if let Err(error) = ended {
@@ -199,7 +207,7 @@
         let request = match read {
             Ok(request) => request,
             Err(error) => {
-                refuse(connection, &error).await?;
+                refuse(connection, limits, &error).await?;
                 return Err(error);
             }
         };
@@ -211,7 +219,7 @@
         let memory = &limits.memory;
         if let Err(error) = memory.change(0, response_bytes, RoomUse::Answer) {
             drop(response);
-            refuse(connection, &error).await?;
+            refuse(connection, limits, &error).await?;
             return Err(error);
         }
         let written = write_response(connection, &response).await;
@@ -260,7 +268,15 @@
 
 /// Answers a request that is not read because of its size or for lack of memory; the connection
 /// is then closed.
-async fn refuse(connection: &mut Connection, error: &Http1Error) -> Result<(), Http1Error> {
+async fn refuse(
+    connection: &mut Connection,
+    limits: &InternalLimits,
+    error: &Http1Error,
+) -> Result<(), Http1Error> {
+    if !matches!(error, Http1Error::Closed | Http1Error::Io(_)) {
+        let peer = connection.peer();
+        limits.refusals.record(limits.port, error.label(), peer);
+    }
     let head = match error {
         Http1Error::BodyTooLarge => "HTTP/1.1 413 .\r\n".to_owned(),
         Http1Error::NoMemory => {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -36,11 +36,13 @@
     ClosedConnections,
     /// Requests from which the limit on cold replicas kept a replica, by `outcome`.
     ColdHeldBack,
+    /// Peers that were refused at a port, or whose connections were closed, by `cause`.
+    PeerRefusals,
 }
 
 impl CounterKind {
     /// All counters, in order of declaration.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Refusals,
         Self::Retries,
         Self::Requests,
@@ -53,6 +55,7 @@
         Self::LoadOrders,
         Self::ClosedConnections,
         Self::ColdHeldBack,
+        Self::PeerRefusals,
     ];
 
     /// Name of the counter; the exported text appends `_total` to it.
@@ -70,6 +73,7 @@
             Self::LoadOrders => "bergamotfork_load_orders",
             Self::ClosedConnections => "bergamotfork_closed_connections",
             Self::ColdHeldBack => "bergamotfork_cold_held_back",
+            Self::PeerRefusals => "bergamotfork_peer_refusals",
         }
     }
 }
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -7,6 +7,8 @@
 mod log_line;
 mod logging;
 mod metrics;
+mod port_refusals;
+mod refusal_pace;
 
 pub use event::Event;
 pub use event::emit_event;
@@ -18,3 +20,5 @@
 pub use logging::init_logging;
 pub use metrics::CounterKind;
 pub use metrics::Metrics;
+pub use port_refusals::PortRefusals;
+pub use refusal_pace::RefusalPace;
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -26,6 +26,7 @@
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::observe::Metrics;
+use crate::observe::PortRefusals;
 use crate::observe::flush_log;
 use crate::observe::flush_log_every;
 use crate::staging::EnginePort;
@@ -88,10 +89,16 @@
     let metrics = Rc::new(Metrics::new());
     let state = StagingState::new(settings.clone());
     let memory = MemoryBudget::of_process(settings.memory_bytes, &[PORT_LOAD, PORT_LOAD]);
-    for address in [settings.internal, settings.metrics] {
+    let refusals = PortRefusals::new(metrics.clone());
+    for (port, address) in [
+        ("internal", settings.internal),
+        ("metrics", settings.metrics),
+    ] {
         let limits = InternalLimits {
+            port,
             memory: memory.clone(),
             load: PORT_LOAD,
+            refusals: refusals.clone(),
         };
         let handler = PieceHandler {
             state: state.clone(),
--- a/tests/http1/budget.rs
+++ b/tests/http1/budget.rs
@@ -1,10 +1,14 @@
 //! What a process holds for its peers stays within its memory, however it is set.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use bergamotfork::http1::INTERNAL_RECEIVE_BUFFER_BYTES;
 use bergamotfork::http1::ListenerLoad;
 use bergamotfork::http1::MemoryBudget;
 use bergamotfork::http1::RECEIVE_BUFFER_BYTES;
 use bergamotfork::http1::RoomUse;
+use bergamotfork::observe::RefusalPace;
 
 /// Bytes that a budget gives out at most.
 fn given_bytes(budget: &MemoryBudget) -> usize {
@@ -55,3 +59,17 @@
     let listeners = listeners(260 << 20, 1_900, RECEIVE_BUFFER_BYTES);
     assert_eq!(listeners[1].max_connections, 1_900);
 }
+
+#[test]
+fn refusals_one_line_a_second() {
+    let mut pace = RefusalPace::default();
+    let start = Instant::now();
+    let refuse = |pace: &mut RefusalPace, ms| {
+        pace.record("clients", "no_memory", start + Duration::from_millis(ms))
+    };
+    assert_eq!(refuse(&mut pace, 0), Some(1));
+    let lines = (1..1_000).filter(|ms| refuse(&mut pace, *ms).is_some());
+    assert_eq!(lines.count(), 0);
+    assert_eq!(pace.record("clients", "limit", start), Some(1));
+    assert_eq!(refuse(&mut pace, 1_000), Some(1_000));
+}
