Bound what callers make the own interface hold

What callers saw: an entry or endpoint of the own interface grew with what was sent to it until it was killed, by callers without any token or key too.

Cause: bodies were read without a common bound, for requests between processes even before their key was checked (64 MiB each), receive buffers and connections were bounded by the system alone, and the body of a call was parsed into a tree of many times its text.

Why this works: `max_connections` and `receive_buffer_bytes` bound each connection, `request_memory_bytes` the bodies of callers with their copies, and a request without the shared key is refused before its body is read. The body of a call is kept as its text.

--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -26,6 +26,16 @@
     default: 1024 * 1024,
 };
 
+const REQUEST_MEMORY_BYTES: NumberKey = NumberKey {
+    key: "request_memory_bytes",
+    unit: Unit::Bytes,
+    range: 1024 * 1024..=64 * 1024 * 1024 * 1024,
+    default: 512 * 1024 * 1024,
+};
+
+/// Bodies of the largest size for which there has to be memory.
+const MIN_LARGEST_BODIES: u64 = 5;
+
 // The clock of the HTTP server advances in steps of 500 ms, so a timeout shorter than
 // 1000 ms would also abort requests that were sent without delay.
 const SLOW_CLIENT_TIMEOUT_MS: NumberKey = NumberKey {
@@ -87,6 +97,8 @@
     pub address_lifetime_ms: u64,
     /// Largest request body; default 1 MiB.
     pub max_body_bytes: u64,
+    /// Memory for the bodies of all requests, with their copies; default 512 MiB.
+    pub request_memory_bytes: u64,
     /// Time a client has to send a head, and again for a body; default 5000.
     pub slow_client_timeout_ms: u64,
     /// Time without data after which a connection is abandoned; default 3000.
@@ -116,6 +128,7 @@
             cluster,
             address_lifetime_ms: ADDRESS_LIFETIME_MS.default,
             max_body_bytes: MAX_BODY_BYTES.default,
+            request_memory_bytes: REQUEST_MEMORY_BYTES.default,
             slow_client_timeout_ms: SLOW_CLIENT_TIMEOUT_MS.default,
             silence_ms: SILENCE_MS.default,
             drain_ms: DRAIN_MS.default,
@@ -146,6 +159,7 @@
             cluster: ClusterSettings::read(reader),
             address_lifetime_ms: reader.number(SECTION, &ADDRESS_LIFETIME_MS),
             max_body_bytes: reader.number(SECTION, &MAX_BODY_BYTES),
+            request_memory_bytes: reader.number(SECTION, &REQUEST_MEMORY_BYTES),
             slow_client_timeout_ms: reader.number(SECTION, &SLOW_CLIENT_TIMEOUT_MS),
             silence_ms: reader.number(SECTION, &SILENCE_MS),
             drain_ms: reader.number(SECTION, &DRAIN_MS),
@@ -154,11 +168,25 @@
             log_retention_ms: reader.number(SECTION, &LOG_RETENTION_MS),
             teams: TeamSettings::read_all(reader),
         };
+        settings.check_request_memory(reader);
         settings.check_drain_ms(reader);
         settings.check_log_retention_ms(reader);
         settings
     }
 
+    /// Checks that a request of the largest size is served.
+    fn check_request_memory(&self, reader: &mut SettingsReader) {
+        let min_bytes = MIN_LARGEST_BODIES * self.max_body_bytes;
+        if self.request_memory_bytes >= min_bytes {
+            return;
+        }
+        let value = self.request_memory_bytes.to_string();
+        let problem = "there is no memory for a body of the largest size";
+        let allowed = format!("at least {MIN_LARGEST_BODIES} x max_body_bytes = {min_bytes}");
+        let key = REQUEST_MEMORY_BYTES.key;
+        reader.add_fault(SECTION, key, Some(&value), problem, &allowed);
+    }
+
     /// Checks that a stopping entry serves until its address has expired at all clients.
     fn check_drain_ms(&self, reader: &mut SettingsReader) {
         if self.drain_ms > self.address_lifetime_ms {
--- a/src/conf/process_settings.rs
+++ b/src/conf/process_settings.rs
@@ -4,7 +4,9 @@
 use log::LevelFilter;
 
 use super::LogFormat;
+use super::NumberKey;
 use super::SettingsReader;
+use super::Unit;
 use crate::hosts::HostRole;
 
 const SECTION: &str = "process";
@@ -24,6 +26,20 @@
     ("trace", LevelFilter::Trace),
 ];
 
+const MAX_CONNECTIONS: NumberKey = NumberKey {
+    key: "max_connections",
+    unit: Unit::Count,
+    range: 16..=65_536,
+    default: 4_096,
+};
+
+const RECEIVE_BUFFER_BYTES: NumberKey = NumberKey {
+    key: "receive_buffer_bytes",
+    unit: Unit::Bytes,
+    range: 4_096..=1_048_576,
+    default: 16_384,
+};
+
 /// Identity, location and logging of a process.
 #[derive(Debug, Clone)]
 pub struct ProcessSettings {
@@ -37,6 +53,10 @@
     pub domain: String,
     /// Address that the process listens on and that other hosts connect to.
     pub listen: SocketAddr,
+    /// Connections that are served at once; default 4096.
+    pub max_connections: u64,
+    /// Size of the receive buffer of a connection; default 16384.
+    pub receive_buffer_bytes: u64,
     /// Format of the log; default `text`.
     pub log_format: LogFormat,
     /// Lowest level that is logged; default `info`.
@@ -58,6 +78,8 @@
             region: region.into(),
             domain: domain.into(),
             listen,
+            max_connections: MAX_CONNECTIONS.default,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES.default,
             log_format: LogFormat::default(),
             log_level: LevelFilter::Info,
         }
@@ -78,6 +100,8 @@
             region: reader.name(SECTION, "region"),
             domain: reader.name(SECTION, "domain"),
             listen: check_listen(reader, listen),
+            max_connections: reader.number(SECTION, &MAX_CONNECTIONS),
+            receive_buffer_bytes: reader.number(SECTION, &RECEIVE_BUFFER_BYTES),
             log_format: reader
                 .choice(SECTION, "log_format", &LOG_FORMATS, Some("text"))
                 .unwrap_or_default(),
--- a/src/entry/api_error.rs
+++ b/src/entry/api_error.rs
@@ -17,6 +17,9 @@
 
 use super::ErrorCode;
 
+/// Suggested wait before a retry when there is no memory for a body, in milliseconds.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Milliseconds per second, the unit of the header `Retry-After`.
 const MS_PER_S: u64 = 1000;
 
@@ -138,6 +141,12 @@
     })
 }
 
+/// Answers a request for whose body there is no memory.
+pub fn no_memory() -> HttpResponse {
+    let message = "the entry holds too many bodies of other requests; not run";
+    ApiError::retryable(ErrorCode::NoMemory, message, NO_MEMORY_RETRY_MS).error_response()
+}
+
 /// Answers a request to a path that does not exist.
 pub async fn unknown_path(request: HttpRequest) -> HttpResponse {
     let message = format!("path {} does not exist", request.path());
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -8,7 +8,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::calls::CallOutcome;
 use crate::calls::Nonce;
@@ -50,7 +50,7 @@
     branch: String,
     service: String,
     path: String,
-    body: Value,
+    body: Box<RawValue>,
     permit: Option<Permit>,
     /// Number of this send of the permit, from 1; a retry with the same permit has the next.
     send: Option<u32>,
--- a/src/entry/error_code.rs
+++ b/src/entry/error_code.rs
@@ -57,6 +57,7 @@
     NoReplica "no_replica" SERVICE_UNAVAILABLE "No live endpoint serves the model or service.";
     NotRun "not_run" SERVICE_UNAVAILABLE "The call was not run and will not be run.";
     Leaving "leaving" SERVICE_UNAVAILABLE "The process is leaving and takes no new work; not run.";
+    NoMemory "no_memory" SERVICE_UNAVAILABLE "The entry holds too many bodies of other requests; not run.";
     LogUnavailable "log_unavailable" SERVICE_UNAVAILABLE "The platform's log does not answer.";
     OutcomeUnknown "outcome_unknown" GATEWAY_TIMEOUT "It is not known whether the call ran.";
     DeadlinePassed "deadline_passed" GATEWAY_TIMEOUT "The deadline passed before the call ran.";
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -23,6 +23,8 @@
 use crate::entry::status;
 use crate::entry::tailer::Tailer;
 use crate::links::LAST_ANSWERS_TIME;
+use crate::links::RequestGate;
+use crate::links::RequestMemory;
 use crate::links::ServeOptions;
 use crate::links::serve;
 use crate::node;
@@ -58,6 +60,15 @@
         // The time until addresses have expired is a part of the drain.
         drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
         drain_end: Arc::clone(&state.drain_end),
+        max_connections: settings.process.max_connections as usize,
+        receive_buffer_bytes: settings.process.receive_buffer_bytes as usize,
+        shared_key: Some(settings.cluster.shared_key.as_str().into()),
+        gate: Some(Arc::new(RequestGate::new(
+            RequestMemory::new(settings.request_memory_bytes),
+            settings.max_body_bytes,
+            api_error::no_memory,
+            Arc::clone(state.node.metrics()),
+        ))),
     };
     let shared = Arc::clone(&state);
     let server = serve(listen, &options, move |app| {
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -1,11 +1,9 @@
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use actix_web::App;
@@ -13,26 +11,30 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
-use actix_web::body::BodySize;
 use actix_web::body::BoxBody;
 use actix_web::body::MessageBody;
 use actix_web::dev::ServiceRequest;
 use actix_web::dev::ServiceResponse;
 use actix_web::http::ConnectionType;
+use actix_web::http::Method;
 use actix_web::middleware::Next;
 use actix_web::middleware::from_fn;
 use actix_web::web::ServiceConfig;
-use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::links::CallRejection;
 use crate::links::DrainEnd;
 use crate::links::LinkError;
+use crate::links::RequestGate;
 use crate::links::RequestsUnderWay;
 use crate::links::SHARED_KEY_HEADER;
 use crate::links::body_timeout::limit_body_time;
-use crate::links::requests_under_way::RequestGuard;
+use crate::links::guarded_body::GuardedBody;
+use crate::links::request_gate::hold_body;
 use crate::standin::HttpServerHandle;
 
 /// Time limits of an HTTP server.
@@ -44,18 +46,53 @@
     pub drain_ms: u64,
     /// End of the drain, at which a body that is still arriving is refused.
     pub drain_end: Arc<DrainEnd>,
+    /// Largest number of connections that are served at once.
+    pub max_connections: usize,
+    /// Size of the receive buffer of a connection, in bytes.
+    pub receive_buffer_bytes: usize,
+    /// Key without which a request between processes is refused before its body is read.
+    pub shared_key: Option<Arc<str>>,
+    /// Decides whether bodies are read; None to read all.
+    pub gate: Option<Arc<RequestGate>>,
 }
 
+/// Prefix of the paths for requests between processes.
+const INTERNAL_PATHS: &str = "/x/";
+
+/// Connections that a server without other settings serves at once.
+const DEFAULT_MAX_CONNECTIONS: usize = 4_096;
+
+/// Size of the receive buffer of a connection to a server without other settings, in bytes.
+const DEFAULT_RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Largest number of connections that wait to be accepted.
+const MAX_BACKLOG: usize = 1_024;
+
 impl Default for ServeOptions {
     fn default() -> Self {
         Self {
             client_timeout_ms: 5000,
             drain_ms: 30_000,
             drain_end: Arc::default(),
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            receive_buffer_bytes: DEFAULT_RECEIVE_BUFFER_BYTES,
+            shared_key: None,
+            gate: None,
         }
     }
 }
 
+/// Listens on `address` for connections with a bounded receive buffer.
+fn bind(address: SocketAddr, options: &ServeOptions) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_recv_buffer_size(options.receive_buffer_bytes)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    let backlog = options.max_connections.clamp(1, MAX_BACKLOG);
+    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
+    Ok(socket.into())
+}
+
 /// Starts an HTTP server on `listen` with one worker thread.
 ///
 /// # Errors
@@ -72,17 +109,25 @@
     let drain_end = Arc::clone(&options.drain_end);
     let under_way: Arc<RequestsUnderWay> = Arc::default();
     let requests = Arc::clone(&under_way);
+    let (gate, shared_key) = (options.gate.clone(), options.shared_key.clone());
     let app = move || {
         let is_closing = Arc::clone(&shared);
         let drain_end = Arc::clone(&drain_end);
         let requests = Arc::clone(&requests);
+        let (gate, shared_key) = (gate.clone(), shared_key.clone());
         App::new()
+            .wrap(from_fn(move |request, next| {
+                hold_body(gate.clone(), request, next)
+            }))
             .wrap(from_fn(move |request, next| {
                 limit_body_time(client_timeout, Arc::clone(&drain_end), request, next)
             }))
             .wrap(from_fn(move |request, next| {
                 hold_request(Arc::clone(&requests), request, next)
             }))
+            .wrap(from_fn(move |request, next| {
+                check_key(shared_key.clone(), request, next)
+            }))
             .wrap(from_fn(move |request, next| {
                 close_connection(Arc::clone(&is_closing), request, next)
             }))
@@ -96,7 +141,8 @@
         .client_disconnect_timeout(client_timeout)
         .shutdown_timeout(options.drain_ms.div_ceil(1000))
         .disable_signals()
-        .bind(listen)?;
+        .max_connections(options.max_connections)
+        .listen(bind(listen, options)?)?;
     let address = server.addrs().first().copied().unwrap_or(listen);
     let server = server.run();
     let handle = HttpServerHandle::new(address, server.handle(), is_closing, under_way);
@@ -112,31 +158,25 @@
 ) -> Result<ServiceResponse<impl MessageBody>, Error> {
     let guard = under_way.add();
     let response = next.call(request).await?;
-    Ok(response.map_body(|_, body| HeldBody {
-        body: body.boxed(),
-        _guard: guard,
-    }))
-}
-
-/// Body of an answer; its request is under way until the body is dropped.
-struct HeldBody {
-    body: BoxBody,
-    _guard: RequestGuard,
+    Ok(response.map_body(|_, body| GuardedBody::new(body, guard)))
 }
 
-impl MessageBody for HeldBody {
-    type Error = <BoxBody as MessageBody>::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(context)
+/// Middleware that refuses a request between processes without the shared key before its body
+/// is read.
+async fn check_key(
+    shared_key: Option<Arc<str>>,
+    request: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<BoxBody>, Error> {
+    let is_refused = shared_key.is_some_and(|key| {
+        request.method() == Method::POST
+            && request.path().starts_with(INTERNAL_PATHS)
+            && !has_shared_key(request.request(), &key)
+    });
+    if is_refused {
+        return Ok(request.into_response(CallRejection::WrongKey.response()));
     }
+    Ok(next.call(request).await?.map_into_boxed_body())
 }
 
 /// Middleware that closes the connection after the answer if `is_closing` is set.
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -38,6 +38,8 @@
     folder: PathBuf,
     /// Settings of the section `[endpoint]` of endpoints that are started from now on.
     pub endpoint_settings: String,
+    /// Settings of the section `[process]` of entries and endpoints that are started from now on.
+    pub process_settings: String,
     /// Running processes, each with its host name.
     pub processes: Vec<(String, Process)>,
 }
@@ -65,6 +67,7 @@
             next_port: base_port + 10,
             folder,
             endpoint_settings: String::new(),
+            process_settings: String::new(),
             processes: Vec::new(),
         };
         let log = cluster.stand_in_address(0);
@@ -239,9 +242,10 @@
     ) {
         let text = format!(
             "[process]\nrole = {role}\nname = {name}\nregion = {region}\ndomain = {region}-a\n\
-             listen = {address}\nlog_level = warn\n\
+             listen = {address}\nlog_level = warn\n{}\n\
              [platform]\nlog_url = {}\nhosts_url = {}\norigin_url = {}\n\
              [cluster]\nshared_key = {}\ngossip_ms = 200\nhosts_poll_ms = 200\n{body}",
+            self.process_settings,
             self.log_url(),
             self.hosts_url(),
             self.origin_url(),
