Take back the bound on the broken runs

It was added on a reading that the code does not bear out: `suspects_of` leaves at most 256 parts of a run before it is kept, so 512 broken runs take some 4 MB in any case. The bound of 65,536 parts together would have forgotten runs earlier beside crashes of prompts with many parts, for which no test asks.

Evidence: `prompt_parts_of_clients_that_left_bounded_memory` holds with and without it, and fails (67.15 MB of 67.11) once `suspects_of` keeps all parts.

--- a/src/calls/broken_runs.rs
+++ b/src/calls/broken_runs.rs
@@ -19,10 +19,6 @@
 /// Largest number of broken runs that are kept.
 const MAX_RUNS: usize = 512;
 
-/// Largest number of digests of parts that the runs hold together: more than a hundred for each
-/// run. Prompts of very many parts leave room for fewer runs.
-const MAX_PARTS: usize = 64 * 1024;
-
 /// How the run of a request ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BrokenRunKind {
@@ -94,19 +90,14 @@
 }
 
 impl BrokenRuns {
-    /// Adds a run; the oldest are dropped when there are too many.
+    /// Adds a run; the oldest is dropped when there are too many.
     pub fn add(&mut self, run: BrokenRun) {
         self.runs
             .retain(|known| run.at_ms.saturating_sub(known.at_ms) < RESTART_SIGN_WINDOW_MS);
+        if self.runs.len() >= MAX_RUNS {
+            self.runs.remove(0);
+        }
         self.runs.push(run);
-        let mut part_count = 0;
-        let newest = self.runs.iter().rev().take(MAX_RUNS).take_while(|run| {
-            part_count += run.causes.part_count();
-            part_count <= MAX_PARTS
-        });
-        // The newest one is kept in any case.
-        let kept = newest.count().max(1);
-        self.runs.drain(..self.runs.len() - kept);
     }
 
     /// Removes and returns the runs that `is_ended` says the sign is about, and that ended
--- a/src/calls/run_causes.rs
+++ b/src/calls/run_causes.rs
@@ -101,14 +101,10 @@
         &self.parts_elsewhere
     }
 
-    /// Number of digests of parts that it holds.
-    pub fn part_count(&self) -> usize {
-        self.parts.len() + self.parts_elsewhere.iter().map(Vec::len).sum::<usize>()
-    }
-
     /// Memory that the digests of the parts take, in bytes.
     pub fn held_bytes(&self) -> usize {
-        self.part_count() * size_of::<Digest>()
+        let elsewhere: usize = self.parts_elsewhere.iter().map(Vec::len).sum();
+        (self.parts.len() + elsewhere) * size_of::<Digest>()
     }
 
     /// The request and the shared parts.
