Split the connection by job, and widen only buffers of clients and replicas

What was wrong: an internal port's connection got the buffer of a client's one, 16 KiB in place of 8, once a large body had arrived on it, of which the sum knows nothing. Read, not seen.

Why this works: the receive buffer of an internal connection is not enlarged, so it is never set back either. Writing and the end of a connection move to files of their own; the rest of them is as before.

--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -291,7 +291,7 @@
 
 /// Room for a request that begins to arrive.
 fn hold_request<D: Dialect>(gateway: &Gateway<D>) -> HeldRequest {
-    HeldRequest::new(gateway.state.borrow().answer_memory.budget())
+    HeldRequest::of_client(gateway.state.borrow().answer_memory.budget())
 }
 
 /// Reads a request whose first bytes have arrived, unless it is closed for another one.
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -20,13 +20,6 @@
 /// Most bytes of one read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
-/// Bytes kept of pipelined requests while a request is handled.
-pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
-
-/// Interval at which what a peer sends beyond these bytes is discarded. TCP slows the peer down
-/// in between.
-const DISCARD_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Content of a body from which a larger receive buffer is used.
 const MIN_WIDE_BODY_BYTES: usize = 64 * 1024;
 
@@ -38,29 +31,23 @@
 /// what has arrived meanwhile.
 pub const LATE_TIMER: Duration = Duration::from_millis(20);
 
-/// Start of every interim response.
-const INTERIM_STATUS_LINE: &[u8] = b"HTTP/1.1 1";
-
-/// Most bytes of interim responses that arrive while a request is written.
-const MAX_INTERIM_BYTES: usize = 32 * 1024;
-
 thread_local! {
     /// What a read receives; a connection holds only what has arrived on it.
-    static RECEIVED: RefCell<[u8; READ_CHUNK_BYTES]> =
+    pub(super) static RECEIVED: RefCell<[u8; READ_CHUNK_BYTES]> =
         const { RefCell::new([0; READ_CHUNK_BYTES]) };
 }
 
 /// TCP connection with a buffer of the bytes that were read but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    pub(super) stream: TcpStream,
     /// Bytes that were read but not yet parsed.
     pub read_buffer: BytesMut,
     reads_in_a_row: u32,
     /// Room for a larger receive buffer.
     receive_room: Option<ReceiveRoom>,
     /// Next time at which bytes are discarded, once the peer has sent more ahead than is kept.
-    discard_at: Option<Instant>,
+    pub(super) discard_at: Option<Instant>,
 }
 
 impl Connection {
@@ -154,7 +141,7 @@
 
     /// Reads bytes that have arrived. Room for a larger receive buffer that is no longer used is
     /// returned once the buffer is empty.
-    fn try_read(&mut self, received: &mut [u8]) -> io::Result<usize> {
+    pub(super) fn try_read(&mut self, received: &mut [u8]) -> io::Result<usize> {
         let read = self.stream.try_read(received);
         let is_empty = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
         if is_empty
@@ -298,105 +285,6 @@
         }
     }
 
-    /// Writes all of `bytes`, and fails after `deadline`.
-    pub async fn write_with_deadline(
-        &self,
-        bytes: &[u8],
-        deadline: Instant,
-    ) -> Result<(), Http1Error> {
-        // The process may have stood still since the caller set the deadline.
-        if Instant::now() >= deadline {
-            return Err(Http1Error::TimedOut);
-        }
-        match timeout_at(deadline, self.write(bytes)).await {
-            Ok(result) => result.map_err(Http1Error::Io),
-            Err(_) => Err(Http1Error::TimedOut),
-        }
-    }
-
-    /// Writes all of `head` and then of `body`, and fails after `deadline`.
-    pub async fn write_message_with_deadline(
-        &self,
-        head: &[u8],
-        body: &[u8],
-        deadline: Instant,
-    ) -> Result<(), Http1Error> {
-        self.write_with_deadline(head, deadline).await?;
-        if body.is_empty() {
-            return Ok(());
-        }
-        self.write_with_deadline(body, deadline).await
-    }
-
-    /// Writes all of `bytes`, however long it takes.
-    async fn write(&self, mut bytes: &[u8]) -> io::Result<()> {
-        while !bytes.is_empty() {
-            match self.stream.try_write(bytes) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(length) => bytes = &bytes[length..],
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.writable().await?;
-                }
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
-    }
-
-    /// Writes `bytes`, but stops when the peer responds first, as it does when it refuses a
-    /// request before it has read it all. Interim responses (1xx) are skipped.
-    ///
-    /// Returns the number of bytes written. What arrived is in `read_buffer`.
-    ///
-    /// # Errors
-    ///
-    /// [`Http1Error`] when the connection fails, the deadline passes, or the interim
-    /// responses are too large.
-    pub async fn write_until_readable(
-        &mut self,
-        bytes: &[u8],
-        deadline: Instant,
-    ) -> Result<usize, Http1Error> {
-        let mut sent = 0;
-        let mut interim_bytes = 0;
-        while sent < bytes.len() {
-            match self.stream.try_write(&bytes[sent..]) {
-                Ok(length) => sent += length,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    let interest = tokio::io::Interest::READABLE | tokio::io::Interest::WRITABLE;
-                    let ready = match timeout_at(deadline, self.stream.ready(interest)).await {
-                        Ok(ready) => ready?,
-                        Err(_) => return Err(Http1Error::TimedOut),
-                    };
-                    if ready.is_readable() && self.try_fill_buffer()? > 0 {
-                        interim_bytes += self.skip_interim_responses();
-                        if !is_start_of(&self.read_buffer, INTERIM_STATUS_LINE) {
-                            return Ok(sent);
-                        }
-                        if interim_bytes + self.read_buffer.len() > MAX_INTERIM_BYTES {
-                            return Err(Http1Error::HeadTooLarge);
-                        }
-                    }
-                }
-                Err(error) => return Err(Http1Error::Io(error)),
-            }
-        }
-        Ok(sent)
-    }
-
-    /// Removes the complete interim responses at the front of `read_buffer`; returns how many
-    /// bytes they had.
-    fn skip_interim_responses(&mut self) -> usize {
-        let buffered_bytes = self.read_buffer.len();
-        while self.read_buffer.starts_with(INTERIM_STATUS_LINE) {
-            match ResponseHead::parse_from(&mut self.read_buffer, MAX_INTERIM_BYTES) {
-                Ok(Some(_)) => {}
-                Ok(None) | Err(_) => break,
-            }
-        }
-        buffered_bytes - self.read_buffer.len()
-    }
-
     /// Whether the peer has sent anything, or closed the connection, since the last message
     /// that was read; what it sent belongs to no request.
     pub fn has_surplus(&mut self) -> bool {
@@ -405,7 +293,7 @@
 
     /// Appends the bytes that have arrived to `read_buffer` without waiting and returns
     /// their number; the end of the connection is an error.
-    fn try_fill_buffer(&mut self) -> Result<usize, Http1Error> {
+    pub(super) fn try_fill_buffer(&mut self) -> Result<usize, Http1Error> {
         match self.read_available() {
             Ok(0) => Err(Http1Error::IncompleteMessage),
             Ok(length) => Ok(length),
@@ -414,75 +302,6 @@
         }
     }
 
-    /// Waits until the peer closes the connection or it fails.
-    ///
-    /// Pipelined requests that arrive meanwhile are kept in `read_buffer`. Of a peer that sends
-    /// more than is kept they are discarded, and its connection is not to be used for another
-    /// request, so that the end of the connection is noticed however much it has sent.
-    pub async fn wait_closed(&mut self) {
-        while self.discard_at.is_none() {
-            if self.read_buffer.len() >= MAX_READ_AHEAD_BYTES {
-                self.read_buffer = BytesMut::new();
-                self.discard_at = Some(Instant::now());
-            } else if matches!(self.fill_buffer().await, Ok(0) | Err(_)) {
-                return;
-            }
-        }
-        loop {
-            tokio::time::sleep_until(self.discard_at.unwrap_or_else(Instant::now)).await;
-            if matches!(self.discard().await, Ok(0) | Err(_)) {
-                return;
-            }
-            self.discard_at = Some(Instant::now() + DISCARD_INTERVAL);
-        }
-    }
-
-    /// Whether requests that the peer sent ahead were discarded.
-    pub fn has_discarded(&self) -> bool {
-        self.discard_at.is_some()
-    }
-
-    /// Waits for bytes, discards some, and returns their number; 0 when the peer has closed the
-    /// connection.
-    async fn discard(&mut self) -> io::Result<usize> {
-        loop {
-            let read = RECEIVED.with_borrow_mut(|received| self.try_read(received));
-            match read {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.readable().await?;
-                }
-                result => return result,
-            }
-        }
-    }
-
-    /// Ends the sending side, and discards what still arrives until the peer closes the
-    /// connection or `until` has passed. Closed with bytes unread, the connection would be
-    /// reset, and the peer might lose the answer that was written last.
-    pub async fn linger(&mut self, until: Instant) {
-        let socket = socket2::SockRef::from(&self.stream);
-        if let Err(error) = socket.shutdown(std::net::Shutdown::Write) {
-            log::debug!("cannot end the sending side of a connection: {error}");
-            return;
-        }
-        self.read_buffer = BytesMut::new();
-        while Instant::now() < until {
-            match timeout_at(until, self.discard()).await {
-                Ok(Ok(0) | Err(_)) | Err(_) => return,
-                Ok(Ok(_)) => tokio::task::yield_now().await,
-            }
-        }
-    }
-
-    /// Runs `work`; drops it and returns `None` when the peer closes the connection first.
-    pub async fn run_unless_closed<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
-        tokio::select! {
-            biased;
-            done = work => Some(done),
-            () = self.wait_closed() => None,
-        }
-    }
-
     /// Takes back [`Connection::reset_on_drop`].
     pub fn close_on_drop(&self) {
         let socket = socket2::SockRef::from(&self.stream);
@@ -502,8 +321,3 @@
         }
     }
 }
-
-/// Whether `bytes` begin with `prefix`, as far as they have arrived.
-fn is_start_of(bytes: &[u8], prefix: &[u8]) -> bool {
-    bytes.starts_with(prefix) || prefix.starts_with(bytes)
-}
--- a/src/http1/held_request.rs
+++ b/src/http1/held_request.rs
@@ -4,7 +4,7 @@
 use crate::http1::Http1Error;
 use crate::http1::ReceiveRoom;
 use crate::http1::arriving_request::ArrivingRequest;
-use crate::http1::connection::MAX_READ_AHEAD_BYTES;
+use crate::http1::connection_end::MAX_READ_AHEAD_BYTES;
 use crate::http1::memory_budget::MemoryBudget;
 use crate::http1::memory_budget::RoomUse;
 use crate::http1::receive_buffer::most_unread_bytes;
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub struct HeldRequest {
     budget: MemoryBudget,
+    is_widened: bool,
     request: Rc<ArrivingRequest>,
     head_bytes: usize,
     body_bytes: usize,
@@ -42,6 +43,7 @@
     pub fn new(budget: &MemoryBudget) -> Self {
         Self {
             budget: budget.clone(),
+            is_widened: false,
             request: budget.begin_arrival(),
             head_bytes: 0,
             body_bytes: 0,
@@ -51,6 +53,13 @@
         }
     }
 
+    /// The same on a connection of a client, whose receive buffer is enlarged for a large body.
+    pub fn of_client(budget: &MemoryBudget) -> Self {
+        let mut held = Self::new(budget);
+        held.is_widened = true;
+        held
+    }
+
     /// The request while it arrives, to wait until it is closed for another one.
     pub fn arriving(&self) -> Rc<ArrivingRequest> {
         self.request.clone()
@@ -155,7 +164,9 @@
     }
 
     fn take_receive_room(&self) -> Option<ReceiveRoom> {
-        self.budget.take_receive_room()
+        self.is_widened
+            .then(|| self.budget.take_receive_room())
+            .flatten()
     }
 }
 
