Listen, pass on bodies and name peers in one place each

No behaviour changes but one: where SO_RCVBUF can't be set, the own interface warns and goes on, as the other ports do, in place of not starting.

- The own interface had a listener of its own beside `ListenerLoad::listen`; it uses that one now, as bounds on what peers send stand in src/http1.
- `body_timeout` and `request_gate` wrapped payloads in the same way, each with its own state for the end: `payload_of` does it for both.
- A client's address came from a system call for each connection, although accept had returned it.

--- a/src/conf/process_settings.rs
+++ b/src/conf/process_settings.rs
@@ -8,6 +8,7 @@
 use super::SettingsReader;
 use super::Unit;
 use crate::hosts::HostRole;
+use crate::http1::ListenerLoad;
 
 const SECTION: &str = "process";
 
@@ -85,6 +86,14 @@
         }
     }
 
+    /// Connections that its server serves at once.
+    pub fn listener_load(&self) -> ListenerLoad {
+        ListenerLoad {
+            max_connections: self.max_connections as usize,
+            receive_buffer_bytes: self.receive_buffer_bytes as u32,
+        }
+    }
+
     /// Reads all keys; a file for another role than `role` is a fault.
     pub(super) fn read(reader: &mut SettingsReader, role: HostRole) -> Self {
         let found_role = read_role(reader);
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -46,8 +46,7 @@
 pub async fn start_endpoint(settings: EndpointSettings) -> io::Result<EndpointHandle> {
     let options = ServeOptions {
         drain_ms: settings.drain_ms,
-        max_connections: settings.process.max_connections as usize,
-        receive_buffer_bytes: settings.process.receive_buffer_bytes as usize,
+        load: settings.process.listener_load(),
         shared_key: Some(settings.cluster.shared_key.as_str().into()),
         ..ServeOptions::default()
     };
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -60,8 +60,7 @@
         // The time until addresses have expired is a part of the drain.
         drain_ms: settings.drain_ms - settings.address_lifetime_ms.min(settings.drain_ms),
         drain_end: Arc::clone(&state.drain_end),
-        max_connections: settings.process.max_connections as usize,
-        receive_buffer_bytes: settings.process.receive_buffer_bytes as usize,
+        load: settings.process.listener_load(),
         shared_key: Some(settings.cluster.shared_key.as_str().into()),
         gate: Some(Arc::new(RequestGate::new(
             RequestMemory::new(settings.request_memory_bytes),
--- a/src/gateway/client_listener.rs
+++ b/src/gateway/client_listener.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,7 +69,7 @@
             () = &mut closed => break,
         };
         match accepted {
-            Ok((stream, _)) => listener.serve(stream),
+            Ok((stream, peer)) => listener.serve(stream, peer),
             Err(error) => {
                 log::warn!("cannot accept a client's connection: {error}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -77,8 +78,8 @@
     }
     // Requests that have arrived on connections not accepted yet are refused.
     tokio::task::yield_now().await;
-    while let Some(Ok((stream, _))) = tcp.accept().now_or_never() {
-        listener.serve(stream);
+    while let Some(Ok((stream, peer))) = tcp.accept().now_or_never() {
+        listener.serve(stream, peer);
     }
 }
 
@@ -93,7 +94,7 @@
 impl<D: Dialect + 'static> ClientListener<D> {
     /// Serves a connection, or refuses its request if too many are open and none of them has
     /// been silent since it was opened.
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, peer: SocketAddr) {
         let gateway = self.gateway.clone();
         let limit = gateway
             .state
@@ -102,7 +103,6 @@
             .client_load()
             .max_connections;
         let mut client = Connection::new(stream);
-        let peer = client.peer();
         if self.open_connections.count() < limit || self.close_silent() {
             let slot = self.open_connections.add();
             actix_rt::spawn(async move {
@@ -110,7 +110,7 @@
                     biased;
                     () = slot.closed() => {
                         gateway.metrics.record_closed_connection("silent");
-                        gateway.refusals.record(CLIENT_PORT, "silent", peer);
+                        gateway.refusals.record(CLIENT_PORT, "silent", Some(peer));
                     }
                     () = serve_client(client, &gateway, &slot) => {}
                 }
@@ -118,7 +118,9 @@
             return;
         }
         gateway.metrics.record_closed_connection("limit");
-        gateway.refusals.record(CLIENT_PORT, CONNECTION_LIMIT, peer);
+        gateway
+            .refusals
+            .record(CLIENT_PORT, CONNECTION_LIMIT, Some(peer));
         if Rc::strong_count(&self.refused_connections) > MAX_REFUSED_CONNECTIONS {
             LogLine::new(Event::RequestUnread)
                 .text("cause", "limit")
--- a/src/http1/receive_buffer.rs
+++ b/src/http1/receive_buffer.rs
@@ -19,13 +19,13 @@
 pub(super) const MAX_BACKLOG: usize = 1_024;
 
 /// Connections of a listener that may wait to be accepted, of those that it serves at once.
-pub fn backlog_of(max_connections: usize) -> usize {
+pub(super) fn backlog_of(max_connections: usize) -> usize {
     max_connections.min(MAX_BACKLOG)
 }
 
 /// Bytes that a receive buffer of this size holds at most: the system allows for as many again,
 /// for what it keeps beside the bytes.
-pub fn most_unread_bytes(receive_buffer_bytes: usize) -> usize {
+pub(super) fn most_unread_bytes(receive_buffer_bytes: usize) -> usize {
     2 * receive_buffer_bytes
 }
 
--- a/src/links/body_timeout.rs
+++ b/src/links/body_timeout.rs
@@ -17,9 +17,10 @@
 use futures_util::StreamExt;
 use futures_util::future::Either;
 use futures_util::future::select;
-use futures_util::stream;
 
 use crate::links::DrainEnd;
+use crate::links::body_parts::BodyParts;
+use crate::links::body_parts::payload_of;
 
 /// Request body that fails when it is not complete at its deadline, or when the drain of a
 /// stopping process ends.
@@ -27,23 +28,16 @@
     payload: Payload,
     deadline: Instant,
     drain_end: Arc<DrainEnd>,
-    has_ended: bool,
 }
 
-impl TimedBody {
-    /// Next part of the body; `None` after its end or a failure.
+impl BodyParts for TimedBody {
     async fn next(&mut self) -> Option<Result<Bytes, PayloadError>> {
-        if self.has_ended {
-            return None;
-        }
         let left = self.deadline.saturating_duration_since(Instant::now());
         let part = timeout(left, self.payload.next());
-        let part = match select(pin!(part), pin!(self.drain_end.reached())).await {
+        match select(pin!(part), pin!(self.drain_end.reached())).await {
             Either::Left((part, _)) => part.unwrap_or_else(|_| Some(Err(late_body_error()))),
             Either::Right(_) => Some(Err(stopped_error())),
-        };
-        self.has_ended = !matches!(part, Some(Ok(_)));
-        part
+        }
     }
 }
 
@@ -79,14 +73,7 @@
         payload,
         deadline: Instant::now() + body_timeout,
         drain_end,
-        has_ended: false,
     };
-    let parts = stream::unfold(body, |mut body| async move {
-        let part = body.next().await?;
-        Some((part, body))
-    });
-    request.set_payload(Payload::Stream {
-        payload: Box::pin(parts),
-    });
+    request.set_payload(payload_of(body));
     next.call(request).await
 }
--- a/src/links/http_server.rs
+++ b/src/links/http_server.rs
@@ -1,6 +1,5 @@
 use std::io;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -22,10 +21,9 @@
 use actix_web::web::ServiceConfig;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use socket2::Domain;
-use socket2::Socket;
-use socket2::Type;
 
+use crate::http1::ListenerLoad;
+use crate::http1::RECEIVE_BUFFER_BYTES;
 use crate::links::CallRejection;
 use crate::links::DrainEnd;
 use crate::links::LinkError;
@@ -46,10 +44,8 @@
     pub drain_ms: u64,
     /// End of the drain, at which a body that is still arriving is refused.
     pub drain_end: Arc<DrainEnd>,
-    /// Largest number of connections that are served at once.
-    pub max_connections: usize,
-    /// Size of the receive buffer of a connection, in bytes.
-    pub receive_buffer_bytes: usize,
+    /// Connections that are served at once.
+    pub load: ListenerLoad,
     /// Key without which a request between processes is refused before its body is read.
     pub shared_key: Option<Arc<str>>,
     /// Decides whether bodies are read; None to read all.
@@ -60,13 +56,10 @@
 const INTERNAL_PATHS: &str = "/x/";
 
 /// Connections that a server without other settings serves at once.
-const DEFAULT_MAX_CONNECTIONS: usize = 4_096;
-
-/// Size of the receive buffer of a connection to a server without other settings, in bytes.
-const DEFAULT_RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
-
-/// Largest number of connections that wait to be accepted.
-const MAX_BACKLOG: usize = 1_024;
+const DEFAULT_LOAD: ListenerLoad = ListenerLoad {
+    max_connections: 4_096,
+    receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
+};
 
 impl Default for ServeOptions {
     fn default() -> Self {
@@ -74,25 +67,13 @@
             client_timeout_ms: 5000,
             drain_ms: 30_000,
             drain_end: Arc::default(),
-            max_connections: DEFAULT_MAX_CONNECTIONS,
-            receive_buffer_bytes: DEFAULT_RECEIVE_BUFFER_BYTES,
+            load: DEFAULT_LOAD,
             shared_key: None,
             gate: None,
         }
     }
 }
 
-/// Listens on `address` for connections with a bounded receive buffer.
-fn bind(address: SocketAddr, options: &ServeOptions) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_recv_buffer_size(options.receive_buffer_bytes)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    let backlog = options.max_connections.clamp(1, MAX_BACKLOG);
-    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
-    Ok(socket.into())
-}
-
 /// Starts an HTTP server on `listen` with one worker thread.
 ///
 /// # Errors
@@ -141,8 +122,8 @@
         .client_disconnect_timeout(client_timeout)
         .shutdown_timeout(options.drain_ms.div_ceil(1000))
         .disable_signals()
-        .max_connections(options.max_connections)
-        .listen(bind(listen, options)?)?;
+        .max_connections(options.load.max_connections)
+        .listen(options.load.listen(listen)?.into_std()?)?;
     let address = server.addrs().first().copied().unwrap_or(listen);
     let server = server.run();
     let handle = HttpServerHandle::new(address, server.handle(), is_closing, under_way);
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -6,6 +6,7 @@
 pub mod raw_bytes;
 
 mod arrived_data;
+mod body_parts;
 mod body_timeout;
 mod call_rejection;
 mod deadline_body;
@@ -35,7 +36,6 @@
 pub use http_server::has_shared_key;
 pub use http_server::rmp_response;
 pub use http_server::serve;
-pub use request_gate::NO_MEMORY;
 pub use request_gate::RequestGate;
 pub use request_memory::RequestMemory;
 pub use requests_under_way::RequestsUnderWay;
--- a/src/links/request_gate.rs
+++ b/src/links/request_gate.rs
@@ -21,9 +21,10 @@
 use actix_web::middleware::Next;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use futures_util::stream;
 
 use crate::links::RequestMemory;
+use crate::links::body_parts::BodyParts;
+use crate::links::body_parts::payload_of;
 use crate::links::guarded_body::GuardedBody;
 use crate::links::request_memory::HeldBody;
 use crate::observe::CounterKind;
@@ -36,7 +37,7 @@
 const PORT: &str = "listen";
 
 /// Cause of a refusal for lack of memory; part of the interface.
-pub const NO_MEMORY: &str = "no_memory";
+const NO_MEMORY: &str = "no_memory";
 
 /// Decides whether the body of a request is read, and tells who was refused.
 #[derive(Debug)]
@@ -91,7 +92,6 @@
     payload: Payload,
     room: Rc<BodyRoom>,
     received_bytes: u64,
-    has_ended: bool,
 }
 
 /// Room of one body, which its request holds until it has its answer.
@@ -100,12 +100,8 @@
     is_refused: Cell<bool>,
 }
 
-impl CountedBody {
-    /// Next part of the body; `None` after its end or a failure.
+impl BodyParts for CountedBody {
     async fn next(&mut self) -> Option<Result<Bytes, PayloadError>> {
-        if self.has_ended {
-            return None;
-        }
         let mut part = self.payload.next().await;
         if let Some(Ok(bytes)) = &part {
             self.received_bytes += bytes.len() as u64;
@@ -114,7 +110,6 @@
                 part = Some(Err(io::Error::from(io::ErrorKind::OutOfMemory).into()));
             }
         }
-        self.has_ended = !matches!(part, Some(Ok(_)));
         part
     }
 }
@@ -152,15 +147,8 @@
         payload,
         room: Rc::clone(&room),
         received_bytes: 0,
-        has_ended: false,
     };
-    let parts = stream::unfold(body, |mut body| async move {
-        let part = body.next().await?;
-        Some((part, body))
-    });
-    request.set_payload(Payload::Stream {
-        payload: Box::pin(parts),
-    });
+    request.set_payload(payload_of(body));
     let result = next.call(request).await;
     if room.is_refused.get() {
         gate.record_refusal(&peer);
