Give a newer version its turn after a stalled one

What engines saw: one kept version 1 for twenty seconds and more while version 20 was declared and the other engines had it, with every fault over.

Cause: a download that is half done and has stalled for 0.9 s is tried again 0.3 s later, in place of a newer version. Where its missing pieces are gone from the origin, two things kept the newer one from its turn. Before a version is fetched, the staged pieces are compared with its manifest; where that took more than the 0.3 s, the turn was over before a piece was requested. And where the newer version was declared later than 1.2 s after the last piece, the running attempt counted as the one that is tried again, and never ended.

The fix makes the turns depend on what was fetched, not on the clock: a stalled download is tried again only once a newer one has been fetched for 0.3 s since its own last attempt. How long the engine takes to read its pieces, and when the newer version was declared, no longer matter.

--- a/src/staging/next_load.rs
+++ b/src/staging/next_load.rs
@@ -22,6 +22,9 @@
 /// Pause before it is tried again while a newer version makes progress, in ms.
 const BUSY_RETRY_PAUSE_MS: i64 = 900;
 
+/// Pause before a download that is not tried again for now, in ms.
+const NO_RETRY_MS: i64 = i64::MAX - STALL_MS;
+
 /// Time by which a version has to be ready before a newer one to be loaded after it was due,
 /// in ms. A load takes an engine out of service for about half of that.
 const MIN_LEAD_MS: i64 = 1_000;
@@ -41,8 +44,10 @@
     pub version: u64,
     /// Monotonic time at which the download started, in ms.
     pub started_ms: i64,
-    /// Monotonic time of the last new piece, in ms.
+    /// Monotonic time of the last new piece, or at which its fetches were resumed, in ms.
     pub last_progress_ms: i64,
+    /// Monotonic time at which its fetches were started or last resumed, in ms.
+    pub fetching_since_ms: i64,
     /// Share of the pieces that is held, in the staging area or in memory, from 0 to 1.
     pub held_share: f64,
     /// Whether every piece is held.
@@ -144,15 +149,27 @@
 }
 
 /// Pause before a stalled download is tried again, in ms; without end where a newer version
-/// is about to be complete.
+/// is about to be complete, and until one has been fetched for [`RETRY_PAUSE_MS`] since this
+/// one was.
+///
+/// The pause alone would not do: it may have passed before the newer version is declared, or
+/// while staged pieces are compared with its manifest.
 fn retry_pause_ms(downloads: &[DownloadProgress], stalled: &DownloadProgress, now_ms: i64) -> i64 {
-    let newer = downloads
-        .iter()
-        .filter(|download| download.version > stalled.version);
+    let newer = || {
+        downloads
+            .iter()
+            .filter(|download| download.version > stalled.version)
+    };
+    let Some(newer_since_ms) = newer().map(|download| download.fetching_since_ms).max() else {
+        return NO_RETRY_MS;
+    };
+    if newer_since_ms < stalled.fetching_since_ms || now_ms - newer_since_ms < RETRY_PAUSE_MS {
+        return NO_RETRY_MS;
+    }
     let mut pause_ms = RETRY_PAUSE_MS;
-    for download in newer {
+    for download in newer() {
         if download.is_complete || download.held_share >= stalled.held_share {
-            return i64::MAX - STALL_MS;
+            return NO_RETRY_MS;
         }
         if now_ms - download.last_progress_ms < RETRY_PAUSE_MS && download.held_share > 0.0 {
             pause_ms = BUSY_RETRY_PAUSE_MS;
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -20,12 +20,21 @@
     pub manifest: PieceManifest,
     /// Monotonic time at which the download started, in ms.
     pub started_ms: i64,
-    /// Monotonic time of the last new piece, in ms.
+    /// Monotonic time of the last new piece, or at which its fetches were resumed, in ms.
     pub last_progress_ms: i64,
+    /// Monotonic time at which its fetches were started or last resumed, in ms.
+    pub fetching_since_ms: i64,
     // Pieces held in memory until the engine is ordered to load this version.
     buffered: Vec<Option<Rc<Vec<u8>>>>,
 }
 
+impl VersionDownload {
+    fn resume(&mut self, now_ms: i64) {
+        self.last_progress_ms = now_ms;
+        self.fetching_since_ms = now_ms;
+    }
+}
+
 /// A write of a piece that got no answer and may be carried out later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct OpenWrite {
@@ -77,7 +86,7 @@
             .downloads
             .binary_search_by_key(&manifest.version, |download| download.manifest.version);
         match found {
-            Ok(at) => self.downloads[at].last_progress_ms = now_ms,
+            Ok(at) => self.downloads[at].resume(now_ms),
             Err(at) => {
                 let buffered = vec![None; manifest.digests.len()];
                 self.downloads.insert(
@@ -86,6 +95,7 @@
                         manifest,
                         started_ms: now_ms,
                         last_progress_ms: now_ms,
+                        fetching_since_ms: now_ms,
                         buffered,
                     },
                 );
@@ -97,6 +107,14 @@
         }
     }
 
+    /// Records that the fetches of `version` start now, after the staged pieces were verified.
+    pub fn start_fetches(&mut self, version: u64, now_ms: i64) {
+        let mut downloads = self.downloads.iter_mut();
+        if let Some(download) = downloads.find(|download| download.manifest.version == version) {
+            download.resume(now_ms);
+        }
+    }
+
     /// Replaces the manifest of a download and drops the pieces whose digests have changed;
     /// returns whether any has.
     pub fn replace_manifest(&mut self, manifest: PieceManifest) -> bool {
@@ -243,6 +261,7 @@
                 version: *version,
                 started_ms: *started_ms,
                 last_progress_ms: *started_ms,
+                fetching_since_ms: *started_ms,
                 held_share: 0.0,
                 is_complete: false,
             });
@@ -254,6 +273,7 @@
                     version,
                     started_ms: download.started_ms,
                     last_progress_ms: download.last_progress_ms,
+                    fetching_since_ms: download.fetching_since_ms,
                     held_share: held_share(&self.held_pieces(version)),
                     is_complete: self.is_complete(version),
                 }
--- a/src/staging/weights_download.rs
+++ b/src/staging/weights_download.rs
@@ -122,6 +122,13 @@
             return;
         };
         self.verify_unknown_pieces(&manifest).await;
+        {
+            let mut state = self.state.borrow_mut();
+            let now_ms = state.now_ms() as i64;
+            state
+                .staged_model(self.model)
+                .start_fetches(self.version, now_ms);
+        }
         LogLine::new(Event::TransferStarted)
             .text("model", self.model)
             .number("version", self.version)
--- a/tests/staging/main.rs
+++ b/tests/staging/main.rs
@@ -38,6 +38,7 @@
         version,
         started_ms,
         last_progress_ms,
+        fetching_since_ms: started_ms,
         held_share: f64::from(u8::from(is_complete)),
         is_complete,
     }
@@ -347,6 +348,32 @@
     assert_eq!(version_to_finish(&newer_first, 1, 9_100), Some(3));
 }
 
+/// Guards against a newer version that gets no piece, where the comparison of the staged pieces
+/// with its manifest takes longer than the pause of the one before.
+#[test]
+fn version_to_finish_not_before_newer_was_fetched() {
+    let mut staged = StagedModel::new("m");
+    staged.start_download(manifest(2), 0);
+    for index in [0, 1] {
+        staged.set_staged_version(index, 2);
+    }
+    let version_at = |staged: &StagedModel, now_ms| {
+        version_to_finish(&staged.download_progress(now_ms), 1, now_ms)
+    };
+    assert_eq!(version_at(&staged, 899), Some(2));
+    // The newer version is declared when the pause has passed.
+    assert_eq!(version_at(&staged, 2_000), None);
+    staged.start_download(manifest(3), 2_000);
+    staged.start_fetches(3, 2_600);
+    assert_eq!(version_at(&staged, 2_600), None);
+    assert_eq!(version_at(&staged, 2_899), None);
+    assert_eq!(version_at(&staged, 2_900), Some(2));
+    staged.start_download(manifest(2), 2_900);
+    staged.start_fetches(2, 3_500);
+    assert_eq!(version_at(&staged, 4_399), Some(2));
+    assert_eq!(version_at(&staged, 5_000), None);
+}
+
 /// Guards against an engine without any usable version, when the first one is overdue but has
 /// nearly arrived and the newer one has not.
 #[test]
