Bound the log lines that clients cause at the project's own interface

What operators saw: a line "stream error: request parse error" on standard error for each connection with a malformed head, as many as clients like; the log of a host fills its disk.

Cause: the HTTP library logs each such connection at level ERROR, and the log passed on every line of a library. Refusals of the project's own are counted, and logged once a second for each cause.

--- a/src/observe/logging.rs
+++ b/src/observe/logging.rs
@@ -4,6 +4,7 @@
 use logforth::layout::TextLayout;
 
 use crate::conf::LogFormat;
+use crate::observe::LibraryPace;
 
 /// Starts the log of the process on standard error.
 ///
@@ -13,7 +14,8 @@
         LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
         LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
     };
-    let builder = logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(appender));
+    let builder = logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(LibraryPace::default()).append(appender));
     if builder.try_apply().is_ok() {
         log::set_max_level(level);
     }
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -4,6 +4,7 @@
 //! writes an event to standard output as JSON, without ever blocking its thread.
 
 mod event;
+mod library_pace;
 mod log_line;
 mod logging;
 mod metrics;
@@ -12,6 +13,7 @@
 
 pub use event::Event;
 pub use event::emit_event;
+pub use library_pace::LibraryPace;
 pub use log_line::LogLine;
 pub use log_line::flush_log;
 pub use log_line::flush_log_every;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -48,6 +48,12 @@
 /// Largest head that the HTTP server reads.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// Connections with malformed heads, one after the other from each of a few clients.
+const MALFORMED_HEADS: usize = 2_000;
+
+/// Lines that a process may log within a second.
+const MAX_LINES_PER_S: u64 = 20;
+
 /// Longest time that an ordinary request is tried; it bounds only how long a failure takes.
 const MAX_SERVE_TIME: Duration = Duration::from_secs(60);
 
@@ -56,7 +62,7 @@
 
 /// A cluster with one entry or one endpoint that crowds come to.
 struct Deployment {
-    _cluster: Cluster,
+    cluster: Cluster,
     address: SocketAddr,
     process: WatchedProcess,
     /// Request that is answered with status 200.
@@ -66,6 +72,7 @@
 /// Starts an entry with a branch that may call a service.
 async fn start_entry() -> Deployment {
     let mut cluster = Cluster::new().await;
+    cluster.logs_to_files = true;
     cluster.process_settings = format!("max_connections = {MAX_CONNECTIONS}");
     let settings = format!(
         "max_body_bytes = {MAX_BODY_BYTES}\nrequest_memory_bytes = {REQUEST_MEMORY_BYTES}\n\
@@ -114,7 +121,7 @@
                 memory_mb: MEMORY_MB,
                 max_descriptors: MAX_DESCRIPTORS,
             },
-            _cluster: cluster,
+            cluster,
             address,
             ordinary,
         }
@@ -246,3 +253,33 @@
     assert_eq!(ask(deployment.address, &request), 404);
     assert!(body.len() <= MAX_BODY_BYTES);
 }
+
+/// Guards against a log whose volume clients decide on.
+#[actix_rt::test]
+async fn malformed_heads_log_bounded() {
+    let _alone = CROWD.lock().await;
+    let deployment = start_entry().await;
+    let log = deployment.cluster.log_path("entry-1");
+    let count_lines = || {
+        std::fs::read_to_string(&log)
+            .expect("a log")
+            .lines()
+            .count() as u64
+    };
+    let (began, lines_before) = (Instant::now(), count_lines());
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                for _ in 0..MALFORMED_HEADS / 8 {
+                    assert_eq!(ask(deployment.address, "GET / HTTP/7.7\r\n\r\n"), 400);
+                }
+            });
+        }
+    });
+    let lines = count_lines() - lines_before;
+    // The first and the last second count whole.
+    let limit = (began.elapsed().as_secs() + 2) * MAX_LINES_PER_S;
+    assert!((MALFORMED_HEADS as u64) > limit, "too slow to tell");
+    assert!(lines <= limit, "{lines} lines, {limit} allowed");
+    assert_eq!(ask(deployment.address, &deployment.ordinary), 200);
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -1,4 +1,5 @@
 use std::fs;
+use std::fs::File;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
@@ -40,6 +41,8 @@
     pub endpoint_settings: String,
     /// Settings of the section `[process]` of entries and endpoints that are started from now on.
     pub process_settings: String,
+    /// Whether processes that are started from now on write their logs to files.
+    pub logs_to_files: bool,
     /// Running processes, each with its host name.
     pub processes: Vec<(String, Process)>,
 }
@@ -68,6 +71,7 @@
             folder,
             endpoint_settings: String::new(),
             process_settings: String::new(),
+            logs_to_files: false,
             processes: Vec::new(),
         };
         let log = cluster.stand_in_address(0);
@@ -107,7 +111,18 @@
     }
 
     fn start_process(&mut self, name: &str, args: &[&str]) {
-        self.processes.push((name.to_owned(), Process::start(args)));
+        let process = if self.logs_to_files {
+            let file = File::create(self.log_path(name)).expect("the log file is created");
+            Process::start_logging_to(args, file)
+        } else {
+            Process::start(args)
+        };
+        self.processes.push((name.to_owned(), process));
+    }
+
+    /// File with the log of the process of the host called `name`.
+    pub fn log_path(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
     }
 
     /// Returns the process of the host called `name`; panics if there is none.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -1,4 +1,5 @@
 use std::fs;
+use std::fs::File;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -20,10 +21,20 @@
 impl Process {
     /// Starts `bergamotfork` with `args`; its standard output is discarded.
     pub fn start(args: &[&str]) -> Self {
+        Self::start_with_log(args, Stdio::inherit())
+    }
+
+    /// Starts `bergamotfork` with `args` and appends its log to `file`.
+    pub fn start_logging_to(args: &[&str], file: File) -> Self {
+        Self::start_with_log(args, file.into())
+    }
+
+    fn start_with_log(args: &[&str], log: Stdio) -> Self {
         let child = Command::new(env!("CARGO_BIN_EXE_bergamotfork"))
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         Self { child }
