Bind the datagram port of a process before its other ports

What callers saw: an entry that has just accepted its first connection may miss a datagram, and so not know of the entry that sent it until that one sends another.

Cause: the client port listened first; the socket for datagrams was bound after all listeners and their tasks had been started. A datagram in between is refused.

The socket is bound first, in entries and endpoints; what arrives before its task runs waits in the socket.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -101,10 +101,11 @@
     let state = GatewayState::new(settings.clone());
     let pieces = PieceCache::new(state.clone(), origin, metrics.clone());
     let new_source = || MeasuredSource::new(new_source(), metrics.clone());
+    // Whoever reaches a port of this process also reaches it with datagrams.
+    let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     start_listeners(&settings, &state, &dialect, &metrics, &pieces).await?;
     actix_rt::spawn(pieces.clone().read_ahead());
     actix_rt::spawn(pieces.evict_unused());
-    let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     for topic in Topic::ALL {
         actix_rt::spawn(follow_topic(
             state.clone(),
--- a/src/staging/process.rs
+++ b/src/staging/process.rs
@@ -90,6 +90,8 @@
     let state = StagingState::new(settings.clone());
     let memory = MemoryBudget::of_process(settings.memory_bytes, &[PORT_LOAD, PORT_LOAD]);
     let refusals = PortRefusals::new(metrics.clone());
+    // Whoever reaches a port of this process also reaches it with datagrams.
+    let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     for (port, address) in [
         ("internal", settings.internal),
         ("metrics", settings.metrics),
@@ -108,7 +110,6 @@
         let listener = PORT_LOAD.listen(address)?;
         actix_rt::spawn(serve_internal(listener, handler, limits));
     }
-    let socket = Rc::new(UdpSocket::bind(settings.internal).await?);
     actix_rt::spawn(follow_records(
         state.clone(),
         MeasuredSource::new(new_source(), metrics.clone()),
