Record the resumption of a download in one place

A known manifest is returned as it is, start_download only adds, and start_fetches alone sets the times.

--- a/src/staging/manifest.rs
+++ b/src/staging/manifest.rs
@@ -33,7 +33,7 @@
     /// more. The origin is contacted only while no entry is available.
     pub(super) async fn fetch_manifest(&self) -> Option<PieceManifest> {
         if let Some(known) = self.known_manifest() {
-            return Some(self.store_manifest(known));
+            return Some(known);
         }
         let rank = {
             let mut state = self.state.borrow_mut();
--- a/src/staging/staged_model.rs
+++ b/src/staging/staged_model.rs
@@ -28,13 +28,6 @@
     buffered: Vec<Option<Rc<Vec<u8>>>>,
 }
 
-impl VersionDownload {
-    fn resume(&mut self, now_ms: i64) {
-        self.last_progress_ms = now_ms;
-        self.fetching_since_ms = now_ms;
-    }
-}
-
 /// A write of a piece that got no answer and may be carried out later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct OpenWrite {
@@ -76,7 +69,7 @@
         }
     }
 
-    /// Starts the download of a version, or resumes it when there is one.
+    /// Adds the download of a version, unless there is one.
     ///
     /// Drops the lowest version when more than `MAX_VERSIONS` would be kept.
     pub fn start_download(&mut self, manifest: PieceManifest, now_ms: i64) {
@@ -85,33 +78,33 @@
         let found = self
             .downloads
             .binary_search_by_key(&manifest.version, |download| download.manifest.version);
-        match found {
-            Ok(at) => self.downloads[at].resume(now_ms),
-            Err(at) => {
-                let buffered = vec![None; manifest.digests.len()];
-                self.downloads.insert(
-                    at,
-                    VersionDownload {
-                        manifest,
-                        started_ms: now_ms,
-                        last_progress_ms: now_ms,
-                        fetching_since_ms: now_ms,
-                        buffered,
-                    },
-                );
-                if self.downloads.len() > MAX_VERSIONS {
-                    // The version that was asked for stays, even if it is the lowest.
-                    self.downloads.remove(usize::from(at == 0));
-                }
-            }
+        let Err(at) = found else {
+            return;
+        };
+        let buffered = vec![None; manifest.digests.len()];
+        self.downloads.insert(
+            at,
+            VersionDownload {
+                manifest,
+                started_ms: now_ms,
+                last_progress_ms: now_ms,
+                fetching_since_ms: now_ms,
+                buffered,
+            },
+        );
+        if self.downloads.len() > MAX_VERSIONS {
+            // The version that was asked for stays, even if it is the lowest.
+            self.downloads.remove(usize::from(at == 0));
         }
     }
 
-    /// Records that the fetches of `version` start now, after the staged pieces were verified.
+    /// Records that the fetches of `version` start or are resumed now, after the staged pieces
+    /// were verified.
     pub fn start_fetches(&mut self, version: u64, now_ms: i64) {
         let mut downloads = self.downloads.iter_mut();
         if let Some(download) = downloads.find(|download| download.manifest.version == version) {
-            download.resume(now_ms);
+            download.last_progress_ms = now_ms;
+            download.fetching_since_ms = now_ms;
         }
     }
 
