--- a/src/gateway/answer_memory.rs
+++ b/src/gateway/answer_memory.rs
@@ -61,7 +61,7 @@
 impl HeldAnswer {
     /// Size of the receive buffer of the connection on which the answer arrives, in bytes.
     pub fn receive_buffer_bytes(&self) -> u32 {
-        u32::try_from(self.memory.budget.receive_buffer_bytes()).unwrap_or(u32::MAX)
+        self.memory.budget.receive_buffer_bytes()
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -102,6 +102,7 @@
 pub use records_reply::RecordsReplyError;
 pub use reload::wait_for_changed_settings;
 pub use settings::GatewaySettings;
+pub use settings::MIN_CLIENT_CONNECTIONS;
 pub use state::GatewayState;
 pub use topic_records::log_rejected_record;
 pub use topic_sink::TopicSink;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -19,8 +19,9 @@
     receive_buffer_bytes: INTERNAL_RECEIVE_BUFFER_BYTES,
 };
 
-/// Fewest connections of clients, however little memory a process has.
-const MIN_CLIENT_CONNECTIONS: usize = 16;
+/// Fewest connections of clients, however few descriptors and however little memory a process
+/// has.
+pub const MIN_CLIENT_CONNECTIONS: usize = 16;
 
 /// Settings of an entry process.
 #[derive(Debug, Clone)]
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -278,9 +278,9 @@
         }
     }
 
-    fn set_receive_buffer(&self, bytes: usize) {
+    fn set_receive_buffer(&self, bytes: u32) {
         let socket = socket2::SockRef::from(&self.stream);
-        if let Err(error) = socket.set_recv_buffer_size(bytes) {
+        if let Err(error) = socket.set_recv_buffer_size(bytes as usize) {
             log::debug!("cannot set SO_RCVBUF of a connection: {error}");
         }
     }
--- a/src/http1/head_search.rs
+++ b/src/http1/head_search.rs
@@ -1,5 +1,8 @@
 use memchr::memchr_iter;
 
+/// Bytes of the longest end of a head: the end of its last line and an empty line.
+const END_BYTES: usize = 3;
+
 /// Decides when a head that is arriving is parsed.
 ///
 /// Load: heads that arrive in small parts. Each parse reads the head from its start, so it is
@@ -28,9 +31,6 @@
     }
 }
 
-/// Bytes of the longest end of a head: the end of its last line and an empty line.
-const END_BYTES: usize = 3;
-
 /// Whether an end of a line is followed by an empty line.
 fn has_empty_line(bytes: &[u8]) -> bool {
     memchr_iter(b'\n', bytes).any(|at| {
--- a/src/http1/listener_load.rs
+++ b/src/http1/listener_load.rs
@@ -36,7 +36,7 @@
 
     /// Bytes that its connections take, those that wait to be accepted as well.
     pub fn most_bytes(&self) -> usize {
-        let unread_bytes = most_unread_bytes(self.receive_buffer_bytes as usize);
+        let unread_bytes = most_unread_bytes(self.receive_buffer_bytes);
         let open_bytes = self
             .max_connections
             .saturating_mul(CONNECTION_BYTES + unread_bytes);
@@ -46,7 +46,7 @@
     /// Largest number of connections with receive buffers of this size that take at most
     /// `max_bytes`, with those that wait to be accepted.
     pub(super) fn connections_within(max_bytes: usize, receive_buffer_bytes: u32) -> usize {
-        let unread_bytes = most_unread_bytes(receive_buffer_bytes as usize);
+        let unread_bytes = most_unread_bytes(receive_buffer_bytes);
         let open_bytes = CONNECTION_BYTES + unread_bytes;
         let few = max_bytes / (open_bytes + unread_bytes);
         let many = max_bytes.saturating_sub(MAX_BACKLOG * unread_bytes) / open_bytes;
--- a/src/http1/memory_budget.rs
+++ b/src/http1/memory_budget.rs
@@ -31,15 +31,6 @@
 /// its other listeners, in fifths.
 const CONNECTION_FIFTHS: usize = 3;
 
-/// Memory that a process with `memory_bytes` has left beside what it needs for itself and what
-/// its listeners take at most.
-fn rest_bytes(memory_bytes: usize, listeners: &[ListenerLoad]) -> usize {
-    let taken = listeners.iter().map(ListenerLoad::most_bytes);
-    let own_bytes = OWN_BYTES.min(memory_bytes / 3);
-    let taken_bytes = taken.fold(own_bytes, usize::saturating_add);
-    memory_bytes.saturating_sub(taken_bytes)
-}
-
 /// Time without growth from which a message is closed for another one.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
@@ -80,7 +71,7 @@
     memory_bytes: Option<usize>,
     // What is given out of it, None without a limit.
     max_bytes: Cell<Option<usize>>,
-    receive_buffer_bytes: usize,
+    receive_buffer_bytes: u32,
     held_bytes: Cell<usize>,
     arriving: RefCell<Vec<Rc<ArrivingRequest>>>,
 }
@@ -93,7 +84,7 @@
         let shared = SharedBudget {
             memory_bytes,
             max_bytes: Cell::default(),
-            receive_buffer_bytes: buffer_sizes.max().unwrap_or(RECEIVE_BUFFER_BYTES) as usize,
+            receive_buffer_bytes: buffer_sizes.max().unwrap_or(RECEIVE_BUFFER_BYTES),
             held_bytes: Cell::default(),
             arriving: RefCell::default(),
         };
@@ -127,7 +118,7 @@
     }
 
     /// Size of the receive buffer of a connection of clients, in bytes.
-    pub fn receive_buffer_bytes(&self) -> usize {
+    pub fn receive_buffer_bytes(&self) -> u32 {
         self.shared.receive_buffer_bytes
     }
 
@@ -212,3 +203,12 @@
         }
     }
 }
+
+/// Memory that a process with `memory_bytes` has left beside what it needs for itself and what
+/// its listeners take at most.
+fn rest_bytes(memory_bytes: usize, listeners: &[ListenerLoad]) -> usize {
+    let taken = listeners.iter().map(ListenerLoad::most_bytes);
+    let own_bytes = OWN_BYTES.min(memory_bytes / 3);
+    let taken_bytes = taken.fold(own_bytes, usize::saturating_add);
+    memory_bytes.saturating_sub(taken_bytes)
+}
--- a/src/http1/receive_buffer.rs
+++ b/src/http1/receive_buffer.rs
@@ -25,8 +25,8 @@
 
 /// Bytes that a receive buffer of this size holds at most: the system allows for as many again,
 /// for what it keeps beside the bytes.
-pub(super) fn most_unread_bytes(receive_buffer_bytes: usize) -> usize {
-    2 * receive_buffer_bytes
+pub(super) fn most_unread_bytes(receive_buffer_bytes: u32) -> usize {
+    2 * receive_buffer_bytes as usize
 }
 
 /// Socket for `address`. Its receive buffer is set before it is connected, as a window that a
--- a/src/http1/receive_room.rs
+++ b/src/http1/receive_room.rs
@@ -3,7 +3,7 @@
 use crate::http1::receive_buffer::most_unread_bytes;
 
 /// Size of the receive buffer of a connection while a large body arrives, in bytes.
-const WIDE_BYTES: usize = 128 * 1024;
+const WIDE_BYTES: u32 = 128 * 1024;
 
 impl MemoryBudget {
     /// Takes room for a larger receive buffer of one connection, unless messages need it.
@@ -25,12 +25,12 @@
 
 impl ReceiveRoom {
     /// Size of the larger receive buffer.
-    pub(super) fn wide_bytes(&self) -> usize {
+    pub(super) fn wide_bytes(&self) -> u32 {
         WIDE_BYTES
     }
 
     /// Records that the buffer is not enlarged any more; returns its usual size.
-    pub(super) fn end_use(&mut self) -> usize {
+    pub(super) fn end_use(&mut self) -> u32 {
         self.is_used = false;
         self.budget.receive_buffer_bytes()
     }
--- a/src/observe/library_pace.rs
+++ b/src/observe/library_pace.rs
@@ -23,7 +23,7 @@
 /// The HTTP library writes a line for each connection with a malformed head, so that clients
 /// would decide how much is logged. The project's own records have bounds of their own.
 #[derive(Debug, Default)]
-pub struct LibraryPace {
+pub(super) struct LibraryPace {
     interval: Mutex<Option<LineInterval>>,
 }
 
@@ -35,7 +35,7 @@
 
 impl LibraryPace {
     /// Records a line of a library; returns whether it is written.
-    pub fn record(&self, now: Instant) -> bool {
+    fn record(&self, now: Instant) -> bool {
         let mut interval = self.interval.lock().unwrap_or_else(PoisonError::into_inner);
         let current = interval
             .filter(|current| now.saturating_duration_since(current.started_at) < LINE_INTERVAL);
--- a/src/observe/logging.rs
+++ b/src/observe/logging.rs
@@ -4,7 +4,7 @@
 use logforth::layout::TextLayout;
 
 use crate::conf::LogFormat;
-use crate::observe::LibraryPace;
+use crate::observe::library_pace::LibraryPace;
 
 /// Starts the log of the process on standard error.
 ///
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -13,7 +13,6 @@
 
 pub use event::Event;
 pub use event::emit_event;
-pub use library_pace::LibraryPace;
 pub use log_line::LogLine;
 pub use log_line::flush_log;
 pub use log_line::flush_log_every;
