--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -75,3 +75,8 @@
         left -= count;
     }
 }
+
+/// One chunk of `bytes` bytes.
+pub fn chunk(bytes: usize) -> Vec<u8> {
+    format!("{bytes:x}\r\n{}\r\n", "c".repeat(bytes)).into_bytes()
+}
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Mutex;
 
 use crate::crowd::Crowd;
+use crate::crowd::chunk;
 use crate::support::Cluster;
 use crate::support::TOKEN;
 use crate::support::until;
@@ -198,11 +199,6 @@
     )
 }
 
-/// One chunk of `bytes` bytes.
-fn chunk(bytes: usize) -> Vec<u8> {
-    format!("{bytes:x}\r\n{}\r\n", "c".repeat(bytes)).into_bytes()
-}
-
 /// Guards against an entry that ends over what it holds for callers.
 #[actix_rt::test]
 async fn entry_callers_bounded() {
--- a/tests/crowds/watched_process.rs
+++ b/tests/crowds/watched_process.rs
@@ -21,7 +21,7 @@
 impl WatchedProcess {
     /// Panics when the process has ended or has taken more than its settings allow.
     pub fn check(&self) {
-        let resident_bytes = self.resident_bytes();
+        let resident_bytes = resident_bytes(self.process_id);
         let unread_bytes = self.unread_bytes();
         let limit_bytes = self.memory_mb << 20;
         assert!(
@@ -36,16 +36,6 @@
         );
     }
 
-    /// Resident memory; panics when the process has ended.
-    pub fn resident_bytes(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.process_id);
-        let status = fs::read_to_string(path).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
-        let kilobytes = kilobytes.expect("a process that has not ended");
-        kilobytes.parse::<u64>().expect("a number") << 10
-    }
-
     /// Bytes that its sockets have received and that it has not read, also of connections that
     /// it has not accepted.
     pub fn unread_bytes(&self) -> u64 {
@@ -93,6 +83,16 @@
     }
 }
 
+/// Resident memory of a process; panics when it has ended.
+pub fn resident_bytes(process_id: u32) -> u64 {
+    let path = format!("/proc/{process_id}/status");
+    let status = fs::read_to_string(path).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let kilobytes = kilobytes.expect("a process that has not ended");
+    kilobytes.parse::<u64>().expect("a number") << 10
+}
+
 /// Address in a column of the kernel's table of IPv4 sockets.
 fn local_address(column: &str) -> Option<SocketAddr> {
     let (ip, port) = column.split_once(':')?;
