Log the sign for which the end of an answer is not believed

An answer without a length or chunks ends with its connection, and five signs may speak against that end. 703 said replica_crashed for all of them, so a whole answer that was broken off could not be traced to its sign.

Event 737 EndDoubted names the sign, whether another process knows of the crash, and the record by which a later incarnation is known.

CloseSigns::is_end_of_answer decides as before.

--- a/src/calls/close_signs.rs
+++ b/src/calls/close_signs.rs
@@ -34,21 +34,54 @@
     pub is_leaving: bool,
 }
 
+/// Sign for which the end of a connection is not taken for the end of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseDoubt {
+    /// The incarnation is known to have ended.
+    IncarnationEnded,
+    /// Other connections to the replica broke off at the same moment.
+    BrokenNeighbours,
+    /// No process listens on its port.
+    PortRefused,
+    /// Its host reports that it does not answer.
+    ReportedDown,
+}
+
+impl CloseDoubt {
+    /// Name of the sign in logs; part of the interface.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::IncarnationEnded => "incarnation_ended",
+            Self::BrokenNeighbours => "broken_neighbours",
+            Self::PortRefused => "port_refused",
+            Self::ReportedDown => "reported_down",
+        }
+    }
+}
+
 impl CloseSigns {
     /// Whether the answer counts as whole.
     pub fn is_end_of_answer(&self) -> bool {
-        if self.is_ended || self.has_broken_neighbours {
-            return false;
+        self.doubt().is_none()
+    }
+
+    /// Sign that speaks against the end of the answer; None if the answer counts as whole.
+    pub fn doubt(&self) -> Option<CloseDoubt> {
+        if self.is_ended {
+            return Some(CloseDoubt::IncarnationEnded);
+        }
+        if self.has_broken_neighbours {
+            return Some(CloseDoubt::BrokenNeighbours);
         }
         // A replica that leaves closes its port before it ends its last answers.
         if self.is_leaving {
-            return true;
+            return None;
         }
         match self.port {
             // Seen after the report, and without the process that sent it.
-            PortSign::Open => true,
-            PortSign::Refused => false,
-            PortSign::Unknown => !self.is_reported_down,
+            PortSign::Open => None,
+            PortSign::Refused => Some(CloseDoubt::PortRefused),
+            PortSign::Unknown => self.is_reported_down.then_some(CloseDoubt::ReportedDown),
         }
     }
 }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -59,6 +59,7 @@
 pub use call_outcome::CallOutcome;
 pub use candidate::Candidate;
 pub use candidate::stable_hash;
+pub use close_signs::CloseDoubt;
 pub use close_signs::CloseSigns;
 pub use close_signs::PortSign;
 pub use completed_runs::CompletedRuns;
--- a/src/gateway/answer_parts.rs
+++ b/src/gateway/answer_parts.rs
@@ -33,7 +33,7 @@
         self.record_notice(request, &send.chosen, send.notice.get());
         history.has_unused_retry |=
             send.is_second && matches!(outcome, SendOutcome::Unreachable(_));
-        let outcome = self.check_end(&send.chosen, outcome);
+        let outcome = self.check_end(request, &send.chosen, outcome);
         let accepted = self.record_outcome(request, &send.chosen, outcome, history, is_only);
         match accepted {
             None => drop(sends.remove(at)),
@@ -79,7 +79,13 @@
         part: StreamPart,
     ) -> Option<ConnectionReuse> {
         let close = self.closes_connection(&forwarding.request);
-        let Forwarding { relay, sends, .. } = &mut *forwarding;
+        let Forwarding {
+            request,
+            relay,
+            sends,
+            ..
+        } = &mut *forwarding;
+        let attempt_id = &request.facts.attempt_id;
         let send = sends.get_mut(at);
         let stream = send.stream().expect("only a stream has parts");
         let end = match part {
@@ -93,7 +99,7 @@
                 }
             }
             StreamPart::EndAtClose(port)
-                if !self.state.borrow().is_end_of_answer(&send.chosen, port) =>
+                if !(self.state.borrow()).is_end_of_answer(attempt_id, &send.chosen, port) =>
             {
                 StreamEnd::Broken(REPLICA_CRASHED)
             }
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -7,7 +7,6 @@
 use crate::calls::CloseSigns;
 use crate::calls::CrashSign;
 use crate::calls::PortSign;
-use crate::calls::ReplicaSign;
 use crate::calls::RunCauses;
 use crate::calls::SuspectRecord;
 use crate::fleet::ReplicaRecord;
@@ -97,9 +96,14 @@
         cause != CLIENT_LEFT && self.broken_runs.contains(chosen.address)
     }
 
-    /// Whether the end of its connection is that of an answer from the replica, whose `port` was
-    /// tried since.
-    pub(super) fn is_end_of_answer(&self, chosen: &ChosenReplica, port: PortSign) -> bool {
+    /// Whether the end of its connection is that of the answer to the attempt `attempt_id` from
+    /// the replica, whose `port` was tried since. Logs the sign that speaks against it.
+    pub(super) fn is_end_of_answer(
+        &self,
+        attempt_id: &str,
+        chosen: &ChosenReplica,
+        port: PortSign,
+    ) -> bool {
         let replica = self.replicas.get(chosen.key);
         let is_same =
             replica.record.id == chosen.id && replica.record.born_unix_ms == chosen.born_unix_ms;
@@ -107,16 +111,32 @@
         let now_ms = self.now_ms();
         let crash = chosen.process_crash();
         let since_ms = now_ms.saturating_sub(SAME_MOMENT_MS);
+        let later = self.later_incarnation(chosen);
+        let is_crash_known = self.suspects.has_crash(&crash);
         let signs = CloseSigns {
             port,
-            is_ended: self.replica_sign(chosen) == ReplicaSign::Ended
-                || self.suspects.has_crash(&crash),
+            is_ended: later.is_some() || is_crash_known,
             is_reported_down: is_same
                 && replica.recent_load(now_ms).is_some_and(|load| !load.is_up),
             has_broken_neighbours: self.broken_runs.has_broken_connection(&crash, since_ms),
             is_leaving: is_same && has_announced,
         };
-        signs.is_end_of_answer()
+        let Some(doubt) = signs.doubt() else {
+            return true;
+        };
+        let mut line = LogLine::new(Event::EndDoubted)
+            .text("id", attempt_id)
+            .text("replica", &chosen.id)
+            .text("sign", doubt.label())
+            .flag("crash_known", is_crash_known)
+            .number("sent_ms_ago", now_ms.saturating_sub(chosen.sent_ms));
+        if let Some(later) = later {
+            line = line
+                .text("later_replica", &later.id)
+                .text("later_service", &later.service);
+        }
+        line.enqueue();
+        false
     }
 
     /// Records a sign that no incarnation runs at `address`.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,6 +13,7 @@
 use crate::fleet::RefusalCause;
 use crate::fleet::Replica;
 use crate::fleet::ReplicaKey;
+use crate::fleet::ReplicaRecord;
 use crate::fleet::Service;
 use crate::fleet::Topic;
 use crate::fleet::admit_request;
@@ -129,13 +130,18 @@
         })
     }
 
+    /// Record of a later incarnation at the address that a request was sent to.
+    pub(super) fn later_incarnation(&self, chosen: &ChosenReplica) -> Option<&ReplicaRecord> {
+        let born_unix_ms = chosen.born_unix_ms?;
+        let mut listed = self.replicas.listed().map(|(_, replica)| &replica.record);
+        listed.find(|record| {
+            record.address == chosen.address && record.born_unix_ms > Some(born_unix_ms)
+        })
+    }
+
     /// What is known of the replica that a request was sent to, besides its connection.
     pub(super) fn replica_sign(&self, chosen: &ChosenReplica) -> ReplicaSign {
-        let later = |replica: &Replica| replica.record.born_unix_ms > chosen.born_unix_ms;
-        let is_replaced = chosen.born_unix_ms.is_some()
-            && (self.replicas.listed())
-                .any(|(_, replica)| replica.record.address == chosen.address && later(replica));
-        if is_replaced {
+        if self.later_incarnation(chosen).is_some() {
             return ReplicaSign::Ended;
         }
         let now_ms = self.now_ms();
--- a/src/gateway/send_results.rs
+++ b/src/gateway/send_results.rs
@@ -69,12 +69,18 @@
 
     /// The outcome of a send, which is a failure if its response ended with a connection whose
     /// end is not believed.
-    pub(super) fn check_end(&self, chosen: &ChosenReplica, outcome: SendOutcome) -> SendOutcome {
+    pub(super) fn check_end(
+        &self,
+        request: &RoutedRequest,
+        chosen: &ChosenReplica,
+        outcome: SendOutcome,
+    ) -> SendOutcome {
+        let attempt_id = &request.facts.attempt_id;
         match outcome {
             SendOutcome::Response(ReplicaResponse {
                 port_at_close: Some(port),
                 ..
-            }) if !self.state.borrow().is_end_of_answer(chosen, port) => {
+            }) if !(self.state.borrow()).is_end_of_answer(attempt_id, chosen, port) => {
                 SendOutcome::Broken(REPLICA_CRASHED)
             }
             outcome => outcome,
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -102,6 +102,7 @@
     730 DomainIdle Info "No request of this entry is in flight any more in an evacuated failure domain.";
     735 ColdReplicasHeldBack Info "A request was not sent to cold replicas, as this entry has sent them its share.";
     736 PeersRefused Warn "Peers were refused at a port, or their connections closed, for the stated cause; the line names the last of them.";
+    737 EndDoubted Info "An answer that ended with its connection is not taken for whole, for the stated sign.";
     801 TransferStarted Info "The download of the pieces of a version has started.";
     802 PieceRejected Warn "A piece had the wrong digest and is fetched again.";
     803 WeightsStaged Info "Every piece of a version is staged and verified.";
