Take only records of replicas in use for a sign that an answer has ended

Cause: records of unknown services are kept, as a configuration may name the service later, but the question for a later incarnation at an address was asked of all records. So such a record ended the incarnation: the end of an answer without a length was not believed, an answer that was silent for 0.8 s was ended, and a second send came sooner.

Fix: a record counts if the configuration in force names its service, or if it is of the service that the request was sent to, which the configuration may have dropped since (ReplicaRecord::is_in_use, later_incarnation). What a true restart shows is a record of a configured service, so it counts as before.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use crate::fleet::Catalog;
+
 /// Lifecycle state that a replica reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplicaState {
@@ -33,3 +35,14 @@
     /// Models with the version of their loaded weights.
     pub weights: Vec<(String, u64)>,
 }
+
+impl ReplicaRecord {
+    /// Whether it names a replica to use: `catalog`, the configuration in force, has its service.
+    /// Before a configuration is known, every record does.
+    ///
+    /// Other records may come from any writer, and say nothing of the replicas in use. The
+    /// configuration may name their service later.
+    pub fn is_in_use(&self, catalog: Option<&Catalog>) -> bool {
+        catalog.is_none_or(|catalog| catalog.service(&self.service).is_some())
+    }
+}
--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -464,7 +464,8 @@
         &self.replicas[key.0 as usize]
     }
 
-    /// Replicas that were not removed.
+    /// Replicas that were not removed, those of services that no configuration names included:
+    /// whoever looks for one by its address or id has to ask [`ReplicaRecord::is_in_use`] too.
     pub fn listed(&self) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
         self.replicas
             .iter()
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -53,6 +53,8 @@
     pub(super) key: ReplicaKey,
     /// Identifier that the replica must confirm.
     pub(super) id: String,
+    /// Service that it was chosen for.
+    pub(super) service: String,
     /// Start of its incarnation.
     pub(super) born_unix_ms: Option<u64>,
     /// Time at which it was chosen and the request is sent.
@@ -130,12 +132,16 @@
         })
     }
 
-    /// Record of a later incarnation at the address that a request was sent to.
+    /// Record of a later incarnation at the address that a request was sent to, of the service
+    /// that it was sent to or of one that the configuration in force names.
     pub(super) fn later_incarnation(&self, chosen: &ChosenReplica) -> Option<&ReplicaRecord> {
         let born_unix_ms = chosen.born_unix_ms?;
+        let catalog = self.catalog.as_deref();
         let mut listed = self.replicas.listed().map(|(_, replica)| &replica.record);
         listed.find(|record| {
-            record.address == chosen.address && record.born_unix_ms > Some(born_unix_ms)
+            record.address == chosen.address
+                && record.born_unix_ms > Some(born_unix_ms)
+                && (record.service == chosen.service || record.is_in_use(catalog))
         })
     }
 
@@ -269,6 +275,7 @@
                 Ok(ChosenReplica {
                     key,
                     id: replica.record.id.clone(),
+                    service: request.service.clone(),
                     born_unix_ms: replica.record.born_unix_ms,
                     sent_ms: now_ms,
                     address: replica.record.address,
