Take no crash from the record of a service that nobody configured

Fix: ReplicaTable::in_use gives the records of replicas in use, and only these are next incarnations. A replica whose service is configured after its record was read may be one, so that is looked for when a configuration comes into force.

--- a/src/fleet/replica_table.rs
+++ b/src/fleet/replica_table.rs
@@ -1,6 +1,7 @@
 use std::collections::VecDeque;
 use std::net::IpAddr;
 
+use crate::fleet::Catalog;
 use crate::fleet::ColdTimes;
 use crate::fleet::EngineLoad;
 use crate::fleet::ReplicaNotice;
@@ -464,6 +465,12 @@
         &self.replicas[key.0 as usize]
     }
 
+    /// Records of the listed replicas that are in use by `catalog`, the configuration in force.
+    pub fn in_use(&self, catalog: Option<&Catalog>) -> impl Iterator<Item = &ReplicaRecord> {
+        let listed = self.listed().map(|(_, replica)| &replica.record);
+        listed.filter(move |record| record.is_in_use(catalog))
+    }
+
     /// Replicas that were not removed, those of services that no configuration names included:
     /// whoever looks for one by its address or id has to ask [`ReplicaRecord::is_in_use`] too.
     pub fn listed(&self) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
--- a/src/gateway/crash_signs.rs
+++ b/src/gateway/crash_signs.rs
@@ -151,8 +151,8 @@
     /// Records the crashes of all earlier incarnations at the address of a listed replica.
     pub(super) fn record_next_incarnation(&mut self, address: SocketAddr) {
         let now_ms = self.now_ms();
-        let listed = self.replicas.listed().map(|(_, replica)| &replica.record);
-        let records: Vec<&ReplicaRecord> = listed.collect();
+        let catalog = self.catalog.as_deref();
+        let records: Vec<&ReplicaRecord> = self.replicas.in_use(catalog).collect();
         // The record of an earlier incarnation may be listed beside that of a later one.
         let is_replaced = |run: &BrokenRun| {
             let is_known = |id: &str| records.iter().any(|record| record.id == id);
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -1,5 +1,7 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::fleet::Catalog;
 use crate::fleet::DeclarationRecord;
 use crate::fleet::LogPosition;
 use crate::fleet::ReplicaState;
@@ -134,8 +136,7 @@
                     .number("version", catalog.version)
                     .number("offset", LogPosition::unpack(offset).offset)
                     .enqueue();
-                self.catalog = Some(Rc::from(catalog));
-                self.catalog_adopted_ms = self.now_ms();
+                self.adopt_catalog(*catalog);
             }
             Ok(OperatorRecord::Weights { model, version }) => {
                 self.apply_declaration(model, version, offset)
@@ -145,6 +146,21 @@
         }
     }
 
+    /// Puts a configuration into force. The replicas that come into use by it may be the next
+    /// incarnations at their addresses.
+    fn adopt_catalog(&mut self, catalog: Catalog) {
+        let former = self.catalog.replace(Rc::new(catalog));
+        self.catalog_adopted_ms = self.now_ms();
+        let in_use = self.replicas.in_use(self.catalog.as_deref());
+        let new_addresses: Vec<SocketAddr> = in_use
+            .filter(|record| !record.is_in_use(former.as_deref()))
+            .map(|record| record.address)
+            .collect();
+        for address in new_addresses {
+            self.record_next_incarnation(address);
+        }
+    }
+
     /// Adds a declared version of weights, and wakes the read-ahead if it is new.
     fn apply_declaration(&mut self, model: String, version: u64, offset: u64) {
         let record = DeclarationRecord {
