Answer the first report of a host whatever unknown services state of it

An endpoint process that has just started gets a heartbeat in answer to its first load report unless the entry knows its host. A record of an unknown service with the address of the host made it known, so the process got none.

Fix: only a replica in use makes its host known.

--- a/src/gateway/heartbeat_targets.rs
+++ b/src/gateway/heartbeat_targets.rs
@@ -79,11 +79,12 @@
         .collect()
 }
 
-/// Whether this entry sends heartbeats to the endpoint process at `address`: the replica
-/// on its host is listed.
+/// Whether this entry sends heartbeats to the endpoint process at `address`: a replica in use
+/// is on its host.
 pub(super) fn is_known_endpoint(state: &GatewayState, address: SocketAddr) -> bool {
-    let mut replicas = state.replicas.listed();
-    replicas.any(|(_, replica)| replica.record.address.ip() == address.ip())
+    let catalog = state.catalog.as_deref();
+    let mut listed = state.replicas.listed().map(|(_, replica)| &replica.record);
+    listed.any(|record| record.address.ip() == address.ip() && record.is_in_use(catalog))
 }
 
 /// Whether a failure domain is in another region than this entry.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -349,9 +349,9 @@
     pub fn take_leaving_notices(&mut self) -> Vec<(LeavingReplica, Option<SocketAddr>)> {
         let port = self.settings.internal.port();
         let host_of = |leaving: &LeavingReplica| {
-            let mut replicas = self.replicas.listed();
-            let replica = replicas.find(|(_, known)| known.record.id == leaving.id)?;
-            Some(SocketAddr::new(replica.1.record.address.ip(), port))
+            let mut in_use = self.replicas.in_use(self.catalog.as_deref());
+            let replica = in_use.find(|known| known.id == leaving.id)?;
+            Some(SocketAddr::new(replica.address.ip(), port))
         };
         let notices = self.leaving_notices.take_due().into_iter();
         let notices = notices.map(|leaving| {
@@ -366,6 +366,9 @@
         let now_ms = self.now_ms();
         for key in self.replicas.silence_changes(now_ms) {
             let replica = self.replicas.get(key);
+            if !replica.record.is_in_use(self.catalog.as_deref()) {
+                continue;
+            }
             let event = if replica.is_silent(now_ms) {
                 Event::ReplicaSilent
             } else {
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -211,6 +211,7 @@
                         .text("replica", &record.id)
                         .text("service", &record.service)
                         .text("address", record.address.to_string())
+                        .flag("in_use", record.is_in_use(self.catalog.as_deref()))
                         .number("offset", LogPosition::unpack(offset).offset)
                         .enqueue();
                 }
