Give the record of an unknown service no place among a replica's records

A replica under whose id another writer had stated a later start was not heard again: its own records, with the earlier start, ranked before that one and were ignored. It stayed out of use, or with the commit before got requests although it had announced that it leaves.

Cause: born and sequence order the records of one writer, and were compared across writers.

Fix: a record of a service that the configuration does not have states no version (writer_version), as one that can't be decoded. Where it was read before the configuration, the known records state their versions anew when that comes into force; the version of the write before it counts again.

--- a/src/fleet/known_record.rs
+++ b/src/fleet/known_record.rs
@@ -13,9 +13,10 @@
     pub(super) record: TopicRecord,
     /// Position of the newest write, if one is known.
     written_offset: Option<u64>,
-    /// Newest version that a write has stated. It outlasts a deletion and a write that states
-    /// none.
-    version: Option<RecordVersion>,
+    /// Version that the newest write has stated, if it states one.
+    stated: Option<RecordVersion>,
+    /// Newest version that a write before it has stated.
+    stated_before: Option<RecordVersion>,
     /// Position up to which every write was deleted.
     deleted_offset: Option<u64>,
     /// Position of the last write that was ignored as an older one of the writer.
@@ -31,7 +32,8 @@
         let is_write = record.value.is_some();
         Self {
             written_offset: is_write.then_some(record.offset),
-            version: version_of(&record),
+            stated: version_of(&record),
+            stated_before: None,
             deleted_offset: (!is_write).then_some(record.offset),
             ignored_offset: 0,
             record,
@@ -55,7 +57,8 @@
             return false;
         }
         self.written_offset = Some(other.offset);
-        self.version = version.or(self.version);
+        self.stated_before = self.version();
+        self.stated = version;
         let deletion = self.deleted_offset.filter(|deleted_offset| {
             LogPosition::unpack(*deleted_offset).era == other.era()
                 && *deleted_offset >= other.offset
@@ -92,9 +95,26 @@
         self.record.value = None;
     }
 
+    /// Newest version that a write has stated. It outlasts a deletion and a write that states
+    /// none.
+    fn version(&self) -> Option<RecordVersion> {
+        self.stated.or(self.stated_before)
+    }
+
+    /// Takes the version that the record in force states by what counts as one now.
+    pub(super) fn restate_version(
+        &mut self,
+        version_of: impl Fn(&TopicRecord) -> Option<RecordVersion>,
+    ) {
+        if self.record.value.is_some() {
+            self.stated = version_of(&self.record);
+        }
+    }
+
     /// Removes a record that the store has lost. Its writer may write it again as it was.
     pub(super) fn lose(&mut self) {
-        self.version = None;
+        self.stated = None;
+        self.stated_before = None;
         self.record.value = None;
     }
 
@@ -111,7 +131,7 @@
     /// from the beginning.
     fn is_older_than(&self, other: &TopicRecord, version: Option<RecordVersion>) -> bool {
         let is_same_era = self.record.era() == other.era();
-        match (self.version, version) {
+        match (self.version(), version) {
             (Some(known), Some(new)) if is_same_era && (known.0 == 0 || new.0 == 0) => {}
             (Some(known), Some(new)) if known != new => return new > known,
             // A key that was deleted with this version does not come back with it from an
--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use crate::fleet::Catalog;
+use crate::fleet::RecordVersion;
 
 /// Lifecycle state that a replica reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +47,12 @@
         catalog.is_none_or(|catalog| catalog.service(&self.service).is_some())
     }
 
+    /// Place of the record among those of its replica. A replica that starts again under its id
+    /// counts from the beginning.
+    pub fn version(&self) -> RecordVersion {
+        (self.born_unix_ms.unwrap_or(0), self.heartbeat_no)
+    }
+
     /// Whether another writer than this replica, which is in use, has written `newer` under its
     /// id: a replica never changes its service.
     pub fn is_overwritten_by(&self, newer: &Self, catalog: Option<&Catalog>) -> bool {
--- a/src/fleet/topic_table.rs
+++ b/src/fleet/topic_table.rs
@@ -181,6 +181,13 @@
             && record.offset < self.complete_from_offset
     }
 
+    /// Has each record state its version anew, after what counts as one has changed.
+    pub fn restate_versions(&mut self, version_of: impl Fn(&TopicRecord) -> Option<RecordVersion>) {
+        for known in &mut self.records {
+            known.restate_version(&version_of);
+        }
+    }
+
     /// Marks that a complete listing was applied.
     pub fn mark_listed(&mut self) {
         self.has_listing = true;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -104,6 +104,7 @@
 pub use records_reply::RecordsReplyError;
 pub use reload::wait_for_changed_settings;
 pub use replica_writers::decode_replica;
+pub use replica_writers::writer_version;
 pub use settings::GatewaySettings;
 pub use settings::MIN_CLIENT_CONNECTIONS;
 pub use state::GatewayState;
--- a/src/gateway/replica_writers.rs
+++ b/src/gateway/replica_writers.rs
@@ -4,7 +4,10 @@
 //! address. What such a record states of a replica that is in use does not count.
 
 use crate::fleet::Catalog;
+use crate::fleet::RecordVersion;
 use crate::fleet::ReplicaRecord;
+use crate::fleet::Topic;
+use crate::fleet::TopicRecord;
 use crate::gateway::InvalidRecord;
 use crate::gateway::RecordDecoder;
 
@@ -28,3 +31,21 @@
     }
     Ok(record)
 }
+
+/// Version that a record states, by which it has its place among those of the same writer.
+///
+/// The record of a replica whose service `catalog` does not have states none: it may come from
+/// another writer than the others with its key, with a start later than theirs.
+pub fn writer_version(
+    catalog: Option<&Catalog>,
+    topic: Topic,
+    record: &TopicRecord,
+    decoder: &impl RecordDecoder,
+) -> Option<RecordVersion> {
+    if topic != Topic::Replicas {
+        return decoder.record_version(topic, record);
+    }
+    let value = record.value.as_deref()?;
+    let replica = decoder.replica_record(&record.key, value).ok()?;
+    replica.is_in_use(catalog).then(|| replica.version())
+}
--- a/src/gateway/topic_records.rs
+++ b/src/gateway/topic_records.rs
@@ -14,6 +14,7 @@
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
 use crate::gateway::decode_replica;
+use crate::gateway::writer_version;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
@@ -26,6 +27,10 @@
 const MAX_MISSED_HEARTBEATS: u64 = 3;
 
 impl TopicSink for GatewayState {
+    fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.clone()
+    }
+
     fn topic_table(&self, topic: Topic) -> &TopicTable {
         &self.topic_tables[topic as usize]
     }
@@ -80,10 +85,12 @@
         decoder: &impl RecordDecoder,
     ) {
         let mut changed = Vec::new();
+        let catalog = self.catalog();
         for record in records {
             let key = record.key.clone();
-            let is_newer = self.topic_tables[topic as usize]
-                .apply_record(record, |record| decoder.record_version(topic, record));
+            let is_newer = self.topic_tables[topic as usize].apply_record(record, |record| {
+                writer_version(catalog.as_deref(), topic, record, decoder)
+            });
             if is_newer && !changed.contains(&key) {
                 changed.push(key);
             }
@@ -148,7 +155,7 @@
                     .number("version", catalog.version)
                     .number("offset", LogPosition::unpack(offset).offset)
                     .enqueue();
-                self.adopt_catalog(*catalog);
+                self.adopt_catalog(*catalog, decoder);
             }
             Ok(OperatorRecord::Weights { model, version }) => {
                 self.apply_declaration(model, version, offset)
@@ -158,11 +165,12 @@
         }
     }
 
-    /// Puts a configuration into force. The replicas that come into use by it may be the next
-    /// incarnations at their addresses.
-    fn adopt_catalog(&mut self, catalog: Catalog) {
+    /// Puts a configuration into force, and looks at the records of the replicas by it. Those that
+    /// come into use may be the next incarnations at their addresses.
+    fn adopt_catalog(&mut self, catalog: Catalog, decoder: &impl RecordDecoder) {
         let former = self.catalog.replace(Rc::new(catalog));
         self.catalog_adopted_ms = self.now_ms();
+        self.restate_replica_versions(decoder);
         let in_use = self.replicas.in_use(self.catalog.as_deref());
         let new_addresses: Vec<SocketAddr> = in_use
             .filter(|record| !record.is_in_use(former.as_deref()))
--- a/src/gateway/topic_sink.rs
+++ b/src/gateway/topic_sink.rs
@@ -1,13 +1,19 @@
+use std::rc::Rc;
+
+use crate::fleet::Catalog;
 use crate::fleet::LogPosition;
 use crate::fleet::Topic;
 use crate::fleet::TopicRecord;
 use crate::fleet::TopicTable;
 use crate::gateway::RecordDecoder;
+use crate::gateway::replica_writers::writer_version;
 use crate::observe::Event;
 use crate::observe::LogLine;
 
 /// State of a process that is kept up to date from the records of the topics.
 pub trait TopicSink {
+    /// Configuration in force; None until one is known.
+    fn catalog(&self) -> Option<Rc<Catalog>>;
     /// Newest records of a topic.
     fn topic_table(&self, topic: Topic) -> &TopicTable;
     /// Newest records of a topic, to be updated.
@@ -33,11 +39,12 @@
         if is_rewound {
             self.handle_rewind(topic);
         }
+        let catalog = self.catalog();
         let changes = self.topic_table_mut(topic).apply_listing(
             records,
             end_offset,
             topic == Topic::Operator,
-            |record| decoder.record_version(topic, record),
+            |record| writer_version(catalog.as_deref(), topic, record, decoder),
         );
         if is_rewound {
             LogLine::new(Event::TopicRewound)
@@ -56,6 +63,14 @@
         self.topic_table_mut(topic).mark_listed();
     }
 
+    /// Has the records of the replicas state their versions by the configuration that has come
+    /// into force.
+    fn restate_replica_versions(&mut self, decoder: &impl RecordDecoder) {
+        let (catalog, topic) = (self.catalog(), Topic::Replicas);
+        self.topic_table_mut(topic)
+            .restate_versions(|record| writer_version(catalog.as_deref(), topic, record, decoder));
+    }
+
     /// Applies records that follow those already applied; `next_offset` is the offset
     /// after the last.
     fn handle_records(
--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -22,6 +22,7 @@
 use crate::gateway::TopicSink;
 use crate::gateway::log_rejected_record;
 use crate::gateway::registered_entries;
+use crate::gateway::writer_version;
 use crate::observe::Event;
 use crate::observe::LogLine;
 use crate::staging::EngineReport;
@@ -488,6 +489,10 @@
 }
 
 impl TopicSink for StagingState {
+    fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.clone()
+    }
+
     fn topic_table(&self, topic: Topic) -> &TopicTable {
         &self.topic_tables[topic as usize]
     }
@@ -504,7 +509,10 @@
         let offset = record.offset;
         match (topic, value) {
             (Topic::Operator, Some(value)) => match decoder.operator_record(key, &value) {
-                Ok(OperatorRecord::Catalog(catalog)) => self.catalog = Some(Rc::from(catalog)),
+                Ok(OperatorRecord::Catalog(catalog)) => {
+                    self.catalog = Some(Rc::from(catalog));
+                    self.restate_replica_versions(decoder);
+                }
                 Ok(OperatorRecord::Weights { model, version }) => {
                     self.record_declaration(model, version, offset);
                 }
@@ -537,8 +545,10 @@
     ) {
         for record in records {
             let key = record.key.clone();
-            let is_newer = self.topic_tables[topic as usize]
-                .apply_record(record, |record| decoder.record_version(topic, record));
+            let catalog = self.catalog();
+            let is_newer = self.topic_tables[topic as usize].apply_record(record, |record| {
+                writer_version(catalog.as_deref(), topic, record, decoder)
+            });
             if is_newer {
                 self.handle_change(topic, &key, decoder);
             }
--- a/tests/fleet/record_order.rs
+++ b/tests/fleet/record_order.rs
@@ -54,6 +54,20 @@
     assert!(!table.has_kept_records());
 }
 
+/// Guards against a replica whose records no longer count, as another writer has stated a later
+/// start under its id before it was known that the record names no replica to use.
+#[test]
+fn restate_versions_version_of_other_writer_dropped() {
+    let mut table = table_of(&[record(4, Some((9, 7))), record(5, Some((12, 1)))]);
+    let is_other = |record: &TopicRecord| version_of(record) == Some((12, 1));
+    let version_of = |record: &_| version_of(record).filter(|_| !is_other(record));
+    assert!(!table.apply_record(record(6, Some((9, 8))), version_of));
+    table.restate_versions(version_of);
+    assert!(!table.apply_record(record(7, Some((9, 6))), version_of));
+    assert!(table.apply_record(record(8, Some((9, 8))), version_of));
+    assert_eq!(held_version(&table), Some((9, 8)));
+}
+
 #[test]
 fn apply_record_restart_counts_anew() {
     let mut table = table_of(&[record(4, Some((9, 7)))]);
