Keep a host in the swarm when another writer writes under its replica's id

Endpoint processes dropped the host of a replica from the swarm and from the order of loads when a record that can't be decoded, or of another service, came under its id, until the replica's next record.

Fix: they use decode_replica as entries do. The hold has no time limit here: a deletion ends it, and fetches pass over a host that does not answer.

Test: staging_replica_id_in_record_of_other_writer_kept failed on the commit before (no replica in place of one).

--- a/src/staging/state.rs
+++ b/src/staging/state.rs
@@ -20,6 +20,7 @@
 use crate::gateway::OperatorRecord;
 use crate::gateway::RecordDecoder;
 use crate::gateway::TopicSink;
+use crate::gateway::decode_replica;
 use crate::gateway::log_rejected_record;
 use crate::gateway::registered_entries;
 use crate::gateway::writer_version;
@@ -519,17 +520,20 @@
                 Ok(OperatorRecord::Other) => {}
                 Err(error) => log_rejected_record(topic, key, offset, &error),
             },
-            (Topic::Replicas, value) => {
-                self.replicas.retain(|replica| replica.id != key);
-                let decoded = value.map(|value| decoder.replica_record(key, &value));
-                match decoded {
-                    Some(Ok(record)) if record.service == self.settings.service => {
-                        self.replicas.push(record);
+            (Topic::Replicas, Some(value)) => {
+                let catalog = self.catalog.as_deref();
+                let known = self.replicas.iter().find(|replica| replica.id == key);
+                match decode_replica(known, catalog, key, &value, decoder) {
+                    Ok(record) => {
+                        self.replicas.retain(|replica| replica.id != key);
+                        if record.service == self.settings.service {
+                            self.replicas.push(record);
+                        }
                     }
-                    Some(Err(error)) => log_rejected_record(topic, key, offset, &error),
-                    _ => {}
+                    Err(error) => log_rejected_record(topic, key, offset, &error),
                 }
             }
+            (Topic::Replicas, None) => self.replicas.retain(|replica| replica.id != key),
             _ => {}
         }
     }
